Workspace, shared types, HTTP plumbing, settings and platform interfaces

Cause: every part of the system needs the same ids, refusals, clock, HTTP client and platform traits, so they come first and the other crates are built against them side by side. Ruled out: jsonrpsee's own HTTP client and server, which need another runtime; the transport is hyper over smol-hyper. Result: the workspace builds, clippy and docs are clean; the other crates are still empty.

--- /dev/null
+++ b/crates/curranthook_cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/curranthook_http/src/client.rs
@@ -0,0 +1,213 @@
+//! A client that knows whether bytes may have gone out.
+//!
+//! Something between two ends can lose track of an open connection: it goes silent for good
+//! while new ones work. One notices only that answers stop coming. Hence a connection on which
+//! anything went wrong is closed, never reused, and callers can ask for a connection that is
+//! new or was in use a moment ago.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_io::Async;
+use bytes::Bytes;
+use curranthook_types::Clock;
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use parking_lot::Mutex;
+use smol_hyper::rt::FuturesIo;
+
+use crate::{runtime, timeout};
+
+/// How many idle connections are kept for each address.
+const MAX_IDLE: usize = 512;
+/// Past this much idle time a connection isn't reused for anything.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
+/// How long sent bytes may stay unacknowledged before the kernel gives a connection up.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Which connections will do for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// An idle one, however old.
+    Any,
+    /// An idle one that was in use less than this long ago.
+    Within(Duration),
+    /// Only a new one.
+    New,
+}
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection; nothing was sent.
+    #[error("can't connect to {addr}: {why}")]
+    Connect {
+        /// Where to.
+        addr: SocketAddr,
+        /// What the system said.
+        why: String,
+    },
+    /// The connection closed before the request was handed to it; nothing was sent.
+    #[error("the connection closed before the request went out")]
+    NotSent,
+    /// The connection failed after the request went out, before the head of an answer came.
+    #[error("the connection closed before an answer: {0}")]
+    Closed(hyper::Error),
+}
+
+impl Error {
+    /// Whether it's certain that not a byte of the request was handed to a socket.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Connect { .. } | Self::NotSent => true,
+            Self::Closed(_) => false,
+        }
+    }
+}
+
+/// A connection lent by a [`Pool`].
+#[derive(Debug)]
+pub struct Connection {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    reused: bool,
+}
+
+impl Connection {
+    /// Whether it served another call before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// The other end.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sends `req` and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        req: http::Request<Bytes>,
+    ) -> Result<http::Response<Incoming>, Error> {
+        let sent = self.sender.try_send_request(req.map(Full::new));
+        sent.await.map_err(|mut e| match e.take_message() {
+            // hyper hands the request back only if it never reached the connection.
+            Some(_) => Error::NotSent,
+            None => Error::Closed(e.into_error()),
+        })
+    }
+
+    /// Closes the connection; whatever still comes on it is dropped.
+    pub fn close(self) {
+        drop(self);
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    since: Instant,
+}
+
+/// Connections that can be used again, by address.
+#[derive(Debug)]
+pub struct Pool {
+    ex: runtime::Handle,
+    clock: Arc<dyn Clock>,
+    connect_timeout: Duration,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(ex: runtime::Handle, clock: Arc<dyn Clock>) -> Self {
+        const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+        Self { ex, clock, connect_timeout: CONNECT_TIMEOUT, idle: Mutex::default() }
+    }
+
+    /// Sets how long a connection attempt may take; one second if not set.
+    pub fn with_connect_timeout(self, connect_timeout: Duration) -> Self {
+        Self { connect_timeout, ..self }
+    }
+
+    /// Lends a connection to `addr`.
+    pub async fn take(&self, addr: SocketAddr, freshness: Freshness) -> Result<Connection, Error> {
+        while let Some(mut sender) = self.take_idle(addr, freshness) {
+            // The task that drives the connection may still be closing the last exchange.
+            if sender.ready().await.is_ok() {
+                return Ok(Connection { addr, sender, reused: true });
+            }
+        }
+        self.connect(addr).await
+    }
+
+    /// Takes back a connection whose last answer was read to its end and is beyond doubt.
+    pub fn put(&self, conn: Connection) {
+        if conn.sender.is_closed() {
+            return;
+        }
+        let idle = Idle { sender: conn.sender, since: self.clock.now() };
+        let mut all = self.idle.lock();
+        let list = all.entry(conn.addr).or_default();
+        if list.len() < MAX_IDLE {
+            list.push(idle);
+        }
+    }
+
+    /// Closes the idle connections to `addr`, after one of them was found to be silent.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.lock().remove(&addr);
+    }
+
+    fn take_idle(
+        &self,
+        addr: SocketAddr,
+        freshness: Freshness,
+    ) -> Option<SendRequest<Full<Bytes>>> {
+        let max_age = match freshness {
+            Freshness::Any => MAX_IDLE_AGE,
+            Freshness::Within(age) => age.min(MAX_IDLE_AGE),
+            Freshness::New => return None,
+        };
+        let now = self.clock.now();
+        let mut all = self.idle.lock();
+        let list = all.get_mut(&addr)?;
+        // The last one was used last; if that is too old, so are the others.
+        while let Some(idle) = list.pop() {
+            if max_age < now.saturating_duration_since(idle.since) {
+                list.clear();
+                return None;
+            }
+            if !idle.sender.is_closed() {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
+        let refused = |why: String| Error::Connect { addr, why };
+        let dial = timeout::run(self.connect_timeout, Async::<std::net::TcpStream>::connect(addr));
+        let stream =
+            dial.await.map_err(|e| refused(e.to_string()))?.map_err(|e| refused(e.to_string()))?;
+        let socket = socket2::SockRef::from(stream.get_ref());
+        let _best_effort = socket.set_tcp_nodelay(true);
+        let _best_effort = socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
+        let (sender, conn) =
+            http1::handshake(FuturesIo::new(stream)).await.map_err(|e| refused(e.to_string()))?;
+        self.ex
+            .spawn(async move {
+                // The call on the connection learns of a failure by itself.
+                let _failed = conn.await;
+            })
+            .detach();
+        Ok(Connection { addr, sender, reused: false })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_http/src/exchange.rs
@@ -0,0 +1,154 @@
+//! One small call and its whole answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{
+    body,
+    client::{self, Freshness, Pool},
+    timeout,
+};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection failed.
+    #[error(transparent)]
+    Client(#[from] client::Error),
+    /// The answer broke off.
+    #[error(transparent)]
+    Body(#[from] body::ReadError),
+    /// No answer in time.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+    /// The call couldn't be put into HTTP.
+    #[error("not a valid request: {0}")]
+    Invalid(#[from] http::Error),
+}
+
+impl Error {
+    /// Whether it's certain that not a byte went out.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Client(e) => e.is_unsent(),
+            Self::Invalid(_) => true,
+            Self::Body(_) | Self::Timeout(_) => false,
+        }
+    }
+}
+
+/// A call to be made.
+///
+/// ```no_run
+/// # async fn example(pool: &curranthook_http::client::Pool) -> anyhow::Result<()> {
+/// use curranthook_http::Exchange;
+/// let addr = "127.0.0.1:8080".parse().unwrap();
+/// let answer = Exchange::get(addr, "/healthz").run(pool).await.unwrap();
+/// assert_eq!(answer.status(), 200);
+/// # Ok(()) }
+/// ```
+#[derive(Debug)]
+pub struct Exchange {
+    /// Where to.
+    pub addr: SocketAddr,
+    /// What for.
+    pub method: http::Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body, empty for none.
+    pub body: Bytes,
+    /// The limit on the whole call.
+    pub timeout: Duration,
+    /// Which connections will do.
+    pub freshness: Freshness,
+}
+
+impl Exchange {
+    /// A call with no body.
+    pub fn new(addr: SocketAddr, method: http::Method, path: impl Into<String>) -> Self {
+        const TIMEOUT: Duration = Duration::from_secs(2);
+        Self {
+            addr,
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout: TIMEOUT,
+            freshness: Freshness::Within(Duration::from_secs(5)),
+        }
+    }
+
+    /// A `GET`.
+    pub fn get(addr: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(addr, http::Method::GET, path)
+    }
+
+    /// A `POST`.
+    pub fn post(addr: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(addr, http::Method::POST, path)
+    }
+
+    /// A `PUT`.
+    pub fn put(addr: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(addr, http::Method::PUT, path)
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Sets the body.
+    pub fn with_body(self, body: impl Into<Bytes>) -> Self {
+        Self { body: body.into(), ..self }
+    }
+
+    /// Sets a JSON body.
+    ///
+    /// # Panics
+    ///
+    /// If `value` can't be written as JSON.
+    pub fn with_json(self, value: &impl serde::Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("the value can be written as JSON");
+        self.with_header("content-type", "application/json").with_body(body)
+    }
+
+    /// Sets the limit on the whole call; two seconds if not set.
+    pub fn with_timeout(self, timeout: Duration) -> Self {
+        Self { timeout, ..self }
+    }
+
+    /// Sets which connections will do.
+    pub fn with_freshness(self, freshness: Freshness) -> Self {
+        Self { freshness, ..self }
+    }
+
+    /// Makes the call and reads the whole answer.
+    pub async fn run(self, pool: &Pool) -> Result<http::Response<Bytes>, Error> {
+        let limit = self.timeout;
+        timeout::run(limit, self.attempt(pool)).await.map_err(|_| Error::Timeout(limit))?
+    }
+
+    async fn attempt(self, pool: &Pool) -> Result<http::Response<Bytes>, Error> {
+        let mut req = http::Request::builder()
+            .method(self.method)
+            .uri(&self.path)
+            .header(http::header::HOST, self.addr.to_string());
+        for (name, value) in &self.headers {
+            req = req.header(*name, value);
+        }
+        let req = req.body(self.body)?;
+        let mut conn = pool.take(self.addr, self.freshness).await?;
+        let (head, incoming) = conn.send(req).await?.into_parts();
+        let bytes = body::read(incoming, MAX_ANSWER).await?;
+        pool.put(conn);
+        Ok(http::Response::from_parts(head, bytes))
+    }
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Nodes acting together: membership, digest, configuration spread, journal replicas.
--- /dev/null
+++ b/crates/curranthook_platform/src/client.rs
@@ -0,0 +1,190 @@
+//! The platform over HTTP, with conditional requests (RFC 9110, section 13).
+//!
+//! | call | request | answer |
+//! |---|---|---|
+//! | read | `GET /table/{table}/{key}` | 200 with `ETag`, 304, 404 |
+//! | list | `GET /table/{table}?prefix=` | 200, `[{key, tag, value}]` |
+//! | insert | `PUT /table/{table}/{key}`, `If-None-Match: *` | 201 with `ETag`, 412 |
+//! | replace | the same, `If-Match: tag` | 200 with `ETag`, 412 |
+//! | store | `PUT /objects/{key}`, `If-None-Match: *` | 201, 412 |
+//! | fetch | `GET /objects/{key}` | 200, 404 |
+//! | keys | `GET /objects?prefix=` | 200, `[key]` |
+//! | VMs | `GET /vms` | 200, `[vm]` |
+//!
+//! 429 and 503 mean that nothing was done.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use curranthook_http::{Exchange, client::Pool, exchange};
+use http::{Method, StatusCode, header};
+use serde::Deserialize;
+
+use crate::{Answer, Error, Objects, Row, Table, Tag, Vm, Vms, Write};
+
+/// How long one call may take. Longer waits would hold callers back during an outage.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client for one of the platform's services.
+#[derive(Debug, Clone)]
+pub struct Client {
+    addr: SocketAddr,
+    pool: Arc<Pool>,
+    timeout: Duration,
+}
+
+#[derive(Debug, Deserialize)]
+struct Listed {
+    key: String,
+    tag: Tag,
+    value: String,
+}
+
+impl Client {
+    /// A client for the service at `addr`.
+    pub fn new(addr: SocketAddr, pool: Arc<Pool>) -> Self {
+        Self { addr, pool, timeout: CALL_TIMEOUT }
+    }
+
+    /// Sets how long one call may take; two seconds if not set.
+    pub fn with_timeout(self, timeout: Duration) -> Self {
+        Self { timeout, ..self }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        condition: Option<(&'static str, &str)>,
+        body: Bytes,
+    ) -> Result<http::Response<Bytes>, Error> {
+        let mut call =
+            Exchange::new(self.addr, method, path).with_body(body).with_timeout(self.timeout);
+        if let Some((name, value)) = condition {
+            call = call.with_header(name, value);
+        }
+        let res = call.run(&self.pool).await.map_err(Error::from)?;
+        match res.status() {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(Error::Down(res.status().to_string()))
+            }
+            status if status.is_server_error() => Err(Error::Lost(status.to_string())),
+            _ => Ok(res),
+        }
+    }
+
+    async fn write(
+        &self,
+        path: String,
+        condition: (&'static str, &str),
+        value: Bytes,
+    ) -> Result<Write, Error> {
+        let res = self.call(Method::PUT, path, Some(condition), value).await?;
+        match res.status() {
+            StatusCode::OK | StatusCode::CREATED => Ok(Write::Done(tag(&res)?)),
+            StatusCode::PRECONDITION_FAILED => Ok(Write::Conflict),
+            status => Err(Error::Garbled(status.to_string())),
+        }
+    }
+}
+
+impl From<exchange::Error> for Error {
+    fn from(e: exchange::Error) -> Self {
+        if e.is_unsent() { Self::Down(e.to_string()) } else { Self::Lost(e.to_string()) }
+    }
+}
+
+fn tag(res: &http::Response<Bytes>) -> Result<Tag, Error> {
+    let etag = res.headers().get(header::ETAG).and_then(|it| it.to_str().ok());
+    etag.map(|it| Tag(it.to_owned())).ok_or_else(|| Error::Garbled("no ETag".to_owned()))
+}
+
+fn parse<'a, T: Deserialize<'a>>(res: &'a http::Response<Bytes>) -> Result<T, Error> {
+    serde_json::from_slice(res.body()).map_err(|e| Error::Garbled(e.to_string()))
+}
+
+impl Table for Client {
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> Answer<'a, Option<Row>> {
+        self.get_newer(table, key, None)
+    }
+
+    fn get_newer<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+        known: Option<&'a Tag>,
+    ) -> Answer<'a, Option<Row>> {
+        Box::pin(async move {
+            let condition = known.map(|tag| ("if-none-match", tag.0.as_str()));
+            let path = format!("/table/{table}/{key}");
+            let res = self.call(Method::GET, path, condition, Bytes::new()).await?;
+            match res.status() {
+                StatusCode::OK => {
+                    let tag = tag(&res)?;
+                    Ok(Some(Row { key: key.to_owned(), tag, value: res.into_body() }))
+                }
+                StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
+                status => Err(Error::Garbled(status.to_string())),
+            }
+        })
+    }
+
+    fn list<'a>(&'a self, table: &'a str, prefix: &'a str) -> Answer<'a, Vec<Row>> {
+        Box::pin(async move {
+            let path = format!("/table/{table}?prefix={prefix}");
+            let res = self.call(Method::GET, path, None, Bytes::new()).await?;
+            let rows: Vec<Listed> = parse(&res)?;
+            let row = |it: Listed| Row { key: it.key, tag: it.tag, value: it.value.into() };
+            Ok(rows.into_iter().map(row).collect())
+        })
+    }
+
+    fn insert<'a>(&'a self, table: &'a str, key: &'a str, value: Bytes) -> Answer<'a, Write> {
+        let path = format!("/table/{table}/{key}");
+        Box::pin(self.write(path, ("if-none-match", "*"), value))
+    }
+
+    fn replace<'a>(
+        &'a self,
+        table: &'a str,
+        key: &'a str,
+        tag: &'a Tag,
+        value: Bytes,
+    ) -> Answer<'a, Write> {
+        let path = format!("/table/{table}/{key}");
+        Box::pin(self.write(path, ("if-match", &tag.0), value))
+    }
+}
+
+impl Objects for Client {
+    fn put_if_absent<'a>(&'a self, key: &'a str, value: Bytes) -> Answer<'a, Write> {
+        Box::pin(self.write(format!("/objects/{key}"), ("if-none-match", "*"), value))
+    }
+
+    fn get<'a>(&'a self, key: &'a str) -> Answer<'a, Option<Bytes>> {
+        Box::pin(async move {
+            let path = format!("/objects/{key}");
+            let res = self.call(Method::GET, path, None, Bytes::new()).await?;
+            match res.status() {
+                StatusCode::OK => Ok(Some(res.into_body())),
+                StatusCode::NOT_FOUND => Ok(None),
+                status => Err(Error::Garbled(status.to_string())),
+            }
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> Answer<'a, Vec<String>> {
+        Box::pin(async move {
+            let path = format!("/objects?prefix={prefix}");
+            parse(&self.call(Method::GET, path, None, Bytes::new()).await?)
+        })
+    }
+}
+
+impl Vms for Client {
+    fn all(&self) -> Answer<'_, Vec<Vm>> {
+        Box::pin(async move {
+            parse(&self.call(Method::GET, "/vms".to_owned(), None, Bytes::new()).await?)
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions: versions, cascades, endpoints, verdicts, limits and retries.
--- /dev/null
+++ b/crates/curranthook_router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router: callers' API, admission, policy, dispatch and billing.
--- /dev/null
+++ b/crates/curranthook_tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Integration tests: real processes behind a fault proxy.
