Policy: the decision modules and their interfaces

Cause: the router needs the decisions (version, endpoint, limits, queue, retries, poison, verdicts, roll-outs) behind stable signatures. Ruled out: a clock or random source inside the crate; a decision could then not be run again. Change: all modules with working bodies, and the baselines behind trait objects. Nothing is measured yet.

--- /dev/null
+++ b/crates/curranthook_policy/src/baseline.rs
@@ -0,0 +1,220 @@
+//! Plain strategies that ours are measured against.
+
+use std::time::{Duration, Instant};
+
+use curranthook_settings::config::Policy;
+use curranthook_types::{domain, kind, refusal, version};
+
+use crate::{
+    choice::{Ask, Candidate, Chooser, Counts, Plan, Rater, Reason, Sample},
+    endpoint::{self, Member, Miss, Outcome, Pick, Pool},
+};
+
+mod least_outstanding;
+mod round_robin;
+
+pub use crate::baseline::{least_outstanding::LeastOutstanding, round_robin::RoundRobin};
+
+/// The names that [`strategy`] knows.
+pub const STRATEGIES: [&str; 4] = ["curranthook", "cheapest", "best", "static-cascade"];
+/// The names that [`balance`] knows.
+pub const BALANCES: [&str; 3] = ["curranthook", "round-robin", "least-outstanding"];
+
+/// A way to choose versions.
+pub trait Strategy: std::fmt::Debug + Send {
+    /// Chooses the versions for one request.
+    fn plan(&mut self, ask: &Ask<'_>) -> Result<Plan, refusal::Reason>;
+
+    /// Takes in the rating of an answer.
+    fn learn(&mut self, _kind: &kind::Id, _version: &version::Id, _rating: f64, _now: Instant) {}
+
+    /// Takes in how long a whole answer took.
+    fn observe(&mut self, _version: &version::Id, _took: Duration, _tokens: u64) {}
+
+    /// Takes in what all other nodes together have gathered.
+    fn merge(&mut self, _kind: &kind::Id, _version: &version::Id, _ratings: Counts) {}
+
+    /// The ratings that this node gathered itself.
+    fn counts(&self) -> Vec<crate::choice::Tally> {
+        Vec::new()
+    }
+
+    /// Replaces the settings.
+    fn set_policy(&mut self, _policy: Policy) {}
+}
+
+impl Strategy for Chooser {
+    fn plan(&mut self, ask: &Ask<'_>) -> Result<Plan, refusal::Reason> {
+        self.plan(ask)
+    }
+
+    fn learn(&mut self, kind: &kind::Id, version: &version::Id, rating: f64, now: Instant) {
+        self.learn(kind, version, rating, now);
+    }
+
+    fn observe(&mut self, version: &version::Id, took: Duration, tokens: u64) {
+        self.observe(version, took, tokens);
+    }
+
+    fn merge(&mut self, kind: &kind::Id, version: &version::Id, ratings: Counts) {
+        self.merge(kind, version, ratings);
+    }
+
+    fn counts(&self) -> Vec<crate::choice::Tally> {
+        self.counts()
+    }
+
+    fn set_policy(&mut self, policy: Policy) {
+        self.set_policy(policy);
+    }
+}
+
+/// Always the cheapest allowed version.
+#[derive(Debug, Default)]
+pub struct Cheapest;
+
+/// Always the allowed version with the highest claimed quality.
+#[derive(Debug, Default)]
+pub struct Best;
+
+/// Always the cheapest, with the best behind it.
+#[derive(Debug, Default)]
+pub struct StaticCascade;
+
+impl Strategy for Cheapest {
+    fn plan(&mut self, ask: &Ask<'_>) -> Result<Plan, refusal::Reason> {
+        Ok(direct(cheapest(ask)?))
+    }
+}
+
+impl Strategy for Best {
+    fn plan(&mut self, ask: &Ask<'_>) -> Result<Plan, refusal::Reason> {
+        Ok(direct(best(ask)?))
+    }
+}
+
+impl Strategy for StaticCascade {
+    fn plan(&mut self, ask: &Ask<'_>) -> Result<Plan, refusal::Reason> {
+        let (first, then) = (cheapest(ask)?, best(ask)?);
+        if first.id == then.id || ask.rater == Rater::Down {
+            return Ok(direct(then));
+        }
+        Ok(Plan { then: Some(then.id.clone()), reason: Reason::Fixed, ..direct(first) })
+    }
+}
+
+/// The strategy of a name, one of [`STRATEGIES`].
+///
+/// ```
+/// # use curranthook_policy::baseline;
+/// assert!(baseline::strategy("best", Default::default(), 1).is_some());
+/// assert!(baseline::strategy("no-such", Default::default(), 1).is_none());
+/// ```
+pub fn strategy(name: &str, policy: Policy, seed: u64) -> Option<Box<dyn Strategy>> {
+    match name {
+        "curranthook" => Some(Box::new(Chooser::new(policy, seed))),
+        "cheapest" => Some(Box::new(Cheapest)),
+        "best" => Some(Box::new(Best)),
+        "static-cascade" => Some(Box::new(StaticCascade)),
+        _ => None,
+    }
+}
+
+/// A way to pick endpoints.
+pub trait Balance: std::fmt::Debug + Send {
+    /// Sets the endpoints.
+    fn set(&mut self, members: Vec<Member>);
+    /// Picks an endpoint.
+    fn pick(
+        &mut self,
+        affinity: Option<u64>,
+        exclude: &[endpoint::Id],
+        now: Instant,
+    ) -> Result<Pick, Miss>;
+    /// A request was sent to an endpoint.
+    fn started(&mut self, id: &endpoint::Id, now: Instant);
+    /// A request at an endpoint ended.
+    fn finished(&mut self, id: &endpoint::Id, outcome: Outcome, now: Instant);
+    /// An endpoint is leaving.
+    fn set_leaving(&mut self, id: &endpoint::Id);
+    /// An endpoint is no longer leaving.
+    fn clear_leaving(&mut self, id: &endpoint::Id);
+
+    /// An endpoint reported its load.
+    fn hint(&mut self, _id: &endpoint::Id, _load: u64, _now: Instant) {}
+
+    /// How long to wait for an endpoint's first byte.
+    fn slow_after(&self, _id: &endpoint::Id) -> Duration {
+        const FIXED: Duration = Duration::from_secs(2);
+        FIXED
+    }
+}
+
+impl Balance for Pool {
+    fn set(&mut self, members: Vec<Member>) {
+        self.set(members);
+    }
+
+    fn pick(
+        &mut self,
+        affinity: Option<u64>,
+        exclude: &[endpoint::Id],
+        now: Instant,
+    ) -> Result<Pick, Miss> {
+        self.pick(affinity, exclude, now)
+    }
+
+    fn started(&mut self, id: &endpoint::Id, now: Instant) {
+        self.started(id, now);
+    }
+
+    fn finished(&mut self, id: &endpoint::Id, outcome: Outcome, now: Instant) {
+        self.finished(id, outcome, now);
+    }
+
+    fn set_leaving(&mut self, id: &endpoint::Id) {
+        self.set_leaving(id);
+    }
+
+    fn clear_leaving(&mut self, id: &endpoint::Id) {
+        self.clear_leaving(id);
+    }
+
+    fn hint(&mut self, id: &endpoint::Id, load: u64, now: Instant) {
+        self.hint(id, load, now);
+    }
+
+    fn slow_after(&self, id: &endpoint::Id) -> Duration {
+        self.slow_after(id)
+    }
+}
+
+/// The balance of a name, one of [`BALANCES`].
+///
+/// ```
+/// # use curranthook_policy::baseline;
+/// assert!(baseline::balance("round-robin", "zone-a".into(), 1).is_some());
+/// ```
+pub fn balance(name: &str, local: domain::Id, seed: u64) -> Option<Box<dyn Balance>> {
+    match name {
+        "curranthook" => Some(Box::new(Pool::new(local, seed))),
+        "round-robin" => Some(Box::new(RoundRobin::default())),
+        "least-outstanding" => Some(Box::new(LeastOutstanding::default())),
+        _ => None,
+    }
+}
+
+fn cheapest<'a>(ask: &Ask<'a>) -> Result<&'a Candidate<'a>, refusal::Reason> {
+    let cost = |it: &&Candidate<'_>| it.rate.cost(ask.prompt_tokens, ask.expected_tokens);
+    ask.allowed.iter().min_by_key(cost).ok_or(refusal::Reason::NotAllowed)
+}
+
+fn best<'a>(ask: &Ask<'a>) -> Result<&'a Candidate<'a>, refusal::Reason> {
+    let quality = |it: &Candidate<'_>| it.prior.unwrap_or(0.0);
+    let by_quality = |a: &&Candidate<'_>, b: &&Candidate<'_>| quality(a).total_cmp(&quality(b));
+    ask.allowed.iter().max_by(by_quality).ok_or(refusal::Reason::NotAllowed)
+}
+
+fn direct(candidate: &Candidate<'_>) -> Plan {
+    Plan { first: candidate.id.clone(), then: None, sample: Sample::Skip, reason: Reason::Fixed }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/baseline/least_outstanding.rs
@@ -0,0 +1,54 @@
+//! The endpoint with the fewest requests of this node.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use crate::{
+    baseline::Balance,
+    endpoint::{Id, Member, Miss, Outcome, Pick, Reason},
+};
+
+/// Picks the endpoint with the fewest requests in flight from this node.
+#[derive(Debug, Default)]
+pub struct LeastOutstanding {
+    members: Vec<Member>,
+    in_flight: BTreeMap<Id, usize>,
+    leaving: BTreeSet<Id>,
+}
+
+impl Balance for LeastOutstanding {
+    fn set(&mut self, members: Vec<Member>) {
+        self.members = members;
+    }
+
+    fn pick(&mut self, _: Option<u64>, exclude: &[Id], _: Instant) -> Result<Pick, Miss> {
+        if self.members.is_empty() {
+            return Err(Miss::Empty);
+        }
+        let open = self.members.iter().map(|it| &it.id);
+        let open = open.filter(|id| !exclude.contains(id) && !self.leaving.contains(*id));
+        let least = open.min_by_key(|id| self.in_flight.get(*id).copied().unwrap_or(0));
+        let id = least.ok_or(Miss::AllExcluded)?;
+        Ok(Pick { id: id.clone(), reason: Reason::Fixed })
+    }
+
+    fn started(&mut self, id: &Id, _: Instant) {
+        *self.in_flight.entry(id.clone()).or_default() += 1;
+    }
+
+    fn finished(&mut self, id: &Id, _: Outcome, _: Instant) {
+        if let Some(it) = self.in_flight.get_mut(id) {
+            *it = it.saturating_sub(1);
+        }
+    }
+
+    fn set_leaving(&mut self, id: &Id) {
+        self.leaving.insert(id.clone());
+    }
+
+    fn clear_leaving(&mut self, id: &Id) {
+        self.leaving.remove(id);
+    }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/baseline/round_robin.rs
@@ -0,0 +1,48 @@
+//! One endpoint after the other.
+
+use std::{collections::BTreeSet, time::Instant};
+
+use crate::{
+    baseline::Balance,
+    endpoint::{Id, Member, Miss, Outcome, Pick, Reason},
+};
+
+/// Picks endpoints in turn, whatever their load.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    members: Vec<Member>,
+    leaving: BTreeSet<Id>,
+    next: usize,
+}
+
+impl Balance for RoundRobin {
+    fn set(&mut self, members: Vec<Member>) {
+        self.members = members;
+    }
+
+    fn pick(&mut self, _: Option<u64>, exclude: &[Id], _: Instant) -> Result<Pick, Miss> {
+        if self.members.is_empty() {
+            return Err(Miss::Empty);
+        }
+        for _ in 0..self.members.len() {
+            let id = &self.members[self.next % self.members.len()].id;
+            self.next = self.next.wrapping_add(1);
+            if !exclude.contains(id) && !self.leaving.contains(id) {
+                return Ok(Pick { id: id.clone(), reason: Reason::Fixed });
+            }
+        }
+        Err(Miss::AllExcluded)
+    }
+
+    fn started(&mut self, _: &Id, _: Instant) {}
+
+    fn finished(&mut self, _: &Id, _: Outcome, _: Instant) {}
+
+    fn set_leaving(&mut self, id: &Id) {
+        self.leaving.insert(id.clone());
+    }
+
+    fn clear_leaving(&mut self, id: &Id) {
+        self.leaving.remove(id);
+    }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/choice/option.rs
@@ -0,0 +1,29 @@
+//! One version as weighed for one request.
+
+use std::time::Duration;
+
+use crate::choice::estimate::Belief;
+
+/// One version as weighed for one request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Scored {
+    /// Its place among the allowed ones.
+    pub(crate) place: usize,
+    pub(crate) cost: f64,
+    pub(crate) belief: Belief,
+    /// The expected time to the whole answer.
+    pub(crate) time: Duration,
+}
+
+impl Scored {
+    /// The expected cost with `then` as second stage: `c1 + p * c2`.
+    pub(crate) fn cost_with(&self, then: &Self) -> f64 {
+        self.cost + (1.0 - self.belief.mean()) * then.cost
+    }
+
+    /// The expected share of good answers with `then` as second stage.
+    pub(crate) fn quality_with(&self, then: &Self) -> f64 {
+        let first = self.belief.mean();
+        first + (1.0 - first) * then.belief.mean()
+    }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/choice/speed.rs
@@ -0,0 +1,32 @@
+//! How fast a version writes.
+
+use std::time::Duration;
+
+/// How long a version takes for a token, over whole answers.
+#[derive(Debug)]
+pub(crate) struct Speed {
+    seconds_per_token: f64,
+}
+
+impl Speed {
+    /// Assumed before the first answer.
+    pub(crate) const UNKNOWN: Self = Self { seconds_per_token: 0.005 };
+
+    pub(crate) fn first(took: Duration, tokens: u64) -> Self {
+        Self { seconds_per_token: per_token(took, tokens) }
+    }
+
+    pub(crate) fn add(&mut self, took: Duration, tokens: u64) {
+        const WEIGHT: f64 = 0.05;
+        self.seconds_per_token += WEIGHT * (per_token(took, tokens) - self.seconds_per_token);
+    }
+
+    pub(crate) fn expected(&self, tokens: u64) -> Duration {
+        const LONGEST: f64 = 86_400.0;
+        Duration::from_secs_f64((self.seconds_per_token * tokens as f64).min(LONGEST))
+    }
+}
+
+fn per_token(took: Duration, tokens: u64) -> f64 {
+    took.as_secs_f64() / tokens.max(1) as f64
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/endpoint.rs
@@ -0,0 +1,342 @@
+//! Which endpoint runs a request.
+
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use curranthook_types::domain;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{endpoint::track::Track, hash};
+
+mod ejection;
+mod first_byte;
+mod track;
+
+pub use curranthook_types::endpoint::Id;
+
+/// How many endpoints a node knows of a version at most. With ten thousand endpoints and many
+/// nodes, each node keeps its own part: load is learned from one's own answers, which would be
+/// too few for each of ten thousand.
+pub const SUBSET: usize = 64;
+
+/// An endpoint keeps its prompts until its load is above the mean by this factor.
+const AFFINITY_FACTOR: f64 = 1.25;
+
+/// An endpoint that may be picked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// The endpoint.
+    pub id: Id,
+    /// Where it stands.
+    pub domain: domain::Id,
+    /// How many requests it runs at once.
+    pub slots: usize,
+}
+
+/// The endpoint picked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pick {
+    /// The endpoint.
+    pub id: Id,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Why an endpoint was picked. Each has its counter, `pick.<name>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// It has the start of the prompt in its cache.
+    Affinity,
+    /// It is the less loaded of two drawn at random.
+    PowerOfTwo,
+    /// It was left out and is tried again.
+    Probe,
+    /// No other may be picked.
+    OnlyOne,
+    /// A baseline picked it by its fixed rule.
+    Fixed,
+}
+
+impl Reason {
+    /// The last part of the counter's name.
+    ///
+    /// ```
+    /// # use curranthook_policy::endpoint::Reason;
+    /// assert_eq!(Reason::PowerOfTwo.name(), "power_of_two");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Affinity => "affinity",
+            Self::PowerOfTwo => "power_of_two",
+            Self::Probe => "probe",
+            Self::OnlyOne => "only_one",
+            Self::Fixed => "fixed",
+        }
+    }
+}
+
+/// Why no endpoint was picked. Each has its counter, `pick.miss.<name>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Miss {
+    /// There is none.
+    Empty,
+    /// All are leaving or were tried before.
+    AllExcluded,
+    /// All are at work on as many requests as they can run.
+    AllBusy,
+}
+
+impl Miss {
+    /// The last part of the counter's name.
+    ///
+    /// ```
+    /// # use curranthook_policy::endpoint::Miss;
+    /// assert_eq!(Miss::AllBusy.name(), "all_busy");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::AllExcluded => "all_excluded",
+            Self::AllBusy => "all_busy",
+        }
+    }
+}
+
+/// How a request at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// With an answer.
+    Answered {
+        /// The time to its first byte.
+        first_byte: Duration,
+    },
+    /// With a server error, a broken connection or a time-out.
+    Failed,
+    /// The endpoint said that it is full and has not begun.
+    Refused,
+    /// No connection could be made.
+    Unreachable,
+    /// The caller or the router gave up; this says nothing of the endpoint.
+    Cancelled,
+}
+
+/// The endpoints of one version or plain service.
+///
+/// ```
+/// # use std::time::{Duration, Instant};
+/// # use curranthook_policy::endpoint::{Member, Outcome, Pool, Reason};
+/// let now = Instant::now();
+/// let mut pool = Pool::new("zone-a".into(), 1);
+/// pool.set([Member { id: "engine-1".into(), domain: "zone-a".into(), slots: 16 }]);
+/// let pick = pool.pick(None, &[], now).unwrap();
+/// assert_eq!(pick.reason, Reason::OnlyOne);
+/// pool.started(&pick.id, now);
+/// let first_byte = Duration::from_millis(80);
+/// pool.finished(&pick.id, Outcome::Answered { first_byte }, now);
+/// ```
+#[derive(Debug)]
+pub struct Pool {
+    local: domain::Id,
+    seed: u64,
+    rng: Pcg64Mcg,
+    tracks: Vec<Track>,
+    places: HashMap<Id, usize>,
+    /// Places that may be picked now; kept to save allocating on each pick.
+    open: Vec<usize>,
+}
+
+impl Pool {
+    /// An empty pool of a node in the failure domain `local`. The seed should differ from node
+    /// to node: it also draws the node's subset.
+    pub fn new(local: domain::Id, seed: u64) -> Self {
+        Self {
+            local,
+            seed,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            tracks: Vec::new(),
+            places: HashMap::new(),
+            open: Vec::new(),
+        }
+    }
+
+    /// Sets the endpoints. What is known of those that stay is kept.
+    pub fn set(&mut self, members: impl IntoIterator<Item = Member>) {
+        let mut known: HashMap<Id, Track> =
+            self.tracks.drain(..).map(|it| (it.member.id.clone(), it)).collect();
+        let chosen = subset(members, self.seed);
+        self.tracks.extend(chosen.into_iter().map(|member| match known.remove(&member.id) {
+            Some(track) => track.with_member(member),
+            None => Track::new(member),
+        }));
+        let places = self.tracks.iter().enumerate();
+        self.places = places.map(|(place, it)| (it.member.id.clone(), place)).collect();
+    }
+
+    /// How many endpoints this node knows.
+    pub fn len(&self) -> usize {
+        self.tracks.len()
+    }
+
+    /// Whether this node knows no endpoint.
+    pub fn is_empty(&self) -> bool {
+        self.tracks.is_empty()
+    }
+
+    /// Picks an endpoint. `affinity` is a hash of what its cache should hold, `exclude` those
+    /// that this request has tried.
+    pub fn pick(
+        &mut self,
+        affinity: Option<u64>,
+        exclude: &[Id],
+        now: Instant,
+    ) -> Result<Pick, Miss> {
+        if self.tracks.is_empty() {
+            return Err(Miss::Empty);
+        }
+        let is_candidate = |it: &Track| !it.is_leaving && !exclude.contains(&it.member.id);
+        let n_candidates = self.tracks.iter().filter(|it| is_candidate(it)).count();
+        if n_candidates == 0 {
+            return Err(Miss::AllExcluded);
+        }
+        if let Some(place) = self.tracks.iter().position(|it| is_candidate(it) && it.is_due(now)) {
+            return Ok(self.picked(place, Reason::Probe));
+        }
+
+        self.open.clear();
+        for (place, it) in self.tracks.iter().enumerate() {
+            if is_candidate(it) && !it.is_ejected() && it.load(now) < it.slots() {
+                self.open.push(place);
+            }
+        }
+        let Some(first) = self.open.first().copied() else {
+            return self.pick_left_out(exclude);
+        };
+        if self.open.len() == 1 {
+            let reason = if n_candidates == 1 { Reason::OnlyOne } else { Reason::PowerOfTwo };
+            return Ok(self.picked(first, reason));
+        }
+        if let Some(place) = affinity.and_then(|key| self.keeper(key, now)) {
+            return Ok(self.picked(place, Reason::Affinity));
+        }
+        let place = self.better_of_two(now);
+        Ok(self.picked(place, Reason::PowerOfTwo))
+    }
+
+    /// A request was sent to an endpoint.
+    pub fn started(&mut self, id: &Id, now: Instant) {
+        if let Some(it) = self.track_mut(id) {
+            it.start(now);
+        }
+    }
+
+    /// A request at an endpoint ended. Each `started` is followed by exactly one `finished`.
+    pub fn finished(&mut self, id: &Id, outcome: Outcome, now: Instant) {
+        let Some(place) = self.places.get(id).copied() else {
+            return;
+        };
+        self.tracks[place].finish(outcome, now);
+        ejection::review(&mut self.tracks, place, now);
+    }
+
+    /// An endpoint reported its load: all requests that it holds, from whatever node.
+    pub fn hint(&mut self, id: &Id, load: u64, now: Instant) {
+        if let Some(it) = self.track_mut(id) {
+            it.hint(load, now);
+        }
+    }
+
+    /// An endpoint is leaving: it gets no new work.
+    pub fn set_leaving(&mut self, id: &Id) {
+        if let Some(it) = self.track_mut(id) {
+            it.is_leaving = true;
+        }
+    }
+
+    /// An endpoint is no longer leaving, by its own word.
+    pub fn clear_leaving(&mut self, id: &Id) {
+        if let Some(it) = self.track_mut(id) {
+            it.is_leaving = false;
+        }
+    }
+
+    /// How long to wait for an endpoint's first byte before another connection or endpoint is
+    /// tried: well above what it took of late.
+    pub fn slow_after(&self, id: &Id) -> Duration {
+        let own = self.places.get(id).and_then(|place| self.tracks[*place].first_byte.slow_after());
+        own.unwrap_or(first_byte::UNKNOWN)
+    }
+
+    /// How many endpoints are left out for being slow or failing.
+    pub fn n_left_out(&self) -> usize {
+        self.tracks.iter().filter(|it| it.is_ejected()).count()
+    }
+
+    /// This node's own requests at an endpoint.
+    pub fn in_flight(&self, id: &Id) -> usize {
+        self.places.get(id).map_or(0, |place| self.tracks[*place].in_flight)
+    }
+
+    fn track_mut(&mut self, id: &Id) -> Option<&mut Track> {
+        let place = *self.places.get(id)?;
+        Some(&mut self.tracks[place])
+    }
+
+    fn picked(&self, place: usize, reason: Reason) -> Pick {
+        Pick { id: self.tracks[place].member.id.clone(), reason }
+    }
+
+    /// With every healthy endpoint excluded, one that was left out is better than none.
+    fn pick_left_out(&self, exclude: &[Id]) -> Result<Pick, Miss> {
+        let mut candidates =
+            self.tracks.iter().filter(|it| !it.is_leaving && !exclude.contains(&it.member.id));
+        if candidates.clone().any(|it| !it.is_ejected()) {
+            return Err(Miss::AllBusy);
+        }
+        let idle = candidates.find(|it| it.in_flight == 0);
+        idle.map(|it| Pick { id: it.member.id.clone(), reason: Reason::Probe }).ok_or(Miss::AllBusy)
+    }
+
+    /// The endpoint that the key belongs to, by rendezvous hashing, unless it is loaded above
+    /// its share. Then the key goes where the load says: a prompt computed anew costs less
+    /// than a wait behind a hot endpoint.
+    fn keeper(&self, key: u64, now: Instant) -> Option<usize> {
+        let weight = |place: &usize| hash::pair(self.tracks[*place].hash, key);
+        let place = *self.open.iter().max_by_key(|it| weight(it))?;
+        let utilisation = |place: usize| {
+            let it = &self.tracks[place];
+            (it.load(now) + 1.0) / it.slots()
+        };
+        let total: f64 = self.open.iter().map(|it| utilisation(*it)).sum();
+        let mean = total / self.open.len() as f64;
+        // One request more than the mean is always allowed, or idle pools would spread prompts.
+        let bound = (mean * AFFINITY_FACTOR).max(mean + 1.0 / self.tracks[place].slots());
+        (utilisation(place) <= bound).then_some(place)
+    }
+
+    fn better_of_two(&mut self, now: Instant) -> usize {
+        let n = self.open.len();
+        let left = self.rng.random_range(0..n);
+        let right = (left + self.rng.random_range(1..n)) % n;
+        let (left, right) = (self.open[left], self.open[right]);
+        let score = |place: usize| self.tracks[place].score(&self.local, now);
+        if score(right) < score(left) { right } else { left }
+    }
+}
+
+/// The endpoints that this node keeps: those with the highest hash with its seed. A change of
+/// the list moves only what has to move.
+fn subset(members: impl IntoIterator<Item = Member>, seed: u64) -> Vec<Member> {
+    let mut members: Vec<Member> = members.into_iter().collect();
+    if SUBSET < members.len() {
+        let weight = |it: &Member| hash::pair(hash::bytes(it.id.as_str().as_bytes()), seed);
+        members.sort_by_cached_key(|it| Reverse(weight(it)));
+        members.truncate(SUBSET);
+    }
+    members.sort_by(|a, b| a.id.cmp(&b.id));
+    members.dedup_by(|a, b| a.id == b.id);
+    members
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/endpoint/track.rs
@@ -0,0 +1,120 @@
+//! What a node knows of one endpoint.
+
+use std::time::{Duration, Instant};
+
+use curranthook_types::domain;
+
+use crate::{
+    endpoint::{Member, Outcome, first_byte::FirstByte},
+    hash,
+};
+
+/// A load report loses half of its weight in this time: the requests it counted finish.
+const HINT_HALF_LIFE: Duration = Duration::from_millis(500);
+/// An endpoint in another failure domain must be better by this factor.
+const REMOTE_PENALTY: f64 = 1.15;
+/// Latency assumed of an endpoint that has not answered yet, in seconds. It is low, so that
+/// a new endpoint is tried.
+const UNKNOWN_LATENCY: f64 = 0.02;
+
+/// What a node knows of one endpoint.
+#[derive(Debug)]
+pub(crate) struct Track {
+    pub(crate) member: Member,
+    pub(crate) hash: u64,
+    pub(crate) in_flight: usize,
+    pub(crate) is_leaving: bool,
+    pub(crate) first_byte: FirstByte,
+    /// Failures since the last answer.
+    pub(crate) n_failures: u32,
+    pub(crate) ejected: Option<Ejected>,
+    /// How often it was left out, one time after another.
+    pub(crate) n_ejections: u32,
+    /// Requests of other nodes, and when that was known.
+    others: Option<(f64, Instant)>,
+}
+
+/// An endpoint that is left out.
+#[derive(Debug)]
+pub(crate) struct Ejected {
+    /// When it is tried again.
+    pub(crate) until: Instant,
+}
+
+impl Track {
+    pub(crate) fn new(member: Member) -> Self {
+        Self {
+            hash: hash::bytes(member.id.as_str().as_bytes()),
+            member,
+            in_flight: 0,
+            is_leaving: false,
+            first_byte: FirstByte::default(),
+            n_failures: 0,
+            ejected: None,
+            n_ejections: 0,
+            others: None,
+        }
+    }
+
+    /// The same endpoint after its settings changed.
+    pub(crate) fn with_member(self, member: Member) -> Self {
+        Self { member, ..self }
+    }
+
+    pub(crate) fn start(&mut self, now: Instant) {
+        const PROBE_TIME: Duration = Duration::from_secs(10);
+        self.in_flight += 1;
+        // One probe at a time. Should its end never be told, another follows later.
+        if let Some(ejected) = &mut self.ejected {
+            ejected.until = ejected.until.max(now + PROBE_TIME);
+        }
+    }
+
+    pub(crate) fn finish(&mut self, outcome: Outcome, now: Instant) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Answered { first_byte } => {
+                self.n_failures = 0;
+                self.first_byte.add(first_byte);
+            }
+            Outcome::Failed | Outcome::Unreachable => self.n_failures += 1,
+            // It holds as many as it can; others sent what we did not.
+            Outcome::Refused => self.hint(self.member.slots as u64, now),
+            Outcome::Cancelled => {}
+        }
+    }
+
+    pub(crate) fn hint(&mut self, load: u64, now: Instant) {
+        let others = (load as f64 - self.in_flight as f64).max(0.0);
+        self.others = Some((others, now));
+    }
+
+    pub(crate) fn slots(&self) -> f64 {
+        self.member.slots.max(1) as f64
+    }
+
+    /// Own requests and what the aged report says of others'.
+    pub(crate) fn load(&self, now: Instant) -> f64 {
+        let others = self.others.map_or(0.0, |(others, at)| {
+            let age = now.saturating_duration_since(at);
+            others * (-age.as_secs_f64() / HINT_HALF_LIFE.as_secs_f64()).exp2()
+        });
+        self.in_flight as f64 + others
+    }
+
+    /// The lower, the better: utilisation times latency.
+    pub(crate) fn score(&self, local: &domain::Id, now: Instant) -> f64 {
+        let latency = self.first_byte.mean().unwrap_or(UNKNOWN_LATENCY);
+        let distance = if self.member.domain == *local { 1.0 } else { REMOTE_PENALTY };
+        (self.load(now) + 1.0) / self.slots() * latency * distance
+    }
+
+    pub(crate) fn is_ejected(&self) -> bool {
+        self.ejected.is_some()
+    }
+
+    /// Whether it was left out and is to be tried again.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        self.ejected.as_ref().is_some_and(|it| it.until <= now)
+    }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/retry.rs
@@ -0,0 +1,188 @@
+//! Whether an attempt that failed is followed by another.
+
+use std::time::{Duration, Instant};
+
+use curranthook_types::retry::Reason;
+
+/// No request is tried more often than this.
+pub const MAX_TRIES: u32 = 3;
+
+/// Retries that a node may make. Each success earns a fraction of one. When endpoints fail for
+/// everyone, successes stop and so do retries; without that, retries would multiply the load
+/// just when there is least room for it.
+///
+/// ```
+/// # use std::time::Instant;
+/// # use curranthook_policy::retry::Budget;
+/// # use curranthook_types::retry::Reason;
+/// let now = Instant::now();
+/// let mut budget = Budget::new(0.1, now);
+/// assert_eq!(budget.spend(Reason::Connect, now), Ok(()));
+/// ```
+#[derive(Debug)]
+pub struct Budget {
+    fraction: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+/// The budget is spent; the reason is the one that was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spent(pub Reason);
+
+impl Budget {
+    /// The most that can be saved up.
+    const CAPACITY: f64 = 20.0;
+    /// Retries a second that are earned without successes, so that a quiet node can retry.
+    const FLOOR_PER_SECOND: f64 = 0.5;
+
+    /// A budget that earns `fraction` of a retry with each success.
+    pub fn new(fraction: f64, now: Instant) -> Self {
+        Self { fraction, tokens: Self::CAPACITY / 2.0, at: now }
+    }
+
+    /// Changes the fraction earned with each success.
+    pub fn set_fraction(&mut self, fraction: f64) {
+        self.fraction = fraction;
+    }
+
+    /// A request succeeded.
+    pub fn succeeded(&mut self) {
+        self.earn(self.fraction);
+    }
+
+    /// Takes one retry. An escalation is part of its plan and costs nothing.
+    pub fn spend(&mut self, reason: Reason, now: Instant) -> Result<(), Spent> {
+        let since = now.saturating_duration_since(self.at);
+        self.at = self.at.max(now);
+        self.earn(since.as_secs_f64() * Self::FLOOR_PER_SECOND);
+        if matches!(reason, Reason::Escalated) {
+            return Ok(());
+        }
+        if self.tokens < 1.0 {
+            return Err(Spent(reason));
+        }
+        self.tokens -= 1.0;
+        Ok(())
+    }
+
+    fn earn(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(Self::CAPACITY);
+    }
+}
+
+/// Whether a call may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// Running it twice is the same as running it once.
+    Idempotent,
+    /// It must run at most once.
+    AtMostOnce,
+}
+
+/// What the endpoint can have seen of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sent {
+    /// No byte was handed to a socket.
+    Unsent,
+    /// The endpoint said that it had not begun.
+    NotStarted,
+    /// Bytes went out and nothing tells that it didn't run.
+    MayHaveRun,
+}
+
+/// What the caller has seen of the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shown {
+    /// Nothing.
+    Nothing,
+    /// A part of a stream.
+    Part,
+}
+
+/// A failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempt {
+    /// Whether the call may be repeated.
+    pub repeat: Repeat,
+    /// What the endpoint can have seen.
+    pub sent: Sent,
+    /// What the caller has seen.
+    pub shown: Shown,
+    /// How often it was tried, this time included.
+    pub tries: u32,
+    /// How long the caller will still wait.
+    pub time_left: Duration,
+}
+
+/// What follows a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// Try anew, on another endpoint where there is one.
+    Retry,
+    /// Take the stream up where it stopped, on the same version.
+    Resume,
+    /// Give up.
+    Stop(Stop),
+}
+
+/// Why there is no further attempt. Each has its counter, `retry.stop.<name>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Stop {
+    /// It may have run and may not run twice.
+    MayHaveRun,
+    /// It was tried often enough.
+    Tries,
+    /// The deadline is too near.
+    Deadline,
+}
+
+impl Stop {
+    /// The last part of the counter's name.
+    ///
+    /// ```
+    /// # use curranthook_policy::retry::Stop;
+    /// assert_eq!(Stop::MayHaveRun.name(), "may_have_run");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::MayHaveRun => "may_have_run",
+            Self::Tries => "tries",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
+/// Whether a failed attempt may be followed by another. The budget is asked separately.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use curranthook_policy::retry::{Attempt, Decision, Repeat, Sent, Shown, Stop, may};
+/// let attempt = Attempt {
+///     repeat: Repeat::AtMostOnce,
+///     sent: Sent::MayHaveRun,
+///     shown: Shown::Nothing,
+///     tries: 1,
+///     time_left: Duration::from_secs(5),
+/// };
+/// assert_eq!(may(&attempt), Decision::Stop(Stop::MayHaveRun));
+/// assert_eq!(may(&Attempt { sent: Sent::Unsent, ..attempt }), Decision::Retry);
+/// ```
+pub fn may(attempt: &Attempt) -> Decision {
+    const LEAST_TIME: Duration = Duration::from_millis(10);
+
+    if attempt.sent == Sent::MayHaveRun && attempt.repeat == Repeat::AtMostOnce {
+        return Decision::Stop(Stop::MayHaveRun);
+    }
+    if MAX_TRIES <= attempt.tries {
+        return Decision::Stop(Stop::Tries);
+    }
+    if attempt.time_left < LEAST_TIME {
+        return Decision::Stop(Stop::Deadline);
+    }
+    match attempt.shown {
+        Shown::Nothing => Decision::Retry,
+        // The caller holds a part of this answer. A new one would differ from it.
+        Shown::Part => Decision::Resume,
+    }
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/verdict.rs
@@ -0,0 +1,279 @@
+//! Whether a version has turned bad.
+//!
+//! Answers are compared with a reference: the version that this one replaces, or its own past.
+//! The test may be looked at after each answer without spoiling its false alarm rate
+//! ("anytime-valid"), and a fall is noticed however long the version did well before.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::verdict::detector::{Detector, Side};
+
+mod counts;
+mod detector;
+
+pub use curranthook_types::bill::Origin;
+
+pub use crate::verdict::counts::Counts;
+
+/// One answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sample {
+    /// Its rating from 0 to 1, if it was rated.
+    pub rating: Option<f64>,
+    /// Whether it was an answer at all.
+    pub outcome: Outcome,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// Whether a call ended in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It did.
+    Answered,
+    /// The version failed, for a reason that isn't the endpoint's or the network's.
+    Error,
+    /// The call was counted before; only its rating is new. Ratings come later than answers.
+    RatedLater,
+}
+
+/// What the test finds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Nothing.
+    Clear,
+    /// The version has turned bad. This stays until the test is replaced.
+    Suspect(Reason),
+}
+
+/// What has turned bad. Each has its counter, `verdict.<name>`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// Ratings are lower.
+    Rating,
+    /// Errors are more frequent.
+    Errors,
+    /// Answers are shorter.
+    Short,
+    /// Answers are longer.
+    Long,
+}
+
+impl Reason {
+    /// The last part of the counter's name.
+    ///
+    /// ```
+    /// # use curranthook_policy::verdict::Reason;
+    /// assert_eq!(Reason::Rating.name(), "rating");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Rating => "rating",
+            Self::Errors => "errors",
+            Self::Short => "short",
+            Self::Long => "long",
+        }
+    }
+}
+
+/// How sure the test must be.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// The bound on the probability of a false alarm in a run of `horizon` samples of a kind.
+    pub alpha: f64,
+    /// The length of a run, in ratings, or in answers where errors and lengths are concerned.
+    pub horizon: u64,
+    /// How far below the reference a mean may lie without being called bad.
+    pub min_effect: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { alpha: 0.01, horizon: 2_000, min_effect: 0.02 }
+    }
+}
+
+/// What a version is compared with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reference {
+    /// Its own past. Nothing is found before there is enough of it.
+    Own,
+    /// Counts of another version, such as the one it replaces.
+    Other(Counts),
+}
+
+/// A sequential test of one version.
+///
+/// ```
+/// # use curranthook_policy::verdict::{Config, Counts, Outcome, Reason, Reference};
+/// # use curranthook_policy::verdict::{Sample, State, Test};
+/// let old = Counts { n: 500, sum: 450.0, calls: 500, ..Counts::default() };
+/// let mut test = Test::new(Config::default(), Reference::Other(old));
+/// let bad = Sample { rating: Some(0.0), outcome: Outcome::Answered, tokens: 100 };
+/// for _ in 0..20 {
+///     test.add(bad);
+/// }
+/// assert_eq!(test.state(), State::Suspect(Reason::Rating));
+/// ```
+#[derive(Debug)]
+pub struct Test {
+    config: Config,
+    reference: Reference,
+    own: Counts,
+    origins: BTreeMap<Origin, Counts>,
+    total: Counts,
+    /// The past that this version is compared with where it is its own reference.
+    past: Counts,
+    rating: Detector,
+    errors: Detector,
+    short: Detector,
+    long: Detector,
+    state: State,
+}
+
+impl Test {
+    /// A test that has seen nothing.
+    pub fn new(config: Config, reference: Reference) -> Self {
+        let detector = |side| Detector::new(side, config.horizon);
+        Self {
+            config,
+            reference,
+            own: Counts::default(),
+            origins: BTreeMap::new(),
+            total: Counts::default(),
+            past: Counts::default(),
+            rating: detector(Side::Fall),
+            errors: detector(Side::Rise),
+            short: detector(Side::Fall),
+            long: detector(Side::Rise),
+            state: State::Clear,
+        }
+    }
+
+    /// Replaces the reference, say as the old version's counts grow.
+    pub fn set_reference(&mut self, reference: Reference) {
+        self.reference = reference;
+    }
+
+    /// Takes in an answer that this node saw.
+    pub fn add(&mut self, sample: Sample) {
+        let step = Counts::from(sample);
+        self.own = self.own.plus(&step);
+        self.absorb(&step);
+    }
+
+    /// Takes in the counts of another node since its start. An older or equal count of the
+    /// same origin changes nothing, so order and repeats don't matter.
+    pub fn merge_counts(&mut self, origin: &Origin, counts: Counts) {
+        let known = self.origins.get(origin).copied().unwrap_or_default();
+        if !known.is_before(&counts) {
+            return;
+        }
+        self.origins.insert(origin.clone(), counts);
+        self.absorb(&counts.minus(&known));
+    }
+
+    /// Drops the entry of a node that is gone for good; what it counted stays in the total.
+    /// Counts of it that arrive later would be counted twice.
+    pub fn forget(&mut self, origin: &Origin) {
+        self.origins.remove(origin);
+    }
+
+    /// What this node saw itself, to be sent to others.
+    pub fn counts(&self) -> &Counts {
+        &self.own
+    }
+
+    /// What all nodes together saw, as far as known here.
+    pub fn total(&self) -> &Counts {
+        &self.total
+    }
+
+    /// What the test finds.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// The share of answers to have rated: `base` as long as nothing is amiss, up to all of
+    /// them for a version that is new or has just been rated low. With a tenth of answers
+    /// rated, a bad version would give out ten for each bit of evidence.
+    pub fn sampling(&self, base: f64) -> f64 {
+        let is_known = match self.reference {
+            Reference::Own => Self::WARM_UP <= self.total.n,
+            Reference::Other(_) => true,
+        };
+        let urgency = if is_known { self.rating.urgency() } else { 1.0 };
+        base + (1.0 - base).max(0.0) * urgency
+    }
+
+    fn absorb(&mut self, step: &Counts) {
+        let past = match &self.reference {
+            Reference::Own => self.past,
+            Reference::Other(counts) => *counts,
+        };
+        self.look(step, &past);
+        self.total = self.total.plus(step);
+        self.age();
+    }
+
+    fn look(&mut self, step: &Counts, past: &Counts) {
+        let margin = self.config.min_effect;
+        if let Some(mean) = past.mean().filter(|_| Self::WARM_UP <= past.n) {
+            self.rating.add(step.n, step.sum, mean - margin);
+        }
+        if let Some(rate) = past.error_rate().filter(|_| Self::WARM_UP <= past.calls) {
+            self.errors.add(step.calls, step.errors as f64, rate + Self::ERROR_MARGIN);
+        }
+        if let Some(length) = past.length().filter(|_| Self::WARM_UP <= past.calls) {
+            let n = step.answers();
+            self.short.add(n, step.lengths, length - Self::LENGTH_MARGIN);
+            self.long.add(n, step.lengths, length + Self::LENGTH_MARGIN);
+        }
+        self.conclude();
+    }
+
+    fn conclude(&mut self) {
+        if self.state != State::Clear {
+            return;
+        }
+        let found = [
+            (&self.rating, Reason::Rating),
+            (&self.errors, Reason::Errors),
+            (&self.short, Reason::Short),
+            (&self.long, Reason::Long),
+        ];
+        // Each of the four may be wrong, so each gets a part of the rate. Most of it goes to
+        // ratings, which say the most and are the fewest.
+        let part = |reason| if reason == Reason::Rating { 0.7 } else { 0.1 };
+        let is_over = |(it, reason): &&(&Detector, Reason)| {
+            it.evidence() * self.config.alpha * part(*reason) >= 1.0
+        };
+        if let Some((_, reason)) = found.iter().find(is_over) {
+            self.state = State::Suspect(*reason);
+        }
+    }
+
+    /// Moves the own reference on, as long as nothing is amiss.
+    fn age(&mut self) {
+        let is_full = self.past.n + Self::BLOCK <= self.total.n || self.past.calls == 0;
+        let is_calm = self.rating.urgency() < Self::CALM && self.errors.urgency() < Self::CALM;
+        let is_first = self.past.n < Self::WARM_UP;
+        if is_full && (is_calm || is_first) && Self::WARM_UP <= self.total.n {
+            self.past = self.total;
+        }
+    }
+
+    /// Samples that a reference must have.
+    const WARM_UP: u64 = 50;
+    /// Ratings after which the own reference moves on.
+    const BLOCK: u64 = 50;
+    const CALM: f64 = 0.3;
+    /// The error rate may rise by this much.
+    const ERROR_MARGIN: f64 = 0.05;
+    /// The mean length, on the scale of [`Counts::lengths`], may move by this much: about a
+    /// factor of two.
+    const LENGTH_MARGIN: f64 = 0.0625;
+}
--- /dev/null
+++ b/crates/curranthook_policy/src/verdict/counts.rs
@@ -0,0 +1,121 @@
+//! Sums over the answers of a version.
+
+use serde::{Deserialize, Serialize};
+
+use crate::verdict::{Outcome, Sample};
+
+/// Sums over the answers of a version since a node started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Ratings.
+    pub n: u64,
+    /// The sum of ratings.
+    pub sum: f64,
+    /// The sum of squared ratings.
+    pub squares: f64,
+    /// Calls, rated or not.
+    pub calls: u64,
+    /// Calls that ended in an error.
+    pub errors: u64,
+    /// Tokens of all answers.
+    pub tokens: u64,
+    /// The sum of answer lengths on a scale from 0 to 1: the logarithm of the tokens to the
+    /// base 2, by sixteenths.
+    pub lengths: f64,
+}
+
+impl Counts {
+    /// The mean rating.
+    ///
+    /// ```
+    /// # use curranthook_policy::verdict::Counts;
+    /// assert_eq!(Counts { n: 2, sum: 1.0, ..Counts::default() }.mean(), Some(0.5));
+    /// assert_eq!(Counts::default().mean(), None);
+    /// ```
+    pub fn mean(&self) -> Option<f64> {
+        (0 < self.n).then(|| self.sum / self.n as f64)
+    }
+
+    /// The share of calls that ended in an error.
+    pub fn error_rate(&self) -> Option<f64> {
+        (0 < self.calls).then(|| self.errors as f64 / self.calls as f64)
+    }
+
+    /// The mean answer length, on the scale of [`Self::lengths`].
+    pub fn length(&self) -> Option<f64> {
+        let n = self.answers();
+        (0 < n).then(|| self.lengths / n as f64)
+    }
+
+    /// Calls that ended in an answer.
+    pub fn answers(&self) -> u64 {
+        self.calls.saturating_sub(self.errors)
+    }
+
+    /// Adds two counts.
+    ///
+    /// ```
+    /// # use curranthook_policy::verdict::Counts;
+    /// let one = Counts { n: 1, sum: 0.5, calls: 1, ..Counts::default() };
+    /// assert_eq!(one.plus(&one).calls, 2);
+    /// ```
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            n: self.n + other.n,
+            sum: self.sum + other.sum,
+            squares: self.squares + other.squares,
+            calls: self.calls + other.calls,
+            errors: self.errors + other.errors,
+            tokens: self.tokens + other.tokens,
+            lengths: self.lengths + other.lengths,
+        }
+    }
+
+    /// What was added since `earlier`, an older count of the same origin.
+    pub fn minus(&self, earlier: &Self) -> Self {
+        let n = self.n.saturating_sub(earlier.n);
+        let calls = self.calls.saturating_sub(earlier.calls);
+        Self {
+            n,
+            sum: (self.sum - earlier.sum).clamp(0.0, n as f64),
+            squares: (self.squares - earlier.squares).clamp(0.0, n as f64),
+            calls,
+            errors: self.errors.saturating_sub(earlier.errors).min(calls),
+            tokens: self.tokens.saturating_sub(earlier.tokens),
+            lengths: (self.lengths - earlier.lengths).clamp(0.0, calls as f64),
+        }
+    }
+
+    /// Whether this is an older count than `other`, of the same origin. Both numbers only
+    /// grow.
+    pub fn is_before(&self, other: &Self) -> bool {
+        (self.calls, self.n) < (other.calls, other.n)
+    }
+}
+
+impl From<Sample> for Counts {
+    fn from(sample: Sample) -> Self {
+        let rating = sample.rating.filter(|it| it.is_finite()).map(|it| it.clamp(0.0, 1.0));
+        let sum = rating.unwrap_or(0.0);
+        let (calls, errors) = match sample.outcome {
+            Outcome::Answered => (1, 0),
+            Outcome::Error => (1, 1),
+            Outcome::RatedLater => (0, 0),
+        };
+        let is_answer = sample.outcome == Outcome::Answered;
+        Self {
+            n: u64::from(rating.is_some()),
+            sum,
+            squares: sum * sum,
+            calls,
+            errors,
+            tokens: if is_answer { sample.tokens } else { 0 },
+            lengths: if is_answer { scaled(sample.tokens) } else { 0.0 },
+        }
+    }
+}
+
+fn scaled(tokens: u64) -> f64 {
+    const DOUBLINGS: f64 = 16.0;
+    ((tokens as f64 + 1.0).log2() / DOUBLINGS).min(1.0)
+}
