Stand-ins for the platform, engines, services and the rater

Cause: the router can't be tried before something takes the place of the platform and of the endpoints.

Ruled out: the product's own server for the stand-ins. It always answers, and a stand-in must be able to do the work and close the connection without an answer, so `app` has a small accept loop of its own.

Change: four programs that print their address as JSON and are driven by JSON under /control/. Answers of the engine follow from request id, prompt and version alone, so that a resumed answer continues the interrupted one.

--- /dev/null
+++ b/crates/curranthook_standin/src/engine/cache.rs
@@ -0,0 +1,95 @@
+//! The bounded prefix cache and the events that it tells, late and with gaps.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use serde::Serialize;
+
+use crate::hash;
+
+use super::profile::Profile;
+
+/// How many events are kept for callers that ask seldom.
+const MAX_EVENTS: usize = 1_024;
+
+/// A prefix cache that forgets what was used longest ago.
+#[derive(Debug)]
+pub(super) struct Cache {
+    max_entries: usize,
+    lag: Duration,
+    gaps: f64,
+    /// Hashes of prefixes, the last used at the back.
+    entries: VecDeque<u64>,
+    events: VecDeque<(Instant, Event)>,
+    sequence: u64,
+}
+
+/// A change of the cache.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct Event {
+    /// Counts all events, told or not, so that gaps can be seen.
+    sequence: u64,
+    change: Change,
+    prefix_hash: String,
+}
+
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Change {
+    Added,
+    Evicted,
+}
+
+impl Cache {
+    pub(super) fn new(profile: &Profile) -> Self {
+        Self {
+            max_entries: profile.cache,
+            lag: profile.cache_lag(),
+            gaps: profile.cache_gaps,
+            entries: VecDeque::new(),
+            events: VecDeque::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Looks `prefix` up and keeps it; whether it was there.
+    pub(super) fn touch(&mut self, version: &str, prefix: &str, now: Instant) -> bool {
+        if self.max_entries == 0 {
+            return false;
+        }
+        let key = hash::of(&[version, prefix]);
+        if let Some(place) = self.entries.iter().position(|it| *it == key) {
+            self.entries.remove(place);
+            self.entries.push_back(key);
+            return true;
+        }
+        if self.max_entries <= self.entries.len()
+            && let Some(oldest) = self.entries.pop_front()
+        {
+            self.tell(Change::Evicted, oldest, now);
+        }
+        self.entries.push_back(key);
+        self.tell(Change::Added, key, now);
+        false
+    }
+
+    /// The events that callers see by now.
+    pub(super) fn events(&self, now: Instant) -> Vec<Event> {
+        let told = self.events.iter().take_while(|(at, _)| *at + self.lag <= now);
+        told.map(|(_, event)| event.clone()).collect()
+    }
+
+    fn tell(&mut self, change: Change, key: u64, now: Instant) {
+        self.sequence += 1;
+        if hash::fraction(&["gap", &self.sequence.to_string()]) < self.gaps {
+            return;
+        }
+        if MAX_EVENTS <= self.events.len() {
+            self.events.pop_front();
+        }
+        let prefix_hash = format!("{key:016x}");
+        self.events.push_back((now, Event { sequence: self.sequence, change, prefix_hash }));
+    }
+}
--- /dev/null
+++ b/crates/curranthook_standin/src/engine/record.rs
@@ -0,0 +1,122 @@
+//! What an engine ran.
+
+use std::sync::Arc;
+
+use curranthook_types::Clock;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use super::Recording;
+
+/// One run of a request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Run {
+    /// The request's id.
+    pub request_id: String,
+    /// The version that ran it.
+    pub version: String,
+    /// A hash of the prompt.
+    pub prompt_hash: String,
+    /// When the engine took it, in milliseconds since 1970.
+    pub started_millis: u64,
+    /// When it ended.
+    pub finished_millis: Option<u64>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The token that it began with, above 0 for a resumed answer.
+    pub from_token: u64,
+    /// How many tokens it made.
+    pub tokens: u64,
+    /// Whether the answer was a good one.
+    pub good: bool,
+    /// Its priority.
+    pub priority: i32,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Not yet; it may still wait for a slot.
+    Running,
+    /// With its last token.
+    Done,
+    /// With the caller gone.
+    Cancelled,
+    /// With an error, or cut by a fault.
+    Failed,
+    /// Before it began, for the queue was full.
+    Refused,
+}
+
+/// All runs.
+#[derive(Debug)]
+pub(super) struct Record {
+    recording: Recording,
+    clock: Arc<dyn Clock>,
+    runs: Mutex<Vec<Run>>,
+}
+
+/// The run under way. Dropped without an outcome, it counts as cancelled: the server drops an
+/// answer whose caller has gone.
+#[derive(Debug)]
+pub(super) struct Entry {
+    record: Arc<Record>,
+    place: Option<usize>,
+    outcome: Outcome,
+    n_tokens: u64,
+}
+
+impl Record {
+    pub(super) fn new(recording: Recording, clock: Arc<dyn Clock>) -> Self {
+        Self { recording, clock, runs: Mutex::default() }
+    }
+
+    pub(super) fn runs(&self) -> Vec<Run> {
+        self.runs.lock().clone()
+    }
+
+    /// Adds a run, with the start as it is now.
+    pub(super) fn begin(self: &Arc<Self>, run: impl FnOnce(u64) -> Run) -> Entry {
+        let place = match self.recording {
+            Recording::Off => None,
+            Recording::On => {
+                let run = run(self.clock.unix_millis());
+                let mut runs = self.runs.lock();
+                runs.push(run);
+                Some(runs.len() - 1)
+            }
+        };
+        Entry { record: Arc::clone(self), place, outcome: Outcome::Cancelled, n_tokens: 0 }
+    }
+}
+
+impl Entry {
+    /// Counts tokens made.
+    pub(super) fn add_tokens(&mut self, n: u64) {
+        self.n_tokens += n;
+        if let Some(place) = self.place {
+            self.record.runs.lock()[place].tokens = self.n_tokens;
+        }
+    }
+
+    /// How many tokens were made.
+    pub(super) fn n_tokens(&self) -> u64 {
+        self.n_tokens
+    }
+
+    /// Ends the run.
+    pub(super) fn close(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let Some(place) = self.place else { return };
+        let now = self.record.clock.unix_millis();
+        let run = &mut self.record.runs.lock()[place];
+        run.finished_millis = Some(now);
+        run.outcome = self.outcome;
+    }
+}
--- /dev/null
+++ b/crates/curranthook_standin/src/platform.rs
@@ -0,0 +1,176 @@
+//! The platform: a transactional table, an object store and a list of VMs that lags.
+//!
+//! The interface is the one that `curranthook_platform::client` documents. Control:
+//!
+//! | request | meaning |
+//! |---|---|
+//! | `PUT /control/faults` | [`fault::Faults`]; what is left out works again |
+//! | `PUT /control/vms` | the true list of VMs, served after the lag |
+//! | `GET /control/counts` | [`count::Counts`] |
+//! | `GET /control/table/{table}` | the rows as `[{key, tag, value}]` |
+//! | `GET /control/objects` | the objects as `{key: text}` |
+
+pub mod count;
+pub mod fault;
+mod rate;
+mod store;
+mod vms;
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_http::body;
+use curranthook_types::Clock;
+use futures_lite::future::Boxed;
+use http::Method;
+use parking_lot::Mutex;
+
+use crate::app::{self, App, HangUp, Reply, Request};
+
+use self::{
+    count::Counts,
+    fault::{Call, Faults, Mode},
+    rate::Bucket,
+    store::Store,
+    vms::Vms,
+};
+
+/// What the platform can do.
+#[derive(Debug, Clone, Default)]
+pub struct Limit {
+    /// Reads of the table a second, if limited.
+    pub table_reads: Option<f64>,
+    /// Writes to the table a second, if limited.
+    pub table_writes: Option<f64>,
+    /// How long a change of the list of VMs stays unseen.
+    pub vm_list_lag: Duration,
+}
+
+/// The platform.
+#[derive(Debug)]
+pub struct Platform {
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    table: Store,
+    objects: Store,
+    vms: Vms,
+    faults: Faults,
+    counts: Counts,
+    reads: Bucket,
+    writes: Bucket,
+}
+
+/// The services of the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Service {
+    Table,
+    Objects,
+    Vms,
+}
+
+impl Platform {
+    /// An empty platform.
+    pub fn new(limit: Limit, clock: Arc<dyn Clock>) -> Self {
+        let now = clock.now();
+        let state = State {
+            table: Store::default(),
+            objects: Store::default(),
+            vms: Vms::new(limit.vm_list_lag),
+            faults: Faults::default(),
+            counts: Counts::default(),
+            reads: Bucket::new(limit.table_reads, now),
+            writes: Bucket::new(limit.table_writes, now),
+        };
+        Self { clock, state: Mutex::new(state) }
+    }
+
+    async fn call(&self, service: Service, key: &str, req: &Request) -> Reply {
+        let call = if req.method == Method::GET { Call::Read } else { Call::Write };
+        let (mode, delay) = self.state.lock().faults.strike(service, key, call);
+        match mode {
+            Mode::Up => Ok(self.run(service, key, call, req)),
+            Mode::Down => {
+                self.state.lock().counts.of(service).refused += 1;
+                Ok(app::error(503, "down"))
+            }
+            Mode::Slow => {
+                Timer::after(delay).await;
+                Ok(self.run(service, key, call, req))
+            }
+            Mode::Lost => {
+                Timer::after(delay).await;
+                let _lost = self.run(service, key, call, req);
+                Err(HangUp)
+            }
+        }
+    }
+
+    fn run(
+        &self,
+        service: Service,
+        key: &str,
+        call: Call,
+        req: &Request,
+    ) -> http::Response<curranthook_http::Body> {
+        let now = self.clock.now();
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        let counts = state.counts.of(service);
+        let bucket = match call {
+            Call::Read => &mut state.reads,
+            Call::Write => &mut state.writes,
+        };
+        if service == Service::Table && !bucket.take(now) {
+            counts.refused += 1;
+            return app::error(429, "over the rate");
+        }
+        match call {
+            Call::Read => counts.reads += 1,
+            Call::Write => counts.writes += 1,
+        }
+        let res = match service {
+            Service::Table => state.table.table_call(key, req),
+            Service::Objects => state.objects.object_call(key, req),
+            Service::Vms => body::json(200, &state.vms.seen(now)),
+        };
+        if res.status() == 304 {
+            counts.not_modified += 1;
+        }
+        res
+    }
+
+    fn control(&self, what: &str, req: &Request) -> http::Response<curranthook_http::Body> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        match (&req.method, what.split_once('/')) {
+            (&Method::GET, Some(("table", table))) => {
+                body::json(200, &state.table.rows(&format!("{table}/")))
+            }
+            (&Method::GET, None) if what == "objects" => body::json(200, &state.objects.texts()),
+            (&Method::GET, None) if what == "counts" => body::json(200, &state.counts),
+            (&Method::PUT, None) if what == "faults" => req.store(|faults| state.faults = faults),
+            (&Method::PUT, None) if what == "vms" => req.store(|list| state.vms.set(list, now)),
+            _ => app::error(404, "no such control"),
+        }
+    }
+}
+
+impl App for Platform {
+    fn handle(self: Arc<Self>, req: Request) -> Boxed<Reply> {
+        Box::pin(async move {
+            let path = req.path.trim_start_matches('/');
+            let (first, rest) = path.split_once('/').unwrap_or((path, ""));
+            match first {
+                "table" => self.call(Service::Table, rest, &req).await,
+                "objects" => self.call(Service::Objects, rest, &req).await,
+                "vms" => self.call(Service::Vms, rest, &req).await,
+                "control" => Ok(self.control(rest, &req)),
+                _ => Ok(app::error(404, "no such path")),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_standin/src/program.rs
@@ -0,0 +1,48 @@
+//! What the programs' `main` functions share.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use anyhow::Context;
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use curranthook_http::runtime;
+use futures_lite::{StreamExt, future};
+
+use crate::app::{self, App};
+
+/// Worker threads of a stand-in.
+const THREADS: usize = 4;
+
+/// The time `millis` stands for; fractions count, nonsense is no time.
+pub fn millis(millis: f64) -> Duration {
+    const MILLIS_PER_SECOND: f64 = 1_000.0;
+    Duration::try_from_secs_f64(millis / MILLIS_PER_SECOND).unwrap_or_default()
+}
+
+/// Binds `listen`, says so on standard output and serves until SIGTERM or SIGINT.
+///
+/// Calls that are under way then are cut: a stand-in that is ended is an endpoint that died.
+pub fn run<A: App>(
+    name: &str,
+    listen: SocketAddr,
+    app: impl FnOnce(&runtime::Handle) -> Arc<A>,
+) -> anyhow::Result<()> {
+    runtime::run(THREADS, |ex| async move {
+        let app = app(&ex);
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let listener = Async::<TcpListener>::bind(listen).context("can't bind")?;
+        let listening = BTreeMap::from([(name, listener.get_ref().local_addr()?)]);
+        println!("{}", serde_json::json!({ "listening": listening }));
+        let signalled = async {
+            signals.next().await;
+        };
+        let serving = async { match app::serve(listener, ex, app).await {} };
+        future::or(signalled, serving).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/curranthook_standin/src/rater.rs
@@ -0,0 +1,108 @@
+//! The service that rates answers: it knows the marker at the head of each engine's answer.
+//!
+//! Control: `PUT /control/faults` takes [`Faults`], `GET /control/counts` gives [`Counts`].
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_http::body;
+use futures_lite::future::Boxed;
+use http::Method;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    app::{self, App, Reply, Request},
+    engine::answer::GOOD,
+    hash,
+};
+
+/// An answer to be rated.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Case {
+    /// The version that gave it.
+    pub version: String,
+    /// The kind of work.
+    pub kind: String,
+    /// What was asked.
+    pub prompt: String,
+    /// What was answered.
+    pub answer: String,
+}
+
+/// The faults in force.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// How much later each rating comes.
+    pub delay_ms: u64,
+    /// Whether it refuses with 503.
+    pub down: bool,
+}
+
+/// What was rated.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Counts {
+    /// Ratings given.
+    pub rated: u64,
+    /// Calls refused while down.
+    pub refused: u64,
+    /// Ratings given, by version.
+    pub versions: BTreeMap<String, u64>,
+}
+
+/// The rating service.
+#[derive(Debug)]
+pub struct Rater {
+    noise: f64,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    counts: Counts,
+}
+
+impl Rater {
+    /// A rater that errs with probability `noise`.
+    pub fn new(noise: f64) -> Self {
+        Self { noise, state: Mutex::default() }
+    }
+
+    async fn rate(&self, req: &Request) -> http::Response<curranthook_http::Body> {
+        let case: Case = match req.json() {
+            Ok(case) => case,
+            Err(e) => return e.answer(),
+        };
+        let faults = self.state.lock().faults.clone();
+        if faults.down {
+            self.state.lock().counts.refused += 1;
+            return app::error(503, "down");
+        }
+        Timer::after(Duration::from_millis(faults.delay_ms)).await;
+        let counts = &mut self.state.lock().counts;
+        counts.rated += 1;
+        *counts.versions.entry(case.version).or_default() += 1;
+        // The count makes two ratings of one answer err independently.
+        let flips = hash::fraction(&[&case.answer, &counts.rated.to_string()]) < self.noise;
+        let is_good = case.answer.starts_with(GOOD) != flips;
+        body::json(200, &serde_json::json!({ "rating": f64::from(u8::from(is_good)) }))
+    }
+}
+
+impl App for Rater {
+    fn handle(self: Arc<Self>, req: Request) -> Boxed<Reply> {
+        Box::pin(async move {
+            let res = match (&req.method, req.path.as_str()) {
+                (&Method::POST, "/rate") => self.rate(&req).await,
+                (&Method::GET, "/control/counts") => body::json(200, &self.state.lock().counts),
+                (&Method::PUT, "/control/faults") => {
+                    req.store(|faults| self.state.lock().faults = faults)
+                }
+                _ => app::error(404, "no such path"),
+            };
+            Ok(res)
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_standin/src/service.rs
@@ -0,0 +1,196 @@
+//! A plain service whose calls count: each one that arrives is run and recorded.
+//!
+//! It never looks for repeats, so its record shows what a router let through. Control:
+//! `PUT /control/faults` takes [`Faults`], `GET /control/record` gives a list of [`Call`].
+
+use std::{process, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_http::{Body, body};
+use curranthook_types::{Clock, header};
+use futures_lite::future::{self, Boxed};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    app::{self, App, Reply, Request},
+    fault::Count,
+    hash,
+};
+
+/// A call that was run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Call {
+    /// The request's id, empty for none.
+    pub request_id: String,
+    /// The idempotency key, if there was one.
+    pub idempotency_key: Option<String>,
+    /// The method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// A hash of the body.
+    pub body_hash: String,
+    /// The body as text.
+    pub body: String,
+    /// When it was run, in milliseconds since 1970.
+    pub started_millis: u64,
+    /// What became of the answer.
+    pub outcome: Outcome,
+}
+
+/// What became of a call's answer. The call has run in any case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// None yet, or none at all because the caller left first.
+    Running,
+    /// It was given.
+    Done,
+    /// It was an error.
+    Failed,
+}
+
+/// The faults in force.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// How much later the answer comes.
+    pub answer_late_ms: u64,
+    /// Never runs the call and never answers.
+    pub hang_before_head: Count,
+    /// Runs the call and never answers.
+    pub hang_after_run: Count,
+    /// Runs the call and aborts the process.
+    pub die_after_run: bool,
+    /// Aborts the process before it runs the call.
+    pub die_before_run: bool,
+    /// Answers 500 without having run the call; doesn't say so.
+    pub error_before_run: Count,
+    /// Runs the call, then answers 500.
+    pub error_after_run: Count,
+    /// Refuses with "not started".
+    pub refuse: Count,
+    /// Refuses as leaving.
+    pub leaving: bool,
+    /// Answers with another request's id.
+    pub foreign_id: Count,
+}
+
+/// A plain service.
+#[derive(Debug)]
+pub struct Service {
+    id: String,
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    calls: Vec<Call>,
+}
+
+impl Service {
+    /// A service that has run nothing yet.
+    pub fn new(id: &str, clock: Arc<dyn Clock>) -> Self {
+        Self { id: id.to_owned(), clock, state: Mutex::default() }
+    }
+
+    async fn run(&self, req: &Request) -> http::Response<Body> {
+        if let Some(refusal) = self.refusal() {
+            return refusal;
+        }
+        if self.state.lock().faults.hang_before_head.strikes() {
+            return future::pending().await;
+        }
+        if self.state.lock().faults.error_before_run.strikes() {
+            return app::error(500, "broken before the run");
+        }
+        let place = self.record(req);
+        let (hangs, dies, fails, late) = {
+            let faults = &mut self.state.lock().faults;
+            let (hangs, fails) =
+                (faults.hang_after_run.strikes(), faults.error_after_run.strikes());
+            (hangs, faults.die_after_run, fails, Duration::from_millis(faults.answer_late_ms))
+        };
+        if dies {
+            process::abort();
+        }
+        if hangs {
+            return future::pending().await;
+        }
+        Timer::after(late).await;
+        if fails {
+            self.state.lock().calls[place].outcome = Outcome::Failed;
+            return app::error(500, "broken after the run");
+        }
+        self.state.lock().calls[place].outcome = Outcome::Done;
+        self.answer(req, place + 1)
+    }
+
+    fn refusal(&self) -> Option<http::Response<Body>> {
+        let faults = &mut self.state.lock().faults;
+        if faults.die_before_run {
+            process::abort();
+        }
+        if !faults.leaving && !faults.refuse.strikes() {
+            return None;
+        }
+        let mut res = app::error(503, "not taking work");
+        res.headers_mut().insert(header::NOT_STARTED, http::HeaderValue::from_static("true"));
+        if faults.leaving {
+            res.headers_mut().insert(header::LEAVING, http::HeaderValue::from_static("true"));
+        }
+        Some(res)
+    }
+
+    fn record(&self, req: &Request) -> usize {
+        let text = String::from_utf8_lossy(&req.body).into_owned();
+        let query = if req.query.is_empty() { "" } else { "?" };
+        let call = Call {
+            request_id: req.header(header::REQUEST_ID).unwrap_or_default().to_owned(),
+            idempotency_key: req.header(header::IDEMPOTENCY_KEY).map(str::to_owned),
+            method: req.method.to_string(),
+            path: format!("{}{query}{}", req.path, req.query),
+            body_hash: format!("{:016x}", hash::of(&[&text])),
+            body: text,
+            started_millis: self.clock.unix_millis(),
+            outcome: Outcome::Running,
+        };
+        let calls = &mut self.state.lock().calls;
+        calls.push(call);
+        calls.len() - 1
+    }
+
+    fn answer(&self, req: &Request, posted: usize) -> http::Response<Body> {
+        let own = req.header(header::REQUEST_ID).unwrap_or_default();
+        let is_foreign = self.state.lock().faults.foreign_id.strikes();
+        let id = if is_foreign { format!("not-{own}") } else { own.to_owned() };
+        let content = serde_json::json!({ "posted": posted, "id": id, "service": self.id });
+        let mut res = body::json(200, &content);
+        if let Ok(value) = http::HeaderValue::from_str(&id) {
+            res.headers_mut().insert(header::REQUEST_ID, value);
+        }
+        res
+    }
+
+    fn control(&self, req: &Request) -> http::Response<Body> {
+        match (req.method.as_str(), req.path.as_str()) {
+            ("GET", "/control/record") => body::json(200, &self.state.lock().calls),
+            ("PUT", "/control/faults") => req.store(|faults| self.state.lock().faults = faults),
+            _ => app::error(404, "no such control"),
+        }
+    }
+}
+
+impl App for Service {
+    fn handle(self: Arc<Self>, req: Request) -> Boxed<Reply> {
+        Box::pin(async move {
+            if req.path.starts_with("/control/") {
+                return Ok(self.control(&req));
+            }
+            Ok(self.run(&req).await)
+        })
+    }
+}
