Fault proxy with many links

Cause: failures of the network have to strike between real processes.

Ruled out: accepting and resetting in place of refusing. Then a caller can't tell that nothing was sent, which is just what "not run" rests on; so the port is closed while a link refuses.

Change: standin-proxy, with links that pass, cut, refuse, go silent, hold bytes back, delay, cut after so many bytes or swallow them.

--- a/crates/curranthook_standin/src/lib.rs
+++ b/crates/curranthook_standin/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod hash;
 pub mod platform;
 pub mod program;
+pub mod proxy;
 pub mod rater;
 pub mod service;
--- /dev/null
+++ b/crates/curranthook_standin/src/proxy.rs
@@ -0,0 +1,97 @@
+//! A TCP proxy that does what networks do at their worst.
+//!
+//! Each link listens on an address of its own and passes bytes to its target.
+//!
+//! | request | meaning |
+//! |---|---|
+//! | `POST /links` | [`NewLink`] in, `{"listen": address}` out |
+//! | `PUT /links/{name}` | [`link::Fault`]; what is left out works again |
+//! | `GET /links` | [`link::Status`] by name |
+
+pub mod link;
+mod pump;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use curranthook_http::{Body, body, runtime};
+use futures_lite::future::Boxed;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::app::{self, App, Reply, Request};
+
+use self::link::Link;
+
+/// A link to be opened.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NewLink {
+    /// Its name.
+    pub name: String,
+    /// Where its bytes go.
+    pub target: SocketAddr,
+}
+
+/// The proxy.
+#[derive(Debug)]
+pub struct Proxy {
+    ex: runtime::Handle,
+    links: Mutex<BTreeMap<String, Arc<Link>>>,
+}
+
+impl Proxy {
+    /// A proxy without links.
+    pub fn new(ex: runtime::Handle) -> Self {
+        Self { ex, links: Mutex::default() }
+    }
+
+    fn open(&self, req: &Request) -> http::Response<Body> {
+        let new: NewLink = match req.json() {
+            Ok(new) => new,
+            Err(e) => return e.answer(),
+        };
+        let mut links = self.links.lock();
+        if links.contains_key(&new.name) {
+            return app::error(409, "there is a link of that name");
+        }
+        match Link::open(new.target, &self.ex) {
+            Ok(link) => {
+                let listen = link.addr();
+                links.insert(new.name, link);
+                body::json(201, &serde_json::json!({ "listen": listen }))
+            }
+            Err(e) => app::error(500, &e.to_string()),
+        }
+    }
+
+    async fn change(&self, name: &str, req: &Request) -> http::Response<Body> {
+        let Some(link) = self.links.lock().get(name).cloned() else {
+            return app::error(404, "no link of that name");
+        };
+        match req.json() {
+            Ok(fault) => {
+                link.set(fault).await;
+                body::json(200, &link.status())
+            }
+            Err(e) => e.answer(),
+        }
+    }
+
+    fn status(&self) -> BTreeMap<String, link::Status> {
+        self.links.lock().iter().map(|(name, link)| (name.clone(), link.status())).collect()
+    }
+}
+
+impl App for Proxy {
+    fn handle(self: Arc<Self>, req: Request) -> Boxed<Reply> {
+        Box::pin(async move {
+            let res = match (req.method.as_str(), req.path.strip_prefix("/links/")) {
+                ("POST", None) if req.path == "/links" => self.open(&req),
+                ("GET", None) if req.path == "/links" => body::json(200, &self.status()),
+                ("PUT", Some(name)) => self.change(name, &req).await,
+                _ => app::error(404, "no such path"),
+            };
+            Ok(res)
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_standin/src/proxy/pump.rs
@@ -0,0 +1,75 @@
+//! Passes the bytes of one connection.
+
+use std::{io, net::Shutdown, net::TcpStream, time::Duration};
+
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use socket2::SockRef;
+
+use super::link::{End, Link, Way};
+
+/// How many bytes are read at once.
+const CHUNK: usize = 64 * 1024;
+
+/// Makes the end of a connection an RST in place of a FIN.
+pub(super) fn reset_on_drop(stream: &Async<TcpStream>) {
+    let _best_effort = SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+}
+
+/// Passes bytes both ways until both have ended or one is reset.
+pub(super) async fn run(
+    link: &Link,
+    id: u64,
+    caller: &Async<TcpStream>,
+    target: &Async<TcpStream>,
+) {
+    let _best_effort = caller.get_ref().set_nodelay(true);
+    let _best_effort = target.get_ref().set_nodelay(true);
+    // Unless both ways end of themselves the connection was cut, and whoever drops the streams
+    // then is to send an RST; a proper end takes that back.
+    reset_on_drop(target);
+    let up = one_way(link, id, Way::Up, caller, target);
+    let down = one_way(link, id, Way::Down, target, caller);
+    match future::try_zip(up, down).await {
+        Ok(_) => {
+            let _best_effort = SockRef::from(target.get_ref()).set_linger(None);
+        }
+        Err(_) => reset_on_drop(caller),
+    }
+}
+
+async fn one_way(
+    link: &Link,
+    id: u64,
+    way: Way,
+    from: &Async<TcpStream>,
+    to: &Async<TcpStream>,
+) -> io::Result<()> {
+    let (mut from, mut to) = (from, to);
+    let mut buf = vec![0; CHUNK];
+    loop {
+        let read = from.read(&mut buf).await;
+        let delay = link.delay();
+        if !delay.is_zero() {
+            Timer::after(delay).await;
+        }
+        let n_read = match read {
+            Ok(n_read) if 0 < n_read => n_read,
+            ended => {
+                // A pause holds the end back as well.
+                link.judge(id, way, 0).await;
+                if link.is_silent(id, way) {
+                    // The other end must not learn that this one is gone.
+                    return future::pending().await;
+                }
+                ended?;
+                return to.get_ref().shutdown(Shutdown::Write);
+            }
+        };
+        let (n_passed, end) = link.judge(id, way, n_read).await;
+        to.write_all(&buf[..n_passed]).await?;
+        if end == End::Reset {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+    }
+}
