--- /dev/null
+++ b/crates/curranthook_settings/src/check/finding.rs
@@ -0,0 +1,64 @@
+use std::fmt;
+
+use crate::source::{self, Place};
+
+/// How bad a finding is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Severity {
+    /// Nothing is published.
+    Error,
+    /// Worth a look.
+    Warning,
+}
+
+/// Something wrong in a file.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Finding {
+    /// The file and line.
+    pub place: Place,
+    /// The path within the merged configuration, empty for the file as a whole.
+    pub path: String,
+    /// What is wrong. Never quotes a secret.
+    pub message: String,
+    /// How bad it is.
+    pub severity: Severity,
+}
+
+impl Finding {
+    pub(crate) fn error(place: &Place, path: &str, message: impl Into<String>) -> Self {
+        Self::new(Severity::Error, place, path, message.into())
+    }
+
+    pub(crate) fn warning(place: &Place, path: &str, message: impl Into<String>) -> Self {
+        Self::new(Severity::Warning, place, path, message.into())
+    }
+
+    fn new(severity: Severity, place: &Place, path: &str, message: String) -> Self {
+        Self { place: place.clone(), path: path.to_owned(), message, severity }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let severity = match self.severity {
+            Severity::Error => "error",
+            Severity::Warning => "warning",
+        };
+        write!(f, "{}: {severity}: ", self.place)?;
+        if !self.path.is_empty() {
+            write!(f, "{}: ", self.path)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+impl From<source::Error> for Finding {
+    fn from(e: source::Error) -> Self {
+        match e {
+            source::Error::Io { file, why } => {
+                Self::error(&Place { file: file.into(), line: 1 }, "", why)
+            }
+            source::Error::Syntax { place, why } => Self::error(&place, "", why),
+        }
+    }
+}
--- a/crates/curranthook_settings/src/lib.rs
+++ b/crates/curranthook_settings/src/lib.rs
@@ -5,10 +5,13 @@
 //! under one epoch, with the state that commands change (withdrawals, drains, roll-outs).
 //! [`node::Settings`] is the small file that tells one process its addresses.
 
+pub mod check;
 pub mod config;
 pub mod document;
 pub mod node;
+pub mod overlay;
 pub mod rollout;
+pub mod source;
 
 pub use config::Config;
 pub use document::Document;
--- a/crates/curranthook_settings/src/node.rs
+++ b/crates/curranthook_settings/src/node.rs
@@ -1,11 +1,16 @@
 //! The small file that tells one process its addresses.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::Path};
 
 use curranthook_types::{domain, site, vm};
 use serde::{Deserialize, Serialize};
 use serde_with::{hex::Hex, serde_as};
 
+use crate::{
+    check::{self, Finding},
+    source::{self, Node},
+};
+
 /// Settings of one VM's router and steward.
 #[serde_as]
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
@@ -51,6 +56,35 @@
     pub vms: SocketAddr,
 }
 
+/// Reads and checks a file of node settings; all errors at once if there are any.
+///
+/// ```
+/// # use curranthook_settings::node;
+/// let findings = node::read("no/such/node.yaml".as_ref()).unwrap_err();
+/// assert_eq!(findings.len(), 1);
+/// ```
+pub fn read(path: &Path) -> Result<Settings, Vec<Finding>> {
+    let node = source::read(path).map_err(|e| vec![Finding::from(e)])?;
+    from_tree(&node)
+}
+
+/// Checks settings that were read before.
+///
+/// ```
+/// # use curranthook_settings::{node, source};
+/// let tree = source::parse("node.yaml", "vm: vm-1\nthreads: none\n").unwrap();
+/// let findings = node::from_tree(&tree).unwrap_err();
+/// assert!(findings.iter().any(|it| it.path == "threads" && it.place.line == 2));
+/// ```
+pub fn from_tree(node: &Node) -> Result<Settings, Vec<Finding>> {
+    let findings = check::node(node);
+    if !findings.is_empty() {
+        return Err(findings);
+    }
+    serde_json::from_value(node.to_json())
+        .map_err(|e| vec![Finding::error(&node.place, "", e.to_string())])
+}
+
 fn default_threads() -> usize {
     const THREADS: usize = 2;
     THREADS
--- a/crates/curranthook_settings/src/rollout.rs
+++ b/crates/curranthook_settings/src/rollout.rs
@@ -35,7 +35,36 @@
     Done,
 }
 
+impl std::fmt::Display for State {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Running => "running",
+            Self::Paused => "paused",
+            Self::Aborted => "aborted",
+            Self::Done => "done",
+        })
+    }
+}
+
 impl Rollout {
+    /// Whether it's under way, be it held or not.
+    ///
+    /// ```
+    /// # use curranthook_settings::rollout::{Rollout, State};
+    /// let rollout = Rollout {
+    ///     from: "m@1".into(),
+    ///     to: "m@2".into(),
+    ///     stages: vec![0.1, 1.0],
+    ///     stage: 0,
+    ///     state: State::Paused,
+    ///     since_millis: 0,
+    /// };
+    /// assert!(rollout.is_active());
+    /// ```
+    pub fn is_active(&self) -> bool {
+        matches!(self.state, State::Running | State::Paused)
+    }
+
     /// The share of new sessions that `to` gets now.
     ///
     /// ```
--- /dev/null
+++ b/crates/curranthook_settings/src/source.rs
@@ -0,0 +1,273 @@
+//! A YAML file as a tree in which each value knows its file and line.
+//!
+//! Typed deserialisation stops at its first error. Operators want all errors at once, so files
+//! are read into this tree first and checked there.
+
+use std::{collections::BTreeMap, fmt, path::Path, sync::Arc};
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{self, MapAccess, SeqAccess, Visitor},
+};
+use serde_saphyr::Spanned;
+
+/// Where a value stands.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// The file, as named on the command line.
+    pub file: Arc<str>,
+    /// The line, counted from 1.
+    pub line: u64,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.file, self.line)
+    }
+}
+
+/// A value and its place. The place of a map's entry is that of its key.
+#[derive(Debug, Clone)]
+pub struct Node {
+    /// Where it stands.
+    pub place: Place,
+    /// What it is.
+    pub value: Value,
+}
+
+/// A YAML value.
+#[derive(Debug, Clone)]
+pub enum Value {
+    /// `null`, or nothing.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A finite number.
+    Number(serde_json::Number),
+    /// Anything else that isn't a list or map.
+    Text(String),
+    /// A list.
+    List(Vec<Node>),
+    /// A map.
+    Map(BTreeMap<String, Node>),
+}
+
+/// Why a file can't be read at all.
+#[derive(Debug, Clone, thiserror::Error)]
+pub enum Error {
+    /// The system doesn't give it.
+    #[error("{file}: {why}")]
+    Io {
+        /// The file.
+        file: String,
+        /// What the system said.
+        why: String,
+    },
+    /// It isn't YAML, or a key stands twice.
+    #[error("{place}: {why}")]
+    Syntax {
+        /// Where.
+        place: Place,
+        /// What the parser said.
+        why: String,
+    },
+}
+
+/// Reads a file.
+///
+/// ```
+/// # use curranthook_settings::source;
+/// assert!(source::read("no/such/file.yaml".as_ref()).is_err());
+/// ```
+pub fn read(path: &Path) -> Result<Node, Error> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Error::Io { file: file.clone(), why: e.to_string() })?;
+    parse(&file, &text)
+}
+
+/// Reads `text`, which came from `file`.
+///
+/// ```
+/// # use curranthook_settings::source;
+/// let node = source::parse("a.yaml", "site: vn-south\naccounts:\n  yard-7: {}\n").unwrap();
+/// let account = node.get("accounts").unwrap().get("yard-7").unwrap();
+/// assert_eq!(account.place.to_string(), "a.yaml:3");
+/// ```
+pub fn parse(file: &str, text: &str) -> Result<Node, Error> {
+    let file: Arc<str> = file.into();
+    let raw: Spanned<Raw> = serde_saphyr::from_str(text).map_err(|e| {
+        let line = e.location().map_or(1, |it| it.line());
+        let why = e.without_snippet().to_string();
+        Error::Syntax { place: Place { file: Arc::clone(&file), line }, why }
+    })?;
+    Ok(raw_to_node(raw, &file))
+}
+
+impl Node {
+    /// The entry `key`, if this is a map that has it.
+    pub fn get(&self, key: &str) -> Option<&Self> {
+        match &self.value {
+            Value::Map(map) => map.get(key),
+            _ => None,
+        }
+    }
+
+    /// The entries, none if this isn't a map.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, &Self)> {
+        let map = match &self.value {
+            Value::Map(map) => Some(map),
+            _ => None,
+        };
+        map.into_iter().flatten().map(|(key, node)| (key.as_str(), node))
+    }
+
+    /// The items, none if this isn't a list.
+    pub fn items(&self) -> &[Self] {
+        match &self.value {
+            Value::List(list) => list,
+            _ => &[],
+        }
+    }
+
+    /// The text, if this is one.
+    pub fn text(&self) -> Option<&str> {
+        match &self.value {
+            Value::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
+    /// The number, if this is one.
+    pub fn number(&self) -> Option<f64> {
+        match &self.value {
+            Value::Number(number) => number.as_f64(),
+            _ => None,
+        }
+    }
+
+    /// The value without places. Entries without a value are left out.
+    ///
+    /// ```
+    /// # use curranthook_settings::source;
+    /// let node = source::parse("a.yaml", "slots: 4\nservice:\n").unwrap();
+    /// assert_eq!(node.to_json().to_string(), r#"{"slots":4}"#);
+    /// ```
+    pub fn to_json(&self) -> serde_json::Value {
+        match &self.value {
+            Value::Null => serde_json::Value::Null,
+            Value::Bool(it) => (*it).into(),
+            Value::Number(it) => serde_json::Value::Number(it.clone()),
+            Value::Text(it) => it.as_str().into(),
+            Value::List(list) => list.iter().map(Self::to_json).collect(),
+            Value::Map(map) => {
+                let entries = map.iter().filter(|(_, node)| !matches!(node.value, Value::Null));
+                entries.map(|(key, node)| (key.clone(), node.to_json())).collect()
+            }
+        }
+    }
+}
+
+/// What the YAML library hands over, before the file's name is added.
+enum Raw {
+    Null,
+    Bool(bool),
+    Number(serde_json::Number),
+    Text(String),
+    List(Vec<Spanned<Raw>>),
+    Map(Vec<(Spanned<String>, Spanned<Raw>)>),
+}
+
+fn raw_to_node(raw: Spanned<Raw>, file: &Arc<str>) -> Node {
+    let line = raw.referenced.line();
+    let value = match raw.value {
+        Raw::Null => Value::Null,
+        Raw::Bool(it) => Value::Bool(it),
+        Raw::Number(it) => Value::Number(it),
+        Raw::Text(it) => Value::Text(it),
+        Raw::List(list) => Value::List(list.into_iter().map(|it| raw_to_node(it, file)).collect()),
+        Raw::Map(entries) => {
+            let entry = |(key, raw): (Spanned<String>, _)| {
+                let place = Place { file: Arc::clone(file), line: key.referenced.line() };
+                (key.value, Node { place, ..raw_to_node(raw, file) })
+            };
+            Value::Map(entries.into_iter().map(entry).collect())
+        }
+    };
+    // A file with nothing in it has no line at all.
+    Node { place: Place { file: Arc::clone(file), line: line.max(1) }, value }
+}
+
+impl<'de> Deserialize<'de> for Raw {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(RawVisitor)
+    }
+}
+
+struct RawVisitor;
+
+impl<'de> Visitor<'de> for RawVisitor {
+    type Value = Raw;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a YAML value")
+    }
+
+    fn visit_unit<E: de::Error>(self) -> Result<Raw, E> {
+        Ok(Raw::Null)
+    }
+
+    fn visit_none<E: de::Error>(self) -> Result<Raw, E> {
+        Ok(Raw::Null)
+    }
+
+    fn visit_some<D: Deserializer<'de>>(self, deserializer: D) -> Result<Raw, D::Error> {
+        Raw::deserialize(deserializer)
+    }
+
+    fn visit_bool<E: de::Error>(self, it: bool) -> Result<Raw, E> {
+        Ok(Raw::Bool(it))
+    }
+
+    fn visit_i64<E: de::Error>(self, it: i64) -> Result<Raw, E> {
+        Ok(Raw::Number(it.into()))
+    }
+
+    fn visit_u64<E: de::Error>(self, it: u64) -> Result<Raw, E> {
+        Ok(Raw::Number(it.into()))
+    }
+
+    fn visit_i128<E: de::Error>(self, it: i128) -> Result<Raw, E> {
+        Ok(Raw::Text(it.to_string()))
+    }
+
+    fn visit_u128<E: de::Error>(self, it: u128) -> Result<Raw, E> {
+        Ok(Raw::Text(it.to_string()))
+    }
+
+    fn visit_f64<E: de::Error>(self, it: f64) -> Result<Raw, E> {
+        // JSON has no infinity. As text it fails the check of whichever number was wanted.
+        let number = serde_json::Number::from_f64(it);
+        Ok(number.map_or_else(|| Raw::Text(it.to_string()), Raw::Number))
+    }
+
+    fn visit_str<E: de::Error>(self, it: &str) -> Result<Raw, E> {
+        Ok(Raw::Text(it.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Raw, A::Error> {
+        let mut list = Vec::new();
+        while let Some(item) = seq.next_element()? {
+            list.push(item);
+        }
+        Ok(Raw::List(list))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Raw, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(entry) = map.next_entry()? {
+            entries.push(entry);
+        }
+        Ok(Raw::Map(entries))
+    }
+}
