--- a/crates/curranthook_settings/src/config.rs
+++ b/crates/curranthook_settings/src/config.rs
@@ -10,6 +10,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, hex::Hex, serde_as};
 
+/// Stands for a secret that isn't shown.
+pub(crate) const MASK: &str = "(not shown)";
+
 /// A site's configuration: the base file with the site's overlay merged in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -42,6 +45,39 @@
     pub session_keys: Vec<Key>,
 }
 
+impl Config {
+    /// The configuration as YAML for an operator's eyes: secrets are masked, so it can't be
+    /// published again.
+    ///
+    /// ```
+    /// # use curranthook_settings::Config;
+    /// let json = r#"{"site": "a", "session_keys": [{"id": "k", "secret": "c0ffee"}]}"#;
+    /// let config: Config = serde_json::from_str(json).unwrap();
+    /// assert!(config.to_masked_yaml().contains("site: a"));
+    /// assert!(!config.to_masked_yaml().contains("c0ffee"));
+    /// ```
+    pub fn to_masked_yaml(&self) -> String {
+        serde_saphyr::to_string(&self.to_masked_json()).expect("JSON can be written as YAML")
+    }
+
+    /// The same as JSON.
+    ///
+    /// ```
+    /// # use curranthook_settings::Config;
+    /// let json = r#"{"site": "a", "session_keys": [{"id": "k", "secret": "c0ffee"}]}"#;
+    /// let config: Config = serde_json::from_str(json).unwrap();
+    /// assert_eq!(config.to_masked_json()["session_keys"][0]["secret"], "(not shown)");
+    /// ```
+    pub fn to_masked_json(&self) -> serde_json::Value {
+        let mut json = serde_json::to_value(self).expect("a configuration can be written as JSON");
+        let keys = json.get_mut("session_keys").and_then(serde_json::Value::as_array_mut);
+        for key in keys.into_iter().flatten() {
+            key["secret"] = MASK.into();
+        }
+        json
+    }
+}
+
 /// A version of a model.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/curranthook_settings/src/document/difference.rs
+++ b/crates/curranthook_settings/src/document/difference.rs
@@ -6,13 +6,12 @@
 use serde_json::Value;
 
 use super::Document;
-use crate::check::path;
+use crate::{check::path, config::MASK};
 
 /// Fields that count publications; two documents always differ in them.
 const COUNTERS: [&str; 5] = ["epoch", "by", "at_millis", "publication", "earlier"];
 /// Fields whose values stay out of terminals and logs.
 const MASKED: [&str; 2] = ["secret", "key_hashes"];
-const MASK: &str = "(not shown)";
 
 /// One difference.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
--- a/crates/curranthook_settings/src/source.rs
+++ b/crates/curranthook_settings/src/source.rs
@@ -9,7 +9,7 @@
     Deserialize, Deserializer,
     de::{self, MapAccess, SeqAccess, Visitor},
 };
-use serde_saphyr::Spanned;
+use serde_saphyr::{NonFiniteFloatPolicy, Spanned};
 
 /// Where a value stands.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -96,7 +96,15 @@
 /// ```
 pub fn parse(file: &str, text: &str) -> Result<Node, Error> {
     let file: Arc<str> = file.into();
-    let raw: Spanned<Raw> = serde_saphyr::from_str(text).map_err(|e| {
+    let options = serde_saphyr::options! {
+        // An infinite number is one mistake among others, and no reason to stop reading.
+        non_finite_float_policy: NonFiniteFloatPolicy::PassThrough,
+        // `no` and `on` are names like others, and hexadecimal digits may begin with zeros.
+        strict_booleans: true,
+        leading_zero_numbers_as_strings: true,
+    };
+    let raw: Result<Spanned<Raw>, _> = serde_saphyr::from_str_with_options(text, options);
+    let raw = raw.map_err(|e| {
         let line = e.location().map_or(1, |it| it.line());
         let why = e.without_snippet().to_string();
         Error::Syntax { place: Place { file: Arc::clone(&file), line }, why }
