--- /dev/null
+++ b/crates/curranthook_peers/src/evidence.rs
@@ -0,0 +1,254 @@
+//! Evidence on versions, counted by each node and summed over nodes.
+//!
+//! Each origin's counters only grow, and merging keeps the higher of each. So a digest that
+//! arrives twice, late or out of order counts nothing twice.
+
+use std::collections::HashMap;
+
+use curranthook_types::{bill::Origin, version};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+/// How many entries (origin and version) are kept: 1,800 nodes and 7 versions with room for
+/// the nodes replaced in a day.
+const MAX_ENTRIES: usize = 20_000;
+/// How often a changed entry is passed on before it gives way to others.
+const SENDS: u32 = 4;
+
+/// Whether an answer failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failed {
+    /// It came whole.
+    No,
+    /// It was an error, broke off or never came.
+    Yes,
+}
+
+/// What one answer showed.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    /// The quality, from 0 to 1, if it was rated.
+    pub rating: Option<f64>,
+    /// Whether it failed.
+    pub failed: Failed,
+    /// Tokens of the answer.
+    pub tokens: u64,
+}
+
+/// Sums over samples.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Samples.
+    pub calls: u64,
+    /// Samples that failed.
+    pub failures: u64,
+    /// Samples that were rated.
+    pub rated: u64,
+    /// The sum of ratings.
+    pub rating_sum: f64,
+    /// The sum of squared ratings.
+    pub rating_sq_sum: f64,
+    /// Tokens of answers.
+    pub tokens: u64,
+}
+
+impl Counts {
+    fn add(&mut self, sample: &Sample) {
+        self.calls += 1;
+        self.failures += u64::from(sample.failed == Failed::Yes);
+        self.tokens += sample.tokens;
+        if let Some(rating) = sample.rating {
+            self.rated += 1;
+            self.rating_sum += rating;
+            self.rating_sq_sum += rating * rating;
+        }
+    }
+
+    /// The sum of two.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            calls: self.calls + other.calls,
+            failures: self.failures + other.failures,
+            rated: self.rated + other.rated,
+            rating_sum: self.rating_sum + other.rating_sum,
+            rating_sq_sum: self.rating_sq_sum + other.rating_sq_sum,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+
+    /// The higher of each field.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            calls: self.calls.max(other.calls),
+            failures: self.failures.max(other.failures),
+            rated: self.rated.max(other.rated),
+            rating_sum: self.rating_sum.max(other.rating_sum),
+            rating_sq_sum: self.rating_sq_sum.max(other.rating_sq_sum),
+            tokens: self.tokens.max(other.tokens),
+        }
+    }
+
+    fn is_sane(&self) -> bool {
+        self.rating_sum.is_finite() && self.rating_sq_sum.is_finite() && self.failures <= self.calls
+    }
+}
+
+/// One origin's counters for one version, as a digest carries them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry(pub Origin, pub version::Id, pub Wire);
+
+/// [`Counts`] without field names, in their order.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Wire(u64, u64, u64, f64, f64, u64);
+
+impl From<Counts> for Wire {
+    fn from(it: Counts) -> Self {
+        Self(it.calls, it.failures, it.rated, it.rating_sum, it.rating_sq_sum, it.tokens)
+    }
+}
+
+impl From<Wire> for Counts {
+    fn from(it: Wire) -> Self {
+        let Wire(calls, failures, rated, rating_sum, rating_sq_sum, tokens) = it;
+        Self { calls, failures, rated, rating_sum, rating_sq_sum, tokens }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Cell {
+    counts: Counts,
+    sends_left: u32,
+    /// When it last changed, in steps of the table's own count.
+    changed: u64,
+}
+
+#[derive(Debug, Default)]
+struct Cells {
+    by_version: HashMap<version::Id, HashMap<Origin, Cell>>,
+    n_entries: usize,
+    steps: u64,
+}
+
+/// All that a node knows of versions.
+#[derive(Debug)]
+pub struct Evidence {
+    own: Origin,
+    cells: Mutex<Cells>,
+}
+
+impl Evidence {
+    /// No evidence yet; `own` is the origin of what is added here.
+    pub fn new(own: Origin) -> Self {
+        Self { own, cells: Mutex::default() }
+    }
+
+    /// Counts what an answer to this node showed.
+    pub fn add(&self, version: &version::Id, sample: Sample) {
+        let mut cells = self.cells.lock();
+        cells.update(version, &self.own, |counts| {
+            let mut next = *counts;
+            next.add(&sample);
+            next
+        });
+    }
+
+    /// The sum over all origins.
+    pub fn total(&self, version: &version::Id) -> Counts {
+        let cells = self.cells.lock();
+        let Some(origins) = cells.by_version.get(version) else { return Counts::default() };
+        origins.values().fold(Counts::default(), |sum, cell| sum.plus(&cell.counts))
+    }
+
+    /// The counts of each origin.
+    pub fn by_origin(&self, version: &version::Id) -> Vec<(Origin, Counts)> {
+        let cells = self.cells.lock();
+        let Some(origins) = cells.by_version.get(version) else { return Vec::new() };
+        origins.iter().map(|(origin, cell)| (origin.clone(), cell.counts)).collect()
+    }
+
+    /// The totals of every version that was seen.
+    pub fn totals(&self) -> Vec<(version::Id, Counts)> {
+        let versions: Vec<_> = self.cells.lock().by_version.keys().cloned().collect();
+        versions.into_iter().map(|it| (it.clone(), self.total(&it))).collect()
+    }
+
+    /// Takes in a peer's entry.
+    pub fn merge(&self, entry: &Entry) {
+        let Entry(origin, version, wire) = entry;
+        let theirs = Counts::from(*wire);
+        // Only this process counts for its own origin; an echo of it brings nothing new.
+        if *origin == self.own || !theirs.is_sane() {
+            return;
+        }
+        self.cells.lock().update(version, origin, |ours| ours.max(&theirs));
+    }
+
+    /// The entries worth sending next, as long as they fit: the most suspicious of those that
+    /// changed, then those sent the least, then those that changed last.
+    pub fn pick(&self, mut fits: impl FnMut(&Entry) -> bool) -> Vec<Entry> {
+        let mut cells = self.cells.lock();
+        let mut hot: Vec<_> = cells
+            .by_version
+            .iter_mut()
+            .flat_map(|(version, origins)| {
+                origins.iter_mut().map(move |(origin, cell)| (version, origin, cell))
+            })
+            .filter(|(.., cell)| 0 < cell.sends_left)
+            .collect();
+        hot.sort_by_key(|(.., cell)| {
+            let failing = cell.counts.calls < cell.counts.failures.saturating_mul(10);
+            std::cmp::Reverse((failing, cell.sends_left, cell.changed))
+        });
+        let mut picked = Vec::new();
+        for (version, origin, cell) in hot {
+            let entry = Entry(origin.clone(), version.clone(), cell.counts.into());
+            if !fits(&entry) {
+                break;
+            }
+            cell.sends_left -= 1;
+            picked.push(entry);
+        }
+        picked
+    }
+}
+
+impl Cells {
+    fn update(
+        &mut self,
+        version: &version::Id,
+        origin: &Origin,
+        next: impl FnOnce(&Counts) -> Counts,
+    ) {
+        self.steps += 1;
+        let steps = self.steps;
+        let origins = self.by_version.entry(version.clone()).or_default();
+        if !origins.contains_key(origin) {
+            self.n_entries += 1;
+        }
+        let cell = origins.entry(origin.clone()).or_default();
+        let counts = next(&cell.counts);
+        if counts != cell.counts {
+            *cell = Cell { counts, sends_left: SENDS, changed: steps };
+        }
+        if MAX_ENTRIES < self.n_entries {
+            self.evict();
+        }
+    }
+
+    /// Forgets the entry that changed longest ago: that of a process long gone.
+    fn evict(&mut self) {
+        let oldest = self
+            .by_version
+            .iter()
+            .flat_map(|(version, origins)| {
+                origins.iter().map(move |(origin, cell)| (cell.changed, version, origin))
+            })
+            .min_by_key(|(changed, ..)| *changed);
+        let Some((_, version, origin)) = oldest else { return };
+        let (version, origin) = (version.clone(), origin.clone());
+        if let Some(origins) = self.by_version.get_mut(&version) {
+            origins.remove(&origin);
+            self.n_entries -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/link.rs
@@ -0,0 +1,81 @@
+//! The way to a peer.
+
+use std::{fmt::Debug, future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use curranthook_http::{Exchange, client::Pool};
+use curranthook_types::header;
+
+/// A signed call.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// To whom.
+    pub addr: SocketAddr,
+    /// When it was signed, in milliseconds since 1970.
+    pub time: String,
+    /// The MAC over time and body.
+    pub mac: String,
+    /// The JSON-RPC request.
+    pub body: Bytes,
+    /// The limit on the whole call.
+    pub timeout: Duration,
+}
+
+/// A signed answer.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The MAC over the call's MAC and the body.
+    pub mac: String,
+    /// The JSON-RPC response.
+    pub body: Bytes,
+}
+
+/// The peer gave no answer that can be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the peer gave no answer: {0}")]
+pub struct Error(pub String);
+
+/// A future of a call.
+pub type Answer<'a> = Pin<Box<dyn Future<Output = Result<Reply, Error>> + Send + 'a>>;
+
+/// Carries calls to peers.
+pub trait Link: Debug + Send + Sync {
+    /// Makes one call.
+    fn call(&self, call: Call) -> Answer<'_>;
+}
+
+/// Calls over HTTP.
+#[derive(Debug)]
+pub struct Http(Arc<Pool>);
+
+impl Http {
+    /// Calls that take their connections from `pool`.
+    pub fn new(pool: Arc<Pool>) -> Self {
+        Self(pool)
+    }
+}
+
+impl Link for Http {
+    fn call(&self, call: Call) -> Answer<'_> {
+        Box::pin(async move {
+            let exchange = Exchange::post(call.addr, crate::rpc::PATH)
+                .with_header(header::PEER_TIME, call.time)
+                .with_header(header::PEER_MAC, call.mac)
+                .with_body(call.body)
+                .with_timeout(call.timeout);
+            let result = exchange.run(&self.0).await;
+            let res = result.map_err(|e| {
+                // The peer may have frozen, or something in between lost track of the
+                // connection. The next call shall not wait on the same ones.
+                self.0.forget(call.addr);
+                Error(e.to_string())
+            })?;
+            if !res.status().is_success() {
+                return Err(Error(res.status().to_string()));
+            }
+            let mac = res.headers().get(header::PEER_MAC).and_then(|it| it.to_str().ok());
+            let mac = mac.unwrap_or_default().to_owned();
+            Ok(Reply { mac, body: res.into_body() })
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/member.rs
@@ -0,0 +1,497 @@
+//! Which peers there are, and which of them this node reaches.
+//!
+//! The platform's VM list lags and peers may be wrong about one another: two nodes that both
+//! reach a third may not reach each other. A node that believed others would remove peers it
+//! reaches, or call ones it doesn't. So the list and peers' words only name candidates; a peer is
+//! alive when a call of ours was answered lately, and stops being so when our calls fail.
+//!
+//! Only a bounded view is called in turn, so the cost doesn't grow with the fleet.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use curranthook_platform::{Vm, VmState};
+use curranthook_types::{Clock, domain, site, vm};
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use serde::{Deserialize, Serialize};
+
+use crate::tuning::Trust;
+
+/// How many peers of its own failure domain a node calls in turn.
+const VIEW_DOMAIN: usize = 6;
+/// How many peers of the site's other failure domains.
+const VIEW_SITE: usize = 6;
+/// How many peers of other sites, or of which nothing is known yet.
+const VIEW_FAR: usize = 4;
+/// Calls that fail in a row before a peer counts as unreachable. One may be bad luck.
+const FAILURES: u32 = 2;
+/// How long an unreachable peer is left alone at first; doubles up to the longest.
+const BACKOFF: Duration = Duration::from_secs(5);
+/// The longest time an unreachable peer is left alone.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// How many candidates are remembered.
+const MAX_KNOWN: usize = 4_096;
+/// One peer of each full part of the view is exchanged after this many turns, so that the graph
+/// of views doesn't harden into islands.
+const TURNS_PER_SHUFFLE: u64 = 60;
+
+/// Who a node is, as it says itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Fields", into = "Fields")]
+pub struct Identity {
+    /// Its VM.
+    pub vm: vm::Id,
+    /// Which process of that VM.
+    pub incarnation: vm::Incarnation,
+    /// Where peers reach it.
+    pub addr: SocketAddr,
+    /// Where it stands.
+    pub domain: domain::Id,
+    /// Its site.
+    pub site: site::Id,
+}
+
+/// On the wire names would cost more than the values.
+type Fields = (vm::Id, vm::Incarnation, SocketAddr, domain::Id, site::Id);
+
+impl From<Fields> for Identity {
+    fn from((vm, incarnation, addr, domain, site): Fields) -> Self {
+        Self { vm, incarnation, addr, domain, site }
+    }
+}
+
+impl From<Identity> for Fields {
+    fn from(it: Identity) -> Self {
+        (it.vm, it.incarnation, it.addr, it.domain, it.site)
+    }
+}
+
+/// The process was replaced by a later one of the same VM, or has said that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a later process of this VM is known, or this one has left")]
+pub struct Stale;
+
+/// A peer that is alive.
+#[derive(Debug, Clone, Serialize)]
+pub struct Contact {
+    /// Who it is.
+    pub identity: Identity,
+    /// Calls to it that have failed since the last answer.
+    pub failures: u32,
+}
+
+/// What a node sees of the fleet.
+#[derive(Debug, Clone, Serialize)]
+pub struct View {
+    /// An estimate of the nodes in the fleet, this one included.
+    pub fleet: usize,
+    /// An estimate of the live nodes in this site, this one included.
+    pub site_nodes: usize,
+    /// Peers that answered this node's calls lately.
+    pub alive: Vec<Contact>,
+    /// Peers that this node can't reach.
+    pub unreachable: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Group {
+    Domain,
+    Site,
+    Far,
+}
+
+impl Group {
+    fn room(self) -> usize {
+        match self {
+            Self::Domain => VIEW_DOMAIN,
+            Self::Site => VIEW_SITE,
+            Self::Far => VIEW_FAR,
+        }
+    }
+}
+
+/// The order in which the parts of the view are called.
+const TURNS: [Group; 4] = [Group::Domain, Group::Site, Group::Domain, Group::Far];
+
+#[derive(Debug, Default)]
+struct Peer {
+    identity: Option<Identity>,
+    /// What the VM list says of its place, before it has answered.
+    domain: Option<domain::Id>,
+    is_listed: bool,
+    in_view: bool,
+    is_alive: bool,
+    failures: u32,
+    tried: Option<Instant>,
+    /// When it may be tried again, for an unreachable one.
+    retry: Option<(Instant, Duration)>,
+}
+
+#[derive(Debug)]
+struct State {
+    known: BTreeMap<SocketAddr, Peer>,
+    /// The highest incarnation met of each VM.
+    incarnations: HashMap<vm::Id, vm::Incarnation>,
+    /// Processes that said they leave.
+    left: HashMap<vm::Id, vm::Incarnation>,
+    sites: HashMap<domain::Id, site::Id>,
+    turn: u64,
+    rng: Pcg64,
+}
+
+/// The peers of one node.
+#[derive(Debug)]
+pub struct Members {
+    own: Identity,
+    trust: Trust,
+    clock: Arc<dyn Clock>,
+    state: Mutex<State>,
+}
+
+impl Members {
+    /// No peers yet; `seed` feeds the choice of the view.
+    pub fn new(own: Identity, trust: Trust, clock: Arc<dyn Clock>, seed: u64) -> Self {
+        let state = State {
+            known: BTreeMap::new(),
+            incarnations: HashMap::new(),
+            left: HashMap::new(),
+            sites: HashMap::from([(own.domain.clone(), own.site.clone())]),
+            turn: 0,
+            rng: Pcg64::seed_from_u64(seed),
+        };
+        Self { own, trust, clock, state: Mutex::new(state) }
+    }
+
+    /// Who this node is.
+    pub fn own(&self) -> &Identity {
+        &self.own
+    }
+
+    /// Takes over a VM list. It makes no peer alive and removes none that answers.
+    pub fn list(&self, vms: &[Vm]) {
+        let mut state = self.state.lock();
+        for peer in state.known.values_mut() {
+            peer.is_listed = false;
+        }
+        let staying = vms.iter().filter(|it| it.state == VmState::Live && it.id != self.own.vm);
+        for vm in staying {
+            if let Some(peer) = state.entry(vm.address) {
+                peer.is_listed = true;
+                peer.domain = Some(vm.failure_domain.clone());
+            }
+        }
+        state.known.retain(|_, it| it.is_listed || it.in_view || it.is_alive);
+    }
+
+    /// Adds a candidate of which only the address is known.
+    pub fn seed(&self, addr: SocketAddr) {
+        if addr != self.own.addr {
+            self.state.lock().entry(addr);
+        }
+    }
+
+    /// Adds a candidate that a peer named.
+    pub fn hint(&self, identity: &Identity) {
+        if identity.vm == self.own.vm || identity.addr == self.own.addr {
+            return;
+        }
+        let mut state = self.state.lock();
+        if state.is_stale(identity) {
+            return;
+        }
+        state.sites.insert(identity.domain.clone(), identity.site.clone());
+        let believe = self.trust == Trust::Others;
+        let Some(peer) = state.entry(identity.addr) else { return };
+        peer.domain.get_or_insert_with(|| identity.domain.clone());
+        if believe && peer.identity.is_none() {
+            peer.identity = Some(identity.clone());
+            peer.is_alive = true;
+            peer.in_view = true;
+        }
+    }
+
+    /// Learns which failure domains belong to a site, from a configuration.
+    pub fn place<'a>(&self, site: &site::Id, domains: impl Iterator<Item = &'a domain::Id>) {
+        let mut state = self.state.lock();
+        for domain in domains {
+            state.sites.entry(domain.clone()).or_insert_with(|| site.clone());
+        }
+    }
+
+    /// A call of ours to `addr` was answered by `identity`.
+    pub fn answered(&self, addr: SocketAddr, identity: &Identity) -> Result<(), Stale> {
+        if identity.vm == self.own.vm {
+            // A seed may be this node's own address under another name.
+            self.state.lock().known.remove(&addr);
+            return Err(Stale);
+        }
+        let mut state = self.state.lock();
+        state.meet(identity)?;
+        let Some(peer) = state.entry(addr) else { return Ok(()) };
+        peer.identity = Some(identity.clone());
+        peer.domain = Some(identity.domain.clone());
+        peer.is_alive = true;
+        peer.failures = 0;
+        peer.retry = None;
+        Ok(())
+    }
+
+    /// A peer called us. That it reaches us doesn't say that we reach it, so it's no more than a
+    /// candidate; but it's worth trying again at once.
+    pub fn called_by(&self, identity: &Identity) -> Result<(), Stale> {
+        if identity.vm == self.own.vm {
+            return if identity.incarnation == self.own.incarnation { Ok(()) } else { Err(Stale) };
+        }
+        let mut state = self.state.lock();
+        state.meet(identity)?;
+        if let Some(peer) = state.entry(identity.addr) {
+            peer.domain = Some(identity.domain.clone());
+            if let Some((_, backoff)) = peer.retry {
+                peer.retry = Some((self.clock.now(), backoff));
+            }
+        }
+        Ok(())
+    }
+
+    /// A call of ours failed.
+    pub fn failed(&self, addr: SocketAddr) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let Some(peer) = state.known.get_mut(&addr) else { return };
+        peer.failures += 1;
+        if FAILURES <= peer.failures {
+            peer.give_up(now);
+        }
+    }
+
+    /// A peer says that it can't reach `addr`.
+    pub fn reported(&self, addr: SocketAddr) {
+        if self.trust == Trust::Own {
+            return;
+        }
+        let now = self.clock.now();
+        if let Some(peer) = self.state.lock().known.get_mut(&addr) {
+            peer.give_up(now);
+        }
+    }
+
+    /// A peer said itself that it leaves.
+    pub fn left(&self, identity: &Identity) {
+        let mut state = self.state.lock();
+        let left = state.left.entry(identity.vm.clone()).or_default();
+        *left = (*left).max(identity.incarnation);
+        state.known.remove(&identity.addr);
+    }
+
+    /// The peer to call now: the parts of the view in turn, within each the one that failed
+    /// last time, or else the one that has waited longest.
+    pub fn next(&self) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.turn += 1;
+        if state.turn.is_multiple_of(TURNS_PER_SHUFFLE) {
+            self.shuffle(&mut state);
+        }
+        self.fill(&mut state, now);
+        let start = state.turn as usize;
+        (0..TURNS.len()).find_map(|n| {
+            let group = TURNS[(start + n) % TURNS.len()];
+            let waiting = state
+                .known
+                .iter()
+                .filter(|(_, it)| it.in_view && self.group(&state.sites, it) == group);
+            let addr =
+                waiting.min_by_key(|(_, it)| (it.failures == 0, it.tried)).map(|it| *it.0)?;
+            state.known.get_mut(&addr)?.tried = Some(now);
+            Some(addr)
+        })
+    }
+
+    /// A few peers at random, for a start without a configuration.
+    pub fn some(&self, n: usize) -> Vec<SocketAddr> {
+        let mut state = self.state.lock();
+        let mut all: Vec<_> = state.known.keys().copied().collect();
+        let mut picked = Vec::new();
+        while picked.len() < n && !all.is_empty() {
+            let at = state.rng.random_range(0..all.len());
+            picked.push(all.swap_remove(at));
+        }
+        picked
+    }
+
+    /// Peers that are alive.
+    pub fn alive(&self) -> Vec<Contact> {
+        let state = self.state.lock();
+        let alive = state.known.values().filter(|it| it.is_alive);
+        let contact =
+            |it: &Peer| Some(Contact { identity: it.identity.clone()?, failures: it.failures });
+        alive.filter_map(contact).collect()
+    }
+
+    /// Peers that are alive, in other failure domains, best first: of this site, and then in an
+    /// order that is this node's own and stays the same, so that few peers hold its lines.
+    pub fn replicas(&self) -> Vec<Identity> {
+        let mut all: Vec<_> = self.alive();
+        all.retain(|it| it.identity.domain != self.own.domain);
+        all.sort_by_cached_key(|it| {
+            let far = it.identity.site != self.own.site;
+            (far, it.failures, rank(&self.own.vm, &it.identity.vm))
+        });
+        let mut ordered: Vec<Identity> = Vec::new();
+        let mut rest = Vec::new();
+        for contact in all {
+            let is_new = ordered.iter().all(|it| it.domain != contact.identity.domain);
+            if is_new { ordered.push(contact.identity) } else { rest.push(contact.identity) }
+        }
+        ordered.extend(rest);
+        ordered
+    }
+
+    /// An estimate of the nodes in the fleet, this one included.
+    pub fn fleet(&self) -> usize {
+        let state = self.state.lock();
+        let n_listed = state.known.values().filter(|it| it.is_listed).count();
+        let n_alive = state.known.values().filter(|it| it.is_alive).count();
+        n_listed.max(n_alive) + 1
+    }
+
+    /// An estimate of the live nodes in this site, this one included: those that are listed or
+    /// answered, without those that this node has found unreachable.
+    pub fn site_nodes(&self) -> usize {
+        let state = self.state.lock();
+        let is_counted = |it: &&Peer| {
+            let group = self.group(&state.sites, it);
+            group != Group::Far && (it.is_alive || it.is_listed && it.retry.is_none())
+        };
+        state.known.values().filter(is_counted).count() + 1
+    }
+
+    /// What this node sees.
+    pub fn view(&self) -> View {
+        View {
+            fleet: self.fleet(),
+            site_nodes: self.site_nodes(),
+            alive: self.alive(),
+            unreachable: self.unreachable(),
+        }
+    }
+
+    /// Peers that this node can't reach.
+    pub fn unreachable(&self) -> Vec<SocketAddr> {
+        let state = self.state.lock();
+        state.known.iter().filter(|(_, it)| it.retry.is_some()).map(|it| *it.0).collect()
+    }
+
+    /// Whether a later process of this VM is known, or this one has left.
+    pub fn is_replaced(&self, vm: &vm::Id, incarnation: vm::Incarnation) -> bool {
+        let state = self.state.lock();
+        state.incarnations.get(vm).is_some_and(|it| incarnation < *it)
+            || state.left.get(vm).is_some_and(|it| incarnation <= *it)
+    }
+
+    fn group(&self, sites: &HashMap<domain::Id, site::Id>, peer: &Peer) -> Group {
+        match &peer.domain {
+            Some(domain) if *domain == self.own.domain => Group::Domain,
+            Some(domain) if sites.get(domain) == Some(&self.own.site) => Group::Site,
+            _ => Group::Far,
+        }
+    }
+
+    fn fill(&self, state: &mut State, now: Instant) {
+        for group in [Group::Domain, Group::Site, Group::Far] {
+            let in_group: Vec<_> = state
+                .known
+                .iter()
+                .filter(|(_, it)| self.group(&state.sites, it) == group)
+                .map(|(addr, it)| (*addr, it.in_view, it.may_try(now)))
+                .collect();
+            let n_in_view = in_group.iter().filter(|it| it.1).count();
+            let mut candidates: Vec<_> =
+                in_group.iter().filter(|it| !it.1 && it.2).map(|it| it.0).collect();
+            for _ in n_in_view..group.room() {
+                if candidates.is_empty() {
+                    break;
+                }
+                let at = state.rng.random_range(0..candidates.len());
+                let addr = candidates.swap_remove(at);
+                if let Some(peer) = state.known.get_mut(&addr) {
+                    peer.in_view = true;
+                }
+            }
+        }
+    }
+
+    fn shuffle(&self, state: &mut State) {
+        for group in [Group::Domain, Group::Site, Group::Far] {
+            let in_group = |it: &Peer| self.group(&state.sites, it) == group;
+            let n_spare = state.known.values().filter(|it| in_group(it) && !it.in_view).count();
+            let view: Vec<_> = state
+                .known
+                .iter()
+                .filter(|(_, it)| in_group(it) && it.in_view)
+                .map(|it| *it.0)
+                .collect();
+            if view.is_empty() || n_spare == 0 {
+                continue;
+            }
+            let addr = view[state.rng.random_range(0..view.len())];
+            if let Some(peer) = state.known.get_mut(&addr) {
+                // It isn't called any more, so nothing would tell when it goes.
+                peer.in_view = false;
+                peer.is_alive = false;
+            }
+        }
+    }
+}
+
+impl State {
+    fn entry(&mut self, addr: SocketAddr) -> Option<&mut Peer> {
+        if MAX_KNOWN <= self.known.len() && !self.known.contains_key(&addr) {
+            return None;
+        }
+        Some(self.known.entry(addr).or_default())
+    }
+
+    fn is_stale(&self, identity: &Identity) -> bool {
+        let is_older =
+            self.incarnations.get(&identity.vm).is_some_and(|it| identity.incarnation < *it);
+        is_older || self.left.get(&identity.vm).is_some_and(|it| identity.incarnation <= *it)
+    }
+
+    /// Direct contact. A replaced VM may keep its id and address while the old process still has
+    /// calls under way; those must not pass for the new one's.
+    fn meet(&mut self, identity: &Identity) -> Result<(), Stale> {
+        if self.is_stale(identity) {
+            return Err(Stale);
+        }
+        self.incarnations.insert(identity.vm.clone(), identity.incarnation);
+        self.sites.insert(identity.domain.clone(), identity.site.clone());
+        Ok(())
+    }
+}
+
+impl Peer {
+    fn may_try(&self, now: Instant) -> bool {
+        self.retry.is_none_or(|(at, _)| at <= now)
+    }
+
+    fn give_up(&mut self, now: Instant) {
+        let backoff = self.retry.map_or(BACKOFF, |(_, it)| (it * 2).min(MAX_BACKOFF));
+        self.retry = Some((now + backoff, backoff));
+        self.is_alive = false;
+        self.in_view = false;
+    }
+}
+
+fn rank(own: &vm::Id, other: &vm::Id) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    (own, other).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/node.rs
@@ -0,0 +1,317 @@
+//! One node: what a router embeds.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use curranthook_http::{
+    Body,
+    client::Pool,
+    runtime,
+    stop::{self, Stop, Trigger},
+};
+use curranthook_platform::{Objects, Table, Vms};
+use curranthook_settings::{Document, node::Settings};
+use curranthook_types::{Clock, Epoch, account, bill::Origin, vm};
+use jsonrpsee::RpcModule;
+use parking_lot::Mutex;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    auth,
+    counters::Counters,
+    demand::Demand,
+    evidence::Evidence,
+    journal::Journal,
+    link::{Http, Link},
+    member::{self, Identity, Members},
+    poison::Poison,
+    replica::Replicas,
+    rpc,
+    spread::Spread,
+    suspect::Suspects,
+    task,
+    tuning::Tuning,
+};
+
+/// What a node needs to start.
+#[derive(Debug)]
+pub struct Setup {
+    /// The VM's settings.
+    pub settings: Settings,
+    /// Which process of the VM this is.
+    pub incarnation: vm::Incarnation,
+    /// Where peers reach it: the bound address, with its real port.
+    pub peer_addr: SocketAddr,
+    /// Where its tasks run.
+    pub ex: runtime::Handle,
+    /// Connections to peers.
+    pub pool: Arc<Pool>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The platform's object store.
+    pub objects: Arc<dyn Objects>,
+    /// The platform's list of VMs.
+    pub vms: Arc<dyn Vms>,
+    /// Feeds the choice of peers and the jitter.
+    pub seed: u64,
+}
+
+/// What `/status` shows.
+#[derive(Debug, Clone, Serialize)]
+pub struct Status {
+    /// The epoch in force; zero for none.
+    pub epoch: Epoch,
+    /// The peers.
+    pub view: member::View,
+    /// This node's bill lines that aren't stored yet.
+    pub journal_lines: usize,
+    /// Peers' bill lines kept here.
+    pub replica_lines: usize,
+    /// All counters.
+    pub counters: BTreeMap<&'static str, u64>,
+}
+
+/// One of many nodes that act together.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) setup: Setup,
+    tuning: Tuning,
+    key: auth::Key,
+    link: Arc<dyn Link>,
+    counters: Arc<Counters>,
+    members: Members,
+    spread: Spread,
+    evidence: Evidence,
+    poison: Poison,
+    suspects: Suspects,
+    demand: Demand,
+    journal: Journal,
+    replicas: Replicas,
+    /// Peers that hold lines of this node's journal.
+    pub(crate) holders: Mutex<BTreeSet<SocketAddr>>,
+    /// One fetch of a document at a time; peers often tell the same news at once.
+    pub(crate) fetching: async_lock::Mutex<()>,
+    turn: AtomicUsize,
+    module: RpcModule<Weak<Self>>,
+    weak: Weak<Self>,
+    stop: (Trigger, Stop),
+}
+
+impl Node {
+    /// Starts a node and its tasks.
+    pub fn start(setup: Setup) -> Arc<Self> {
+        Self::start_with(setup, Tuning::default())
+    }
+
+    /// Starts a node that differs from the usual one.
+    pub fn start_with(setup: Setup, tuning: Tuning) -> Arc<Self> {
+        let node = Arc::new_cyclic(|weak| Self::new(setup, tuning, weak));
+        for addr in &node.setup.settings.seeds {
+            node.members.seed(*addr);
+        }
+        task::start(&node);
+        node
+    }
+
+    fn new(setup: Setup, tuning: Tuning, weak: &Weak<Self>) -> Self {
+        let settings = &setup.settings;
+        let clock = &setup.clock;
+        let own = Identity {
+            vm: settings.vm.clone(),
+            incarnation: setup.incarnation,
+            addr: setup.peer_addr,
+            domain: settings.failure_domain.clone(),
+            site: settings.site.clone(),
+        };
+        let origin = Origin { vm: own.vm.clone(), incarnation: own.incarnation };
+        let counters = Arc::new(Counters::default());
+        let link = tuning.link.clone();
+        Self {
+            key: auth::Key::new(&settings.peer_key),
+            link: link.unwrap_or_else(|| Arc::new(Http::new(Arc::clone(&setup.pool)))),
+            evidence: Evidence::new(origin.clone()),
+            poison: Poison::new(Arc::clone(clock)),
+            suspects: Suspects::new(Arc::clone(clock)),
+            demand: Demand::new(own.vm.clone(), own.incarnation, Arc::clone(clock)),
+            journal: Journal::new(origin, Arc::clone(&counters)),
+            replicas: Replicas::new(Arc::clone(clock), Arc::clone(&counters), tuning.owner_silence),
+            members: Members::new(own, tuning.trust, Arc::clone(clock), setup.seed),
+            spread: Spread::default(),
+            holders: Mutex::default(),
+            fetching: async_lock::Mutex::new(()),
+            turn: AtomicUsize::new(0),
+            module: rpc::module(Weak::clone(weak)),
+            weak: Weak::clone(weak),
+            stop: stop::new(),
+            counters,
+            tuning,
+            setup,
+        }
+    }
+
+    /// The newest document that this node knows. It never goes back to a lower epoch.
+    pub fn document(&self) -> Option<Arc<Document>> {
+        self.spread.document()
+    }
+
+    /// Waits for a document of a higher epoch than `after`.
+    pub async fn next_document(&self, after: Epoch) -> Arc<Document> {
+        self.spread.next(after).await
+    }
+
+    /// Answers a peer's call. The router's peer listener hands over every call to [`rpc::PATH`].
+    pub async fn handle(&self, head: &http::request::Parts, body: Bytes) -> http::Response<Body> {
+        rpc::handle(self, &self.module, head, &body).await
+    }
+
+    /// This node's bill lines.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    /// Evidence on versions.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    /// Requests that take endpoints down.
+    pub fn poison(&self) -> &Poison {
+        &self.poison
+    }
+
+    /// Versions that some node found bad.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Demand for each account.
+    pub fn demand(&self) -> &Demand {
+        &self.demand
+    }
+
+    /// An estimate of the live nodes in this site, this one included.
+    pub fn site_nodes(&self) -> usize {
+        self.members.site_nodes()
+    }
+
+    /// This node's part of the account's limit, from 0 to 1.
+    pub fn share(&self, account: &account::Id) -> f64 {
+        self.demand.share(account, self.site_nodes())
+    }
+
+    /// What this node sees of the fleet.
+    pub fn view(&self) -> member::View {
+        self.members.view()
+    }
+
+    /// What this node did and met.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// What `/status` shows.
+    pub fn status(&self) -> Status {
+        Status {
+            epoch: self.epoch(),
+            view: self.view(),
+            journal_lines: self.journal.n_lines(),
+            replica_lines: self.replicas.n_lines(),
+            counters: self.counters.all().into_iter().collect(),
+        }
+    }
+
+    /// Hands the journal over, tells the peers and stops the tasks.
+    pub async fn leave(&self) {
+        task::leave(self).await;
+        self.stop.0.set();
+    }
+
+    /// Stops the tasks and tells nobody, as when the process is killed. For tests.
+    pub fn kill(&self) {
+        self.stop.0.set();
+    }
+
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.spread.epoch()
+    }
+
+    pub(crate) fn stop(&self) -> &Stop {
+        &self.stop.1
+    }
+
+    pub(crate) fn tuning(&self) -> &Tuning {
+        &self.tuning
+    }
+
+    pub(crate) fn members(&self) -> &Members {
+        &self.members
+    }
+
+    pub(crate) fn spread(&self) -> &Spread {
+        &self.spread
+    }
+
+    pub(crate) fn replicas(&self) -> &Replicas {
+        &self.replicas
+    }
+
+    pub(crate) fn key(&self) -> &auth::Key {
+        &self.key
+    }
+
+    pub(crate) fn now_millis(&self) -> u64 {
+        self.setup.clock.unix_millis()
+    }
+
+    pub(crate) fn next_turn(&self) -> usize {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A peer said that it has `epoch`; if that's newer, it's fetched.
+    pub(crate) fn heard_of(&self, addr: SocketAddr, epoch: Epoch) {
+        if epoch <= self.epoch() {
+            return;
+        }
+        if let Some(node) = self.weak.upgrade() {
+            let fetch = async move { task::spread::fetch(&node, addr, epoch).await };
+            self.setup.ex.spawn(fetch).detach();
+        }
+    }
+
+    /// A peer said itself that it leaves.
+    pub(crate) fn peer_left(&self, identity: &Identity) {
+        self.members.left(identity);
+        self.demand.forget(&identity.vm);
+    }
+
+    /// Calls a peer; whether it answered is noted.
+    pub(crate) async fn call<R: DeserializeOwned + Clone + 'static>(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        param: &impl Serialize,
+        timeout: std::time::Duration,
+    ) -> Result<R, rpc::Error> {
+        let client = rpc::Client {
+            link: &*self.link,
+            key: &self.key,
+            now_millis: self.now_millis(),
+            counters: &self.counters,
+        };
+        let result = client.call(addr, method, param, timeout).await;
+        // A refusal is an answer; anything else says that the peer can't be used.
+        if !matches!(result, Ok(_) | Err(rpc::Error::Refused(_))) {
+            self.members.failed(addr);
+        }
+        result
+    }
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/replica.rs
@@ -0,0 +1,182 @@
+//! Bill lines that this node keeps for peers until they are stored.
+//!
+//! When the owner's VM is lost between an answer and the next put, its lines are nowhere else.
+//! A replica notices by the owner's silence and stores them itself. Should the owner be alive
+//! after all, the store holds each line twice at most under names that tell so.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use curranthook_platform::Objects;
+use curranthook_types::{
+    Clock,
+    bill::{Line, Origin},
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    counters::{Counters, bump},
+    member::Members,
+    store,
+};
+
+/// How many bytes of peers' lines are kept; past it new ones are refused, and their owner turns
+/// to another peer or the store.
+const MAX_BYTES: usize = 32 * 1024 * 1024;
+/// How many lines go into one object.
+const MAX_RUN: usize = 2_000;
+/// How long an origin without lines is remembered, so that a batch that arrives late isn't kept
+/// anew.
+const FORGET: Duration = Duration::from_secs(300);
+
+/// Lines for a replica to keep.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Batch {
+    /// Whose lines.
+    pub origin: Origin,
+    /// All lines below this one are stored and can be dropped.
+    pub stored_below: u64,
+    /// The sequence number of the first line.
+    pub first: u64,
+    /// The lines; none, when this only tells what is stored and that the owner lives.
+    pub lines: Vec<Line>,
+}
+
+/// There is no memory for more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("no room for more lines")]
+pub struct Full;
+
+#[derive(Debug)]
+struct Owner {
+    lines: BTreeMap<u64, Line>,
+    stored_below: u64,
+    heard: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    owners: HashMap<Origin, Owner>,
+    n_bytes: usize,
+}
+
+/// All lines kept for peers.
+#[derive(Debug)]
+pub struct Replicas {
+    clock: Arc<dyn Clock>,
+    counters: Arc<Counters>,
+    silence: Duration,
+    state: Mutex<State>,
+}
+
+impl Replicas {
+    /// None yet. An owner that is silent for `silence` is taken for gone.
+    pub fn new(clock: Arc<dyn Clock>, counters: Arc<Counters>, silence: Duration) -> Self {
+        Self { clock, counters, silence, state: Mutex::default() }
+    }
+
+    /// Keeps a batch and drops what its owner has stored.
+    pub fn keep(&self, batch: Batch) -> Result<(), Full> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let State { owners, n_bytes } = &mut *state;
+        if !batch.lines.is_empty() && MAX_BYTES <= *n_bytes {
+            bump(&self.counters.replica_full, 1);
+            return Err(Full);
+        }
+        let owner = owners.entry(batch.origin).or_insert_with(|| Owner {
+            lines: BTreeMap::new(),
+            stored_below: 0,
+            heard: now,
+        });
+        owner.heard = now;
+        owner.stored_below = owner.stored_below.max(batch.stored_below);
+        for (sequence, line) in (batch.first..).zip(batch.lines) {
+            // A batch that was overtaken by the news of its storage isn't kept again.
+            if owner.stored_below <= sequence && !owner.lines.contains_key(&sequence) {
+                *n_bytes += size(&line);
+                owner.lines.insert(sequence, line);
+            }
+        }
+        let kept = owner.lines.split_off(&owner.stored_below);
+        let dropped = std::mem::replace(&mut owner.lines, kept);
+        *n_bytes -= dropped.values().map(size).sum::<usize>();
+        Ok(())
+    }
+
+    /// How many lines are kept.
+    pub fn n_lines(&self) -> usize {
+        self.state.lock().owners.values().map(|it| it.lines.len()).sum()
+    }
+
+    /// Stores the lines of owners that left, were replaced or have been silent too long.
+    pub async fn sweep(&self, members: &Members, objects: &dyn Objects) {
+        for (origin, lines) in self.abandoned(members) {
+            for (first, run) in store::runs(lines.into_iter(), MAX_RUN) {
+                let end = first + run.len() as u64;
+                if store::put(objects, &origin, first, run).await.is_err() {
+                    bump(&self.counters.store_failed, 1);
+                    return;
+                }
+                bump(&self.counters.segment_taken_over, 1);
+                self.drop_lines(&origin, first, end);
+            }
+        }
+    }
+
+    /// Stores everything, for a node that leaves; the owners' other replicas may do it too.
+    pub async fn flush(&self, objects: &dyn Objects) {
+        let all: Vec<_> = {
+            let state = self.state.lock();
+            state.owners.iter().map(|(origin, it)| (origin.clone(), it.lines.clone())).collect()
+        };
+        for (origin, lines) in all {
+            for (first, run) in store::runs(lines.into_iter(), MAX_RUN) {
+                let end = first + run.len() as u64;
+                if store::put(objects, &origin, first, run).await.is_ok() {
+                    self.drop_lines(&origin, first, end);
+                }
+            }
+        }
+    }
+
+    fn abandoned(&self, members: &Members) -> Vec<(Origin, BTreeMap<u64, Line>)> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.owners.retain(|_, it| {
+            !it.lines.is_empty() || now.saturating_duration_since(it.heard) < FORGET
+        });
+        let is_abandoned = |origin: &Origin, owner: &Owner| {
+            !owner.lines.is_empty()
+                && (self.silence < now.saturating_duration_since(owner.heard)
+                    || members.is_replaced(&origin.vm, origin.incarnation))
+        };
+        let abandoned = state.owners.iter().filter(|(origin, it)| is_abandoned(origin, it));
+        abandoned.map(|(origin, it)| (origin.clone(), it.lines.clone())).collect()
+    }
+
+    fn drop_lines(&self, origin: &Origin, first: u64, end: u64) {
+        let mut state = self.state.lock();
+        let State { owners, n_bytes } = &mut *state;
+        let Some(owner) = owners.get_mut(origin) else { return };
+        for sequence in first..end {
+            if let Some(line) = owner.lines.remove(&sequence) {
+                *n_bytes -= size(&line);
+            }
+        }
+    }
+}
+
+/// About how many bytes a line takes in memory.
+pub fn size(line: &Line) -> usize {
+    const TREE_NODE: usize = 64;
+    size_of::<Line>()
+        + TREE_NODE
+        + line.request.as_str().len()
+        + line.account.as_str().len()
+        + line.served_by.len()
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/rpc.rs
@@ -0,0 +1,257 @@
+//! Calls between peers: JSON-RPC in a signed `POST /rpc`.
+//!
+//! | method | parameter | result |
+//! |---|---|---|
+//! | `exchange` | [`Frame`] | [`Frame`] |
+//! | `news` | [`News`] | null |
+//! | `document` | [`Epoch`] that the caller has | [`Transfer`](crate::spread::Transfer) |
+//! | `replicate` | [`Batch`] | null |
+//! | `leaving` | [`Identity`] | null |
+//! | `evidence` | null | list of version and [`Counts`] |
+//!
+//! A call carries its time and a MAC over time and body; the answer a MAC over the call's MAC
+//! and the body, so that a process at a forerunner's address can't pass for it.
+
+use std::{net::SocketAddr, sync::Weak, time::Duration};
+
+use bytes::Bytes;
+use curranthook_http::{Body, body};
+use curranthook_types::{Epoch, header, version};
+use http::{Method, StatusCode};
+use jsonrpsee::{
+    RpcModule,
+    types::{ErrorObjectOwned, Id, Request, Response, ResponseSuccess},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    auth,
+    counters::{Counters, bump},
+    digest::{self, Frame},
+    evidence::Counts,
+    link::{Call, Link},
+    member::Identity,
+    node::Node,
+    replica::Batch,
+};
+
+/// The path of all calls.
+pub const PATH: &str = "/rpc";
+/// The largest call that is read, in bytes.
+pub const MAX_CALL: usize = 2 * 1024 * 1024;
+/// How long a small call may take. A frozen peer holds up one round, no more.
+pub const TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a document may take.
+pub const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// About the bytes of the head of a call and of an answer, as `hyper` writes them.
+const CALL_HEAD: usize = 165;
+const ANSWER_HEAD: usize = 140;
+
+const STALE: i32 = 1;
+const FULL: i32 = 2;
+const STOPPED: i32 = 3;
+
+/// The caller has a newer epoch.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct News {
+    /// Who has it.
+    #[serde(rename = "i")]
+    pub from: Identity,
+    /// The epoch.
+    #[serde(rename = "c")]
+    pub epoch: Epoch,
+}
+
+/// Why a call brought no result.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No answer.
+    #[error(transparent)]
+    Link(#[from] crate::link::Error),
+    /// The answer isn't a peer's.
+    #[error("the answer's MAC is wrong")]
+    Forged,
+    /// The peer refused.
+    #[error("the peer refused: {0}")]
+    Refused(String),
+    /// The answer can't be read.
+    #[error("the answer can't be read: {0}")]
+    Garbled(String),
+}
+
+/// What a call is counted as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Traffic {
+    Control,
+    Journal,
+}
+
+impl Traffic {
+    fn of(method: &str) -> Self {
+        if method == "replicate" { Self::Journal } else { Self::Control }
+    }
+
+    fn count(self, counters: &Counters, n_in: usize, n_out: usize) {
+        let (bytes_in, bytes_out) = match self {
+            Self::Control => (&counters.bytes_in, &counters.bytes_out),
+            Self::Journal => (&counters.journal_bytes_in, &counters.journal_bytes_out),
+        };
+        bump(bytes_in, n_in as u64);
+        bump(bytes_out, n_out as u64);
+        if self == Self::Control {
+            bump(&counters.messages, 1);
+        }
+    }
+}
+
+/// Calls peers.
+#[derive(Debug)]
+pub struct Client<'a> {
+    /// The way to them.
+    pub link: &'a dyn Link,
+    /// The key that all nodes share.
+    pub key: &'a auth::Key,
+    /// The wall clock, in milliseconds since 1970.
+    pub now_millis: u64,
+    /// Where traffic is counted.
+    pub counters: &'a Counters,
+}
+
+impl Client<'_> {
+    /// Makes one call.
+    pub async fn call<R: DeserializeOwned + Clone + 'static>(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        param: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<R, Error> {
+        let garbled = |e: serde_json::Error| Error::Garbled(e.to_string());
+        let params = serde_json::value::to_raw_value(&[param]).map_err(garbled)?;
+        let request = Request::owned(method.to_owned(), Some(params), Id::Number(0));
+        let body = Bytes::from(serde_json::to_vec(&request).map_err(garbled)?);
+        let time = self.now_millis.to_string();
+        let mac = self.key.sign(&time, &body);
+        let n_out = CALL_HEAD + body.len();
+        let answer = self.link.call(Call { addr, time, mac: mac.clone(), body, timeout }).await;
+        let n_in = answer.as_ref().map_or(0, |it| ANSWER_HEAD + it.body.len());
+        Traffic::of(method).count(self.counters, n_in, n_out);
+        let reply = answer?;
+        self.key.verify(&mac, &reply.body, &reply.mac).map_err(|_| Error::Forged)?;
+        let response: Response<'_, R> = serde_json::from_slice(&reply.body).map_err(garbled)?;
+        let success = ResponseSuccess::try_from(response);
+        Ok(success.map_err(|e| Error::Refused(e.message().to_owned()))?.result)
+    }
+}
+
+/// The methods that a node answers.
+pub(crate) fn module(node: Weak<Node>) -> RpcModule<Weak<Node>> {
+    let mut module = RpcModule::new(node);
+    let registered = register(&mut module);
+    registered.expect("no two methods have the same name");
+    module
+}
+
+fn register(
+    module: &mut RpcModule<Weak<Node>>,
+) -> Result<(), jsonrpsee::core::RegisterMethodError> {
+    module.register_method("exchange", |params, node, _| {
+        let (node, frame) = (upgrade(node)?, params.one::<Frame>()?);
+        met(&node, &frame.from)?;
+        digest::merge(&node, &frame);
+        node.heard_of(frame.from.addr, frame.epoch);
+        Ok::<_, ErrorObjectOwned>(digest::build(&node))
+    })?;
+    module.register_method("news", |params, node, _| {
+        let (node, news) = (upgrade(node)?, params.one::<News>()?);
+        met(&node, &news.from)?;
+        node.heard_of(news.from.addr, news.epoch);
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
+    module.register_method("document", |params, node, _| {
+        let (node, have) = (upgrade(node)?, params.one::<Epoch>()?);
+        Ok::<_, ErrorObjectOwned>(node.spread().transfer(have))
+    })?;
+    module.register_method("replicate", |params, node, _| {
+        let (node, batch) = (upgrade(node)?, params.one::<Batch>()?);
+        let kept = node.replicas().keep(batch);
+        kept.map_err(|e| refusal(FULL, &e.to_string()))
+    })?;
+    module.register_method("leaving", |params, node, _| {
+        let (node, identity) = (upgrade(node)?, params.one::<Identity>()?);
+        node.peer_left(&identity);
+        Ok::<_, ErrorObjectOwned>(())
+    })?;
+    module.register_method("evidence", |_, node, _| {
+        let totals: Vec<(version::Id, Counts)> = upgrade(node)?.evidence().totals();
+        Ok::<_, ErrorObjectOwned>(totals)
+    })?;
+    Ok(())
+}
+
+fn upgrade(node: &Weak<Node>) -> Result<std::sync::Arc<Node>, ErrorObjectOwned> {
+    node.upgrade().ok_or_else(|| refusal(STOPPED, "stopped"))
+}
+
+fn met(node: &Node, identity: &Identity) -> Result<(), ErrorObjectOwned> {
+    node.members().called_by(identity).map_err(|e| {
+        bump(&node.counters().rejected_incarnation, 1);
+        refusal(STALE, &e.to_string())
+    })
+}
+
+fn refusal(code: i32, message: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(code, message, None::<()>)
+}
+
+/// Answers one call.
+pub(crate) async fn handle(
+    node: &Node,
+    module: &RpcModule<Weak<Node>>,
+    head: &http::request::Parts,
+    call: &Bytes,
+) -> http::Response<Body> {
+    if head.method != Method::POST || head.uri.path() != PATH {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    let counters = node.counters();
+    if MAX_CALL < call.len() {
+        bump(&counters.rejected_size, 1);
+        return empty(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let text = |name| head.headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default();
+    let (time, mac) = (text(header::PEER_TIME), text(header::PEER_MAC));
+    if let Err(e) = node.key().verify_call(time, call, mac, node.now_millis()) {
+        let counter = match e {
+            auth::Error::Mac => &counters.rejected_mac,
+            auth::Error::Time => &counters.rejected_time,
+        };
+        bump(counter, 1);
+        return empty(StatusCode::FORBIDDEN);
+    }
+    let Some((method, json)) = run(module, call).await else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let n_out = ANSWER_HEAD + json.len();
+    Traffic::of(&method).count(counters, CALL_HEAD + call.len(), n_out);
+    http::Response::builder()
+        .header(header::PEER_MAC, node.key().sign(mac, json.as_bytes()))
+        .body(body::full(json))
+        .expect("a MAC in hexadecimal is a valid header")
+}
+
+async fn run(module: &RpcModule<Weak<Node>>, call: &Bytes) -> Option<(String, String)> {
+    let text = std::str::from_utf8(call).ok()?;
+    let method = serde_json::from_str::<Request<'_>>(text).ok()?.method.into_owned();
+    // No method is a subscription, so no messages follow the answer.
+    const NO_SUBSCRIPTIONS: usize = 1;
+    let (answer, _) = module.raw_json_request(text, NO_SUBSCRIPTIONS).await.ok()?;
+    Some((method, answer.get().to_owned()))
+}
+
+fn empty(status: StatusCode) -> http::Response<Body> {
+    let mut res = http::Response::new(body::full(Bytes::new()));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/task.rs
@@ -0,0 +1,82 @@
+//! What a node does by itself.
+
+pub(crate) mod journal;
+pub(crate) mod round;
+pub(crate) mod spread;
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_http::timeout;
+use futures_lite::future;
+use rand::RngExt;
+
+use crate::{member::Identity, node::Node, rpc};
+
+/// How long a leaving node goes on trying to store its lines before it hands them to peers.
+const LAST_FLUSH: Duration = Duration::from_secs(2);
+/// How far pauses are stretched or shortened, so that nodes started together drift apart.
+const JITTER: f64 = 0.2;
+
+/// Starts all tasks; each ends when the node stops.
+pub(crate) fn start(node: &Arc<Node>) {
+    spawn(node, round::run);
+    spawn(node, round::list_vms);
+    spawn(node, spread::poll);
+    spawn(node, spread::bootstrap);
+    spawn(node, journal::replicate);
+    spawn(node, journal::flush);
+    spawn(node, journal::sweep);
+}
+
+fn spawn<F: Future<Output = ()> + Send + 'static>(
+    node: &Arc<Node>,
+    work: impl FnOnce(Arc<Node>) -> F,
+) {
+    let stop = node.stop().clone();
+    let work = work(Arc::clone(node));
+    node.setup.ex.spawn(future::or(async move { stop.wait().await }, work)).detach();
+}
+
+/// Waits for about `pause`.
+pub(crate) async fn pause(pause: Duration) {
+    let factor = rand::rng().random_range(1.0 - JITTER..=1.0 + JITTER);
+    Timer::after(pause.mul_f64(factor)).await;
+}
+
+/// Hands everything over.
+pub(crate) async fn leave(node: &Node) {
+    let objects = &*node.setup.objects;
+    let flushed = timeout::run(LAST_FLUSH, node.journal().flush(objects)).await;
+    if flushed != Ok(true) {
+        journal::hand_over(node).await;
+    }
+    // The owners have another replica, so this may be cut short.
+    let _best_effort = timeout::run(LAST_FLUSH, node.replicas().flush(objects)).await;
+    let own = node.members().own().clone();
+    let tell = node.members().alive().into_iter().map(|it| tell(node, own.clone(), it.identity));
+    join_all(tell).await;
+}
+
+async fn tell(node: &Node, own: Identity, peer: Identity) {
+    let _best_effort = node.call::<()>(peer.addr, "leaving", &own, rpc::TIMEOUT).await;
+}
+
+/// Runs futures side by side and gives their results in order.
+pub(crate) async fn join_all<F: Future>(work: impl Iterator<Item = F>) -> Vec<F::Output> {
+    let mut running: Vec<_> = work.map(|it| (Box::pin(it), None)).collect();
+    future::poll_fn(|cx| {
+        let mut all_done = true;
+        for (work, output) in &mut running {
+            if output.is_none() {
+                match work.as_mut().poll(cx) {
+                    std::task::Poll::Ready(it) => *output = Some(it),
+                    std::task::Poll::Pending => all_done = false,
+                }
+            }
+        }
+        if all_done { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
+    })
+    .await;
+    running.into_iter().filter_map(|(_, output)| output).collect()
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -0,0 +1,124 @@
+//! Bringing bill lines to peers and into the store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use curranthook_http::timeout;
+use futures_lite::future;
+
+use crate::{
+    journal::{Durability, Group, REPLICATE_TIMEOUT, SECOND_TIMEOUT},
+    node::Node,
+    replica::Batch,
+    rpc,
+    task::{join_all, pause},
+};
+
+/// How long lines are gathered before they go to the peers together.
+const GATHER: Duration = Duration::from_millis(3);
+/// How many peers hold each line.
+const COPIES: usize = 2;
+/// Puts a second by all nodes together; the platform gives several hundred.
+const FLEET_PUTS: f64 = 100.0;
+/// The time between looks for silent owners.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Sends new lines to peers.
+pub(crate) async fn replicate(node: Arc<Node>) {
+    loop {
+        node.journal().wait_recorded().await;
+        async_io::Timer::after(GATHER).await;
+        let Some(group) = node.journal().take_group() else { continue };
+        let node = Arc::clone(&node);
+        // A frozen peer must not hold up the lines that come after these.
+        let ex = Arc::clone(&node.setup.ex);
+        ex.spawn(async move { secure(&node, group).await }).detach();
+    }
+}
+
+async fn secure(node: &Node, group: Group) {
+    let durability = if group.batch.lines.is_empty() {
+        Durability::Stored
+    } else {
+        bring(node, &group.batch).await
+    };
+    group.close(durability, node.counters());
+}
+
+/// Two peers, else other peers and the store at once; then there's nothing left to try.
+async fn bring(node: &Node, batch: &Batch) -> Durability {
+    let peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
+    let (first, others) = peers.split_at(COPIES.min(peers.len()));
+    let n_held = send(node, first, batch, REPLICATE_TIMEOUT).await;
+    if COPIES <= n_held {
+        return Durability::Replicated(n_held);
+    }
+    node.journal().hurry();
+    let others = &others[..(COPIES - n_held).min(others.len())];
+    let store = async { node.journal().store(batch, &*node.setup.objects).await };
+    let store = timeout::run(SECOND_TIMEOUT, store);
+    let send = send(node, others, batch, SECOND_TIMEOUT);
+    let (stored, n_more) = future::zip(store, send).await;
+    match (stored, n_held + n_more) {
+        (_, n) if COPIES <= n => Durability::Replicated(n),
+        (Ok(true), _) => Durability::Stored,
+        (_, 0) => Durability::Alone,
+        (_, n) => Durability::Replicated(n),
+    }
+}
+
+async fn send(node: &Node, peers: &[SocketAddr], batch: &Batch, limit: Duration) -> usize {
+    node.holders.lock().extend(peers);
+    let calls = peers.iter().map(|addr| node.call::<()>(*addr, "replicate", batch, limit));
+    join_all(calls).await.into_iter().filter(Result::is_ok).count()
+}
+
+/// Stores lines, at a rate of puts that doesn't grow with the fleet.
+pub(crate) async fn flush(node: Arc<Node>) {
+    loop {
+        let by_fleet = Duration::from_secs_f64(node.members().fleet() as f64 / FLEET_PUTS);
+        let interval = pause(node.tuning().flush.max(by_fleet));
+        future::or(interval, node.journal().wait_hurry()).await;
+        if node.journal().n_lines() == 0 {
+            continue;
+        }
+        let flushed = node.journal().flush(&*node.setup.objects).await;
+        mark(&node).await;
+        if !flushed {
+            // The store is out; a hurry must not turn this into a loop without a pause.
+            pause(node.tuning().flush).await;
+        }
+    }
+}
+
+/// Tells the holders what is stored. Also when nothing could be: while the store is out they
+/// hear that the owner lives, and don't all try to store its lines too.
+async fn mark(node: &Node) {
+    let mark = node.journal().mark();
+    let holders: Vec<_> = node.holders.lock().iter().copied().collect();
+    let calls = holders.iter().map(|addr| node.call::<()>(*addr, "replicate", &mark, rpc::TIMEOUT));
+    // One that misses this takes the owner for silent and stores the lines again, harmlessly.
+    let _best_effort = join_all(calls).await;
+    if node.journal().n_lines() == 0 {
+        node.holders.lock().clear();
+    }
+}
+
+/// Stores the lines of owners that are gone.
+pub(crate) async fn sweep(node: Arc<Node>) {
+    loop {
+        pause(SWEEP).await;
+        node.replicas().sweep(node.members(), &*node.setup.objects).await;
+    }
+}
+
+/// Brings the lines that can't be stored to peers before this node leaves.
+pub(crate) async fn hand_over(node: &Node) {
+    let peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
+    for batch in node.journal().unstored() {
+        for pair in peers.chunks(COPIES) {
+            if 0 < send(node, pair, &batch, rpc::TIMEOUT).await {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/task/round.rs
@@ -0,0 +1,64 @@
+//! One exchange a round, and the VM list now and then.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    counters::bump,
+    digest::{self, Frame},
+    node::Node,
+    rpc,
+    task::pause,
+};
+
+/// The shortest time between reads of the VM list.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// The time between reads for each VM listed. An entry takes about 120 bytes, so reading costs a
+/// node 200 bytes a second whatever the fleet's size; in between, peers name each other.
+const LIST_INTERVAL_PER_VM: Duration = Duration::from_millis(600);
+/// The pause after a read that failed.
+const LIST_RETRY: Duration = Duration::from_secs(2);
+
+/// Makes exchanges.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut last = node.setup.clock.now();
+    loop {
+        pause(node.tuning().round).await;
+        let now = node.setup.clock.now();
+        node.demand().tick(now.saturating_duration_since(last));
+        last = now;
+        if let Some(document) = node.document() {
+            node.suspects().settle(&document);
+        }
+        exchange(&node).await;
+    }
+}
+
+async fn exchange(node: &Node) {
+    let Some(addr) = node.members().next() else { return };
+    let ours = digest::build(node);
+    let Ok(theirs) = node.call::<Frame>(addr, "exchange", &ours, rpc::TIMEOUT).await else {
+        bump(&node.counters().exchange_failed, 1);
+        return;
+    };
+    if node.members().answered(addr, &theirs.from).is_err() {
+        bump(&node.counters().rejected_incarnation, 1);
+        return;
+    }
+    bump(&node.counters().exchange_ok, 1);
+    digest::merge(node, &theirs);
+    node.heard_of(addr, theirs.epoch);
+}
+
+/// Reads the VM list.
+pub(crate) async fn list_vms(node: Arc<Node>) {
+    loop {
+        match node.setup.vms.all().await {
+            Ok(vms) => {
+                node.members().list(&vms);
+                let n_vms = u32::try_from(vms.len()).unwrap_or(u32::MAX);
+                pause(LIST_INTERVAL.max(LIST_INTERVAL_PER_VM.saturating_mul(n_vms))).await;
+            }
+            Err(_) => pause(LIST_RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/task/spread.rs
@@ -0,0 +1,136 @@
+//! Bringing the newest document here and passing the news on.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use curranthook_platform::Tag;
+use curranthook_settings::{Document, document};
+use curranthook_types::Epoch;
+
+use crate::{
+    counters::bump,
+    node::Node,
+    rpc::{self, News},
+    spread::Transfer,
+    task::{join_all, pause},
+};
+
+/// Reads of the table a second by all nodes together; the platform gives about two thousand.
+const FLEET_POLLS: f64 = 200.0;
+/// How many peers are told of an epoch at once, by a node that has it from the table. The others
+/// leave it to the next exchange: by then most know, and telling them would cost bytes only.
+const EAGER: usize = 2;
+/// How many peers are asked by a node that starts without a document.
+const ASKED: usize = 4;
+
+/// Reads the table, at a rate that doesn't grow with the fleet.
+pub(crate) async fn poll(node: Arc<Node>) {
+    let mut tag: Option<Tag> = None;
+    loop {
+        read(&node, &mut tag).await;
+        let by_fleet = Duration::from_secs_f64(node.members().fleet() as f64 / FLEET_POLLS);
+        pause(node.tuning().poll.max(by_fleet)).await;
+    }
+}
+
+async fn read(node: &Node, tag: &mut Option<Tag>) {
+    let (table, key) = document::ROW;
+    bump(&node.counters().table_reads, 1);
+    let row = match node.setup.table.get_newer(table, key, tag.as_ref()).await {
+        Ok(Some(row)) => row,
+        Ok(None) => return,
+        Err(_) => {
+            bump(&node.counters().table_failed, 1);
+            return;
+        }
+    };
+    let Ok(document) = serde_json::from_slice::<Document>(&row.value) else {
+        log::error!("the published document can't be read");
+        return;
+    };
+    *tag = Some(row.tag);
+    if node.spread().offer(document) {
+        bump(&node.counters().epoch_from_table, 1);
+        learned(node);
+        tell(node).await;
+    } else {
+        bump(&node.counters().document_not_newer, 1);
+    }
+}
+
+/// Takes the highest epoch of a few peers. Taking the first answer would start with an old
+/// configuration when that peer has been cut off; the platform may be out and set nothing right.
+pub(crate) async fn bootstrap(node: Arc<Node>) {
+    while node.document().is_none() {
+        let asked = node.members().some(ASKED);
+        let answers = join_all(asked.into_iter().map(|addr| ask(&node, addr))).await;
+        for transfer in answers.into_iter().flatten() {
+            take(&node, transfer);
+        }
+        pause(node.tuning().round).await;
+    }
+}
+
+async fn ask(node: &Node, addr: SocketAddr) -> Option<Transfer> {
+    let none = Epoch::default();
+    node.call(addr, "document", &none, rpc::DOCUMENT_TIMEOUT).await.ok()
+}
+
+/// Fetches what is missing up to `epoch` from a peer that has it.
+pub(crate) async fn fetch(node: &Node, addr: SocketAddr, epoch: Epoch) {
+    let _one_at_a_time = node.fetching.lock().await;
+    let have = node.epoch();
+    // The first document comes from several peers, by `bootstrap`.
+    if have == Epoch::default() || epoch <= have {
+        return;
+    }
+    let delta = node.call(addr, "document", &have, rpc::DOCUMENT_TIMEOUT).await;
+    let Ok(delta) = delta else { return };
+    if take(node, delta) {
+        return;
+    }
+    if let Some(whole) = ask(node, addr).await {
+        take(node, whole);
+    }
+}
+
+/// Applies a transfer; `false` if it doesn't fit and the whole is needed.
+fn take(node: &Node, transfer: Transfer) -> bool {
+    let counters = node.counters();
+    let kind = match transfer {
+        Transfer::Nothing => return true,
+        Transfer::Delta { .. } => &counters.delta_applied,
+        Transfer::Full(_) => &counters.document_full,
+    };
+    match node.spread().apply(transfer) {
+        Ok(true) => {
+            bump(kind, 1);
+            bump(&counters.epoch_from_peer, 1);
+            learned(node);
+        }
+        Ok(false) => bump(&counters.document_not_newer, 1),
+        Err(_) => {
+            bump(&counters.delta_rejected, 1);
+            return false;
+        }
+    }
+    true
+}
+
+fn learned(node: &Node) {
+    let Some(document) = node.document() else { return };
+    for (site, config) in &document.sites {
+        node.members().place(site, config.endpoints.values().map(|it| &it.failure_domain));
+    }
+    node.suspects().settle(&document);
+}
+
+async fn tell(node: &Node) {
+    let news = News { from: node.members().own().clone(), epoch: node.epoch() };
+    let mut alive = node.members().alive();
+    let start = node.next_turn().checked_rem(alive.len()).unwrap_or(0);
+    alive.rotate_left(start);
+    let told = alive.iter().take(EAGER).map(|it| it.identity.addr);
+    let calls = told.map(|addr| node.call::<()>(addr, "news", &news, rpc::TIMEOUT));
+    // A peer that misses the news gets the epoch by an exchange or from the table.
+    let _best_effort = join_all(calls).await;
+}
--- /dev/null
+++ b/crates/curranthook_peers/src/tuning.rs
@@ -0,0 +1,46 @@
+//! Numbers and switches that tests and measurements change.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::link::Link;
+
+/// Whose word on reachability a node takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Trust {
+    /// Only its own contact counts.
+    #[default]
+    Own,
+    /// A peer's report that another can't be reached counts as much as its own failed call.
+    /// Kept to be measured against [`Trust::Own`]; it removes peers that are up.
+    Others,
+}
+
+/// How a node behaves where it isn't told by its settings.
+#[derive(Debug, Clone)]
+pub struct Tuning {
+    /// Whose word on reachability it takes.
+    pub trust: Trust,
+    /// The time between exchanges.
+    pub round: Duration,
+    /// The shortest time between reads of the table.
+    pub poll: Duration,
+    /// The shortest time between puts of the journal.
+    pub flush: Duration,
+    /// How long an owner may be silent before its replicas store its lines.
+    pub owner_silence: Duration,
+    /// The way to peers; HTTP if not set.
+    pub link: Option<Arc<dyn Link>>,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            trust: Trust::Own,
+            round: Duration::from_secs(1),
+            poll: Duration::from_secs(1),
+            flush: Duration::from_secs(1),
+            owner_silence: Duration::from_secs(15),
+            link: None,
+        }
+    }
+}
