The router: a request served from end to end

Cause: nothing stood between callers and endpoints yet. Change: the stages from accept to answer, each a module: API keys, session tokens, choice of the version, claims for calls that may not be repeated, gates that lend endpoints, attempts with a second one beside a slow first, answers resumed on another endpoint of the same version, bill lines recorded before the last byte. Ruled out: asking engines for whole answers when the caller wants one; a whole answer that is streamed from the engine shows its first token and can be taken up where it broke off.

--- /dev/null
+++ b/crates/curranthook_router/src/admit.rs
@@ -0,0 +1,126 @@
+//! What is asked: a request's head and body, read and checked.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use curranthook_http::body::{self, ReadError};
+use curranthook_settings::config::Policy;
+use curranthook_types::{Refusal, account, chat, header, kind, refusal::Reason, request, session};
+use http::{HeaderMap, request::Parts};
+use hyper::body::Incoming;
+use sha2::{Digest, Sha256};
+
+/// The longest id that a caller may choose, in bytes.
+const MAX_ID: usize = 200;
+/// The kind of work of a request that names none.
+pub const DEFAULT_KIND: &str = "default";
+/// The length of a body's fingerprint, in bytes.
+const FINGERPRINT: usize = 16;
+
+/// What every request has, whatever it asks for.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The request.
+    pub request: request::Id,
+    /// Who asks.
+    pub account: account::Id,
+    /// The kind of work.
+    pub kind: kind::Id,
+    /// The session, if it belongs to one.
+    pub session: Option<session::Id>,
+    /// The session token, if the caller has one.
+    pub token: Option<String>,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// Tells whether a body was seen before: it took down an endpoint, say.
+    pub fingerprint: [u8; FINGERPRINT],
+}
+
+impl Ask {
+    /// The time left until the deadline.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
+
+/// A chat request.
+#[derive(Debug, Clone)]
+pub struct Chat {
+    /// What every request has.
+    pub ask: Ask,
+    /// The body.
+    pub body: chat::Request,
+}
+
+/// Reads the head's fields and the whole body.
+pub async fn run(
+    parts: &Parts,
+    incoming: Incoming,
+    account: account::Id,
+    policy: &Policy,
+    arrived: Instant,
+) -> Result<(Ask, Bytes), Refusal> {
+    let headers = &parts.headers;
+    let request = match text(headers, header::REQUEST_ID)? {
+        Some(id) => request::Id::new(id),
+        None => request::Id::new(ulid::Ulid::generate().to_string()),
+    };
+    let patience = match text(headers, header::DEADLINE_MS)? {
+        Some(millis) => Duration::from_millis(number(header::DEADLINE_MS, millis)?),
+        None => policy.default_deadline,
+    };
+    let bytes = read_body(incoming, policy.max_body).await?;
+    let digest = Sha256::digest(&bytes);
+    let mut fingerprint = [0; FINGERPRINT];
+    fingerprint.copy_from_slice(&digest[..FINGERPRINT]);
+    let ask = Ask {
+        request,
+        account,
+        kind: kind::Id::new(text(headers, header::KIND)?.unwrap_or(DEFAULT_KIND)),
+        session: text(headers, header::SESSION)?.map(session::Id::new),
+        token: text(headers, header::SESSION_TOKEN)?.map(str::to_owned),
+        deadline: arrived + patience,
+        fingerprint,
+    };
+    Ok((ask, bytes))
+}
+
+/// Reads a chat request's body.
+pub fn chat(ask: Ask, bytes: &[u8]) -> Result<Chat, Refusal> {
+    let body: chat::Request = serde_json::from_slice(bytes)
+        .map_err(|e| Refusal::not_run(Reason::Malformed, format!("not a chat request: {e}")))?;
+    if body.messages.is_empty() {
+        return Err(Refusal::not_run(Reason::Malformed, "a chat request needs a message"));
+    }
+    Ok(Chat { ask, body })
+}
+
+async fn read_body(incoming: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    body::read(incoming, limit).await.map_err(|e| match e {
+        ReadError::TooLarge { .. } => Refusal::not_run(Reason::TooLarge, e.to_string()),
+        ReadError::Broken(_) => Refusal::not_run(Reason::Malformed, e.to_string()),
+    })
+}
+
+/// The text of a header, checked to be one that can go into other headers, paths and rows.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let malformed =
+        |why: &str| Refusal::not_run(Reason::Malformed, format!("header {name}: {why}"));
+    let value = value.to_str().map_err(|_| malformed("not plain ASCII"))?;
+    let max = if name == header::SESSION_TOKEN { 4 * MAX_ID } else { MAX_ID };
+    if value.is_empty() || max < value.len() {
+        return Err(malformed("empty or too long"));
+    }
+    if !value.bytes().all(|it| it.is_ascii_graphic()) {
+        return Err(malformed("only visible characters are allowed"));
+    }
+    Ok(Some(value))
+}
+
+fn number(name: &str, value: &str) -> Result<u64, Refusal> {
+    let malformed = |_| Refusal::not_run(Reason::Malformed, format!("header {name}: not a number"));
+    // A day is longer than any caller waits; the bound keeps sums of times from overflowing.
+    const DAY_MILLIS: u64 = 24 * 60 * 60 * 1_000;
+    value.parse::<u64>().map(|it| it.min(DAY_MILLIS)).map_err(malformed)
+}
--- /dev/null
+++ b/crates/curranthook_router/src/attempt.rs
@@ -0,0 +1,188 @@
+//! One attempt at one endpoint, up to the head of its answer.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use curranthook_http::{
+    client::{self, Connection, Freshness, Pool},
+    timeout,
+};
+use curranthook_policy::endpoint::Outcome;
+use curranthook_types::{endpoint, header, request, retry};
+use http::StatusCode;
+use hyper::body::Incoming;
+
+use crate::{Router, gate::Lease};
+
+/// An answer whose head has come and is beyond doubt.
+#[derive(Debug)]
+pub struct Open {
+    /// The endpoint and the connection to it.
+    pub link: Link,
+    /// The head.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: Incoming,
+}
+
+/// An endpoint and a connection that are in the middle of an answer.
+#[derive(Debug)]
+pub struct Link {
+    /// The endpoint.
+    pub lease: Lease,
+    /// The connection, to be reused after a flawless answer only.
+    pub conn: Connection,
+    /// From the start of the attempt to the first sign of the answer.
+    pub first_byte: Duration,
+}
+
+impl Link {
+    /// Gives up in the middle of an answer, because the connection broke or can't be trusted.
+    pub fn fail(self, reason: retry::Reason, message: &str, broke: Break) -> Failed {
+        self.conn.close();
+        let failed = failed(self.lease, reason, Begun::Perhaps, message.to_owned());
+        Failed { broke, ..failed }
+    }
+}
+
+/// Whether a connection broke under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Break {
+    /// It closed in the middle, as it does when the endpoint dies.
+    Closed,
+    /// It didn't.
+    None,
+}
+
+/// Whether an endpoint may have begun what failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Begun {
+    /// Not a byte went out, or the endpoint said it had not begun.
+    No,
+    /// It may have.
+    Perhaps,
+}
+
+/// An attempt that failed.
+#[derive(Debug)]
+pub struct Failed {
+    /// Where.
+    pub endpoint: endpoint::Id,
+    /// How, as the reason for another attempt.
+    pub reason: retry::Reason,
+    /// Whether it may have run.
+    pub begun: Begun,
+    /// One sentence for a person.
+    pub message: String,
+    /// Whether the connection broke under the request.
+    pub broke: Break,
+}
+
+/// Sends `req` to the endpoint of `lease` and waits up to `limit` for the head of the answer.
+pub async fn run(
+    router: &Router,
+    lease: Lease,
+    req: http::Request<Bytes>,
+    freshness: Freshness,
+    limit: Duration,
+    request: &request::Id,
+) -> Result<Open, Failed> {
+    let mut conn = match router.pool.take(lease.addr(), freshness).await {
+        Ok(conn) => conn,
+        Err(e) => return Err(fail(lease, &e)),
+    };
+    let started = lease.started();
+    let res = match timeout::run(limit, conn.send(req)).await {
+        Ok(Ok(res)) => res,
+        Ok(Err(e)) => return Err(fail(lease, &e)),
+        Err(timeout::Elapsed) => {
+            // The connection may be one that something in between has lost track of; its idle
+            // siblings to the same endpoint may be too.
+            conn.close();
+            router.pool.forget(lease.addr());
+            let message = format!("no answer within {limit:?}");
+            return Err(failed(lease, retry::Reason::SlowFirstByte, Begun::Perhaps, message));
+        }
+    };
+    let (head, body) = res.into_parts();
+    note_load(router, &lease, &head);
+    if let Some(reason) = refused(&head) {
+        let message = format!("refused before it began: {}", head.status);
+        let endpoint = lease.endpoint().clone();
+        lease.finish(Outcome::Refused);
+        return Err(Failed { endpoint, reason, begun: Begun::No, message, broke: Break::None });
+    }
+    if is_foreign(&head, request) {
+        conn.close();
+        let message = "the answer belongs to another request".to_owned();
+        return Err(failed(lease, retry::Reason::ForeignAnswer, Begun::Perhaps, message));
+    }
+    Ok(Open { link: Link { lease, conn, first_byte: started.elapsed() }, head, body })
+}
+
+fn fail(lease: Lease, e: &client::Error) -> Failed {
+    let endpoint = lease.endpoint().clone();
+    if e.is_unsent() {
+        lease.finish(Outcome::Unreachable);
+        let reason = retry::Reason::Connect;
+        return Failed {
+            endpoint,
+            reason,
+            begun: Begun::No,
+            message: e.to_string(),
+            broke: Break::None,
+        };
+    }
+    let reason = retry::Reason::ClosedEarly;
+    Failed { broke: Break::Closed, ..failed(lease, reason, Begun::Perhaps, e.to_string()) }
+}
+
+fn failed(lease: Lease, reason: retry::Reason, begun: Begun, message: String) -> Failed {
+    let endpoint = lease.endpoint().clone();
+    lease.finish(Outcome::Failed);
+    Failed { endpoint, reason, begun, message, broke: Break::None }
+}
+
+fn note_load(router: &Router, lease: &Lease, head: &http::response::Parts) {
+    let text = |name| head.headers.get(name).and_then(|it| it.to_str().ok());
+    if let Some(load) = text(header::LOAD).and_then(|it| it.parse().ok()) {
+        lease.hint(load);
+    }
+    if text(header::LEAVING) == Some("true") {
+        router.gates.mark_leaving(&HashSet::from([lease.addr()]));
+    }
+}
+
+fn refused(head: &http::response::Parts) -> Option<retry::Reason> {
+    let is_true = |name| head.headers.get(name).is_some_and(|it| it == "true");
+    if !is_true(header::NOT_STARTED) {
+        return None;
+    }
+    let reason = match head.status {
+        _ if is_true(header::LEAVING) => retry::Reason::EndpointLeaving,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            retry::Reason::EndpointFull
+        }
+        _ => retry::Reason::ServerError,
+    };
+    Some(reason)
+}
+
+fn is_foreign(head: &http::response::Parts, request: &request::Id) -> bool {
+    head.headers.get(header::REQUEST_ID).is_some_and(|it| it != request.as_str())
+}
+
+/// Whether the endpoint at the address of a broken connection is gone.
+///
+/// A connection also breaks when the network cuts it. Only an endpoint that died refuses new
+/// connections, so one is tried; without this a cut cable would make every request that it hit
+/// look like one that kills endpoints.
+pub async fn is_dead(pool: &Arc<Pool>, addr: std::net::SocketAddr) -> bool {
+    match pool.take(addr, Freshness::New).await {
+        Ok(conn) => {
+            conn.close();
+            false
+        }
+        Err(_) => true,
+    }
+}
--- /dev/null
+++ b/crates/curranthook_router/src/authenticate.rs
@@ -0,0 +1,16 @@
+//! Who calls: the client account behind an API key.
+
+use curranthook_types::{Refusal, account, refusal::Reason};
+use http::{HeaderMap, header};
+use sha2::{Digest, Sha256};
+
+use crate::snapshot::Snapshot;
+
+/// Finds the account whose key the request carries as `Authorization: Bearer <key>`.
+pub fn run(snapshot: &Snapshot, headers: &HeaderMap) -> Result<account::Id, Refusal> {
+    let refused = || Refusal::not_run(Reason::Unauthenticated, "no API key of a client account");
+    let value = headers.get(header::AUTHORIZATION).and_then(|it| it.to_str().ok());
+    let key = value.and_then(|it| it.strip_prefix("Bearer ")).ok_or_else(refused)?;
+    let hash: [u8; 32] = Sha256::digest(key.as_bytes()).into();
+    snapshot.account(&hash).cloned().ok_or_else(refused)
+}
--- /dev/null
+++ b/crates/curranthook_router/src/bill.rs
@@ -0,0 +1,52 @@
+//! The bill line of an answer.
+
+use curranthook_settings::config;
+use curranthook_types::{Clock, bill::Line, chat::Usage, price::Micros, version};
+
+use crate::admit::Ask;
+
+/// What the attempts that gave answers cost, in order. Attempts that failed aren't billed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Cost {
+    /// Tokens of the prompt, over all answers.
+    pub prompt_tokens: u64,
+    /// Tokens of the answers.
+    pub completion_tokens: u64,
+    /// The price of it all.
+    pub total: Micros,
+}
+
+impl Cost {
+    /// Adds one version's answer.
+    ///
+    /// ```
+    /// # use curranthook_router::bill::Cost;
+    /// # use curranthook_settings::config::Version;
+    /// # use curranthook_types::{chat::Usage, price::{Micros, Rate}};
+    /// let price = Rate { prompt: Micros(0), completion: Micros(500) };
+    /// let version = Version { price, quality: Default::default() };
+    /// let usage = Usage { prompt_tokens: 10, completion_tokens: 100 };
+    /// assert_eq!(Cost::default().with(&version, usage).total, Micros(50));
+    /// ```
+    pub fn with(self, version: &config::Version, usage: Usage) -> Self {
+        let cost = version.price.cost(usage.prompt_tokens, usage.completion_tokens);
+        Self {
+            prompt_tokens: self.prompt_tokens + usage.prompt_tokens,
+            completion_tokens: self.completion_tokens + usage.completion_tokens,
+            total: Micros(self.total.0 + cost.0),
+        }
+    }
+
+    /// The line for a chat answered by `version`.
+    pub fn line(&self, ask: &Ask, version: &version::Id, clock: &dyn Clock) -> Line {
+        Line {
+            request: ask.request.clone(),
+            account: ask.account.clone(),
+            served_by: version.as_str().to_owned(),
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: self.completion_tokens,
+            cost: self.total,
+            at_millis: clock.unix_millis(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranthook_router/src/gate.rs
@@ -0,0 +1,302 @@
+//! Which endpoint takes a request, and who waits when all are busy.
+//!
+//! There is a gate for each version and each plain service. It lends endpoints: a
+//! [`Lease`] counts as one request in flight until it's finished or dropped.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use curranthook_policy::{
+    baseline::{self, Balance},
+    endpoint::{Member, Miss, Outcome},
+    queue::{Fair, Next},
+};
+use curranthook_types::{Clock, Refusal, domain, endpoint, refusal::Reason, version, vm};
+use futures_lite::future;
+use parking_lot::{Mutex, RwLock};
+
+use crate::{admit::Ask, choose, snapshot::Snapshot};
+
+/// A waiter looks again after this long even if nobody woke it: an endpoint may have become
+/// free without a request of ours ending, as when a load report aged.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// How many requests may wait at one gate until the settings say otherwise.
+const QUEUE: usize = 1_000;
+/// When to come back if there is no endpoint at all.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+/// What a gate leads to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Target {
+    /// A version of a model.
+    Version(version::Id),
+    /// A plain service.
+    Service(String),
+}
+
+/// All gates of a router.
+#[derive(Debug)]
+pub struct Gates {
+    clock: Arc<dyn Clock>,
+    domain: domain::Id,
+    vm: vm::Id,
+    balance: &'static str,
+    leaving: Mutex<HashSet<SocketAddr>>,
+    gates: RwLock<HashMap<Target, Arc<Gate>>>,
+}
+
+impl Gates {
+    /// No gate yet. `balance` names the way in which endpoints are picked, as
+    /// [`baseline::balance`] knows it.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        domain: domain::Id,
+        vm: vm::Id,
+        balance: &'static str,
+    ) -> Self {
+        Self { clock, domain, vm, balance, leaving: Mutex::default(), gates: RwLock::default() }
+    }
+
+    /// Takes over the endpoints of a new epoch.
+    pub fn update(&self, snapshot: &Snapshot) {
+        let mut members: HashMap<Target, Vec<(Member, SocketAddr)>> = HashMap::new();
+        for (id, it) in &snapshot.config().endpoints {
+            if !snapshot.in_service(id) {
+                continue;
+            }
+            let versions = it.versions.iter().cloned().map(Target::Version);
+            let service = it.service.iter().cloned().map(Target::Service);
+            for target in versions.chain(service) {
+                let member =
+                    Member { id: id.clone(), domain: it.failure_domain.clone(), slots: it.slots };
+                members.entry(target).or_default().push((member, it.address));
+            }
+        }
+        let capacity = snapshot.config().policy.queue;
+        let mut gates = self.gates.write();
+        gates.retain(|target, _| members.contains_key(target));
+        for (target, members) in members {
+            let gate = gates.entry(target).or_insert_with_key(|target| {
+                let seed = choose::hash(&format!("{}/{target:?}", self.vm));
+                let pool = baseline::balance(self.balance, self.domain.clone(), seed)
+                    .expect("the names of the policies are fixed");
+                Arc::new(Gate::new(Arc::clone(&self.clock), pool))
+            });
+            gate.set(members, capacity);
+            gate.set_leaving(&self.leaving.lock());
+        }
+    }
+
+    /// The gate that leads to `target`.
+    pub fn get(&self, target: &Target) -> Result<Arc<Gate>, Refusal> {
+        let gate = self.gates.read().get(target).cloned();
+        gate.ok_or_else(|| no_endpoint("no endpoint serves this"))
+    }
+
+    /// Marks the endpoints at these addresses as leaving.
+    pub fn mark_leaving(&self, leaving: &HashSet<SocketAddr>) {
+        self.leaving.lock().extend(leaving);
+        self.gates.read().values().for_each(|gate| gate.set_leaving(leaving));
+    }
+
+    /// Unmarks an endpoint that said itself that it stays.
+    pub fn clear_leaving(&self, addr: SocketAddr) {
+        self.leaving.lock().remove(&addr);
+        self.gates.read().values().for_each(|gate| gate.clear_leaving(addr));
+    }
+
+    /// Where endpoints are marked as leaving.
+    pub fn leaving(&self) -> HashSet<SocketAddr> {
+        self.leaving.lock().clone()
+    }
+}
+
+/// Lends the endpoints of one version or service.
+#[derive(Debug)]
+pub struct Gate {
+    clock: Arc<dyn Clock>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    pool: Box<dyn Balance>,
+    addresses: HashMap<endpoint::Id, SocketAddr>,
+    queue: Fair<Sender<()>>,
+}
+
+/// How a request stands with a gate.
+#[derive(Debug, Clone, Copy)]
+pub struct Entry<'a> {
+    /// The request.
+    pub ask: &'a Ask,
+    /// Its account's weight in the queue.
+    pub weight: f64,
+    /// Equal for requests that share a prompt prefix.
+    pub affinity: Option<u64>,
+    /// Endpoints that were tried in vain.
+    pub exclude: &'a [endpoint::Id],
+}
+
+impl Gate {
+    fn new(clock: Arc<dyn Clock>, pool: Box<dyn Balance>) -> Self {
+        let inner = Inner { pool, addresses: HashMap::new(), queue: Fair::new(QUEUE) };
+        Self { clock, inner: Mutex::new(inner) }
+    }
+
+    fn set(&self, members: Vec<(Member, SocketAddr)>, capacity: usize) {
+        let mut inner = self.inner.lock();
+        inner.queue.set_capacity(capacity);
+        inner.addresses = members.iter().map(|(it, addr)| (it.id.clone(), *addr)).collect();
+        inner.pool.set(members.into_iter().map(|(it, _)| it).collect());
+    }
+
+    fn set_leaving(&self, leaving: &HashSet<SocketAddr>) {
+        let inner = &mut *self.inner.lock();
+        let marked = inner.addresses.iter().filter(|(_, addr)| leaving.contains(*addr));
+        marked.for_each(|(id, _)| inner.pool.set_leaving(id));
+    }
+
+    fn clear_leaving(&self, addr: SocketAddr) {
+        let inner = &mut *self.inner.lock();
+        let cleared = inner.addresses.iter().filter(|(_, it)| **it == addr);
+        cleared.for_each(|(id, _)| inner.pool.clear_leaving(id));
+    }
+
+    /// Lends an endpoint, after a wait in the queue if all are busy. What can't be served by
+    /// its deadline is refused on arrival, not when the deadline comes.
+    pub async fn enter(self: &Arc<Self>, entry: Entry<'_>) -> Result<Lease, Refusal> {
+        let mut place: Option<Receiver<()>> = None;
+        loop {
+            let now = self.clock.now();
+            if entry.ask.deadline <= now {
+                return Err(Refusal::not_run(Reason::Deadline, "the deadline passed in the queue"));
+            }
+            match self.try_enter(entry, now) {
+                Ok(lease) => return Ok(lease),
+                Err(Miss::Empty) => return Err(no_endpoint("no endpoint is in service")),
+                Err(Miss::AllExcluded) => return Err(no_endpoint("each endpoint failed")),
+                Err(Miss::AllBusy) => {}
+            }
+            let place = match &place {
+                Some(it) => it,
+                None => place.insert(self.line_up(entry, now)?),
+            };
+            let woken = async { place.recv().await.is_ok() };
+            let timer = async {
+                Timer::after(LOOK_AGAIN).await;
+                true
+            };
+            if !future::or(woken, timer).await {
+                return Err(overloaded(LOOK_AGAIN));
+            }
+        }
+    }
+
+    /// Lends an endpoint if one is free right now.
+    pub fn try_now(self: &Arc<Self>, entry: Entry<'_>) -> Option<Lease> {
+        self.try_enter(entry, self.clock.now()).ok()
+    }
+
+    /// How long the first byte of an answer from `id` may take before another try is made.
+    pub fn slow_after(&self, id: &endpoint::Id) -> Duration {
+        self.inner.lock().pool.slow_after(id)
+    }
+
+    fn try_enter(self: &Arc<Self>, entry: Entry<'_>, now: Instant) -> Result<Lease, Miss> {
+        let mut inner = self.inner.lock();
+        let pick = inner.pool.pick(entry.affinity, entry.exclude, now)?;
+        let Some(addr) = inner.addresses.get(&pick.id).copied() else { return Err(Miss::Empty) };
+        inner.pool.started(&pick.id, now);
+        Ok(Lease { gate: Arc::clone(self), endpoint: pick.id, addr, started: now, done: false })
+    }
+
+    fn line_up(&self, entry: Entry<'_>, now: Instant) -> Result<Receiver<()>, Refusal> {
+        let (tx, rx) = async_channel::bounded(1);
+        let Ask { account, deadline, .. } = entry.ask;
+        let pushed = self.inner.lock().queue.push(tx, account, entry.weight, *deadline, now);
+        pushed.map_err(|full| overloaded(full.retry_after))?;
+        Ok(rx)
+    }
+
+    fn leave(&self, endpoint: &endpoint::Id, outcome: Outcome) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        inner.pool.finished(endpoint, outcome, now);
+        inner.queue.served(now);
+        // Whoever gave up has dropped its receiver; go on to the next one.
+        while let Some(Next::Run(waiter) | Next::Expired(waiter)) = inner.queue.pop(now) {
+            if waiter.try_send(()).is_ok() {
+                break;
+            }
+        }
+    }
+}
+
+fn no_endpoint(message: &str) -> Refusal {
+    Refusal::not_run(Reason::NoEndpoint, message).with_retry_after(NO_ENDPOINT_RETRY)
+}
+
+fn overloaded(retry_after: Duration) -> Refusal {
+    let message = "all endpoints are busy and the deadline can't be met";
+    Refusal::not_run(Reason::Overloaded, message).with_retry_after(retry_after)
+}
+
+/// An endpoint lent to one attempt.
+#[derive(Debug)]
+pub struct Lease {
+    gate: Arc<Gate>,
+    endpoint: endpoint::Id,
+    addr: SocketAddr,
+    started: Instant,
+    done: bool,
+}
+
+impl Lease {
+    /// The endpoint.
+    pub fn endpoint(&self) -> &endpoint::Id {
+        &self.endpoint
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// When it was lent.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// How long its first byte may take before another try is made.
+    pub fn slow_after(&self) -> Duration {
+        self.gate.slow_after(&self.endpoint)
+    }
+
+    /// Notes what the endpoint said of its load.
+    pub fn hint(&self, load: u64) {
+        self.gate.inner.lock().pool.hint(&self.endpoint, load, self.gate.clock.now());
+    }
+
+    /// Gives the endpoint back.
+    pub fn finish(mut self, outcome: Outcome) {
+        self.done = true;
+        self.gate.leave(&self.endpoint, outcome);
+    }
+}
+
+impl Drop for Lease {
+    // A caller that goes away drops its request wherever it stands; without this the endpoint
+    // would count as busy for good.
+    fn drop(&mut self) {
+        if !self.done {
+            self.gate.leave(&self.endpoint, Outcome::Cancelled);
+        }
+    }
+}
--- a/crates/curranthook_router/src/lib.rs
+++ b/crates/curranthook_router/src/lib.rs
@@ -1,1 +1,46 @@
-//! The router: callers' API, admission, policy, dispatch and billing.
+//! One VM's router: callers on one side, model engines and plain services on the other.
+//!
+//! A request is a value that passes stages, each a module with one job:
+//!
+//! - [`accept`]: from the caller's connection to the right stage;
+//! - [`authenticate`]: which client account calls;
+//! - [`admit`]: what is asked, read and checked;
+//! - [`pin`] and [`token`]: the version that the session is on;
+//! - [`choose`]: which version to ask, and whether a cheaper one first;
+//! - [`claim`]: the right to send a call that may not be repeated;
+//! - [`gate`]: which endpoint takes it, and who waits;
+//! - [`attempt`], [`call`], [`source`]: one attempt, the attempts of a request, and the answer
+//!   as a stream that doesn't break off;
+//! - [`bill`]: what it cost;
+//! - [`chat`], [`service`], [`answer`]: the two kinds of requests, put together.
+//!
+//! [`router`] holds what the stages share, [`snapshot`] one epoch of the configuration.
+//! [`follow`], [`leaving`] and [`watch`] are the tasks beside the requests. [`serve`] starts
+//! and ends it all.
+
+pub mod accept;
+pub mod admit;
+pub mod answer;
+pub mod attempt;
+pub mod authenticate;
+pub mod bill;
+pub mod call;
+pub mod chat;
+pub mod choose;
+pub mod claim;
+pub mod follow;
+pub mod gate;
+pub mod leaving;
+pub mod metrics;
+pub mod pin;
+pub mod rate;
+pub mod router;
+pub mod serve;
+pub mod service;
+pub mod snapshot;
+pub mod source;
+pub mod status;
+pub mod token;
+pub mod watch;
+
+pub use router::Router;
--- /dev/null
+++ b/crates/curranthook_router/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters: one for each refusal, retry and choice reason.
+//!
+//! They are kept in memory for `/status` and sent as statsd over UDP when the settings say
+//! where to. `docs/METRICS.md` lists them.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use curranthook_types::{refusal, retry};
+use parking_lot::Mutex;
+
+/// What the names of all counters begin with on the wire.
+const PREFIX: &str = "curranthook.router";
+
+/// The counters of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    counts: Mutex<BTreeMap<String, u64>>,
+}
+
+impl Metrics {
+    /// Counters that are also sent to `statsd`.
+    pub fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
+        let client = match statsd {
+            Some(addr) => {
+                let socket = UdpSocket::bind("127.0.0.1:0".parse::<SocketAddr>().expect("valid"))?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(addr, socket).map_err(std::io::Error::other)?;
+                StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
+            }
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+        };
+        Ok(Self { client, counts: Mutex::default() })
+    }
+
+    /// Counts one refusal.
+    pub fn refused(&self, reason: refusal::Reason) {
+        self.count(&format!("refusal.{}", reason.name()));
+    }
+
+    /// Counts one more attempt.
+    pub fn retried(&self, reason: retry::Reason) {
+        self.count(&format!("retry.{}", reason.name()));
+    }
+
+    /// Counts one event of the given name.
+    pub fn count(&self, name: &str) {
+        // A lost datagram costs a count, never a request.
+        let _best_effort = self.client.count(name, 1);
+        let mut counts = self.counts.lock();
+        match counts.get_mut(name) {
+            Some(n) => *n += 1,
+            None => {
+                counts.insert(name.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Sends a duration.
+    pub fn time(&self, name: &str, took: Duration) {
+        let _best_effort = self.client.time(name, took);
+    }
+
+    /// All counts since the start.
+    pub fn counts(&self) -> BTreeMap<String, u64> {
+        self.counts.lock().clone()
+    }
+}
--- /dev/null
+++ b/crates/curranthook_router/src/router.rs
@@ -0,0 +1,125 @@
+//! What the stages share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use curranthook_http::{client::Pool, runtime, stop::Stop};
+use curranthook_peers::{Node, evidence, journal};
+use curranthook_platform::Table;
+use curranthook_policy::{baseline::Strategy, limit::Bucket, retry::Budget};
+use curranthook_settings::node::Settings;
+use curranthook_types::{Clock, Refusal, account, bill::Line, kind, refusal::Reason, version};
+use parking_lot::Mutex;
+
+use crate::{gate::Gates, metrics::Metrics, pin, rate::Rater, snapshot::Snapshot};
+
+/// One VM's router.
+#[derive(Debug)]
+pub struct Router {
+    /// This VM's settings.
+    pub settings: Settings,
+    /// The only source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Where tasks run.
+    pub ex: runtime::Handle,
+    /// Connections to endpoints.
+    pub pool: Arc<Pool>,
+    /// The link to the other nodes.
+    pub node: Arc<Node>,
+    /// The platform's table, for claims.
+    pub claims: Arc<dyn Table>,
+    /// Pins of sessions without tokens.
+    pub pins: pin::Rows,
+    /// The rating service.
+    pub rater: Rater,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The endpoints.
+    pub gates: Gates,
+    /// The choice of versions.
+    pub chooser: Mutex<Box<dyn Strategy + Send>>,
+    /// Retries that are left.
+    pub budget: Mutex<Budget>,
+    /// What accounts may still ask for.
+    pub buckets: Mutex<HashMap<account::Id, Bucket>>,
+    /// The newest configuration.
+    pub current: ArcSwapOption<Snapshot>,
+    /// Requests under way.
+    pub in_flight: Arc<AtomicUsize>,
+    /// Set when the process is asked to end.
+    pub stopping: Stop,
+}
+
+/// Counts as one request under way until it's dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Router {
+    /// The newest configuration, or the refusal of a node that has none yet.
+    pub fn snapshot(&self) -> Result<Arc<Snapshot>, Refusal> {
+        let current = self.current.load_full();
+        current.ok_or_else(|| Refusal::not_run(Reason::NotReady, "no configuration yet"))
+    }
+
+    /// Counts a request as under way.
+    pub fn enter(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        InFlight(Arc::clone(&self.in_flight))
+    }
+
+    /// Checks the account's limit.
+    pub fn limit(&self, snapshot: &Snapshot, account: &account::Id) -> Result<(), Refusal> {
+        self.node.demand().add(account);
+        let Some(settings) = snapshot.account_settings(account) else { return Ok(()) };
+        let (now, nodes) = (self.clock.now(), self.node.site_nodes());
+        let share = self.node.share(account);
+        let mut buckets = self.buckets.lock();
+        let bucket = buckets
+            .entry(account.clone())
+            .or_insert_with(|| Bucket::new(&settings.limit, nodes, now));
+        bucket.set_rate(&settings.limit, nodes);
+        bucket.set_share(share, 1.0, nodes);
+        bucket.take(now).map_err(|after| {
+            let message = "the account is over its limit of requests";
+            Refusal::not_run(Reason::OverLimit, message).with_retry_after(after)
+        })
+    }
+
+    /// Writes a bill line down where the loss of this VM doesn't lose it.
+    pub async fn record(&self, line: Line) {
+        let durability = self.node.journal().record(line).await;
+        match durability {
+            journal::Durability::Replicated(_) => self.metrics.count("bill.replicated"),
+            journal::Durability::Stored => self.metrics.count("bill.stored"),
+            // Nobody else can be reached. The answer isn't held back for that: the line stays
+            // in memory and goes out as soon as anybody answers.
+            journal::Durability::Alone => self.metrics.count("bill.alone"),
+        }
+    }
+
+    /// Takes in what one answer showed.
+    pub fn learn(&self, kind: &kind::Id, version: &version::Id, rating: Option<f64>, tokens: u64) {
+        if let Some(rating) = rating {
+            self.chooser.lock().learn(kind, version, rating, self.clock.now());
+        }
+        self.node.evidence().add(version, crate::chat::sample(rating, tokens));
+    }
+
+    /// Takes in that a version gave no answer.
+    pub fn note_failure(&self, version: &version::Id) {
+        let sample = evidence::Sample { rating: None, failed: evidence::Failed::Yes, tokens: 0 };
+        self.node.evidence().add(version, sample);
+    }
+}
--- /dev/null
+++ b/crates/curranthook_router/src/serve.rs
@@ -0,0 +1,174 @@
+//! Starts a router and ends it without cutting a request.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use anyhow::Context;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use curranthook_http::{
+    Body, body,
+    client::Pool,
+    runtime,
+    server::{Handler, Server},
+    stop,
+};
+use curranthook_peers::{Node, node};
+use curranthook_platform::client::Client;
+use curranthook_policy::{baseline, retry::Budget};
+use curranthook_settings::{config::Policy, node::Settings};
+use curranthook_types::{Clock, clock};
+use futures_lite::{StreamExt, future::Boxed};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+use crate::{Router, follow, gate::Gates, leaving, metrics::Metrics, pin, rate::Rater, watch};
+
+/// Claims wait for the platform this long; then the caller is told that it's out.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+/// The largest call between peers, in bytes.
+const MAX_PEER_BODY: usize = 16 * 1024 * 1024;
+/// How often the end of the last requests is looked for.
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+
+/// What the command line sets.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The policy: ours, or a baseline to measure against.
+    pub policy: String,
+    /// How long the router goes on taking requests after it was asked to end. The balancer
+    /// goes on sending for a moment, since it sees the change only at its next check.
+    pub linger: Duration,
+}
+
+/// Runs a router until SIGTERM or SIGINT, then finishes what is under way.
+pub async fn run(settings: Settings, options: Options, ex: runtime::Handle) -> anyhow::Result<()> {
+    let callers = Server::bind(settings.listen).context("binding the callers' address")?;
+    let peers = Server::bind(settings.peer_listen).context("binding the peers' address")?;
+    let (stopping, stop) = stop::new();
+    let router = build(settings, &options, &ex, peers.addr(), stop.clone())?;
+    println!(
+        "{}",
+        serde_json::json!({"listening": {"callers": callers.addr(), "peers": peers.addr()}})
+    );
+
+    let platform = &router.settings.platform;
+    let vms = Client::new(platform.vms, Arc::new(Pool::new(ex.clone(), Arc::clone(&router.clock))));
+    ex.spawn(follow::run(Arc::clone(&router))).detach();
+    ex.spawn(leaving::run(Arc::clone(&router), Arc::new(vms))).detach();
+    ex.spawn(watch::run(Arc::clone(&router))).detach();
+
+    let (close_peers, peers_closed) = stop::new();
+    let node = Arc::new(Peers(Arc::clone(&router.node)));
+    let for_peers = ex.spawn({
+        let ex = ex.clone();
+        async move { peers.serve(&ex, node, peers_closed).await }
+    });
+    let (close_callers, callers_closed) = stop::new();
+    let for_callers = ex.spawn({
+        let (ex, router) = (ex.clone(), Arc::clone(&router));
+        async move { callers.serve(&ex, router, callers_closed).await }
+    });
+
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("listening to signals")?;
+    signals.next().await;
+    log::info!("asked to end; {} requests under way", router.in_flight.load(Ordering::SeqCst));
+    stopping.set();
+    Timer::after(options.linger).await;
+    close_callers.set();
+    for_callers.await;
+    // Calls that go on without their caller, and outcomes still to be stored.
+    while 0 < router.in_flight.load(Ordering::SeqCst) {
+        Timer::after(DRAIN_PERIOD).await;
+    }
+    router.node.leave().await;
+    close_peers.set();
+    for_peers.await;
+    log::info!("ended");
+    Ok(())
+}
+
+fn build(
+    settings: Settings,
+    options: &Options,
+    ex: &runtime::Handle,
+    peer_addr: SocketAddr,
+    stopping: stop::Stop,
+) -> anyhow::Result<Arc<Router>> {
+    let clock: Arc<dyn Clock> = Arc::new(clock::System);
+    let pool = || Arc::new(Pool::new(ex.clone(), Arc::clone(&clock)));
+    // Endpoints, peers and the platform each have their own connections: a silent connection
+    // to one says nothing of the others.
+    let (to_endpoints, to_peers, to_platform) = (pool(), pool(), pool());
+    let platform = &settings.platform;
+    let table = Client::new(platform.table, Arc::clone(&to_platform));
+    let claims = Arc::new(table.clone().with_timeout(CLAIM_TIMEOUT));
+    let seed = clock.unix_millis() ^ crate::choose::hash(settings.vm.as_str());
+    let node = Node::start(node::Setup {
+        settings: settings.clone(),
+        incarnation: clock.unix_millis(),
+        peer_addr,
+        ex: ex.clone(),
+        pool: to_peers,
+        clock: Arc::clone(&clock),
+        table: Arc::new(table),
+        objects: Arc::new(Client::new(platform.objects, Arc::clone(&to_platform))),
+        vms: Arc::new(Client::new(platform.vms, to_platform)),
+        seed,
+    });
+    let (strategy, balance) = policies(&options.policy);
+    let chooser = baseline::strategy(strategy, Policy::default(), seed);
+    let chooser = chooser.with_context(|| format!("unknown policy {}", options.policy))?;
+    let (domain, vm) = (settings.failure_domain.clone(), settings.vm.clone());
+    let gates = Gates::new(Arc::clone(&clock), domain, vm, balance);
+    Ok(Arc::new(Router {
+        metrics: Metrics::new(settings.statsd).context("opening the metrics socket")?,
+        pins: pin::Rows::new(Arc::clone(&claims) as _),
+        rater: Rater::new(pool(), Arc::clone(&clock)),
+        chooser: Mutex::new(chooser),
+        budget: Mutex::new(Budget::new(Policy::default().retry_budget, clock.now())),
+        buckets: Mutex::new(HashMap::new()),
+        current: None.into(),
+        in_flight: Arc::default(),
+        ex: ex.clone(),
+        pool: to_endpoints,
+        settings,
+        clock,
+        node,
+        claims,
+        gates,
+        stopping,
+    }))
+}
+
+/// The strategy for versions and the one for endpoints behind a policy's name. A baseline
+/// replaces one of the two and leaves the other as ours, so that each is measured alone.
+fn policies(name: &str) -> (&str, &'static str) {
+    const OURS: &str = "curranthook";
+    match name {
+        "ours" => (OURS, OURS),
+        "round-robin" => (OURS, "round-robin"),
+        "least-outstanding" => (OURS, "least-outstanding"),
+        versions => (versions, OURS),
+    }
+}
+
+/// Answers calls of peers.
+#[derive(Debug)]
+struct Peers(Arc<Node>);
+
+impl Handler for Peers {
+    fn handle(self: Arc<Self>, req: http::Request<Incoming>) -> Boxed<http::Response<Body>> {
+        Box::pin(async move {
+            let (parts, incoming) = req.into_parts();
+            match body::read(incoming, MAX_PEER_BODY).await {
+                Ok(bytes) => self.0.handle(&parts, bytes).await,
+                Err(e) => body::json(400, &serde_json::json!({"error": e.to_string()})),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_router/src/status.rs
@@ -0,0 +1,64 @@
+//! What operators and balancers ask a node about itself.
+
+use std::{collections::BTreeMap, sync::atomic::Ordering};
+
+use curranthook_http::{Body, body};
+use curranthook_types::{Epoch, Refusal, domain, site, vm};
+use http::{HeaderMap, Response};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::{Router, authenticate};
+
+/// The answer to `GET /status`.
+#[derive(Debug, Serialize)]
+struct Status<'a> {
+    vm: &'a vm::Id,
+    site: &'a site::Id,
+    failure_domain: &'a domain::Id,
+    epoch: Epoch,
+    ready: bool,
+    in_flight: usize,
+    counters: BTreeMap<String, u64>,
+    peers: serde_json::Value,
+}
+
+/// The answer to `GET /readyz`: 200 once the node may get requests.
+pub fn ready(router: &Router) -> Response<Body> {
+    let is_ready = is_ready(router);
+    body::json(if is_ready { 200 } else { 503 }, &json!({"ready": is_ready}))
+}
+
+/// The answer to `GET /status`.
+pub fn report(router: &Router) -> Response<Body> {
+    let settings = &router.settings;
+    let epoch = router.current.load().as_ref().map(|it| it.document.epoch);
+    let status = Status {
+        vm: &settings.vm,
+        site: &settings.site,
+        failure_domain: &settings.failure_domain,
+        epoch: epoch.unwrap_or_default(),
+        ready: is_ready(router),
+        in_flight: router.in_flight.load(Ordering::SeqCst),
+        counters: router.metrics.counts(),
+        peers: serde_json::to_value(router.node.status()).unwrap_or_default(),
+    };
+    body::json(200, &status)
+}
+
+/// The versions that the caller may use, in the form of the models list.
+pub fn models(router: &Router, headers: &HeaderMap) -> Result<Response<Body>, Refusal> {
+    let snapshot = router.snapshot()?;
+    let account = authenticate::run(&snapshot, headers)?;
+    let settings = snapshot.account_settings(&account);
+    let versions = settings.into_iter().flat_map(|it| &it.versions);
+    let data: Vec<_> = versions
+        .filter(|it| snapshot.allows(&account, it))
+        .map(|it| json!({"id": it, "object": "model", "owned_by": it.model()}))
+        .collect();
+    Ok(body::json(200, &json!({"object": "list", "data": data})))
+}
+
+fn is_ready(router: &Router) -> bool {
+    router.current.load().is_some() && !router.stopping.is_set()
+}
--- /dev/null
+++ b/crates/curranthook_router/src/token.rs
@@ -0,0 +1,75 @@
+//! Session tokens: a pin that any node honours without asking anyone.
+//!
+//! A token is `claims.signature`, both base64: the claims are JSON and name the session, its
+//! account and version and the key that signed, the signature is HMAC-SHA256 over the claims.
+
+use base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD};
+use curranthook_settings::config::Key;
+use curranthook_types::{account, session, version};
+use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+/// How long a token holds after it was signed, in milliseconds.
+pub const LIFETIME_MILLIS: u64 = 24 * 60 * 60 * 1_000;
+
+/// What a token says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claims {
+    /// The session.
+    pub session: session::Id,
+    /// The account that it belongs to.
+    pub account: account::Id,
+    /// The version that it started on.
+    pub version: version::Id,
+    /// When the token was signed, in milliseconds since 1970.
+    pub signed_millis: u64,
+    /// The key that signed it.
+    pub key: String,
+}
+
+/// Why a token isn't honoured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// Not of the form `claims.signature`.
+    #[error("the session token can't be read")]
+    Unreadable,
+    /// Signed by nobody we know, or changed since.
+    #[error("the session token's signature is wrong")]
+    Forged,
+    /// Too old.
+    #[error("the session token expired")]
+    Expired,
+}
+
+/// Signs `claims` with `key`, whose id they must name.
+///
+/// # Panics
+///
+/// Never: HMAC takes keys of any length, and claims have only plain fields.
+pub fn sign(claims: &Claims, key: &Key) -> String {
+    let json = serde_json::to_vec(claims).expect("claims have only plain fields");
+    let claims = URL_SAFE_NO_PAD.encode(json);
+    let signature = URL_SAFE_NO_PAD.encode(mac(&claims, key).finalize().into_bytes());
+    format!("{claims}.{signature}")
+}
+
+/// Checks `token` against `keys` and returns what it says.
+pub fn verify(token: &str, keys: &[Key], now_millis: u64) -> Result<Claims, Error> {
+    let (text, signature) = token.split_once('.').ok_or(Error::Unreadable)?;
+    let json = URL_SAFE_NO_PAD.decode(text).map_err(|_| Error::Unreadable)?;
+    let signature = URL_SAFE_NO_PAD.decode(signature).map_err(|_| Error::Unreadable)?;
+    let claims: Claims = serde_json::from_slice(&json).map_err(|_| Error::Unreadable)?;
+    let key = keys.iter().find(|it| it.id == claims.key).ok_or(Error::Forged)?;
+    mac(text, key).verify_slice(&signature).map_err(|_| Error::Forged)?;
+    if claims.signed_millis + LIFETIME_MILLIS < now_millis {
+        return Err(Error::Expired);
+    }
+    Ok(claims)
+}
+
+fn mac(text: &str, key: &Key) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("any length of key will do");
+    mac.update(text.as_bytes());
+    mac
+}
--- /dev/null
+++ b/crates/curranthook_router/src/watch.rs
@@ -0,0 +1,53 @@
+//! Looks for versions that turned bad.
+//!
+//! Each node tests the evidence it knows of, its own and what other nodes have told. A suspect
+//! gets no new requests from this node at once, and the other nodes hear of it; withdrawing it
+//! for good is the steward's and the operators' business.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_peers::evidence;
+use curranthook_policy::verdict::{Config, Counts, Reference, State, Test};
+use curranthook_types::version;
+
+use crate::Router;
+
+/// How often the evidence is looked at.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// Tests all versions, for as long as the process lives.
+pub async fn run(router: Arc<Router>) {
+    let mut tests: HashMap<version::Id, Test> = HashMap::new();
+    loop {
+        Timer::after(PERIOD).await;
+        let Ok(snapshot) = router.snapshot() else { continue };
+        for id in snapshot.config().versions.keys() {
+            let test = tests
+                .entry(id.clone())
+                .or_insert_with(|| Test::new(Config::default(), Reference::Own));
+            for (origin, counts) in router.node.evidence().by_origin(id) {
+                test.merge_counts(&origin, convert(counts));
+            }
+            if let State::Suspect(reason) = test.state()
+                && !router.node.suspects().contains(id)
+                && !snapshot.document.withdrawn.contains(id)
+            {
+                log::warn!("{id} is suspect: {}", reason.name());
+                router.metrics.count(&format!("suspect.{}", reason.name()));
+                router.node.suspects().declare(id);
+            }
+        }
+    }
+}
+
+fn convert(counts: evidence::Counts) -> Counts {
+    Counts {
+        n: counts.rated,
+        sum: counts.rating_sum,
+        squares: counts.rating_sq_sum,
+        calls: counts.calls,
+        errors: counts.failures,
+        ..Counts::default()
+    }
+}
--- a/crates/curranthook_types/src/refusal.rs
+++ b/crates/curranthook_types/src/refusal.rs
@@ -57,20 +57,53 @@
     ShuttingDown,
 }
 
-/// Whether a refused request was run by an endpoint.
+/// Whether a refused request was run by an endpoint. In JSON, `not_run` is `true`, `false` or
+/// the text `"unknown"`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Told", into = "Told")]
 pub enum Run {
     /// No endpoint began it.
-    #[serde(rename = "true")]
     Not,
     /// An endpoint ran it.
-    #[serde(rename = "false")]
     Ran,
     /// Bytes were sent and no word came back that tells.
-    #[serde(rename = "unknown")]
     Unknown,
 }
 
+/// The form of [`Run`] in JSON.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Told {
+    Known(bool),
+    Other(Unsure),
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Unsure {
+    Unknown,
+}
+
+impl From<Told> for Run {
+    fn from(told: Told) -> Self {
+        match told {
+            Told::Known(true) => Self::Not,
+            Told::Known(false) => Self::Ran,
+            Told::Other(Unsure::Unknown) => Self::Unknown,
+        }
+    }
+}
+
+impl From<Run> for Told {
+    fn from(run: Run) -> Self {
+        match run {
+            Run::Not => Self::Known(true),
+            Run::Ran => Self::Known(false),
+            Run::Unknown => Self::Other(Unsure::Unknown),
+        }
+    }
+}
+
 impl Reason {
     /// All reasons, in the order of `docs/METRICS.md`.
     pub const ALL: [Self; 21] = [
@@ -187,6 +220,12 @@
     }
 
     /// The JSON body.
+    ///
+    /// ```
+    /// # use curranthook_types::refusal::{Reason, Refusal};
+    /// let body = Refusal::unknown(Reason::EndpointFailed, "cut off").body();
+    /// assert!(body.contains(r#""not_run":"unknown""#));
+    /// ```
     pub fn body(&self) -> String {
         #[derive(Serialize)]
         struct Body<'a> {
