Harness for tests with real processes

Cause: each promise is to be proved by processes behind the fault proxy, and every such test needs the same site, callers and records.

Ruled out: one link of the proxy for each pair of routers. All routers read one list of VMs, so the address of a peer is the same for all of them.

Change: Process, Site with its builder, clients of the stand-ins' control, and callers that read streams event by event.

The router isn't there yet, so a site with routers hasn't been started; one without follows with the stand-ins' tests.

--- /dev/null
+++ b/crates/curranthook_tests/src/site.rs
@@ -0,0 +1,226 @@
+//! A site of processes.
+
+mod builder;
+mod config;
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use anyhow::{Context, bail};
+use curranthook_http::Exchange;
+use curranthook_platform::{Table, Vm, VmState, Write};
+use curranthook_settings::{Document, document, node};
+use tempfile::TempDir;
+
+use crate::{
+    Process, eventually, pool,
+    standin::{Engine, Platform, Proxy, Rater, Service},
+};
+
+pub use builder::Builder;
+
+/// The name of the site that tests run.
+pub const NAME: &str = "test";
+/// How long routers may take to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// The processes of a site. All are killed when it is dropped.
+///
+/// With a proxy these links exist: `platform/<vm>` from a VM's router and steward to the
+/// platform, `endpoint/<id>` from all routers to an endpoint, `rater`, `peer/<vm>` from other
+/// routers to a router, `caller/<vm>` from callers to a router.
+#[derive(Debug)]
+pub struct Site {
+    /// The platform.
+    pub platform: Platform,
+    /// The proxy, if links go through one.
+    pub proxy: Option<Proxy>,
+    /// The engines by id.
+    pub engines: BTreeMap<String, Engine>,
+    /// The instances of plain services by endpoint id.
+    pub services: BTreeMap<String, Service>,
+    /// The service that rates answers.
+    pub rater: Option<Rater>,
+    /// The routers by VM.
+    pub routers: BTreeMap<String, Process>,
+    /// The stewards by VM.
+    pub stewards: BTreeMap<String, Process>,
+    /// What callers and peers are told a router's addresses are, by VM.
+    fronts: BTreeMap<String, Front>,
+    node: Vec<Edit<node::Settings>>,
+    directory: TempDir,
+}
+
+/// A change to what tests start from.
+struct Edit<T>(Box<dyn Fn(&mut T) + Send + Sync>);
+
+impl<T> std::fmt::Debug for Edit<T> {
+    // A function has nothing to show.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Edit").finish_non_exhaustive()
+    }
+}
+
+/// Where a router is reached, through the proxy if there is one.
+#[derive(Debug, Clone, Copy)]
+struct Front {
+    callers: SocketAddr,
+    peers: SocketAddr,
+}
+
+impl Site {
+    /// Describes a site to be started.
+    pub fn builder() -> Builder {
+        Builder::default()
+    }
+
+    /// Where callers reach the router of a VM.
+    pub fn router(&self, vm: &str) -> SocketAddr {
+        self.fronts.get(vm).unwrap_or_else(|| panic!("there is no router {vm}")).callers
+    }
+
+    /// The process of a router.
+    pub fn router_process(&mut self, vm: &str) -> &mut Process {
+        self.routers.get_mut(vm).unwrap_or_else(|| panic!("there is no router {vm}"))
+    }
+
+    /// The process of a steward.
+    pub fn steward_process(&mut self, vm: &str) -> &mut Process {
+        self.stewards.get_mut(vm).unwrap_or_else(|| panic!("there is no steward {vm}"))
+    }
+
+    /// An engine.
+    pub fn engine(&self, id: &str) -> &Engine {
+        self.engines.get(id).unwrap_or_else(|| panic!("there is no engine {id}"))
+    }
+
+    /// An instance of a plain service.
+    pub fn service(&self, id: &str) -> &Service {
+        self.services.get(id).unwrap_or_else(|| panic!("there is no service {id}"))
+    }
+
+    /// The proxy.
+    pub fn proxy(&self) -> &Proxy {
+        self.proxy.as_ref().expect("the site is behind a proxy")
+    }
+
+    /// Reads the published document.
+    pub async fn document(&self) -> anyhow::Result<Document> {
+        let (table, key) = document::ROW;
+        let row = Table::get(&self.platform.client(), table, key).await?;
+        Ok(serde_json::from_slice(&row.context("nothing is published")?.value)?)
+    }
+
+    /// Changes the published document, under the next epoch.
+    pub async fn publish(&self, edit: impl FnOnce(&mut Document)) -> anyhow::Result<Document> {
+        let (table, key) = document::ROW;
+        let client = self.platform.client();
+        let row = Table::get(&client, table, key).await?.context("nothing is published")?;
+        let mut document: Document = serde_json::from_slice(&row.value)?;
+        edit(&mut document);
+        document.epoch = document.epoch.next();
+        let value = serde_json::to_vec(&document)?;
+        match client.replace(table, key, &row.tag, value.into()).await? {
+            Write::Done(_) => Ok(document),
+            Write::Conflict => bail!("someone else published"),
+        }
+    }
+
+    /// Starts the router of a VM, anew if it ran before, and waits until it is ready.
+    pub async fn start_router(&mut self, vm: &str) -> anyhow::Result<()> {
+        self.launch_router(vm).await?;
+        self.publish_vms(&[]).await?;
+        self.wait_ready(vm).await
+    }
+
+    /// Starts the router of a VM and puts it behind the proxy.
+    async fn launch_router(&mut self, vm: &str) -> anyhow::Result<()> {
+        let path = self.write_settings(vm).await?;
+        // A forerunner is killed by being dropped, before its successor starts.
+        self.routers.remove(vm);
+        let args = ["--settings", path.as_str()];
+        let process = Process::start(self.directory.path(), vm, "curranthook-router", &args)?;
+        let front = Front {
+            callers: self.through(&format!("caller/{vm}"), process.addr("callers")).await?,
+            peers: self.through(&format!("peer/{vm}"), process.addr("peers")).await?,
+        };
+        self.fronts.insert(vm.to_owned(), front);
+        self.routers.insert(vm.to_owned(), process);
+        Ok(())
+    }
+
+    /// Starts the steward of a VM, anew if it ran before.
+    pub async fn start_steward(&mut self, vm: &str) -> anyhow::Result<()> {
+        let path = self.write_settings(vm).await?;
+        self.stewards.remove(vm);
+        let args = ["--settings", path.as_str()];
+        let name = format!("{vm}-steward");
+        let process = Process::start(self.directory.path(), &name, "curranthook-steward", &args)?;
+        self.stewards.insert(vm.to_owned(), process);
+        Ok(())
+    }
+
+    /// Tells the platform which VMs there are; those named in `leaving` are about to go.
+    pub async fn publish_vms(&self, leaving: &[&str]) -> anyhow::Result<()> {
+        let list = self.fronts.iter().map(|(name, front)| Vm {
+            id: name.as_str().into(),
+            address: front.peers,
+            failure_domain: config::failure_domain(name),
+            state: match leaving.contains(&name.as_str()) {
+                true => VmState::Leaving,
+                false => VmState::Live,
+            },
+        });
+        self.platform.set_vms(&list.collect::<Vec<_>>()).await
+    }
+
+    /// Waits until the router of a VM is ready.
+    pub async fn wait_ready(&self, vm: &str) -> anyhow::Result<()> {
+        let addr = self.router(vm);
+        let is_ready = async || {
+            let res = Exchange::get(addr, "/readyz").run(pool()).await;
+            Ok(res.is_ok_and(|res| res.status() == 200))
+        };
+        eventually(READY_LIMIT, is_ready).await.with_context(|| format!("{vm} isn't ready"))
+    }
+
+    /// The address under which `target` is reached: the link `name` of the proxy, if there is
+    /// one. A link that exists already gets the new target.
+    async fn through(&self, name: &str, target: SocketAddr) -> anyhow::Result<SocketAddr> {
+        use curranthook_standin::proxy::link;
+        let Some(proxy) = &self.proxy else { return Ok(target) };
+        if !proxy.links().await?.contains_key(name) {
+            return proxy.open(name, target).await;
+        }
+        let fault = link::Fault { target: Some(target), ..link::Fault::default() };
+        Ok(proxy.set(name, &fault).await?.listen)
+    }
+
+    async fn write_settings(&self, vm: &str) -> anyhow::Result<String> {
+        let platform = self.through(&format!("platform/{vm}"), self.platform.addr()).await?;
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let mut settings = node::Settings {
+            vm: vm.into(),
+            site: NAME.into(),
+            failure_domain: config::failure_domain(vm),
+            listen: any_port,
+            peer_listen: any_port,
+            steward_listen: any_port,
+            platform: node::Platform { table: platform, objects: platform, vms: platform },
+            seeds: Vec::new(),
+            peer_key: config::PEER_KEY.to_vec(),
+            statsd: None,
+            threads: 2,
+        };
+        for edit in &self.node {
+            (edit.0)(&mut settings);
+        }
+        let path = self.directory.path().join(format!("{vm}-settings.yaml"));
+        // JSON is YAML too.
+        std::fs::write(&path, serde_json::to_string_pretty(&settings)?)?;
+        Ok(path.display().to_string())
+    }
+}
