Add the operators' command line

Cause: operators publish, withdraw and roll out against a table whose answers can be lost after they took effect, and against each other.

Ruled out: reporting a lost answer as a failure (the operator publishes twice) or retrying under a new id (publishes twice by itself). Applying files again on top of another operator's publication, which would undo it unseen.

Change: each write carries a random id and is settled by reading the row back; the same conditional write is sent again while the row hasn't moved. Edits are applied again after a conflict, files never. Exit codes tell usage, check, conflict, outage and unknown apart. Bills count each request once.

--- /dev/null
+++ b/crates/curranthook_cli/src/command.rs
@@ -0,0 +1,12 @@
+//! The subcommands. Each has a module that returns a result to be printed.
+
+pub mod accounts;
+pub mod bills;
+pub mod check;
+pub mod diff;
+pub mod drain;
+pub mod epoch;
+pub mod publish;
+pub mod rollout;
+pub mod status;
+pub mod withdraw;
--- /dev/null
+++ b/crates/curranthook_cli/src/command/check.rs
@@ -0,0 +1,66 @@
+//! `curranthook check`
+
+use std::collections::BTreeMap;
+
+use curranthook_settings::{
+    Config,
+    check::{self, Finding, Report},
+};
+use curranthook_types::site;
+use serde::Serialize;
+
+use crate::{
+    Error,
+    args::Files,
+    error::findings_to_json,
+    output::{Show, join},
+};
+
+/// Files without errors.
+#[derive(Debug, Serialize)]
+pub struct Checked {
+    /// The merged configuration of each site.
+    #[serde(serialize_with = "serialize_masked")]
+    pub sites: BTreeMap<site::Id, Config>,
+    /// What is worth a look.
+    #[serde(serialize_with = "serialize_findings")]
+    pub warnings: Vec<Finding>,
+}
+
+/// Reads, merges and checks files.
+pub fn run(files: &Files) -> Result<Checked, Error> {
+    let Report { sites, findings } = sound(check::files(&files.base, &files.overlays()))?;
+    Ok(Checked { sites, warnings: findings })
+}
+
+fn sound(report: Report) -> Result<Report, Error> {
+    if report.is_ok() { Ok(report) } else { Err(Error::Check(report.findings)) }
+}
+
+impl Show for Checked {
+    fn show(&self) -> String {
+        let mut text = String::new();
+        for warning in &self.warnings {
+            // Comments, so that the output stays YAML.
+            text += &format!("# {warning}\n");
+        }
+        for config in self.sites.values() {
+            text += &format!("---\n{}", config.to_masked_yaml());
+        }
+        text + &format!("# no errors; sites: {}", join(self.sites.keys()))
+    }
+}
+
+fn serialize_masked<S: serde::Serializer>(
+    sites: &BTreeMap<site::Id, Config>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_map(sites.iter().map(|(site, config)| (site, config.to_masked_json())))
+}
+
+pub(super) fn serialize_findings<S: serde::Serializer>(
+    findings: &[Finding],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    findings_to_json(findings).serialize(serializer)
+}
--- /dev/null
+++ b/crates/curranthook_cli/src/command/diff.rs
@@ -0,0 +1,40 @@
+//! `curranthook diff`
+
+use curranthook_settings::{
+    Document,
+    document::{Change, Stamp, difference},
+};
+use curranthook_types::Epoch;
+use serde::Serialize;
+
+use super::check;
+use crate::{Context, Error, args::Files, output::Show, store};
+
+/// What publishing files would change.
+#[derive(Debug, Serialize)]
+pub struct Difference {
+    /// The epoch that the files were compared with, 0 if nothing is published yet.
+    pub epoch: Epoch,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// Compares files with what is published.
+pub async fn run(ctx: &Context, files: &Files) -> Result<Difference, Error> {
+    let checked = check::run(files)?;
+    let stored = store::read(ctx.table()?).await?;
+    let current = stored.map(|it| it.document).unwrap_or_default();
+    let stamp = Stamp { by: &ctx.by, at_millis: 0, publication: "" };
+    let next = Document::publish(Some(&current), checked.sites, &stamp);
+    Ok(Difference { epoch: current.epoch, changes: difference(&current, &next) })
+}
+
+impl Show for Difference {
+    fn show(&self) -> String {
+        if self.changes.is_empty() {
+            return format!("no change against epoch {}", self.epoch);
+        }
+        let lines: Vec<_> = self.changes.iter().map(ToString::to_string).collect();
+        format!("against epoch {}:\n{}", self.epoch, lines.join("\n"))
+    }
+}
--- /dev/null
+++ b/crates/curranthook_cli/src/run.rs
@@ -0,0 +1,68 @@
+use std::{
+    io::{Read, Write},
+    sync::Arc,
+};
+
+use curranthook_http::{client::Pool, runtime};
+
+use crate::{
+    Context, Error,
+    args::{Accounts, Command},
+    command::{accounts, bills, check, diff, drain, epoch, publish, rollout, status, withdraw},
+    output::{Format, Show, print},
+};
+
+/// What commands read, print to and call with.
+pub struct Terminal<'a> {
+    /// Standard input.
+    pub input: &'a mut dyn Read,
+    /// Standard output.
+    pub output: &'a mut dyn Write,
+    /// How to print.
+    pub format: Format,
+}
+
+impl Terminal<'_> {
+    fn print(&mut self, result: &impl Show) -> Result<(), Error> {
+        Ok(print(result, self.format, self.output)?)
+    }
+}
+
+/// Carries out a command.
+pub async fn run(
+    command: &Command,
+    ctx: &Context,
+    (ex, pool): (&runtime::Handle, &Arc<Pool>),
+    terminal: &mut Terminal<'_>,
+) -> Result<(), Error> {
+    match command {
+        Command::Check(files) => terminal.print(&check::run(files)?),
+        Command::Diff(files) => terminal.print(&diff::run(ctx, files).await?),
+        Command::Publish(args) => terminal.print(&publish::run(ctx, args).await?),
+        Command::Rollout { action } => terminal.print(&rollout::run(ctx, action).await?),
+        Command::Withdraw(it) => {
+            terminal.print(&withdraw::withdraw(ctx, &it.version.as_str().into()).await?)
+        }
+        Command::Reinstate(it) => {
+            terminal.print(&withdraw::reinstate(ctx, &it.version.as_str().into()).await?)
+        }
+        Command::Drain(it) => {
+            terminal.print(&drain::drain(ctx, &it.endpoint.as_str().into()).await?)
+        }
+        Command::Undrain(it) => {
+            terminal.print(&drain::undrain(ctx, &it.endpoint.as_str().into()).await?)
+        }
+        Command::Accounts { action: None } => terminal.print(&accounts::list(ctx).await?),
+        Command::Accounts { action: Some(Accounts::HashKey) } => {
+            let hash = accounts::hash_key(terminal.input)?;
+            terminal.print(&hash)
+        }
+        Command::Status { routers } => {
+            let list = status::run(ex, pool, routers).await;
+            terminal.print(&list)?;
+            list.check()
+        }
+        Command::Bills(args) => terminal.print(&bills::run(ctx, args).await?),
+        Command::Epoch => terminal.print(&epoch::run(ctx).await?),
+    }
+}
