Report repeated keys with all other mistakes; examples on public functions

Cause: a key that stood twice in a file ended the reading, so the operator saw that mistake alone. Some derives were never used, and functions of the command line had no examples.

Ruled out: collecting repeated keys in the error of the reader, which would still hide the mistakes found by the checks.

Change: the tree remembers repeated keys and the shape check reports them. Unused derives are gone.

--- a/crates/curranthook_cli/src/args.rs
+++ b/crates/curranthook_cli/src/args.rs
@@ -99,7 +99,7 @@
 }
 
 /// A base file and overlays.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Args)]
 pub struct Files {
     /// The base file.
     pub base: PathBuf,
@@ -110,13 +110,19 @@
 
 impl Files {
     /// The overlays' paths.
+    ///
+    /// ```
+    /// # use curranthook_cli::args::Files;
+    /// let files = Files { base: "base.yaml".into(), overlays: vec!["south.yaml".into()] };
+    /// assert_eq!(files.overlays(), [std::path::Path::new("south.yaml")]);
+    /// ```
     pub fn overlays(&self) -> Vec<&Path> {
         self.overlays.iter().map(PathBuf::as_path).collect()
     }
 }
 
 /// Files to publish.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Args)]
 pub struct Publish {
     /// The files.
     #[command(flatten)]
@@ -127,7 +133,7 @@
 }
 
 /// What to do with roll-outs.
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Subcommand)]
 pub enum Rollout {
     /// Begin at the first stage.
     #[command(after_help = "Example:
@@ -167,7 +173,7 @@
 }
 
 /// What to do with accounts.
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Subcommand)]
 pub enum Accounts {
     /// Read a key on standard input and print the hash that goes into the base file.
     #[command(after_help = "Example:
@@ -176,28 +182,28 @@
 }
 
 /// A model.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Args)]
 pub struct Model {
     /// The model's name, the part of a version before `@`.
     pub model: String,
 }
 
 /// A version.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Args)]
 pub struct Version {
     /// The version, written `model@version`.
     pub version: String,
 }
 
 /// An endpoint.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Args)]
 pub struct Endpoint {
     /// The endpoint's id.
     pub endpoint: String,
 }
 
 /// Which bill lines to sum.
-#[derive(Debug, Clone, Default, Args)]
+#[derive(Debug, Default, Args)]
 pub struct Bills {
     /// Only this account.
     #[arg(long, value_name = "ACCOUNT")]
--- a/crates/curranthook_cli/src/command/accounts.rs
+++ b/crates/curranthook_cli/src/command/accounts.rs
@@ -45,6 +45,14 @@
 }
 
 /// Lists the published accounts.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, command::accounts};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let result = async_io::block_on(accounts::list(&ctx));
+/// assert!(matches!(result, Err(Error::NoPlatform)));
+/// ```
 pub async fn list(ctx: &Context) -> Result<List, Error> {
     let document = store::read(ctx.table()?).await?.ok_or(Error::NotPublished)?.document;
     let sites = document.sites.values();
--- a/crates/curranthook_cli/src/command/bills.rs
+++ b/crates/curranthook_cli/src/command/bills.rs
@@ -32,7 +32,7 @@
 }
 
 /// What one account pays for the answers of one version or service.
-#[derive(Debug, PartialEq, Eq, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct Row {
     /// Who pays.
     pub account: account::Id,
@@ -49,6 +49,14 @@
 }
 
 /// Sums the bills.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, args, command::bills};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let result = async_io::block_on(bills::run(&ctx, &args::Bills::default()));
+/// assert!(matches!(result, Err(Error::NoPlatform)));
+/// ```
 pub async fn run(ctx: &Context, args: &Bills) -> Result<Sum, Error> {
     let (lines, n_duplicates) = first_lines(ctx.objects()?).await?;
     let age = args.since.map_or(u128::MAX, |it| it.as_millis());
--- a/crates/curranthook_cli/src/command/check.rs
+++ b/crates/curranthook_cli/src/command/check.rs
@@ -28,6 +28,12 @@
 }
 
 /// Reads, merges and checks files.
+///
+/// ```
+/// # use curranthook_cli::{Error, args::Files, command::check};
+/// let files = Files { base: "no/such/base.yaml".into(), overlays: Vec::new() };
+/// assert!(matches!(check::run(&files), Err(Error::Check(_))));
+/// ```
 pub fn run(files: &Files) -> Result<Checked, Error> {
     let Report { sites, findings } = sound(check::files(&files.base, &files.overlays()))?;
     Ok(Checked { sites, warnings: findings })
--- a/crates/curranthook_cli/src/command/diff.rs
+++ b/crates/curranthook_cli/src/command/diff.rs
@@ -20,6 +20,15 @@
 }
 
 /// Compares files with what is published.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, args::Files, command::diff};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let files = Files { base: "no/such/base.yaml".into(), overlays: Vec::new() };
+/// let result = async_io::block_on(diff::run(&ctx, &files));
+/// assert!(matches!(result, Err(Error::Check(_))));
+/// ```
 pub async fn run(ctx: &Context, files: &Files) -> Result<Difference, Error> {
     let checked = check::run(files)?;
     let stored = store::read(ctx.table()?).await?;
--- a/crates/curranthook_cli/src/command/epoch.rs
+++ b/crates/curranthook_cli/src/command/epoch.rs
@@ -25,6 +25,14 @@
 }
 
 /// Reads which publication is in force.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, command::epoch};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let result = async_io::block_on(epoch::run(&ctx));
+/// assert!(matches!(result, Err(Error::NoPlatform)));
+/// ```
 pub async fn run(ctx: &Context) -> Result<Current, Error> {
     let document = store::read(ctx.table()?).await?.ok_or(Error::NotPublished)?.document;
     Ok(Current {
--- a/crates/curranthook_cli/src/command/publish.rs
+++ b/crates/curranthook_cli/src/command/publish.rs
@@ -33,6 +33,15 @@
 ///
 /// Unlike an edit, files are never applied again on top of what somebody else published: they
 /// would undo it without anybody having looked.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, args::{Files, Publish}, command::publish};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let files = Files { base: "no/such/base.yaml".into(), overlays: Vec::new() };
+/// let result = async_io::block_on(publish::run(&ctx, &Publish { files, expect: None }));
+/// assert!(matches!(result, Err(Error::Check(_))));
+/// ```
 pub async fn run(ctx: &Context, args: &Publish) -> Result<Published, Error> {
     let checked = check::run(&args.files)?;
     let table = ctx.table()?;
--- a/crates/curranthook_cli/src/command/rollout.rs
+++ b/crates/curranthook_cli/src/command/rollout.rs
@@ -33,6 +33,14 @@
 }
 
 /// Starts, holds, resumes, gives up or lists roll-outs.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, args, command::rollout};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let result = async_io::block_on(rollout::run(&ctx, &args::Rollout::Status));
+/// assert!(matches!(result, Err(Error::NoPlatform)));
+/// ```
 pub async fn run(ctx: &Context, action: &Action) -> Result<Outcome, Error> {
     let applied = match action {
         Action::Start { from, to, stages } => start(ctx, from, to, stages).await?,
--- a/crates/curranthook_cli/src/command/status.rs
+++ b/crates/curranthook_cli/src/command/status.rs
@@ -56,6 +56,11 @@
 
 impl List {
     /// An error if a router gave no answer, so that scripts notice.
+    ///
+    /// ```
+    /// # use curranthook_cli::command::status::List;
+    /// assert!(List { routers: Vec::new() }.check().is_ok());
+    /// ```
     pub fn check(&self) -> Result<(), Error> {
         match self.routers.iter().filter(|it| it.error.is_some()).count() {
             0 => Ok(()),
@@ -65,6 +70,18 @@
 }
 
 /// Asks all routers at once.
+///
+/// ```
+/// # use std::sync::Arc;
+/// # use curranthook_cli::command::status;
+/// # use curranthook_http::{client::Pool, runtime};
+/// # use curranthook_types::clock;
+/// let list = runtime::run(1, |ex| async move {
+///     let pool = Arc::new(Pool::new(Arc::clone(&ex), Arc::new(clock::System)));
+///     status::run(&ex, &pool, &["127.0.0.1:1".parse().unwrap()]).await
+/// });
+/// assert!(list.routers[0].error.is_some());
+/// ```
 pub async fn run(ex: &runtime::Handle, pool: &Arc<Pool>, routers: &[SocketAddr]) -> List {
     let ask = |addr: &SocketAddr| {
         let (addr, pool) = (*addr, Arc::clone(pool));
--- a/crates/curranthook_cli/src/edit.rs
+++ b/crates/curranthook_cli/src/edit.rs
@@ -21,7 +21,7 @@
 const ATTEMPTS: usize = 20;
 
 /// How an edit ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct Applied {
     /// The epoch in which it is in force.
     pub epoch: Epoch,
@@ -36,6 +36,14 @@
 }
 
 /// Applies `edit` to the published document; `message` says what it does.
+///
+/// ```
+/// # use curranthook_cli::{Context, Error, edit};
+/// # use curranthook_types::clock;
+/// let ctx = Context::new(std::sync::Arc::new(clock::System), "lan");
+/// let result = async_io::block_on(edit::apply(&ctx, "no change", |document, _| Ok(document.clone())));
+/// assert!(matches!(result, Err(Error::NoPlatform)));
+/// ```
 pub async fn apply(
     ctx: &Context,
     message: &str,
--- a/crates/curranthook_cli/src/error.rs
+++ b/crates/curranthook_cli/src/error.rs
@@ -78,6 +78,12 @@
 
 impl Error {
     /// The exit code that tells a script what went wrong.
+    ///
+    /// ```
+    /// # use curranthook_cli::{Error, exit::Code};
+    /// assert_eq!(Error::NotPublished.code(), Code::Other);
+    /// assert_eq!(Error::Check(Vec::new()).code(), Code::Check);
+    /// ```
     pub fn code(&self) -> Code {
         use curranthook_platform::Error as Platform;
         match self {
@@ -92,6 +98,11 @@
     }
 
     /// The error for scripts.
+    ///
+    /// ```
+    /// # use curranthook_cli::Error;
+    /// assert_eq!(Error::NoKey.to_json()["code"], "other");
+    /// ```
     pub fn to_json(&self) -> serde_json::Value {
         let mut json = json!({ "code": self.code(), "message": self.to_string() });
         match self {
--- a/crates/curranthook_cli/src/exit.rs
+++ b/crates/curranthook_cli/src/exit.rs
@@ -12,7 +12,7 @@
   5  unknown: the platform's answer was lost and couldn't be settled; run the command again";
 
 /// How the program ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 #[repr(u8)]
 pub enum Code {
--- a/crates/curranthook_cli/src/main.rs
+++ b/crates/curranthook_cli/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use clap::Parser;
 use curranthook_cli::{
-    Context, Error, Platform, Terminal, args::Cli, exit::Code, output::Format, run, store::Retry,
+    Context, Error, Platform, Terminal, args::Cli, exit::Code, output::Format, run,
 };
 use curranthook_http::{client::Pool, runtime};
 use curranthook_platform::client::Client;
@@ -40,7 +40,7 @@
         Platform { table: Arc::clone(&client) as _, objects: client }
     });
     let by = cli.by.or_else(|| env::var(USER_VARIABLE).ok()).unwrap_or_default();
-    let ctx = Context { platform, clock, by, retry: Retry::default() };
+    let ctx = Context { platform, ..Context::new(clock, &by) };
     let (mut input, mut output) = (io::stdin(), io::stdout());
     let mut terminal = Terminal { input: &mut input, output: &mut output, format: cli.output };
     let result = run(&cli.command, &ctx, (&ex, &pool), &mut terminal).await;
--- a/crates/curranthook_cli/src/output.rs
+++ b/crates/curranthook_cli/src/output.rs
@@ -7,7 +7,7 @@
 use tabled::{builder::Builder, settings::Style};
 
 /// How results are printed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ValueEnum)]
+#[derive(Debug, Clone, Copy, Default, ValueEnum)]
 pub enum Format {
     /// For people.
     #[default]
--- a/crates/curranthook_cli/src/store.rs
+++ b/crates/curranthook_cli/src/store.rs
@@ -7,7 +7,7 @@
 use curranthook_settings::{Document, document::ROW};
 
 /// Why the document can't be read or replaced.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The table service gives no answer.
     #[error(transparent)]
@@ -27,7 +27,7 @@
 }
 
 /// The document as read.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Stored {
     /// The document.
     pub document: Document,
--- a/crates/curranthook_settings/src/check/finding.rs
+++ b/crates/curranthook_settings/src/check/finding.rs
@@ -3,7 +3,7 @@
 use crate::source::{self, Place};
 
 /// How bad a finding is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Severity {
     /// Nothing is published.
     Error,
@@ -12,7 +12,7 @@
 }
 
 /// Something wrong in a file.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Finding {
     /// The file and line.
     pub place: Place,
--- a/crates/curranthook_settings/src/check/shape.rs
+++ b/crates/curranthook_settings/src/check/shape.rs
@@ -75,6 +75,10 @@
 
 impl Walk<'_> {
     fn node(&mut self, node: &Node, shape: &Shape, at: &str) {
+        for (key, place) in &node.repeated {
+            let message = "stands twice in the same map";
+            self.out.push(Finding::error(place, &path::key(at, key), message));
+        }
         match (shape, &node.value) {
             (Shape::Record(fields), Value::Map(map)) => self.record(node, map, fields, at),
             (Shape::Map(name, item), Value::Map(map)) => self.map(map, name, item, at),
--- a/crates/curranthook_settings/src/document.rs
+++ b/crates/curranthook_settings/src/document.rs
@@ -62,7 +62,7 @@
 }
 
 /// Who makes an edit, when, and the id of its publication.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct Stamp<'a> {
     /// Who, as given on the command line.
     pub by: &'a str,
--- a/crates/curranthook_settings/src/document/difference.rs
+++ b/crates/curranthook_settings/src/document/difference.rs
@@ -14,7 +14,7 @@
 const MASKED: [&str; 2] = ["secret", "key_hashes"];
 
 /// One difference.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct Change {
     /// Where, such as `sites.vn-south.accounts.yard-7.versions`.
     pub path: String,
--- a/crates/curranthook_settings/src/document/error.rs
+++ b/crates/curranthook_settings/src/document/error.rs
@@ -3,7 +3,7 @@
 use crate::rollout::State;
 
 /// Why an edit makes no sense for the document as it is.
-#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[derive(Debug, PartialEq, thiserror::Error)]
 pub enum Error {
     /// No site has the version.
     #[error("no site has version `{0}`")]
--- a/crates/curranthook_settings/src/document/progress.rs
+++ b/crates/curranthook_settings/src/document/progress.rs
@@ -6,7 +6,7 @@
 use crate::rollout::{Rollout, State};
 
 /// A roll-out to be started.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Plan {
     /// The version that is replaced.
     pub from: version::Id,
--- a/crates/curranthook_settings/src/overlay.rs
+++ b/crates/curranthook_settings/src/overlay.rs
@@ -59,7 +59,8 @@
 fn merge_node(base: &Node, overlay: &Node, at: &str, findings: &mut Vec<Finding>) -> Node {
     if let (Value::Map(old), Value::Map(new)) = (&base.value, &overlay.value) {
         let value = Value::Map(merge_map(old, new, at, findings));
-        return Node { place: base.place.clone(), value };
+        let repeated = base.repeated.iter().chain(&overlay.repeated).cloned().collect();
+        return Node { place: base.place.clone(), value, repeated };
     }
     if at != SITE && !at.is_empty() && base.to_json() == overlay.to_json() {
         let message = "repeats the base file's value; leave it out";
@@ -69,7 +70,7 @@
         // A map where the base has a scalar or nothing still has its nulls taken out.
         Value::Map(new) => {
             let value = Value::Map(merge_map(&BTreeMap::new(), new, at, findings));
-            Node { place: overlay.place.clone(), value }
+            Node { value, ..overlay.clone() }
         }
         _ => overlay.clone(),
     }
@@ -91,7 +92,7 @@
             }
             continue;
         }
-        let absent = Node { place: node.place.clone(), value: Value::Null };
+        let absent = Node { value: Value::Null, ..node.clone() };
         let old = base.get(key).unwrap_or(&absent);
         merged.insert(key.clone(), merge_node(old, node, &at, findings));
     }
--- a/crates/curranthook_settings/src/source.rs
+++ b/crates/curranthook_settings/src/source.rs
@@ -9,7 +9,7 @@
     Deserialize, Deserializer,
     de::{self, MapAccess, SeqAccess, Visitor},
 };
-use serde_saphyr::{NonFiniteFloatPolicy, Spanned};
+use serde_saphyr::{DuplicateKeyPolicy, NonFiniteFloatPolicy, Spanned};
 
 /// Where a value stands.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,6 +33,8 @@
     pub place: Place,
     /// What it is.
     pub value: Value,
+    /// The keys that stand in this map a second time, and where.
+    pub repeated: Vec<(String, Place)>,
 }
 
 /// A YAML value.
@@ -53,7 +55,7 @@
 }
 
 /// Why a file can't be read at all.
-#[derive(Debug, Clone, thiserror::Error)]
+#[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The system doesn't give it.
     #[error("{file}: {why}")]
@@ -63,7 +65,7 @@
         /// What the system said.
         why: String,
     },
-    /// It isn't YAML, or a key stands twice.
+    /// It isn't YAML.
     #[error("{place}: {why}")]
     Syntax {
         /// Where.
@@ -97,7 +99,9 @@
 pub fn parse(file: &str, text: &str) -> Result<Node, Error> {
     let file: Arc<str> = file.into();
     let options = serde_saphyr::options! {
-        // An infinite number is one mistake among others, and no reason to stop reading.
+        // A key that stands twice or an infinite number is one mistake among others, and no
+        // reason to stop reading.
+        duplicate_keys: DuplicateKeyPolicy::PassThrough,
         non_finite_float_policy: NonFiniteFloatPolicy::PassThrough,
         // `no` and `on` are names like others, and hexadecimal digits may begin with zeros.
         strict_booleans: true,
@@ -187,23 +191,32 @@
 }
 
 fn raw_to_node(raw: Spanned<Raw>, file: &Arc<str>) -> Node {
-    let line = raw.referenced.line();
+    // A file with nothing in it has no line at all.
+    let place = Place { file: Arc::clone(file), line: raw.referenced.line().max(1) };
     let value = match raw.value {
         Raw::Null => Value::Null,
         Raw::Bool(it) => Value::Bool(it),
         Raw::Number(it) => Value::Number(it),
         Raw::Text(it) => Value::Text(it),
         Raw::List(list) => Value::List(list.into_iter().map(|it| raw_to_node(it, file)).collect()),
-        Raw::Map(entries) => {
-            let entry = |(key, raw): (Spanned<String>, _)| {
-                let place = Place { file: Arc::clone(file), line: key.referenced.line() };
-                (key.value, Node { place, ..raw_to_node(raw, file) })
-            };
-            Value::Map(entries.into_iter().map(entry).collect())
-        }
+        Raw::Map(entries) => return map_to_node(entries, place),
     };
-    // A file with nothing in it has no line at all.
-    Node { place: Place { file: Arc::clone(file), line: line.max(1) }, value }
+    Node { place, value, repeated: Vec::new() }
+}
+
+fn map_to_node(entries: Vec<(Spanned<String>, Spanned<Raw>)>, place: Place) -> Node {
+    let mut map = BTreeMap::new();
+    let mut repeated = Vec::new();
+    for (key, raw) in entries {
+        let at = Place { file: Arc::clone(&place.file), line: key.referenced.line() };
+        if map.contains_key(&key.value) {
+            repeated.push((key.value, at));
+            continue;
+        }
+        let node = raw_to_node(raw, &place.file);
+        map.insert(key.value, Node { place: at, ..node });
+    }
+    Node { place, value: Value::Map(map), repeated }
 }
 
 impl<'de> Deserialize<'de> for Raw {
