--- /dev/null
+++ b/crates/curranthook_load/src/client.rs
@@ -0,0 +1,205 @@
+//! A caller: sends one request and reads the whole answer.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use curranthook_http::{
+    body,
+    client::{Error, Freshness, Pool},
+    timeout,
+};
+use curranthook_types::{chat, header, refusal::Refusal, version};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use serde::Deserialize;
+
+use crate::{
+    sample::{Answer, Failure, Mark, Outcome},
+    sse,
+};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// A call ready to be sent.
+#[derive(Debug)]
+pub struct Call {
+    /// Where to.
+    pub addr: SocketAddr,
+    /// The request.
+    pub req: http::Request<Bytes>,
+    /// The id that the answer must carry, where the protocol has one.
+    pub expected_id: Option<String>,
+    /// The time from which latency counts.
+    pub intended: Instant,
+    /// When to give up, counted from the intended time.
+    pub limit: Duration,
+}
+
+/// Callers' connections, kept open between calls.
+#[derive(Debug, Clone)]
+pub struct Client {
+    pool: Arc<Pool>,
+}
+
+impl Client {
+    /// A client that uses the connections of `pool`.
+    pub fn new(pool: Arc<Pool>) -> Self {
+        Self { pool }
+    }
+
+    /// Makes the call. Latency counts from the intended time, so the wait of a request that
+    /// went out late, behind others, is part of it.
+    pub async fn run(&self, call: Call) -> Outcome {
+        let left = (call.intended + call.limit).saturating_duration_since(Instant::now());
+        match timeout::run(left, self.attempt(call)).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(failure)) => Outcome::Failed(failure),
+            Err(timeout::Elapsed) => Outcome::Failed(Failure::Timeout),
+        }
+    }
+
+    async fn attempt(&self, call: Call) -> Result<Outcome, Failure> {
+        let mut conn = self.pool.take(call.addr, Freshness::Any).await?;
+        let sent = conn.send(call.req).await;
+        let (head, incoming) = match sent {
+            Ok(res) => res.into_parts(),
+            Err(e) => {
+                conn.close();
+                return Err(e.into());
+            }
+        };
+        let outcome = if !head.status.is_success() {
+            refusal(incoming).await?
+        } else if is_stream(&head) {
+            Outcome::Answered(stream(&head, incoming, call.intended, &call.expected_id).await?)
+        } else {
+            Outcome::Answered(whole(&head, incoming, &call.expected_id).await?)
+        };
+        self.pool.put(conn);
+        Ok(outcome)
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(e: Error) -> Self {
+        if e.is_unsent() { Self::Connect } else { Self::Closed }
+    }
+}
+
+fn is_stream(head: &http::response::Parts) -> bool {
+    text(head, "content-type").is_some_and(|it| it.starts_with("text/event-stream"))
+}
+
+fn text<'a>(head: &'a http::response::Parts, name: &str) -> Option<&'a str> {
+    head.headers.get(name)?.to_str().ok()
+}
+
+async fn refusal(incoming: Incoming) -> Result<Outcome, Failure> {
+    #[derive(Debug, Deserialize)]
+    struct Body {
+        error: Refusal,
+    }
+    let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
+    let body: Body = serde_json::from_slice(&bytes).map_err(|_| Failure::Unreadable)?;
+    Ok(Outcome::Refused(body.error.code, body.error.not_run))
+}
+
+async fn whole(
+    head: &http::response::Parts,
+    incoming: Incoming,
+    expected_id: &Option<String>,
+) -> Result<Answer, Failure> {
+    let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
+    let Some(expected_id) = expected_id else {
+        // A plain service answers in a form of its own.
+        return Ok(Answer::default());
+    };
+    let answer: chat::Answer = serde_json::from_slice(&bytes).map_err(|_| Failure::Unreadable)?;
+    check_id(&answer, expected_id)?;
+    let message = answer.choices.first().and_then(|it| it.message.as_ref());
+    Ok(Answer {
+        version: Some(version(head, &answer)),
+        mark: message.and_then(|it| Mark::parse(&it.content)),
+        session_token: text(head, header::SESSION_TOKEN).map(str::to_owned),
+        ..Answer::default()
+    })
+}
+
+async fn stream(
+    head: &http::response::Parts,
+    mut incoming: Incoming,
+    intended: Instant,
+    expected_id: &Option<String>,
+) -> Result<Answer, Failure> {
+    let mut reader = sse::Reader::default();
+    let mut state = Streamed::default();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|_| Failure::CutOff)?;
+        let Ok(chunk) = frame.into_data() else { continue };
+        let now = Instant::now();
+        for data in reader.push(&chunk) {
+            state.event(&data, now, intended, head, expected_id)?;
+        }
+    }
+    if !state.ended {
+        return Err(Failure::CutOff);
+    }
+    state.answer.mark = Mark::parse(&state.text);
+    state.answer.session_token = text(head, header::SESSION_TOKEN).map(str::to_owned);
+    Ok(state.answer)
+}
+
+#[derive(Debug, Default)]
+struct Streamed {
+    answer: Answer,
+    text: String,
+    last: Option<Instant>,
+    ended: bool,
+}
+
+impl Streamed {
+    fn event(
+        &mut self,
+        data: &str,
+        now: Instant,
+        intended: Instant,
+        head: &http::response::Parts,
+        expected_id: &Option<String>,
+    ) -> Result<(), Failure> {
+        if data == chat::END_MARKER {
+            self.ended = true;
+            return Ok(());
+        }
+        let event: chat::Answer = serde_json::from_str(data).map_err(|_| Failure::CutOff)?;
+        if let Some(expected_id) = expected_id {
+            check_id(&event, expected_id)?;
+        }
+        self.answer.version.get_or_insert_with(|| version(head, &event));
+        let Some(delta) = event.choices.first().and_then(|it| it.delta.as_ref()) else {
+            return Ok(());
+        };
+        if delta.content.is_empty() {
+            return Ok(());
+        }
+        self.text.push_str(&delta.content);
+        match self.last.replace(now) {
+            None => self.answer.first_token = Some(now.saturating_duration_since(intended)),
+            Some(last) => self.answer.gaps.push(now - last),
+        }
+        Ok(())
+    }
+}
+
+fn version(head: &http::response::Parts, answer: &chat::Answer) -> version::Id {
+    version::Id::new(text(head, header::VERSION).unwrap_or(&answer.model))
+}
+
+/// Something between two ends can hand an answer to the wrong caller; its id shows it.
+fn check_id(answer: &chat::Answer, expected: &str) -> Result<(), Failure> {
+    if answer.id == expected { Ok(()) } else { Err(Failure::Foreign) }
+}
--- /dev/null
+++ b/crates/curranthook_load/src/direct.rs
@@ -0,0 +1,248 @@
+//! Plain load on one address, a router or an engine, to measure what the router adds.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use bytes::Bytes;
+use curranthook_http::{client::Pool, runtime};
+use curranthook_types::{chat, clock, header};
+use serde::Serialize;
+
+use crate::{
+    client::{Call, Client},
+    sample::Outcome,
+    schedule::{self, Phase, Spacing},
+    timing::{Recorder, Summary},
+};
+
+/// How long a call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(30);
+/// The most calls of one run.
+const MAX_CALLS: usize = 5_000_000;
+
+/// When calls go out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Pace {
+    /// At this rate a second, whatever the answers do.
+    Open(f64),
+    /// As soon as a connection is free.
+    Closed,
+}
+
+/// What to send, where to, and how much.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// Where to.
+    pub target: SocketAddr,
+    /// When calls go out.
+    pub pace: Pace,
+    /// For how long.
+    pub duration: Duration,
+    /// How many connections.
+    pub n_connections: usize,
+    /// What each call sends.
+    pub question: Question,
+    /// The seed of the arrivals.
+    pub seed: u64,
+}
+
+/// What each call sends.
+#[derive(Debug, Clone)]
+pub struct Question {
+    /// The API key.
+    pub key: String,
+    /// The model or version.
+    pub model: String,
+    /// The kind of work.
+    pub kind: String,
+    /// The prompt.
+    pub text: String,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+/// What was measured.
+#[derive(Debug, Clone, Serialize)]
+pub struct Outcomes {
+    /// Calls that were made.
+    pub calls: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Typed refusals.
+    pub refused: u64,
+    /// Neither.
+    pub failed: u64,
+    /// Whole answers a second.
+    pub rate: f64,
+    /// To the end of answers, from the intended time.
+    pub whole: Summary,
+    /// To the first token of streams, from the intended time.
+    pub first_token: Summary,
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    answered: u64,
+    refused: u64,
+    failed: u64,
+    whole: Recorder,
+    first_token: Recorder,
+}
+
+#[derive(Debug)]
+struct Shared {
+    load: Load,
+    body: Bytes,
+    times: Vec<schedule::Arrival>,
+    next: AtomicUsize,
+    start: Instant,
+}
+
+/// Runs the load.
+pub async fn run(ex: &runtime::Handle, load: Load) -> Outcomes {
+    let shared = Arc::new(Shared::new(load));
+    let pool = Arc::new(Pool::new(Arc::clone(ex), Arc::new(clock::System)));
+    let worker = |_| ex.spawn(Arc::clone(&shared).work(Client::new(Arc::clone(&pool))));
+    let workers: Vec<_> = (0..shared.load.n_connections).map(worker).collect();
+    let mut sum = Tally::default();
+    for worker in workers {
+        sum.add(worker.await);
+    }
+    sum.outcomes(shared.start.elapsed())
+}
+
+impl Load {
+    /// The times at which calls are meant to go out; none for a closed loop.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use curranthook_load::direct::{Load, Pace, Question};
+    /// # let question = Question {
+    /// #     key: "key-a".into(), model: "auto".into(), kind: "summary".into(),
+    /// #     text: "How much?".into(), stream: false,
+    /// # };
+    /// let load = Load {
+    ///     target: "127.0.0.1:8080".parse().unwrap(),
+    ///     pace: Pace::Open(100.0),
+    ///     duration: Duration::from_secs(1),
+    ///     n_connections: 8,
+    ///     question,
+    ///     seed: 1,
+    /// };
+    /// assert_eq!(load.arrivals(), load.arrivals());
+    /// ```
+    pub fn arrivals(&self) -> Vec<schedule::Arrival> {
+        let Pace::Open(rate) = self.pace else { return Vec::new() };
+        let phase = Phase { duration: self.duration, rate, spacing: Spacing::Poisson };
+        schedule::arrivals(&[phase], self.seed)
+    }
+}
+
+impl Question {
+    /// The request with id `id`, to be sent to `target`.
+    pub fn request(&self, target: SocketAddr, id: &str, body: Bytes) -> http::Request<Bytes> {
+        http::Request::post("/v1/chat/completions")
+            .header(http::header::HOST, target.to_string())
+            .header(http::header::AUTHORIZATION, format!("Bearer {}", self.key))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(header::REQUEST_ID, id)
+            .header(header::KIND, &self.kind)
+            .body(body)
+            .expect("the command line gave plain names")
+    }
+
+    /// The body of every request.
+    pub fn body(&self) -> Bytes {
+        let chat = chat::Request {
+            model: self.model.clone(),
+            messages: vec![chat::Message { role: "user".to_owned(), content: self.text.clone() }],
+            stream: self.stream,
+            max_tokens: None,
+            rest: serde_json::Map::new(),
+        };
+        serde_json::to_vec(&chat).expect("a request has only plain fields").into()
+    }
+}
+
+impl Shared {
+    fn new(load: Load) -> Self {
+        let times = load.arrivals();
+        let body = load.question.body();
+        Self { load, body, times, next: AtomicUsize::new(0), start: Instant::now() }
+    }
+
+    /// Makes calls on one connection until there are no more to make. A call that finds every
+    /// connection busy goes out late, and the wait counts, as its time was set before.
+    async fn work(self: Arc<Self>, client: Client) -> Tally {
+        let mut tally = Tally::default();
+        while let Some((index, intended)) = self.next_call() {
+            Timer::at(intended).await;
+            let outcome = client.run(self.call(index, intended)).await;
+            tally.record(&outcome, intended.elapsed());
+        }
+        tally
+    }
+
+    fn next_call(&self) -> Option<(usize, Instant)> {
+        let index = self.next.fetch_add(1, Ordering::Relaxed);
+        let intended = match self.load.pace {
+            Pace::Open(_) => self.start + self.times.get(index)?.at,
+            Pace::Closed => Instant::now(),
+        };
+        let is_over = self.start + self.load.duration <= intended || MAX_CALLS <= index;
+        (!is_over).then_some((index, intended))
+    }
+
+    fn call(&self, index: usize, intended: Instant) -> Call {
+        let id = format!("direct-{}-{index}", self.load.seed);
+        let target = self.load.target;
+        Call {
+            addr: target,
+            req: self.load.question.request(target, &id, self.body.clone()),
+            expected_id: Some(id),
+            intended,
+            limit: CALL_LIMIT,
+        }
+    }
+}
+
+impl Tally {
+    fn record(&mut self, outcome: &Outcome, whole: Duration) {
+        match outcome {
+            Outcome::Answered(answer) => {
+                self.answered += 1;
+                self.whole.record(whole);
+                answer.first_token.into_iter().for_each(|it| self.first_token.record(it));
+            }
+            Outcome::Refused(..) => self.refused += 1,
+            Outcome::Failed(_) => self.failed += 1,
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.answered += other.answered;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.whole.merge(&other.whole);
+        self.first_token.merge(&other.first_token);
+    }
+
+    fn outcomes(&self, elapsed: Duration) -> Outcomes {
+        Outcomes {
+            calls: self.answered + self.refused + self.failed,
+            answered: self.answered,
+            refused: self.refused,
+            failed: self.failed,
+            rate: self.answered as f64 / elapsed.as_secs_f64(),
+            whole: self.whole.summary(),
+            first_token: self.first_token.summary(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/curranthook_load/src/drive.rs
@@ -0,0 +1,161 @@
+//! The open loop: each request goes out at its intended time, whatever became of the others.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_channel::Sender;
+use async_io::Timer;
+use bytes::Bytes;
+use curranthook_http::runtime;
+use curranthook_types::header;
+use parking_lot::Mutex;
+
+use crate::{
+    client::{Call, Client},
+    plan,
+    sample::{Failure, Outcome, Sample},
+    scenario::{Kind, Scenario},
+};
+
+/// Past this many outstanding requests the tool itself would be what is measured.
+const MAX_OUTSTANDING: usize = 20_000;
+/// How long past its deadline a caller still waits, to tell a late answer from none.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// The callers of a run.
+#[derive(Debug)]
+pub struct Callers {
+    scenario: Arc<Scenario>,
+    client: Client,
+    routers: Vec<SocketAddr>,
+    session_tokens: Mutex<HashMap<String, String>>,
+    n_outstanding: AtomicUsize,
+}
+
+impl Callers {
+    /// Callers that spread their requests over `routers`, as the platform's balancer does.
+    pub fn new(scenario: Arc<Scenario>, client: Client, routers: Vec<SocketAddr>) -> Self {
+        Self {
+            scenario,
+            client,
+            routers,
+            session_tokens: Mutex::default(),
+            n_outstanding: AtomicUsize::new(0),
+        }
+    }
+
+    /// Sends every request of `plan`, counting its times from `start`, and waits for all ends.
+    pub async fn drive(
+        self: Arc<Self>,
+        ex: &runtime::Handle,
+        plan: &Arc<[plan::Request]>,
+        start: Instant,
+    ) -> Vec<Sample> {
+        let (tx, rx) = async_channel::unbounded();
+        for index in 0..plan.len() {
+            Timer::at(start + plan[index].at).await;
+            self.spawn(ex, Arc::clone(plan), index, start, tx.clone());
+        }
+        drop(tx);
+        let mut samples = Vec::with_capacity(plan.len());
+        while let Ok(sample) = rx.recv().await {
+            samples.push(sample);
+        }
+        samples
+    }
+
+    fn spawn(
+        self: &Arc<Self>,
+        ex: &runtime::Handle,
+        plan: Arc<[plan::Request]>,
+        index: usize,
+        start: Instant,
+        tx: Sender<Sample>,
+    ) {
+        let callers = Arc::clone(self);
+        ex.spawn(async move {
+            let request = &plan[index];
+            let intended = start + request.at;
+            let outcome = callers.send(index, request, intended).await;
+            let whole = intended.elapsed();
+            // The receiver waits for every sender.
+            let _received = tx.send(Sample { index, whole, outcome }).await;
+        })
+        .detach();
+    }
+
+    async fn send(&self, index: usize, request: &plan::Request, intended: Instant) -> Outcome {
+        if MAX_OUTSTANDING <= self.n_outstanding.fetch_add(1, Ordering::Relaxed) {
+            self.n_outstanding.fetch_sub(1, Ordering::Relaxed);
+            return Outcome::Failed(Failure::NotSent);
+        }
+        let call = self.call(index, request, intended);
+        let outcome = self.client.run(call).await;
+        self.n_outstanding.fetch_sub(1, Ordering::Relaxed);
+        self.keep_token(request, &outcome);
+        outcome
+    }
+
+    fn call(&self, index: usize, request: &plan::Request, intended: Instant) -> Call {
+        let kind = &self.scenario.kinds[&request.kind];
+        let addr = self.routers[index % self.routers.len()];
+        Call {
+            addr,
+            req: self.http(addr, request, kind),
+            expected_id: kind.service.is_none().then(|| request.id.clone()),
+            intended,
+            limit: kind.deadline + GRACE,
+        }
+    }
+
+    fn http(&self, addr: SocketAddr, request: &plan::Request, kind: &Kind) -> http::Request<Bytes> {
+        let mut req = http::Request::post(path(kind))
+            .header(http::header::HOST, addr.to_string())
+            .header(http::header::AUTHORIZATION, format!("Bearer key-{}", request.account))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(header::REQUEST_ID, &request.id)
+            .header(header::KIND, request.kind.as_str())
+            .header(header::DEADLINE_MS, kind.deadline.as_millis().to_string());
+        if kind.service.is_some() {
+            req = req.header(header::IDEMPOTENCY_KEY, &request.id);
+        }
+        if let Some(session) = &request.session {
+            req = req.header(header::SESSION, session);
+            if let Some(token) = self.session_tokens.lock().get(session) {
+                req = req.header(header::SESSION_TOKEN, token);
+            }
+        }
+        req.body(body(request, kind)).expect("a checked scenario has plain names")
+    }
+
+    fn keep_token(&self, request: &plan::Request, outcome: &Outcome) {
+        let (Some(session), Outcome::Answered(answer)) = (&request.session, outcome) else {
+            return;
+        };
+        if let Some(token) = &answer.session_token {
+            self.session_tokens.lock().insert(session.clone(), token.clone());
+        }
+    }
+}
+
+fn path(kind: &Kind) -> String {
+    match &kind.service {
+        Some(service) => format!("/services/{service}/entries"),
+        None => "/v1/chat/completions".to_owned(),
+    }
+}
+
+fn body(request: &plan::Request, kind: &Kind) -> Bytes {
+    let json = match &kind.service {
+        Some(_) => serde_json::to_vec(&serde_json::json!({"entry": request.text})),
+        None => serde_json::to_vec(&request.chat(kind)),
+    };
+    json.expect("a request has only plain fields").into()
+}
--- /dev/null
+++ b/crates/curranthook_load/src/evidence.rs
@@ -0,0 +1,62 @@
+//! What endpoints and platform recorded, against which the router's own word is checked.
+
+use std::collections::BTreeMap;
+
+use curranthook_types::{bill, version};
+use serde::Deserialize;
+
+/// An engine's record of one attempt.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Record {
+    /// The request.
+    pub request_id: String,
+    /// The version that ran it.
+    pub version: version::Id,
+    /// When it began, in milliseconds since 1970.
+    pub started_millis: u64,
+    /// How it ended.
+    pub outcome: String,
+    /// The tokens of the answer, as far as it went.
+    #[serde(default)]
+    pub tokens: u64,
+}
+
+impl Record {
+    /// Whether the engine did any work; one that found its queue full did none.
+    pub fn was_begun(&self) -> bool {
+        const REFUSED: &str = "refused";
+        self.outcome != REFUSED
+    }
+}
+
+/// An event as it took effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Applied {
+    /// Its index in the scenario.
+    pub index: usize,
+    /// When, in milliseconds since 1970.
+    pub at_millis: u64,
+}
+
+/// Everything that was recorded in a run.
+#[derive(Debug, Clone, Default)]
+pub struct Evidence {
+    /// The attempts of all engines.
+    pub records: Vec<Record>,
+    /// The engines whose record couldn't be read, as after a crash.
+    pub unread: Vec<String>,
+    /// The processes that ended by themselves.
+    pub died: Vec<String>,
+    /// The bill lines in the object store, each stored line once.
+    pub bills: Vec<bill::Line>,
+    /// The events.
+    pub applied: Vec<Applied>,
+}
+
+/// The bill lines among the objects of the store.
+pub fn bills(objects: &BTreeMap<String, String>) -> Vec<bill::Line> {
+    const PREFIX: &str = "bills/";
+    let segments = objects.iter().filter(|(key, _)| key.starts_with(PREFIX));
+    let segments = segments.filter_map(|(_, text)| serde_json::from_str(text).ok());
+    segments.flat_map(|it: bill::Segment| it.lines).collect()
+}
--- /dev/null
+++ b/crates/curranthook_load/src/fleet.rs
@@ -0,0 +1,308 @@
+//! The real processes of a run: stand-ins, routers and stewards.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context as _, bail};
+use async_io::Timer;
+use curranthook_http::{Exchange, client::Pool};
+use curranthook_platform::{Vm, VmState, client::Client as Platform};
+use curranthook_settings::node;
+use curranthook_types::{version, vm};
+
+use crate::{
+    evidence::{Applied, Evidence},
+    scenario::Scenario,
+};
+
+mod change;
+pub mod document;
+pub mod process;
+
+use process::Process;
+
+/// Any free port of the loopback interface.
+const LOOPBACK: &str = "127.0.0.1:0";
+/// How long routers may take until they serve.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+/// How often a router is asked whether it serves.
+const READY_POLL: Duration = Duration::from_millis(50);
+/// A secret between peers; a scenario's site guards nothing.
+const PEER_KEY: [u8; 32] = [9; 32];
+
+/// What a fleet is started from.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The scenario.
+    pub scenario: Arc<Scenario>,
+    /// The policy of the routers.
+    pub policy: String,
+    /// Where the programs are.
+    pub bin_dir: PathBuf,
+    /// Where logs and settings files go.
+    pub work_dir: PathBuf,
+}
+
+/// The running processes.
+#[derive(Debug)]
+pub struct Fleet {
+    setup: Setup,
+    pool: Arc<Pool>,
+    platform: Process,
+    engines: Vec<Process>,
+    services: Vec<Process>,
+    rater: Option<Process>,
+    routers: Vec<Process>,
+    stewards: Vec<Process>,
+    faults: BTreeMap<String, serde_json::Value>,
+    evidence: Evidence,
+}
+
+impl Fleet {
+    /// Starts everything and waits until each router serves.
+    pub async fn start(setup: Setup, pool: Arc<Pool>) -> anyhow::Result<Self> {
+        let platform = setup.spawn("standin-platform", "platform", &listen())?;
+        let mut fleet = Self {
+            engines: setup.engines()?,
+            services: setup.services()?,
+            rater: setup.rater()?,
+            routers: Vec::new(),
+            stewards: Vec::new(),
+            faults: BTreeMap::new(),
+            evidence: Evidence::default(),
+            setup,
+            pool,
+            platform,
+        };
+        fleet.publish().await?;
+        for place in 0..fleet.setup.scenario.routers {
+            fleet.start_vm(place)?;
+        }
+        fleet.list_vms().await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Where callers reach the routers.
+    pub fn routers(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(|it| it.addr("callers")).collect()
+    }
+
+    /// Stops everything; what engines and platform recorded.
+    ///
+    /// Routers go first, so that they can hand over their last bill lines, the platform last.
+    pub async fn close(mut self) -> anyhow::Result<Evidence> {
+        self.note_deaths();
+        let stewards = std::mem::take(&mut self.stewards);
+        let routers = std::mem::take(&mut self.routers);
+        close_all(routers);
+        close_all(stewards);
+        let engines = std::mem::take(&mut self.engines);
+        for engine in &engines {
+            self.read_record(engine).await;
+        }
+        let objects = self.get(self.platform.addr("http"), "/control/objects").await?;
+        self.evidence.bills = crate::evidence::bills(&serde_json::from_slice(&objects)?);
+        close_all(engines);
+        close_all(std::mem::take(&mut self.services));
+        close_all(self.rater.take());
+        self.platform.close();
+        Ok(self.evidence)
+    }
+
+    async fn publish(&self) -> anyhow::Result<()> {
+        use curranthook_platform::{Table as _, Write};
+        let processes = self.engines.iter().chain(&self.services);
+        let addrs = processes.map(|it| (it.name().to_owned(), it.addr("http"))).collect();
+        let rater = self.rater.as_ref().map(|it| it.addr("http"));
+        let document = document::first(&self.setup.scenario, &addrs, rater);
+        let (table, key) = curranthook_settings::document::ROW;
+        let text = serde_json::to_vec(&document)?;
+        match self.table().insert(table, key, text.into()).await? {
+            Write::Done(_) => Ok(()),
+            Write::Conflict => bail!("a fresh platform has a configuration already"),
+        }
+    }
+
+    fn table(&self) -> Platform {
+        Platform::new(self.platform.addr("http"), Arc::clone(&self.pool))
+    }
+
+    fn start_vm(&mut self, place: usize) -> anyhow::Result<()> {
+        let settings = self.node_settings(place)?;
+        let path = self.setup.work_dir.join(format!("vm-{place}.yaml"));
+        std::fs::write(&path, serde_saphyr::to_string(&settings)?)?;
+        let file = path.display().to_string();
+        let mut args = vec!["--settings".to_owned(), file.clone()];
+        if place < self.setup.scenario.stewards {
+            let name = format!("steward-{place}");
+            self.stewards.push(self.setup.spawn("curranthook-steward", &name, &args)?);
+        }
+        args.extend(["--policy".to_owned(), self.setup.policy.clone()]);
+        let name = format!("router-{place}");
+        self.routers.push(self.setup.spawn("curranthook-router", &name, &args)?);
+        Ok(())
+    }
+
+    fn node_settings(&self, place: usize) -> anyhow::Result<node::Settings> {
+        let any: SocketAddr = LOOPBACK.parse()?;
+        let platform = self.platform.addr("http");
+        Ok(node::Settings {
+            vm: vm_id(place),
+            site: self.setup.scenario.site.clone(),
+            failure_domain: document::domain(&self.setup.scenario, place),
+            listen: any,
+            peer_listen: any,
+            steward_listen: any,
+            platform: node::Platform { table: platform, objects: platform, vms: platform },
+            seeds: self.routers.iter().map(|it| it.addr("peers")).collect(),
+            peer_key: PEER_KEY.to_vec(),
+            statsd: None,
+            threads: 1,
+        })
+    }
+
+    async fn list_vms(&self) -> anyhow::Result<()> {
+        let vm = |(place, router): (usize, &Process)| Vm {
+            id: vm_id(place),
+            address: router.addr("peers"),
+            failure_domain: document::domain(&self.setup.scenario, place),
+            state: VmState::Live,
+        };
+        let vms: Vec<Vm> = self.routers.iter().enumerate().map(vm).collect();
+        self.put(self.platform.addr("http"), "/control/vms", &vms).await
+    }
+
+    async fn wait_ready(&self) -> anyhow::Result<()> {
+        let limit = Instant::now() + READY_TIMEOUT;
+        for router in &self.routers {
+            while self.get(router.addr("callers"), "/readyz").await.is_err() {
+                if limit < Instant::now() {
+                    bail!("{} isn't ready", router.name());
+                }
+                Timer::after(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn read_record(&mut self, engine: &Process) {
+        let read = self.get(engine.addr("http"), "/control/record").await;
+        let records = read.and_then(|it| Ok(serde_json::from_slice::<Vec<_>>(&it)?));
+        match records {
+            Ok(records) => self.evidence.records.extend(records),
+            Err(_) => self.evidence.unread.push(engine.name().to_owned()),
+        }
+    }
+
+    fn note_deaths(&mut self) {
+        let all = self.engines.iter_mut().chain(&mut self.services).chain(&mut self.rater);
+        let all = all.chain(&mut self.routers).chain(&mut self.stewards);
+        let dead = all.filter_map(|it| it.has_ended().then(|| it.name().to_owned()));
+        self.evidence.died.extend(dead);
+    }
+
+    async fn get(&self, addr: SocketAddr, path: &str) -> anyhow::Result<bytes::Bytes> {
+        const READ_TIMEOUT: Duration = Duration::from_secs(10);
+        let res = Exchange::get(addr, path).with_timeout(READ_TIMEOUT).run(&self.pool).await?;
+        if !res.status().is_success() {
+            bail!("GET {path}: {}", res.status());
+        }
+        Ok(res.into_body())
+    }
+
+    async fn put(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        value: &(impl serde::Serialize + Sync),
+    ) -> anyhow::Result<()> {
+        let res = Exchange::put(addr, path).with_json(value).run(&self.pool).await?;
+        if !res.status().is_success() {
+            bail!("PUT {path}: {}", res.status());
+        }
+        Ok(())
+    }
+}
+
+impl Setup {
+    fn spawn(&self, program: &str, name: &str, args: &[String]) -> anyhow::Result<Process> {
+        Ok(Process::start(&self.bin_dir.join(program), args, name, &self.work_dir)?)
+    }
+
+    fn engines(&self) -> anyhow::Result<Vec<Process>> {
+        let mut all = Vec::new();
+        for engines in &self.scenario.engines {
+            let file = self.work_dir.join(format!("{}.profile.yaml", engines.name));
+            write_profile(&file, &self.scenario, engines)?;
+            let versions: Vec<&str> = engines.versions.iter().map(version::Id::as_str).collect();
+            for id in engines.ids() {
+                let mut args = listen();
+                args.extend(["--id".to_owned(), id.clone()]);
+                args.extend(["--versions".to_owned(), versions.join(",")]);
+                args.extend(["--profile".to_owned(), file.display().to_string()]);
+                all.push(self.spawn("standin-engine", &id, &args)?);
+            }
+        }
+        Ok(all)
+    }
+
+    fn services(&self) -> anyhow::Result<Vec<Process>> {
+        let ids = self.scenario.services.iter().flat_map(crate::scenario::Service::ids);
+        let start = |id: String| {
+            let mut args = listen();
+            args.extend(["--id".to_owned(), id.clone()]);
+            self.spawn("standin-service", &id, &args)
+        };
+        ids.map(start).collect()
+    }
+
+    fn rater(&self) -> anyhow::Result<Option<Process>> {
+        let Some(rater) = self.scenario.rater else { return Ok(None) };
+        let mut args = listen();
+        args.extend(["--noise".to_owned(), rater.noise.to_string()]);
+        self.spawn("standin-rater", "rater", &args).map(Some)
+    }
+}
+
+fn write_profile(
+    file: &Path,
+    scenario: &Scenario,
+    engines: &crate::scenario::Engines,
+) -> anyhow::Result<()> {
+    let version = |id: &version::Id| {
+        let it = &scenario.versions[id];
+        let profile = serde_json::json!({
+            "quality": it.quality,
+            "first_token_ms": it.first_token_ms,
+            "token_ms": it.token_ms,
+            "tokens": it.tokens,
+            "error_rate": it.error_rate,
+        });
+        (id.as_str().to_owned(), profile)
+    };
+    let versions: serde_json::Map<_, _> = engines.versions.iter().map(version).collect();
+    let profile = serde_json::json!({"slots": engines.slots, "versions": versions});
+    let text = serde_saphyr::to_string(&profile)?;
+    std::fs::write(file, text).with_context(|| format!("can't write {}", file.display()))
+}
+
+/// Tells all to finish before it waits for any, so that the waits run side by side.
+fn close_all(processes: impl IntoIterator<Item = Process>) {
+    let all: Vec<Process> = processes.into_iter().collect();
+    all.iter().for_each(Process::request_stop);
+    all.into_iter().for_each(Process::close);
+}
+
+fn listen() -> Vec<String> {
+    vec!["--listen".to_owned(), LOOPBACK.to_owned()]
+}
+
+fn vm_id(place: usize) -> vm::Id {
+    vm::Id::new(format!("vm-{place}"))
+}
--- /dev/null
+++ b/crates/curranthook_load/src/main.rs
@@ -0,0 +1,263 @@
+//! `curranthook-load`: runs scenarios, loads single addresses, and compares reports.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use anyhow::Context as _;
+use clap::{Args, Parser, Subcommand};
+use curranthook_http::runtime;
+use curranthook_load::{
+    direct, plot,
+    report::Report,
+    run::{self, Options},
+    scenario::Scenario,
+    streams, table,
+};
+
+/// Load and experiment tool.
+#[derive(Debug, Parser)]
+#[command(name = "curranthook-load", version)]
+struct Cli {
+    /// Threads of the load tool itself.
+    #[arg(long, global = true, default_value_t = 2)]
+    threads: usize,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a scenario on real processes.
+    ///
+    /// Example: curranthook-load run scenarios/mekong.yaml --policy ours --seed 1 --out r.json
+    Run(RunArgs),
+    /// Check scenario files without running them.
+    ///
+    /// Example: curranthook-load check scenarios/*.yaml
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+    },
+    /// Load one address, open-loop unless told otherwise.
+    ///
+    /// Example: curranthook-load direct --target 127.0.0.1:8080 --rate 1000 --seconds 10
+    Direct(DirectArgs),
+    /// Hold many streams open at one address.
+    ///
+    /// Example: curranthook-load streams --target 127.0.0.1:8080 --open 5000 --pid 4711
+    Streams(StreamsArgs),
+    /// Print reports side by side.
+    ///
+    /// Example: curranthook-load compare ours.json best.json
+    Compare {
+        /// The reports.
+        #[arg(required = true)]
+        reports: Vec<PathBuf>,
+    },
+    /// Write a table and plots of many reports.
+    ///
+    /// Example: curranthook-load report reports/*.json --out-dir docs/figures
+    Report {
+        /// The reports.
+        #[arg(required = true)]
+        reports: Vec<PathBuf>,
+        /// Where the table and the plots go.
+        #[arg(long)]
+        out_dir: PathBuf,
+    },
+}
+
+#[derive(Debug, Args)]
+struct RunArgs {
+    /// The scenario file.
+    scenario: PathBuf,
+    /// The policy of the routers.
+    #[arg(long, default_value = "ours")]
+    policy: String,
+    /// The seed of arrivals and prompts.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Where the programs are; beside this one if not set.
+    #[arg(long)]
+    bin_dir: Option<PathBuf>,
+    /// Where logs and settings files are kept; dropped after the run if not set.
+    #[arg(long)]
+    work_dir: Option<PathBuf>,
+    /// Where the report goes.
+    #[arg(long)]
+    out: PathBuf,
+}
+
+#[derive(Debug, Args)]
+struct QuestionArgs {
+    /// The API key.
+    #[arg(long, default_value = "key-load")]
+    key: String,
+    /// The model or version asked for.
+    #[arg(long, default_value = "auto")]
+    model: String,
+    /// The kind of work.
+    #[arg(long, default_value = "summary")]
+    kind: String,
+    /// The prompt.
+    #[arg(long, default_value = "How much did the herd weigh?")]
+    prompt: String,
+}
+
+#[derive(Debug, Args)]
+struct DirectArgs {
+    /// Where to.
+    #[arg(long)]
+    target: SocketAddr,
+    /// Calls a second.
+    #[arg(long, default_value_t = 1_000.0)]
+    rate: f64,
+    /// For how long.
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// How many connections.
+    #[arg(long, default_value_t = 64)]
+    connections: usize,
+    /// Ask for streams.
+    #[arg(long)]
+    stream: bool,
+    /// Send as fast as connections get free, in place of a rate.
+    #[arg(long)]
+    closed: bool,
+    /// The seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[command(flatten)]
+    question: QuestionArgs,
+}
+
+#[derive(Debug, Args)]
+struct StreamsArgs {
+    /// Where to.
+    #[arg(long)]
+    target: SocketAddr,
+    /// How many streams.
+    #[arg(long)]
+    open: usize,
+    /// How many are begun a second.
+    #[arg(long, default_value_t = 1_000.0)]
+    rate: f64,
+    /// How long they are held once all have begun.
+    #[arg(long, default_value_t = 2.0)]
+    hold_seconds: f64,
+    /// The process whose memory is read while all are open.
+    #[arg(long)]
+    pid: Option<u32>,
+    #[command(flatten)]
+    question: QuestionArgs,
+}
+
+fn main() -> anyhow::Result<()> {
+    let cli = Cli::parse();
+    match cli.command {
+        Command::Run(args) => run_scenario(cli.threads, args),
+        Command::Check { scenarios } => check(&scenarios),
+        Command::Direct(args) => run_direct(cli.threads, &args),
+        Command::Streams(args) => run_streams(cli.threads, &args),
+        Command::Compare { reports } => {
+            print!("{}", table::markdown(&read(&reports)?));
+            Ok(())
+        }
+        Command::Report { reports, out_dir } => write_report(&read(&reports)?, &out_dir),
+    }
+}
+
+fn run_scenario(threads: usize, args: RunArgs) -> anyhow::Result<()> {
+    let scenario = load(&args.scenario)?;
+    let temporary = tempfile::tempdir()?;
+    let work_dir = args.work_dir.unwrap_or_else(|| temporary.path().to_owned());
+    fs::create_dir_all(&work_dir)?;
+    let bin_dir = args.bin_dir.map_or_else(own_dir, Ok)?;
+    let (policy, seed) = (args.policy, args.seed);
+    let options = Options { scenario, policy, seed, bin_dir, work_dir };
+    let report = runtime::run(threads, |ex| async move { run::run(&ex, options).await })?;
+    fs::write(&args.out, serde_json::to_vec_pretty(&report)?)
+        .with_context(|| format!("can't write {}", args.out.display()))?;
+    print!("{}", table::markdown(&[report]));
+    Ok(())
+}
+
+fn own_dir() -> anyhow::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    Ok(own.parent().context("the program lies in no directory")?.to_owned())
+}
+
+fn check(files: &[PathBuf]) -> anyhow::Result<()> {
+    for file in files {
+        let scenario = load(file)?;
+        println!("{}: {} s, sound", scenario.name, scenario.duration().as_secs_f64());
+    }
+    Ok(())
+}
+
+fn load(file: &Path) -> anyhow::Result<Scenario> {
+    Scenario::load(file).with_context(|| file.display().to_string())
+}
+
+fn run_direct(threads: usize, args: &DirectArgs) -> anyhow::Result<()> {
+    let pace = if args.closed { direct::Pace::Closed } else { direct::Pace::Open(args.rate) };
+    let load = direct::Load {
+        target: args.target,
+        pace,
+        duration: Duration::try_from_secs_f64(args.seconds)?,
+        n_connections: args.connections,
+        question: direct::Question { stream: args.stream, ..question(&args.question) },
+        seed: args.seed,
+    };
+    let outcomes = runtime::run(threads, |ex| async move { direct::run(&ex, load).await });
+    println!("{}", serde_json::to_string_pretty(&outcomes)?);
+    Ok(())
+}
+
+fn run_streams(threads: usize, args: &StreamsArgs) -> anyhow::Result<()> {
+    let load = streams::Load {
+        target: args.target,
+        n_streams: args.open,
+        rate: args.rate,
+        hold: Duration::try_from_secs_f64(args.hold_seconds)?,
+        question: question(&args.question),
+        pid: args.pid,
+    };
+    let outcomes = runtime::run(threads, |ex| async move { streams::run(&ex, load).await });
+    println!("{}", serde_json::to_string_pretty(&outcomes)?);
+    Ok(())
+}
+
+fn question(args: &QuestionArgs) -> direct::Question {
+    direct::Question {
+        key: args.key.clone(),
+        model: args.model.clone(),
+        kind: args.kind.clone(),
+        text: args.prompt.clone(),
+        stream: true,
+    }
+}
+
+fn read(files: &[PathBuf]) -> anyhow::Result<Vec<Report>> {
+    let read = |file: &PathBuf| {
+        let text = fs::read(file).with_context(|| file.display().to_string())?;
+        serde_json::from_slice(&text).with_context(|| file.display().to_string())
+    };
+    files.iter().map(read).collect()
+}
+
+fn write_report(reports: &[Report], out_dir: &Path) -> anyhow::Result<()> {
+    fs::create_dir_all(out_dir)?;
+    let file = out_dir.join("table.md");
+    fs::write(&file, table::markdown(reports))?;
+    println!("{}", file.display());
+    for file in plot::write(reports, out_dir)? {
+        println!("{}", file.display());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/curranthook_load/src/plan.rs
@@ -0,0 +1,158 @@
+//! Every request of a run, made before the first is sent.
+
+use std::{collections::HashMap, time::Duration};
+
+use curranthook_types::{account, chat, kind};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+
+use crate::{
+    scenario::{Kind, Scenario},
+    schedule,
+};
+
+/// Words that prompts are made of.
+const WORDS: [&str; 12] = [
+    "weight",
+    "crate",
+    "herd",
+    "yard",
+    "reading",
+    "scale",
+    "ledger",
+    "column",
+    "archive",
+    "correction",
+    "query",
+    "dossier",
+];
+/// Tells the random numbers of prompts from those of arrival times.
+const PROMPT_STREAM: u64 = 0x70_72_6f_6d_70_74;
+
+/// A request to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// Its id, unique in the run.
+    pub id: String,
+    /// The intended time, from the start of the arrivals.
+    pub at: Duration,
+    /// The index of its phase.
+    pub phase: usize,
+    /// Who sends it.
+    pub account: account::Id,
+    /// The kind of work.
+    pub kind: kind::Id,
+    /// The session that it belongs to.
+    pub session: Option<String>,
+    /// The prompt.
+    pub text: String,
+}
+
+impl Request {
+    /// The words of the prompt, which stand-in engines count as tokens.
+    pub fn prompt_tokens(&self) -> u64 {
+        u64::try_from(self.text.split_whitespace().count()).unwrap_or(u64::MAX)
+    }
+
+    /// The body for a model.
+    pub fn chat(&self, kind: &Kind) -> chat::Request {
+        chat::Request {
+            model: kind.model.clone(),
+            messages: vec![chat::Message { role: "user".to_owned(), content: self.text.clone() }],
+            stream: kind.stream,
+            max_tokens: None,
+            rest: serde_json::Map::new(),
+        }
+    }
+}
+
+/// All requests of a run, in the order of their times; the same for the same seed.
+pub fn requests(scenario: &Scenario, seed: u64) -> Vec<Request> {
+    let mut maker = Maker::new(scenario, seed);
+    let arrivals = schedule::arrivals(&scenario.phases, seed);
+    let mut all: Vec<Request> = arrivals.iter().map(|it| maker.request(it)).collect();
+    all.extend(repeats(scenario, seed));
+    all.sort_by_key(|it| it.at);
+    all
+}
+
+#[derive(Debug)]
+struct Maker<'a> {
+    scenario: &'a Scenario,
+    seed: u64,
+    rng: Pcg64,
+    n_requests: u64,
+    sessions: HashMap<(account::Id, kind::Id), u64>,
+}
+
+impl<'a> Maker<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let rng = Pcg64::seed_from_u64(seed ^ PROMPT_STREAM);
+        Self { scenario, seed, rng, n_requests: 0, sessions: HashMap::new() }
+    }
+
+    fn request(&mut self, arrival: &schedule::Arrival) -> Request {
+        let accounts = self.scenario.accounts.iter().map(|(id, it)| (id, it.weight));
+        let account = pick(accounts, self.rng.random()).clone();
+        let kinds = self.scenario.kinds.iter().map(|(id, it)| (id, it.weight));
+        let kind = pick(kinds, self.rng.random()).clone();
+        let spec = &self.scenario.kinds[&kind];
+        let (seed, n) = (self.seed, self.n_requests);
+        self.n_requests += 1;
+        Request {
+            id: format!("load-{seed}-{n}"),
+            at: arrival.at,
+            phase: arrival.phase,
+            session: spec.session_length.map(|it| self.session(&account, &kind, it)),
+            text: self.text(&kind, spec.words),
+            account,
+            kind,
+        }
+    }
+
+    fn session(&mut self, account: &account::Id, kind: &kind::Id, length: u64) -> String {
+        let n = self.sessions.entry((account.clone(), kind.clone())).or_default();
+        let session = *n / length.max(1);
+        *n += 1;
+        format!("{account}-{kind}-{}-{session}", self.seed)
+    }
+
+    fn text(&mut self, kind: &kind::Id, n_words: usize) -> String {
+        // The number makes each prompt, and so its difficulty, one of its own.
+        let mut text = format!("{kind} {}-{}", self.seed, self.n_requests);
+        for _ in 2..n_words {
+            text.push(' ');
+            text.push_str(WORDS[self.rng.random_range(0..WORDS.len())]);
+        }
+        text
+    }
+}
+
+fn repeats(scenario: &Scenario, seed: u64) -> impl Iterator<Item = Request> {
+    scenario.repeats.iter().enumerate().flat_map(move |(index, repeat)| {
+        (0..repeat.times).map(move |n| Request {
+            id: format!("repeat-{seed}-{index}-{n}"),
+            at: repeat.at + repeat.every * n,
+            phase: 0,
+            account: repeat.account.clone(),
+            kind: repeat.kind.clone(),
+            session: None,
+            text: repeat.text.clone(),
+        })
+    })
+}
+
+/// Picks by weight; `draw` is a random number from 0 to 1.
+fn pick<'a, T>(choices: impl Iterator<Item = (&'a T, f64)> + Clone, draw: f64) -> &'a T {
+    let mut rest = draw * choices.clone().map(|(_, weight)| weight).sum::<f64>();
+    let mut last = None;
+    for (choice, weight) in choices {
+        if rest < weight {
+            return choice;
+        }
+        rest -= weight;
+        last = Some(choice);
+    }
+    // Rounding can leave a crumb beyond the last weight.
+    last.expect("a checked scenario has accounts and kinds")
+}
--- /dev/null
+++ b/crates/curranthook_load/src/report/exposure.rs
@@ -0,0 +1,59 @@
+//! Figures of versions that should no longer be used, or not yet by many.
+
+use curranthook_types::version;
+
+use super::{Exposure, Run, callers};
+use crate::{
+    event::{Action, Event},
+    evidence::Applied,
+    sample::{Mark, Sample},
+};
+
+pub(super) fn exposure(run: &Run<'_>) -> Vec<Exposure> {
+    let events = run.evidence.applied.iter();
+    events.filter_map(|it| after(run, it, &run.scenario.events[it.index])).collect()
+}
+
+fn after(run: &Run<'_>, applied: &Applied, event: &Event) -> Option<Exposure> {
+    let (label, version) = watched(run, event)?;
+    let samples: Vec<&Sample> =
+        run.samples.iter().filter(|it| event.at <= run.plan[it.index].at).collect();
+    let marks: Vec<Option<Mark>> = callers::answers(&samples)
+        .filter(|(_, it)| it.version.as_ref() == Some(version))
+        .map(|(_, it)| it.mark)
+        .collect();
+    let records = run.evidence.records.iter();
+    let starts: Vec<u64> = records
+        .filter(|it| it.version == *version && it.was_begun())
+        .filter(|it| applied.at_millis <= it.started_millis)
+        .map(|it| it.started_millis - applied.at_millis)
+        .collect();
+    Some(Exposure {
+        event: label,
+        version: version.to_string(),
+        answers: marks.len() as u64,
+        bad: marks.iter().filter(|it| **it == Some(Mark::Bad)).count() as u64,
+        attempts: starts.len() as u64,
+        last_attempt_seconds: seconds(starts.iter().max().copied().unwrap_or_default()),
+        remaining_seconds: run.scenario.duration().saturating_sub(event.at).as_secs_f64(),
+    })
+}
+
+/// The version to watch after an event, if there is one.
+fn watched<'a>(run: &Run<'_>, event: &'a Event) -> Option<(String, &'a version::Id)> {
+    match &event.action {
+        Action::Quality { version, quality } => {
+            let before = run.scenario.versions.get(version)?.quality;
+            let label = format!("quality {before} -> {quality}");
+            (*quality < before).then_some((label, version))
+        }
+        Action::Withdraw { version } => Some(("withdrawn".to_owned(), version)),
+        Action::Rollout { to, .. } => Some(("rolled out".to_owned(), to)),
+        Action::Fault { .. } | Action::Kill { .. } => None,
+    }
+}
+
+fn seconds(millis: u64) -> f64 {
+    const MILLIS: f64 = 1_000.0;
+    millis as f64 / MILLIS
+}
--- /dev/null
+++ b/crates/curranthook_load/src/run.rs
@@ -0,0 +1,64 @@
+//! One run of a scenario, from the start of the fleet to the report.
+
+use std::{
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use curranthook_http::{client::Pool, runtime};
+use curranthook_types::clock;
+use futures_lite::future;
+
+use crate::{
+    client::Client,
+    drive::Callers,
+    fleet::{Fleet, Setup},
+    plan,
+    report::{Report, Run},
+    scenario::Scenario,
+};
+
+/// The time between the last preparation and the first arrival.
+const LEAD: Duration = Duration::from_millis(200);
+
+/// What to run.
+#[derive(Debug)]
+pub struct Options {
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The policy of the routers.
+    pub policy: String,
+    /// The seed of arrivals and prompts.
+    pub seed: u64,
+    /// Where the programs are.
+    pub bin_dir: PathBuf,
+    /// Where logs and settings files go.
+    pub work_dir: PathBuf,
+}
+
+/// Runs a scenario on real processes, stops them all and computes the figures.
+pub async fn run(ex: &runtime::Handle, options: Options) -> anyhow::Result<Report> {
+    let Options { scenario, policy, seed, bin_dir, work_dir } = options;
+    let scenario = Arc::new(scenario);
+    let plan: Arc<[plan::Request]> = plan::requests(&scenario, seed).into();
+    let pool = Arc::new(Pool::new(Arc::clone(ex), Arc::new(clock::System)));
+    let setup =
+        Setup { scenario: Arc::clone(&scenario), policy: policy.clone(), bin_dir, work_dir };
+    let mut fleet = Fleet::start(setup, Arc::clone(&pool)).await?;
+    let callers = Callers::new(Arc::clone(&scenario), Client::new(pool), fleet.routers());
+    let start = Instant::now() + LEAD;
+    let driven = Arc::new(callers).drive(ex, &plan, start);
+    let (samples, applied) = future::zip(driven, fleet.apply_events(start)).await;
+    // A run whose events failed measured something else; it still stops what it started.
+    let evidence = fleet.close().await?;
+    applied?;
+    Ok(Report::new(&Run {
+        scenario: &scenario,
+        policy: &policy,
+        seed,
+        plan: &plan,
+        samples: &samples,
+        evidence: &evidence,
+    }))
+}
--- /dev/null
+++ b/crates/curranthook_load/src/sse.rs
@@ -0,0 +1,50 @@
+//! Server-sent events out of a stream of chunks.
+
+/// Collects chunks and gives out the data of whole events.
+///
+/// A chunk may end anywhere, also within a character, so bytes are kept until their line is
+/// whole.
+///
+/// ```
+/// let mut reader = curranthook_load::sse::Reader::default();
+/// assert!(reader.push(b"data: a\n").is_empty());
+/// assert_eq!(reader.push(b"\ndata: b\n\n"), ["a", "b"]);
+/// ```
+#[derive(Debug, Default)]
+pub struct Reader {
+    line: Vec<u8>,
+    data: String,
+    has_data: bool,
+}
+
+impl Reader {
+    /// Adds a chunk; the data of the events that it completes.
+    pub fn push(&mut self, chunk: &[u8]) -> Vec<String> {
+        let mut events = Vec::new();
+        for &byte in chunk {
+            if byte != b'\n' {
+                self.line.push(byte);
+                continue;
+            }
+            let line = std::mem::take(&mut self.line);
+            events.extend(self.end_line(line.strip_suffix(b"\r").unwrap_or(&line)));
+        }
+        events
+    }
+
+    fn end_line(&mut self, line: &[u8]) -> Option<String> {
+        if line.is_empty() {
+            let whole = std::mem::take(&mut self.has_data);
+            let data = std::mem::take(&mut self.data);
+            return whole.then_some(data);
+        }
+        let value = line.strip_prefix(b"data:")?;
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        if self.has_data {
+            self.data.push('\n');
+        }
+        self.data.push_str(&String::from_utf8_lossy(value));
+        self.has_data = true;
+        None
+    }
+}
--- /dev/null
+++ b/crates/curranthook_load/src/table.rs
@@ -0,0 +1,178 @@
+//! Reports side by side, as a table in Markdown.
+
+use std::{collections::BTreeMap, fmt::Write as _};
+
+use crate::report::{Report, ratio};
+
+/// The reports of one scenario and policy, one a seed.
+#[derive(Debug)]
+pub struct Group<'a> {
+    /// The scenario.
+    pub scenario: &'a str,
+    /// The policy.
+    pub policy: &'a str,
+    /// The reports.
+    pub reports: Vec<&'a Report>,
+}
+
+/// The mean of several seeds, and the least and the greatest.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Spread {
+    /// The mean.
+    pub mean: f64,
+    /// The least.
+    pub min: f64,
+    /// The greatest.
+    pub max: f64,
+}
+
+impl Spread {
+    /// The spread of `values`; all zero for none.
+    ///
+    /// ```
+    /// use curranthook_load::table::Spread;
+    /// assert_eq!(Spread::new(&[1.0, 3.0]), Spread { mean: 2.0, min: 1.0, max: 3.0 });
+    /// ```
+    pub fn new(values: &[f64]) -> Self {
+        if values.is_empty() {
+            return Self { mean: 0.0, min: 0.0, max: 0.0 };
+        }
+        Self {
+            mean: values.iter().sum::<f64>() / values.len() as f64,
+            min: values.iter().copied().fold(f64::INFINITY, f64::min),
+            max: values.iter().copied().fold(f64::NEG_INFINITY, f64::max),
+        }
+    }
+}
+
+impl std::fmt::Display for Spread {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let digits = if self.max.abs() < 10.0 { 3 } else { 1 };
+        if self.min == self.max {
+            return write!(f, "{:.digits$}", self.mean);
+        }
+        write!(f, "{:.digits$} ({:.digits$}–{:.digits$})", self.mean, self.min, self.max)
+    }
+}
+
+impl Group<'_> {
+    /// The spread of one figure over the seeds.
+    pub fn spread(&self, figure: impl Fn(&Report) -> f64) -> Spread {
+        let values: Vec<f64> = self.reports.iter().map(|it| figure(it)).collect();
+        Spread::new(&values)
+    }
+}
+
+/// Groups reports by scenario and policy, in order of their names.
+pub fn groups(reports: &[Report]) -> Vec<Group<'_>> {
+    let mut groups: BTreeMap<(&str, &str), Vec<&Report>> = BTreeMap::new();
+    for report in reports {
+        groups.entry((&report.scenario, &report.policy)).or_default().push(report);
+    }
+    let group = |((scenario, policy), reports)| Group { scenario, policy, reports };
+    groups.into_iter().map(group).collect()
+}
+
+/// A figure of a report.
+pub type Figure = fn(&Report) -> f64;
+
+/// The columns of the table.
+const COLUMNS: [(&str, Figure); 17] = [
+    ("requests", |it| it.ends.requests as f64),
+    ("cost an answer (engines)", |it| it.cost.per_answer),
+    ("cost a bill", |it| it.cost.per_bill),
+    ("cost / oracle", |it| it.cost.against_oracle),
+    ("good share", good_share),
+    ("least good − target", margin),
+    ("first token p50 ms", |it| it.latency.first_token.p50),
+    ("p95", |it| it.latency.first_token.p95),
+    ("p99", |it| it.latency.first_token.p99),
+    ("whole p50 ms", |it| it.latency.whole.p50),
+    ("p95", |it| it.latency.whole.p95),
+    ("p99", |it| it.latency.whole.p99),
+    ("goodput /s", |it| it.ends.goodput),
+    ("refused share", |it| ratio(it.ends.refused as f64, it.ends.requests as f64)),
+    ("refusal p99 ms", |it| it.latency.refusal.p99),
+    ("failed", |it| it.ends.failed as f64),
+    ("attempts again", |it| it.engines.again as f64),
+];
+
+/// The share of good answers, all kinds of work together.
+pub fn good_share(report: &Report) -> f64 {
+    let good: u64 = report.quality.values().map(|it| it.good).sum();
+    let marked: u64 = report.quality.values().map(|it| it.marked).sum();
+    ratio(good as f64, marked as f64)
+}
+
+/// How far the worst kind of work is above its target.
+pub fn margin(report: &Report) -> f64 {
+    let margins = report.quality.values().map(|it| it.share - it.target);
+    margins.reduce(f64::min).unwrap_or(0.0)
+}
+
+/// A table in Markdown: a row for each scenario and policy; with several seeds the mean, and
+/// the least and greatest in brackets.
+pub fn markdown(reports: &[Report]) -> String {
+    let groups = groups(reports);
+    let mut text = String::from("| scenario | policy | seeds | cost / `best` |");
+    let mut rule = String::from("|---|---|---|---|");
+    for (name, _) in COLUMNS {
+        push(&mut text, format_args!(" {name} |"));
+        rule.push_str("---|");
+    }
+    push(&mut text, format_args!("\n{rule}\n"));
+    for group in &groups {
+        row(&mut text, group, &groups);
+    }
+    exposures(&mut text, &groups);
+    text
+}
+
+fn row(text: &mut String, group: &Group<'_>, all: &[Group<'_>]) {
+    let (scenario, policy, seeds) = (group.scenario, group.policy, group.reports.len());
+    let against_best = against_best(group, all);
+    push(text, format_args!("| {scenario} | {policy} | {seeds} | {against_best} |"));
+    for (_, figure) in COLUMNS {
+        push(text, format_args!(" {} |", group.spread(figure)));
+    }
+    text.push('\n');
+}
+
+/// The mean cost of an answer against that of the policy `best`, if it was run.
+fn against_best(group: &Group<'_>, all: &[Group<'_>]) -> String {
+    const BEST: &str = "best";
+    let best = all.iter().find(|it| it.scenario == group.scenario && it.policy == BEST);
+    let cost = |it: &Group<'_>| it.spread(|report| report.cost.per_answer).mean;
+    best.map_or("–".to_owned(), |it| format!("{:.3}", ratio(cost(group), cost(it))))
+}
+
+fn exposures(text: &mut String, groups: &[Group<'_>]) {
+    if groups.iter().flat_map(|it| &it.reports).all(|it| it.exposure.is_empty()) {
+        return;
+    }
+    text.push_str("\n| scenario | policy | version | event | answers after | marked bad | ");
+    text.push_str("last attempt after, s |\n|---|---|---|---|---|---|---|\n");
+    for group in groups {
+        let Some(first) = group.reports.first() else { continue };
+        for (index, exposure) in first.exposure.iter().enumerate() {
+            let spread = |figure: fn(&crate::report::Exposure) -> f64| {
+                group.spread(|it| it.exposure.get(index).map_or(0.0, figure))
+            };
+            let (scenario, policy) = (group.scenario, group.policy);
+            let (version, event) = (&exposure.version, &exposure.event);
+            let answers = spread(|it| it.answers as f64);
+            let bad = spread(|it| it.bad as f64);
+            let last = spread(|it| it.last_attempt_seconds);
+            push(
+                text,
+                format_args!(
+                    "| {scenario} | {policy} | {version} | {event} | {answers} | {bad} | {last} |\n"
+                ),
+            );
+        }
+    }
+}
+
+fn push(text: &mut String, args: std::fmt::Arguments<'_>) {
+    text.write_fmt(args).expect("a string takes any text");
+}
--- /dev/null
+++ b/crates/curranthook_load/src/timing.rs
@@ -0,0 +1,85 @@
+//! Latencies, collected in HDR histograms.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+/// The longest latency that is told apart, in microseconds: an hour.
+const MAX_MICROS: u64 = 3_600_000_000;
+/// Significant decimal digits.
+const DIGITS: u8 = 3;
+
+/// Latencies of one kind.
+#[derive(Debug, Clone)]
+pub struct Recorder(Histogram<u64>);
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Self(Histogram::new_with_max(MAX_MICROS, DIGITS).expect("bounds and digits are valid"))
+    }
+}
+
+impl Recorder {
+    /// Adds a latency.
+    pub fn record(&mut self, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_MICROS);
+        self.0.saturating_record(micros);
+    }
+
+    /// Adds the latencies of another.
+    pub fn merge(&mut self, other: &Self) {
+        self.0.add(&other.0).expect("both have the same bounds");
+    }
+
+    /// The figures for a report.
+    ///
+    /// ```
+    /// use curranthook_load::timing::Recorder;
+    /// let mut recorder = Recorder::default();
+    /// recorder.record(std::time::Duration::from_millis(4));
+    /// assert_eq!(recorder.summary().n, 1);
+    /// ```
+    pub fn summary(&self) -> Summary {
+        let millis = |quantile| as_millis(self.0.value_at_quantile(quantile));
+        Summary {
+            n: self.0.len(),
+            p50: millis(0.50),
+            p95: millis(0.95),
+            p99: millis(0.99),
+            max: as_millis(self.0.max()),
+        }
+    }
+}
+
+impl FromIterator<Duration> for Recorder {
+    fn from_iter<I: IntoIterator<Item = Duration>>(latencies: I) -> Self {
+        let mut recorder = Self::default();
+        latencies.into_iter().for_each(|it| recorder.record(it));
+        recorder
+    }
+}
+
+/// Percentiles in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// How many latencies.
+    pub n: u64,
+    /// The median.
+    #[serde(rename = "p50_ms")]
+    pub p50: f64,
+    /// The 95th percentile.
+    #[serde(rename = "p95_ms")]
+    pub p95: f64,
+    /// The 99th percentile.
+    #[serde(rename = "p99_ms")]
+    pub p99: f64,
+    /// The longest.
+    #[serde(rename = "max_ms")]
+    pub max: f64,
+}
+
+fn as_millis(micros: u64) -> f64 {
+    const MICROS: f64 = 1_000.0;
+    micros as f64 / MICROS
+}
--- /dev/null
+++ b/crates/curranthook_load/src/truth.rs
@@ -0,0 +1,71 @@
+//! What the scenario knows and the router doesn't: each version's true quality over time.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use curranthook_types::{price, version};
+
+/// How difficult a prompt is, from 0 to 1: a version answers it well if its quality is higher.
+///
+/// It's a hash of the text, so that all versions agree on which prompts are hard, as real ones
+/// mostly do. The stand-in engine computes the same.
+pub fn difficulty(prompt: &str) -> f64 {
+    const BITS: u32 = 53;
+    (hash(&["difficulty", prompt]) >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
+}
+
+fn hash(parts: &[&str]) -> u64 {
+    // FNV-1a with a finishing step, as in the stand-in.
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    const END_OF_PART: u8 = 0xff;
+    let bytes = parts.iter().flat_map(|it| it.bytes().chain([END_OF_PART]));
+    let mut hash = bytes.fold(OFFSET, |hash, it| (hash ^ u64::from(it)).wrapping_mul(PRIME));
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
+
+/// One version as it really is.
+#[derive(Debug, Clone)]
+pub struct Version {
+    /// What it costs.
+    pub price: price::Rate,
+    /// The tokens of its answers.
+    pub tokens: u64,
+    /// Its quality from each time on, the first from zero.
+    pub quality: Vec<(Duration, f64)>,
+}
+
+impl Version {
+    /// The quality in force at `at`.
+    pub fn quality_at(&self, at: Duration) -> f64 {
+        let begun = self.quality.iter().take_while(|(since, _)| *since <= at);
+        begun.last().map_or(0.0, |(_, quality)| *quality)
+    }
+}
+
+/// All versions as they really are.
+#[derive(Debug, Clone, Default)]
+pub struct Truth {
+    /// The versions, by id.
+    pub versions: BTreeMap<version::Id, Version>,
+}
+
+impl Truth {
+    /// What the answer costs one who knows beforehand which version will do: the cheapest of
+    /// `allowed` that is good enough for the prompt. Where none is, the cheapest of all, as
+    /// money can't buy a good answer then.
+    pub fn oracle<'a>(
+        &self,
+        allowed: impl Iterator<Item = &'a version::Id>,
+        difficulty: f64,
+        prompt_tokens: u64,
+        at: Duration,
+    ) -> Option<price::Micros> {
+        let offers = allowed.filter_map(|id| self.versions.get(id)).map(|it| {
+            let is_good = difficulty < it.quality_at(at);
+            (!is_good, it.price.cost(prompt_tokens, it.tokens))
+        });
+        offers.min().map(|(_, cost)| cost)
+    }
+}
--- /dev/null
+++ b/crates/curranthook_load/tests/caller.rs
@@ -0,0 +1,170 @@
+//! What a caller makes of the answers of a small server in the same process.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use curranthook_http::{client::Pool, runtime};
+use curranthook_load::{
+    client::{Call, Client},
+    direct::{self, Load, Pace, Question},
+    sample::{Failure, Mark, Outcome},
+};
+use curranthook_types::{clock, refusal};
+use yare::parameterized;
+
+/// A server of one connection that gives each call the same answer after `delay`, with the
+/// call's id in place of `ID`. Its threads end with the connection.
+fn serve(answer: Canned, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 4096];
+        // Each call fits one read.
+        while let Ok(n @ 1..) = stream.read(&mut buf) {
+            let head = String::from_utf8_lossy(&buf[..n]).into_owned();
+            let id = head.lines().find_map(|it| it.strip_prefix("x-request-id: "));
+            thread::sleep(delay);
+            if stream.write_all(answer.text(id.unwrap_or("none")).as_bytes()).is_err() {
+                break;
+            }
+        }
+    });
+    addr
+}
+
+struct Canned {
+    status: &'static str,
+    headers: &'static str,
+    body: String,
+}
+
+impl Canned {
+    fn text(&self, id: &str) -> String {
+        let body = self.body.replace("ID", id);
+        let (status, headers, length) = (self.status, self.headers, body.len());
+        format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}")
+    }
+}
+
+fn stream(body: String) -> Canned {
+    Canned { status: "200 OK", headers: "content-type: text/event-stream\r\n", body }
+}
+
+fn refusal(reason: refusal::Reason) -> Canned {
+    let body = refusal::Refusal::not_run(reason, "busy").body();
+    Canned { status: "503 Busy", headers: "", body }
+}
+
+fn event(id: &str, token: &str) -> String {
+    let event = serde_json::json!({
+        "id": id, "object": "chat.completion.chunk", "model": "m@1",
+        "choices": [{"index": 0, "delta": {"content": token}}],
+    });
+    format!("data: {event}\n\n")
+}
+
+fn call(addr: SocketAddr, intended: Instant, limit: Duration) -> Outcome {
+    let req = http::Request::post("/v1/chat/completions").header("host", "test");
+    let call = Call {
+        addr,
+        req: req.body(Bytes::from_static(b"{}")).unwrap(),
+        expected_id: Some("r1".to_owned()),
+        intended,
+        limit,
+    };
+    runtime::run(1, |ex| async move {
+        Client::new(Arc::new(Pool::new(ex, Arc::new(clock::System)))).run(call).await
+    })
+}
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+#[test]
+fn whole_stream_is_an_answer() {
+    let events = event("r1", "[bad]") + &event("r1", " 12") + "data: [DONE]\n\n";
+    let addr = serve(stream(events), Duration::ZERO);
+    let Outcome::Answered(answer) = call(addr, Instant::now(), LIMIT) else {
+        panic!("the stream was whole");
+    };
+    assert_eq!(answer.mark, Some(Mark::Bad));
+    assert_eq!(answer.version, Some("m@1".into()));
+    assert_eq!(answer.gaps.len(), 1);
+}
+
+#[parameterized(
+    no_end_marker = { event("r1", "[good]"), Failure::CutOff },
+    foreign = { event("r2", "[good]") + "data: [DONE]\n\n", Failure::Foreign },
+)]
+fn stream_that_is_not_ours_or_not_whole_fails(events: String, failure: Failure) {
+    let addr = serve(stream(events), Duration::ZERO);
+    let outcome = call(addr, Instant::now(), LIMIT);
+    assert!(matches!(&outcome, Outcome::Failed(it) if *it == failure), "{outcome:?}");
+}
+
+#[test]
+fn refusal_keeps_reason_and_run() {
+    let addr = serve(refusal(refusal::Reason::Overloaded), Duration::ZERO);
+    let outcome = call(addr, Instant::now(), LIMIT);
+    let expected = (refusal::Reason::Overloaded, refusal::Run::Not);
+    assert!(
+        matches!(&outcome, Outcome::Refused(reason, run) if (*reason, *run) == expected),
+        "{outcome:?}"
+    );
+}
+
+#[test]
+fn silent_server_ends_in_a_timeout() {
+    let addr = serve(stream(String::new()), LIMIT);
+    let outcome = call(addr, Instant::now(), Duration::from_millis(100));
+    assert!(matches!(outcome, Outcome::Failed(Failure::Timeout)), "{outcome:?}");
+}
+
+#[test]
+fn latency_counts_from_the_intended_time() {
+    const LATE: Duration = Duration::from_millis(300);
+    let events = event("r1", "[good]") + "data: [DONE]\n\n";
+    let addr = serve(stream(events), Duration::ZERO);
+    let intended = Instant::now().checked_sub(LATE).unwrap();
+    let Outcome::Answered(answer) = call(addr, intended, LIMIT) else {
+        panic!("the stream was whole");
+    };
+    assert!(LATE <= answer.first_token.unwrap(), "the time before sending counts");
+}
+
+/// A server answers only every 50 ms on the one connection there is, but calls are meant to go
+/// out every 10 ms. A tool that counted from the moment of sending would report 50 ms and hide
+/// that callers wait longer and longer. Counted from the intended time, the last waits longest.
+#[test]
+fn slow_server_does_not_move_later_arrivals() {
+    const DELAY: Duration = Duration::from_millis(50);
+    let body = serde_json::json!({
+        "id": "ID", "object": "chat.completion", "model": "m@1", "choices": [],
+    });
+    let answer = Canned { status: "200 OK", headers: "", body: body.to_string() };
+    let addr = serve(answer, DELAY);
+    let load = load(addr);
+    let n_arrivals = load.arrivals().len() as u64;
+    let outcomes = runtime::run(1, |ex| async move { direct::run(&ex, load).await });
+    assert_eq!(outcomes.answered, n_arrivals, "all went out, though late: {outcomes:?}");
+    let expected = DELAY.as_secs_f64() * 1_000.0 * n_arrivals as f64 - 500.0;
+    assert!(0.9 * expected < outcomes.whole.max, "the wait counts: {outcomes:?}");
+}
+
+fn load(target: SocketAddr) -> Load {
+    let question = Question {
+        key: "key-test".to_owned(),
+        model: "auto".to_owned(),
+        kind: "summary".to_owned(),
+        text: "How much?".to_owned(),
+        stream: false,
+    };
+    let duration = Duration::from_millis(500);
+    Load { target, pace: Pace::Open(100.0), duration, n_connections: 1, question, seed: 1 }
+}
--- /dev/null
+++ b/crates/curranthook_load/tests/sse.rs
@@ -0,0 +1,33 @@
+//! Events are the same wherever the network cuts the stream.
+
+use curranthook_load::sse::Reader;
+use proptest::prelude::*;
+use yare::parameterized;
+
+fn read(chunks: &[&[u8]]) -> Vec<String> {
+    let mut reader = Reader::default();
+    chunks.iter().flat_map(|it| reader.push(it)).collect()
+}
+
+#[parameterized(
+    one = { "data: a\n\n", &["a"] },
+    carriage_returns = { "data: a\r\n\r\ndata: b\r\n\r\n", &["a", "b"] },
+    no_space = { "data:a\n\n", &["a"] },
+    two_lines = { "data: a\ndata: b\n\n", &["a\nb"] },
+    other_fields = { "event: x\nid: 4\ndata: a\n: comment\n\n", &["a"] },
+    empty_data = { "data:\n\n", &[""] },
+    unfinished = { "data: a\n\ndata: b\n", &["a"] },
+    only_comment = { ": ping\n\n", &[] },
+)]
+fn reads(text: &str, events: &[&str]) {
+    assert_eq!(read(&[text.as_bytes()]), events);
+}
+
+proptest! {
+    #[test]
+    fn cuts_do_not_matter(texts in prop::collection::vec("[a-z äö€𝄞]{0,12}", 1..6), cut in 1_usize..9) {
+        let stream: String = texts.iter().map(|it| format!("data: {it}\n\n")).collect();
+        let chunks: Vec<&[u8]> = stream.as_bytes().chunks(cut).collect();
+        prop_assert_eq!(read(&chunks), texts);
+    }
+}
