Peers: tests over links that can be cut, a binary to measure with, two faults mended

Evidence was passed on four times per change and then never again, so 3 of 6 nodes' counts never reached one node. Ruled out: more sends per change (fewer misses, not none). Change: what has gone cold is sent in turn after what changed; only peers that may be tried are spare. member.rs split in three. curranthook-peer runs a node without a router.

--- /dev/null
+++ b/crates/curranthook_peers/src/bin/curranthook-peer.rs
@@ -0,0 +1,147 @@
+//! A node without a router, to measure how nodes act together.
+//!
+//! Prints one line of JSON when it's bound, answers `GET /status`, and leaves on SIGTERM.
+
+use std::{
+    fs,
+    io::Write,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use anyhow::Context;
+use async_signal::{Signal, Signals};
+use bytes::Bytes;
+use clap::Parser;
+use curranthook_http::{
+    Body, body,
+    client::Pool,
+    runtime,
+    server::{Handler, Server},
+    stop,
+};
+use curranthook_peers::{
+    Node, Setup,
+    evidence::{Failed, Sample},
+    rpc,
+};
+use curranthook_platform::client::Client;
+use curranthook_settings::node::Settings;
+use curranthook_types::{Clock, bill, clock, price};
+use flexi_logger::Logger;
+use futures_lite::{StreamExt, future::Boxed};
+use http::{Method, StatusCode};
+use hyper::body::Incoming;
+
+/// Runs one node and its peer listener.
+#[derive(Debug, Parser)]
+struct Args {
+    /// The VM's settings, in YAML.
+    #[arg(long)]
+    settings: PathBuf,
+    /// Requests a second to make up, each with a bill line, evidence and demand.
+    #[arg(long, default_value_t = 0.0)]
+    load: f64,
+}
+
+fn main() -> anyhow::Result<()> {
+    let args = Args::parse();
+    let _logger = Logger::try_with_env_or_str("info")?.start()?;
+    let settings = read(&args.settings)?;
+    runtime::run(settings.threads, |ex| serve(ex, settings, args.load))
+}
+
+fn read(path: &Path) -> anyhow::Result<Settings> {
+    let text = fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
+    serde_saphyr::from_str(&text).with_context(|| format!("in {}", path.display()))
+}
+
+async fn serve(ex: runtime::Handle, settings: Settings, load: f64) -> anyhow::Result<()> {
+    let server = Server::bind(settings.peer_listen).context("binding the peer listener")?;
+    let ready = serde_json::json!({"listening": {"peers": server.addr()}});
+    let node = Node::start(setup(&ex, settings, &server));
+    writeln!(std::io::stdout(), "{ready}")?;
+
+    let (trigger, stop) = stop::new();
+    let listener = Arc::new(Listener(Arc::clone(&node)));
+    let serving = {
+        let ex = Arc::clone(&ex);
+        ex.clone().spawn(async move { server.serve(&ex, listener, stop).await })
+    };
+    if 0.0 < load {
+        let node = Arc::clone(&node);
+        ex.spawn(make_up(node, load)).detach();
+    }
+    Signals::new([Signal::Term, Signal::Int])?.next().await;
+    node.leave().await;
+    trigger.set();
+    serving.await;
+    Ok(())
+}
+
+fn setup(ex: &runtime::Handle, settings: Settings, server: &Server) -> Setup {
+    let clock: Arc<dyn Clock> = Arc::new(clock::System);
+    let pool = Arc::new(Pool::new(Arc::clone(ex), Arc::clone(&clock)));
+    let platform = |addr| Arc::new(Client::new(addr, Arc::clone(&pool)));
+    Setup {
+        incarnation: clock.unix_millis(),
+        peer_addr: server.addr(),
+        ex: Arc::clone(ex),
+        table: platform(settings.platform.table),
+        objects: platform(settings.platform.objects),
+        vms: platform(settings.platform.vms),
+        seed: rand::random(),
+        pool,
+        clock,
+        settings,
+    }
+}
+
+/// Requests as a router would report them.
+async fn make_up(node: Arc<Node>, load: f64) {
+    const VERSIONS: u64 = 7;
+    const ACCOUNTS: u64 = 10;
+    let vm = node.identity().vm.clone();
+    for n in 0_u64.. {
+        async_io::Timer::after(Duration::from_secs_f64(1.0 / load)).await;
+        let version = format!("tally-llm@{}", n % VERSIONS);
+        let account = format!("account-{}", n % ACCOUNTS);
+        node.demand().add(&account.as_str().into());
+        let sample = Sample { rating: Some(0.8), failed: Failed::No, tokens: 360 };
+        node.evidence().add(&version.as_str().into(), sample);
+        let line = bill::Line {
+            request: format!("{vm}-{n:012}").as_str().into(),
+            account: account.as_str().into(),
+            served_by: version,
+            prompt_tokens: 900,
+            completion_tokens: 360,
+            cost: price::Micros(1_500),
+            at_millis: clock::System.unix_millis(),
+        };
+        let _counted = node.journal().record(line).await;
+    }
+}
+
+struct Listener(Arc<Node>);
+
+impl Handler for Listener {
+    fn handle(self: Arc<Self>, req: http::Request<Incoming>) -> Boxed<http::Response<Body>> {
+        Box::pin(async move {
+            let (head, incoming) = req.into_parts();
+            if head.method == Method::GET && head.uri.path() == "/status" {
+                return body::json(200, &self.0.status());
+            }
+            match body::read(incoming, rpc::MAX_CALL).await {
+                Ok(call) => self.0.handle(&head, call).await,
+                Err(_) => refused(StatusCode::PAYLOAD_TOO_LARGE),
+            }
+        })
+    }
+}
+
+fn refused(status: StatusCode) -> http::Response<Body> {
+    let mut res = http::Response::new(body::full(Bytes::new()));
+    *res.status_mut() = status;
+    res
+}
--- a/crates/curranthook_peers/src/evidence.rs
+++ b/crates/curranthook_peers/src/evidence.rs
@@ -3,7 +3,7 @@
 //! Each origin's counters only grow, and merging keeps the higher of each. So a digest that
 //! arrives twice, late or out of order counts nothing twice.
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use curranthook_types::{bill::Origin, version};
 use parking_lot::Mutex;
@@ -14,6 +14,8 @@
 const MAX_ENTRIES: usize = 20_000;
 /// How often a changed entry is passed on before it gives way to others.
 const SENDS: u32 = 4;
+/// Entries tried for one frame; more don't fit.
+const LOOKED_AT: usize = 12;
 
 /// Whether an answer failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +90,11 @@
         }
     }
 
+    /// One failure in ten, or ratings below a half.
+    fn is_suspicious(&self) -> bool {
+        self.calls < self.failures.saturating_mul(10) || self.rating_sum < self.rated as f64 * 0.5
+    }
+
     fn is_sane(&self) -> bool {
         self.rating_sum.is_finite() && self.rating_sq_sum.is_finite() && self.failures <= self.calls
     }
@@ -120,6 +127,8 @@
     sends_left: u32,
     /// When it last changed, in steps of the table's own count.
     changed: u64,
+    /// When it was last sent, likewise.
+    sent: u64,
 }
 
 #[derive(Debug, Default)]
@@ -183,35 +192,46 @@
         self.cells.lock().update(version, origin, |ours| ours.max(&theirs));
     }
 
-    /// The entries worth sending next, as long as they fit: the most suspicious of those that
-    /// changed, then those sent the least, then those that changed last.
+    /// The entries worth sending next, as long as they fit: what changed lately, the most
+    /// suspicious first, and then all others in turn. A change that is passed on a few times
+    /// only, and never again, misses some nodes for good.
     pub fn pick(&self, mut fits: impl FnMut(&Entry) -> bool) -> Vec<Entry> {
         let mut cells = self.cells.lock();
-        let mut hot: Vec<_> = cells
+        cells.steps += 1;
+        let steps = cells.steps;
+        let mut all: Vec<_> = cells
             .by_version
             .iter_mut()
             .flat_map(|(version, origins)| {
                 origins.iter_mut().map(move |(origin, cell)| (version, origin, cell))
             })
-            .filter(|(.., cell)| 0 < cell.sends_left)
             .collect();
-        hot.sort_by_key(|(.., cell)| {
-            let failing = cell.counts.calls < cell.counts.failures.saturating_mul(10);
-            std::cmp::Reverse((failing, cell.sends_left, cell.changed))
-        });
+        if LOOKED_AT < all.len() {
+            all.select_nth_unstable_by_key(LOOKED_AT, |(.., cell)| cell.urgency());
+            all.truncate(LOOKED_AT);
+        }
+        all.sort_by_key(|(.., cell)| cell.urgency());
         let mut picked = Vec::new();
-        for (version, origin, cell) in hot {
+        for (version, origin, cell) in all {
             let entry = Entry(origin.clone(), version.clone(), cell.counts.into());
-            if !fits(&entry) {
-                break;
+            if fits(&entry) {
+                cell.sends_left = cell.sends_left.saturating_sub(1);
+                cell.sent = steps;
+                picked.push(entry);
             }
-            cell.sends_left -= 1;
-            picked.push(entry);
         }
         picked
     }
 }
 
+impl Cell {
+    /// The lowest is sent first.
+    fn urgency(&self) -> impl Ord + use<> {
+        let is_hot = 0 < self.sends_left;
+        (Reverse(is_hot && self.counts.is_suspicious()), Reverse(self.sends_left), self.sent)
+    }
+}
+
 impl Cells {
     fn update(
         &mut self,
@@ -228,7 +248,7 @@
         let cell = origins.entry(origin.clone()).or_default();
         let counts = next(&cell.counts);
         if counts != cell.counts {
-            *cell = Cell { counts, sends_left: SENDS, changed: steps };
+            *cell = Cell { counts, sends_left: SENDS, changed: steps, sent: cell.sent };
         }
         if MAX_ENTRIES < self.n_entries {
             self.evict();
--- a/crates/curranthook_peers/src/member.rs
+++ b/crates/curranthook_peers/src/member.rs
@@ -7,11 +7,14 @@
 //!
 //! Only a bounded view is called in turn, so the cost doesn't grow with the fleet.
 
+mod identity;
+mod table;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use curranthook_platform::{Vm, VmState};
@@ -19,8 +22,10 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
+pub use self::identity::Identity;
+use self::table::{Peer, Table};
 use crate::tuning::Trust;
 
 /// How many peers of its own failure domain a node calls in turn.
@@ -29,49 +34,10 @@
 const VIEW_SITE: usize = 6;
 /// How many peers of other sites, or of which nothing is known yet.
 const VIEW_FAR: usize = 4;
-/// Calls that fail in a row before a peer counts as unreachable. One may be bad luck.
-const FAILURES: u32 = 2;
-/// How long an unreachable peer is left alone at first; doubles up to the longest.
-const BACKOFF: Duration = Duration::from_secs(5);
-/// The longest time an unreachable peer is left alone.
-const MAX_BACKOFF: Duration = Duration::from_secs(60);
-/// How many candidates are remembered.
-const MAX_KNOWN: usize = 4_096;
 /// One peer of each full part of the view is exchanged after this many turns, so that the graph
 /// of views doesn't harden into islands.
 const TURNS_PER_SHUFFLE: u64 = 60;
 
-/// Who a node is, as it says itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "Fields", into = "Fields")]
-pub struct Identity {
-    /// Its VM.
-    pub vm: vm::Id,
-    /// Which process of that VM.
-    pub incarnation: vm::Incarnation,
-    /// Where peers reach it.
-    pub addr: SocketAddr,
-    /// Where it stands.
-    pub domain: domain::Id,
-    /// Its site.
-    pub site: site::Id,
-}
-
-/// On the wire names would cost more than the values.
-type Fields = (vm::Id, vm::Incarnation, SocketAddr, domain::Id, site::Id);
-
-impl From<Fields> for Identity {
-    fn from((vm, incarnation, addr, domain, site): Fields) -> Self {
-        Self { vm, incarnation, addr, domain, site }
-    }
-}
-
-impl From<Identity> for Fields {
-    fn from(it: Identity) -> Self {
-        (it.vm, it.incarnation, it.addr, it.domain, it.site)
-    }
-}
-
 /// The process was replaced by a later one of the same VM, or has said that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("a later process of this VM is known, or this one has left")]
@@ -119,45 +85,19 @@
 /// The order in which the parts of the view are called.
 const TURNS: [Group; 4] = [Group::Domain, Group::Site, Group::Domain, Group::Far];
 
-#[derive(Debug, Default)]
-struct Peer {
-    identity: Option<Identity>,
-    /// What the VM list says of its place, before it has answered.
-    domain: Option<domain::Id>,
-    is_listed: bool,
-    in_view: bool,
-    is_alive: bool,
-    failures: u32,
-    tried: Option<Instant>,
-    /// When it may be tried again, for an unreachable one.
-    retry: Option<(Instant, Duration)>,
-}
-
-#[derive(Debug)]
-struct State {
-    known: BTreeMap<SocketAddr, Peer>,
-    /// The highest incarnation met of each VM.
-    incarnations: HashMap<vm::Id, vm::Incarnation>,
-    /// Processes that said they leave.
-    left: HashMap<vm::Id, vm::Incarnation>,
-    sites: HashMap<domain::Id, site::Id>,
-    turn: u64,
-    rng: Pcg64,
-}
-
 /// The peers of one node.
 #[derive(Debug)]
 pub struct Members {
     own: Identity,
     trust: Trust,
     clock: Arc<dyn Clock>,
-    state: Mutex<State>,
+    state: Mutex<Table>,
 }
 
 impl Members {
     /// No peers yet; `seed` feeds the choice of the view.
     pub fn new(own: Identity, trust: Trust, clock: Arc<dyn Clock>, seed: u64) -> Self {
-        let state = State {
+        let state = Table {
             known: BTreeMap::new(),
             incarnations: HashMap::new(),
             left: HashMap::new(),
@@ -264,10 +204,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         let Some(peer) = state.known.get_mut(&addr) else { return };
-        peer.failures += 1;
-        if FAILURES <= peer.failures {
-            peer.give_up(now);
-        }
+        peer.fail(now);
     }
 
     /// A peer says that it can't reach `addr`.
@@ -296,7 +233,7 @@
         let mut state = self.state.lock();
         state.turn += 1;
         if state.turn.is_multiple_of(TURNS_PER_SHUFFLE) {
-            self.shuffle(&mut state);
+            self.shuffle(&mut state, now);
         }
         self.fill(&mut state, now);
         let start = state.turn as usize;
@@ -403,7 +340,7 @@
         }
     }
 
-    fn fill(&self, state: &mut State, now: Instant) {
+    fn fill(&self, state: &mut Table, now: Instant) {
         for group in [Group::Domain, Group::Site, Group::Far] {
             let in_group: Vec<_> = state
                 .known
@@ -427,10 +364,13 @@
         }
     }
 
-    fn shuffle(&self, state: &mut State) {
+    fn shuffle(&self, state: &mut Table, now: Instant) {
         for group in [Group::Domain, Group::Site, Group::Far] {
             let in_group = |it: &Peer| self.group(&state.sites, it) == group;
-            let n_spare = state.known.values().filter(|it| in_group(it) && !it.in_view).count();
+            // An unreachable peer is no spare. Taken for one, it would push a live peer out of
+            // the view without being able to take its place.
+            let is_spare = |it: &&Peer| in_group(it) && !it.in_view && it.may_try(now);
+            let n_spare = state.known.values().filter(is_spare).count();
             let view: Vec<_> = state
                 .known
                 .iter()
@@ -450,45 +390,6 @@
     }
 }
 
-impl State {
-    fn entry(&mut self, addr: SocketAddr) -> Option<&mut Peer> {
-        if MAX_KNOWN <= self.known.len() && !self.known.contains_key(&addr) {
-            return None;
-        }
-        Some(self.known.entry(addr).or_default())
-    }
-
-    fn is_stale(&self, identity: &Identity) -> bool {
-        let is_older =
-            self.incarnations.get(&identity.vm).is_some_and(|it| identity.incarnation < *it);
-        is_older || self.left.get(&identity.vm).is_some_and(|it| identity.incarnation <= *it)
-    }
-
-    /// Direct contact. A replaced VM may keep its id and address while the old process still has
-    /// calls under way; those must not pass for the new one's.
-    fn meet(&mut self, identity: &Identity) -> Result<(), Stale> {
-        if self.is_stale(identity) {
-            return Err(Stale);
-        }
-        self.incarnations.insert(identity.vm.clone(), identity.incarnation);
-        self.sites.insert(identity.domain.clone(), identity.site.clone());
-        Ok(())
-    }
-}
-
-impl Peer {
-    fn may_try(&self, now: Instant) -> bool {
-        self.retry.is_none_or(|(at, _)| at <= now)
-    }
-
-    fn give_up(&mut self, now: Instant) {
-        let backoff = self.retry.map_or(BACKOFF, |(_, it)| (it * 2).min(MAX_BACKOFF));
-        self.retry = Some((now + backoff, backoff));
-        self.is_alive = false;
-        self.in_view = false;
-    }
-}
-
 fn rank(own: &vm::Id, other: &vm::Id) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
     let mut hasher = DefaultHasher::new();
--- /dev/null
+++ b/crates/curranthook_peers/src/member/table.rs
@@ -0,0 +1,92 @@
+//! All peers that a node has heard of.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use curranthook_types::{domain, site, vm};
+use rand_pcg::Pcg64;
+
+use crate::member::{Identity, Stale};
+
+/// Calls that fail in a row before a peer counts as unreachable. One may be bad luck.
+const FAILURES: u32 = 2;
+/// How long an unreachable peer is left alone at first; doubles up to the longest.
+const BACKOFF: Duration = Duration::from_secs(5);
+/// The longest time an unreachable peer is left alone.
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+/// How many candidates are remembered.
+const MAX_KNOWN: usize = 4_096;
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    pub(super) identity: Option<Identity>,
+    /// What the VM list says of its place, before it has answered.
+    pub(super) domain: Option<domain::Id>,
+    pub(super) is_listed: bool,
+    pub(super) in_view: bool,
+    pub(super) is_alive: bool,
+    pub(super) failures: u32,
+    pub(super) tried: Option<Instant>,
+    /// When it may be tried again, for an unreachable one.
+    pub(super) retry: Option<(Instant, Duration)>,
+}
+
+#[derive(Debug)]
+pub(super) struct Table {
+    pub(super) known: BTreeMap<SocketAddr, Peer>,
+    /// The highest incarnation met of each VM.
+    pub(super) incarnations: HashMap<vm::Id, vm::Incarnation>,
+    /// Processes that said they leave.
+    pub(super) left: HashMap<vm::Id, vm::Incarnation>,
+    pub(super) sites: HashMap<domain::Id, site::Id>,
+    pub(super) turn: u64,
+    pub(super) rng: Pcg64,
+}
+
+impl Table {
+    pub(super) fn entry(&mut self, addr: SocketAddr) -> Option<&mut Peer> {
+        if MAX_KNOWN <= self.known.len() && !self.known.contains_key(&addr) {
+            return None;
+        }
+        Some(self.known.entry(addr).or_default())
+    }
+
+    pub(super) fn is_stale(&self, identity: &Identity) -> bool {
+        let is_older =
+            self.incarnations.get(&identity.vm).is_some_and(|it| identity.incarnation < *it);
+        is_older || self.left.get(&identity.vm).is_some_and(|it| identity.incarnation <= *it)
+    }
+
+    /// Direct contact. A replaced VM may keep its id and address while the old process still has
+    /// calls under way; those must not pass for the new one's.
+    pub(super) fn meet(&mut self, identity: &Identity) -> Result<(), Stale> {
+        if self.is_stale(identity) {
+            return Err(Stale);
+        }
+        self.incarnations.insert(identity.vm.clone(), identity.incarnation);
+        self.sites.insert(identity.domain.clone(), identity.site.clone());
+        Ok(())
+    }
+}
+
+impl Peer {
+    pub(super) fn may_try(&self, now: Instant) -> bool {
+        self.retry.is_none_or(|(at, _)| at <= now)
+    }
+
+    pub(super) fn fail(&mut self, now: Instant) {
+        self.failures += 1;
+        if FAILURES <= self.failures {
+            self.give_up(now);
+        }
+    }
+
+    pub(super) fn give_up(&mut self, now: Instant) {
+        let backoff = self.retry.map_or(BACKOFF, |(_, it)| (it * 2).min(MAX_BACKOFF));
+        self.retry = Some((now + backoff, backoff));
+        self.is_alive = false;
+        self.in_view = false;
+    }
+}
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -173,6 +173,17 @@
         rpc::handle(self, &self.module, head, &body).await
     }
 
+    /// Takes over a document that came another way than from the table or a peer, if its epoch
+    /// is higher, and says whether it did.
+    pub fn offer(&self, document: Document) -> bool {
+        self.spread.offer(document)
+    }
+
+    /// Who this node is to its peers.
+    pub fn identity(&self) -> &Identity {
+        self.members.own()
+    }
+
     /// This node's bill lines.
     pub fn journal(&self) -> &Journal {
         &self.journal
--- /dev/null
+++ b/crates/curranthook_peers/tests/peers/digest.rs
@@ -0,0 +1,138 @@
+//! What travels with the digest merges idempotently.
+
+use std::{sync::Arc, time::Duration};
+
+use curranthook_peers::{
+    demand::Demand,
+    evidence::{Counts, Entry, Evidence, Failed, Sample},
+    poison::Poison,
+    suspect::Suspects,
+};
+use curranthook_settings::Document;
+use curranthook_types::{bill::Origin, clock, endpoint, version};
+use proptest::prelude::*;
+
+use crate::support::{Fleet, wait};
+
+fn origin(n: u8) -> Origin {
+    Origin { vm: format!("vm-{n}").as_str().into(), incarnation: 1 }
+}
+
+/// What three nodes tell as their counters grow, each state told twice.
+fn told(ratings: &[(u8, f64)], version: &version::Id) -> (Vec<Entry>, Counts) {
+    let nodes: Vec<_> = (0..3).map(|it| Evidence::new(origin(it))).collect();
+    let mut entries = Vec::new();
+    for (n, rating) in ratings {
+        let node = &nodes[usize::from(*n)];
+        node.add(version, Sample { rating: Some(*rating), failed: Failed::No, tokens: 5 });
+        entries.extend(node.pick(|_| true));
+        entries.extend(node.pick(|_| true));
+    }
+    let sum = nodes.iter().map(|it| it.total(version));
+    (entries, sum.fold(Counts::default(), |sum, it| sum.plus(&it)))
+}
+
+proptest! {
+    /// Digests are repeated, overtake each other and go round over several peers. If a repeat
+    /// counted again, a few bad answers would look like many and a good version be withdrawn.
+    #[test]
+    fn evidence_repeated_and_reordered_counts_once(
+        ratings in prop::collection::vec((0_u8..3, 0_u8..=4), 1..30),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..60),
+    ) {
+        let version = version::Id::new("tally-llm@1");
+        let ratings: Vec<_> = ratings.iter().map(|(n, it)| (*n, f64::from(*it) / 4.0)).collect();
+        let (mut entries, expected) = told(&ratings, &version);
+        for at in order {
+            let entry = at.get(&entries).clone();
+            entries.push(entry);
+            let at = at.index(entries.len());
+            entries.swap(0, at);
+        }
+        let receiver = Evidence::new(origin(9));
+        entries.iter().for_each(|it| receiver.merge(it));
+        let total = receiver.total(&version);
+        prop_assert_eq!((total.calls, total.rated), (expected.calls, expected.rated));
+        prop_assert!((total.rating_sum - expected.rating_sum).abs() < 1e-9);
+    }
+}
+
+/// One request takes down an endpoint of one router and then, sent again, one of another's. No
+/// router alone has seen two die.
+#[test]
+fn charges_by_two_nodes_make_poison_everywhere_until_they_expire() {
+    let clock = Arc::new(clock::Manual::default());
+    let nodes: Vec<_> = (0..3).map(|_| Poison::new(clock.clone())).collect();
+    let print = [7; 16];
+    nodes[0].charge(print, &endpoint::Id::new("e-1"));
+    nodes[0].charge(print, &endpoint::Id::new("e-1"));
+    assert!(!nodes[0].is_poison(&print), "one endpoint may die of something else");
+    nodes[1].charge(print, &endpoint::Id::new("e-2"));
+    for from in &nodes[..2] {
+        from.pick(0, 8).iter().for_each(|it| nodes[2].merge(it));
+    }
+    assert!(nodes[2].is_poison(&print));
+    let told = nodes[2].pick(0, 8);
+    clock.advance(Duration::from_secs(601));
+    told.iter().for_each(|it| nodes[0].merge(it));
+    assert!(!nodes[0].is_poison(&print), "a charge must not go round for ever");
+    assert!(!nodes[2].is_poison(&print));
+}
+
+/// A version that a node suspects is withdrawn for all. The suspicion is over with that, so that
+/// a later return of the version isn't held up by it.
+#[test]
+fn a_suspicion_ends_with_the_withdrawal() {
+    let suspects = Suspects::new(Arc::new(clock::Manual::default()));
+    let version = version::Id::new("tally-llm@2");
+    suspects.declare(&version);
+    suspects.settle(&Document::default());
+    assert!(suspects.contains(&version));
+    let withdrawn = [version.clone()].into();
+    suspects.settle(&Document { withdrawn, ..Document::default() });
+    assert!(!suspects.contains(&version));
+}
+
+/// Two nodes get an account's requests at unlike rates. If each took half of the limit, one would
+/// refuse what the other leaves unused.
+#[test]
+fn shares_follow_demand_and_sum_to_one() {
+    let clock = Arc::new(clock::Manual::default());
+    let nodes: Vec<_> =
+        ["vm-0", "vm-1"].iter().map(|it| Demand::new((*it).into(), 1, clock.clone())).collect();
+    let account = "co-op".into();
+    for _ in 0..20 {
+        (0..30).for_each(|_| nodes[0].add(&account));
+        (0..10).for_each(|_| nodes[1].add(&account));
+        nodes.iter().for_each(|it| it.tick(Duration::from_secs(1)));
+    }
+    let told: Vec<_> = nodes.iter().map(|it| it.pick(0).remove(0)).collect();
+    nodes[0].merge(told[1].clone());
+    nodes[0].merge(told[1].clone());
+    nodes[1].merge(told[0].clone());
+    let shares: Vec<_> = nodes.iter().map(|it| it.share(&account, 2)).collect();
+    assert!((shares[0] - 0.75).abs() < 0.02, "{shares:?}");
+    assert!((shares.iter().sum::<f64>() - 1.0).abs() < 0.02, "{shares:?}");
+}
+
+/// A version turns bad, and each router sees only a few of its answers. Together they have seen
+/// enough, if the counts reach everyone.
+#[test]
+fn everyone_gets_everyones_evidence_and_suspicions() {
+    async_io::block_on(async {
+        let fleet = Fleet::new();
+        let nodes = fleet.start(6);
+        let version = version::Id::new("tally-llm@2");
+        for node in &nodes {
+            node.evidence()
+                .add(&version, Sample { rating: Some(0.0), failed: Failed::No, tokens: 1 });
+        }
+        nodes[0].suspects().declare(&version);
+        let met = wait(Duration::from_secs(10), || {
+            nodes.iter().all(|it| {
+                it.evidence().total(&version).rated == 6 && it.suspects().contains(&version)
+            })
+        });
+        assert!(met.await.is_some(), "{:?}", nodes[5].evidence().total(&version));
+    });
+}
--- /dev/null
+++ b/crates/curranthook_peers/tests/peers/document.rs
@@ -0,0 +1,87 @@
+//! The newest configuration reaches every node and never goes back.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use curranthook_peers::spread::{Misfit, Spread, Transfer};
+use curranthook_settings::Document;
+use curranthook_types::Epoch;
+
+use crate::support::{Fleet, wait};
+
+fn document(epoch: u64) -> Document {
+    let by = format!("operator-{epoch}");
+    Document { epoch: Epoch(epoch), by, ..Document::default() }
+}
+
+/// A peer that was cut off offers the configuration it still has, after a newer one arrived.
+#[test]
+fn a_lower_epoch_never_replaces_a_higher_one() {
+    let spread = Spread::default();
+    assert!(spread.offer(document(5)));
+    for older in [4, 5, 1] {
+        assert!(!spread.offer(document(older)));
+        assert_eq!(spread.apply(Transfer::Full(Box::new(document(older)))), Ok(false));
+    }
+    assert_eq!(spread.epoch(), Epoch(5));
+}
+
+/// A node's document differs from what the sender takes it for. The delta would then give a
+/// configuration that nobody published.
+#[test]
+fn a_delta_is_taken_only_where_it_fits() {
+    let (sender, same, other) = (Spread::default(), Spread::default(), Spread::default());
+    sender.offer(document(1));
+    sender.offer(document(2));
+    same.offer(document(1));
+    other.offer(Document { at_millis: 77, ..document(1) });
+    let delta = sender.transfer(Epoch(1));
+    assert!(matches!(delta, Transfer::Delta { .. }));
+    assert_eq!(same.apply(delta.clone()), Ok(true));
+    assert_eq!(same.document(), sender.document());
+    assert_eq!(other.apply(delta), Err(Misfit));
+    assert_eq!(other.epoch(), Epoch(1));
+    assert!(matches!(sender.transfer(Epoch(0)), Transfer::Full(_)));
+}
+
+/// The platform's table is out for all nodes but one: they get each epoch from their peers.
+#[test]
+fn peers_bring_epochs_while_the_table_is_out() {
+    async_io::block_on(async {
+        let fleet = Fleet::new();
+        fleet.platform.publish(1);
+        let nodes = fleet.start(8);
+        for epoch in 1..=5 {
+            fleet.platform.publish(epoch);
+            fleet.platform.table_down.store(false, Ordering::SeqCst);
+            let first = nodes[0].next_document(Epoch(epoch - 1)).await;
+            fleet.platform.table_down.store(true, Ordering::SeqCst);
+            assert!(Epoch(epoch) <= first.epoch);
+            let everywhere = wait(Duration::from_secs(10), || {
+                nodes.iter().all(|it| it.document().is_some_and(|it| it.epoch == Epoch(epoch)))
+            });
+            assert!(everywhere.await.is_some(), "epoch {epoch} didn't get everywhere");
+        }
+    });
+}
+
+/// A VM is replaced while the platform is out. Its peers have unlike epochs, as one has been cut
+/// off; the node must start with the newest of them.
+#[test]
+fn a_node_started_during_an_outage_takes_its_peers_newest() {
+    async_io::block_on(async {
+        let fleet = Fleet::new();
+        fleet.platform.publish(3);
+        let nodes = fleet.start(2);
+        nodes[0].next_document(Epoch(0)).await;
+        nodes[1].next_document(Epoch(0)).await;
+        for (a, b) in [(0, 1), (1, 0)] {
+            fleet.net.cut(&nodes[a], &nodes[b]);
+        }
+        fleet.platform.table_down.store(true, Ordering::SeqCst);
+        nodes[1].offer(document(9));
+        let late = fleet.node(2, 1);
+        let first = late.next_document(Epoch(0)).await;
+        assert_eq!(first.epoch, Epoch(9));
+        assert_eq!(nodes[0].document().map(|it| it.epoch), Some(Epoch(3)));
+    });
+}
