--- a/crates/curranthook_peers/src/rpc.rs
+++ b/crates/curranthook_peers/src/rpc.rs
@@ -8,6 +8,7 @@
 //! | `replicate` | [`Batch`] | null |
 //! | `leaving` | [`Identity`] | null |
 //! | `evidence` | null | list of version and [`Counts`] |
+//! | `origins` | null | list of version, [`Origin`] and [`Counts`] |
 //!
 //! A call carries its time and a MAC over time and body; the answer a MAC over the call's MAC
 //! and the body, so that a process at a forerunner's address can't pass for it.
@@ -16,7 +17,7 @@
 
 use bytes::Bytes;
 use curranthook_http::{Body, body};
-use curranthook_types::{Epoch, header, version};
+use curranthook_types::{Epoch, bill::Origin, header, version};
 use http::{Method, StatusCode};
 use jsonrpsee::{
     RpcModule,
@@ -187,6 +188,17 @@
         let totals: Vec<(version::Id, Counts)> = upgrade(node)?.evidence().totals();
         Ok::<_, ErrorObjectOwned>(totals)
     })?;
+    module.register_method("origins", |_, node, _| {
+        let node = upgrade(node)?;
+        let versions = node.evidence().totals().into_iter().map(|(version, _)| version);
+        let rows: Vec<(version::Id, Origin, Counts)> = versions
+            .flat_map(|version| {
+                let origins = node.evidence().by_origin(&version);
+                origins.into_iter().map(move |(origin, counts)| (version.clone(), origin, counts))
+            })
+            .collect();
+        Ok::<_, ErrorObjectOwned>(rows)
+    })?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/curranthook_steward/src/evidence.rs
@@ -0,0 +1,53 @@
+//! What the router beside this steward knows of all nodes' answers.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use curranthook_http::client::Pool;
+use curranthook_peers::{auth, counters::Counters, evidence, link, rpc};
+use curranthook_policy::verdict::Counts;
+use curranthook_types::{Clock, bill::Origin, version};
+
+/// Asks the router.
+#[derive(Debug)]
+pub struct Source {
+    link: link::Http,
+    key: auth::Key,
+    clock: Arc<dyn Clock>,
+    counters: Counters,
+    router: SocketAddr,
+}
+
+/// The counts of one version from one node.
+pub type Row = (version::Id, Origin, evidence::Counts);
+
+impl Source {
+    /// Asks the router whose peers' address is `router`.
+    pub fn new(pool: Arc<Pool>, clock: Arc<dyn Clock>, key: &[u8], router: SocketAddr) -> Self {
+        let link = link::Http::new(pool);
+        Self { link, key: auth::Key::new(key), clock, counters: Counters::default(), router }
+    }
+
+    /// All that the router knows, its own counts and other nodes'.
+    pub async fn all(&self) -> Result<Vec<Row>, rpc::Error> {
+        let client = rpc::Client {
+            link: &self.link,
+            key: &self.key,
+            now_millis: self.clock.unix_millis(),
+            counters: &self.counters,
+        };
+        client.call(self.router, "origins", &(), rpc::TIMEOUT).await
+    }
+}
+
+/// The form that the policy takes.
+pub fn convert(counts: evidence::Counts) -> Counts {
+    Counts {
+        n: counts.rated,
+        sum: counts.rating_sum,
+        squares: counts.rating_sq_sum,
+        calls: counts.calls,
+        errors: counts.failures,
+        tokens: counts.tokens,
+        ..Counts::default()
+    }
+}
--- /dev/null
+++ b/crates/curranthook_steward/src/lease.rs
@@ -0,0 +1,195 @@
+//! Leases on shards of control work.
+//!
+//! A lease is a row in the platform's table. Its holder rewrites the row in time; a row that a
+//! candidate has seen unchanged for long enough, by the candidate's own clock, has no holder
+//! any more. So no two clocks are ever compared.
+//!
+//! A holder can be frozen past the end of its lease and go on unaware. Hence each change of
+//! holder raises the fencing number, which goes with every order. Engines that check it refuse
+//! the old holder's orders. For those that don't, a holder sends an order only while its lease
+//! has more time left than the order may take, and a successor waits that much longer. What
+//! remains is a holder frozen between that check and the send; the next look at the engine
+//! finds what it did, and the order is given again (see [`crate::order`]).
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use curranthook_platform::{Error, Row, Table, Tag, Write};
+use curranthook_types::{Clock, vm};
+use serde::{Deserialize, Serialize};
+
+/// The table that holds the leases.
+pub const TABLE: &str = "leases";
+/// How long a lease holds after its row was written.
+pub const TERM: Duration = Duration::from_secs(6);
+/// How long an order, or any other effect of a lease, may take.
+pub const EFFECT: Duration = Duration::from_secs(2);
+/// How long a candidate must have seen a row unchanged before it takes it over.
+pub const TAKE_OVER: Duration = Duration::from_secs(8);
+
+/// What a lease's row says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Who holds it.
+    pub holder: Holder,
+    /// Counts changes of holder.
+    pub fencing: u64,
+    /// Counts renewals, so that each one changes the row.
+    pub renewal: u64,
+    /// Whether the holder gave it back.
+    pub released: bool,
+}
+
+/// A steward's process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Its VM.
+    pub vm: vm::Id,
+    /// Which process of that VM.
+    pub incarnation: vm::Incarnation,
+}
+
+/// How a steward stands with the lease of one shard.
+#[derive(Debug)]
+pub struct Lease {
+    table: Arc<dyn Table>,
+    clock: Arc<dyn Clock>,
+    shard: String,
+    me: Holder,
+    held: Option<Held>,
+    seen: Option<(Tag, Instant)>,
+}
+
+#[derive(Debug)]
+struct Held {
+    tag: Tag,
+    record: Record,
+    until: Instant,
+}
+
+impl Lease {
+    /// The lease of `shard`, held by others as far as is known.
+    pub fn new(table: Arc<dyn Table>, clock: Arc<dyn Clock>, shard: &str, me: Holder) -> Self {
+        Self { table, clock, shard: shard.to_owned(), me, held: None, seen: None }
+    }
+
+    /// The fencing number, if the lease has at least `needed` left.
+    pub fn fencing(&self, needed: Duration) -> Option<u64> {
+        let held = self.held.as_ref()?;
+        (self.clock.now() + needed < held.until).then_some(held.record.fencing)
+    }
+
+    /// Renews the lease if it's held, or takes it if nobody holds it.
+    pub async fn step(&mut self) -> Result<(), Error> {
+        match self.held.take() {
+            Some(held) => self.renew(held).await,
+            None => self.look().await,
+        }
+    }
+
+    /// Gives the lease back, so that another steward needn't wait for its end.
+    pub async fn close(mut self) {
+        let Some(held) = self.held.take() else { return };
+        let record = Record { released: true, ..held.record };
+        // If this is lost, the lease runs out by itself.
+        let _written = self.table.replace(TABLE, &self.shard, &held.tag, encode(&record)).await;
+    }
+
+    async fn renew(&mut self, held: Held) -> Result<(), Error> {
+        let record = Record { renewal: held.record.renewal + 1, ..held.record.clone() };
+        // The term counts from before the write: how long it took to arrive isn't known.
+        let started = self.clock.now();
+        match self.table.replace(TABLE, &self.shard, &held.tag, encode(&record)).await {
+            Ok(Write::Done(tag)) => {
+                self.hold(tag, record, started);
+                Ok(())
+            }
+            Ok(Write::Conflict) => self.look().await,
+            // Whether the renewal took effect isn't known, so the old term still binds. A look
+            // at the row tells which of its states the next renewal has to name.
+            Err(e) => {
+                self.recover(held, &record, started).await;
+                Err(e)
+            }
+        }
+    }
+
+    async fn recover(&mut self, held: Held, sent: &Record, started: Instant) {
+        match self.table.get(TABLE, &self.shard).await {
+            Ok(Some(row)) if decode(&row).as_ref() == Ok(sent) => {
+                self.hold(row.tag, sent.clone(), started);
+            }
+            Ok(Some(row)) if row.tag != held.tag => self.see(row.tag),
+            _ => self.held = Some(held),
+        }
+    }
+
+    async fn look(&mut self) -> Result<(), Error> {
+        let started = self.clock.now();
+        let Some(row) = self.table.get(TABLE, &self.shard).await? else {
+            let record = self.record(1);
+            let written = self.table.insert(TABLE, &self.shard, encode(&record)).await;
+            return self.taken(written, record, started).await;
+        };
+        let found = decode(&row)?;
+        self.see(row.tag.clone());
+        if !found.released && !self.is_stale(started) {
+            return Ok(());
+        }
+        let record = self.record(found.fencing + 1);
+        let written = self.table.replace(TABLE, &self.shard, &row.tag, encode(&record)).await;
+        self.taken(written, record, started).await
+    }
+
+    async fn taken(
+        &mut self,
+        written: Result<Write, Error>,
+        record: Record,
+        started: Instant,
+    ) -> Result<(), Error> {
+        match written {
+            Ok(Write::Done(tag)) => self.hold(tag, record, started),
+            Ok(Write::Conflict) => {}
+            // Only a row that names this process and this fencing number is ours.
+            Err(Error::Lost(_)) => {
+                let row = self.table.get(TABLE, &self.shard).await?;
+                if let Some(row) = row.filter(|it| decode(it).as_ref() == Ok(&record)) {
+                    self.hold(row.tag, record, started);
+                }
+            }
+            Err(e) => return Err(e),
+        }
+        Ok(())
+    }
+
+    fn hold(&mut self, tag: Tag, record: Record, started: Instant) {
+        self.seen = None;
+        self.held = Some(Held { tag, record, until: started + TERM });
+    }
+
+    fn see(&mut self, tag: Tag) {
+        let is_known = self.seen.as_ref().is_some_and(|(seen, _)| *seen == tag);
+        if !is_known {
+            self.seen = Some((tag, self.clock.now()));
+        }
+    }
+
+    fn is_stale(&self, now: Instant) -> bool {
+        self.seen.as_ref().is_some_and(|(_, since)| TAKE_OVER <= now.duration_since(*since))
+    }
+
+    fn record(&self, fencing: u64) -> Record {
+        Record { holder: self.me.clone(), fencing, renewal: 0, released: false }
+    }
+}
+
+fn encode(record: &Record) -> Bytes {
+    serde_json::to_vec(record).expect("a record has only plain fields").into()
+}
+
+fn decode(row: &Row) -> Result<Record, Error> {
+    serde_json::from_slice(&row.value).map_err(|e| Error::Garbled(e.to_string()))
+}
--- /dev/null
+++ b/crates/curranthook_steward/src/serve.rs
@@ -0,0 +1,288 @@
+//! Starts a steward, runs its shards and ends it.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use curranthook_cli::store::Stored;
+use curranthook_http::{
+    Body, body,
+    client::Pool,
+    runtime,
+    server::{Handler, Server},
+    stop::{self, Stop},
+};
+use curranthook_platform::{Table, client::Client};
+use curranthook_policy::rollout::Gate;
+use curranthook_settings::node::Settings;
+use curranthook_types::{Clock, Epoch, clock, site};
+use futures_lite::{StreamExt, future::Boxed};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use rand::RngExt;
+use serde::Serialize;
+
+use crate::{
+    document, evidence,
+    lease::{EFFECT, Holder, Lease},
+    order, rollout,
+    shard::Shard,
+    verdict,
+};
+
+/// How often a held lease is renewed.
+const RENEW: Duration = Duration::from_secs(2);
+/// How often a shard that others hold is looked at. With 1,800 stewards and six shards a site
+/// this is what most of the table's reads go to; see `docs/CAPACITY.md`.
+const LOOK: Duration = Duration::from_secs(4);
+/// How often held work is done.
+const WORK: Duration = Duration::from_millis(500);
+/// How often every engine is looked at, changed document or not.
+const SWEEP: Duration = Duration::from_secs(30);
+
+/// What the command line sets.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The address at which the router beside this steward takes calls from peers.
+    pub router: SocketAddr,
+    /// When stages of roll-outs are passed.
+    pub gate: Gate,
+}
+
+/// The parts that shards work with.
+#[derive(Debug)]
+struct Steward {
+    site: site::Id,
+    clock: Arc<dyn Clock>,
+    desk: document::Desk,
+    evidence: evidence::Source,
+    orders: order::Desk,
+    gate: Gate,
+    status: Mutex<Status>,
+}
+
+/// The answer to `GET /status`.
+#[derive(Debug, Default, Clone, Serialize)]
+struct Status {
+    shards: Vec<String>,
+    withdrawn: u64,
+    steps: u64,
+    orders: u64,
+    stale_orders: u64,
+}
+
+/// Runs a steward until SIGTERM or SIGINT, then gives its leases back.
+pub async fn run(settings: Settings, options: Options, ex: runtime::Handle) -> anyhow::Result<()> {
+    let server = Server::bind(settings.steward_listen).context("binding the steward's address")?;
+    println!("{}", serde_json::json!({"listening": {"http": server.addr()}}));
+    let (trigger, stop) = stop::new();
+    let clock: Arc<dyn Clock> = Arc::new(clock::System);
+    let pool = || Arc::new(Pool::new(ex.clone(), Arc::clone(&clock)));
+    let table: Arc<dyn Table> = Arc::new(Client::new(settings.platform.table, pool()));
+    let me = Holder { vm: settings.vm.clone(), incarnation: clock.unix_millis() };
+    let steward = Arc::new(Steward {
+        site: settings.site.clone(),
+        desk: document::Desk::new(Arc::clone(&table), Arc::clone(&clock), &settings.vm),
+        evidence: evidence::Source::new(
+            pool(),
+            Arc::clone(&clock),
+            &settings.peer_key,
+            options.router,
+        ),
+        orders: order::Desk::new(pool()),
+        gate: options.gate,
+        status: Mutex::default(),
+        clock: Arc::clone(&clock),
+    });
+    let shards: Vec<_> = Shard::all()
+        .into_iter()
+        .map(|shard| {
+            let key = shard.key(&settings.site);
+            let lease = Lease::new(Arc::clone(&table), Arc::clone(&clock), &key, me.clone());
+            ex.spawn(Arc::clone(&steward).keep(shard, lease, stop.clone()))
+        })
+        .collect();
+    let serving = ex.spawn({
+        let (ex, steward, stop) = (ex.clone(), Arc::clone(&steward), stop.clone());
+        async move { server.serve(&ex, steward, stop).await }
+    });
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("listening to signals")?;
+    signals.next().await;
+    trigger.set();
+    for shard in shards {
+        shard.await;
+    }
+    serving.await;
+    log::info!("ended");
+    Ok(())
+}
+
+/// What a shard remembers between two rounds of work.
+#[derive(Debug, Default)]
+struct Memory {
+    court: verdict::Court,
+    watch: rollout::Watch,
+    epoch: Epoch,
+    swept: Option<Instant>,
+}
+
+impl Steward {
+    /// Holds one shard's lease when it can, and does the work while it does.
+    async fn keep(self: Arc<Self>, shard: Shard, mut lease: Lease, stop: Stop) {
+        let key = shard.key(&self.site);
+        let mut memory = Memory::default();
+        let mut next_step = self.clock.now();
+        while !stop.is_set() {
+            let now = self.clock.now();
+            if next_step <= now {
+                if let Err(e) = lease.step().await {
+                    log::debug!("{key}: {e}");
+                }
+                let is_held = lease.fencing(Duration::ZERO).is_some();
+                self.note(&key, is_held);
+                next_step = now + if is_held { RENEW } else { self.look_after() };
+            }
+            if lease.fencing(EFFECT).is_some() {
+                if let Err(e) = self.work(shard, &lease, &mut memory).await {
+                    log::debug!("{key}: {e:#}");
+                }
+            } else {
+                // Whoever takes the shard later starts from what the platform and the engines
+                // say, not from what this process remembers.
+                memory = Memory::default();
+            }
+            futures_lite::future::or(stop.wait(), async {
+                Timer::after(WORK).await;
+            })
+            .await;
+        }
+        lease.close().await;
+    }
+
+    /// A steward that holds much already waits longer, so that shards spread over the stewards.
+    fn look_after(&self) -> Duration {
+        let n_held = u32::try_from(self.status.lock().shards.len()).unwrap_or(u32::MAX);
+        let jitter = rand::rng().random_range(0.5..1.0);
+        LOOK.mul_f64(jitter) + (WORK * n_held)
+    }
+
+    fn note(&self, key: &str, is_held: bool) {
+        let mut status = self.status.lock();
+        let was_held = status.shards.iter().any(|it| it == key);
+        if is_held && !was_held {
+            log::info!("took {key}");
+            status.shards.push(key.to_owned());
+        } else if !is_held && was_held {
+            log::info!("lost {key}");
+            status.shards.retain(|it| it != key);
+        }
+    }
+
+    async fn work(&self, shard: Shard, lease: &Lease, memory: &mut Memory) -> anyhow::Result<()> {
+        let Some(stored) = self.desk.read().await? else { return Ok(()) };
+        match shard {
+            Shard::Verdicts => self.judge(&stored, memory).await,
+            Shard::Rollouts => self.roll(&stored, memory).await,
+            Shard::Orders(_) => self.order(shard, &stored, lease, memory).await,
+        }
+    }
+
+    async fn judge(&self, stored: &Stored, memory: &mut Memory) -> anyhow::Result<()> {
+        let rows = self.evidence.all().await?;
+        // One at a time: once it's published, what was read is old, and the next round reads anew.
+        let Some(it) = memory.court.judge(&stored.document, &rows).into_iter().next() else {
+            return Ok(());
+        };
+        let change =
+            self.desk.change(stored, |doc, stamp| doc.withdraw(&it.version, stamp)).await?;
+        log::warn!("{} withdrawn for its {}: {change:?}", it.version, it.reason.name());
+        if change == document::Change::Published {
+            self.status.lock().withdrawn += 1;
+            memory.court.forget(&it.version);
+        }
+        Ok(())
+    }
+
+    async fn roll(&self, stored: &Stored, memory: &mut Memory) -> anyhow::Result<()> {
+        if stored.document.rollouts.is_empty() {
+            return Ok(());
+        }
+        let rows = self.evidence.all().await?;
+        memory.court.judge(&stored.document, &rows);
+        let (court, now) = (&memory.court, self.clock.unix_millis());
+        let steps =
+            memory.watch.steps(&stored.document, &rows, now, &self.gate, |it| court.state(it));
+        let Some((model, step)) = steps.into_iter().next() else { return Ok(()) };
+        let change = self
+            .desk
+            .change(stored, |doc, stamp| match step {
+                rollout::Step::Advance(from) => doc.advance(&model, from, stamp),
+                rollout::Step::Abort => doc.abort(&model, stamp),
+            })
+            .await?;
+        log::info!("roll-out of {model}: {step:?}: {change:?}");
+        self.status.lock().steps += 1;
+        Ok(())
+    }
+
+    async fn order(
+        &self,
+        shard: Shard,
+        stored: &Stored,
+        lease: &Lease,
+        memory: &mut Memory,
+    ) -> anyhow::Result<()> {
+        let Some(config) = stored.document.sites.get(&self.site) else { return Ok(()) };
+        let now = self.clock.now();
+        let is_due = memory.swept.is_none_or(|at| at + SWEEP <= now);
+        if !is_due && memory.epoch == stored.document.epoch {
+            return Ok(());
+        }
+        let mut all_done = true;
+        for (id, endpoint) in &config.endpoints {
+            if endpoint.service.is_some() || Shard::of(id) != shard {
+                continue;
+            }
+            let Ok(served) = self.orders.served(endpoint).await else {
+                all_done = false;
+                continue;
+            };
+            let wanted = order::wanted(&stored.document, endpoint);
+            for it in order::missing(&served, &wanted) {
+                // Asked for each order anew: engines that ignore the fencing number are only
+                // protected by the time that the lease has left.
+                let Some(fencing) = lease.fencing(EFFECT) else { return Ok(()) };
+                match self.orders.give(id, endpoint, &it, fencing).await {
+                    Ok(order::Outcome::Obeyed) => self.status.lock().orders += 1,
+                    Ok(order::Outcome::Stale) => {
+                        self.status.lock().stale_orders += 1;
+                        all_done = false;
+                    }
+                    Err(_) => all_done = false,
+                }
+            }
+        }
+        if all_done {
+            memory.epoch = stored.document.epoch;
+            memory.swept = Some(now);
+        }
+        Ok(())
+    }
+}
+
+impl Handler for Steward {
+    fn handle(self: Arc<Self>, req: http::Request<Incoming>) -> Boxed<http::Response<Body>> {
+        Box::pin(async move {
+            match req.uri().path() {
+                "/healthz" | "/readyz" => body::json(200, &serde_json::json!({"ready": true})),
+                "/status" => body::json(200, &*self.status.lock()),
+                _ => body::json(404, &serde_json::json!({"error": "no such path"})),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_steward/src/shard.rs
@@ -0,0 +1,47 @@
+//! The shards that control work is cut into.
+
+use curranthook_types::{endpoint, site};
+
+/// How many shards the orders to a site's engines are spread over.
+pub const N_ORDERS: u64 = 4;
+
+/// A kind of control work, or a part of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shard {
+    /// Verdicts on versions.
+    Verdicts,
+    /// Roll-outs.
+    Rollouts,
+    /// Orders to the engines whose ids fall to this part.
+    Orders(u64),
+}
+
+impl Shard {
+    /// All shards of a site.
+    pub fn all() -> Vec<Self> {
+        let orders = (0..N_ORDERS).map(Self::Orders);
+        [Self::Verdicts, Self::Rollouts].into_iter().chain(orders).collect()
+    }
+
+    /// The key of the shard's lease. Verdicts and roll-outs change the one document, so the
+    /// whole fleet has one shard of each.
+    pub fn key(self, site: &site::Id) -> String {
+        match self {
+            Self::Verdicts => "verdicts".to_owned(),
+            Self::Rollouts => "rollouts".to_owned(),
+            Self::Orders(n) => format!("orders-{site}-{n}"),
+        }
+    }
+
+    /// The part that an engine falls to.
+    ///
+    /// ```
+    /// # use curranthook_steward::shard::Shard;
+    /// assert!(Shard::all().contains(&Shard::of(&"tally-1".into())));
+    /// ```
+    pub fn of(endpoint: &endpoint::Id) -> Self {
+        let bytes = endpoint.as_str().as_bytes();
+        let sum = bytes.iter().fold(0_u64, |sum, it| sum.wrapping_mul(31) + u64::from(*it));
+        Self::Orders(sum % N_ORDERS)
+    }
+}
