Refuse files that drop a version in roll-out; check ids

Cause: publishing files without a version that a roll-out names would have sent new sessions to a version that nothing serves. Ids of sites, VMs and failure domains stand in object keys and URLs but took any text.

Ruled out: aborting the roll-out by itself, which would hide a mistake in the files from both operators.

Change: Document::check_rollouts, called by publish; ids are checked like the names of entries. Two racing first publications are tested.

--- a/crates/curranthook_cli/src/command/publish.rs
+++ b/crates/curranthook_cli/src/command/publish.rs
@@ -55,6 +55,7 @@
     let at_millis = ctx.clock.unix_millis();
     let stamp = Stamp { by: &ctx.by, at_millis, publication: &publication };
     let next = Document::publish(current, checked.sites, &stamp);
+    next.check_rollouts()?;
     let changes = difference(before, &next);
     let warnings = checked.warnings;
     if changes.is_empty() {
--- a/crates/curranthook_cli/tests/fake/mod.rs
+++ b/crates/curranthook_cli/tests/fake/mod.rs
@@ -67,8 +67,9 @@
 
 impl State {
     fn document(&self) -> Document {
-        let (_, value) = &self.rows[&(ROW.0.to_owned(), ROW.1.to_owned())];
-        serde_json::from_slice(value).expect("a document")
+        let row = self.rows.get(&(ROW.0.to_owned(), ROW.1.to_owned()));
+        let document = |value: &Bytes| serde_json::from_slice(value).expect("a document");
+        row.map(|(_, value)| document(value)).unwrap_or_default()
     }
 
     fn apply(&mut self, tag: Option<&Tag>, value: Bytes) -> Write {
@@ -84,9 +85,8 @@
 
     fn publish(&mut self, edit: Edit) {
         let next = serde_json::to_vec(&edit(&self.document())).expect("JSON");
-        let (n, value) =
-            self.rows.get_mut(&(ROW.0.to_owned(), ROW.1.to_owned())).expect("a row to edit");
-        (*n, *value) = (*n + 1, next.into());
+        let row = self.rows.entry((ROW.0.to_owned(), ROW.1.to_owned())).or_default();
+        *row = (row.0 + 1, next.into());
     }
 
     fn write(&mut self, tag: Option<&Tag>, value: Bytes) -> Result<Write, Error> {
--- a/crates/curranthook_cli/tests/publish.rs
+++ b/crates/curranthook_cli/tests/publish.rs
@@ -85,6 +85,15 @@
     assert_eq!(fake.document().publication, OTHER.publication);
 }
 
+#[test]
+fn two_first_publications_are_a_conflict() {
+    let fake = Arc::new(fake::Platform::default());
+    fake.fail(&[Fault::Quicker(|_| Document::publish(None, [].into(), &OTHER))]);
+    let e = block_on(publish::run(&context(&fake), &example())).expect_err("not the first");
+    assert_eq!(e.code(), Code::Conflict);
+    assert_eq!(fake.document().publication, OTHER.publication);
+}
+
 /// The table's answer is lost. An operator who is told of a failure publishes again; one who is
 /// told of success goes home. So the command must find out which of both it was, and must not
 /// publish twice.
--- a/crates/curranthook_settings/src/check/schema.rs
+++ b/crates/curranthook_settings/src/check/schema.rs
@@ -3,6 +3,7 @@
 use super::shape::{Field, Name, Shape, optional, required};
 
 const TEXT: Shape = Shape::Text;
+const ID: Shape = Shape::Id;
 const FRACTION: Shape = Shape::Fraction;
 const BOOL: Shape = Shape::Bool;
 const MICROS: Shape = Shape::Whole { min: 0, unit: " of millionths of the currency" };
@@ -17,7 +18,7 @@
 const QUALITY: Shape = Shape::Map(Name::Plain, &FRACTION);
 
 pub(crate) const CONFIG: Shape = Shape::Record(&[
-    required("site", TEXT),
+    required("site", ID),
     optional("versions", Shape::Map(Name::Version, &Shape::Record(VERSION))),
     optional("services", Shape::Map(Name::Plain, &Shape::Record(SERVICE))),
     optional("endpoints", Shape::Map(Name::Plain, &Shape::Record(ENDPOINT))),
@@ -37,7 +38,7 @@
 
 const ENDPOINT: &[Field] = &[
     required("address", FIXED),
-    required("failure_domain", TEXT),
+    required("failure_domain", ID),
     optional("versions", TEXTS),
     optional("service", TEXT),
     optional("checks_fencing", BOOL),
@@ -68,12 +69,12 @@
     optional("queue", COUNT),
 ];
 
-const KEY: &[Field] = &[required("id", TEXT), required("secret", SECRET)];
+const KEY: &[Field] = &[required("id", ID), required("secret", SECRET)];
 
 pub(crate) const NODE: Shape = Shape::Record(&[
-    required("vm", TEXT),
-    required("site", TEXT),
-    required("failure_domain", TEXT),
+    required("vm", ID),
+    required("site", ID),
+    required("failure_domain", ID),
     required("listen", LISTEN),
     required("peer_listen", LISTEN),
     required("steward_listen", LISTEN),
--- a/crates/curranthook_settings/src/check/shape.rs
+++ b/crates/curranthook_settings/src/check/shape.rs
@@ -8,7 +8,10 @@
 /// What a value must look like.
 #[derive(Debug)]
 pub(crate) enum Shape {
+    /// A name that stands for something elsewhere, which the reference checks look at.
     Text,
+    /// An id that is declared here.
+    Id,
     Bool,
     /// From 0 to 1.
     Fraction,
@@ -157,6 +160,9 @@
     if matches!(value, Value::Null) {
         return Err("has no value; leave the key out".to_owned());
     }
+    if let (Shape::Id, Value::Text(id)) = (shape, value) {
+        return check_name(&Name::Plain, id).map_err(str::to_owned);
+    }
     let is_right = match (shape, value) {
         (Shape::Text, Value::Text(text)) => !text.trim().is_empty(),
         (Shape::Bool, Value::Bool(_)) => true,
@@ -187,7 +193,9 @@
 /// Says what was expected. The value itself isn't quoted, as it may be a secret.
 fn expected(shape: &Shape) -> String {
     match shape {
-        Shape::Text => "must be text; a text that looks like a number needs quotes".to_owned(),
+        Shape::Text | Shape::Id => {
+            "must be text; a text that looks like a number needs quotes".to_owned()
+        }
         Shape::Bool => "must be true or false".to_owned(),
         Shape::Fraction => "must be a number from 0 to 1".to_owned(),
         Shape::Positive => "must be a number over 0".to_owned(),
--- a/crates/curranthook_settings/src/document/error.rs
+++ b/crates/curranthook_settings/src/document/error.rs
@@ -46,6 +46,9 @@
     /// The model has no roll-out.
     #[error("model `{0}` has no roll-out")]
     NoRollout(String),
+    /// A roll-out under way names a version that no site has any more.
+    #[error("no site would have version `{0}`, which a roll-out under way names; abort it first")]
+    InRollout(version::Id),
     /// The roll-out's state doesn't allow this.
     #[error("the roll-out of `{model}` is {state}")]
     WrongState {
--- a/crates/curranthook_settings/src/document/progress.rs
+++ b/crates/curranthook_settings/src/document/progress.rs
@@ -134,6 +134,22 @@
         })
     }
 
+    /// Refuses a document in which a roll-out under way names a version that no site has, as
+    /// happens when files without the version are published. New sessions would be sent to a
+    /// version that nothing serves.
+    ///
+    /// ```
+    /// # use curranthook_settings::Document;
+    /// assert!(Document::default().check_rollouts().is_ok());
+    /// ```
+    pub fn check_rollouts(&self) -> Result<(), Error> {
+        let active = self.rollouts.values().filter(|it| it.is_active());
+        for version in active.flat_map(|it| [&it.from, &it.to]) {
+            self.check_version(version).map_err(|_| Error::InRollout(version.clone()))?;
+        }
+        Ok(())
+    }
+
     fn rollout(&self, model: &str) -> Result<&Rollout, Error> {
         self.rollouts.get(model).ok_or_else(|| Error::NoRollout(model.to_owned()))
     }
--- a/crates/curranthook_settings/tests/check.rs
+++ b/crates/curranthook_settings/tests/check.rs
@@ -79,6 +79,7 @@
     account_twice = { "accounts:\n", "accounts:\n  yard-7: {key_hashes: []}\n", 13, "accounts.yard-7", "stands twice" },
     short_secret = { "00112233445566778899aabbccddeeff", "0011", 10, "session_keys[0].secret", "at least 16 bytes" },
     no_session_key = { "  - {id: k1, secret: \"00112233445566778899aabbccddeeff\"}", "  []", 9, "session_keys", "no session key" },
+    name_with_slash = { "  ledger: {rep", "  led/ger: {rep", 6, "services.led/ger", "no slashes" },
     bad_method = { "[GET]", "[FETCH]", 6, "services.ledger.repeatable[0]", "must be one of" },
 )]
 fn mistake_in_base(from: &str, to: &str, line: u64, path: &str, message: &str) {
@@ -94,6 +95,8 @@
     both = { ", versions: [m@1]", ", versions: [m@1], service: ledger", 3, "endpoints.e-1", "both versions and a service" },
     same_address = { "10.0.0.2:80", "10.0.0.1:80", 4, "endpoints.l-1.address", "same address as at endpoints.e-1.address" },
     bad_address = { "10.0.0.2:80", "ledger:80", 4, "endpoints.l-1.address", "IP:port" },
+    site_with_space = { "site: south", "site: the south", 1, "site", "no spaces" },
+    site_not_text = { "site: south", "site: 7", 1, "site", "needs quotes" },
     port_zero = { "10.0.0.2:80", "10.0.0.2:0", 4, "endpoints.l-1.address", "port not 0" },
     key_twice = { "site: south\n", "site: south\nsite: north\n", 2, "site", "stands twice" },
     unknown_version = { "versions: [m@1]", "versions: [m@3]", 3, "endpoints.e-1.versions[0]", "unknown version `m@3`" },
--- a/crates/curranthook_settings/tests/document.rs
+++ b/crates/curranthook_settings/tests/document.rs
@@ -111,6 +111,17 @@
     assert_eq!(published().start(&plan(from, to, stages), &stamp("p2")), Err(expected));
 }
 
+#[test]
+fn files_without_a_version_in_rollout_are_refused() {
+    let running = published().start(&plan("m@1", "m@2", &[1.0]), &stamp("p2")).expect("start");
+    let mut sites = sites();
+    sites.get_mut("south").expect("the site").versions.remove("m@2");
+    let next = Document::publish(Some(&running), sites.clone(), &stamp("p3"));
+    assert_eq!(next.check_rollouts(), Err(Error::InRollout("m@2".into())));
+    let aborted = running.abort("m", &stamp("p3")).expect("abort");
+    assert_eq!(Document::publish(Some(&aborted), sites, &stamp("p4")).check_rollouts(), Ok(()));
+}
+
 #[test]
 fn second_rollout_of_a_model_must_wait() {
     let running = published().start(&plan("m@1", "m@2", &[1.0]), &stamp("p2")).expect("start");
