Stand-ins: load of services, links that keep their fault, more tests

Cause: a router that is started again behind a cut link would have opened the link, since giving it a new target replaced its fault; plain services reported no load; several faults had no test.

Ruled out: a call of its own for a new target. The status of a link now shows its fault, and the harness sends that back with the target.

--- a/crates/curranthook_standin/src/proxy/link.rs
+++ b/crates/curranthook_standin/src/proxy/link.rs
@@ -67,8 +67,8 @@
     pub listen: SocketAddr,
     /// Where its bytes go.
     pub target: SocketAddr,
-    /// What happens to connections and bytes.
-    pub mode: Mode,
+    /// The fault in force, with what is left of its allowances.
+    pub fault: Fault,
     /// Connections open now.
     pub open: usize,
     /// Connections accepted so far.
@@ -164,7 +164,7 @@
         let status = Status {
             listen: addr,
             target,
-            mode: Mode::Pass,
+            fault: Fault::default(),
             open: 0,
             accepted: 0,
             bytes_up: 0,
@@ -191,7 +191,7 @@
     /// What it has done.
     pub fn status(&self) -> Status {
         let state = self.state.lock();
-        Status { open: state.open.len(), mode: state.fault.mode, ..state.status.clone() }
+        Status { open: state.open.len(), fault: state.fault.clone(), ..state.status.clone() }
     }
 
     /// Puts `fault` in force and waits until the port is open or closed accordingly.
--- a/crates/curranthook_standin/src/service.rs
+++ b/crates/curranthook_standin/src/service.rs
@@ -3,7 +3,14 @@
 //! It never looks for repeats, so its record shows what a router let through. Control:
 //! `PUT /control/faults` takes [`Faults`], `GET /control/record` gives a list of [`Call`].
 
-use std::{process, sync::Arc, time::Duration};
+use std::{
+    process,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use async_io::Timer;
 use curranthook_http::{Body, body};
@@ -82,9 +89,27 @@
 pub struct Service {
     id: String,
     clock: Arc<dyn Clock>,
+    n_running: AtomicUsize,
     state: Mutex<State>,
 }
 
+/// Counts a call as running until it is dropped.
+#[derive(Debug)]
+struct Running<'a>(&'a AtomicUsize);
+
+impl<'a> Running<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     faults: Faults,
@@ -94,13 +119,14 @@
 impl Service {
     /// A service that has run nothing yet.
     pub fn new(id: &str, clock: Arc<dyn Clock>) -> Self {
-        Self { id: id.to_owned(), clock, state: Mutex::default() }
+        Self { id: id.to_owned(), clock, n_running: AtomicUsize::new(0), state: Mutex::default() }
     }
 
     async fn run(&self, req: &Request) -> http::Response<Body> {
         if let Some(refusal) = self.refusal() {
             return refusal;
         }
+        let _running = Running::new(&self.n_running);
         if self.state.lock().faults.hang_before_head.strikes() {
             return future::pending().await;
         }
@@ -172,6 +198,8 @@
         if let Ok(value) = http::HeaderValue::from_str(&id) {
             res.headers_mut().insert(header::REQUEST_ID, value);
         }
+        let n_running = self.n_running.load(Ordering::Relaxed);
+        res.headers_mut().insert(header::LOAD, http::HeaderValue::from(n_running));
         res
     }
 
--- a/crates/curranthook_standin/tests/engine.rs
+++ b/crates/curranthook_standin/tests/engine.rs
@@ -189,3 +189,80 @@
         Ok(())
     })
 }
+
+/// How a streamed answer looks to its caller under a fault, and what the record says of it.
+#[parameterized(
+    foreign_id = {
+        Faults { foreign_id: Count::Next(1), ..Faults::default() }, "not-r1", true, Outcome::Done
+    },
+    no_end_marker = {
+        Faults { no_end_marker: Count::Next(1), ..Faults::default() }, "r1", false, Outcome::Done
+    },
+    error = {
+        Faults { error_rate: Some(1.0), ..Faults::default() }, "", false, Outcome::Failed
+    },
+    late = {
+        Faults { answer_late_ms: 100, ..Faults::default() }, "r1", true, Outcome::Done
+    },
+)]
+fn a_faulty_answer(faults: Faults, id: &str, is_whole: bool, outcome: Outcome) {
+    run(async {
+        let (_directory, engine) = engine(Version::default(), &[]);
+        engine.set(&faults).await.expect("the fault is set");
+        let answer = chat("r1").streamed().send(&engine.addr()).await.expect("it answers");
+        assert_eq!(answer.header(header::REQUEST_ID).unwrap_or_default(), id);
+        assert!(answer.pieces().iter().all(|piece| piece.id == id), "{answer:?}");
+        assert_eq!(answer.is_whole(), is_whole, "{answer:?}");
+        assert!(Duration::from_millis(faults.answer_late_ms) <= answer.head_after);
+        let runs = engine.runs().await.expect("it keeps a record");
+        assert_eq!((runs[0].request_id.as_str(), runs[0].outcome), ("r1", outcome));
+    });
+}
+
+/// The engine begins the work and never answers; its caller gives up.
+#[test]
+fn a_hung_run_is_cancelled_when_its_caller_leaves() -> anyhow::Result<()> {
+    run(async {
+        let (_directory, engine) = engine(Version::default(), &[]);
+        engine.set(&Faults { hang_before_head: Count::Next(1), ..Faults::default() }).await?;
+        let addr = engine.addr();
+        let hung = executor().spawn(async move { chat("r1").send(&addr).await });
+        let is_taken = async || Ok(engine.runs().await?.len() == 1);
+        eventually(LIMIT, is_taken).await?;
+        assert_eq!(engine.runs().await?[0].outcome, Outcome::Running);
+        hung.cancel().await;
+        let is_cancelled = async || Ok(engine.runs().await?[0].outcome == Outcome::Cancelled);
+        eventually(LIMIT, is_cancelled).await
+    })
+}
+
+/// A prompt whose first message the engine has seen is begun in half the time. The cache events
+/// tell of it only later.
+#[test]
+fn a_known_prefix_is_begun_sooner() -> anyhow::Result<()> {
+    run(async {
+        let slow = Version { first_token_ms: 400.0, ..Version::default() };
+        let profile = Profile {
+            default: slow,
+            cache: 1,
+            cache_lag_ms: 300,
+            cache_gaps: 0.0,
+            ..Profile::default()
+        };
+        let (_directory, engine) = with_profile(&profile, &[]);
+        let addr = engine.addr();
+        let events = async || -> anyhow::Result<usize> {
+            let res = Exchange::get(addr, "/cache-events").run(pool()).await?;
+            Ok(serde_json::from_slice::<Vec<serde_json::Value>>(res.body())?.len())
+        };
+        let first = chat("r1").send(&addr).await?.head_after;
+        let second = chat("r2").send(&addr).await?.head_after;
+        assert!(second + Duration::from_millis(100) < first, "{first:?} {second:?}");
+        // Another prompt takes the only place: one entry goes and one comes.
+        Chat::new("main", "m@1", "another prompt").send(&addr).await?;
+        eventually(LIMIT, async || Ok(events().await? == 3)).await?;
+        let third = chat("r3").send(&addr).await?.head_after;
+        assert!(second + Duration::from_millis(100) < third, "{second:?} {third:?}");
+        Ok(())
+    })
+}
--- a/crates/curranthook_standin/tests/proxy.rs
+++ b/crates/curranthook_standin/tests/proxy.rs
@@ -1,11 +1,14 @@
 //! What the fault proxy promises to tests that rely on it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use curranthook_http::{Exchange, client::Freshness, exchange};
 use curranthook_standin::proxy::link::{Fault, Mode};
 use curranthook_tests::{
-    eventually, pool, run,
+    eventually, executor, pool, run,
     standin::{Proxy, Service},
 };
 use yare::parameterized;
@@ -120,3 +123,57 @@
         Ok(())
     })
 }
+
+/// A process that is replaced listens elsewhere; the link's address stays.
+#[test]
+fn a_link_gets_a_new_target() -> anyhow::Result<()> {
+    run(async {
+        let it = setup().await?;
+        let directory = tempfile::tempdir()?;
+        let other = Service::start(directory.path(), "s2")?;
+        let fault = Fault { target: Some(other.addr()), ..Fault::default() };
+        assert_eq!(it.proxy.set(LINK, &fault).await?.listen, it.addr);
+        post(it.addr, Freshness::New).await?;
+        assert_eq!((it.service.calls().await?.len(), other.calls().await?.len()), (0, 1));
+        Ok(())
+    })
+}
+
+/// A process is frozen: its connections stay open and nothing answers. Thawed, it works again.
+#[test]
+fn a_frozen_process_goes_on_when_thawed() -> anyhow::Result<()> {
+    run(async {
+        let mut it = setup().await?;
+        it.service.process.freeze()?;
+        let frozen = post(it.addr, Freshness::New).await;
+        assert!(matches!(frozen, Err(exchange::Error::Timeout(_))), "{frozen:?}");
+        it.service.process.thaw()?;
+        post(it.addr, Freshness::New).await?;
+        it.service.process.terminate()?;
+        assert!(it.service.process.ended(Duration::from_secs(10)).await?.success());
+        Ok(())
+    })
+}
+
+/// Bytes that were held back come out whole and in order when the pause ends.
+#[test]
+fn a_pause_and_a_delay_only_make_calls_late() -> anyhow::Result<()> {
+    run(async {
+        let it = setup().await?;
+        it.proxy.set_mode(LINK, Mode::Pause).await?;
+        let (addr, limit) = (it.addr, Duration::from_secs(10));
+        let call = Exchange::post(addr, "/entries").with_timeout(limit);
+        let held = executor().spawn(async move { call.run(pool()).await });
+        let is_open = async || Ok(it.proxy.links().await?[LINK].open == 1);
+        eventually(limit, is_open).await?;
+        assert_eq!(it.service.calls().await?.len(), 0);
+        let late = Fault { delay_ms: 50, ..Fault::default() };
+        it.proxy.set(LINK, &late).await?;
+        assert_eq!(held.await?.status(), 200);
+        let start = Instant::now();
+        post(addr, Freshness::New).await?;
+        let both_ways = Duration::from_millis(100);
+        assert!(both_ways <= start.elapsed(), "{:?}", start.elapsed());
+        Ok(())
+    })
+}
--- a/crates/curranthook_standin/tests/service.rs
+++ b/crates/curranthook_standin/tests/service.rs
@@ -13,6 +13,7 @@
     pool, run,
     standin::{Rater, Service},
 };
+use curranthook_types::header;
 
 #[test]
 fn each_call_is_run_and_recorded() -> anyhow::Result<()> {
@@ -27,6 +28,7 @@
             let answer = call.send(&service.addr()).await?;
             assert_eq!(answer.json()?["posted"], n);
             assert_eq!(answer.json()?["id"], "r1");
+            assert_eq!(answer.header(header::LOAD), Some("1"));
         }
         let calls = service.calls().await?;
         assert_eq!(calls[0].path, "/entries?crate=7");
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -13,6 +13,7 @@
 use curranthook_http::Exchange;
 use curranthook_platform::{Table, Vm, VmState, Write};
 use curranthook_settings::{Document, document, node};
+use curranthook_standin::proxy::link::Fault;
 use tempfile::TempDir;
 
 use crate::{
@@ -136,8 +137,9 @@
         self.wait_ready(vm).await
     }
 
-    /// Starts the router of a VM and puts it behind the proxy.
-    async fn launch_router(&mut self, vm: &str) -> anyhow::Result<()> {
+    /// Starts the router of a VM, anew if it ran before, and leaves it at that: it may not be
+    /// ready, and the list of VMs still holds its forerunner's address.
+    pub async fn launch_router(&mut self, vm: &str) -> anyhow::Result<()> {
         let path = self.write_settings(vm).await?;
         // A forerunner is killed by being dropped, before its successor starts.
         self.routers.remove(vm);
@@ -188,15 +190,22 @@
     }
 
     /// The address under which `target` is reached: the link `name` of the proxy, if there is
-    /// one. A link that exists already gets the new target.
+    /// one. A link that exists already gets the new target and keeps its fault.
     async fn through(&self, name: &str, target: SocketAddr) -> anyhow::Result<SocketAddr> {
-        use curranthook_standin::proxy::link;
         let Some(proxy) = &self.proxy else { return Ok(target) };
-        if !proxy.links().await?.contains_key(name) {
+        let Some(link) = proxy.links().await?.remove(name) else {
             return proxy.open(name, target).await;
+        };
+        if link.target != target {
+            proxy.set(name, &Fault { target: Some(target), ..link.fault }).await?;
         }
-        let fault = link::Fault { target: Some(target), ..link::Fault::default() };
-        Ok(proxy.set(name, &fault).await?.listen)
+        Ok(link.listen)
+    }
+
+    /// Where the other routers are reached by peers.
+    fn peers_of(&self, vm: &str) -> Vec<SocketAddr> {
+        let others = self.fronts.iter().filter(|(name, _)| *name != vm);
+        others.map(|(_, front)| front.peers).collect()
     }
 
     async fn write_settings(&self, vm: &str) -> anyhow::Result<String> {
@@ -210,7 +219,7 @@
             peer_listen: any_port,
             steward_listen: any_port,
             platform: node::Platform { table: platform, objects: platform, vms: platform },
-            seeds: Vec::new(),
+            seeds: self.peers_of(vm),
             peer_key: config::PEER_KEY.to_vec(),
             statsd: None,
             threads: 2,
