Scenarios without routers, as a baseline; difficulty taken from the stand-in

Cause: what a router costs and gains shows only against the same arrivals sent straight to the engines, and the oracle must know just what the engines will answer. Ruled out: a copy of the difficulty function (it would drift from the stand-in's unnoticed).

--- a/crates/curranthook_load/src/drive.rs
+++ b/crates/curranthook_load/src/drive.rs
@@ -1,7 +1,7 @@
 //! The open loop: each request goes out at its intended time, whatever became of the others.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
         Arc,
@@ -14,7 +14,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use curranthook_http::runtime;
-use curranthook_types::header;
+use curranthook_types::{header, version};
 use parking_lot::Mutex;
 
 use crate::{
@@ -29,23 +29,35 @@
 /// How long past its deadline a caller still waits, to tell a late answer from none.
 const GRACE: Duration = Duration::from_secs(5);
 
+/// Where callers send their requests.
+#[derive(Debug, Clone, Default)]
+pub struct Entry {
+    /// Addresses for models, used in turn.
+    pub models: Vec<SocketAddr>,
+    /// Addresses for plain services, used in turn, by service.
+    pub services: BTreeMap<String, Vec<SocketAddr>>,
+    /// The version asked for in place of the model of the kind of work.
+    pub version: Option<version::Id>,
+}
+
 /// The callers of a run.
 #[derive(Debug)]
 pub struct Callers {
     scenario: Arc<Scenario>,
     client: Client,
-    routers: Vec<SocketAddr>,
+    entry: Entry,
     session_tokens: Mutex<HashMap<String, String>>,
     n_outstanding: AtomicUsize,
 }
 
 impl Callers {
-    /// Callers that spread their requests over `routers`, as the platform's balancer does.
-    pub fn new(scenario: Arc<Scenario>, client: Client, routers: Vec<SocketAddr>) -> Self {
+    /// Callers that spread their requests over the addresses of `entry`, as the platform's
+    /// balancer does.
+    pub fn new(scenario: Arc<Scenario>, client: Client, entry: Entry) -> Self {
         Self {
             scenario,
             client,
-            routers,
+            entry,
             session_tokens: Mutex::default(),
             n_outstanding: AtomicUsize::new(0),
         }
@@ -105,7 +117,7 @@
 
     fn call(&self, index: usize, request: &plan::Request, intended: Instant) -> Call {
         let kind = &self.scenario.kinds[&request.kind];
-        let addr = self.routers[index % self.routers.len()];
+        let addr = self.entry.addr(index, kind);
         Call {
             addr,
             req: self.http(addr, request, kind),
@@ -132,7 +144,16 @@
                 req = req.header(header::SESSION_TOKEN, token);
             }
         }
-        req.body(body(request, kind)).expect("a checked scenario has plain names")
+        req.body(self.body(request, kind)).expect("a checked scenario has plain names")
+    }
+
+    fn body(&self, request: &plan::Request, kind: &Kind) -> Bytes {
+        let json = match (&kind.service, &self.entry.version) {
+            (Some(_), _) => serde_json::to_vec(&serde_json::json!({"entry": request.text})),
+            (None, None) => serde_json::to_vec(&request.chat(kind, &kind.model)),
+            (None, Some(version)) => serde_json::to_vec(&request.chat(kind, version.as_str())),
+        };
+        json.expect("a request has only plain fields").into()
     }
 
     fn keep_token(&self, request: &plan::Request, outcome: &Outcome) {
@@ -145,17 +166,17 @@
     }
 }
 
+impl Entry {
+    fn addr(&self, index: usize, kind: &Kind) -> SocketAddr {
+        let service = kind.service.as_ref().and_then(|it| self.services.get(it));
+        let addrs = service.unwrap_or(&self.models);
+        addrs[index % addrs.len()]
+    }
+}
+
 fn path(kind: &Kind) -> String {
     match &kind.service {
         Some(service) => format!("/services/{service}/entries"),
         None => "/v1/chat/completions".to_owned(),
     }
 }
-
-fn body(request: &plan::Request, kind: &Kind) -> Bytes {
-    let json = match &kind.service {
-        Some(_) => serde_json::to_vec(&serde_json::json!({"entry": request.text})),
-        None => serde_json::to_vec(&request.chat(kind)),
-    };
-    json.expect("a request has only plain fields").into()
-}
--- a/crates/curranthook_load/src/fleet.rs
+++ b/crates/curranthook_load/src/fleet.rs
@@ -16,6 +16,7 @@
 use curranthook_types::{version, vm};
 
 use crate::{
+    drive::Entry,
     evidence::{Applied, Evidence},
     scenario::Scenario,
 };
@@ -35,13 +36,31 @@
 /// A secret between peers; a scenario's site guards nothing.
 const PEER_KEY: [u8; 32] = [9; 32];
 
+/// Who stands between callers and endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Front {
+    /// Routers with this policy.
+    Routers(String),
+    /// Nobody: callers ask the engines for this version, as a baseline.
+    None(version::Id),
+}
+
+impl std::fmt::Display for Front {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Routers(policy) => f.write_str(policy),
+            Self::None(version) => write!(f, "direct to {version}"),
+        }
+    }
+}
+
 /// What a fleet is started from.
 #[derive(Debug, Clone)]
 pub struct Setup {
     /// The scenario.
     pub scenario: Arc<Scenario>,
-    /// The policy of the routers.
-    pub policy: String,
+    /// Who stands between callers and endpoints.
+    pub front: Front,
     /// Where the programs are.
     pub bin_dir: PathBuf,
     /// Where logs and settings files go.
@@ -80,17 +99,21 @@
             platform,
         };
         fleet.publish().await?;
-        for place in 0..fleet.setup.scenario.routers {
-            fleet.start_vm(place)?;
+        if let Front::Routers(policy) = fleet.setup.front.clone() {
+            fleet.start_vms(&policy).await?;
         }
-        fleet.list_vms().await?;
-        fleet.wait_ready().await?;
         Ok(fleet)
     }
 
-    /// Where callers reach the routers.
-    pub fn routers(&self) -> Vec<SocketAddr> {
-        self.routers.iter().map(|it| it.addr("callers")).collect()
+    /// Where callers send their requests.
+    pub fn entry(&self) -> Entry {
+        match &self.setup.front {
+            Front::Routers(_) => Entry {
+                models: self.routers.iter().map(|it| it.addr("callers")).collect(),
+                ..Entry::default()
+            },
+            Front::None(version) => self.endpoints(version),
+        }
     }
 
     /// Stops everything; what engines and platform recorded.
@@ -129,11 +152,37 @@
         }
     }
 
+    fn endpoints(&self, version: &version::Id) -> Entry {
+        let scenario = &self.setup.scenario;
+        let addrs = |processes: &[Process], ids: &[String]| -> Vec<SocketAddr> {
+            let named = processes.iter().filter(|it| ids.iter().any(|id| id == it.name()));
+            named.map(|it| it.addr("http")).collect()
+        };
+        let groups = scenario.engines.iter().filter(|it| it.versions.contains(version));
+        let ids: Vec<String> = groups.flat_map(crate::scenario::Engines::ids).collect();
+        let service = |it: &crate::scenario::Service| {
+            (it.name.clone(), addrs(&self.services, &it.ids().collect::<Vec<_>>()))
+        };
+        Entry {
+            models: addrs(&self.engines, &ids),
+            services: scenario.services.iter().map(service).collect(),
+            version: Some(version.clone()),
+        }
+    }
+
+    async fn start_vms(&mut self, policy: &str) -> anyhow::Result<()> {
+        for place in 0..self.setup.scenario.routers {
+            self.start_vm(place, policy)?;
+        }
+        self.list_vms().await?;
+        self.wait_ready().await
+    }
+
     fn table(&self) -> Platform {
         Platform::new(self.platform.addr("http"), Arc::clone(&self.pool))
     }
 
-    fn start_vm(&mut self, place: usize) -> anyhow::Result<()> {
+    fn start_vm(&mut self, place: usize, policy: &str) -> anyhow::Result<()> {
         let settings = self.node_settings(place)?;
         let path = self.setup.work_dir.join(format!("vm-{place}.yaml"));
         std::fs::write(&path, serde_saphyr::to_string(&settings)?)?;
@@ -143,7 +192,7 @@
             let name = format!("steward-{place}");
             self.stewards.push(self.setup.spawn("curranthook-steward", &name, &args)?);
         }
-        args.extend(["--policy".to_owned(), self.setup.policy.clone()]);
+        args.extend(["--policy".to_owned(), policy.to_owned()]);
         let name = format!("router-{place}");
         self.routers.push(self.setup.spawn("curranthook-router", &name, &args)?);
         Ok(())
--- a/crates/curranthook_load/src/main.rs
+++ b/crates/curranthook_load/src/main.rs
@@ -11,12 +11,15 @@
 use clap::{Args, Parser, Subcommand};
 use curranthook_http::runtime;
 use curranthook_load::{
-    direct, plot,
+    direct,
+    fleet::Front,
+    plot,
     report::Report,
     run::{self, Options},
     scenario::Scenario,
     streams, table,
 };
+use curranthook_types::version;
 
 /// Load and experiment tool.
 #[derive(Debug, Parser)]
@@ -79,6 +82,9 @@
     /// The policy of the routers.
     #[arg(long, default_value = "ours")]
     policy: String,
+    /// Start no routers; callers ask the engines for this version.
+    #[arg(long, conflicts_with = "policy", value_name = "VERSION")]
+    direct: Option<String>,
     /// The seed of arrivals and prompts.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -178,8 +184,11 @@
     let work_dir = args.work_dir.unwrap_or_else(|| temporary.path().to_owned());
     fs::create_dir_all(&work_dir)?;
     let bin_dir = args.bin_dir.map_or_else(own_dir, Ok)?;
-    let (policy, seed) = (args.policy, args.seed);
-    let options = Options { scenario, policy, seed, bin_dir, work_dir };
+    let front = match args.direct {
+        Some(version) => Front::None(version::Id::new(version)),
+        None => Front::Routers(args.policy),
+    };
+    let options = Options { scenario, front, seed: args.seed, bin_dir, work_dir };
     let report = runtime::run(threads, |ex| async move { run::run(&ex, options).await })?;
     fs::write(&args.out, serde_json::to_vec_pretty(&report)?)
         .with_context(|| format!("can't write {}", args.out.display()))?;
--- a/crates/curranthook_load/src/plan.rs
+++ b/crates/curranthook_load/src/plan.rs
@@ -54,10 +54,10 @@
         u64::try_from(self.text.split_whitespace().count()).unwrap_or(u64::MAX)
     }
 
-    /// The body for a model.
-    pub fn chat(&self, kind: &Kind) -> chat::Request {
+    /// The body for `model`.
+    pub fn chat(&self, kind: &Kind, model: &str) -> chat::Request {
         chat::Request {
-            model: kind.model.clone(),
+            model: model.to_owned(),
             messages: vec![chat::Message { role: "user".to_owned(), content: self.text.clone() }],
             stream: kind.stream,
             max_tokens: None,
--- a/crates/curranthook_load/src/run.rs
+++ b/crates/curranthook_load/src/run.rs
@@ -13,7 +13,7 @@
 use crate::{
     client::Client,
     drive::Callers,
-    fleet::{Fleet, Setup},
+    fleet::{Fleet, Front, Setup},
     plan,
     report::{Report, Run},
     scenario::Scenario,
@@ -27,8 +27,8 @@
 pub struct Options {
     /// The scenario.
     pub scenario: Scenario,
-    /// The policy of the routers.
-    pub policy: String,
+    /// Who stands between callers and endpoints.
+    pub front: Front,
     /// The seed of arrivals and prompts.
     pub seed: u64,
     /// Where the programs are.
@@ -39,14 +39,13 @@
 
 /// Runs a scenario on real processes, stops them all and computes the figures.
 pub async fn run(ex: &runtime::Handle, options: Options) -> anyhow::Result<Report> {
-    let Options { scenario, policy, seed, bin_dir, work_dir } = options;
+    let Options { scenario, front, seed, bin_dir, work_dir } = options;
     let scenario = Arc::new(scenario);
     let plan: Arc<[plan::Request]> = plan::requests(&scenario, seed).into();
     let pool = Arc::new(Pool::new(Arc::clone(ex), Arc::new(clock::System)));
-    let setup =
-        Setup { scenario: Arc::clone(&scenario), policy: policy.clone(), bin_dir, work_dir };
+    let setup = Setup { scenario: Arc::clone(&scenario), front: front.clone(), bin_dir, work_dir };
     let mut fleet = Fleet::start(setup, Arc::clone(&pool)).await?;
-    let callers = Callers::new(Arc::clone(&scenario), Client::new(pool), fleet.routers());
+    let callers = Callers::new(Arc::clone(&scenario), Client::new(pool), fleet.entry());
     let start = Instant::now() + LEAD;
     let driven = Arc::new(callers).drive(ex, &plan, start);
     let (samples, applied) = future::zip(driven, fleet.apply_events(start)).await;
@@ -55,7 +54,7 @@
     applied?;
     Ok(Report::new(&Run {
         scenario: &scenario,
-        policy: &policy,
+        policy: &front.to_string(),
         seed,
         plan: &plan,
         samples: &samples,
--- a/crates/curranthook_load/src/truth.rs
+++ b/crates/curranthook_load/src/truth.rs
@@ -5,25 +5,8 @@
 use curranthook_types::{price, version};
 
 /// How difficult a prompt is, from 0 to 1: a version answers it well if its quality is higher.
-///
-/// It's a hash of the text, so that all versions agree on which prompts are hard, as real ones
-/// mostly do. The stand-in engine computes the same.
-pub fn difficulty(prompt: &str) -> f64 {
-    const BITS: u32 = 53;
-    (hash(&["difficulty", prompt]) >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
-}
-
-fn hash(parts: &[&str]) -> u64 {
-    // FNV-1a with a finishing step, as in the stand-in.
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    const END_OF_PART: u8 = 0xff;
-    let bytes = parts.iter().flat_map(|it| it.bytes().chain([END_OF_PART]));
-    let mut hash = bytes.fold(OFFSET, |hash, it| (hash ^ u64::from(it)).wrapping_mul(PRIME));
-    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    hash ^ (hash >> 33)
-}
+/// The oracle has to know what the stand-in engines will do, so their function is used.
+pub use curranthook_standin::engine::answer::difficulty;
 
 /// One version as it really is.
 #[derive(Debug, Clone)]
