--- a/crates/curranthook_cli/src/lib.rs
+++ b/crates/curranthook_cli/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod exit;
 pub mod output;
 mod run;
-pub mod store;
+pub use curranthook_publish::store;
 
 pub use context::{Context, Platform};
 pub use error::{Conflict, Error};
--- a/crates/curranthook_load/src/fleet.rs
+++ b/crates/curranthook_load/src/fleet.rs
@@ -11,7 +11,7 @@
 use anyhow::{Context as _, bail};
 use async_io::Timer;
 use curranthook_http::{Exchange, client::Pool};
-use curranthook_platform::{Vm, VmState, client::Client as Platform};
+use curranthook_platform::{Role, Vm, VmState, client::Client as Platform};
 use curranthook_settings::node;
 use curranthook_types::{version, vm};
 
@@ -222,6 +222,7 @@
             address: router.addr("peers"),
             failure_domain: document::domain(&self.setup.scenario, place),
             state: VmState::Live,
+            role: Role::Entry,
         };
         let vms: Vec<Vm> = self.routers.iter().enumerate().map(vm).collect();
         self.put(self.platform.addr("http"), "/control/vms", &vms).await
--- a/crates/curranthook_peers/src/task/round.rs
+++ b/crates/curranthook_peers/src/task/round.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use curranthook_platform::Role;
+
 use crate::{
     counters::bump,
     digest::{self, Frame},
@@ -53,7 +55,8 @@
 pub(crate) async fn list_vms(node: Arc<Node>) {
     loop {
         match node.setup.vms.all().await {
-            Ok(vms) => {
+            Ok(mut vms) => {
+                vms.retain(|it| it.role == Role::Entry);
                 node.members().list(&vms);
                 let n_vms = u32::try_from(vms.len()).unwrap_or(u32::MAX);
                 pause(LIST_INTERVAL.max(LIST_INTERVAL_PER_VM.saturating_mul(n_vms))).await;
--- a/crates/curranthook_peers/tests/peers/support.rs
+++ b/crates/curranthook_peers/tests/peers/support.rs
@@ -19,7 +19,7 @@
     tuning::Tuning,
 };
 use curranthook_platform as platform;
-use curranthook_platform::{Error, Objects, Row, Table, Tag, Vm, VmState, Vms, Write};
+use curranthook_platform::{Error, Objects, Role, Row, Table, Tag, Vm, VmState, Vms, Write};
 use curranthook_settings::{Document, node};
 use curranthook_types::{Epoch, bill, clock};
 use http_body_util::BodyExt;
@@ -234,6 +234,7 @@
             address: address(n),
             failure_domain: domain(n).as_str().into(),
             state: VmState::Live,
+            role: Role::Entry,
         };
         self.platform.vms.lock().push(vm);
     }
--- a/crates/curranthook_platform/src/traits.rs
+++ b/crates/curranthook_platform/src/traits.rs
@@ -91,6 +91,20 @@
     pub failure_domain: domain::Id,
     /// Whether it stays.
     pub state: VmState,
+    /// What runs on it.
+    #[serde(default)]
+    pub role: Role,
+}
+
+/// What runs on a VM.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// A router and a steward.
+    #[default]
+    Entry,
+    /// A model engine or a plain service.
+    Endpoint,
 }
 
 /// The list of VMs.
--- a/crates/curranthook_router/src/leaving.rs
+++ b/crates/curranthook_router/src/leaving.rs
@@ -9,7 +9,7 @@
 
 use async_io::Timer;
 use curranthook_http::Exchange;
-use curranthook_platform::{VmState, Vms};
+use curranthook_platform::{Role, VmState, Vms};
 use curranthook_types::header;
 
 use crate::Router;
@@ -24,7 +24,7 @@
         if let Ok(list) = vms.all().await {
             let leaving: HashSet<SocketAddr> = list
                 .iter()
-                .filter(|it| it.state == VmState::Leaving)
+                .filter(|it| it.role == Role::Endpoint && it.state == VmState::Leaving)
                 .map(|it| it.address)
                 .collect();
             router.gates.mark_leaving(&leaving);
--- a/crates/curranthook_standin/src/app.rs
+++ b/crates/curranthook_standin/src/app.rs
@@ -92,6 +92,11 @@
 pub trait App: Send + Sync + 'static {
     /// Answers one request.
     fn handle(self: Arc<Self>, req: Request) -> Boxed<Reply>;
+
+    /// Answers `GET /healthz`.
+    fn health(&self) -> http::Response<Body> {
+        body::json(200, &serde_json::json!({ "healthy": true }))
+    }
 }
 
 /// An answer with an error text.
@@ -124,7 +129,7 @@
 async fn answer<A: App>(app: Arc<A>, req: http::Request<Incoming>) -> Reply {
     let (head, incoming) = req.into_parts();
     if head.uri.path() == "/healthz" {
-        return Ok(body::json(200, &serde_json::json!({ "healthy": true })));
+        return Ok(app.health());
     }
     let body = body::read(incoming, MAX_BODY).await.map_err(|_| HangUp)?;
     let path = head.uri.path().to_owned();
--- a/crates/curranthook_standin/src/engine.rs
+++ b/crates/curranthook_standin/src/engine.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// The versions that are loaded, in the form of the models list.
+    fn models(&self) -> http::Response<Body> {
+        let loaded = self.loaded.lock();
+        let model = |id: &String| serde_json::json!({ "id": id, "object": "model" });
+        let data: Vec<_> = loaded.iter().map(model).collect();
+        body::json(200, &serde_json::json!({ "object": "list", "data": data }))
+    }
+
     fn control(&self, req: &Request) -> http::Response<Body> {
         match (req.method.as_str(), req.path.as_str()) {
             ("GET", "/control/record") => body::json(200, &self.record.runs()),
@@ -161,6 +169,7 @@
             let res = match (req.method.as_str(), req.path.as_str()) {
                 ("POST", "/v1/chat/completions") => self.work(&req).await,
                 ("POST", "/orders") => self.order(&req),
+                ("GET", "/v1/models") => self.models(),
                 ("GET", "/load") => {
                     body::json(200, &serde_json::json!({ "load": self.reported_load() }))
                 }
@@ -172,4 +181,8 @@
             Ok(res)
         })
     }
+
+    fn health(&self) -> http::Response<Body> {
+        self.with_state(body::json(200, &serde_json::json!({ "healthy": true })))
+    }
 }
--- a/crates/curranthook_standin/src/service.rs
+++ b/crates/curranthook_standin/src/service.rs
@@ -221,4 +221,12 @@
             Ok(self.run(&req).await)
         })
     }
+
+    fn health(&self) -> http::Response<Body> {
+        let mut res = body::json(200, &serde_json::json!({ "healthy": true }));
+        if self.state.lock().faults.leaving {
+            res.headers_mut().insert(header::LEAVING, http::HeaderValue::from_static("true"));
+        }
+        res
+    }
 }
--- a/crates/curranthook_standin/tests/platform.rs
+++ b/crates/curranthook_standin/tests/platform.rs
@@ -138,6 +138,7 @@
             address: platform.addr(),
             failure_domain: "domain-1".into(),
             state: curranthook_platform::VmState::Live,
+            role: curranthook_platform::Role::Entry,
         };
         platform.set_vms(std::slice::from_ref(&vm)).await?;
         assert_eq!(platform.client().all().await?, []);
--- a/crates/curranthook_steward/src/document.rs
+++ b/crates/curranthook_steward/src/document.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use curranthook_cli::store::{self, Outcome, Retry, Stored};
 use curranthook_platform::Table;
+use curranthook_publish::store::{self, Outcome, Retry, Stored};
 use curranthook_settings::{
     Document,
     document::{Error as Edit, Stamp},
--- a/crates/curranthook_steward/src/serve.rs
+++ b/crates/curranthook_steward/src/serve.rs
@@ -9,7 +9,6 @@
 use anyhow::Context;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use curranthook_cli::store::Stored;
 use curranthook_http::{
     Body, body,
     client::Pool,
@@ -19,6 +18,7 @@
 };
 use curranthook_platform::{Table, client::Client};
 use curranthook_policy::rollout::Gate;
+use curranthook_publish::store::Stored;
 use curranthook_settings::node::Settings;
 use curranthook_types::{Clock, Epoch, clock, site};
 use futures_lite::{StreamExt, future::Boxed};
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, bail};
 use curranthook_http::Exchange;
-use curranthook_platform::{Table, Vm, VmState, Write};
+use curranthook_platform::{Role, Table, Vm, VmState, Write};
 use curranthook_settings::{Document, document, node};
 use curranthook_standin::proxy::link::Fault;
 use tempfile::TempDir;
@@ -52,6 +52,7 @@
     /// What callers and peers are told a router's addresses are, by VM.
     fronts: BTreeMap<String, Front>,
     node: Vec<Edit<node::Settings>>,
+    steward_args: Vec<String>,
     directory: TempDir,
 }
 
@@ -158,25 +159,31 @@
     pub async fn start_steward(&mut self, vm: &str) -> anyhow::Result<()> {
         let path = self.write_settings(vm).await?;
         self.stewards.remove(vm);
-        let args = ["--settings", path.as_str()];
+        let router =
+            self.fronts.get(vm).context("the router beside it isn't up")?.peers.to_string();
+        let mut args = vec!["--settings", path.as_str(), "--router", router.as_str()];
+        args.extend(self.steward_args.iter().map(String::as_str));
         let name = format!("{vm}-steward");
         let process = Process::start(self.directory.path(), &name, "curranthook-steward", &args)?;
         self.stewards.insert(vm.to_owned(), process);
         Ok(())
     }
 
-    /// Tells the platform which VMs there are; those named in `leaving` are about to go.
+    /// Tells the platform which VMs there are, those of routers and of endpoints; those named in
+    /// `leaving` are about to go.
     pub async fn publish_vms(&self, leaving: &[&str]) -> anyhow::Result<()> {
-        let list = self.fronts.iter().map(|(name, front)| Vm {
-            id: name.as_str().into(),
-            address: front.peers,
+        let vm = |name: &str, address, role| Vm {
+            id: name.into(),
+            address,
             failure_domain: config::failure_domain(name),
-            state: match leaving.contains(&name.as_str()) {
-                true => VmState::Leaving,
-                false => VmState::Live,
-            },
-        });
-        self.platform.set_vms(&list.collect::<Vec<_>>()).await
+            state: if leaving.contains(&name) { VmState::Leaving } else { VmState::Live },
+            role,
+        };
+        let routers = self.fronts.iter().map(|(name, it)| vm(name, it.peers, Role::Entry));
+        let document = self.document().await?;
+        let endpoints = document.sites.values().flat_map(|it| &it.endpoints);
+        let endpoints = endpoints.map(|(id, it)| vm(id.as_str(), it.address, Role::Endpoint));
+        self.platform.set_vms(&routers.chain(endpoints).collect::<Vec<_>>()).await
     }
 
     /// Waits until the router of a VM is ready.
--- a/crates/curranthook_tests/src/site/builder.rs
+++ b/crates/curranthook_tests/src/site/builder.rs
@@ -27,6 +27,7 @@
     n_routers: usize,
     n_stewards: usize,
     platform_args: Vec<String>,
+    steward_args: Vec<String>,
     config: Vec<Edit<Config>>,
     node: Vec<Edit<node::Settings>>,
 }
@@ -89,6 +90,12 @@
         self
     }
 
+    /// Passes arguments to the stewards, such as how long a stage of a roll-out lasts.
+    pub fn steward_args(mut self, args: &[&str]) -> Self {
+        self.steward_args.extend(args.iter().map(|&it| it.to_owned()));
+        self
+    }
+
     /// Edits the site's configuration before it is published.
     pub fn config(mut self, edit: impl Fn(&mut Config) + Send + Sync + 'static) -> Self {
         self.config.push(Edit(Box::new(edit)));
@@ -148,6 +155,7 @@
             stewards: BTreeMap::new(),
             fronts: BTreeMap::new(),
             node: std::mem::take(&mut self.node),
+            steward_args: std::mem::take(&mut self.steward_args),
             directory,
         })
     }
