Node settings are checked with all errors at once

Cause: the router and steward read their file with the bare YAML library, which stops at the first error and names no path.

--- a/crates/curranthook_router/src/bin/curranthook-router.rs
+++ b/crates/curranthook_router/src/bin/curranthook-router.rs
@@ -2,11 +2,11 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use anyhow::Context;
+use anyhow::anyhow;
 use clap::{Parser, ValueEnum};
 use curranthook_http::runtime;
 use curranthook_router::serve;
-use curranthook_settings::node::Settings;
+use curranthook_settings::{check::Finding, node};
 use flexi_logger::Logger;
 
 /// Stands between callers and model endpoints: one on each entry VM.
@@ -43,13 +43,15 @@
         Format::Json => logger.format(flexi_logger::json_format),
     };
     let _logger = logger.start()?;
-    let text = std::fs::read_to_string(&arguments.settings)
-        .with_context(|| format!("reading {}", arguments.settings.display()))?;
-    let settings: Settings = serde_saphyr::from_str(&text)
-        .with_context(|| format!("reading {}", arguments.settings.display()))?;
+    let settings = node::read(&arguments.settings).map_err(listed)?;
     let options = serve::Options {
         policy: arguments.policy,
         linger: Duration::from_millis(arguments.linger_ms),
     };
     runtime::run(settings.threads, |ex| serve::run(settings, options, ex))
 }
+
+fn listed(findings: Vec<Finding>) -> anyhow::Error {
+    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
+    anyhow!("the node settings have errors:\n{}", lines.join("\n"))
+}
--- a/crates/curranthook_steward/src/bin/curranthook-steward.rs
+++ b/crates/curranthook_steward/src/bin/curranthook-steward.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use anyhow::Context;
+use anyhow::anyhow;
 use clap::Parser;
 use curranthook_http::runtime;
 use curranthook_policy::rollout::Gate;
-use curranthook_settings::node::Settings;
+use curranthook_settings::{check::Finding, node};
 use curranthook_steward::serve;
 use flexi_logger::Logger;
 
@@ -35,10 +35,7 @@
     let arguments = Arguments::parse();
     let _logger =
         Logger::try_with_env_or_str("info")?.format(flexi_logger::detailed_format).start()?;
-    let text = std::fs::read_to_string(&arguments.settings)
-        .with_context(|| format!("reading {}", arguments.settings.display()))?;
-    let settings: Settings = serde_saphyr::from_str(&text)
-        .with_context(|| format!("reading {}", arguments.settings.display()))?;
+    let settings = node::read(&arguments.settings).map_err(listed)?;
     let options = serve::Options {
         router: arguments.router.unwrap_or(settings.peer_listen),
         gate: Gate {
@@ -50,3 +47,8 @@
     };
     runtime::run(1, |ex| serve::run(settings, options, ex))
 }
+
+fn listed(findings: Vec<Finding>) -> anyhow::Error {
+    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
+    anyhow!("the node settings have errors:\n{}", lines.join("\n"))
+}
