Policy: endpoints that leave don't count for the floor; cascades assume shared difficulty

Cause: with two of four endpoints left out and the other two leaving, no endpoint was open. Cascades combined the qualities of their versions as if failures were independent; requests that one version fails at are harder for the other too. Change: the floor counts the endpoints that stay and is kept as the list changes. A cascade's second stage must itself be the version that would be asked directly. It gets a request of its own now and then, as its ratings behind a first stage are biased.

--- a/crates/curranthook_policy/src/choice.rs
+++ b/crates/curranthook_policy/src/choice.rs
@@ -113,6 +113,9 @@
     }
 
     /// Takes in the rating of an answer, from 0 to 1.
+    ///
+    /// Ratings of a cascade's second answers must stay out: they are of the requests that the
+    /// first version failed at, harder than the rest, and would make the second look worse.
     pub fn learn(&mut self, kind: &kind::Id, version: &version::Id, rating: f64, now: Instant) {
         self.now = self.now.max(Some(now));
         self.estimate_mut(kind, version).add(rating, now);
@@ -198,8 +201,9 @@
         Draft { first: direct, then: None, reason }
     }
 
-    /// The cheapest cascade that costs less than `direct` and is at least as likely to meet
-    /// the target.
+    /// The cheapest cascade that costs less than `direct` and has it as second stage. No dearer
+    /// version is asked to make up for two doubtful ones: what one fails at, the other is
+    /// likely to fail at too, so their qualities can't be combined as if they were independent.
     fn cascade(&self, ask: &Ask<'_>, direct: &Scored) -> Option<(Scored, Scored)> {
         if ask.rater == Rater::Down {
             return None;
@@ -207,10 +211,7 @@
         let cheaper = self.scored.iter().filter(|it| it.cost < direct.cost);
         let pairs = cheaper.map(|it| (*it, *direct));
         let worthwhile = pairs.filter(|(first, then)| {
-            let quality = first.quality_with(then);
-            first.cost_with(then) < direct.cost
-                && ask.target.min(direct.belief.mean()) <= quality
-                && self.fits(ask, first, then)
+            first.cost_with(then) < direct.cost && self.fits(ask, first, then)
         });
         worthwhile.min_by(|a, b| a.0.cost_with(&a.1).total_cmp(&b.0.cost_with(&b.1)))
     }
@@ -225,22 +226,26 @@
         !is_hurried || held <= SMALL_DELAY
     }
 
-    /// A version that is less known than the plan's own and might do better for less, tried
-    /// with the plan's version behind it wherever time allows.
+    /// The least known of the versions that cost no more, tried with the plan's version behind
+    /// it wherever time allows.
     fn explore(&mut self, ask: &Ask<'_>, plain: &Draft) -> Option<Draft> {
         if ask.rater == Rater::Down || self.credit < 1.0 {
             return None;
         }
         let safe = plain.then.unwrap_or(plain.first);
-        let others = self.scored.iter().filter(|it| {
+        let is_worth_it = |it: &&Scored| {
             it.place != plain.first.place
-                && (it.cost < safe.cost || plain.reason == Reason::BestEffort)
-        });
-        let tried = *others.max_by(|a, b| a.belief.spread().total_cmp(&b.belief.spread()))?;
-        let then = self.fits(ask, &tried, &safe).then_some(safe);
+                && (it.cost <= safe.cost || plain.reason == Reason::BestEffort)
+        };
+        let by_spread = |a: &&Scored, b: &&Scored| a.belief.spread().total_cmp(&b.belief.spread());
+        let tried = *self.scored.iter().filter(is_worth_it).max_by(by_spread)?;
+        // The second stage of a cascade sees only what the first fails at. Now and then it gets
+        // a request of its own, or nothing unbiased would be known of it.
+        let is_safe = tried.place == safe.place;
+        let then = (!is_safe && self.fits(ask, &tried, &safe)).then_some(safe);
         // An answer that can't be taken back exposes the caller, so where exposure is weighed
         // most nothing is tried without a second stage.
-        if then.is_none() && self.policy.weigh == Weigh::Exposure {
+        if !is_safe && then.is_none() && self.policy.weigh == Weigh::Exposure {
             return None;
         }
         self.credit = 0.0;
--- a/crates/curranthook_policy/src/choice/option.rs
+++ b/crates/curranthook_policy/src/choice/option.rs
@@ -20,10 +20,4 @@
     pub(crate) fn cost_with(&self, then: &Self) -> f64 {
         self.cost + (1.0 - self.belief.mean()) * then.cost
     }
-
-    /// The expected share of good answers with `then` as second stage.
-    pub(crate) fn quality_with(&self, then: &Self) -> f64 {
-        let first = self.belief.mean();
-        first + (1.0 - first) * then.belief.mean()
-    }
 }
--- a/crates/curranthook_policy/src/endpoint.rs
+++ b/crates/curranthook_policy/src/endpoint.rs
@@ -172,6 +172,7 @@
             Some(track) => track.with_member(member),
             None => Track::new(member),
         }));
+        ejection::keep_floor(&mut self.tracks);
         let places = self.tracks.iter().enumerate();
         self.places = places.map(|(place, it)| (it.member.id.clone(), place)).collect();
     }
@@ -253,6 +254,7 @@
     pub fn set_leaving(&mut self, id: &Id) {
         if let Some(it) = self.track_mut(id) {
             it.is_leaving = true;
+            ejection::keep_floor(&mut self.tracks);
         }
     }
 
--- a/crates/curranthook_policy/src/endpoint/ejection.rs
+++ b/crates/curranthook_policy/src/endpoint/ejection.rs
@@ -66,8 +66,8 @@
 /// Never more than half are left out. Where most endpoints look bad the cause lies elsewhere,
 /// say in the network or in a request, and the few that are left would break down too.
 fn eject(tracks: &mut [Track], place: usize, now: Instant) {
-    let n_ejected = tracks.iter().filter(|it| it.is_ejected()).count();
-    if tracks.len() < 2 * (n_ejected + 1) {
+    let (n_staying, n_ejected) = count(tracks);
+    if n_staying < 2 * (n_ejected + 1) {
         return;
     }
     let track = &mut tracks[place];
@@ -75,6 +75,27 @@
     extend(track, now);
 }
 
+/// Takes endpoints back after others went, so that half of those that stay are still in.
+pub(crate) fn keep_floor(tracks: &mut [Track]) {
+    loop {
+        let (n_staying, n_ejected) = count(tracks);
+        if 2 * n_ejected <= n_staying {
+            return;
+        }
+        let ejected = tracks.iter_mut().filter(|it| !it.is_leaving && it.is_ejected());
+        let Some(next) = ejected.min_by_key(|it| it.ejected.as_ref().map(|it| it.until)) else {
+            return;
+        };
+        restore(next);
+    }
+}
+
+/// How many endpoints stay, and how many of these are left out.
+fn count(tracks: &[Track]) -> (usize, usize) {
+    let staying = tracks.iter().filter(|it| !it.is_leaving);
+    (staying.clone().count(), staying.filter(|it| it.is_ejected()).count())
+}
+
 fn extend(track: &mut Track, now: Instant) {
     let time = SHORTEST.saturating_mul(1 << track.n_ejections.min(10)).min(LONGEST);
     track.n_ejections += 1;
--- a/crates/curranthook_policy/tests/choice.rs
+++ b/crates/curranthook_policy/tests/choice.rs
@@ -46,8 +46,16 @@
     }
 }
 
+/// Whether what one version fails at is what all others fail at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Difficulty {
+    Independent,
+    Shared,
+}
+
 /// Serves `n` requests by a named strategy over the three versions.
-fn serve(name: &str, policy: &Policy, rater: Rater, n: u32, seed: u64) -> Tally {
+fn serve(name: &str, policy: &Policy, rater: Rater, difficulty: Difficulty, seed: u64) -> Tally {
+    const N: u32 = 4_000;
     let mut strategy = baseline::strategy(name, policy.clone(), seed).expect("a known name");
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let offers = [SMALL, MIDDLE, LARGE];
@@ -62,17 +70,22 @@
     let ask = Ask { rater, ..ask(&kind, 0.9, &allowed) };
     let now = Instant::now();
     let mut tally = Tally::default();
-    for _ in 0..n {
+    for _ in 0..N {
         let plan = strategy.plan(&ask).expect("there are versions");
         let place = |id| ids.iter().position(|it| it == id).expect("an allowed version");
         let first = place(&plan.first);
-        let mut is_good = rng.random::<f64>() < offers[first].quality;
+        let hardness = rng.random::<f64>();
+        let mut is_good = hardness < offers[first].quality;
         tally.cost += offers[first].price as f64;
         if plan.then.is_some() || plan.sample == Sample::Rate {
             strategy.learn(&kind, &plan.first, f64::from(u8::from(is_good)), now);
         }
         if let Some(then) = plan.then.filter(|_| !is_good) {
-            is_good = rng.random::<f64>() < offers[place(&then)].quality;
+            let again = match difficulty {
+                Difficulty::Independent => rng.random::<f64>(),
+                Difficulty::Shared => hardness,
+            };
+            is_good = again < offers[place(&then)].quality;
             tally.cost += offers[place(&then)].price as f64;
         }
         tally.good += f64::from(u8::from(is_good));
@@ -94,12 +107,17 @@
     }
 }
 
-#[yare::parameterized(latency = { Weigh::Latency }, exposure = { Weigh::Exposure })]
-fn cost_falls_and_quality_holds(weigh: Weigh) {
+#[yare::parameterized(
+    latency = { Weigh::Latency, Difficulty::Independent },
+    exposure = { Weigh::Exposure, Difficulty::Independent },
+    latency_shared = { Weigh::Latency, Difficulty::Shared },
+    exposure_shared = { Weigh::Exposure, Difficulty::Shared },
+)]
+fn cost_falls_and_quality_holds(weigh: Weigh, difficulty: Difficulty) {
     let policy = Policy { weigh, ..Policy::default() };
     for seed in 0..5 {
-        let ours = serve("curranthook", &policy, Rater::Up, 4_000, seed);
-        let best = serve("best", &policy, Rater::Up, 4_000, seed);
+        let ours = serve("curranthook", &policy, Rater::Up, difficulty, seed);
+        let best = serve("best", &policy, Rater::Up, difficulty, seed);
         assert!(0.9 <= ours.quality(), "quality {} with seed {seed}", ours.quality());
         let ratio = ours.mean_cost() / best.mean_cost();
         assert!(ratio <= 0.7, "{ratio} of the cost of the best with seed {seed}");
@@ -110,7 +128,7 @@
 /// nothing is gambled on one.
 #[test]
 fn rater_down_means_the_sure_version() {
-    let tally = serve("curranthook", &Policy::default(), Rater::Down, 2_000, 1);
+    let tally = serve("curranthook", &Policy::default(), Rater::Down, Difficulty::Shared, 1);
     assert!(0.9 <= tally.quality(), "quality {}", tally.quality());
 }
 
--- a/crates/curranthook_policy/tests/endpoint.rs
+++ b/crates/curranthook_policy/tests/endpoint.rs
@@ -85,6 +85,25 @@
     }
 }
 
+/// Two of four endpoints are left out when the other two begin to leave. With the floor
+/// counted over all four, no endpoint would be open.
+#[test]
+fn leaving_endpoints_dont_count_for_the_floor() {
+    let (mut pool, now) = (pool(4), Instant::now());
+    for place in [0, 0, 0, 1, 1, 1] {
+        pool.started(&id(place), now);
+        pool.finished(&id(place), Outcome::Failed, now);
+    }
+    assert_eq!(pool.n_left_out(), 2);
+    pool.set_leaving(&id(2));
+    pool.set_leaving(&id(3));
+    for _ in 0..4 {
+        let pick = pool.pick(None, &[], now).expect("half of those that stay are open");
+        pool.started(&pick.id, now);
+    }
+    assert_eq!(pool.n_left_out(), 1);
+}
+
 #[test]
 fn prompts_stay_where_they_are_cached_until_it_is_full() {
     let (mut pool, now) = (pool(8), Instant::now());
