--- a/crates/curranthook_load/src/table.rs
+++ b/crates/curranthook_load/src/table.rs
@@ -4,6 +4,8 @@
 
 use crate::report::{Report, ratio};
 
+mod details;
+
 /// The reports of one scenario and policy, one a seed.
 #[derive(Debug)]
 pub struct Group<'a> {
@@ -77,7 +79,7 @@
 pub type Figure = fn(&Report) -> f64;
 
 /// The columns of the table.
-const COLUMNS: [(&str, Figure); 17] = [
+const COLUMNS: [(&str, Figure); 18] = [
     ("requests", |it| it.ends.requests as f64),
     ("cost an answer (engines)", |it| it.cost.per_answer),
     ("cost a bill", |it| it.cost.per_bill),
@@ -95,6 +97,7 @@
     ("refusal p99 ms", |it| it.latency.refusal.p99),
     ("failed", |it| it.ends.failed as f64),
     ("attempts again", |it| it.engines.again as f64),
+    ("engine records lost", |it| it.engines.unread.len() as f64),
 ];
 
 /// The share of good answers, all kinds of work together.
@@ -124,7 +127,9 @@
     for group in &groups {
         row(&mut text, group, &groups);
     }
-    exposures(&mut text, &groups);
+    details::qualities(&mut text, &groups);
+    details::phases(&mut text, &groups);
+    details::exposures(&mut text, &groups);
     text
 }
 
@@ -146,33 +151,6 @@
     best.map_or("–".to_owned(), |it| format!("{:.3}", ratio(cost(group), cost(it))))
 }
 
-fn exposures(text: &mut String, groups: &[Group<'_>]) {
-    if groups.iter().flat_map(|it| &it.reports).all(|it| it.exposure.is_empty()) {
-        return;
-    }
-    text.push_str("\n| scenario | policy | version | event | answers after | marked bad | ");
-    text.push_str("last attempt after, s |\n|---|---|---|---|---|---|---|\n");
-    for group in groups {
-        let Some(first) = group.reports.first() else { continue };
-        for (index, exposure) in first.exposure.iter().enumerate() {
-            let spread = |figure: fn(&crate::report::Exposure) -> f64| {
-                group.spread(|it| it.exposure.get(index).map_or(0.0, figure))
-            };
-            let (scenario, policy) = (group.scenario, group.policy);
-            let (version, event) = (&exposure.version, &exposure.event);
-            let answers = spread(|it| it.answers as f64);
-            let bad = spread(|it| it.bad as f64);
-            let last = spread(|it| it.last_attempt_seconds);
-            push(
-                text,
-                format_args!(
-                    "| {scenario} | {policy} | {version} | {event} | {answers} | {bad} | {last} |\n"
-                ),
-            );
-        }
-    }
-}
-
 fn push(text: &mut String, args: std::fmt::Arguments<'_>) {
     text.write_fmt(args).expect("a string takes any text");
 }
--- /dev/null
+++ b/crates/curranthook_load/src/table/details.rs
@@ -0,0 +1,88 @@
+//! The tables below the main one: kinds of work, phases, and versions to watch.
+
+use std::fmt::Display;
+
+use super::{Group, Spread, push};
+use crate::report::{Exposure, Phase, Quality, ratio};
+
+/// Whether each kind of work reached its quality.
+pub(super) fn qualities(text: &mut String, groups: &[Group<'_>]) {
+    head(text, &["scenario", "policy", "kind", "target", "good share"]);
+    for group in groups {
+        let Some(first) = group.reports.first() else { continue };
+        for (kind, quality) in &first.quality {
+            let found = |it: &Quality| it.share;
+            let share = group.spread(|it| it.quality.get(kind).map_or(0.0, found));
+            row(text, group, &[kind, &quality.target, &share]);
+        }
+    }
+}
+
+/// How each phase went, for scenarios with more than one.
+pub(super) fn phases(text: &mut String, groups: &[Group<'_>]) {
+    let many = |it: &&Group<'_>| it.reports.iter().any(|it| 1 < it.phases.len());
+    let groups: Vec<&Group<'_>> = groups.iter().filter(many).collect();
+    if groups.is_empty() {
+        return;
+    }
+    let columns = ["scenario", "policy", "rate /s", "goodput /s", "refused share", "failed"];
+    let columns = [&columns[..], &["refusal p99 ms", "whole p50 ms", "whole p99 ms"]].concat();
+    head(text, &columns);
+    for group in groups {
+        let Some(first) = group.reports.first() else { continue };
+        for (index, phase) in first.phases.iter().enumerate() {
+            let spread = |figure: fn(&Phase) -> f64| {
+                group.spread(|it| it.phases.get(index).map_or(0.0, figure))
+            };
+            let refused = |it: &Phase| ratio(it.ends.refused as f64, it.ends.requests as f64);
+            let figures = [
+                spread(|it| it.ends.goodput),
+                spread(refused),
+                spread(|it| it.ends.failed as f64),
+                spread(|it| it.refusal.p99),
+                spread(|it| it.whole.p50),
+                spread(|it| it.whole.p99),
+            ];
+            let cells = figures.iter().map(|it| it as &dyn Display);
+            let cells: Vec<&dyn Display> = [&phase.rate as _].into_iter().chain(cells).collect();
+            row(text, group, &cells);
+        }
+    }
+}
+
+/// Answers by versions that had turned bad, were being tried, or were withdrawn.
+pub(super) fn exposures(text: &mut String, groups: &[Group<'_>]) {
+    if groups.iter().flat_map(|it| &it.reports).all(|it| it.exposure.is_empty()) {
+        return;
+    }
+    let columns = ["scenario", "policy", "version", "event", "answers after", "marked bad"];
+    head(text, &[&columns[..], &["last attempt after, s", "of s"]].concat());
+    for group in groups {
+        let Some(first) = group.reports.first() else { continue };
+        for (index, exposure) in first.exposure.iter().enumerate() {
+            let spread = |figure: fn(&Exposure) -> f64| -> Spread {
+                group.spread(|it| it.exposure.get(index).map_or(0.0, figure))
+            };
+            let answers = spread(|it| it.answers as f64);
+            let bad = spread(|it| it.bad as f64);
+            let last = spread(|it| it.last_attempt_seconds);
+            let (version, event) = (&exposure.version, &exposure.event);
+            let remaining = &exposure.remaining_seconds;
+            row(text, group, &[version, event, &answers, &bad, &last, remaining]);
+        }
+    }
+}
+
+fn head(text: &mut String, columns: &[&str]) {
+    text.push('\n');
+    push(text, format_args!("| {} |\n", columns.join(" | ")));
+    push(text, format_args!("|{}\n", "---|".repeat(columns.len())));
+}
+
+fn row(text: &mut String, group: &Group<'_>, cells: &[&dyn Display]) {
+    push(text, format_args!("| {} | {} |", group.scenario, group.policy));
+    for cell in cells {
+        push(text, format_args!(" {cell} |"));
+    }
+    text.push('\n');
+}
--- a/crates/curranthook_load/tests/report.rs
+++ b/crates/curranthook_load/tests/report.rs
@@ -208,6 +208,8 @@
     let text = table::markdown(&[ours, best, other_seed]);
     assert!(text.contains("| hand-made | ours | 2 | 0.500 |"), "{text}");
     assert!(text.contains("| hand-made | best | 1 | 1.000 |"), "{text}");
+    assert!(text.contains("| hand-made | ours | summary | 0.5 | 0.667 |"), "{text}");
+    assert!(text.contains("| m@1 | quality 0.5 -> 0 | 1.000 | 1.000 |"), "{text}");
 }
 
 #[test]
