Names of policies beside the bars; untyped errors told from answers that can't be read

Cause: with several policies the legend lay over the first bars, and engines' plain errors were counted as unreadable answers. Result: tests, clippy and docs pass; positions checked in the SVG text, as no viewer is at hand.

--- a/crates/curranthook_load/src/client.rs
+++ b/crates/curranthook_load/src/client.rs
@@ -105,7 +105,7 @@
         error: Refusal,
     }
     let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
-    let body: Body = serde_json::from_slice(&bytes).map_err(|_| Failure::Unreadable)?;
+    let body: Body = serde_json::from_slice(&bytes).map_err(|_| Failure::UntypedError)?;
     Ok(Outcome::Refused(body.error.code, body.error.not_run))
 }
 
@@ -175,7 +175,7 @@
             self.ended = true;
             return Ok(());
         }
-        let event: chat::Answer = serde_json::from_str(data).map_err(|_| Failure::CutOff)?;
+        let event: chat::Answer = serde_json::from_str(data).map_err(|_| Failure::Unreadable)?;
         if let Some(expected_id) = expected_id {
             check_id(&event, expected_id)?;
         }
--- a/crates/curranthook_load/src/plot.rs
+++ b/crates/curranthook_load/src/plot.rs
@@ -13,6 +13,8 @@
 const SIZE: (u32, u32) = (900, 560);
 const MARGIN: u32 = 24;
 const LABEL_AREA: u32 = 64;
+/// Room for the names of the policies, at the right of bars.
+const LEGEND_AREA: u32 = 190;
 /// Room beyond the greatest value, so that no label is cut.
 const HEADROOM: f64 = 1.15;
 
@@ -109,6 +111,7 @@
     let mut chart = ChartBuilder::on(&root)
         .caption(&bars.title, FONT)
         .margin(MARGIN)
+        .margin_right(LEGEND_AREA)
         .x_label_area_size(LABEL_AREA)
         .y_label_area_size(LABEL_AREA)
         .build_cartesian_2d((0..n_clusters).into_segmented(), 0.0..greatest)
@@ -145,7 +148,7 @@
     index: usize,
     color: &PaletteColor<Palette99>,
 ) -> anyhow::Result<()> {
-    const LEFT: i32 = 110;
+    const LEFT: i32 = (SIZE.0 - LEGEND_AREA) as i32 + 10;
     const TOP: i32 = 70;
     const LINE: i32 = 18;
     const BOX: i32 = 10;
--- a/crates/curranthook_load/src/sample.rs
+++ b/crates/curranthook_load/src/sample.rs
@@ -85,7 +85,10 @@
     /// The answer carries another request's id.
     #[error("foreign")]
     Foreign,
-    /// An error that isn't a typed refusal, or an answer that can't be read.
+    /// An error that isn't a typed refusal, as engines give.
+    #[error("untyped_error")]
+    UntypedError,
+    /// An answer that can't be read.
     #[error("unreadable")]
     Unreadable,
     /// Too many requests were outstanding in the load tool itself.
