--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -2,6 +2,7 @@
 
 mod builder;
 mod config;
+mod observe;
 
 use std::{
     collections::BTreeMap,
@@ -22,6 +23,7 @@
 };
 
 pub use builder::Builder;
+pub use observe::Status;
 
 /// The name of the site that tests run.
 pub const NAME: &str = "test";
--- /dev/null
+++ b/crates/curranthook_tests/src/site/observe.rs
@@ -0,0 +1,78 @@
+//! What a site's processes say of themselves, and changes that tests make often.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use curranthook_http::Exchange;
+use curranthook_settings::Document;
+use curranthook_standin::engine::record::Run;
+use curranthook_types::{Epoch, version};
+use serde::Deserialize;
+
+use super::Site;
+use crate::{eventually, pool};
+
+/// How long routers may take to follow. The promise is seven seconds, and the tests that
+/// measure it use a limit of their own; this one leaves room for a busy machine.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(30);
+
+/// The part of a router's `GET /status` that tests look at.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Status {
+    /// The epoch in force.
+    pub epoch: Epoch,
+    /// Requests under way.
+    pub in_flight: usize,
+    /// Counters by name.
+    pub counters: BTreeMap<String, u64>,
+}
+
+impl Site {
+    /// What the router of a VM says of itself.
+    pub async fn status(&self, vm: &str) -> anyhow::Result<Status> {
+        let res = Exchange::get(self.router(vm), "/status").run(pool()).await?;
+        Ok(serde_json::from_slice(res.body())?)
+    }
+
+    /// Waits until the routers of these VMs have `epoch` in force, or a later one.
+    pub async fn wait_epoch(&self, vms: &[&str], epoch: Epoch) -> anyhow::Result<()> {
+        for vm in vms {
+            let is_there = async || Ok(epoch <= self.status(vm).await?.epoch);
+            eventually(FOLLOW_LIMIT, is_there).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the router of a VM has at least `n` requests under way.
+    pub async fn wait_in_flight(&self, vm: &str, n: usize) -> anyhow::Result<()> {
+        let is_there = async || Ok(n <= self.status(vm).await?.in_flight);
+        eventually(FOLLOW_LIMIT, is_there).await
+    }
+
+    /// Publishes the withdrawal of a version.
+    pub async fn withdraw(&self, version: &str) -> anyhow::Result<Document> {
+        self.publish(|document| {
+            document.withdrawn.insert(version.into());
+        })
+        .await
+    }
+
+    /// Takes a version away from an account, in the published document.
+    pub async fn disallow(&self, account: &str, version: &str) -> anyhow::Result<Document> {
+        self.publish(|document| {
+            let config = document.sites.get_mut(super::NAME).expect("the site is there");
+            let account = config.accounts.get_mut(account).expect("the account is there");
+            account.versions.remove(&version::Id::new(version));
+        })
+        .await
+    }
+
+    /// What all engines ran of `version`.
+    pub async fn runs_of(&self, version: &str) -> anyhow::Result<Vec<Run>> {
+        let mut all = Vec::new();
+        for engine in self.engines.values() {
+            let runs = engine.runs().await?;
+            all.extend(runs.into_iter().filter(|it| it.version == version));
+        }
+        Ok(all)
+    }
+}
