--- a/crates/curranthook_settings/src/node.rs
+++ b/crates/curranthook_settings/src/node.rs
@@ -37,7 +37,7 @@
     #[serde_as(as = "Hex")]
     pub peer_key: Vec<u8>,
     /// Where metrics are sent as statsd over UDP, if anywhere.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub statsd: Option<SocketAddr>,
     /// Worker threads.
     #[serde(default = "default_threads")]
