hold: a fleet to send plain load to; streams tell ended from cut off

Cause: what a router adds is measured with direct and streams, which need a router to send to; and a stream that ended without its marker was counted as whole. Ruled out: the stand-in's default batch slowdown for the overhead scenario: with 5,000 in the batch a token takes a hundred times as long, and the router cut 2,923 of 5,000 streams for it. Change: hold SCENARIO; scenarios/overhead.yaml; batch_slowdown of engines; streams reports ended and failed.

--- a/crates/curranthook_load/src/fleet.rs
+++ b/crates/curranthook_load/src/fleet.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// The processes and where they listen, for those who want to look at one.
+    pub fn processes(&self) -> impl Iterator<Item = &Process> {
+        let endpoints = self.engines.iter().chain(&self.services).chain(&self.rater);
+        let entry = self.routers.iter().chain(&self.stewards);
+        std::iter::once(&self.platform).chain(endpoints).chain(entry)
+    }
+
     /// Stops everything; what engines and platform recorded.
     ///
     /// Routers go first, so that they can hand over their last bill lines, the platform last.
@@ -336,7 +343,11 @@
         (id.as_str().to_owned(), profile)
     };
     let versions: serde_json::Map<_, _> = engines.versions.iter().map(version).collect();
-    let profile = serde_json::json!({"slots": engines.slots, "versions": versions});
+    let profile = serde_json::json!({
+        "slots": engines.slots,
+        "batch_slowdown": engines.batch_slowdown,
+        "versions": versions,
+    });
     let text = serde_saphyr::to_string(&profile)?;
     std::fs::write(file, text).with_context(|| format!("can't write {}", file.display()))
 }
--- a/crates/curranthook_load/src/fleet/process.rs
+++ b/crates/curranthook_load/src/fleet/process.rs
@@ -98,6 +98,16 @@
         *addr.unwrap_or_else(|| panic!("{} has no address for {purpose}", self.name))
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// All addresses that it printed, by purpose.
+    pub fn listening(&self) -> &BTreeMap<String, SocketAddr> {
+        &self.listening
+    }
+
     /// Whether it ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/crates/curranthook_load/src/main.rs
+++ b/crates/curranthook_load/src/main.rs
@@ -38,6 +38,10 @@
     ///
     /// Example: curranthook-load run scenarios/mekong.yaml --policy ours --seed 1 --out r.json
     Run(RunArgs),
+    /// Start a scenario's processes and hold them, sending nothing; prints where they listen.
+    ///
+    /// Example: curranthook-load hold scenarios/overhead.yaml --seconds 60
+    Hold(HoldArgs),
     /// Check scenario files without running them.
     ///
     /// Example: curranthook-load check scenarios/*.yaml
@@ -76,7 +80,7 @@
 }
 
 #[derive(Debug, Args)]
-struct RunArgs {
+struct FleetArgs {
     /// The scenario file.
     scenario: PathBuf,
     /// The policy of the routers.
@@ -85,20 +89,35 @@
     /// Start no routers; callers ask the engines for this version.
     #[arg(long, conflicts_with = "policy", value_name = "VERSION")]
     direct: Option<String>,
-    /// The seed of arrivals and prompts.
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
     /// Where the programs are; beside this one if not set.
     #[arg(long)]
     bin_dir: Option<PathBuf>,
     /// Where logs and settings files are kept; dropped after the run if not set.
     #[arg(long)]
     work_dir: Option<PathBuf>,
+}
+
+#[derive(Debug, Args)]
+struct RunArgs {
+    #[command(flatten)]
+    fleet: FleetArgs,
+    /// The seed of arrivals and prompts.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
     /// Where the report goes.
     #[arg(long)]
     out: PathBuf,
 }
 
+#[derive(Debug, Args)]
+struct HoldArgs {
+    #[command(flatten)]
+    fleet: FleetArgs,
+    /// For how long.
+    #[arg(long, default_value_t = 60.0)]
+    seconds: f64,
+}
+
 #[derive(Debug, Args)]
 struct QuestionArgs {
     /// The API key.
@@ -167,6 +186,7 @@
     let cli = Cli::parse();
     match cli.command {
         Command::Run(args) => run_scenario(cli.threads, args),
+        Command::Hold(args) => hold(cli.threads, args),
         Command::Check { scenarios } => check(&scenarios),
         Command::Direct(args) => run_direct(cli.threads, &args),
         Command::Streams(args) => run_streams(cli.threads, &args),
@@ -179,21 +199,33 @@
 }
 
 fn run_scenario(threads: usize, args: RunArgs) -> anyhow::Result<()> {
-    let scenario = load(&args.scenario)?;
     let temporary = tempfile::tempdir()?;
-    let work_dir = args.work_dir.unwrap_or_else(|| temporary.path().to_owned());
+    let options = options(args.fleet, args.seed, temporary.path())?;
+    let report = runtime::run(threads, |ex| async move { run::run(&ex, options).await })?;
+    fs::write(&args.out, serde_json::to_vec_pretty(&report)?)
+        .with_context(|| format!("can't write {}", args.out.display()))?;
+    print!("{}", table::markdown(&[report]));
+    Ok(())
+}
+
+fn hold(threads: usize, args: HoldArgs) -> anyhow::Result<()> {
+    let temporary = tempfile::tempdir()?;
+    let options = options(args.fleet, 0, temporary.path())?;
+    let duration = Duration::try_from_secs_f64(args.seconds)?;
+    let print = |running: &_| println!("{}", serde_json::json!(running));
+    runtime::run(threads, |ex| async move { run::hold(&ex, options, duration, print).await })
+}
+
+fn options(args: FleetArgs, seed: u64, temporary: &Path) -> anyhow::Result<Options> {
+    let scenario = load(&args.scenario)?;
+    let work_dir = args.work_dir.unwrap_or_else(|| temporary.to_owned());
     fs::create_dir_all(&work_dir)?;
     let bin_dir = args.bin_dir.map_or_else(own_dir, Ok)?;
     let front = match args.direct {
         Some(version) => Front::None(version::Id::new(version)),
         None => Front::Routers(args.policy),
     };
-    let options = Options { scenario, front, seed: args.seed, bin_dir, work_dir };
-    let report = runtime::run(threads, |ex| async move { run::run(&ex, options).await })?;
-    fs::write(&args.out, serde_json::to_vec_pretty(&report)?)
-        .with_context(|| format!("can't write {}", args.out.display()))?;
-    print!("{}", table::markdown(&[report]));
-    Ok(())
+    Ok(Options { scenario, front, seed, bin_dir, work_dir })
 }
 
 fn own_dir() -> anyhow::Result<PathBuf> {
--- a/crates/curranthook_load/src/run.rs
+++ b/crates/curranthook_load/src/run.rs
@@ -1,14 +1,18 @@
 //! One run of a scenario, from the start of the fleet to the report.
 
 use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
     path::PathBuf,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use async_io::Timer;
 use curranthook_http::{client::Pool, runtime};
 use curranthook_types::clock;
 use futures_lite::future;
+use serde::Serialize;
 
 use crate::{
     client::Client,
@@ -61,3 +65,34 @@
         evidence: &evidence,
     }))
 }
+
+/// A running process, for those who want to look at it.
+#[derive(Debug, Serialize)]
+pub struct Running {
+    /// Its process id.
+    pub pid: u32,
+    /// Where it listens, by purpose.
+    pub listening: BTreeMap<String, SocketAddr>,
+}
+
+/// Starts a scenario's processes, tells `ready` of them by name, and stops them after `duration`.
+/// No request is sent.
+pub async fn hold(
+    ex: &runtime::Handle,
+    options: Options,
+    duration: Duration,
+    ready: impl FnOnce(&BTreeMap<String, Running>),
+) -> anyhow::Result<()> {
+    let Options { scenario, front, bin_dir, work_dir, .. } = options;
+    let pool = Arc::new(Pool::new(Arc::clone(ex), Arc::new(clock::System)));
+    let setup = Setup { scenario: Arc::new(scenario), front, bin_dir, work_dir };
+    let fleet = Fleet::start(setup, pool).await?;
+    let running = fleet.processes().map(|it| {
+        let running = Running { pid: it.id(), listening: it.listening().clone() };
+        (it.name().to_owned(), running)
+    });
+    ready(&running.collect());
+    Timer::after(duration).await;
+    fleet.close().await?;
+    Ok(())
+}
--- a/crates/curranthook_load/src/scenario.rs
+++ b/crates/curranthook_load/src/scenario.rs
@@ -96,6 +96,9 @@
     pub versions: BTreeSet<version::Id>,
     /// How many requests each runs at once.
     pub slots: usize,
+    /// How much longer a token takes for each other request in the batch, as a share.
+    #[serde(default = "default_batch_slowdown")]
+    pub batch_slowdown: f64,
 }
 
 impl Engines {
@@ -268,6 +271,11 @@
     "auto".to_owned()
 }
 
+fn default_batch_slowdown() -> f64 {
+    const SLOWDOWN: f64 = 0.02;
+    SLOWDOWN
+}
+
 fn default_words() -> usize {
     const WORDS: usize = 40;
     WORDS
--- a/crates/curranthook_load/src/streams.rs
+++ b/crates/curranthook_load/src/streams.rs
@@ -10,16 +10,19 @@
 };
 
 use async_io::Timer;
+use bytes::Bytes;
 use curranthook_http::{
     client::{Freshness, Pool},
     runtime, timeout,
 };
-use curranthook_types::clock;
+use curranthook_types::{chat, clock};
 use http_body_util::BodyExt as _;
+use hyper::body::Frame;
 use serde::Serialize;
 
 use crate::{
     direct::Question,
+    sse,
     timing::{Recorder, Summary},
 };
 
@@ -52,7 +55,9 @@
     pub begun: u64,
     /// Streams still open when memory was read.
     pub open: usize,
-    /// Streams that couldn't be opened or broke off.
+    /// Streams that ended with the marker before that.
+    pub ended: usize,
+    /// Streams that couldn't be opened, or ended without the marker.
     pub failed: usize,
     /// To the first chunk.
     pub first_chunk: Summary,
@@ -63,6 +68,7 @@
 #[derive(Debug, Default)]
 struct Counts {
     open: AtomicUsize,
+    ended: AtomicUsize,
     failed: AtomicUsize,
 }
 
@@ -81,9 +87,11 @@
         let (pool, counts, tx) = (Arc::clone(&pool), Arc::clone(&counts), tx.clone());
         let target = load.target;
         streams.push(ex.spawn(async move {
-            if hold(&pool, target, req, &counts, tx).await.is_none() {
-                counts.failed.fetch_add(1, Ordering::Relaxed);
-            }
+            let end = match hold(&pool, target, req, &counts, tx).await {
+                Some(()) => &counts.ended,
+                None => &counts.failed,
+            };
+            end.fetch_add(1, Ordering::Relaxed);
         }));
     }
     drop(tx);
@@ -93,6 +101,7 @@
         asked: load.n_streams,
         begun: first_chunks.summary().n,
         open: counts.open.load(Ordering::Relaxed),
+        ended: counts.ended.load(Ordering::Relaxed),
         failed: counts.failed.load(Ordering::Relaxed),
         first_chunk: first_chunks.summary(),
         resident_kb: load.pid.and_then(resident_kb),
@@ -101,11 +110,11 @@
     outcomes
 }
 
-/// Reads a stream to its end; `None` if it didn't come to one.
+/// Reads a stream to its end marker; `None` if it didn't come to one.
 async fn hold(
     pool: &Pool,
     target: SocketAddr,
-    req: http::Request<bytes::Bytes>,
+    req: http::Request<Bytes>,
     counts: &Counts,
     tx: async_channel::Sender<Duration>,
 ) -> Option<()> {
@@ -116,20 +125,23 @@
         return None;
     }
     let mut body = res.into_body();
-    body.frame().await?.ok()?;
+    let mut reader = sse::Reader::default();
+    let mut has_ended = read(&mut reader, body.frame().await?.ok()?);
     counts.open.fetch_add(1, Ordering::Relaxed);
     // Nobody may be waiting any more.
     let _late = tx.try_send(begun.elapsed());
     drop(tx);
-    let mut last = Some(());
-    while let Some(frame) = body.frame().await {
-        if frame.is_err() {
-            last = None;
-            break;
-        }
+    while let Some(Ok(frame)) = body.frame().await {
+        has_ended |= read(&mut reader, frame);
     }
     counts.open.fetch_sub(1, Ordering::Relaxed);
-    last
+    has_ended.then_some(())
+}
+
+/// Whether the marker is in `frame`.
+fn read(reader: &mut sse::Reader, frame: Frame<Bytes>) -> bool {
+    let Ok(chunk) = frame.into_data() else { return false };
+    reader.push(&chunk).iter().any(|it| it == chat::END_MARKER)
 }
 
 async fn first_chunks(rx: &async_channel::Receiver<Duration>, n_streams: usize) -> Recorder {
--- a/crates/curranthook_load/tests/scenarios.rs
+++ b/crates/curranthook_load/tests/scenarios.rs
@@ -5,7 +5,7 @@
 use curranthook_load::scenario::{Error, Scenario};
 use yare::parameterized;
 
-const NAMES: [&str; 8] = [
+const NAMES: [&str; 9] = [
     "mekong",
     "port-louis",
     "overload",
@@ -14,6 +14,7 @@
     "endpoint-loss",
     "slow-endpoint",
     "poison",
+    "overhead",
 ];
 
 fn text(name: &str) -> String {
