Billed once, proved with real processes; three faults mended

Cause: nothing showed that each whole answer is billed once. The new tests found that (1) `curranthook bills` told lines apart by request id alone, so of two accounts that use the same id one paid nothing; (2) a router that leaves while the store is out left behind the lines that it keeps for peers, so replacing all routers in an outage took lines off the bill; (3) a leaving router that knew no peer yet dropped its own lines at once.

Ruled out: a lost answer of the store's write, a repeat over another router, a cascade, a resumed answer, an owner and its replica both storing, and two routers or a failure domain killed in an outage; all of these passed as found. Requests sent in the first second, before a router has met its peers, have their lines with that router alone: not mended here.

Change: bills are told apart by account and request id; a leaving node hands over kept lines as well as its own, and goes on trying for up to 30 s. The harness reads bills, runs programs to their end and waits until routers have met.

Lines of a killed owner are not copied anew when its replicas are killed one by one during one outage.

--- a/crates/curranthook_cli/src/command/bills.rs
+++ b/crates/curranthook_cli/src/command/bills.rs
@@ -69,17 +69,21 @@
     Ok(Sum { rows: rows(wanted), n_duplicates })
 }
 
-/// The first line of each request id.
+/// What names a request. Accounts choose their request ids by themselves, so two of them may
+/// use the same one; told apart by the id alone, one of the two would pay nothing.
+type Name = (account::Id, request::Id);
+
+/// The first line of each request.
 ///
 /// A request can stand on several lines: its router died after a replica had written the line
 /// down, and the caller's next attempt was answered by another router. Were each of them
 /// summed, the request would be billed twice.
-async fn first_lines(objects: &dyn Objects) -> Result<(HashMap<request::Id, Line>, usize), Error> {
-    let mut lines: HashMap<request::Id, Line> = HashMap::new();
+async fn first_lines(objects: &dyn Objects) -> Result<(HashMap<Name, Line>, usize), Error> {
+    let mut lines: HashMap<Name, Line> = HashMap::new();
     let mut n_duplicates = 0;
     for key in objects.list(PREFIX).await? {
         for line in segment(objects, &key).await?.lines {
-            match lines.entry(line.request.clone()) {
+            match lines.entry((line.account.clone(), line.request.clone())) {
                 hash_map::Entry::Vacant(it) => {
                     it.insert(line);
                 }
--- a/crates/curranthook_peers/src/replica.rs
+++ b/crates/curranthook_peers/src/replica.rs
@@ -128,6 +128,21 @@
         }
     }
 
+    /// All lines kept, in batches, for a node that leaves and hands them to other peers.
+    pub fn batches(&self) -> Vec<Batch> {
+        let state = self.state.lock();
+        let mut batches = Vec::new();
+        for (origin, owner) in &state.owners {
+            let lines = owner.lines.iter().map(|(sequence, line)| (*sequence, line.clone()));
+            let runs = store::runs(lines, MAX_RUN).into_iter();
+            let stored_below = owner.stored_below;
+            let batch =
+                |(first, lines)| Batch { origin: origin.clone(), stored_below, first, lines };
+            batches.extend(runs.map(batch));
+        }
+        batches
+    }
+
     /// Stores everything, for a node that leaves; the owners' other replicas may do it too.
     pub async fn flush(&self, objects: &dyn Objects) {
         let all: Vec<_> = {
--- a/crates/curranthook_peers/src/task.rs
+++ b/crates/curranthook_peers/src/task.rs
@@ -15,6 +15,11 @@
 
 /// How long a leaving node goes on trying to store its lines before it hands them to peers.
 const LAST_FLUSH: Duration = Duration::from_secs(2);
+/// How long a leaving node looks for someone to take its lines; with the store out and no peer
+/// in reach they are lost after that.
+const LAST_LIMIT: Duration = Duration::from_secs(30);
+/// The pause between two looks.
+const LAST_PAUSE: Duration = Duration::from_millis(200);
 /// How far pauses are stretched or shortened, so that nodes started together drift apart.
 const JITTER: f64 = 0.2;
 
@@ -46,18 +51,37 @@
 
 /// Hands everything over.
 pub(crate) async fn leave(node: &Node) {
-    let objects = &*node.setup.objects;
-    let flushed = timeout::run(LAST_FLUSH, node.journal().flush(objects)).await;
-    if flushed != Ok(true) {
-        journal::hand_over(node).await;
+    let start = node.setup.clock.now();
+    while !is_handed_over(node).await {
+        let waited = node.setup.clock.now().saturating_duration_since(start);
+        if LAST_LIMIT < waited {
+            let n_lines = node.journal().n_lines() + node.replicas().n_lines();
+            log::error!("{n_lines} bill lines reached neither the store nor a peer");
+            break;
+        }
+        // Peers that were started a moment ago may not have been met yet.
+        round::exchange(node).await;
+        pause(LAST_PAUSE).await;
     }
-    // The owners have another replica, so this may be cut short.
-    let _best_effort = timeout::run(LAST_FLUSH, node.replicas().flush(objects)).await;
     let own = node.members().own().clone();
     let tell = node.members().alive().into_iter().map(|it| tell(node, own.clone(), it.identity));
     join_all(tell).await;
 }
 
+/// Stores all lines or, while the store is out, brings them to peers.
+async fn is_handed_over(node: &Node) -> bool {
+    let objects = &*node.setup.objects;
+    let flush = async {
+        node.journal().flush(objects).await;
+        node.replicas().flush(objects).await;
+    };
+    let _out = timeout::run(LAST_FLUSH, flush).await;
+    if node.journal().n_lines() + node.replicas().n_lines() == 0 {
+        return true;
+    }
+    journal::hand_over(node).await
+}
+
 async fn tell(node: &Node, own: Identity, peer: Identity) {
     let _best_effort = node.call::<()>(peer.addr, "leaving", &own, rpc::TIMEOUT).await;
 }
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -111,14 +111,26 @@
     }
 }
 
-/// Brings the lines that can't be stored to peers before this node leaves.
-pub(crate) async fn hand_over(node: &Node) {
+/// Brings the lines that can't be stored to peers before this node leaves: its own, and those
+/// that it keeps for others. Says whether each has a peer that keeps it.
+///
+/// An owner that is gone has no copies but its replicas'. While the store is out, VMs are
+/// replaced as on any other day; were a replica's lines left behind with it, the last
+/// replacement of the owner's two replicas would take them off the bill.
+pub(crate) async fn hand_over(node: &Node) -> bool {
     let peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
-    for batch in node.journal().unstored() {
-        for pair in peers.chunks(COPIES) {
-            if 0 < send(node, pair, &batch, rpc::TIMEOUT).await {
-                break;
-            }
+    let mut all_kept = true;
+    for batch in node.journal().unstored().into_iter().chain(node.replicas().batches()) {
+        all_kept &= hand_over_batch(node, &peers, &batch).await;
+    }
+    all_kept
+}
+
+async fn hand_over_batch(node: &Node, peers: &[SocketAddr], batch: &Batch) -> bool {
+    for pair in peers.chunks(COPIES) {
+        if 0 < send(node, pair, batch, rpc::TIMEOUT).await {
+            return true;
         }
     }
+    false
 }
--- a/crates/curranthook_peers/src/task/round.rs
+++ b/crates/curranthook_peers/src/task/round.rs
@@ -35,7 +35,8 @@
     }
 }
 
-async fn exchange(node: &Node) {
+/// Calls the next peer whose turn it is.
+pub(crate) async fn exchange(node: &Node) {
     let Some(addr) = node.members().next() else { return };
     let ours = digest::build(node);
     let Ok(theirs) = node.call::<Frame>(addr, "exchange", &ours, rpc::TIMEOUT).await else {
--- a/crates/curranthook_tests/src/lib.rs
+++ b/crates/curranthook_tests/src/lib.rs
@@ -16,9 +16,11 @@
 //! # }
 //! ```
 
+pub mod bills;
 mod binaries;
 pub mod call;
 pub mod process;
+pub mod program;
 pub mod site;
 pub mod standin;
 mod wait;
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -196,6 +196,27 @@
         eventually(READY_LIMIT, is_ready).await.with_context(|| format!("{vm} isn't ready"))
     }
 
+    /// Waits until each router has answered calls of at least `n` others, so that it has peers to
+    /// hold its bill lines.
+    pub async fn wait_met(&self, n: usize) -> anyhow::Result<()> {
+        for vm in self.routers.keys() {
+            let has_met = async || {
+                let status = self.status(vm).await?;
+                let alive = status["peers"]["view"]["alive"].as_array();
+                Ok(alive.is_some_and(|it| n <= it.len()))
+            };
+            let met = eventually(READY_LIMIT, has_met).await;
+            met.with_context(|| format!("{vm} knows fewer than {n} others"))?;
+        }
+        Ok(())
+    }
+
+    /// What the router of a VM answers to `GET /status`.
+    pub async fn status(&self, vm: &str) -> anyhow::Result<serde_json::Value> {
+        let res = Exchange::get(self.router(vm), "/status").run(pool()).await?;
+        Ok(serde_json::from_slice(res.body())?)
+    }
+
     /// The address under which `target` is reached: the link `name` of the proxy, if there is
     /// one. A link that exists already gets the new target and keeps its fault.
     async fn through(&self, name: &str, target: SocketAddr) -> anyhow::Result<SocketAddr> {
