Peers: a digest that fits its bytes, and tags that travel with documents

An account's rates never fitted their section once ten accounts were busy; an idle node's silence was taken for average demand; and each epoch got from a peer was read once more, whole, from the table.

--- a/crates/curranthook_peers/src/counters.rs
+++ b/crates/curranthook_peers/src/counters.rs
@@ -51,6 +51,8 @@
     rejected_incarnation,
     /// Reads of the table for the configuration.
     table_reads,
+    /// Bytes of documents read from the table.
+    table_bytes,
     /// Reads of the table that failed.
     table_failed,
     /// Epochs first learned from the table.
--- a/crates/curranthook_peers/src/demand.rs
+++ b/crates/curranthook_peers/src/demand.rs
@@ -4,7 +4,7 @@
 //! account, and takes the part of the limit that its rate is of the sum.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -22,17 +22,36 @@
 const FLOOR: f64 = 0.5;
 /// How many peers' reports are kept.
 const MAX_REPORTS: usize = 2_048;
+/// How many accounts one report may name.
+const MAX_ACCOUNTS: usize = 64;
+/// How many accounts are told at a time.
+const ACCOUNTS_PER_TURN: usize = 3;
 
-/// A node's rates as a digest carries them: VM, incarnation, time, and rates in tenths of a
-/// request a second by account.
+/// Some of a node's rates as a digest carries them: VM, incarnation, time, and rates in tenths
+/// of a request a second by account.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry(pub vm::Id, pub vm::Incarnation, pub u64, pub BTreeMap<account::Id, u64>);
 
+/// A rate and when it was told, in milliseconds since 1970.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    tenths: u64,
+    at_millis: u64,
+}
+
+/// What one process has told. Its accounts come a few at a time, each with its own time.
+#[derive(Debug, Default)]
+struct Report {
+    incarnation: vm::Incarnation,
+    at_millis: u64,
+    rates: BTreeMap<account::Id, Told>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     counted: HashMap<account::Id, u64>,
     rates: BTreeMap<account::Id, f64>,
-    reports: BTreeMap<vm::Id, Entry>,
+    reports: BTreeMap<vm::Id, Report>,
     cursor: usize,
 }
 
@@ -76,8 +95,8 @@
         let now = self.clock.unix_millis();
         let state = self.state.lock();
         let own = state.rates.get(account).copied().unwrap_or(0.0);
-        let live = state.reports.values().filter(|it| is_live(it, now));
-        let rates = live.map(|it| it.3.get(account).copied().unwrap_or(0) as f64 / 10.0);
+        let live = state.reports.values().filter(|it| is_live(it.at_millis, now));
+        let rates = live.map(|it| it.rate(account, now));
         let (n_others, sum) = rates.fold((0_usize, 0.0), |(n, sum), rate| (n + 1, sum + rate));
         let n_known = n_others + 1;
         let n_nodes = site_nodes.max(n_known);
@@ -87,19 +106,27 @@
         (own + FLOOR) / (total + FLOOR * n_nodes as f64)
     }
 
-    /// Takes in a peer's report; of two from one VM the later process's, then the later one.
-    pub fn merge(&self, entry: Entry) {
+    /// Takes in a peer's report; of two for one account the later process's, then the later one.
+    pub fn merge(&self, entry: &Entry) {
         let now = self.clock.unix_millis();
-        if entry.0 == self.vm || !is_live(&entry, now) {
+        let Entry(vm, incarnation, at_millis, rates) = entry;
+        if *vm == self.vm || !is_live(*at_millis, now) || MAX_ACCOUNTS < rates.len() {
             return;
         }
+        let at_millis = (*at_millis).min(now);
         let mut state = self.state.lock();
-        if MAX_REPORTS <= state.reports.len() {
-            state.reports.retain(|_, it| is_live(it, now));
+        if MAX_REPORTS <= state.reports.len() && !state.reports.contains_key(vm) {
+            state.reports.retain(|_, it| is_live(it.at_millis, now));
+            if MAX_REPORTS <= state.reports.len() {
+                return;
+            }
+        }
+        let report = state.reports.entry(vm.clone()).or_default();
+        if report.incarnation < *incarnation {
+            *report = Report { incarnation: *incarnation, ..Report::default() };
         }
-        let known = state.reports.get(&entry.0).map(|it| (it.1, it.2));
-        if known < Some((entry.1, entry.2)) && state.reports.len() < MAX_REPORTS {
-            state.reports.insert(entry.0.clone(), entry);
+        if report.incarnation == *incarnation {
+            report.merge(at_millis, rates, now);
         }
     }
 
@@ -108,22 +135,74 @@
         self.state.lock().reports.remove(vm);
     }
 
-    /// This node's report and, in turn, the others'.
-    pub fn pick(&self, n: usize) -> Vec<Entry> {
+    /// Some of this node's rates and, in turn, of one other's, as long as they fit.
+    pub fn pick(&self, mut fits: impl FnMut(&Entry) -> bool) -> Vec<Entry> {
         let now = self.clock.unix_millis();
         let mut state = self.state.lock();
-        let tenths =
-            |(account, rate): (&account::Id, &f64)| (account.clone(), (rate * 10.0).round() as u64);
-        let own = state.rates.iter().map(tenths).collect();
-        let mut picked = vec![Entry(self.vm.clone(), self.incarnation, now, own)];
-        let live: Vec<_> = state.reports.values().filter(|it| is_live(it, now)).collect();
-        let start = state.cursor.checked_rem(live.len()).unwrap_or(0);
-        picked.extend(live.iter().cycle().skip(start).take(n.min(live.len())).copied().cloned());
-        state.cursor = start + n;
-        picked
+        state.cursor += 1;
+        let cursor = state.cursor;
+        let own = turn(&state.rates, cursor, |rate| (rate * 10.0).round() as u64);
+        let own = Entry(self.vm.clone(), self.incarnation, now, own);
+        let live: Vec<_> =
+            state.reports.iter().filter(|(_, it)| is_live(it.at_millis, now)).collect();
+        let other = cursor.checked_rem(live.len()).map(|at| {
+            let (vm, report) = live[at];
+            report.entry(vm, cursor / live.len())
+        });
+        // A report that doesn't fit goes with fewer accounts: otherwise long names would keep a
+        // node's demand from ever being told.
+        let shrink = |mut entry: Entry| {
+            while !fits(&entry) {
+                entry.3.pop_last()?;
+            }
+            Some(entry)
+        };
+        // A node without demand tells that too: of one that says nothing, others assume the
+        // average, and would leave its part of the limit unused.
+        [Some(own), other].into_iter().flatten().filter_map(shrink).collect()
     }
 }
 
-fn is_live(entry: &Entry, now_millis: u64) -> bool {
-    now_millis.saturating_sub(entry.2) <= MAX_AGE.as_millis() as u64
+impl Report {
+    fn rate(&self, account: &account::Id, now_millis: u64) -> f64 {
+        let told = self.rates.get(account).filter(|it| is_live(it.at_millis, now_millis));
+        told.map_or(0.0, |it| it.tenths as f64 / 10.0)
+    }
+
+    fn merge(&mut self, at_millis: u64, rates: &BTreeMap<account::Id, u64>, now_millis: u64) {
+        self.at_millis = self.at_millis.max(at_millis);
+        for (account, tenths) in rates {
+            let known = self.rates.get(account).map_or(0, |it| it.at_millis);
+            if known < at_millis {
+                self.rates.insert(account.clone(), Told { tenths: *tenths, at_millis });
+            }
+        }
+        self.rates.retain(|_, it| is_live(it.at_millis, now_millis));
+    }
+
+    /// Rates told at one time go on as they came; those of other times wait for their turn.
+    fn entry(&self, vm: &vm::Id, cursor: usize) -> Entry {
+        let times: BTreeSet<_> = self.rates.values().map(|it| it.at_millis).collect();
+        let at = cursor.checked_rem(times.len()).and_then(|at| times.iter().nth(at));
+        let at_millis = at.copied().unwrap_or(self.at_millis);
+        let same = self.rates.iter().filter(|(_, it)| it.at_millis == at_millis);
+        let rates = same.map(|(account, it)| (account.clone(), it.tenths)).collect();
+        Entry(vm.clone(), self.incarnation, at_millis, rates)
+    }
+}
+
+/// A few accounts, others at each turn.
+fn turn<T>(
+    rates: &BTreeMap<account::Id, T>,
+    cursor: usize,
+    tenths: impl Fn(&T) -> u64,
+) -> BTreeMap<account::Id, u64> {
+    let n_turns = rates.len().div_ceil(ACCOUNTS_PER_TURN).max(1);
+    let start = cursor % n_turns * ACCOUNTS_PER_TURN;
+    let part = rates.iter().skip(start).take(ACCOUNTS_PER_TURN);
+    part.map(|(account, rate)| (account.clone(), tenths(rate))).collect()
+}
+
+fn is_live(at_millis: u64, now_millis: u64) -> bool {
+    u128::from(now_millis.saturating_sub(at_millis)) <= MAX_AGE.as_millis()
 }
--- a/crates/curranthook_peers/src/digest.rs
+++ b/crates/curranthook_peers/src/digest.rs
@@ -8,13 +8,11 @@
 use curranthook_types::Epoch;
 use serde::{Deserialize, Serialize};
 
-use crate::{demand, evidence, member::Identity, node::Node, poison, suspect};
+use crate::{demand, evidence, member::Identity, node::Node, poison, suspect, tuning::Trust};
 
 /// Bytes of a frame's sections together. With the HTTP heads, one exchange made and one
-/// answered a second stay within 2 KB.
-const BUDGET: usize = 300;
-/// Bytes that a section gets before the last one takes what is left.
-const SECTION: usize = 100;
+/// answered a second stay within 2 KB, both ways together.
+const BUDGET: usize = 140;
 /// Entries looked at when a section is filled.
 const MAX_PICKED: usize = 8;
 
@@ -48,51 +46,78 @@
     pub unreachable: Vec<SocketAddr>,
 }
 
-/// Fills sections until their bytes are spent.
+/// Bytes left for a frame's sections.
 #[derive(Debug)]
 struct Budget(usize);
 
 impl Budget {
-    fn take(&mut self, entry: &impl Serialize, section: &mut usize) -> bool {
+    fn take(&mut self, entry: &impl Serialize) -> bool {
         let json = serde_json::to_vec(entry).expect("an entry can be written as JSON");
         let size = json.len() + 1;
-        if self.0.min(*section) < size {
+        if self.0 < size {
             return false;
         }
         self.0 -= size;
-        *section -= size;
         true
     }
 
     fn fill<T: Serialize>(&mut self, entries: Vec<T>) -> Vec<T> {
-        let mut section = SECTION;
-        entries.into_iter().filter(|it| self.take(it, &mut section)).collect()
+        entries.into_iter().filter(|it| self.take(it)).collect()
     }
 }
 
+/// What a frame is mainly for. The sections take turns in being first: in a fixed order a busy
+/// one would leave those behind it too few bytes for a single entry, for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Topic {
+    Evidence,
+    Demand,
+    Alarms,
+    Members,
+}
+
+const TOPICS: [Topic; 6] =
+    [Topic::Evidence, Topic::Demand, Topic::Alarms, Topic::Evidence, Topic::Demand, Topic::Members];
+
 /// A frame of what is most worth telling now.
 pub(crate) fn build(node: &Node) -> Frame {
     let turn = node.next_turn();
-    let mut budget = Budget(BUDGET);
-    let suspects = budget.fill(node.suspects().all());
-    let poison = budget.fill(node.poison().pick(turn, MAX_PICKED));
-    let demand = budget.fill(node.demand().pick(1));
-    let members = budget.fill(hints(node, turn));
-    let unreachable = match node.tuning().trust {
-        crate::tuning::Trust::Own => Vec::new(),
-        crate::tuning::Trust::Others => node.members().unreachable(),
-    };
-    let mut rest = budget.0;
-    let evidence = node.evidence().pick(|entry| budget.take(entry, &mut rest));
-    Frame {
+    let mut frame = Frame {
         from: node.members().own().clone(),
         epoch: node.epoch(),
-        suspects,
-        poison,
-        demand,
-        evidence,
-        members,
-        unreachable,
+        suspects: Vec::new(),
+        poison: Vec::new(),
+        demand: Vec::new(),
+        evidence: Vec::new(),
+        members: Vec::new(),
+        unreachable: Vec::new(),
+    };
+    if node.tuning().trust == Trust::Others {
+        frame.unreachable = node.members().unreachable();
+    }
+    let mut budget = Budget(BUDGET);
+    let first = TOPICS[turn % TOPICS.len()];
+    add(node, first, turn, &mut budget, &mut frame);
+    for topic in [Topic::Alarms, Topic::Evidence, Topic::Demand] {
+        if topic != first {
+            add(node, topic, turn, &mut budget, &mut frame);
+        }
+    }
+    frame
+}
+
+fn add(node: &Node, topic: Topic, turn: usize, budget: &mut Budget, frame: &mut Frame) {
+    match topic {
+        Topic::Evidence => frame.evidence = node.evidence().pick(|it| budget.take(it)),
+        Topic::Demand => frame.demand = node.demand().pick(|it| budget.take(it)),
+        Topic::Alarms => {
+            let mut suspects = node.suspects().all();
+            let start = turn.checked_rem(suspects.len()).unwrap_or(0);
+            suspects.rotate_left(start);
+            frame.suspects = budget.fill(suspects);
+            frame.poison = budget.fill(node.poison().pick(turn, MAX_PICKED));
+        }
+        Topic::Members => frame.members = budget.fill(hints(node, turn / TOPICS.len())),
     }
 }
 
@@ -109,7 +134,7 @@
     }
     if frame.from.site == node.members().own().site {
         for entry in &frame.demand {
-            node.demand().merge(entry.clone());
+            node.demand().merge(entry);
         }
     }
     for identity in &frame.members {
--- a/crates/curranthook_peers/src/evidence.rs
+++ b/crates/curranthook_peers/src/evidence.rs
@@ -96,7 +96,7 @@
     }
 
     fn is_sane(&self) -> bool {
-        self.rating_sum.is_finite() && self.rating_sq_sum.is_finite() && self.failures <= self.calls
+        self.failures <= self.calls && self.rated <= self.calls
     }
 }
 
@@ -104,19 +104,26 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry(pub Origin, pub version::Id, pub Wire);
 
-/// [`Counts`] without field names, in their order.
+/// [`Counts`] without field names, in their order, ratings in whole ten-thousandths: a sum such
+/// as 20.800000000000004 would cost more bytes than all other fields.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Wire(u64, u64, u64, f64, f64, u64);
+pub struct Wire(u64, u64, u64, u64, u64, u64);
+
+const RATING_UNIT: f64 = 10_000.0;
 
 impl From<Counts> for Wire {
     fn from(it: Counts) -> Self {
-        Self(it.calls, it.failures, it.rated, it.rating_sum, it.rating_sq_sum, it.tokens)
+        let whole = |sum: f64| (sum * RATING_UNIT).round() as u64;
+        let (sum, sq_sum) = (whole(it.rating_sum), whole(it.rating_sq_sum));
+        Self(it.calls, it.failures, it.rated, sum, sq_sum, it.tokens)
     }
 }
 
 impl From<Wire> for Counts {
     fn from(it: Wire) -> Self {
-        let Wire(calls, failures, rated, rating_sum, rating_sq_sum, tokens) = it;
+        let Wire(calls, failures, rated, sum, sq_sum, tokens) = it;
+        let rating_sum = sum as f64 / RATING_UNIT;
+        let rating_sq_sum = sq_sum as f64 / RATING_UNIT;
         Self { calls, failures, rated, rating_sum, rating_sq_sum, tokens }
     }
 }
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -176,7 +176,7 @@
     /// Takes over a document that came another way than from the table or a peer, if its epoch
     /// is higher, and says whether it did.
     pub fn offer(&self, document: Document) -> bool {
-        self.spread.offer(document)
+        self.spread.offer(document, None)
     }
 
     /// Who this node is to its peers.
--- a/crates/curranthook_peers/src/spread.rs
+++ b/crates/curranthook_peers/src/spread.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use async_channel::Sender;
+use curranthook_platform::Tag;
 use curranthook_settings::Document;
 use curranthook_types::Epoch;
 use parking_lot::Mutex;
@@ -38,9 +39,16 @@
         /// SHA-256 of the document that results, written as JSON.
         #[serde_as(as = "Hex")]
         hash: [u8; 32],
+        /// The state of the table's row.
+        tag: Option<Tag>,
     },
     /// The whole document.
-    Full(Box<Document>),
+    Full {
+        /// The document.
+        document: Box<Document>,
+        /// The state of the table's row.
+        tag: Option<Tag>,
+    },
 }
 
 /// A delta can't be used: it starts from another epoch, or doesn't give what it should.
@@ -50,6 +58,10 @@
 
 #[derive(Debug, Default)]
 struct History {
+    /// The state of the table's row that holds the newest document, if known. It travels with
+    /// the document: a node that has an epoch from a peer would otherwise read the whole row at
+    /// its next poll, only to find what it has.
+    tag: Option<Tag>,
     values: VecDeque<(Epoch, Value)>,
     deltas: HashMap<Epoch, Transfer>,
     waiting: Vec<Sender<()>>,
@@ -70,7 +82,7 @@
 
     /// The newest epoch; zero when none is known.
     pub fn epoch(&self) -> Epoch {
-        self.newest.load().as_ref().map_or(Epoch::default(), |it| it.epoch)
+        self.epoch_of_newest().unwrap_or_default()
     }
 
     /// Waits for a document of a higher epoch than `after`.
@@ -85,13 +97,23 @@
         }
     }
 
+    /// The state of the table's row that holds the newest document.
+    pub fn tag(&self) -> Option<Tag> {
+        self.history.lock().tag.clone()
+    }
+
     /// Takes over `document` if its epoch is higher, and says whether it did.
-    pub fn offer(&self, document: Document) -> bool {
+    pub fn offer(&self, document: Document, tag: Option<Tag>) -> bool {
         // The lock orders writers: of two offers at once the lower must not land last.
         let mut history = self.history.lock();
-        if self.document().is_some_and(|it| document.epoch <= it.epoch) {
+        let known = self.epoch_of_newest();
+        if known.is_some_and(|it| document.epoch <= it) {
+            if known == Some(document.epoch) && tag.is_some() {
+                history.tag = tag;
+            }
             return false;
         }
+        history.tag = tag;
         let value = serde_json::to_value(&document).expect("a document can be written as JSON");
         history.values.push_back((document.epoch, value));
         if HISTORY < history.values.len() {
@@ -110,26 +132,39 @@
         if newest.epoch <= have {
             return Transfer::Nothing;
         }
-        self.delta(have, &newest).unwrap_or_else(|| Transfer::Full(Box::new((*newest).clone())))
+        self.delta(have, &newest).unwrap_or_else(|| {
+            let document = Box::new((*newest).clone());
+            Transfer::Full { document, tag: self.tag_of(newest.epoch) }
+        })
     }
 
     /// Takes over what a peer sent; `Ok(false)` if it's nothing newer.
     pub fn apply(&self, transfer: Transfer) -> Result<bool, Misfit> {
         match transfer {
             Transfer::Nothing => Ok(false),
-            Transfer::Full(document) => Ok(self.offer(*document)),
-            Transfer::Delta { base, patch, hash } => {
+            Transfer::Full { document, tag } => Ok(self.offer(*document, tag)),
+            Transfer::Delta { base, patch, hash, tag } => {
                 let document = self.patched(base, &patch).ok_or(Misfit)?;
                 // A node that holds another document under the base's epoch, or lost a digit of
                 // a number on the way, would go on with a configuration nobody published.
                 if digest(&document) != hash {
                     return Err(Misfit);
                 }
-                Ok(self.offer(document))
+                Ok(self.offer(document, tag))
             }
         }
     }
 
+    fn epoch_of_newest(&self) -> Option<Epoch> {
+        self.newest.load().as_ref().map(|it| it.epoch)
+    }
+
+    /// The tag, unless a newer document has come meanwhile.
+    fn tag_of(&self, epoch: Epoch) -> Option<Tag> {
+        let history = self.history.lock();
+        history.tag.clone().filter(|_| self.epoch_of_newest() == Some(epoch))
+    }
+
     fn delta(&self, have: Epoch, newest: &Document) -> Option<Transfer> {
         let mut history = self.history.lock();
         if let Some(delta) = history.deltas.get(&have) {
@@ -138,8 +173,12 @@
         let (_, base) = history.values.iter().find(|(epoch, _)| *epoch == have)?;
         let (_, value) = history.values.iter().find(|(epoch, _)| *epoch == newest.epoch)?;
         let patch = json_patch::diff(base, value);
-        let delta = Transfer::Delta { base: have, patch, hash: digest(newest) };
-        history.deltas.insert(have, delta.clone());
+        // Under the lock no newer document can come, so the tag is that of the newest one.
+        let tag = history.tag.clone().filter(|_| self.epoch_of_newest() == Some(newest.epoch));
+        let delta = Transfer::Delta { base: have, patch, hash: digest(newest), tag };
+        if self.epoch_of_newest() == Some(newest.epoch) {
+            history.deltas.insert(have, delta.clone());
+        }
         Some(delta)
     }
 
--- a/crates/curranthook_peers/src/task/spread.rs
+++ b/crates/curranthook_peers/src/task/spread.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use curranthook_platform::Tag;
 use curranthook_settings::{Document, document};
 use curranthook_types::Epoch;
 
@@ -24,15 +23,15 @@
 
 /// Reads the table, at a rate that doesn't grow with the fleet.
 pub(crate) async fn poll(node: Arc<Node>) {
-    let mut tag: Option<Tag> = None;
     loop {
-        read(&node, &mut tag).await;
+        read(&node).await;
         let by_fleet = Duration::from_secs_f64(node.members().fleet() as f64 / FLEET_POLLS);
         pause(node.tuning().poll.max(by_fleet)).await;
     }
 }
 
-async fn read(node: &Node, tag: &mut Option<Tag>) {
+async fn read(node: &Node) {
+    let tag = node.spread().tag();
     let (table, key) = document::ROW;
     bump(&node.counters().table_reads, 1);
     let row = match node.setup.table.get_newer(table, key, tag.as_ref()).await {
@@ -43,12 +42,12 @@
             return;
         }
     };
+    bump(&node.counters().table_bytes, row.value.len() as u64);
     let Ok(document) = serde_json::from_slice::<Document>(&row.value) else {
         log::error!("the published document can't be read");
         return;
     };
-    *tag = Some(row.tag);
-    if node.spread().offer(document) {
+    if node.spread().offer(document, Some(row.tag)) {
         bump(&node.counters().epoch_from_table, 1);
         learned(node);
         tell(node).await;
@@ -99,7 +98,7 @@
     let kind = match transfer {
         Transfer::Nothing => return true,
         Transfer::Delta { .. } => &counters.delta_applied,
-        Transfer::Full(_) => &counters.document_full,
+        Transfer::Full { .. } => &counters.document_full,
     };
     match node.spread().apply(transfer) {
         Ok(true) => {
--- a/crates/curranthook_peers/tests/peers/digest.rs
+++ b/crates/curranthook_peers/tests/peers/digest.rs
@@ -106,10 +106,10 @@
         (0..10).for_each(|_| nodes[1].add(&account));
         nodes.iter().for_each(|it| it.tick(Duration::from_secs(1)));
     }
-    let told: Vec<_> = nodes.iter().map(|it| it.pick(0).remove(0)).collect();
-    nodes[0].merge(told[1].clone());
-    nodes[0].merge(told[1].clone());
-    nodes[1].merge(told[0].clone());
+    let told: Vec<_> = nodes.iter().map(|it| it.pick(|_| true).remove(0)).collect();
+    nodes[0].merge(&told[1]);
+    nodes[0].merge(&told[1]);
+    nodes[1].merge(&told[0]);
     let shares: Vec<_> = nodes.iter().map(|it| it.share(&account, 2)).collect();
     assert!((shares[0] - 0.75).abs() < 0.02, "{shares:?}");
     assert!((shares.iter().sum::<f64>() - 1.0).abs() < 0.02, "{shares:?}");
@@ -136,3 +136,24 @@
         assert!(met.await.is_some(), "{:?}", nodes[5].evidence().total(&version));
     });
 }
+
+/// All requests for an account come to one router, as its callers keep their connections. If the
+/// idle routers kept silent, that one would take them for as busy as itself and use a part only.
+#[test]
+fn a_node_alone_with_the_demand_gets_nearly_the_whole_limit() {
+    let clock = Arc::new(clock::Manual::default());
+    let nodes: Vec<_> = ["vm-0", "vm-1", "vm-2"]
+        .iter()
+        .map(|it| Demand::new((*it).into(), 1, clock.clone()))
+        .collect();
+    let account = "co-op".into();
+    for _ in 0..20 {
+        (0..60).for_each(|_| nodes[0].add(&account));
+        nodes[0].tick(Duration::from_secs(1));
+    }
+    assert!(nodes[0].share(&account, 3) < 0.4, "nothing is known of the others yet");
+    for idle in &nodes[1..] {
+        idle.pick(|_| true).iter().for_each(|it| nodes[0].merge(it));
+    }
+    assert!(0.95 < nodes[0].share(&account, 3), "{}", nodes[0].share(&account, 3));
+}
--- a/crates/curranthook_peers/tests/peers/document.rs
+++ b/crates/curranthook_peers/tests/peers/document.rs
@@ -17,10 +17,11 @@
 #[test]
 fn a_lower_epoch_never_replaces_a_higher_one() {
     let spread = Spread::default();
-    assert!(spread.offer(document(5)));
+    assert!(spread.offer(document(5), None));
     for older in [4, 5, 1] {
-        assert!(!spread.offer(document(older)));
-        assert_eq!(spread.apply(Transfer::Full(Box::new(document(older)))), Ok(false));
+        assert!(!spread.offer(document(older), None));
+        let document = Box::new(document(older));
+        assert_eq!(spread.apply(Transfer::Full { document, tag: None }), Ok(false));
     }
     assert_eq!(spread.epoch(), Epoch(5));
 }
@@ -30,17 +31,17 @@
 #[test]
 fn a_delta_is_taken_only_where_it_fits() {
     let (sender, same, other) = (Spread::default(), Spread::default(), Spread::default());
-    sender.offer(document(1));
-    sender.offer(document(2));
-    same.offer(document(1));
-    other.offer(Document { at_millis: 77, ..document(1) });
+    sender.offer(document(1), None);
+    sender.offer(document(2), None);
+    same.offer(document(1), None);
+    other.offer(Document { at_millis: 77, ..document(1) }, None);
     let delta = sender.transfer(Epoch(1));
     assert!(matches!(delta, Transfer::Delta { .. }));
     assert_eq!(same.apply(delta.clone()), Ok(true));
     assert_eq!(same.document(), sender.document());
     assert_eq!(other.apply(delta), Err(Misfit));
     assert_eq!(other.epoch(), Epoch(1));
-    assert!(matches!(sender.transfer(Epoch(0)), Transfer::Full(_)));
+    assert!(matches!(sender.transfer(Epoch(0)), Transfer::Full { .. }));
 }
 
 /// The platform's table is out for all nodes but one: they get each epoch from their peers.
