Bill lines get their copies at once after a start, and anew in an outage

Cause: a router met one peer a second after its start but was ready at once, so the first answers had their lines on that VM alone. Nor were lines copied again: with the store out, those whose holders had been replaced, or that were written down with no peer in reach, were lost with their owner.

Ruled out: a longer wait of the caller's last byte. It would hold up answers and still leave lines alone where no peer is known.

Change: a node that starts meets peers every 50 ms until two in other failure domains have answered, for 5 s at most, and is ready only then. While the store is out, lines with too few copies, or whose holder is no longer alive, go to two peers again.

Conclusion: a living owner's lines keep two copies however long the outage. Not so those of a dead owner: both its replicas killed in one outage lose them.

--- a/crates/curranthook_peers/src/journal.rs
+++ b/crates/curranthook_peers/src/journal.rs
@@ -4,7 +4,11 @@
 //! Lines that come within a few milliseconds go to the peers together; the store gets larger
 //! segments, less often. Once stored, the peers are told to drop them.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_channel::{Receiver, Sender};
 use curranthook_platform::Objects;
@@ -44,6 +48,8 @@
 struct State {
     next: u64,
     lines: BTreeMap<u64, Line>,
+    /// Lines with fewer copies than there should be.
+    thin: BTreeSet<u64>,
     n_bytes: usize,
     waiting: Vec<Waiting>,
 }
@@ -156,6 +162,29 @@
         runs.into_iter().map(|(first, lines)| self.batch(&state, first, lines)).collect()
     }
 
+    /// Notes that a batch has too few copies.
+    pub fn set_thin(&self, batch: &Batch) {
+        let mut state = self.state.lock();
+        let sequences = (batch.first..).take(batch.lines.len());
+        let unstored: Vec<_> = sequences.filter(|it| state.lines.contains_key(it)).collect();
+        state.thin.extend(unstored);
+    }
+
+    /// Notes that a peer is lost that held lines, perhaps all.
+    pub fn set_all_thin(&self) {
+        let state = &mut *self.state.lock();
+        state.thin.extend(state.lines.keys());
+    }
+
+    /// The lines with too few copies, in batches; they count as having enough from now on.
+    pub fn take_thin(&self) -> Vec<Batch> {
+        let mut state = self.state.lock();
+        let thin = std::mem::take(&mut state.thin);
+        let line = |it: &u64| Some((*it, state.lines.get(it)?.clone()));
+        let runs = store::runs(thin.iter().filter_map(line), MAX_RUN);
+        runs.into_iter().map(|(first, lines)| self.batch(&state, first, lines)).collect()
+    }
+
     /// A batch without lines: what is stored, and that this node lives.
     pub fn mark(&self) -> Batch {
         let state = self.state.lock();
@@ -172,6 +201,7 @@
         bump(&self.counters.segment_stored, 1);
         let mut state = self.state.lock();
         for sequence in (batch.first..).take(batch.lines.len()) {
+            state.thin.remove(&sequence);
             if let Some(line) = state.lines.remove(&sequence) {
                 state.n_bytes -= replica::size(&line);
             }
--- a/crates/curranthook_peers/src/member.rs
+++ b/crates/curranthook_peers/src/member.rs
@@ -8,6 +8,7 @@
 //! Only a bounded view is called in turn, so the cost doesn't grow with the fleet.
 
 mod identity;
+mod joining;
 mod table;
 
 use std::{
--- /dev/null
+++ b/crates/curranthook_peers/src/member/joining.rs
@@ -0,0 +1,21 @@
+//! Whether a node that has started still has peers to meet.
+
+use super::Members;
+
+/// With so many peers in other failure domains a node's bill lines are safe.
+const ENOUGH: usize = 2;
+
+impl Members {
+    /// Whether too few peers are known to be alive and some have been neither met nor missed.
+    ///
+    /// An answer given now would have its bill line on this VM alone.
+    pub fn is_joining(&self) -> bool {
+        if ENOUGH <= self.replicas().len() {
+            return false;
+        }
+        let state = self.state.lock();
+        let mut elsewhere =
+            state.known.values().filter(|it| it.domain.as_ref() != Some(&self.own.domain));
+        elsewhere.any(|it| it.identity.is_none() && it.failures == 0)
+    }
+}
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -219,6 +219,11 @@
         self.demand.share(account, self.site_nodes())
     }
 
+    /// Whether it has just started and still has peers to meet.
+    pub fn is_joining(&self) -> bool {
+        self.members.is_joining()
+    }
+
     /// What this node sees of the fleet.
     pub fn view(&self) -> member::View {
         self.members.view()
--- a/crates/curranthook_peers/src/task.rs
+++ b/crates/curranthook_peers/src/task.rs
@@ -26,6 +26,7 @@
 /// Starts all tasks; each ends when the node stops.
 pub(crate) fn start(node: &Arc<Node>) {
     spawn(node, round::run);
+    spawn(node, round::join);
     spawn(node, round::list_vms);
     spawn(node, spread::poll);
     spawn(node, spread::bootstrap);
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -1,6 +1,6 @@
 //! Bringing bill lines to peers and into the store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_http::timeout;
 use futures_lite::future;
@@ -58,6 +58,9 @@
     let store = timeout::run(SECOND_TIMEOUT, store);
     let send = send(node, others, batch, SECOND_TIMEOUT);
     let (stored, n_more) = future::zip(store, send).await;
+    if stored != Ok(true) && n_held + n_more < COPIES.min(peers.len()).max(1) {
+        node.journal().set_thin(batch);
+    }
     match (stored, n_held + n_more) {
         (_, n) if COPIES <= n => Durability::Replicated(n),
         (Ok(true), _) => Durability::Stored,
@@ -84,6 +87,7 @@
         let flushed = node.journal().flush(&*node.setup.objects).await;
         mark(&node).await;
         if !flushed {
+            copy_anew(&node).await;
             // The store is out; a hurry must not turn this into a loop without a pause.
             pause(node.tuning().flush).await;
         }
@@ -103,6 +107,32 @@
     }
 }
 
+/// Brings lines to peers again that have lost copies or never had enough.
+///
+/// An outage of the store lasts longer than some VMs do. Were lines copied only once, those that
+/// were written down while no peer was in reach, or whose holders have been replaced since,
+/// would be lost with this VM.
+async fn copy_anew(node: &Node) {
+    let alive: BTreeSet<_> =
+        node.members().alive().into_iter().map(|it| it.identity.addr).collect();
+    let has_lost_holder = {
+        let mut holders = node.holders.lock();
+        let n_before = holders.len();
+        holders.retain(|it| alive.contains(it));
+        holders.len() < n_before
+    };
+    if has_lost_holder {
+        node.journal().set_all_thin();
+    }
+    let mut peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
+    peers.truncate(COPIES);
+    for batch in node.journal().take_thin() {
+        if send(node, &peers, &batch, SECOND_TIMEOUT).await < peers.len().max(1) {
+            node.journal().set_thin(&batch);
+        }
+    }
+}
+
 /// Stores the lines of owners that are gone.
 pub(crate) async fn sweep(node: Arc<Node>) {
     loop {
--- a/crates/curranthook_peers/src/task/round.rs
+++ b/crates/curranthook_peers/src/task/round.rs
@@ -20,6 +20,22 @@
 /// The pause after a read that failed.
 const LIST_RETRY: Duration = Duration::from_secs(2);
 
+/// For this long after the start peers are met in quick turn.
+const JOIN_LIMIT: Duration = Duration::from_secs(5);
+/// The pause between two meetings then.
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Meets the first peers. At one a round it would be seconds until bill lines have two copies.
+pub(crate) async fn join(node: Arc<Node>) {
+    let start = node.setup.clock.now();
+    while node.setup.clock.now().saturating_duration_since(start) < JOIN_LIMIT {
+        if node.is_joining() {
+            exchange(&node).await;
+        }
+        pause(JOIN_PAUSE).await;
+    }
+}
+
 /// Makes exchanges.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut last = node.setup.clock.now();
--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Instant,
 };
 
 use arc_swap::ArcSwapOption;
@@ -26,6 +27,8 @@
     pub settings: Settings,
     /// The only source of time.
     pub clock: Arc<dyn Clock>,
+    /// When this process started.
+    pub started: Instant,
     /// Where tasks run.
     pub ex: runtime::Handle,
     /// Connections to endpoints.
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -134,6 +134,7 @@
         buckets: Mutex::new(HashMap::new()),
         current: None.into(),
         in_flight: Arc::default(),
+        started: clock.now(),
         ex: ex.clone(),
         pool: to_endpoints,
         settings,
--- a/crates/curranthook_router/src/status.rs
+++ b/crates/curranthook_router/src/status.rs
@@ -1,6 +1,6 @@
 //! What operators and balancers ask a node about itself.
 
-use std::{collections::BTreeMap, sync::atomic::Ordering};
+use std::{collections::BTreeMap, sync::atomic::Ordering, time::Duration};
 
 use curranthook_http::{Body, body};
 use curranthook_types::{Epoch, Refusal, domain, site, vm};
@@ -10,6 +10,9 @@
 
 use crate::{Router, authenticate};
 
+/// After this long a node without peers serves alone, since nobody may be there to be met.
+const JOIN_LIMIT: Duration = Duration::from_secs(5);
+
 /// The answer to `GET /status`.
 #[derive(Debug, Serialize)]
 struct Status<'a> {
@@ -60,5 +63,12 @@
 }
 
 fn is_ready(router: &Router) -> bool {
-    router.current.load().is_some() && !router.stopping.is_set()
+    router.current.load().is_some() && !router.stopping.is_set() && !is_joining(router)
+}
+
+/// Whether it's too early for requests: a VM that is lost before it has met a peer takes the
+/// bill lines of its first answers along.
+fn is_joining(router: &Router) -> bool {
+    let age = router.clock.now().saturating_duration_since(router.started);
+    age < JOIN_LIMIT && router.node.is_joining()
 }
--- a/crates/curranthook_tests/tests/billed_once.rs
+++ b/crates/curranthook_tests/tests/billed_once.rs
@@ -312,6 +312,47 @@
     })
 }
 
+#[test]
+fn a_router_that_has_just_started_bills_as_safely_as_any() -> anyhow::Result<()> {
+    // A VM is replaced, and the balancer sends requests as soon as the new one is ready. If it
+    // is lost a moment later, the lines of its first answers must be with peers already.
+    run(async {
+        let mut site = site(3).await?;
+        site.start_router("r1").await?;
+        store(&site, Mode::Down).await?;
+        let ids = ids("early", 5);
+        ask_all(&site, "r1", &ids).await?;
+        site.router_process("r1").kill()?;
+        store(&site, Mode::Up).await?;
+        check(&site, &ids).await
+    })
+}
+
+#[test]
+fn lines_whose_holders_are_lost_one_by_one_are_copied_anew() -> anyhow::Result<()> {
+    // The store is out for long. Both VMs that hold a router's lines are lost meanwhile and
+    // replaced by new ones, and then the router itself. The answers were given hours ago.
+    run(async {
+        let mut site = site(3).await?;
+        store(&site, Mode::Down).await?;
+        let ids = ids("anew", 5);
+        ask_all(&site, "r1", &ids).await?;
+        for vm in ["r2", "r3"] {
+            site.router_process(vm).kill()?;
+            site.start_router(vm).await?;
+        }
+        // What a replica says of itself only tells when to go on.
+        let is_copied = async || {
+            let status = site.status("r2").await?;
+            Ok(status["peers"]["replica_lines"].as_u64() == Some(ids.len() as u64))
+        };
+        eventually(LIMIT, is_copied).await?;
+        site.router_process("r1").kill()?;
+        store(&site, Mode::Up).await?;
+        check(&site, &ids).await
+    })
+}
+
 #[test]
 fn all_routers_replaced_while_the_store_is_out_lose_no_line() -> anyhow::Result<()> {
     // The store is out for long, and meanwhile all VMs are replaced one by one, as on any day.
