--- a/crates/curranthook_load/src/client.rs
+++ b/crates/curranthook_load/src/client.rs
@@ -76,9 +76,11 @@
         let outcome = if !head.status.is_success() {
             refusal(incoming).await?
         } else if is_stream(&head) {
-            Outcome::Answered(stream(&head, incoming, call.intended, &call.expected_id).await?)
+            Outcome::Answered(
+                stream(&head, incoming, call.intended, call.expected_id.as_deref()).await?,
+            )
         } else {
-            Outcome::Answered(whole(&head, incoming, &call.expected_id).await?)
+            Outcome::Answered(whole(&head, incoming, call.expected_id.as_deref()).await?)
         };
         self.pool.put(conn);
         Ok(outcome)
@@ -112,7 +114,7 @@
 async fn whole(
     head: &http::response::Parts,
     incoming: Incoming,
-    expected_id: &Option<String>,
+    expected_id: Option<&str>,
 ) -> Result<Answer, Failure> {
     let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
     let Some(expected_id) = expected_id else {
@@ -134,7 +136,7 @@
     head: &http::response::Parts,
     mut incoming: Incoming,
     intended: Instant,
-    expected_id: &Option<String>,
+    expected_id: Option<&str>,
 ) -> Result<Answer, Failure> {
     let mut reader = sse::Reader::default();
     let mut state = Streamed::default();
@@ -169,7 +171,7 @@
         now: Instant,
         intended: Instant,
         head: &http::response::Parts,
-        expected_id: &Option<String>,
+        expected_id: Option<&str>,
     ) -> Result<(), Failure> {
         if data == chat::END_MARKER {
             self.ended = true;
--- a/crates/curranthook_load/src/evidence.rs
+++ b/crates/curranthook_load/src/evidence.rs
@@ -54,6 +54,15 @@
 }
 
 /// The bill lines among the objects of the store.
+///
+/// ```
+/// let text = r#"{"origin": {"vm": "vm-1", "incarnation": 7}, "first": 0, "lines": [
+///     {"request": "r1", "account": "a", "served_by": "m@1", "prompt_tokens": 1,
+///      "completion_tokens": 2, "cost": 3, "at_millis": 4}
+/// ]}"#;
+/// let objects = [("bills/vm-1/7/0".to_owned(), text.to_owned())].into();
+/// assert_eq!(curranthook_load::evidence::bills(&objects).len(), 1);
+/// ```
 pub fn bills(objects: &BTreeMap<String, String>) -> Vec<bill::Line> {
     const PREFIX: &str = "bills/";
     let segments = objects.iter().filter(|(key, _)| key.starts_with(PREFIX));
--- a/crates/curranthook_load/src/fleet/process.rs
+++ b/crates/curranthook_load/src/fleet/process.rs
@@ -1,6 +1,7 @@
 //! One started program.
 
 use std::{
+    collections::BTreeMap,
     fs::File,
     io::{BufRead as _, BufReader},
     net::SocketAddr,
@@ -12,7 +13,6 @@
 };
 
 use serde::Deserialize;
-use std::collections::BTreeMap;
 
 /// How long a program may take until it says where it listens.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/curranthook_load/src/plan.rs
+++ b/crates/curranthook_load/src/plan.rs
@@ -67,6 +67,14 @@
 }
 
 /// All requests of a run, in the order of their times; the same for the same seed.
+///
+/// ```no_run
+/// # fn main() -> Result<(), curranthook_load::scenario::Error> {
+/// use curranthook_load::{plan, scenario::Scenario};
+/// let scenario = Scenario::load("scenarios/mekong.yaml".as_ref())?;
+/// assert_eq!(plan::requests(&scenario, 1), plan::requests(&scenario, 1));
+/// # Ok(()) }
+/// ```
 pub fn requests(scenario: &Scenario, seed: u64) -> Vec<Request> {
     let mut maker = Maker::new(scenario, seed);
     let arrivals = schedule::arrivals(&scenario.phases, seed);
--- a/crates/curranthook_load/src/report.rs
+++ b/crates/curranthook_load/src/report.rs
@@ -238,6 +238,11 @@
 }
 
 /// A quotient, zero where there's nothing to divide by.
+///
+/// ```
+/// use curranthook_load::report::ratio;
+/// assert_eq!((ratio(1.0, 4.0), ratio(0.0, 0.0)), (0.25, 0.0));
+/// ```
 pub fn ratio(part: f64, whole: f64) -> f64 {
     if whole == 0.0 { 0.0 } else { part / whole }
 }
--- a/crates/curranthook_load/src/scenario.rs
+++ b/crates/curranthook_load/src/scenario.rs
@@ -238,6 +238,11 @@
     }
 
     /// Parses and checks the text of a file.
+    ///
+    /// ```
+    /// use curranthook_load::scenario::Scenario;
+    /// assert!(Scenario::parse("name: unfinished").is_err());
+    /// ```
     pub fn parse(text: &str) -> Result<Self, Error> {
         let scenario: Self = serde_saphyr::from_str(text)?;
         let faults = check::faults(&scenario);
--- a/crates/curranthook_load/src/table.rs
+++ b/crates/curranthook_load/src/table.rs
@@ -115,6 +115,10 @@
 
 /// A table in Markdown: a row for each scenario and policy; with several seeds the mean, and
 /// the least and greatest in brackets.
+///
+/// ```
+/// assert!(curranthook_load::table::markdown(&[]).starts_with("| scenario | policy |"));
+/// ```
 pub fn markdown(reports: &[Report]) -> String {
     let groups = groups(reports);
     let mut text = String::from("| scenario | policy | seeds | cost / `best` |");
