Routers' own counters in reports; settings files without empty keys

Cause: retries by reason stand only in the routers' counters; and the check of node settings now refuses a key without a value, so no fleet started ("statsd: has no value; leave the key out"). Ruled out: a statsd receiver (a datagram that is lost would be a count that is wrong; /status has the same counters). Change: counters are read before the routers stop; keys without a value are left out of the settings files; the start of programs has a module of its own.

--- a/crates/curranthook_load/src/evidence.rs
+++ b/crates/curranthook_load/src/evidence.rs
@@ -49,6 +49,8 @@
     pub died: Vec<String>,
     /// The bill lines in the object store, each stored line once.
     pub bills: Vec<bill::Line>,
+    /// The routers' own counters, added up.
+    pub counters: BTreeMap<String, u64>,
     /// The events.
     pub applied: Vec<Applied>,
 }
--- a/crates/curranthook_load/src/fleet.rs
+++ b/crates/curranthook_load/src/fleet.rs
@@ -3,32 +3,31 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    path::{Path, PathBuf},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use anyhow::{Context as _, bail};
+use anyhow::bail;
 use async_io::Timer;
 use curranthook_http::{Exchange, client::Pool};
 use curranthook_platform::{Role, Vm, VmState, client::Client as Platform};
 use curranthook_settings::node;
 use curranthook_types::{version, vm};
+use serde::Deserialize;
 
 use crate::{
     drive::Entry,
     evidence::{Applied, Evidence},
-    scenario::Scenario,
 };
 
 mod change;
 pub mod document;
 pub mod process;
+mod setup;
 
 use process::Process;
+pub use setup::{Front, Setup};
 
-/// Any free port of the loopback interface.
-const LOOPBACK: &str = "127.0.0.1:0";
 /// How long routers may take until they serve.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// How often a router is asked whether it serves.
@@ -36,37 +35,6 @@
 /// A secret between peers; a scenario's site guards nothing.
 const PEER_KEY: [u8; 32] = [9; 32];
 
-/// Who stands between callers and endpoints.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Front {
-    /// Routers with this policy.
-    Routers(String),
-    /// Nobody: callers ask the engines for this version, as a baseline.
-    None(version::Id),
-}
-
-impl std::fmt::Display for Front {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Routers(policy) => f.write_str(policy),
-            Self::None(version) => write!(f, "direct to {version}"),
-        }
-    }
-}
-
-/// What a fleet is started from.
-#[derive(Debug, Clone)]
-pub struct Setup {
-    /// The scenario.
-    pub scenario: Arc<Scenario>,
-    /// Who stands between callers and endpoints.
-    pub front: Front,
-    /// Where the programs are.
-    pub bin_dir: PathBuf,
-    /// Where logs and settings files go.
-    pub work_dir: PathBuf,
-}
-
 /// The running processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -85,7 +53,7 @@
 impl Fleet {
     /// Starts everything and waits until each router serves.
     pub async fn start(setup: Setup, pool: Arc<Pool>) -> anyhow::Result<Self> {
-        let platform = setup.spawn("standin-platform", "platform", &listen())?;
+        let platform = setup.spawn("standin-platform", "platform", &setup::listen())?;
         let mut fleet = Self {
             engines: setup.engines()?,
             services: setup.services()?,
@@ -128,6 +96,7 @@
     /// Routers go first, so that they can hand over their last bill lines, the platform last.
     pub async fn close(mut self) -> anyhow::Result<Evidence> {
         self.note_deaths();
+        self.read_counters().await;
         let stewards = std::mem::take(&mut self.stewards);
         let routers = std::mem::take(&mut self.routers);
         close_all(routers);
@@ -192,7 +161,7 @@
     fn start_vm(&mut self, place: usize, policy: &str) -> anyhow::Result<()> {
         let settings = self.node_settings(place)?;
         let path = self.setup.work_dir.join(format!("vm-{place}.yaml"));
-        std::fs::write(&path, serde_saphyr::to_string(&settings)?)?;
+        std::fs::write(&path, setup::settings_text(&settings)?)?;
         let file = path.display().to_string();
         let mut args = vec!["--settings".to_owned(), file.clone()];
         if place < self.setup.scenario.stewards {
@@ -206,7 +175,7 @@
     }
 
     fn node_settings(&self, place: usize) -> anyhow::Result<node::Settings> {
-        let any: SocketAddr = LOOPBACK.parse()?;
+        let any: SocketAddr = setup::LOOPBACK.parse()?;
         let platform = self.platform.addr("http");
         Ok(node::Settings {
             vm: vm_id(place),
@@ -257,6 +226,18 @@
         }
     }
 
+    /// Adds up the counters of all routers; one that has died is left out, and is in `died`.
+    async fn read_counters(&mut self) {
+        let addrs: Vec<_> = self.routers.iter().map(|it| it.addr("callers")).collect();
+        for addr in addrs {
+            let Ok(text) = self.get(addr, "/status").await else { continue };
+            let Ok(status) = serde_json::from_slice::<Status>(&text) else { continue };
+            for (name, n) in status.counters {
+                *self.evidence.counters.entry(name).or_default() += n;
+            }
+        }
+    }
+
     fn note_deaths(&mut self) {
         let all = self.engines.iter_mut().chain(&mut self.services).chain(&mut self.rater);
         let all = all.chain(&mut self.routers).chain(&mut self.stewards);
@@ -287,70 +268,10 @@
     }
 }
 
-impl Setup {
-    fn spawn(&self, program: &str, name: &str, args: &[String]) -> anyhow::Result<Process> {
-        Ok(Process::start(&self.bin_dir.join(program), args, name, &self.work_dir)?)
-    }
-
-    fn engines(&self) -> anyhow::Result<Vec<Process>> {
-        let mut all = Vec::new();
-        for engines in &self.scenario.engines {
-            let file = self.work_dir.join(format!("{}.profile.yaml", engines.name));
-            write_profile(&file, &self.scenario, engines)?;
-            let versions: Vec<&str> = engines.versions.iter().map(version::Id::as_str).collect();
-            for id in engines.ids() {
-                let mut args = listen();
-                args.extend(["--id".to_owned(), id.clone()]);
-                args.extend(["--versions".to_owned(), versions.join(",")]);
-                args.extend(["--profile".to_owned(), file.display().to_string()]);
-                all.push(self.spawn("standin-engine", &id, &args)?);
-            }
-        }
-        Ok(all)
-    }
-
-    fn services(&self) -> anyhow::Result<Vec<Process>> {
-        let ids = self.scenario.services.iter().flat_map(crate::scenario::Service::ids);
-        let start = |id: String| {
-            let mut args = listen();
-            args.extend(["--id".to_owned(), id.clone()]);
-            self.spawn("standin-service", &id, &args)
-        };
-        ids.map(start).collect()
-    }
-
-    fn rater(&self) -> anyhow::Result<Option<Process>> {
-        let Some(rater) = self.scenario.rater else { return Ok(None) };
-        let mut args = listen();
-        args.extend(["--noise".to_owned(), rater.noise.to_string()]);
-        self.spawn("standin-rater", "rater", &args).map(Some)
-    }
-}
-
-fn write_profile(
-    file: &Path,
-    scenario: &Scenario,
-    engines: &crate::scenario::Engines,
-) -> anyhow::Result<()> {
-    let version = |id: &version::Id| {
-        let it = &scenario.versions[id];
-        let profile = serde_json::json!({
-            "quality": it.quality,
-            "first_token_ms": it.first_token_ms,
-            "token_ms": it.token_ms,
-            "tokens": it.tokens,
-            "error_rate": it.error_rate,
-        });
-        (id.as_str().to_owned(), profile)
-    };
-    let versions: serde_json::Map<_, _> = engines.versions.iter().map(version).collect();
-    let profile = serde_json::json!({
-        "slots": engines.slots,
-        "batch_slowdown": engines.batch_slowdown,
-        "versions": versions,
-    });
-    let text = serde_saphyr::to_string(&profile)?;
-    std::fs::write(file, text).with_context(|| format!("can't write {}", file.display()))
+/// The part of a router's `GET /status` that is read.
+#[derive(Debug, Deserialize)]
+struct Status {
+    counters: BTreeMap<String, u64>,
 }
 
 /// Tells all to finish before it waits for any, so that the waits run side by side.
@@ -360,10 +281,6 @@
     all.into_iter().for_each(Process::close);
 }
 
-fn listen() -> Vec<String> {
-    vec!["--listen".to_owned(), LOOPBACK.to_owned()]
-}
-
 fn vm_id(place: usize) -> vm::Id {
     vm::Id::new(format!("vm-{place}"))
 }
--- a/crates/curranthook_load/src/report.rs
+++ b/crates/curranthook_load/src/report.rs
@@ -60,6 +60,9 @@
     pub accounts: BTreeMap<String, Account>,
     /// Sessions that got answers of more than one version.
     pub split_sessions: u64,
+    /// The routers' own counters, such as `retry.connect`, warm-up included.
+    #[serde(default)]
+    pub counters: BTreeMap<String, u64>,
     /// Processes that ended by themselves.
     pub died: Vec<String>,
 }
@@ -226,6 +229,7 @@
             phases: callers::phases(run),
             accounts: callers::accounts(&counted, run, seconds),
             split_sessions: callers::split_sessions(run),
+            counters: run.evidence.counters.clone(),
             died: run.evidence.died.clone(),
         }
     }
--- a/crates/curranthook_load/src/table.rs
+++ b/crates/curranthook_load/src/table.rs
@@ -134,6 +134,7 @@
     details::qualities(&mut text, &groups);
     details::phases(&mut text, &groups);
     details::exposures(&mut text, &groups);
+    details::retries(&mut text, &groups);
     text
 }
 
--- a/crates/curranthook_load/src/table/details.rs
+++ b/crates/curranthook_load/src/table/details.rs
@@ -1,6 +1,6 @@
 //! The tables below the main one: kinds of work, phases, and versions to watch.
 
-use std::fmt::Display;
+use std::{collections::BTreeSet, fmt::Display};
 
 use super::{Group, Spread, push};
 use crate::report::{Exposure, Phase, Quality, ratio};
@@ -73,6 +73,26 @@
     }
 }
 
+/// Retries by reason, as the routers count them.
+pub(super) fn retries(text: &mut String, groups: &[Group<'_>]) {
+    const PREFIX: &str = "retry.";
+    let all = groups.iter().flat_map(|it| &it.reports).flat_map(|it| it.counters.keys());
+    let reasons: BTreeSet<&String> = all.filter(|it| it.starts_with(PREFIX)).collect();
+    if reasons.is_empty() {
+        return;
+    }
+    let names: Vec<&str> = reasons.iter().map(|it| it.as_str()).collect();
+    head(text, &[&["scenario", "policy"], &names[..]].concat());
+    for group in groups {
+        let count = |name: &String| {
+            group.spread(|it| it.counters.get(name).copied().unwrap_or_default() as f64)
+        };
+        let counts: Vec<Spread> = reasons.iter().map(|it| count(it)).collect();
+        let cells: Vec<&dyn Display> = counts.iter().map(|it| it as _).collect();
+        row(text, group, &cells);
+    }
+}
+
 fn head(text: &mut String, columns: &[&str]) {
     text.push('\n');
     push(text, format_args!("| {} |\n", columns.join(" | ")));
--- a/crates/curranthook_load/tests/report.rs
+++ b/crates/curranthook_load/tests/report.rs
@@ -128,6 +128,7 @@
             Record { outcome: "refused".to_owned(), ..record("r4", "m@1", 3_500, 0) },
         ],
         bills: vec![line("warm", 104), line("r1", 104), line("r2", 104), line("r2", 104)],
+        counters: [("retry.escalated".to_owned(), 1), ("refusal.overloaded".to_owned(), 1)].into(),
         applied: vec![Applied { index: 0, at_millis: 2_000 }],
         ..Evidence::default()
     }
@@ -209,6 +210,7 @@
     assert!(text.contains("| hand-made | ours | 2 | 0.500 |"), "{text}");
     assert!(text.contains("| hand-made | best | 1 | 1.000 |"), "{text}");
     assert!(text.contains("| hand-made | ours | summary | 0.5 | 0.667 |"), "{text}");
+    assert!(text.contains("| scenario | policy | retry.escalated |"), "{text}");
     assert!(text.contains("| m@1 | quality 0.5 -> 0 | 1.000 | 1.000 |"), "{text}");
 }
 
