A waiter whose turn a newcomer took lines up again

Cause: a request that waits at a gate is taken out of the queue and woken when an endpoint gets free. If a newcomer took the endpoint in between, the woken request looked again, found its channel closed and was refused as overloaded, though its deadline was almost a minute away.

Ruled out: the queue's estimate of the wait. The refusal's time to come back was LOOK_AGAIN, which only the closed channel gives.

Change: a waiter that was woken and found the endpoint taken lines up anew; its deadline is still checked at each look. Newcomers can still overtake it: that is left to the queue's owner.

--- a/crates/curranthook_router/src/gate.rs
+++ b/crates/curranthook_router/src/gate.rs
@@ -184,17 +184,17 @@
                 Err(Miss::AllExcluded) => return Err(no_endpoint("each endpoint failed")),
                 Err(Miss::AllBusy) => {}
             }
-            let place = match &place {
+            let turn = match &place {
                 Some(it) => it,
                 None => place.insert(self.line_up(entry, now)?),
             };
-            let woken = async { place.recv().await.is_ok() };
-            let timer = async {
-                Timer::after(LOOK_AGAIN).await;
-                true
-            };
-            if !future::or(woken, timer).await {
-                return Err(overloaded(LOOK_AGAIN));
+            let woken = async { _ = turn.recv().await };
+            let timer = async { _ = Timer::after(LOOK_AGAIN).await };
+            future::or(woken, timer).await;
+            // Its turn came. If a newcomer takes the endpoint first, it lines up again; to
+            // refuse it then would turn away a caller whose deadline can still be met.
+            if turn.is_closed() {
+                place = None;
             }
         }
     }
