Proofs of withdrawn versions; a router that stood still asks before it sends

Cause: a router that was frozen wakes with requests that are ready to be sent and a configuration as old as the freeze.

Ruled out: refusing whenever the last contact is old. Also ruled out: an ordinary exchange after waking, as requests are quicker.

Change: stall.rs notices a gap of over two seconds in the process's own time, at dispatch or in its task, whichever comes first. Requests then wait for the platform's answer or else the peers', three seconds at most, before the last check. Node::refresh asks a few peers. The harness publishes the list of VMs after each router's start: seeds are dropped by a list that doesn't name them yet, so routers didn't know each other for ten seconds.

What remains: a freeze shorter than two seconds, or one between the last check and the write to the socket; a VM whose monotonic clock stands still while it is suspended; a frozen node that can reach neither platform nor peers when it wakes.

--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -179,6 +179,11 @@
         self.spread.offer(document)
     }
 
+    /// Asks a few peers for a newer document, after a pause in which none could come.
+    pub async fn refresh(&self) {
+        task::spread::refresh(self).await;
+    }
+
     /// Who this node is to its peers.
     pub fn identity(&self) -> &Identity {
         self.members.own()
--- a/crates/curranthook_peers/src/task/spread.rs
+++ b/crates/curranthook_peers/src/task/spread.rs
@@ -75,6 +75,17 @@
     node.call(addr, "document", &none, rpc::DOCUMENT_TIMEOUT).await.ok()
 }
 
+/// Asks a few peers for the whole document and takes each newer one over as it comes: what is
+/// in force is old already, and a peer that is gone mustn't hold back the others' news.
+pub(crate) async fn refresh(node: &Node) {
+    let asked = node.members().some(ASKED).into_iter().map(|addr| async move {
+        if let Some(transfer) = ask(node, addr).await {
+            take(node, transfer);
+        }
+    });
+    join_all(asked).await;
+}
+
 /// Fetches what is missing up to `epoch` from a peer that has it.
 pub(crate) async fn fetch(node: &Node, addr: SocketAddr, epoch: Epoch) {
     let _one_at_a_time = node.fetching.lock().await;
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -25,6 +25,7 @@
     choose,
     gate::{Entry, Lease, Target},
     snapshot::Snapshot,
+    stall,
 };
 
 /// Connections idle for longer than this are proved by a new one when time matters.
@@ -170,6 +171,7 @@
         };
         let lease = gate.enter(entry).await;
         let lease = lease.map_err(|it| Refusal { not_run: self.run, ..it })?;
+        stall::catch_up(&self.router).await;
         self.check(version)?;
         Ok(lease)
     }
@@ -214,6 +216,7 @@
     }
 
     async fn second(&self, version: &version::Id, first: &endpoint::Id) -> Option<Lease> {
+        stall::catch_up(&self.router).await;
         self.check(version).ok()?;
         let gate = self.router.gates.get(&Target::Version(version.clone())).ok()?;
         let mut exclude = self.exclude.clone();
--- a/crates/curranthook_router/src/lib.rs
+++ b/crates/curranthook_router/src/lib.rs
@@ -15,8 +15,8 @@
 //! - [`chat`], [`service`], [`answer`]: the two kinds of requests, put together.
 //!
 //! [`router`] holds what the stages share, [`snapshot`] one epoch of the configuration.
-//! [`follow`], [`leaving`] and [`watch`] are the tasks beside the requests. [`serve`] starts
-//! and ends it all.
+//! [`follow`], [`leaving`], [`stall`] and [`watch`] are the tasks beside the requests.
+//! [`serve`] starts and ends it all.
 
 pub mod accept;
 pub mod admit;
@@ -39,6 +39,7 @@
 pub mod service;
 pub mod snapshot;
 pub mod source;
+pub mod stall;
 pub mod status;
 pub mod token;
 pub mod watch;
--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -17,7 +17,7 @@
 use curranthook_types::{Clock, Refusal, account, bill::Line, kind, refusal::Reason, version};
 use parking_lot::Mutex;
 
-use crate::{gate::Gates, metrics::Metrics, pin, rate::Rater, snapshot::Snapshot};
+use crate::{gate::Gates, metrics::Metrics, pin, rate::Rater, snapshot::Snapshot, stall};
 
 /// One VM's router.
 #[derive(Debug)]
@@ -50,6 +50,8 @@
     pub buckets: Mutex<HashMap<account::Id, Bucket>>,
     /// The newest configuration.
     pub current: ArcSwapOption<Snapshot>,
+    /// Whether the process stood still.
+    pub stall: stall::Watch,
     /// Requests under way.
     pub in_flight: Arc<AtomicUsize>,
     /// Set when the process is asked to end.
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -26,7 +26,9 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
-use crate::{Router, follow, gate::Gates, leaving, metrics::Metrics, pin, rate::Rater, watch};
+use crate::{
+    Router, follow, gate::Gates, leaving, metrics::Metrics, pin, rate::Rater, stall, watch,
+};
 
 /// Claims wait for the platform this long; then the caller is told that it's out.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
@@ -61,6 +63,7 @@
     ex.spawn(follow::run(Arc::clone(&router))).detach();
     ex.spawn(leaving::run(Arc::clone(&router), Arc::new(vms))).detach();
     ex.spawn(watch::run(Arc::clone(&router))).detach();
+    ex.spawn(stall::run(Arc::clone(&router))).detach();
 
     let (close_peers, peers_closed) = stop::new();
     let node = Arc::new(Peers(Arc::clone(&router.node)));
@@ -133,6 +136,7 @@
         budget: Mutex::new(Budget::new(Policy::default().retry_budget, clock.now())),
         buckets: Mutex::new(HashMap::new()),
         current: None.into(),
+        stall: stall::Watch::new(Arc::clone(&clock)),
         in_flight: Arc::default(),
         ex: ex.clone(),
         pool: to_endpoints,
--- a/crates/curranthook_tests/src/site/builder.rs
+++ b/crates/curranthook_tests/src/site/builder.rs
@@ -116,8 +116,9 @@
         let vms: Vec<_> = (1..=self.n_routers).map(|n| format!("r{n}")).collect();
         for vm in &vms {
             site.launch_router(vm).await?;
+            // Each router finds those before it in the list when it starts.
+            site.publish_vms(&[]).await?;
         }
-        site.publish_vms(&[]).await?;
         for vm in &vms {
             site.wait_ready(vm).await?;
         }
--- a/crates/curranthook_tests/src/site/observe.rs
+++ b/crates/curranthook_tests/src/site/observe.rs
@@ -4,7 +4,7 @@
 
 use curranthook_http::Exchange;
 use curranthook_settings::Document;
-use curranthook_standin::engine::record::Run;
+use curranthook_standin::{engine::record::Run, proxy::link::Mode};
 use curranthook_types::{Epoch, version};
 use serde::Deserialize;
 
@@ -24,6 +24,24 @@
     pub in_flight: usize,
     /// Counters by name.
     pub counters: BTreeMap<String, u64>,
+    /// What it knows of other nodes.
+    pub peers: Peers,
+}
+
+/// What a router knows of other nodes.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peers {
+    /// The nodes that it sees.
+    pub view: View,
+    /// Counters by name.
+    pub counters: BTreeMap<String, u64>,
+}
+
+/// The nodes that a router sees.
+#[derive(Debug, Clone, Deserialize)]
+pub struct View {
+    /// Those that answered lately.
+    pub alive: Vec<serde_json::Value>,
 }
 
 impl Site {
@@ -42,6 +60,17 @@
         Ok(())
     }
 
+    /// Waits until each router has spoken with all the others. Just after the start one may not
+    /// know of another yet.
+    pub async fn wait_peers(&self) -> anyhow::Result<()> {
+        for vm in self.routers.keys() {
+            let others = self.routers.len() - 1;
+            let is_there = async || Ok(others <= self.status(vm).await?.peers.view.alive.len());
+            eventually(FOLLOW_LIMIT, is_there).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until the router of a VM has at least `n` requests under way.
     pub async fn wait_in_flight(&self, vm: &str, n: usize) -> anyhow::Result<()> {
         let is_there = async || Ok(n <= self.status(vm).await?.in_flight);
@@ -66,6 +95,43 @@
         .await
     }
 
+    /// Sets what every endpoint's link does.
+    pub async fn set_endpoints(&self, mode: Mode) -> anyhow::Result<()> {
+        for id in self.engines.keys().chain(self.services.keys()) {
+            self.proxy().set_mode(&format!("endpoint/{id}"), mode).await?;
+        }
+        Ok(())
+    }
+
+    /// Cuts the links to endpoints that had connections so far, and lets the others pass, so
+    /// that what is under way fails and could go on elsewhere.
+    ///
+    /// # Panics
+    ///
+    /// If no link had a connection, or all had.
+    pub async fn fail_used_endpoints(&self) -> anyhow::Result<()> {
+        let links = self.proxy().links().await?;
+        let links = links.into_iter().filter(|(name, _)| name.starts_with("endpoint/"));
+        let (used, unused): (Vec<_>, Vec<_>) = links.partition(|(_, it)| 0 < it.accepted);
+        assert!(!used.is_empty() && !unused.is_empty(), "used: {used:?}, unused: {unused:?}");
+        // First those that work, so that a retry finds them.
+        for (name, _) in unused {
+            self.proxy().set_mode(&name, Mode::Pass).await?;
+        }
+        for (name, _) in used {
+            self.proxy().set_mode(&name, Mode::Cut).await?;
+        }
+        Ok(())
+    }
+
+    /// Sets what every link between routers does.
+    pub async fn set_peers(&self, mode: Mode) -> anyhow::Result<()> {
+        for vm in self.routers.keys() {
+            self.proxy().set_mode(&format!("peer/{vm}"), mode).await?;
+        }
+        Ok(())
+    }
+
     /// What all engines ran of `version`.
     pub async fn runs_of(&self, version: &str) -> anyhow::Result<Vec<Run>> {
         let mut all = Vec::new();
--- a/crates/curranthook_tests/tests/allowed_versions.rs
+++ b/crates/curranthook_tests/tests/allowed_versions.rs
@@ -68,17 +68,15 @@
 #[test]
 fn a_retry_is_not_made_on_a_version_that_the_account_lost() -> anyhow::Result<()> {
     run(async {
-        const ENGINES: [&str; 3] = ["e1", "e2", "e3"];
-        let mut builder = Site::builder().routers(1).behind_proxy();
-        for id in ENGINES {
-            builder = builder.engine(id, &["m@1"]);
-        }
-        let site = builder.start().await?;
-        let proxy = site.proxy();
-        let link = |id: &str| format!("endpoint/{id}");
-        for id in ENGINES {
-            proxy.set_mode(&link(id), Mode::Pause).await?;
-        }
+        let site = Site::builder()
+            .engine("e1", &["m@1"])
+            .engine("e2", &["m@1"])
+            .engine("e3", &["m@1"])
+            .routers(1)
+            .behind_proxy()
+            .start()
+            .await?;
+        site.set_endpoints(Mode::Pause).await?;
         let r1 = site.router("r1");
         let chat = Chat::new("main", "m", "weigh crate 7");
         let pending = executor().spawn(async move { chat.send(&r1).await });
@@ -88,16 +86,7 @@
 
         let epoch = site.disallow("main", "m@1").await?.epoch;
         site.wait_epoch(&["r1"], epoch).await?;
-        let links = proxy.links().await?;
-        let (used, unused): (Vec<&str>, Vec<&str>) =
-            ENGINES.into_iter().partition(|id| 0 < links[&link(id)].accepted);
-        assert!(!used.is_empty() && !unused.is_empty(), "used: {used:?}");
-        for id in unused {
-            proxy.set_mode(&link(id), Mode::Pass).await?;
-        }
-        for id in used {
-            proxy.set_mode(&link(id), Mode::Cut).await?;
-        }
+        site.fail_used_endpoints().await?;
         assert_refused(&pending.await?, Reason::NotAllowed, Run::Unknown);
         assert!(site.runs_of("m@1").await?.is_empty());
         Ok(())
