--- a/crates/curranthook_router/src/hedge.rs
+++ b/crates/curranthook_router/src/hedge.rs
@@ -11,12 +11,12 @@
 
 use crate::attempt::{Begun, Failed};
 
-/// Runs `first` and, if it takes longer than `slow_after`, the attempt that `second` gives beside
-/// it. Whichever succeeds first wins; the other is dropped, and its connection closed.
+/// Runs `first` and, if it takes longer than `slow_after`, the attempt that `second` comes up with
+/// beside it. Whichever succeeds first wins; the other is dropped, and its connection closed.
 pub async fn run<T, F: Future<Output = Result<T, Failed>>>(
     slow_after: Duration,
     first: impl Future<Output = Result<T, Failed>>,
-    second: impl FnOnce() -> Option<F>,
+    second: impl Future<Output = Option<F>>,
 ) -> Result<T, Failed> {
     let mut first = pin!(first);
     let early = future::or(async { Some(first.as_mut().await) }, async {
@@ -26,7 +26,7 @@
     if let Some(result) = early.await {
         return result;
     }
-    let Some(second) = second() else { return first.await };
+    let Some(second) = second.await else { return first.await };
     let mut second = pin!(second);
     let left = async { (Place::First, first.as_mut().await) };
     let right = async { (Place::Second, second.as_mut().await) };
--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -190,11 +190,11 @@
     let slow_after = lease.slow_after();
     let endpoint = lease.endpoint().clone();
     let first = attempt(router, call, lease, Freshness::Within(FRESH));
-    hedge::run(slow_after, first, || {
+    let second = async {
         let lease = second(router, call, &endpoint, tries)?;
         Some(attempt(router, call, lease, Freshness::New))
-    })
-    .await
+    };
+    hedge::run(slow_after, first, second).await
 }
 
 fn second(router: &Router, call: &Call, first: &endpoint::Id, tries: &Tries) -> Option<Lease> {
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -204,8 +204,7 @@
         for vm in self.routers.keys() {
             let has_met = async || {
                 let status = self.status(vm).await?;
-                let alive = status.peers["view"]["alive"].as_array();
-                Ok(alive.is_some_and(|it| n <= it.len()))
+                Ok(n <= status.peers.view.alive.len())
             };
             let met = eventually(READY_LIMIT, has_met).await;
             met.with_context(|| format!("{vm} knows fewer than {n} others"))?;
