An answer is taken up again at an engine whose connection broke

Cause: a stream that broke on each of its version's engines ended there, although tries were left: an engine that failed once was left out for the rest of the request, and 'each endpoint failed' cut the answer off.

--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -153,24 +153,34 @@
         Ok(())
     }
 
-    async fn enter(&self, version: &version::Id) -> Result<Lease, Refusal> {
+    async fn enter(&mut self, version: &version::Id) -> Result<Lease, Refusal> {
         // The version may have been withdrawn since it was chosen: while this request waited,
         // failed elsewhere or went through the first stage of a cascade. Hence the newest
         // snapshot is asked here, at the last step before bytes go out, and once more below
         // after the wait for an endpoint.
         self.check(version)?;
-        let gate = self.router.gates.get(&Target::Version(version.clone()));
-        let gate = gate.map_err(|it| Refusal { not_run: self.run, ..it })?;
+        let mut lease = self.lease(version).await;
+        if self.run == Run::Unknown && !self.exclude.is_empty() && is_no_endpoint(&lease) {
+            // Each endpoint was tried. A connection that broke doesn't mean that its endpoint is
+            // gone, and to ask there again is better than an answer that breaks off. The number
+            // of tries stays bounded.
+            self.exclude.clear();
+            lease = self.lease(version).await;
+        }
+        let lease = lease.map_err(|it| Refusal { not_run: self.run, ..it })?;
+        self.check(version)?;
+        Ok(lease)
+    }
+
+    async fn lease(&self, version: &version::Id) -> Result<Lease, Refusal> {
+        let gate = self.router.gates.get(&Target::Version(version.clone()))?;
         let entry = Entry {
             ask: &self.chat.ask,
             weight: self.weight,
             affinity: Some(self.affinity),
             exclude: &self.exclude,
         };
-        let lease = gate.enter(entry).await;
-        let lease = lease.map_err(|it| Refusal { not_run: self.run, ..it })?;
-        self.check(version)?;
-        Ok(lease)
+        gate.enter(entry).await
     }
 
     fn check(&self, version: &version::Id) -> Result<(), Refusal> {
@@ -263,6 +273,10 @@
     }
 }
 
+fn is_no_endpoint(lease: &Result<Lease, Refusal>) -> bool {
+    lease.as_ref().is_err_and(|it| it.code == Reason::NoEndpoint)
+}
+
 /// The events of an answer.
 pub type Events = Pin<Box<dyn Stream<Item = Result<Event, Broken>> + Send>>;
 /// Why there are no more events.
