--- a/crates/curranthook_policy/src/endpoint/track.rs
+++ b/crates/curranthook_policy/src/endpoint/track.rs
@@ -11,6 +11,8 @@
 
 /// A load report loses half of its weight in this time: the requests it counted finish.
 const HINT_HALF_LIFE: Duration = Duration::from_millis(500);
+/// Fewer requests than this are taken for none.
+const NEGLIGIBLE: f64 = 0.1;
 /// An endpoint in another failure domain must be better by this factor.
 const REMOTE_PENALTY: f64 = 1.15;
 /// Latency assumed of an endpoint that has not answered yet, in seconds. It is low, so that
@@ -97,7 +99,9 @@
     pub(crate) fn load(&self, now: Instant) -> f64 {
         let others = self.others.map_or(0.0, |(others, at)| {
             let age = now.saturating_duration_since(at);
-            others * (-age.as_secs_f64() / HINT_HALF_LIFE.as_secs_f64()).exp2()
+            let left = others * (-age.as_secs_f64() / HINT_HALF_LIFE.as_secs_f64()).exp2();
+            // The trace of an old report would decide between endpoints that are equal.
+            if left < NEGLIGIBLE { 0.0 } else { left }
         });
         self.in_flight as f64 + others
     }
--- a/crates/curranthook_policy/src/verdict.rs
+++ b/crates/curranthook_policy/src/verdict.rs
@@ -238,7 +238,7 @@
         if let Some(mean) = past.mean().filter(|_| Self::WARM_UP <= past.n) {
             // A mean of few ratings may be too high by chance, and every later answer would
             // then look bad against it.
-            let doubt = past.standard_error();
+            let doubt = Self::DOUBT * past.standard_error();
             self.rating.add(step.n, step.sum, mean - doubt - margin);
         }
         if let Some(rate) = past.error_rate().filter(|_| Self::WARM_UP <= past.calls) {
@@ -283,6 +283,8 @@
         }
     }
 
+    /// How many standard errors of the reference are allowed for.
+    const DOUBT: f64 = 2.0;
     /// Samples that a reference must have.
     const WARM_UP: u64 = 50;
     /// Ratings after which the own reference moves on.
--- a/crates/curranthook_policy/tests/endpoint.rs
+++ b/crates/curranthook_policy/tests/endpoint.rs
@@ -5,6 +5,7 @@
 use curranthook_policy::{
     baseline,
     endpoint::{Id, Member, Miss, Outcome, Pool, Reason, SUBSET},
+    hash,
 };
 use proptest::prelude::*;
 
@@ -45,6 +46,24 @@
     assert!(0 < n_slow, "it is tried now and then");
 }
 
+/// The same for prompts that are cached there: an endpoint keeps its prompts whatever its
+/// latency, so a slow one must be left out.
+#[test]
+fn a_slow_endpoint_loses_its_prompts() {
+    let (mut pool, mut now) = (pool(10), Instant::now());
+    let mut n_slow = 0;
+    for key in 0..2_000 {
+        let pick = pool.pick(Some(hash::pair(key, 0)), &[], now).expect("there are endpoints");
+        let is_slow = pick.id == id(3);
+        n_slow += usize::from(is_slow);
+        pool.started(&pick.id, now);
+        now += Duration::from_millis(10);
+        pool.finished(&pick.id, answered(if is_slow { 800 } else { 80 }), now);
+    }
+    assert_eq!(pool.n_left_out(), 1);
+    assert!(n_slow < 40, "{n_slow} of 2,000 requests went to the slow endpoint");
+}
+
 /// An endpoint dies and comes back. Only an answer of its own shows that it is back.
 #[test]
 fn a_failed_endpoint_comes_back_by_its_own_answer() {
@@ -67,6 +86,21 @@
     assert_eq!(pool.n_left_out(), 0);
 }
 
+/// Load reports lag. One that was true seconds ago must not keep requests from an endpoint that
+/// has long been idle.
+#[test]
+fn load_reports_age() {
+    let (mut pool, now) = (pool(2), Instant::now());
+    pool.hint(&id(0), 8, now);
+    let n_busy = |pool: &mut Pool, now| {
+        let picks = (0..100).map(|_| pool.pick(None, &[], now).expect("there is room"));
+        picks.filter(|it| it.id == id(0)).count()
+    };
+    assert_eq!(n_busy(&mut pool, now), 0, "it is full");
+    let later = now + Duration::from_secs(20);
+    assert!(0 < n_busy(&mut pool, later), "the report is old");
+}
+
 /// An endpoint's own word that it is leaving stops new work there at once.
 #[test]
 fn a_leaving_endpoint_gets_nothing() {
--- a/crates/curranthook_policy/tests/overload.rs
+++ b/crates/curranthook_policy/tests/overload.rs
@@ -66,6 +66,26 @@
     assert!(PATIENCE < full.retry_after);
 }
 
+/// One account was alone for long, then another comes. It must not be served alone to make up
+/// for time when it asked for nothing.
+#[test]
+fn a_late_account_claims_no_past_share() {
+    let (mut queue, now) = (Fair::new(10_000), Instant::now());
+    let (early, late) = (account::Id::new("early"), account::Id::new("late"));
+    let push = |queue: &mut Fair<bool>, account: &account::Id| {
+        let pushed = queue.push(*account == late, account, 1.0, now + PATIENCE, now);
+        pushed.expect("there is room");
+    };
+    for _ in 0..500 {
+        push(&mut queue, &early);
+        assert_eq!(queue.pop(now), Some(Next::Run(false)));
+        push(&mut queue, &early);
+    }
+    (0..100).for_each(|_| push(&mut queue, &late));
+    let n_late = (0..100).filter(|_| queue.pop(now) == Some(Next::Run(true))).count();
+    assert!((45..=55).contains(&n_late), "{n_late} of 100 for the late account");
+}
+
 /// Nothing came for an hour. That must not look like a stall to those who come next.
 #[test]
 fn an_idle_queue_is_no_stall() {
@@ -148,14 +168,15 @@
 /// Nodes send an entry to and fro. Were it young again each time, it would never expire.
 #[test]
 fn echoes_dont_keep_an_entry_alive() {
+    const ON_THE_WAY: Duration = Duration::from_secs(30);
     let (start, body) = (Instant::now(), [1; 16]);
     let (mut here, mut there) = (Register::new(10), Register::new(10));
     here.charge(body, &"engine-1".into(), start);
     here.charge(body, &"engine-2".into(), start);
     for minute in 0..90 {
         let now = start + Duration::from_secs(60) * minute;
-        there.merge(here.export(now), now);
-        here.merge(there.export(now), now);
+        there.merge(here.export(now), now + ON_THE_WAY);
+        here.merge(there.export(now), now + ON_THE_WAY);
     }
     let now = start + Duration::from_secs(60 * 90);
     assert!(!here.is_poison(body, now) && !there.is_poison(body, now));
