--- a/crates/curranthook_tests/tests/allowed_versions.rs
+++ b/crates/curranthook_tests/tests/allowed_versions.rs
@@ -128,13 +128,13 @@
         site.wait_epoch(&["r1"], epoch).await?;
         site.proxy().set_mode("endpoint/cheap", Mode::Pass).await?;
         let answer = pending.await?;
-        assert!(answer.is_whole(), "{answer:?}");
-        assert_eq!(answer.header(header::VERSION), Some("m@1"), "{answer:?}");
-        assert!(site.engine("dear").runs().await?.is_empty());
         // It was a cascade, and it would have escalated.
         let counters = site.status("r1").await?.counters;
         assert_eq!(counters.get("choice.cascade"), Some(&1), "{counters:?}");
         assert_eq!(counters.get("cascade.fell_back"), Some(&1), "{counters:?}");
+        assert!(answer.is_whole(), "{answer:?}");
+        assert_eq!(answer.header(header::VERSION), Some("m@1"), "{answer:?}");
+        assert!(site.engine("dear").runs().await?.is_empty());
         Ok(())
     })
 }
