Policy: a simpler rule for the second stage of a cascade

Cause: a version with few ratings was kept from standing behind another. Ruled out: keeping it for caution; what recovers from an unlucky start is that ratings of second answers can show a pair to fail. Change: the rule is gone.

--- a/crates/curranthook_policy/src/choice/cascade.rs
+++ b/crates/curranthook_policy/src/choice/cascade.rs
@@ -31,9 +31,9 @@
     /// The cheapest cascade that does at least as well as `direct`.
     ///
     /// One with `direct` as second stage always does, unless ratings show that `direct` is worse
-    /// than it looks. Two doubtful versions do only when it was
-    /// seen: what one fails at, the other is likely to fail at too, so their qualities can't be
-    /// combined as if they were independent.
+    /// than it looks. Two doubtful versions do only when it was seen: what one fails at, the
+    /// other is likely to fail at too, so their qualities can't be combined as if they were
+    /// independent.
     pub(super) fn cascade(
         &self,
         ask: &Ask<'_>,
@@ -43,11 +43,7 @@
         if ask.rater == Rater::Down {
             return None;
         }
-        // As a second stage, a version gets hardly any ratings of its own. One that a few bad
-        // ratings put below the target would stay there for long, so it's asked directly until
-        // enough is known.
         let promised = ask.target.min(direct.belief.mean());
-        let is_known = sure == Sure::Yes || !direct.belief.is_thin();
         let pairs = self.scored.iter().flat_map(|first| {
             let dearer = self.scored.iter().filter(|it| first.cost < it.cost);
             dearer.map(|then| (*first, *then))
@@ -56,8 +52,7 @@
             let is_cheaper = first.cost_with(&then) < direct.cost;
             let evidence = self.evidence(ask, &first, &then, promised);
             let is_proven = evidence == Evidence::Meets && (is_cheaper || sure == Sure::No);
-            let is_backed =
-                is_cheaper && is_known && then.place == direct.place && evidence != Evidence::Fails;
+            let is_backed = is_cheaper && then.place == direct.place && evidence != Evidence::Fails;
             let is_good = (is_proven || is_backed) && self.fits(ask, &first, &then);
             is_good.then_some((is_proven || sure == Sure::Yes, first, then))
         });
