--- a/crates/curranthook_load/src/drive.rs
+++ b/crates/curranthook_load/src/drive.rs
@@ -21,7 +21,7 @@
     client::{Call, Client},
     plan,
     sample::{Failure, Outcome, Sample},
-    scenario::{Kind, Scenario},
+    scenario::{self, Kind, Scenario},
 };
 
 /// Past this many outstanding requests the tool itself would be what is measured.
@@ -128,14 +128,16 @@
     }
 
     fn http(&self, addr: SocketAddr, request: &plan::Request, kind: &Kind) -> http::Request<Bytes> {
-        let mut req = http::Request::post(path(kind))
+        let mut req = http::Request::builder()
+            .method(method(kind))
+            .uri(path(kind))
             .header(http::header::HOST, addr.to_string())
             .header(http::header::AUTHORIZATION, format!("Bearer key-{}", request.account))
             .header(http::header::CONTENT_TYPE, "application/json")
             .header(header::REQUEST_ID, &request.id)
             .header(header::KIND, request.kind.as_str())
             .header(header::DEADLINE_MS, kind.deadline.as_millis().to_string());
-        if kind.service.is_some() {
+        if kind.service.is_some() && kind.call == scenario::Call::Write {
             req = req.header(header::IDEMPOTENCY_KEY, &request.id);
         }
         if let Some(session) = &request.session {
@@ -149,6 +151,7 @@
 
     fn body(&self, request: &plan::Request, kind: &Kind) -> Bytes {
         let json = match (&kind.service, &self.entry.version) {
+            (Some(_), _) if kind.call == scenario::Call::Read => return Bytes::new(),
             (Some(_), _) => serde_json::to_vec(&serde_json::json!({"entry": request.text})),
             (None, None) => serde_json::to_vec(&request.chat(kind, &kind.model)),
             (None, Some(version)) => serde_json::to_vec(&request.chat(kind, version.as_str())),
@@ -174,6 +177,13 @@
     }
 }
 
+fn method(kind: &Kind) -> http::Method {
+    match (&kind.service, kind.call) {
+        (Some(_), scenario::Call::Read) => http::Method::GET,
+        (Some(_), scenario::Call::Write) | (None, _) => http::Method::POST,
+    }
+}
+
 fn path(kind: &Kind) -> String {
     match &kind.service {
         Some(service) => format!("/services/{service}/entries"),
--- a/crates/curranthook_load/src/scenario.rs
+++ b/crates/curranthook_load/src/scenario.rs
@@ -172,6 +172,9 @@
     /// The plain service called in place of a model.
     #[serde(default)]
     pub service: Option<String>,
+    /// What a call of the plain service does.
+    #[serde(default)]
+    pub call: Call,
     /// Whether the answer is streamed.
     #[serde(default)]
     pub stream: bool,
@@ -187,6 +190,17 @@
     pub deadline: Duration,
 }
 
+/// What a call of a plain service does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// It writes an entry, which must not happen twice.
+    #[default]
+    Write,
+    /// It reads, which may be repeated.
+    Read,
+}
+
 /// A request that its caller sends again and again.
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
