Refusals within a stream are counted as refusals

A stream that is given up on ends with the refusal as an event. Ruled out: streams cut by the engines (their records have no failure). Change: such an event is read as the refusal that it is.

--- a/crates/curranthook_load/src/client.rs
+++ b/crates/curranthook_load/src/client.rs
@@ -76,9 +76,7 @@
         let outcome = if !head.status.is_success() {
             refusal(incoming).await?
         } else if is_stream(&head) {
-            Outcome::Answered(
-                stream(&head, incoming, call.intended, call.expected_id.as_deref()).await?,
-            )
+            stream(&head, incoming, call.intended, call.expected_id.as_deref()).await?
         } else {
             Outcome::Answered(whole(&head, incoming, call.expected_id.as_deref()).await?)
         };
@@ -101,11 +99,13 @@
     head.headers.get(name)?.to_str().ok()
 }
 
+/// The body of a refusal, and the last event of a stream that was given up on.
+#[derive(Debug, Deserialize)]
+struct Body {
+    error: Refusal,
+}
+
 async fn refusal(incoming: Incoming) -> Result<Outcome, Failure> {
-    #[derive(Debug, Deserialize)]
-    struct Body {
-        error: Refusal,
-    }
     let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
     let body: Body = serde_json::from_slice(&bytes).map_err(|_| Failure::UntypedError)?;
     Ok(Outcome::Refused(body.error.code, body.error.not_run))
@@ -137,7 +137,7 @@
     mut incoming: Incoming,
     intended: Instant,
     expected_id: Option<&str>,
-) -> Result<Answer, Failure> {
+) -> Result<Outcome, Failure> {
     let mut reader = sse::Reader::default();
     let mut state = Streamed::default();
     while let Some(frame) = incoming.frame().await {
@@ -148,12 +148,15 @@
             state.event(&data, now, intended, head, expected_id)?;
         }
     }
+    if let Some(refusal) = state.refusal {
+        return Ok(Outcome::Refused(refusal.code, refusal.not_run));
+    }
     if !state.ended {
         return Err(Failure::CutOff);
     }
     state.answer.mark = Mark::parse(&state.text);
     state.answer.session_token = text(head, header::SESSION_TOKEN).map(str::to_owned);
-    Ok(state.answer)
+    Ok(Outcome::Answered(state.answer))
 }
 
 #[derive(Debug, Default)]
@@ -162,6 +165,7 @@
     text: String,
     last: Option<Instant>,
     ended: bool,
+    refusal: Option<Refusal>,
 }
 
 impl Streamed {
@@ -177,6 +181,10 @@
             self.ended = true;
             return Ok(());
         }
+        if let Ok(body) = serde_json::from_str::<Body>(data) {
+            self.refusal = Some(body.error);
+            return Ok(());
+        }
         let event: chat::Answer = serde_json::from_str(data).map_err(|_| Failure::Unreadable)?;
         if let Some(expected_id) = expected_id {
             check_id(&event, expected_id)?;
--- a/crates/curranthook_load/tests/caller.rs
+++ b/crates/curranthook_load/tests/caller.rs
@@ -119,6 +119,21 @@
     );
 }
 
+/// A router that gives a stream up after it began can't change the status any more; it tells the
+/// reason in the last event. Counted as cut off, such requests would hide that they were refused.
+#[test]
+fn refusal_within_a_stream_is_a_refusal() {
+    let refused = refusal::Refusal::unknown(refusal::Reason::Deadline, "too late").body();
+    let events = event("r1", "[good]") + &format!("data: {refused}\n\n");
+    let addr = serve(stream(events), Duration::ZERO);
+    let outcome = call(addr, Instant::now(), LIMIT);
+    let expected = (refusal::Reason::Deadline, refusal::Run::Unknown);
+    assert!(
+        matches!(&outcome, Outcome::Refused(reason, run) if (*reason, *run) == expected),
+        "{outcome:?}"
+    );
+}
+
 #[test]
 fn silent_server_ends_in_a_timeout() {
     let addr = serve(stream(String::new()), LIMIT);
