--- a/crates/curranthook_peers/src/member.rs
+++ b/crates/curranthook_peers/src/member.rs
@@ -9,6 +9,7 @@
 
 mod identity;
 mod table;
+mod view;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -22,10 +23,12 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use serde::Serialize;
 
-pub use self::identity::Identity;
 use self::table::{Peer, Table};
+pub use self::{
+    identity::Identity,
+    view::{Contact, View},
+};
 use crate::tuning::Trust;
 
 /// How many peers of its own failure domain a node calls in turn.
@@ -43,28 +46,6 @@
 #[error("a later process of this VM is known, or this one has left")]
 pub struct Stale;
 
-/// A peer that is alive.
-#[derive(Debug, Clone, Serialize)]
-pub struct Contact {
-    /// Who it is.
-    pub identity: Identity,
-    /// Calls to it that have failed since the last answer.
-    pub failures: u32,
-}
-
-/// What a node sees of the fleet.
-#[derive(Debug, Clone, Serialize)]
-pub struct View {
-    /// An estimate of the nodes in the fleet, this one included.
-    pub fleet: usize,
-    /// An estimate of the live nodes in this site, this one included.
-    pub site_nodes: usize,
-    /// Peers that answered this node's calls lately.
-    pub alive: Vec<Contact>,
-    /// Peers that this node can't reach.
-    pub unreachable: Vec<SocketAddr>,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Group {
     Domain,
@@ -199,6 +180,14 @@
         Ok(())
     }
 
+    /// A call of ours was answered by a peer that didn't say who it is. Failures before it don't
+    /// count any more: a few slow calls spread over many quick ones are no reason to drop a peer.
+    pub fn reached(&self, addr: SocketAddr) {
+        if let Some(peer) = self.state.lock().known.get_mut(&addr) {
+            peer.failures = 0;
+        }
+    }
+
     /// A call of ours failed.
     pub fn failed(&self, addr: SocketAddr) {
         let now = self.clock.now();
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -320,8 +320,9 @@
         };
         let result = client.call(addr, method, param, timeout).await;
         // A refusal is an answer; anything else says that the peer can't be used.
-        if !matches!(result, Ok(_) | Err(rpc::Error::Refused(_))) {
-            self.members.failed(addr);
+        match result {
+            Ok(_) | Err(rpc::Error::Refused(_)) => self.members.reached(addr),
+            Err(_) => self.members.failed(addr),
         }
         result
     }
--- a/crates/curranthook_peers/tests/peers/journal.rs
+++ b/crates/curranthook_peers/tests/peers/journal.rs
@@ -1,10 +1,20 @@
 //! A line that was recorded is billed, whatever is lost.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use curranthook_peers::journal::Durability;
+use curranthook_peers::{
+    Node,
+    counters::Counters,
+    journal::{Durability, Journal},
+    store,
+};
+use curranthook_types::bill::Origin;
+use futures_lite::future;
 
-use crate::support::{Fleet, line, wait};
+use crate::support::{Fleet, Platform, line, wait};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -87,9 +97,51 @@
         fleet.net.kill(&nodes[0]);
         fleet.platform.objects_down.store(false, Ordering::SeqCst);
         wait(LIMIT, || fleet.platform.billed().len() == 1).await.expect("stored by a peer");
-        let still_known = |it: &std::sync::Arc<curranthook_peers::Node>| {
-            it.view().alive.iter().any(|it| it.identity.vm.as_str() == "vm-0")
-        };
+        let still_known =
+            |it: &Arc<Node>| it.view().alive.iter().any(|it| it.identity.vm.as_str() == "vm-0");
         assert!(!nodes[1..].iter().any(still_known), "a node that left isn't called any more");
     });
 }
+
+/// A replica takes the owner for dead and stores the lines it has; the owner was only frozen,
+/// wakes, and stores under the same key a segment that holds more. The key is taken, and the
+/// lines beyond the replica's would be lost if that were taken for done.
+#[test]
+fn a_taken_key_keeps_no_line_out() {
+    async_io::block_on(async {
+        let platform = Platform::default();
+        let origin = Origin { vm: "vm-0".into(), incarnation: 1 };
+        let lines: Vec<_> = (0..5).map(|it| line(&format!("r-{it}"))).collect();
+        store::put(&platform, &origin, 0, lines[..2].to_vec()).await.expect("by the replica");
+        store::put(&platform, &origin, 0, lines.clone()).await.expect("by the owner");
+        store::put(&platform, &origin, 0, lines[..4].to_vec()).await.expect("by another replica");
+        assert_eq!(platform.objects.lock().len(), 2);
+        assert_eq!(platform.billed().len(), 5);
+        assert!(platform.billed().values().all(|it| *it == 1));
+    });
+}
+
+/// The store is out for hours. The journal says that it's full, so that the router takes no more
+/// work; it drops nothing, and is empty again after the outage.
+#[test]
+fn a_full_journal_says_so_and_drops_nothing() {
+    async_io::block_on(async {
+        let origin = Origin { vm: "vm-0".into(), incarnation: 1 };
+        let journal = Journal::new(origin, Arc::new(Counters::default()));
+        let platform = Platform::default();
+        platform.objects_down.store(true, Ordering::SeqCst);
+        let mut n_lines = 0;
+        while !journal.is_full() {
+            // The router's caller is gone; the line stays.
+            let _dropped = future::poll_once(journal.record(line(&format!("r-{n_lines}")))).await;
+            n_lines += 1;
+        }
+        assert!(10_000 < n_lines, "full after {n_lines} lines");
+        assert!(!journal.flush(&platform).await);
+        assert_eq!(journal.n_lines(), n_lines);
+        platform.objects_down.store(false, Ordering::SeqCst);
+        assert!(journal.flush(&platform).await);
+        assert!(!journal.is_full());
+        assert_eq!(platform.billed().len(), n_lines);
+    });
+}
