Peers: a holder that gets lines during a flush is not forgotten

Cause: after a flush all holders of lines were forgotten, also one that got new lines meanwhile; it was never told of their storage and stored them again (harmless, but a put too many). Ruled out: a lock over the whole flush (would hold replication back). Change: the holders told are taken out first, and put back if lines remain.

--- a/crates/curranthook_peers/src/evidence.rs
+++ b/crates/curranthook_peers/src/evidence.rs
@@ -194,7 +194,8 @@
         let Entry(vm, incarnation, version, wire) = entry;
         let origin = Origin { vm: vm.clone(), incarnation: *incarnation };
         let theirs = Counts::from(*wire);
-        // Only this process counts for its own origin; an echo of it brings nothing new.
+        // Only this process counts for its own origin; what peers
+        // pass on of it brings nothing new.
         if origin == self.own || !theirs.is_sane() {
             return;
         }
--- a/crates/curranthook_peers/src/member.rs
+++ b/crates/curranthook_peers/src/member.rs
@@ -37,8 +37,8 @@
 const VIEW_SITE: usize = 6;
 /// How many peers of other sites, or of which nothing is known yet.
 const VIEW_FAR: usize = 4;
-/// One peer of each full part of the view is exchanged after this many turns, so that the graph
-/// of views doesn't harden into islands.
+/// One peer of each full part of the view is exchanged after this many turns. With views that
+/// never change, a part of the fleet could end up in nobody else's view and miss every exchange.
 const TURNS_PER_SHUFFLE: u64 = 60;
 
 /// The process was replaced by a later one of the same VM, or has said that it leaves.
--- a/crates/curranthook_peers/src/task.rs
+++ b/crates/curranthook_peers/src/task.rs
@@ -15,7 +15,8 @@
 
 /// How long a leaving node goes on trying to store its lines before it hands them to peers.
 const LAST_FLUSH: Duration = Duration::from_secs(2);
-/// How far pauses are stretched or shortened, so that nodes started together drift apart.
+/// How far pauses are stretched or shortened, so that nodes started together don't all
+/// call at once.
 const JITTER: f64 = 0.2;
 
 /// Starts all tasks; each ends when the node stops.
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -94,12 +94,13 @@
 /// hear that the owner lives, and don't all try to store its lines too.
 async fn mark(node: &Node) {
     let mark = node.journal().mark();
-    let holders: Vec<_> = node.holders.lock().iter().copied().collect();
+    // Taken, not read: a peer that gets new lines while this runs must not be forgotten below.
+    let holders = std::mem::take(&mut *node.holders.lock());
     let calls = holders.iter().map(|addr| node.call::<()>(*addr, "replicate", &mark, rpc::TIMEOUT));
     // One that misses this takes the owner for silent and stores the lines again, harmlessly.
     let _best_effort = join_all(calls).await;
-    if node.journal().n_lines() == 0 {
-        node.holders.lock().clear();
+    if 0 < node.journal().n_lines() {
+        node.holders.lock().extend(holders);
     }
 }
 
