--- a/crates/curranthook_peers/src/task.rs
+++ b/crates/curranthook_peers/src/task.rs
@@ -20,7 +20,8 @@
 const LAST_LIMIT: Duration = Duration::from_secs(30);
 /// The pause between two looks.
 const LAST_PAUSE: Duration = Duration::from_millis(200);
-/// How far pauses are stretched or shortened, so that nodes started together drift apart.
+/// How far pauses are stretched or shortened, so that nodes started together don't all
+/// call at once.
 const JITTER: f64 = 0.2;
 
 /// Starts all tasks; each ends when the node stops.
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -104,7 +104,7 @@
         self.exclude.push(failed.endpoint.clone());
         if failed.begun == Begun::Perhaps {
             self.run = Run::Unknown;
-            self.router.note_failure(version);
+            self.router.note_failure(&self.chat.ask.kind, version);
         }
         if failed.broke == Break::Closed {
             attempt::charge(&self.router, self.chat.ask.fingerprint, &failed.endpoint).await;
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -134,6 +134,7 @@
         rater: Rater::new(pool(), Arc::clone(&clock)),
         chooser: Mutex::new(chooser),
         budget: Mutex::new(Budget::new(Policy::default().retry_budget, clock.now())),
+        sampling: Mutex::default(),
         buckets: Mutex::new(HashMap::new()),
         current: None.into(),
         stall: stall::Watch::new(Arc::clone(&clock)),
