Proofs of sessions; a session known by its id moves once and for all

Cause: where an account lets its sessions move, a session whose version was withdrawn moves to another one. A session with a token carries the move in its next token. One known by its id only went on being looked up under the withdrawn version, so each request chose anew: after the choice for new sessions had changed, the session went from m@2 to m@3 ("left: m@3, right: m@2" in a_session_that_may_move_does_so_once::by_id).

Ruled out: remembering the move at the node alone, as the next request may land on another one.

Change: the move replaces the session's row, on condition that it still is as it was read; whoever is second takes the first one's version.

Two first requests of an id that race are still to be proved: the test for it needs peers that can be cut. What remains: of two requests at once under one old token, each may move its session by itself; only the newest token carries the move.

--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -91,20 +91,38 @@
     let plan = router.chooser.lock().plan(&ask).map_err(refused)?;
     match pin {
         Pin::None => Ok((plan, None)),
-        Pin::New(session) | Pin::Held(session, _) => Ok((choose::for_session(plan), Some(session))),
+        Pin::New(session) => Ok((choose::for_session(plan), Some(session))),
+        // The answer's new token carries the move.
+        Pin::Held(session, _) if chat.ask.token.is_some() => {
+            Ok((choose::for_session(plan), Some(session)))
+        }
+        Pin::Held(session, from) => {
+            let plan = choose::for_session(plan);
+            let rows = &router.pins;
+            let version = rows.replace(&chat.ask.account, &session, &from, &plan.first).await?;
+            Ok((settled(snapshot, chat, plan, &version)?, Some(session)))
+        }
         Pin::Unclaimed(session) => {
             let plan = choose::for_session(plan);
             let version = router.pins.insert(&chat.ask.account, &session, &plan.first).await?;
-            let plan = if version == plan.first {
-                plan
-            } else {
-                choose::pinned(snapshot, chat, &version)?
-            };
-            Ok((plan, Some(session)))
+            Ok((settled(snapshot, chat, plan, &version)?, Some(session)))
         }
     }
 }
 
+/// The plan that was made, unless the session's row turned out to name another version.
+fn settled(
+    snapshot: &Snapshot,
+    chat: &Chat,
+    plan: Plan,
+    version: &version::Id,
+) -> Result<Plan, Refusal> {
+    if *version == plan.first {
+        return Ok(plan);
+    }
+    choose::pinned(snapshot, chat, version)
+}
+
 /// An answer that is being put together.
 struct Answer {
     router: Arc<Router>,
--- a/crates/curranthook_router/src/pin.rs
+++ b/crates/curranthook_router/src/pin.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use curranthook_platform::{Error, Table, Write};
+use curranthook_platform::{Error, Row, Table, Write};
 use curranthook_settings::config::Key;
 use curranthook_types::{Refusal, account, refusal::Reason, session, version};
 use parking_lot::Mutex;
@@ -82,14 +82,46 @@
             Ok(Write::Done(_)) => Ok(self.remember(key, &value)),
             // Whether another node was first or our own answer was lost, the row has the pin.
             Ok(Write::Conflict) | Err(Error::Lost(_)) => {
-                let row = self.table.get(TABLE, &key).await.map_err(|e| down(&e))?;
-                let row = row.ok_or_else(|| down(&Error::Lost("no row".to_owned())))?;
+                let row = self.row(&key).await?;
                 Ok(self.remember(key, &row.value))
             }
             Err(e) => Err(down(&e)),
         }
     }
 
+    /// Moves a session from a version that was withdrawn to `to`, or to the one that another
+    /// node moved it to first.
+    ///
+    /// If the row went on naming the old version, each later request would choose anew, and the
+    /// caller would get answers of one version and then of another.
+    pub async fn replace(
+        &self,
+        account: &account::Id,
+        session: &session::Id,
+        from: &version::Id,
+        to: &version::Id,
+    ) -> Result<version::Id, Refusal> {
+        let key = key(account, session);
+        let row = self.row(&key).await?;
+        if row.value != from.as_str() {
+            return Ok(self.remember(key, &row.value));
+        }
+        let value = Bytes::copy_from_slice(to.as_str().as_bytes());
+        match self.table.replace(TABLE, &key, &row.tag, value.clone()).await {
+            Ok(Write::Done(_)) => Ok(self.remember(key, &value)),
+            Ok(Write::Conflict) | Err(Error::Lost(_)) => {
+                let row = self.row(&key).await?;
+                Ok(self.remember(key, &row.value))
+            }
+            Err(e) => Err(down(&e)),
+        }
+    }
+
+    async fn row(&self, key: &str) -> Result<Row, Refusal> {
+        let row = self.table.get(TABLE, key).await.map_err(|e| down(&e))?;
+        row.ok_or_else(|| down(&Error::Lost("no row".to_owned())))
+    }
+
     fn remember(&self, key: String, value: &[u8]) -> version::Id {
         let version = version::Id::new(String::from_utf8_lossy(value));
         let mut seen = self.seen.lock();
--- a/crates/curranthook_tests/src/site/observe.rs
+++ b/crates/curranthook_tests/src/site/observe.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use curranthook_http::Exchange;
-use curranthook_settings::Document;
+use curranthook_settings::{Document, rollout};
 use curranthook_standin::{engine::record::Run, proxy::link::Mode};
 use curranthook_types::{Epoch, version};
 use serde::Deserialize;
@@ -85,6 +85,23 @@
         .await
     }
 
+    /// Publishes where the roll-out from `m@1` to `m@2` stands: given up, so that all new
+    /// sessions get `m@1`, or done, so that they get `m@2`.
+    pub async fn set_rollout(&self, state: rollout::State) -> anyhow::Result<Document> {
+        let rollout = rollout::Rollout {
+            from: "m@1".into(),
+            to: "m@2".into(),
+            stages: vec![1.0],
+            stage: 0,
+            state,
+            since_millis: 0,
+        };
+        self.publish(|document| {
+            document.rollouts.insert("m".to_owned(), rollout);
+        })
+        .await
+    }
+
     /// Takes a version away from an account, in the published document.
     pub async fn disallow(&self, account: &str, version: &str) -> anyhow::Result<Document> {
         self.publish(|document| {
