--- a/crates/curranthook_load/src/client.rs
+++ b/crates/curranthook_load/src/client.rs
@@ -76,9 +76,11 @@
         let outcome = if !head.status.is_success() {
             refusal(incoming).await?
         } else if is_stream(&head) {
-            Outcome::Answered(stream(&head, incoming, call.intended, &call.expected_id).await?)
+            Outcome::Answered(
+                stream(&head, incoming, call.intended, call.expected_id.as_deref()).await?,
+            )
         } else {
-            Outcome::Answered(whole(&head, incoming, &call.expected_id).await?)
+            Outcome::Answered(whole(&head, incoming, call.expected_id.as_deref()).await?)
         };
         self.pool.put(conn);
         Ok(outcome)
@@ -105,14 +107,14 @@
         error: Refusal,
     }
     let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
-    let body: Body = serde_json::from_slice(&bytes).map_err(|_| Failure::Unreadable)?;
+    let body: Body = serde_json::from_slice(&bytes).map_err(|_| Failure::UntypedError)?;
     Ok(Outcome::Refused(body.error.code, body.error.not_run))
 }
 
 async fn whole(
     head: &http::response::Parts,
     incoming: Incoming,
-    expected_id: &Option<String>,
+    expected_id: Option<&str>,
 ) -> Result<Answer, Failure> {
     let bytes = body::read(incoming, MAX_ANSWER).await.map_err(|_| Failure::CutOff)?;
     let Some(expected_id) = expected_id else {
@@ -134,7 +136,7 @@
     head: &http::response::Parts,
     mut incoming: Incoming,
     intended: Instant,
-    expected_id: &Option<String>,
+    expected_id: Option<&str>,
 ) -> Result<Answer, Failure> {
     let mut reader = sse::Reader::default();
     let mut state = Streamed::default();
@@ -169,13 +171,13 @@
         now: Instant,
         intended: Instant,
         head: &http::response::Parts,
-        expected_id: &Option<String>,
+        expected_id: Option<&str>,
     ) -> Result<(), Failure> {
         if data == chat::END_MARKER {
             self.ended = true;
             return Ok(());
         }
-        let event: chat::Answer = serde_json::from_str(data).map_err(|_| Failure::CutOff)?;
+        let event: chat::Answer = serde_json::from_str(data).map_err(|_| Failure::Unreadable)?;
         if let Some(expected_id) = expected_id {
             check_id(&event, expected_id)?;
         }
--- a/crates/curranthook_load/src/fleet/process.rs
+++ b/crates/curranthook_load/src/fleet/process.rs
@@ -1,6 +1,7 @@
 //! One started program.
 
 use std::{
+    collections::BTreeMap,
     fs::File,
     io::{BufRead as _, BufReader},
     net::SocketAddr,
@@ -12,7 +13,6 @@
 };
 
 use serde::Deserialize;
-use std::collections::BTreeMap;
 
 /// How long a program may take until it says where it listens.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -98,6 +98,16 @@
         *addr.unwrap_or_else(|| panic!("{} has no address for {purpose}", self.name))
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// All addresses that it printed, by purpose.
+    pub fn listening(&self) -> &BTreeMap<String, SocketAddr> {
+        &self.listening
+    }
+
     /// Whether it ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- /dev/null
+++ b/crates/curranthook_policy/tests/choice.rs
@@ -0,0 +1,181 @@
+//! Versions are chosen within what is allowed, at the quality wanted, for little money.
+
+mod market;
+
+use std::time::{Duration, Instant};
+
+use curranthook_policy::choice::{Ask, Candidate, Chooser, Counts, Delivery, Rater, Reason};
+use curranthook_settings::config::{Policy, Weigh};
+use curranthook_types::{
+    kind,
+    price::{Micros, Rate},
+    refusal, version,
+};
+use proptest::prelude::*;
+
+use crate::market::{Difficulty, Setup, TARGET, ask, serve};
+
+#[yare::parameterized(
+    latency = { Weigh::Latency, Difficulty::Independent },
+    exposure = { Weigh::Exposure, Difficulty::Independent },
+    latency_shared = { Weigh::Latency, Difficulty::Shared },
+    exposure_shared = { Weigh::Exposure, Difficulty::Shared },
+)]
+fn cost_falls_and_quality_holds(weigh: Weigh, difficulty: Difficulty) {
+    let policy = Policy { weigh, ..Policy::default() };
+    let setup = Setup { rater: Rater::Up, difficulty, n: 4_000 };
+    for seed in 0..5 {
+        let ours = serve("curranthook", &policy, setup, seed);
+        let best = serve("best", &policy, setup, seed);
+        assert!(TARGET <= ours.quality(), "quality {} with seed {seed}", ours.quality());
+        let ratio = ours.mean_cost() / best.mean_cost();
+        assert!(ratio <= 0.7, "{ratio} of the cost of the best with seed {seed}");
+    }
+}
+
+/// By bad luck the best version is rated low at first, or a middling one high. Were that
+/// believed for good, all later callers would get the middling one's answers.
+#[test]
+fn an_unlucky_start_is_corrected() {
+    let setup = Setup { rater: Rater::Up, difficulty: Difficulty::Shared, n: 20_000 };
+    let policy = Policy { weigh: Weigh::Exposure, ..Policy::default() };
+    for seed in 0..20 {
+        let quality = serve("curranthook", &policy, setup, seed).quality();
+        assert!(TARGET <= quality, "quality {quality} with seed {seed}");
+    }
+}
+
+/// Where versions fail at different requests, two cheap ones together may do as well as a dear
+/// one. That is used once ratings show it, and only then.
+#[test]
+fn cheap_pairs_are_used_when_proven() {
+    let run = |difficulty| {
+        let setup = Setup { rater: Rater::Up, difficulty, n: 40_000 };
+        serve("curranthook", &Policy::default(), setup, 1)
+    };
+    let (independent, shared) = (run(Difficulty::Independent), run(Difficulty::Shared));
+    assert!(TARGET <= independent.quality() && TARGET <= shared.quality());
+    let ratio = independent.mean_cost() / shared.mean_cost();
+    assert!(ratio < 0.8, "{ratio} of the cost with shared difficulty");
+}
+
+/// The rating service is down. Without ratings a cheap answer that is wrong isn't noticed, so
+/// nothing is gambled on one.
+#[test]
+fn rater_down_means_the_sure_version() {
+    let setup = Setup { rater: Rater::Down, difficulty: Difficulty::Shared, n: 4_000 };
+    let tally = serve("curranthook", &Policy::default(), setup, 1);
+    assert!(TARGET <= tally.quality(), "quality {}", tally.quality());
+}
+
+/// A version gets worse for one kind of work while it serves, so callers get answers below the
+/// quality they want until the estimate follows.
+#[test]
+fn a_change_is_noticed() {
+    let (kind, now) = (kind::Id::new("summary"), Instant::now());
+    let id = version::Id::new("m@1");
+    let mut chooser = Chooser::new(Policy::default(), 1);
+    (0..2_000).for_each(|_| chooser.learn(&kind, &id, 1.0, now));
+    (0..500).for_each(|_| chooser.learn(&kind, &id, 0.0, now));
+    let quality = chooser.quality(&kind, &id).expect("it was rated");
+    assert!(quality < 0.5, "{quality}");
+}
+
+#[test]
+fn hurried_streams_are_not_held_back() {
+    let (kind, ids) = (kind::Id::new("summary"), ["m@1", "m@2"].map(version::Id::new));
+    let rates = [10, 1_000].map(|it| Rate { prompt: Micros(0), completion: Micros(it) });
+    let allowed = [
+        Candidate { id: &ids[0], rate: &rates[0], prior: Some(0.7) },
+        Candidate { id: &ids[1], rate: &rates[1], prior: Some(0.99) },
+    ];
+    let policy = Policy { exploration: 0.0, ..Policy::default() };
+    let whole = ask(&kind, 0.7, &allowed);
+    let stream = Ask { delivery: Delivery::Stream, ..whole };
+    let mut chooser = Chooser::new(policy.clone(), 1);
+    assert_eq!(chooser.plan(&whole).map(|it| it.reason), Ok(Reason::Cascade));
+    assert_eq!(chooser.plan(&stream).map(|it| it.then), Ok(None));
+    let mut careful = Chooser::new(Policy { weigh: Weigh::Exposure, ..policy }, 1);
+    (0..50).for_each(|_| careful.learn(&kind, &ids[1], 1.0, Instant::now()));
+    assert_eq!(careful.plan(&stream).map(|it| it.reason), Ok(Reason::Cascade));
+}
+
+#[test]
+fn refusals_have_a_reason() {
+    let (kind, id, rate) = (kind::Id::new("k"), version::Id::new("m@1"), Rate::default());
+    let mut chooser = Chooser::new(Policy::default(), 1);
+    let none = ask(&kind, 0.9, &[]);
+    assert_eq!(chooser.plan(&none), Err(refusal::Reason::NotAllowed));
+    let allowed = [Candidate { id: &id, rate: &rate, prior: None }];
+    let late = Ask { time_left: Duration::ZERO, ..ask(&kind, 0.9, &allowed) };
+    assert_eq!(chooser.plan(&late), Err(refusal::Reason::Deadline));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever was learned of other versions, a plan names allowed ones only, keeps to the
+    /// time left, and explores no more than its share.
+    #[test]
+    fn plans_stay_within_bounds(
+        seed in any::<u64>(),
+        allowed_mask in 1_usize..32,
+        rated in proptest::collection::vec((0_usize..6, 0.0_f64..=1.0), 0..200),
+        target in 0.0_f64..1.0,
+        time_left in 1_u64..20_000,
+        exploration in 0.0_f64..0.3,
+        is_hurried in any::<bool>(),
+    ) {
+        let kind = kind::Id::new("k");
+        let ids = [1, 2, 3, 4, 5, 6].map(|it| version::Id::new(format!("m@{it}")));
+        let rates = [60, 50, 40, 300, 20, 10].map(|it| Rate { prompt: Micros(it), completion: Micros(it) });
+        let open: Vec<Candidate<'_>> = (0..5)
+            .filter(|it| allowed_mask >> it & 1 == 1)
+            .map(|it| Candidate { id: &ids[it], rate: &rates[it], prior: Some(0.5) })
+            .collect();
+        let weigh = if is_hurried { Weigh::Latency } else { Weigh::Exposure };
+        let mut chooser = Chooser::new(Policy { exploration, weigh, ..Policy::default() }, seed);
+        let now = Instant::now();
+        // Seconds for the answer: what was observed, or what is assumed of an unknown version.
+        let mut seconds = [5; 6];
+        for (version, rating) in rated {
+            seconds[version] = version as u64;
+            chooser.learn(&kind, &ids[version], rating, now);
+            chooser.observe(&ids[version], Duration::from_millis(version as u64 * 1_000), 1_000);
+        }
+        let ask = Ask {
+            time_left: Duration::from_millis(time_left),
+            delivery: if is_hurried { Delivery::Stream } else { Delivery::Whole },
+            ..ask(&kind, target, &open)
+        };
+        let mut n_explored = 0.0;
+        for _ in 0..100 {
+            let plan = chooser.plan(&ask).expect("there are versions");
+            let is_allowed = |id: &version::Id| open.iter().any(|it| it.id == id);
+            prop_assert!(is_allowed(&plan.first));
+            prop_assert!(plan.then.as_ref().is_none_or(is_allowed));
+            prop_assert_ne!(Some(&plan.first), plan.then.as_ref());
+            if let Some(then) = &plan.then {
+                let time = |id| seconds[ids.iter().position(|it| it == id).expect("known")];
+                let both = Duration::from_secs(time(&plan.first) + time(then));
+                prop_assert!(both <= ask.time_left, "{plan:?} needs {both:?}");
+            }
+            n_explored += f64::from(u8::from(plan.reason == Reason::Explore));
+        }
+        prop_assert!(n_explored <= exploration * 100.0 + 1.0);
+    }
+
+    /// Other nodes' sums are repeated by the digest and may come late.
+    #[test]
+    fn merging_ignores_repeats_and_old_sums(sums in proptest::collection::vec(1_u64..100, 1..20)) {
+        let (kind, id) = (kind::Id::new("k"), version::Id::new("m@1"));
+        let counts = |n: u64| Counts { n, sum: n as f64 * 0.25 };
+        let newest = *sums.iter().max().expect("there is one");
+        let (mut once, mut often) =
+            (Chooser::new(Policy::default(), 1), Chooser::new(Policy::default(), 1));
+        once.merge(&kind, &id, counts(newest));
+        sums.iter().chain(&sums).for_each(|it| often.merge(&kind, &id, counts(*it)));
+        let quality = |it: &Chooser| it.quality(&kind, &id).expect("it was rated");
+        prop_assert!((quality(&once) - quality(&often)).abs() < 0.02);
+    }
+}
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -138,6 +138,7 @@
         current: None.into(),
         stall: stall::Watch::new(Arc::clone(&clock)),
         in_flight: Arc::default(),
+        started: clock.now(),
         ex: ex.clone(),
         pool: to_endpoints,
         settings,
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -198,6 +198,20 @@
         eventually(READY_LIMIT, is_ready).await.with_context(|| format!("{vm} isn't ready"))
     }
 
+    /// Waits until each router has answered calls of at least `n` others, so that it has peers to
+    /// hold its bill lines.
+    pub async fn wait_met(&self, n: usize) -> anyhow::Result<()> {
+        for vm in self.routers.keys() {
+            let has_met = async || {
+                let status = self.status(vm).await?;
+                Ok(n <= status.peers.view.alive.len())
+            };
+            let met = eventually(READY_LIMIT, has_met).await;
+            met.with_context(|| format!("{vm} knows fewer than {n} others"))?;
+        }
+        Ok(())
+    }
+
     /// The address under which `target` is reached: the link `name` of the proxy, if there is
     /// one. A link that exists already gets the new target and keeps its fault.
     async fn through(&self, name: &str, target: SocketAddr) -> anyhow::Result<SocketAddr> {
--- a/crates/curranthook_tests/src/site/observe.rs
+++ b/crates/curranthook_tests/src/site/observe.rs
@@ -33,6 +33,8 @@
 pub struct Peers {
     /// The nodes that it sees.
     pub view: View,
+    /// Bill lines that it holds for others.
+    pub replica_lines: u64,
     /// Counters by name.
     pub counters: BTreeMap<String, u64>,
 }
