Peers are told an address of their own; proofs that need peers cut

Cause: routers tell each other the address that they are bound to, so behind the proxy they got past it after the first exchange, and cutting all links between peers cut nothing. A router that listens on all addresses of its VM would have told its peers 0.0.0.0.

Ruled out: the frozen router's poll under way, as its answer is older than the publication; both logs show the new epoch 20 ms after the thaw.

Change: node settings take peer_address, the address that peers are told; without it, it is the bound one as before. The harness sets it to the proxy's link.

--- a/crates/curranthook_load/src/fleet.rs
+++ b/crates/curranthook_load/src/fleet.rs
@@ -183,6 +183,7 @@
             failure_domain: document::domain(&self.setup.scenario, place),
             listen: any,
             peer_listen: any,
+            peer_address: None,
             steward_listen: any,
             platform: node::Platform { table: platform, objects: platform, vms: platform },
             seeds: self.routers.iter().map(|it| it.addr("peers")).collect(),
--- a/crates/curranthook_peers/tests/peers/support.rs
+++ b/crates/curranthook_peers/tests/peers/support.rs
@@ -280,6 +280,7 @@
         failure_domain: domain(n).as_str().into(),
         listen: any,
         peer_listen: address(n),
+        peer_address: None,
         steward_listen: any,
         platform: node::Platform { table: any, objects: any, vms: any },
         seeds: vec![address(0), address(1)],
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -114,7 +114,7 @@
     let node = Node::start(node::Setup {
         settings: settings.clone(),
         incarnation: clock.unix_millis(),
-        peer_addr,
+        peer_addr: settings.peer_address.unwrap_or(peer_addr),
         ex: ex.clone(),
         pool: to_peers,
         clock: Arc::clone(&clock),
--- a/crates/curranthook_settings/src/check/schema.rs
+++ b/crates/curranthook_settings/src/check/schema.rs
@@ -77,6 +77,7 @@
     required("failure_domain", ID),
     required("listen", LISTEN),
     required("peer_listen", LISTEN),
+    optional("peer_address", FIXED),
     required("steward_listen", LISTEN),
     required("platform", Shape::Record(PLATFORM)),
     optional("seeds", Shape::List(&FIXED)),
--- a/crates/curranthook_settings/src/node.rs
+++ b/crates/curranthook_settings/src/node.rs
@@ -26,6 +26,10 @@
     pub listen: SocketAddr,
     /// Where peers reach the router.
     pub peer_listen: SocketAddr,
+    /// The address that peers are told, if it isn't the one that the router listens on: it may
+    /// listen on all addresses of the VM, or stand behind a forwarder.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_address: Option<SocketAddr>,
     /// Where the steward answers `/healthz`, `/readyz` and `/status`.
     pub steward_listen: SocketAddr,
     /// The platform's services.
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -225,6 +225,13 @@
         Ok(link.listen)
     }
 
+    /// Where peers reach the router of a VM, which need not have started yet.
+    async fn peer_link(&self, vm: &str) -> anyhow::Result<SocketAddr> {
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let target = self.routers.get(vm).map_or(nowhere, |it| it.addr("peers"));
+        self.through(&format!("peer/{vm}"), target).await
+    }
+
     /// Where the other routers are reached by peers.
     fn peers_of(&self, vm: &str) -> Vec<SocketAddr> {
         let others = self.fronts.iter().filter(|(name, _)| *name != vm);
@@ -233,6 +240,10 @@
 
     async fn write_settings(&self, vm: &str) -> anyhow::Result<String> {
         let platform = self.through(&format!("platform/{vm}"), self.platform.addr()).await?;
+        let peer_address = match &self.proxy {
+            Some(_) => Some(self.peer_link(vm).await?),
+            None => None,
+        };
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let mut settings = node::Settings {
             vm: vm.into(),
@@ -240,6 +251,8 @@
             failure_domain: config::failure_domain(vm),
             listen: any_port,
             peer_listen: any_port,
+            // Peers name each other; without this they would get past the proxy.
+            peer_address,
             steward_listen: any_port,
             platform: node::Platform { table: platform, objects: platform, vms: platform },
             seeds: self.peers_of(vm),
