--- a/crates/curranthook_peers/src/task/round.rs
+++ b/crates/curranthook_peers/src/task/round.rs
@@ -17,7 +17,7 @@
 /// The time between reads for each VM listed. An entry takes about 120 bytes, so reading costs a
 /// node 200 bytes a second whatever the fleet's size; in between, peers name each other.
 const LIST_INTERVAL_PER_VM: Duration = Duration::from_millis(600);
-/// The pause after a read that failed.
+/// The pause after a read that failed or that showed no other node.
 const LIST_RETRY: Duration = Duration::from_secs(2);
 
 /// Makes exchanges.
@@ -58,6 +58,12 @@
             Ok(mut vms) => {
                 vms.retain(|it| it.role == Role::Entry);
                 node.members().list(&vms);
+                if vms.len() < 2 {
+                    // The list lags behind a site that just started. A node that took this for
+                    // the whole truth would tell nobody anything until the next read.
+                    pause(LIST_RETRY).await;
+                    continue;
+                }
                 let n_vms = u32::try_from(vms.len()).unwrap_or(u32::MAX);
                 pause(LIST_INTERVAL.max(LIST_INTERVAL_PER_VM.saturating_mul(n_vms))).await;
             }
