An event without end costs its engine's request, not the router

Cause: the reader of events keeps an event until its end and looks through all of it at each new piece. An engine that sends one endless event kept a thread of the router busy for good; the deadline wasn't even noticed. Ruled out: memory alone: the time was spent in the search, which grows with the square of what has come.

--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -1,6 +1,6 @@
 //! A chat request on its way through versions and endpoints: attempts, and why there is another.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use curranthook_http::{
@@ -14,15 +14,15 @@
     retry::Reason as Retry,
     version,
 };
-use eventsource_stream::{Event, EventStreamError, Eventsource};
-use futures_lite::{Stream, StreamExt};
-use http_body_util::BodyExt;
+use eventsource_stream::Event;
+use futures_lite::StreamExt;
 
 use crate::{
     Router,
     admit::Chat,
     attempt::{self, Begun, Break, Failed, Link, Open},
     choose,
+    events::{self, Events},
     gate::{Entry, Lease, Target},
     hedge,
     snapshot::Snapshot,
@@ -277,11 +277,6 @@
     lease.as_ref().is_err_and(|it| it.code == Reason::NoEndpoint)
 }
 
-/// The events of an answer.
-pub type Events = Pin<Box<dyn Stream<Item = Result<Event, Broken>> + Send>>;
-/// Why there are no more events.
-pub type Broken = EventStreamError<hyper::Error>;
-
 /// An answer whose first event has come. Some engines send the head of an answer as soon as
 /// they queue a request, so only an event shows that the endpoint is at work.
 pub struct Begin {
@@ -295,7 +290,7 @@
 
 async fn begin(open: Open, limit: Duration) -> Result<Begin, Failed> {
     let Open { mut link, body, .. } = open;
-    let mut events: Events = Box::pin(body.into_data_stream().eventsource());
+    let mut events = events::read(body);
     match timeout::run(limit, events.next()).await {
         Ok(Some(Ok(first))) => {
             link.first_byte = link.lease.started().elapsed();
--- a/crates/curranthook_router/src/lib.rs
+++ b/crates/curranthook_router/src/lib.rs
@@ -9,8 +9,9 @@
 //! - [`choose`]: which version to ask, and whether a cheaper one first;
 //! - [`claim`]: the right to send a call that may not be repeated;
 //! - [`gate`]: which endpoint takes it, and who waits;
-//! - [`attempt`], [`hedge`], [`call`], [`source`]: one attempt, a second one beside it, the
-//!   attempts of a request, and the answer as a stream that doesn't break off;
+//! - [`attempt`], [`hedge`], [`call`], [`events`], [`source`]: one attempt, a second one beside
+//!   it, the attempts of a request, what an engine sends, and the answer as a stream that doesn't
+//!   break off;
 //! - [`bill`]: what it cost;
 //! - [`chat`], [`service`], [`answer`]: the two kinds of requests, put together.
 //!
@@ -28,6 +29,7 @@
 pub mod chat;
 pub mod choose;
 pub mod claim;
+pub mod events;
 pub mod follow;
 pub mod gate;
 pub mod hedge;
--- a/crates/curranthook_router/src/source.rs
+++ b/crates/curranthook_router/src/source.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     attempt::{Break, Link},
-    call::{Begin, Broken, Call, Events},
+    call::{Begin, Call},
+    events::{Broken, Events},
 };
 
 /// Between two events an answer may be silent for this long before it's taken up elsewhere.
--- a/crates/curranthook_tests/tests/malformed.rs
+++ b/crates/curranthook_tests/tests/malformed.rs
@@ -194,6 +194,37 @@
     })
 }
 
+// The engine sends without end, and never ends an event. A router that keeps all of it for the
+// event's sake runs out of memory, and with it goes everybody's work on that VM.
+#[test]
+fn an_endless_event_is_given_up() -> anyhow::Result<()> {
+    run(async {
+        const MOST_KIB: u64 = 128 * 1024;
+        let endless = garbage::listen_endless()?;
+        let builder = site().engine("bad", &["bad@1"]).config(move |config| {
+            let bad = config.endpoints.iter_mut().find(|(id, _)| id.as_str() == "bad");
+            bad.expect("it was added").1.address = endless;
+        });
+        let mut site = builder.start().await?;
+        let chat = Chat::new("main", "bad@1", "crate 7").with_header(header::DEADLINE_MS, "5000");
+        let answer = chat.send(&site.router("r1")).await?;
+        let refusal = answer.refusal().expect("a typed refusal");
+        assert_eq!(refusal.code, Reason::EndpointFailed, "{refusal:?}");
+        assert_eq!(refusal.not_run, Run::Unknown, "{refusal:?}");
+        let most = peak_memory_kib(site.router_process("r1").pid())?;
+        assert!(most < MOST_KIB, "the router took {most} KiB");
+        assert_serves(&mut site, "after").await
+    })
+}
+
+/// The most memory that a process has held.
+fn peak_memory_kib(pid: u32) -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+    let number = line.and_then(|it| it.split_whitespace().next());
+    Ok(number.unwrap_or_default().parse()?)
+}
+
 // The platform answers with garbage. Postings are refused, since nobody may send without a
 // claim; chats don't need the platform and go on.
 #[test]
--- a/crates/curranthook_tests/tests/malformed/garbage.rs
+++ b/crates/curranthook_tests/tests/malformed/garbage.rs
@@ -39,6 +39,32 @@
     Ok(addr)
 }
 
+/// Starts a server whose answers are one event that never ends.
+pub(super) fn listen_endless() -> anyhow::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve_endless(stream));
+        }
+    });
+    Ok(addr)
+}
+
+fn serve_endless(mut stream: TcpStream) {
+    const CHUNK: usize = 64 * 1024;
+    let mut buf = [0; 4096];
+    let mut sent = match stream.read(&mut buf) {
+        Ok(0) | Err(_) => return,
+        Ok(_) => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ")
+        }
+    };
+    while sent.is_ok() {
+        sent = stream.write_all(&[b'x'; CHUNK]);
+    }
+}
+
 fn serve(mut stream: TcpStream, answer: &[u8]) {
     const WAIT: Duration = Duration::from_secs(5);
     let mut buf = [0; 4096];
