--- a/crates/curranthook_tests/tests/poison.rs
+++ b/crates/curranthook_tests/tests/poison.rs
@@ -165,3 +165,35 @@
         Ok(())
     })
 }
+
+// The whole network is down for a moment, in the middle of an answer: connections break and new
+// ones are refused, as by a host whose endpoint is gone.
+#[test]
+fn a_request_hit_by_an_outage_of_the_network_isnt_poison() -> anyhow::Result<()> {
+    run(async {
+        let mut builder = Site::builder().routers(1).behind_proxy();
+        for n in 1..=4 {
+            builder = builder.engine(&format!("e{n}"), &["m@1"]);
+        }
+        let site = builder.start().await?;
+        for engine in site.engines.values() {
+            engine.set(&Faults { token_ms: Some(100.0), ..Faults::default() }).await?;
+        }
+        let good = Chat::new("main", "m", "weigh crate 7").with_max_tokens(8);
+        let mut stream = good.clone().streamed().open(&site.router("r1")).await?;
+        stream.read_events(2).await?;
+        for id in site.engines.keys() {
+            site.proxy().set_mode(&format!("endpoint/{id}"), link::Mode::Cut).await?;
+        }
+        assert!(!stream.finish().await?.is_whole());
+        for id in site.engines.keys() {
+            site.proxy().set_mode(&format!("endpoint/{id}"), link::Mode::Pass).await?;
+        }
+        // The bodies of the two differ in one field, so both are sent again.
+        for chat in [good.clone().streamed(), good] {
+            let answer = chat.send(&site.router("r1")).await?;
+            assert!(answer.is_whole(), "{answer:?}");
+        }
+        Ok(())
+    })
+}
