--- a/crates/curranthook_router/src/leaving.rs
+++ b/crates/curranthook_router/src/leaving.rs
@@ -11,6 +11,8 @@
 use curranthook_http::Exchange;
 use curranthook_platform::{Role, VmState, Vms};
 use curranthook_types::header;
+use futures_lite::future;
+use parking_lot::Mutex;
 
 use crate::Router;
 
@@ -18,9 +20,20 @@
 /// `docs/CAPACITY.md`.
 const PERIOD: Duration = Duration::from_secs(2);
 
-/// Watches the list, for as long as the process lives.
+/// How long an endpoint may take to say how it is.
+const LIMIT: Duration = Duration::from_secs(1);
+
+/// Watches the list and the endpoints that are leaving, for as long as the process lives.
 pub async fn run(router: Arc<Router>, vms: Arc<dyn Vms>) {
+    let named = Mutex::default();
+    // Side by side: endpoints that are going away tend not to answer, and waiting for them must
+    // not hold up the news that another one leaves.
+    future::zip(follow(&router, &*vms, &named), bring_back(&router, &named)).await;
+}
+
+async fn follow(router: &Router, vms: &dyn Vms, named: &Mutex<HashSet<SocketAddr>>) {
     loop {
+        // While the platform is out, what it said last stays in force.
         if let Ok(list) = vms.all().await {
             let leaving: HashSet<SocketAddr> = list
                 .iter()
@@ -28,19 +41,26 @@
                 .map(|it| it.address)
                 .collect();
             router.gates.mark_leaving(&leaving);
-            bring_back(&router, &leaving).await;
+            *named.lock() = leaving;
         }
         Timer::after(PERIOD).await;
     }
 }
 
-async fn bring_back(router: &Router, leaving: &HashSet<SocketAddr>) {
-    let marked = router.gates.leaving();
-    for addr in marked.into_iter().filter(|it| !leaving.contains(it)) {
-        let Ok(res) = Exchange::get(addr, "/healthz").run(&router.pool).await else { continue };
-        let is_leaving = res.headers().get(header::LEAVING).is_some_and(|it| it == "true");
-        if res.status().is_success() && !is_leaving {
-            router.gates.clear_leaving(addr);
+/// Asks marked endpoints that the list doesn't name. This goes on while the platform is out:
+/// endpoints that restart one by one would otherwise all be left out in the end.
+async fn bring_back(router: &Router, named: &Mutex<HashSet<SocketAddr>>) {
+    loop {
+        Timer::after(PERIOD).await;
+        let mut marked = router.gates.leaving();
+        marked.retain(|it| !named.lock().contains(it));
+        for addr in marked {
+            let call = Exchange::get(addr, "/healthz").with_timeout(LIMIT);
+            let Ok(res) = call.run(&router.pool).await else { continue };
+            let is_leaving = res.headers().get(header::LEAVING).is_some_and(|it| it == "true");
+            if res.status().is_success() && !is_leaving {
+                router.gates.clear_leaving(addr);
+            }
         }
     }
 }
