Graceful shutdown: proved; a claim's outcome no longer holds it for good

Cause: a router that ended waited for the outcomes of claimed calls as long as it tried to store them, up to 600 tries a second apart, before it handed its bill lines over. With the table out it would have been killed first. Releases of claims weren't waited for at all: a router that ended at that moment left a claim that nobody may send, though its caller had been told "not run".

Ruled out: long streams, requests that come late during the linger, two routers at once, a frozen peer during the hand-over, the whole platform down, a second SIGTERM, and all four routers replaced under load; these passed as found.

Change: outcomes and releases are counted apart from requests and get 20 s once the last request is done.

The release has no test of its own.

An outcome that can't be stored within 20 s is lost; its repeats get key_claimed with not_run unknown, and it never runs twice.

--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -55,11 +55,13 @@
     pub current: ArcSwapOption<Snapshot>,
     /// Requests under way.
     pub in_flight: Arc<AtomicUsize>,
+    /// Outcomes of claimed calls on their way to the platform.
+    pub outcomes: Arc<AtomicUsize>,
     /// Set when the process is asked to end.
     pub stopping: Stop,
 }
 
-/// Counts as one request under way until it's dropped.
+/// Counts as one request, or one outcome, under way until it's dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<AtomicUsize>);
 
@@ -82,6 +84,12 @@
         InFlight(Arc::clone(&self.in_flight))
     }
 
+    /// Counts an outcome as on its way.
+    pub fn enter_outcome(&self) -> InFlight {
+        self.outcomes.fetch_add(1, Ordering::SeqCst);
+        InFlight(Arc::clone(&self.outcomes))
+    }
+
     /// Checks the account's limit.
     pub fn limit(&self, snapshot: &Snapshot, account: &account::Id) -> Result<(), Refusal> {
         self.node.demand().add(account);
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -35,6 +35,9 @@
 /// How often the end of the last requests is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
+/// How long a router that ends goes on trying to store outcomes.
+const OUTCOME_LIMIT: Duration = Duration::from_secs(20);
+
 /// What the command line sets.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -81,10 +84,11 @@
     Timer::after(options.linger).await;
     close_callers.set();
     for_callers.await;
-    // Calls that go on without their caller, and outcomes still to be stored.
+    // Calls that go on without their caller.
     while 0 < router.in_flight.load(Ordering::SeqCst) {
         Timer::after(DRAIN_PERIOD).await;
     }
+    store_outcomes(&router).await;
     router.node.leave().await;
     close_peers.set();
     for_peers.await;
@@ -92,6 +96,26 @@
     Ok(())
 }
 
+/// Waits until the outcomes of claimed calls are stored, as long as that makes sense.
+///
+/// An outage of the platform outlasts the patience of whoever replaces this VM. A process that
+/// waited for its end would be killed with its bill lines still on it. A claim whose outcome
+/// isn't stored is never sent again; its repeats are told that nobody knows.
+async fn store_outcomes(router: &Router) {
+    let start = router.clock.now();
+    loop {
+        let n_outcomes = router.outcomes.load(Ordering::SeqCst);
+        if n_outcomes == 0 {
+            return;
+        }
+        if OUTCOME_LIMIT < router.clock.now().saturating_duration_since(start) {
+            log::error!("{n_outcomes} outcomes of claimed calls can't be stored");
+            return;
+        }
+        Timer::after(DRAIN_PERIOD).await;
+    }
+}
+
 fn build(
     settings: Settings,
     options: &Options,
@@ -134,6 +158,7 @@
         buckets: Mutex::new(HashMap::new()),
         current: None.into(),
         in_flight: Arc::default(),
+        outcomes: Arc::default(),
         started: clock.now(),
         ex: ex.clone(),
         pool: to_endpoints,
--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -159,7 +159,7 @@
             Ok(lease) => lease,
             Err(refusal) => {
                 // Surely not sent, so the caller may come again with the same key.
-                router.ex.spawn(claim.release()).detach();
+                release(router, claim);
                 return Err(refusal);
             }
         };
@@ -169,7 +169,7 @@
                 let stored = answer.body.clone();
                 let (status, content_type) = (answer.status, answer.content_type.clone());
                 // The caller needn't wait for the platform; a shutdown does.
-                let guard = router.enter();
+                let guard = router.enter_outcome();
                 router
                     .ex
                     .spawn(async move {
@@ -181,7 +181,7 @@
             }
             Err(failed) if failed.begun == Begun::No => {
                 if let Err(refusal) = tries.another(router, &call, failed, Repeat::AtMostOnce) {
-                    router.ex.spawn(claim.release()).detach();
+                    release(router, claim);
                     return Err(refusal);
                 }
             }
@@ -192,6 +192,18 @@
     }
 }
 
+/// Gives a claim up beside the answer to its caller.
+fn release(router: &Router, claim: Claim) {
+    // A router that ended before the release is stored would leave a claim that nobody may ever
+    // send, though its caller was told that it wasn't run.
+    let guard = router.enter_outcome();
+    let release = async move {
+        claim.release().await;
+        drop(guard);
+    };
+    router.ex.spawn(release).detach();
+}
+
 async fn repeatable(router: &Arc<Router>, call: &Call) -> Result<Answer, Refusal> {
     let mut tries = Tries::default();
     loop {
