--- a/crates/curranthook_router/src/lib.rs
+++ b/crates/curranthook_router/src/lib.rs
@@ -9,14 +9,14 @@
 //! - [`choose`]: which version to ask, and whether a cheaper one first;
 //! - [`claim`]: the right to send a call that may not be repeated;
 //! - [`gate`]: which endpoint takes it, and who waits;
-//! - [`attempt`], [`call`], [`source`]: one attempt, the attempts of a request, and the answer
-//!   as a stream that doesn't break off;
+//! - [`attempt`], [`hedge`], [`call`], [`source`]: one attempt, a second one beside it, the
+//!   attempts of a request, and the answer as a stream that doesn't break off;
 //! - [`bill`]: what it cost;
 //! - [`chat`], [`service`], [`answer`]: the two kinds of requests, put together.
 //!
 //! [`router`] holds what the stages share, [`snapshot`] one epoch of the configuration.
-//! [`follow`], [`leaving`] and [`watch`] are the tasks beside the requests. [`serve`] starts
-//! and ends it all.
+//! [`follow`], [`leaving`], [`stall`] and [`watch`] are the tasks beside the requests.
+//! [`serve`] starts and ends it all.
 
 pub mod accept;
 pub mod admit;
@@ -30,6 +30,7 @@
 pub mod claim;
 pub mod follow;
 pub mod gate;
+pub mod hedge;
 pub mod leaving;
 pub mod metrics;
 pub mod pin;
@@ -39,6 +40,7 @@
 pub mod service;
 pub mod snapshot;
 pub mod source;
+pub mod stall;
 pub mod status;
 pub mod token;
 pub mod watch;
