--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -131,7 +131,7 @@
             Ok(lease) => lease,
             Err(refusal) => {
                 // Surely not sent, so the caller may come again with the same key.
-                router.ex.spawn(claim.release()).detach();
+                release(router, claim);
                 return Err(refusal);
             }
         };
@@ -141,7 +141,7 @@
                 let stored = answer.body.clone();
                 let (status, content_type) = (answer.status, answer.content_type.clone());
                 // The caller needn't wait for the platform; a shutdown does.
-                let guard = router.enter();
+                let guard = router.enter_outcome();
                 router
                     .ex
                     .spawn(async move {
@@ -154,7 +154,7 @@
             Err(failed) if failed.begun == Begun::No => {
                 let another = tries.another(router, &call, failed, Repeat::AtMostOnce).await;
                 if let Err(refusal) = another {
-                    router.ex.spawn(claim.release()).detach();
+                    release(router, claim);
                     return Err(refusal);
                 }
             }
@@ -168,6 +168,18 @@
     }
 }
 
+/// Gives a claim up beside the answer to its caller.
+fn release(router: &Router, claim: Claim) {
+    // A router that ended before the release is stored would leave a claim that nobody may ever
+    // send, though its caller was told that it wasn't run.
+    let guard = router.enter_outcome();
+    let release = async move {
+        claim.release().await;
+        drop(guard);
+    };
+    router.ex.spawn(release).detach();
+}
+
 async fn repeatable(router: &Arc<Router>, call: &Call) -> Result<Answer, Refusal> {
     let mut tries = Tries::default();
     loop {
