An open stream keeps no room for attempts that it doesn't make

Cause: 5,000 open streams took 270 MB. The state of a stream held the state of opening, retrying and billing, whose attempts nest deeply. Change: those are allocated when they run.

--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -338,7 +338,7 @@
                 Ok(Item::End(usage)) => {
                     answer.add(source.version(), usage);
                     answer.observe(source.version(), usage);
-                    answer.bill(source.version()).await;
+                    Box::pin(answer.bill(source.version())).await;
                     let text = std::mem::take(&mut answer.text);
                     answer.follow_up(source.version(), text, usage);
                     Some((Ok(Frame::data(event(END_MARKER.as_bytes()))), None))
--- a/crates/curranthook_router/src/source.rs
+++ b/crates/curranthook_router/src/source.rs
@@ -103,7 +103,10 @@
     /// Asks for the answer, up to its first event, unless that was done.
     pub async fn open(&mut self, call: &mut Call) -> Result<(), Refusal> {
         if self.current.is_none() {
-            let Begin { link, first, events } = call.open(&self.version, self.tokens).await?;
+            // Boxed, as below: an open stream would otherwise keep room for the state of all
+            // attempts that it will most likely never make.
+            let open = Box::pin(call.open(&self.version, self.tokens));
+            let Begin { link, first, events } = open.await?;
             self.current = Some(Current { link, first: Some(first), events });
         }
         Ok(())
@@ -132,7 +135,7 @@
                 }
                 Read::Broken(reason, message, broke) => {
                     let failed = current.link.fail(reason, message, broke);
-                    call.failed(&self.version, failed, self.tokens).await?;
+                    Box::pin(call.failed(&self.version, failed, self.tokens)).await?;
                 }
             }
         }
