--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,38 +16,7 @@
 
 cargo build --quiet --workspace --bins --locked
 bin="$PWD/target/debug"
-dir=$(mktemp -d)
-pids=()
-
-stop() {
-    # Routers and steward first, so that they can still reach the platform.
-    for ((n = ${#pids[@]} - 1; n >= 0; n--)); do
-        kill "${pids[n]}" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    rm -rf "$dir"
-}
-trap stop EXIT
-
-# start NAME PROGRAM ARGUMENTS...: runs a program until its line with its addresses is there.
-start() {
-    local name=$1
-    shift
-    "$bin/$1" "${@:2}" >"$dir/$name.out" 2>"$dir/$name.log" &
-    pids+=($!)
-    for _ in $(seq 600); do
-        [ -s "$dir/$name.out" ] && return
-        sleep 0.05
-    done
-    echo "$name did not start:" >&2
-    cat "$dir/$name.log" >&2
-    exit 1
-}
-
-# address NAME PART: an address that a program printed.
-address() {
-    sed -E 's/.*"'"$2"'":"([^"]+)".*/\1/' "$dir/$1.out"
-}
+. scripts/processes.sh
 
 say() { printf '\n== %s\n' "$*"; }
 
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -6,27 +6,7 @@
 seconds=${SECONDS_EACH:-10}
 cargo build --quiet --release --workspace --bins --locked
 bin="$PWD/target/release"
-dir=$(mktemp -d)
-pids=()
-stop() {
-    for ((n = ${#pids[@]} - 1; n >= 0; n--)); do kill "${pids[n]}" 2>/dev/null || true; done
-    wait 2>/dev/null || true
-    rm -rf "$dir"
-}
-trap stop EXIT
-start() {
-    local name=$1
-    shift
-    "$bin/$1" "${@:2}" >"$dir/$name.out" 2>"$dir/$name.log" &
-    pids+=($!)
-    for _ in $(seq 600); do
-        [ -s "$dir/$name.out" ] && return
-        sleep 0.05
-    done
-    cat "$dir/$name.log" >&2
-    exit 1
-}
-address() { sed -E 's/.*"'"$2"'":"([^"]+)".*/\1/' "$dir/$1.out"; }
+. scripts/processes.sh
 memory() { awk '/VmRSS/ {print $2 " kB"}' "/proc/$1/status"; }
 
 cat >"$dir/fast.yaml" <<'Y'
