--- a/crates/curranthook_load/src/scenario.rs
+++ b/crates/curranthook_load/src/scenario.rs
@@ -96,6 +96,9 @@
     pub versions: BTreeSet<version::Id>,
     /// How many requests each runs at once.
     pub slots: usize,
+    /// How much longer a token takes for each other request in the batch, as a share.
+    #[serde(default = "default_batch_slowdown")]
+    pub batch_slowdown: f64,
 }
 
 impl Engines {
@@ -169,6 +172,9 @@
     /// The plain service called in place of a model.
     #[serde(default)]
     pub service: Option<String>,
+    /// What a call of the plain service does.
+    #[serde(default)]
+    pub call: Call,
     /// Whether the answer is streamed.
     #[serde(default)]
     pub stream: bool,
@@ -184,6 +190,17 @@
     pub deadline: Duration,
 }
 
+/// What a call of a plain service does.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// It writes an entry, which must not happen twice.
+    #[default]
+    Write,
+    /// It reads, which may be repeated.
+    Read,
+}
+
 /// A request that its caller sends again and again.
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
@@ -235,6 +252,11 @@
     }
 
     /// Parses and checks the text of a file.
+    ///
+    /// ```
+    /// use curranthook_load::scenario::Scenario;
+    /// assert!(Scenario::parse("name: unfinished").is_err());
+    /// ```
     pub fn parse(text: &str) -> Result<Self, Error> {
         let scenario: Self = serde_saphyr::from_str(text)?;
         let faults = check::faults(&scenario);
@@ -268,6 +290,11 @@
     "auto".to_owned()
 }
 
+fn default_batch_slowdown() -> f64 {
+    const SLOWDOWN: f64 = 0.02;
+    SLOWDOWN
+}
+
 fn default_words() -> usize {
     const WORDS: usize = 40;
     WORDS
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -176,7 +176,12 @@
     /// Takes over a document that came another way than from the table or a peer, if its epoch
     /// is higher, and says whether it did.
     pub fn offer(&self, document: Document) -> bool {
-        self.spread.offer(document)
+        self.spread.offer(document, None)
+    }
+
+    /// Asks a few peers for a newer document, after a pause in which none could come.
+    pub async fn refresh(&self) {
+        task::spread::refresh(self).await;
     }
 
     /// Who this node is to its peers.
@@ -219,6 +224,11 @@
         self.demand.share(account, self.site_nodes())
     }
 
+    /// Whether it has just started and still has peers to meet.
+    pub fn is_joining(&self) -> bool {
+        self.members.is_joining()
+    }
+
     /// What this node sees of the fleet.
     pub fn view(&self) -> member::View {
         self.members.view()
@@ -320,8 +330,9 @@
         };
         let result = client.call(addr, method, param, timeout).await;
         // A refusal is an answer; anything else says that the peer can't be used.
-        if !matches!(result, Ok(_) | Err(rpc::Error::Refused(_))) {
-            self.members.failed(addr);
+        match result {
+            Ok(_) | Err(rpc::Error::Refused(_)) => self.members.reached(addr),
+            Err(_) => self.members.failed(addr),
         }
         result
     }
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -1,6 +1,6 @@
 //! Bringing bill lines to peers and into the store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_http::timeout;
 use futures_lite::future;
@@ -58,6 +58,9 @@
     let store = timeout::run(SECOND_TIMEOUT, store);
     let send = send(node, others, batch, SECOND_TIMEOUT);
     let (stored, n_more) = future::zip(store, send).await;
+    if stored != Ok(true) && n_held + n_more < COPIES.min(peers.len()).max(1) {
+        node.journal().set_thin(batch);
+    }
     match (stored, n_held + n_more) {
         (_, n) if COPIES <= n => Durability::Replicated(n),
         (Ok(true), _) => Durability::Stored,
@@ -84,6 +87,7 @@
         let flushed = node.journal().flush(&*node.setup.objects).await;
         mark(&node).await;
         if !flushed {
+            copy_anew(&node).await;
             // The store is out; a hurry must not turn this into a loop without a pause.
             pause(node.tuning().flush).await;
         }
@@ -94,12 +98,39 @@
 /// hear that the owner lives, and don't all try to store its lines too.
 async fn mark(node: &Node) {
     let mark = node.journal().mark();
-    let holders: Vec<_> = node.holders.lock().iter().copied().collect();
+    // Taken, not read: a peer that gets new lines while this runs must not be forgotten below.
+    let holders = std::mem::take(&mut *node.holders.lock());
     let calls = holders.iter().map(|addr| node.call::<()>(*addr, "replicate", &mark, rpc::TIMEOUT));
     // One that misses this takes the owner for silent and stores the lines again, harmlessly.
     let _best_effort = join_all(calls).await;
-    if node.journal().n_lines() == 0 {
-        node.holders.lock().clear();
+    if 0 < node.journal().n_lines() {
+        node.holders.lock().extend(holders);
+    }
+}
+
+/// Brings lines to peers again that have lost copies or never had enough.
+///
+/// An outage of the store lasts longer than some VMs do. Were lines copied only once, those that
+/// were written down while no peer was in reach, or whose holders have been replaced since,
+/// would be lost with this VM.
+async fn copy_anew(node: &Node) {
+    let alive: BTreeSet<_> =
+        node.members().alive().into_iter().map(|it| it.identity.addr).collect();
+    let has_lost_holder = {
+        let mut holders = node.holders.lock();
+        let n_before = holders.len();
+        holders.retain(|it| alive.contains(it));
+        holders.len() < n_before
+    };
+    if has_lost_holder {
+        node.journal().set_all_thin();
+    }
+    let mut peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
+    peers.truncate(COPIES);
+    for batch in node.journal().take_thin() {
+        if send(node, &peers, &batch, SECOND_TIMEOUT).await < peers.len().max(1) {
+            node.journal().set_thin(&batch);
+        }
     }
 }
 
@@ -111,14 +142,26 @@
     }
 }
 
-/// Brings the lines that can't be stored to peers before this node leaves.
-pub(crate) async fn hand_over(node: &Node) {
+/// Brings the lines that can't be stored to peers before this node leaves: its own, and those
+/// that it keeps for others. Says whether each has a peer that keeps it.
+///
+/// An owner that is gone has no copies but its replicas'. While the store is out, VMs are
+/// replaced as on any other day; were a replica's lines left behind with it, the last
+/// replacement of the owner's two replicas would take them off the bill.
+pub(crate) async fn hand_over(node: &Node) -> bool {
     let peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
-    for batch in node.journal().unstored() {
-        for pair in peers.chunks(COPIES) {
-            if 0 < send(node, pair, &batch, rpc::TIMEOUT).await {
-                break;
-            }
+    let mut all_kept = true;
+    for batch in node.journal().unstored().into_iter().chain(node.replicas().batches()) {
+        all_kept &= hand_over_batch(node, &peers, &batch).await;
+    }
+    all_kept
+}
+
+async fn hand_over_batch(node: &Node, peers: &[SocketAddr], batch: &Batch) -> bool {
+    for pair in peers.chunks(COPIES) {
+        if 0 < send(node, pair, batch, rpc::TIMEOUT).await {
+            return true;
         }
     }
+    false
 }
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -26,6 +26,7 @@
     gate::{Entry, Lease, Target},
     hedge,
     snapshot::Snapshot,
+    stall,
 };
 
 /// Connections idle for longer than this are proved by a new one when time matters.
@@ -103,7 +104,7 @@
         self.exclude.push(failed.endpoint.clone());
         if failed.begun == Begun::Perhaps {
             self.run = Run::Unknown;
-            self.router.note_failure(version);
+            self.router.note_failure(&self.chat.ask.kind, version);
         }
         if failed.broke == Break::Closed {
             attempt::charge(&self.router, self.chat.ask.fingerprint, &failed.endpoint).await;
@@ -168,6 +169,7 @@
             lease = self.lease(version).await;
         }
         let lease = lease.map_err(|it| Refusal { not_run: self.run, ..it })?;
+        stall::catch_up(&self.router).await;
         self.check(version)?;
         Ok(lease)
     }
@@ -208,11 +210,12 @@
         let slow_after = lease.slow_after();
         let endpoint = lease.endpoint().clone();
         let first = self.attempt(version, from_token, lease, Freshness::Within(FRESH));
-        hedge::run(slow_after, first, || {
+        let second = async {
+            stall::catch_up(&self.router).await;
             let lease = self.second(version, &endpoint)?;
             Some(self.attempt(version, from_token, lease, Freshness::New))
-        })
-        .await
+        };
+        hedge::run(slow_after, first, second).await
     }
 
     fn second(&self, version: &version::Id, first: &endpoint::Id) -> Option<Lease> {
--- a/crates/curranthook_router/src/watch.rs
+++ b/crates/curranthook_router/src/watch.rs
@@ -7,8 +7,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use async_io::Timer;
-use curranthook_peers::evidence;
-use curranthook_policy::verdict::{Config, Counts, Reference, State, Test};
+use curranthook_peers::evidence::{self, Subject};
+use curranthook_policy::{
+    choice,
+    verdict::{Config, Counts, Reference, State, Test},
+};
 use curranthook_types::version;
 
 use crate::Router;
@@ -21,6 +24,7 @@
     let mut tests: HashMap<version::Id, Test> = HashMap::new();
     loop {
         Timer::after(PERIOD).await;
+        share(&router);
         let Ok(snapshot) = router.snapshot() else { continue };
         for id in snapshot.config().versions.keys() {
             let test = tests
@@ -29,6 +33,8 @@
             for (origin, counts) in router.node.evidence().by_origin(id) {
                 test.merge_counts(&origin, convert(counts));
             }
+            // The policy's own samples come on top, so only what goes beyond them counts here.
+            router.sampling.lock().insert(id.clone(), test.sampling(0.0));
             if let State::Suspect(reason) = test.state()
                 && !router.node.suspects().contains(id)
                 && !snapshot.document.withdrawn.contains(id)
@@ -41,6 +47,15 @@
     }
 }
 
+/// Lets the choice of versions profit from what other nodes have seen.
+fn share(router: &Router) {
+    let mut chooser = router.chooser.lock();
+    for (Subject { version, kind }, counts) in router.node.evidence().of_others() {
+        let ratings = choice::Counts { n: counts.rated, sum: counts.rating_sum };
+        chooser.merge(&kind, &version, ratings);
+    }
+}
+
 fn convert(counts: evidence::Counts) -> Counts {
     Counts {
         n: counts.rated,
@@ -48,6 +63,7 @@
         squares: counts.rating_sq_sum,
         calls: counts.calls,
         errors: counts.failures,
-        ..Counts::default()
+        tokens: counts.tokens,
+        lengths: counts.lengths,
     }
 }
--- a/crates/curranthook_steward/src/evidence.rs
+++ b/crates/curranthook_steward/src/evidence.rs
@@ -48,6 +48,6 @@
         calls: counts.calls,
         errors: counts.failures,
         tokens: counts.tokens,
-        ..Counts::default()
+        lengths: counts.lengths,
     }
 }
--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -2,6 +2,7 @@
 
 mod builder;
 mod config;
+mod observe;
 
 use std::{
     collections::BTreeMap,
@@ -22,6 +23,7 @@
 };
 
 pub use builder::Builder;
+pub use observe::Status;
 
 /// The name of the site that tests run.
 pub const NAME: &str = "test";
@@ -196,6 +198,20 @@
         eventually(READY_LIMIT, is_ready).await.with_context(|| format!("{vm} isn't ready"))
     }
 
+    /// Waits until each router has answered calls of at least `n` others, so that it has peers to
+    /// hold its bill lines.
+    pub async fn wait_met(&self, n: usize) -> anyhow::Result<()> {
+        for vm in self.routers.keys() {
+            let has_met = async || {
+                let status = self.status(vm).await?;
+                Ok(n <= status.peers.view.alive.len())
+            };
+            let met = eventually(READY_LIMIT, has_met).await;
+            met.with_context(|| format!("{vm} knows fewer than {n} others"))?;
+        }
+        Ok(())
+    }
+
     /// The address under which `target` is reached: the link `name` of the proxy, if there is
     /// one. A link that exists already gets the new target and keeps its fault.
     async fn through(&self, name: &str, target: SocketAddr) -> anyhow::Result<SocketAddr> {
@@ -209,6 +225,13 @@
         Ok(link.listen)
     }
 
+    /// Where peers reach the router of a VM, which need not have started yet.
+    async fn peer_link(&self, vm: &str) -> anyhow::Result<SocketAddr> {
+        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+        let target = self.routers.get(vm).map_or(nowhere, |it| it.addr("peers"));
+        self.through(&format!("peer/{vm}"), target).await
+    }
+
     /// Where the other routers are reached by peers.
     fn peers_of(&self, vm: &str) -> Vec<SocketAddr> {
         let others = self.fronts.iter().filter(|(name, _)| *name != vm);
@@ -217,6 +240,10 @@
 
     async fn write_settings(&self, vm: &str) -> anyhow::Result<String> {
         let platform = self.through(&format!("platform/{vm}"), self.platform.addr()).await?;
+        let peer_address = match &self.proxy {
+            Some(_) => Some(self.peer_link(vm).await?),
+            None => None,
+        };
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let mut settings = node::Settings {
             vm: vm.into(),
@@ -224,6 +251,8 @@
             failure_domain: config::failure_domain(vm),
             listen: any_port,
             peer_listen: any_port,
+            // Peers name each other; without this they would get past the proxy.
+            peer_address,
             steward_listen: any_port,
             platform: node::Platform { table: platform, objects: platform, vms: platform },
             seeds: self.peers_of(vm),
