Another call's 'not begun' is no word on ours

Cause: whether an endpoint said 'not begun' was looked at before whose answer it was. A crossed refusal made the router send a posting to the next endpoint too, and tell its caller 'not run'. Ruled out: the id check itself, which caught crossed answers of every other kind. Change: the id is checked first; load and leaving are taken from one's own answers only. Conclusion: mended for answers that carry an id; endpoints that send none can't be told apart.

--- a/crates/curranthook_router/src/attempt.rs
+++ b/crates/curranthook_router/src/attempt.rs
@@ -109,6 +109,12 @@
         }
     };
     let (head, body) = res.into_parts();
+    // This comes first: "not begun", when it was said to another request, proves nothing of ours.
+    if is_foreign(&head, request) {
+        conn.close();
+        let message = "the answer belongs to another request".to_owned();
+        return Err(failed(lease, retry::Reason::ForeignAnswer, Begun::Perhaps, message));
+    }
     note_load(router, &lease, &head);
     if let Some(reason) = refused(&head) {
         let message = format!("refused before it began: {}", head.status);
@@ -116,11 +122,6 @@
         lease.finish(Outcome::Refused);
         return Err(Failed { endpoint, reason, begun: Begun::No, message, broke: Break::None });
     }
-    if is_foreign(&head, request) {
-        conn.close();
-        let message = "the answer belongs to another request".to_owned();
-        return Err(failed(lease, retry::Reason::ForeignAnswer, Begun::Perhaps, message));
-    }
     Ok(Open { link: Link { lease, conn, first_byte: started.elapsed() }, head, body })
 }
 
--- a/crates/curranthook_tests/tests/true_refusal.rs
+++ b/crates/curranthook_tests/tests/true_refusal.rs
@@ -5,6 +5,13 @@
 
 use std::{
     collections::BTreeMap,
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -308,3 +315,43 @@
         Ok(())
     })
 }
+
+// Answers are crossed, and a call gets the "not begun" that was meant for another. Believed, it
+// would be sent to the next endpoint as well, or its caller told to try again; the endpoint may
+// be posting the crate at that moment.
+#[test]
+fn a_refusal_meant_for_another_call_isnt_believed() -> anyhow::Result<()> {
+    run(async {
+        let (addr, n_received) = crossed()?;
+        let site = Site::builder().service("s1", "ledger").service("s2", "ledger").routers(1);
+        let site = site.config(move |config| {
+            config.endpoints.values_mut().for_each(|it| it.address = addr);
+        });
+        let site = site.start().await?;
+        let answer = send(&site, Kind::Posting, "mine", PATIENT_MS).await?;
+        let refusal = refusal(&answer).expect("a refusal");
+        assert_eq!(refusal.not_run, Run::Unknown, "{refusal:?}");
+        assert_eq!(n_received.load(Ordering::SeqCst), 1, "the posting went out once");
+        Ok(())
+    })
+}
+
+/// Starts an endpoint that answers each call with another one's refusal, and counts the calls.
+fn crossed() -> anyhow::Result<(SocketAddr, Arc<AtomicUsize>)> {
+    const ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nx-request-id: another\r\n\
+        x-endpoint-not-started: true\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let addr = listener.local_addr()?;
+    let n_received = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&n_received);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut buf = [0; 4096];
+            if stream.read(&mut buf).is_ok_and(|n_read| buf[..n_read].starts_with(b"POST")) {
+                count.fetch_add(1, Ordering::SeqCst);
+                let _caller_may_be_gone = stream.write_all(ANSWER);
+            }
+        }
+    });
+    Ok((addr, n_received))
+}
