Postings whose router is killed, or frozen as it claims

Cause: two points in a posting's life had no proof. Ruled out: a second send, and a 'not run' for a call that may have run. Change: tests only. A key whose router died stays claimed for good: the price of at most once.

--- a/crates/curranthook_tests/tests/at_most_once/frozen.rs
+++ b/crates/curranthook_tests/tests/at_most_once/frozen.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use curranthook_standin::service;
+use curranthook_standin::{
+    platform::fault::{Fault, Faults, Mode},
+    service,
+};
 use curranthook_tests::{Site, call::Call, eventually, run, site::Builder};
 use curranthook_types::{
     header,
@@ -14,6 +17,8 @@
 
 /// Longer than the router waits for the platform, for a connection and for the callers here.
 const PAST_LIMITS: Duration = Duration::from_secs(4);
+/// Long enough for a claim to have reached the platform.
+const UNDER_WAY: Duration = Duration::from_millis(300);
 
 // A VM stands still between claim and send, longer than any limit, and its caller asks another
 // router. Once awake the first goes on as if nothing had happened: with a lease on the claim the
@@ -54,6 +59,65 @@
     })
 }
 
+// The VM stands still while the platform writes its claim. When it wakes the wait for the answer
+// is over, so it may go on or give up; either way the caller ends up with one posting.
+#[test]
+fn a_router_frozen_while_it_claims_loses_and_doubles_nothing() -> anyhow::Result<()> {
+    run(async {
+        let mut site = site().start().await?;
+        let table = Fault {
+            mode: Mode::Slow,
+            delay_ms: 700,
+            key_prefix: "claims/".to_owned(),
+            ..Fault::default()
+        };
+        site.platform.set(&Faults { table, ..Faults::default() }).await?;
+        let first = spawn(posting("claiming"), &site, "r1");
+        // The verdict holds wherever this catches it; mostly that is before the answer.
+        Timer::after(UNDER_WAY).await;
+        site.router_process("r1").freeze()?;
+        site.platform.mend().await?;
+        Timer::after(PAST_LIMITS).await;
+        site.router_process("r1").thaw()?;
+        let first = first.await?;
+        let told = first.refusal().map(|it| it.not_run);
+        assert!(first.status == 200 || told == Some(Run::Not), "{first:?}");
+        repeat(&site, "r2", "claiming").await?;
+        assert_eq!(n_runs(&site, "claiming").await?, 1);
+        Ok(())
+    })
+}
+
+// The VM dies with a posting in it, sent or not. Nobody can tell which, so nobody may send it
+// again, and no caller may be told that it didn't run.
+#[test]
+fn a_call_whose_router_was_killed_is_never_sent_again() -> anyhow::Result<()> {
+    run(async {
+        let mut site = site_with_one_slot().start().await?;
+        let (_busy, waiting) = freeze_between_claim_and_send(&mut site, posting("killed")).await?;
+        site.router_process("r1").kill()?;
+        assert!(waiting.await.is_err(), "its connection is gone");
+        let mut late = service::Faults { answer_late_ms: 1_000, ..Default::default() };
+        site.service("s1").set(&late).await?;
+        site.start_router("r1").await?;
+        let sent = spawn(posting("sent"), &site, "r1");
+        eventually(LIMIT, async || Ok(n_runs(&site, "sent").await? == 1)).await?;
+        site.router_process("r1").kill()?;
+        assert!(sent.await.is_err(), "its connection is gone");
+        late.answer_late_ms = 0;
+        site.service("s1").set(&late).await?;
+        for key in ["killed", "sent"] {
+            for _ in 0..3 {
+                let again = posting(key).send(&site.router("r2")).await?;
+                assert_eq!(code(&again), Some((Reason::KeyClaimed, Run::Unknown)), "{again:?}");
+            }
+        }
+        assert_eq!(n_runs(&site, "killed").await?, 0);
+        assert_eq!(n_runs(&site, "sent").await?, 1);
+        Ok(())
+    })
+}
+
 fn site_with_one_slot() -> Builder {
     site().config(|config| config.endpoints.values_mut().for_each(|it| it.slots = 1))
 }
