Many connections that go silent at once don't use up the retries

Cause: a request on a silent connection needs a second attempt, and that cost one of the node's retries. Forty requests at once on forty silent connections used them up after ten; the others waited for their deadline. Ruled out: sequential requests: the newest idle connection is used first, so only one silent one is met. Change: a second attempt costs nothing when a newer connection to the same endpoint has been answered since the first began; it is asked for again while there is none; idle siblings of a mute connection are closed. Conclusion: mended for one endpoint. Where a request is slow by itself and newer connections were answered, its second attempt is free as well.

--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -87,13 +87,22 @@
 pub struct Connection {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    reused: bool,
+    opened: Opened,
+}
+
+/// When a connection was opened.
+#[derive(Debug, Clone, Copy)]
+enum Opened {
+    /// For this call.
+    Now(Instant),
+    /// For an earlier call.
+    Earlier,
 }
 
 impl Connection {
     /// Whether it served another call before.
     pub fn is_reused(&self) -> bool {
-        self.reused
+        matches!(self.opened, Opened::Earlier)
     }
 
     /// The other end.
@@ -133,13 +142,21 @@
     clock: Arc<dyn Clock>,
     connect_timeout: Duration,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    /// When the newest connection that was answered had been opened.
+    answered: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 impl Pool {
     /// An empty pool.
     pub fn new(ex: runtime::Handle, clock: Arc<dyn Clock>) -> Self {
         const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-        Self { ex, clock, connect_timeout: CONNECT_TIMEOUT, idle: Mutex::default() }
+        Self {
+            ex,
+            clock,
+            connect_timeout: CONNECT_TIMEOUT,
+            idle: Mutex::default(),
+            answered: Mutex::default(),
+        }
     }
 
     /// Sets how long a connection attempt may take; one second if not set.
@@ -153,7 +170,7 @@
             // The task that drives the connection may still be closing the last exchange. One
             // that can't, because the other end stopped reading, would keep us waiting for good.
             if let Ok(Ok(())) = timeout::run(READY_TIMEOUT, sender.ready()).await {
-                return Ok(Connection { addr, sender, reused: true });
+                return Ok(Connection { addr, sender, opened: Opened::Earlier });
             }
         }
         self.connect(addr).await
@@ -177,6 +194,19 @@
         self.idle.lock().remove(&addr);
     }
 
+    /// Notes that an answer came on `conn`.
+    pub fn answered(&self, conn: &Connection) {
+        if let Opened::Now(opened) = conn.opened {
+            self.answered.lock().insert(conn.addr, opened);
+        }
+    }
+
+    /// Whether a connection to `addr` that was opened after `since` has been answered. A call
+    /// that began before and still has no answer is likely on a connection that went silent.
+    pub fn is_answered_since(&self, addr: SocketAddr, since: Instant) -> bool {
+        self.answered.lock().get(&addr).is_some_and(|opened| since < *opened)
+    }
+
     fn take_idle(
         &self,
         addr: SocketAddr,
@@ -204,6 +234,7 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
+        let opened = self.clock.now();
         let failed = |kind, why: String| Error::Connect { addr, kind, why };
         let dial = timeout::run(self.connect_timeout, Async::<std::net::TcpStream>::connect(addr));
         let dialled = dial.await.map_err(|e| failed(io::ErrorKind::TimedOut, e.to_string()))?;
@@ -220,6 +251,6 @@
                 let _failed = conn.await;
             })
             .detach();
-        Ok(Connection { addr, sender, reused: false })
+        Ok(Connection { addr, sender, opened: Opened::Now(opened) })
     }
 }
--- a/crates/curranthook_router/src/attempt.rs
+++ b/crates/curranthook_router/src/attempt.rs
@@ -1,6 +1,10 @@
 //! One attempt at one endpoint, up to the head of its answer.
 
-use std::{collections::HashSet, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -115,6 +119,7 @@
         let message = "the answer belongs to another request".to_owned();
         return Err(failed(lease, retry::Reason::ForeignAnswer, Begun::Perhaps, message));
     }
+    router.pool.answered(&conn);
     note_load(router, &lease, &head);
     if let Some(reason) = refused(&head) {
         let message = format!("refused before it began: {}", head.status);
@@ -177,6 +182,40 @@
     head.headers.get(header::REQUEST_ID).is_some_and(|it| it != request.as_str())
 }
 
+/// The attempt that a second one is made beside.
+#[derive(Debug)]
+pub struct Beside {
+    /// Where it is.
+    pub endpoint: endpoint::Id,
+    addr: SocketAddr,
+    started: Instant,
+}
+
+impl Beside {
+    /// The attempt that is about to be made under `lease`.
+    pub fn new(lease: &Lease) -> Self {
+        let endpoint = lease.endpoint().clone();
+        Self { endpoint, addr: lease.addr(), started: lease.started() }
+    }
+
+    /// Takes a retry for a second attempt; `false` if there is none left.
+    ///
+    /// When many connections go silent at once, each request on one of them needs a second
+    /// attempt, more than a node's budget has. A newer connection that was answered meanwhile
+    /// shows that the endpoint is well and the connection isn't; then it costs nothing.
+    pub fn spend(&self, router: &Router) -> bool {
+        // The idle connections beside it may be as silent.
+        router.pool.forget(self.addr);
+        let reason = retry::Reason::SlowFirstByte;
+        let is_silent = router.pool.is_answered_since(self.addr, self.started);
+        if !is_silent && router.budget.lock().spend(reason, router.clock.now()).is_err() {
+            return false;
+        }
+        router.metrics.retried(reason);
+        true
+    }
+}
+
 /// Charges a request with the endpoint on which its connection broke, if that endpoint died.
 pub async fn charge(router: &Router, fingerprint: [u8; 16], endpoint: &endpoint::Id) {
     let Ok(snapshot) = router.snapshot() else { return };
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -20,7 +20,7 @@
 use crate::{
     Router,
     admit::Chat,
-    attempt::{self, Begun, Break, Failed, Link, Open},
+    attempt::{self, Begun, Beside, Break, Failed, Link, Open},
     choose,
     events::{self, Events},
     gate::{Entry, Lease, Target},
@@ -208,17 +208,17 @@
         lease: Lease,
     ) -> Result<Begin, Failed> {
         let slow_after = lease.slow_after();
-        let endpoint = lease.endpoint().clone();
+        let beside = &Beside::new(&lease);
         let first = self.attempt(version, from_token, lease, Freshness::Within(FRESH));
-        let second = async {
+        let second = || async move {
             stall::catch_up(&self.router).await;
-            let lease = self.second(version, &endpoint)?;
+            let lease = self.second(version, beside)?;
             Some(self.attempt(version, from_token, lease, Freshness::New))
         };
         hedge::run(slow_after, first, second).await
     }
 
-    fn second(&self, version: &version::Id, first: &endpoint::Id) -> Option<Lease> {
+    fn second(&self, version: &version::Id, first: &Beside) -> Option<Lease> {
         self.check(version).ok()?;
         let gate = self.router.gates.get(&Target::Version(version.clone())).ok()?;
         let entry = Entry {
@@ -227,9 +227,8 @@
             affinity: None,
             exclude: &self.exclude,
         };
-        let lease = gate.try_second(entry, first)?;
-        self.spend(Retry::SlowFirstByte).ok()?;
-        Some(lease)
+        let lease = gate.try_second(entry, &first.endpoint)?;
+        first.spend(&self.router).then_some(lease)
     }
 
     async fn attempt(
--- a/crates/curranthook_router/src/hedge.rs
+++ b/crates/curranthook_router/src/hedge.rs
@@ -11,22 +11,36 @@
 
 use crate::attempt::{Begun, Failed};
 
-/// Runs `first` and, if it takes longer than `slow_after`, the attempt that `second` comes up with
-/// beside it. Whichever succeeds first wins; the other is dropped, and its connection closed.
-pub async fn run<T, F: Future<Output = Result<T, Failed>>>(
+/// The pause before a second attempt is asked for again.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Runs `first` and, if it takes longer than `slow_after`, the attempt that `second` gives beside
+/// it; while that gives none it is asked again. Whichever attempt succeeds first wins; the other
+/// is dropped, and its connection closed.
+pub async fn run<T, F, S>(
     slow_after: Duration,
     first: impl Future<Output = Result<T, Failed>>,
-    second: impl Future<Output = Option<F>>,
-) -> Result<T, Failed> {
+    mut second: impl FnMut() -> S,
+) -> Result<T, Failed>
+where
+    F: Future<Output = Result<T, Failed>>,
+    S: Future<Output = Option<F>>,
+{
     let mut first = pin!(first);
-    let early = future::or(async { Some(first.as_mut().await) }, async {
-        Timer::after(slow_after).await;
-        None
-    });
-    if let Some(result) = early.await {
-        return result;
-    }
-    let Some(second) = second.await else { return first.await };
+    let mut pause = slow_after;
+    let second = loop {
+        let early = future::or(async { Some(first.as_mut().await) }, async {
+            Timer::after(pause).await;
+            None
+        });
+        if let Some(result) = early.await {
+            return result;
+        }
+        if let Some(second) = second().await {
+            break second;
+        }
+        pause = AGAIN;
+    };
     let mut second = pin!(second);
     let left = async { (Place::First, first.as_mut().await) };
     let right = async { (Place::Second, second.as_mut().await) };
--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     Router, admit,
-    attempt::{self, Begun, Break, Failed, Open},
+    attempt::{self, Begun, Beside, Break, Failed, Open},
     claim::{self, Claim, State},
     gate::{Entry, Lease, Target},
     hedge,
@@ -200,24 +200,21 @@
     tries: &Tries,
 ) -> Result<Answer, Failed> {
     let slow_after = lease.slow_after();
-    let endpoint = lease.endpoint().clone();
+    let beside = &Beside::new(&lease);
     let first = attempt(router, call, lease, Freshness::Within(FRESH));
-    let second = async {
-        let lease = second(router, call, &endpoint, tries)?;
+    let second = || async move {
+        let lease = second(router, call, beside, tries)?;
         Some(attempt(router, call, lease, Freshness::New))
     };
     hedge::run(slow_after, first, second).await
 }
 
-fn second(router: &Router, call: &Call, first: &endpoint::Id, tries: &Tries) -> Option<Lease> {
+fn second(router: &Router, call: &Call, first: &Beside, tries: &Tries) -> Option<Lease> {
     check(&*router.snapshot().ok()?, call).ok()?;
     let gate = router.gates.get(&Target::Service(call.service.clone())).ok()?;
     let entry = Entry { ask: &call.ask, weight: 1.0, affinity: None, exclude: &tries.exclude };
-    let lease = gate.try_second(entry, first)?;
-    let reason = curranthook_types::retry::Reason::SlowFirstByte;
-    router.budget.lock().spend(reason, router.clock.now()).ok()?;
-    router.metrics.retried(reason);
-    Some(lease)
+    let lease = gate.try_second(entry, &first.endpoint)?;
+    first.spend(router).then_some(lease)
 }
 
 async fn charge(router: &Router, call: &Call, failed: &Failed) {
--- a/crates/curranthook_tests/tests/silent_connection.rs
+++ b/crates/curranthook_tests/tests/silent_connection.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use curranthook_standin::{engine::faults::Faults, proxy::link};
+use curranthook_standin::{
+    engine::{faults::Faults, profile::Profile},
+    proxy::link,
+};
 use curranthook_tests::{
     Site,
     call::{Answer, Call, Chat},
@@ -19,7 +22,9 @@
 const N_WARM: usize = 12;
 
 fn site() -> Builder {
-    Site::builder().engine("e1", &["m@1"]).service("s1", "ledger").routers(2).behind_proxy()
+    let profile = Profile { slots: 64, ..Profile::default() };
+    let site = Site::builder().engine("e1", &["m@1"]).profile("e1", profile);
+    site.service("s1", "ledger").routers(2).behind_proxy()
 }
 
 fn chat(id: &str) -> Chat {
@@ -90,6 +95,43 @@
     })
 }
 
+// Busy hours leave many idle connections behind, and all go silent. If each had to be found out
+// by a request of its own, the delays would go on for as many requests, and the node would run
+// out of retries on the way.
+#[test]
+fn many_silent_idle_connections_are_found_out_at_once() -> anyhow::Result<()> {
+    run(async {
+        const N_IDLE: usize = 40;
+        let site = site().start().await?;
+        warm_up(&site).await?;
+        site.engine("e1").set(&Faults { first_token_ms: Some(300.0), ..Faults::default() }).await?;
+        at_once(&site, "idle", N_IDLE).await?;
+        site.engine("e1").set(&Faults::default()).await?;
+        warm_up(&site).await?;
+        silence_endpoints(&site).await?;
+        let start = Instant::now();
+        at_once(&site, "after", N_IDLE).await?;
+        assert_quick("forty chats at once", start);
+        Ok(())
+    })
+}
+
+/// Makes calls at the same time, each of which has to be answered.
+async fn at_once(site: &Site, name: &str, n_calls: usize) -> anyhow::Result<()> {
+    let addr = site.router("r1");
+    let calls: Vec<_> = (0..n_calls)
+        .map(|n| {
+            let chat = chat(&format!("{name}{n}"));
+            curranthook_tests::executor().spawn(async move { chat.send(&addr).await })
+        })
+        .collect();
+    for call in calls {
+        let answer = call.await?;
+        anyhow::ensure!(answer.is_whole(), "{answer:?}");
+    }
+    Ok(())
+}
+
 // The same for a status read of a service, before the router knows how quick the service is.
 #[test]
 fn a_read_on_a_silent_idle_connection_is_answered() -> anyhow::Result<()> {
--- a/crates/curranthook_tests/tests/true_refusal.rs
+++ b/crates/curranthook_tests/tests/true_refusal.rs
@@ -17,6 +17,8 @@
 
 use curranthook_standin::{
     engine::{faults::Faults, record::Outcome},
+    fault::Count,
+    proxy::link,
     service,
 };
 use curranthook_tests::{
@@ -316,6 +318,32 @@
     })
 }
 
+// The first attempt hangs, a second one beside it can't even connect, and then the first one's
+// connection breaks. The second surely didn't run; the request as a whole may have.
+#[test]
+fn the_worse_of_two_attempts_counts() -> anyhow::Result<()> {
+    run(async {
+        // Longer than the router waits before a second attempt.
+        const SECOND_FAILED: Duration = Duration::from_secs(4);
+        let site = Site::builder().engine("e1", &["m@1"]).routers(1).behind_proxy();
+        let site = site.start().await?;
+        let hang = Faults { hang_before_head: Count::Always(true), ..Default::default() };
+        site.engine("e1").set(&hang).await?;
+        let breaks = async {
+            let has_begun = async || Ok(runs(&site).await?.contains_key("two"));
+            eventually(LIMIT, has_begun).await?;
+            site.proxy().set_mode("endpoint/e1", link::Mode::Refuse).await?;
+            async_io::Timer::after(SECOND_FAILED).await;
+            site.proxy().set_mode("endpoint/e1", link::Mode::Cut).await
+        };
+        let call = send(&site, Kind::Whole, "two", PATIENT_MS);
+        let (answer, broken) = futures_lite::future::zip(call, breaks).await;
+        broken?;
+        assert_eq!(refusal(&answer?).map(|it| it.not_run), Some(Run::Unknown));
+        Ok(())
+    })
+}
+
 // Answers are crossed, and a call gets the "not begun" that was meant for another. Believed, it
 // would be sent to the next endpoint as well, or its caller told to try again; the endpoint may
 // be posting the crate at that moment.
