--- a/crates/curranthook_router/src/status.rs
+++ b/crates/curranthook_router/src/status.rs
@@ -17,6 +17,7 @@
 #[derive(Debug, Serialize)]
 struct Status<'a> {
     vm: &'a vm::Id,
+    incarnation: vm::Incarnation,
     site: &'a site::Id,
     failure_domain: &'a domain::Id,
     epoch: Epoch,
@@ -38,6 +39,7 @@
     let epoch = router.current.load().as_ref().map(|it| it.document.epoch);
     let status = Status {
         vm: &settings.vm,
+        incarnation: router.node.identity().incarnation,
         site: &settings.site,
         failure_domain: &settings.failure_domain,
         epoch: epoch.unwrap_or_default(),
