--- a/crates/curranthook_peers/tests/peers/digest.rs
+++ b/crates/curranthook_peers/tests/peers/digest.rs
@@ -24,7 +24,8 @@
     let mut entries = Vec::new();
     for (n, rating) in ratings {
         let node = &nodes[usize::from(*n)];
-        node.add(version, Sample { rating: Some(*rating), failed: Failed::No, tokens: 5 });
+        let kind = if *rating < 0.5 { "summary" } else { "reconcile" }.into();
+        node.add(version, &kind, Sample { rating: Some(*rating), failed: Failed::No, tokens: 5 });
         entries.extend(node.pick(|_| true));
         entries.extend(node.pick(|_| true));
     }
@@ -124,8 +125,11 @@
         let nodes = fleet.start(6);
         let version = version::Id::new("tally-llm@2");
         for node in &nodes {
-            node.evidence()
-                .add(&version, Sample { rating: Some(0.0), failed: Failed::No, tokens: 1 });
+            node.evidence().add(
+                &version,
+                &"summary".into(),
+                Sample { rating: Some(0.0), failed: Failed::No, tokens: 1 },
+            );
         }
         nodes[0].suspects().declare(&version);
         let met = wait(Duration::from_secs(10), || {
--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -17,6 +17,7 @@
 use curranthook_settings::node::Settings;
 use curranthook_types::{Clock, Refusal, account, bill::Line, kind, refusal::Reason, version};
 use parking_lot::Mutex;
+use rand::RngExt;
 
 use crate::{gate::Gates, metrics::Metrics, pin, rate::Rater, snapshot::Snapshot, stall};
 
@@ -49,6 +50,9 @@
     pub chooser: Mutex<Box<dyn Strategy + Send>>,
     /// Retries that are left.
     pub budget: Mutex<Budget>,
+    /// The share of answers that are rated because of the version's verdict; see
+    /// [`crate::watch`].
+    pub sampling: Mutex<HashMap<version::Id, f64>>,
     /// What accounts may still ask for.
     pub buckets: Mutex<HashMap<account::Id, Bucket>>,
     /// The newest configuration.
@@ -127,12 +131,30 @@
         if let Some(rating) = rating {
             self.chooser.lock().learn(kind, version, rating, self.clock.now());
         }
-        self.node.evidence().add(version, crate::chat::sample(rating, tokens));
+        self.node.evidence().add(version, kind, crate::chat::sample(rating, tokens));
+    }
+
+    /// Takes in the rating of a cascade's second answer.
+    pub fn learn_second(
+        &self,
+        kind: &kind::Id,
+        first: &version::Id,
+        then: &version::Id,
+        rating: f64,
+    ) {
+        self.chooser.lock().learn_second(kind, first, then, rating, self.clock.now());
+    }
+
+    /// Whether an answer of `version` should be rated although the policy didn't ask for it:
+    /// the version is new, or the last ratings speak against it.
+    pub fn wants_rating(&self, version: &version::Id) -> bool {
+        let share = self.sampling.lock().get(version).copied().unwrap_or_default();
+        rand::rng().random::<f64>() < share
     }
 
     /// Takes in that a version gave no answer.
-    pub fn note_failure(&self, version: &version::Id) {
+    pub fn note_failure(&self, kind: &kind::Id, version: &version::Id) {
         let sample = evidence::Sample { rating: None, failed: evidence::Failed::Yes, tokens: 0 };
-        self.node.evidence().add(version, sample);
+        self.node.evidence().add(version, kind, sample);
     }
 }
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -138,7 +138,7 @@
     let node = Node::start(node::Setup {
         settings: settings.clone(),
         incarnation: clock.unix_millis(),
-        peer_addr,
+        peer_addr: settings.peer_address.unwrap_or(peer_addr),
         ex: ex.clone(),
         pool: to_peers,
         clock: Arc::clone(&clock),
@@ -158,6 +158,7 @@
         rater: Rater::new(pool(), Arc::clone(&clock)),
         chooser: Mutex::new(chooser),
         budget: Mutex::new(Budget::new(Policy::default().retry_budget, clock.now())),
+        sampling: Mutex::default(),
         buckets: Mutex::new(HashMap::new()),
         current: None.into(),
         stall: stall::Watch::new(Arc::clone(&clock)),
