Lines of a router that is gone outlive the peers that hold them

Cause: with the store out, the lines of a killed router lived on two replicas, and nobody copied them anew when these were lost in turn.

Ruled out: each holder sending to its own replicas. Receivers would send on to theirs, and in an outage every line would reach the whole fleet. The keepers are named by the owner's id instead, so nodes that see the same peers agree.

Change: a replica that can't store the lines of an owner that is gone brings them to the two keepers, each once for each process.

Conclusion: lines keep two copies through any number of losses one by one; two holders lost within the 15 s in which an owner counts as merely silent, with the owner and the store, still lose them.

--- a/crates/curranthook_peers/src/member.rs
+++ b/crates/curranthook_peers/src/member.rs
@@ -9,6 +9,7 @@
 
 mod identity;
 mod joining;
+mod keepers;
 mod table;
 mod view;
 
@@ -270,14 +271,7 @@
             let far = it.identity.site != self.own.site;
             (far, it.failures, rank(&self.own.vm, &it.identity.vm))
         });
-        let mut ordered: Vec<Identity> = Vec::new();
-        let mut rest = Vec::new();
-        for contact in all {
-            let is_new = ordered.iter().all(|it| it.domain != contact.identity.domain);
-            if is_new { ordered.push(contact.identity) } else { rest.push(contact.identity) }
-        }
-        ordered.extend(rest);
-        ordered
+        domains_first(all.into_iter().map(|it| it.identity))
     }
 
     /// An estimate of the nodes in the fleet, this one included.
@@ -380,6 +374,18 @@
     }
 }
 
+/// Brings the first of each failure domain to the front.
+fn domains_first(all: impl IntoIterator<Item = Identity>) -> Vec<Identity> {
+    let mut ordered: Vec<Identity> = Vec::new();
+    let mut rest = Vec::new();
+    for identity in all {
+        let is_new = ordered.iter().all(|it| it.domain != identity.domain);
+        if is_new { ordered.push(identity) } else { rest.push(identity) }
+    }
+    ordered.extend(rest);
+    ordered
+}
+
 fn rank(own: &vm::Id, other: &vm::Id) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
     let mut hasher = DefaultHasher::new();
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -98,6 +98,8 @@
     replicas: Replicas,
     /// Peers that hold lines of this node's journal.
     pub(crate) holders: Mutex<BTreeSet<SocketAddr>>,
+    /// Which owners' lines were passed on to which processes.
+    pub(crate) passed: Mutex<BTreeSet<(Origin, Origin)>>,
     /// One fetch of a document at a time; peers often tell the same news at once.
     pub(crate) fetching: async_lock::Mutex<()>,
     turn: AtomicUsize,
@@ -147,6 +149,7 @@
             members: Members::new(own, tuning.trust, Arc::clone(clock), setup.seed),
             spread: Spread::default(),
             holders: Mutex::default(),
+            passed: Mutex::default(),
             fetching: async_lock::Mutex::new(()),
             turn: AtomicUsize::new(0),
             module: rpc::module(Weak::clone(weak)),
--- a/crates/curranthook_peers/src/replica.rs
+++ b/crates/curranthook_peers/src/replica.rs
@@ -113,34 +113,38 @@
         self.state.lock().owners.values().map(|it| it.lines.len()).sum()
     }
 
-    /// Stores the lines of owners that left, were replaced or have been silent too long.
-    pub async fn sweep(&self, members: &Members, objects: &dyn Objects) {
+    /// Stores the lines of owners that left, were replaced or have been silent too long, and
+    /// says whether all could be stored.
+    pub async fn sweep(&self, members: &Members, objects: &dyn Objects) -> bool {
         for (origin, lines) in self.abandoned(members) {
             for (first, run) in store::runs(lines.into_iter(), MAX_RUN) {
                 let end = first + run.len() as u64;
                 if store::put(objects, &origin, first, run).await.is_err() {
                     bump(&self.counters.store_failed, 1);
-                    return;
+                    return false;
                 }
                 bump(&self.counters.segment_taken_over, 1);
                 self.drop_lines(&origin, first, end);
             }
         }
+        true
     }
 
     /// All lines kept, in batches, for a node that leaves and hands them to other peers.
     pub fn batches(&self) -> Vec<Batch> {
         let state = self.state.lock();
-        let mut batches = Vec::new();
-        for (origin, owner) in &state.owners {
-            let lines = owner.lines.iter().map(|(sequence, line)| (*sequence, line.clone()));
-            let runs = store::runs(lines, MAX_RUN).into_iter();
-            let stored_below = owner.stored_below;
-            let batch =
-                |(first, lines)| Batch { origin: origin.clone(), stored_below, first, lines };
-            batches.extend(runs.map(batch));
-        }
-        batches
+        let lines = state.owners.iter().map(|(origin, it)| (origin.clone(), it.lines.clone()));
+        lines.flat_map(|(origin, lines)| batches(&origin, lines)).collect()
+    }
+
+    /// The lines of owners that are gone, in batches, by owner.
+    pub fn orphans(&self, members: &Members) -> Vec<(Origin, Vec<Batch>)> {
+        let abandoned = self.abandoned(members).into_iter();
+        let batched = abandoned.map(|(origin, lines)| {
+            let batches = batches(&origin, lines);
+            (origin, batches)
+        });
+        batched.collect()
     }
 
     /// Stores everything, for a node that leaves; the owners' other replicas may do it too.
@@ -186,6 +190,14 @@
     }
 }
 
+fn batches(origin: &Origin, lines: BTreeMap<u64, Line>) -> Vec<Batch> {
+    let batch = |(first, lines)| {
+        // What is stored below is the owner's to say; a lower bound does no harm.
+        Batch { origin: origin.clone(), stored_below: 0, first, lines }
+    };
+    store::runs(lines.into_iter(), MAX_RUN).into_iter().map(batch).collect()
+}
+
 /// About how many bytes a line takes in memory.
 pub fn size(line: &Line) -> usize {
     const TREE_NODE: usize = 64;
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_http::timeout;
+use curranthook_types::bill::Origin;
 use futures_lite::future;
 
 use crate::{
@@ -138,7 +139,34 @@
 pub(crate) async fn sweep(node: Arc<Node>) {
     loop {
         pause(SWEEP).await;
-        node.replicas().sweep(node.members(), &*node.setup.objects).await;
+        if !node.replicas().sweep(node.members(), &*node.setup.objects).await {
+            pass_on(&node).await;
+        }
+    }
+}
+
+/// Brings lines of owners that are gone to the nodes that keep them.
+///
+/// While the store is out such lines live on replicas only, and those are lost or replaced like
+/// any other VM. Nobody would copy the lines anew, and they would get fewer until none is left.
+async fn pass_on(node: &Node) {
+    let orphans = node.replicas().orphans(node.members());
+    node.passed.lock().retain(|(origin, _)| orphans.iter().any(|(it, _)| it == origin));
+    for (origin, batches) in orphans {
+        for keeper in node.members().keepers(&origin.vm) {
+            let process = Origin { vm: keeper.vm.clone(), incarnation: keeper.incarnation };
+            let step = (origin.clone(), process);
+            if keeper == *node.members().own() || node.passed.lock().contains(&step) {
+                continue;
+            }
+            let mut n_kept = 0;
+            for batch in &batches {
+                n_kept += send(node, &[keeper.addr], batch, rpc::TIMEOUT).await;
+            }
+            if n_kept == batches.len() {
+                node.passed.lock().insert(step);
+            }
+        }
     }
 }
 
