Counts of the links to peers are sent as statsd too

Cause: they stood in /status only, so nobody who watches statsd would see that bill lines have no second copy or that peers don't answer.

Ruled out: counting them twice, in peers and router. They are sent as gauges, as they stand, every 5 s.

Conclusion: a steward's counts are still in its /status only.

--- a/crates/curranthook_router/src/metrics.rs
+++ b/crates/curranthook_router/src/metrics.rs
@@ -6,13 +6,21 @@
 use std::{
     collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket},
+    sync::Arc,
     time::Duration,
 };
 
-use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use async_io::Timer;
+use cadence::{
+    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
 use curranthook_types::{refusal, retry};
 use parking_lot::Mutex;
 
+use crate::Router;
+
+/// How often the counts of the links to peers are sent.
+const PERIOD: Duration = Duration::from_secs(5);
 /// What the names of all counters begin with on the wire.
 const PREFIX: &str = "curranthook.router";
 
@@ -66,12 +74,27 @@
         let _best_effort = self.client.time(name, took);
     }
 
+    /// Sends a count that is kept elsewhere, as it stands.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _best_effort = self.client.gauge(name, value);
+    }
+
     /// All counts since the start.
     pub fn counts(&self) -> BTreeMap<String, u64> {
         self.counts.lock().clone()
     }
 }
 
+/// Sends the counts of the links to peers, for as long as the process lives.
+pub async fn run(router: Arc<Router>) {
+    loop {
+        for (name, value) in router.node.counters().all() {
+            router.metrics.gauge(&format!("peers.{name}"), value);
+        }
+        Timer::after(PERIOD).await;
+    }
+}
+
 /// Where a socket is bound that sends to `addr`. The receiver may be anywhere: a socket on the
 /// loopback would reach this VM's own processes only, and nobody would see a counter.
 fn any_port(addr: &SocketAddr) -> SocketAddr {
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -27,7 +27,13 @@
 use parking_lot::Mutex;
 
 use crate::{
-    Router, follow, gate::Gates, leaving, metrics::Metrics, pin, rate::Rater, stall, watch,
+    Router, follow,
+    gate::Gates,
+    leaving,
+    metrics::{self, Metrics},
+    pin,
+    rate::Rater,
+    stall, watch,
 };
 
 /// Claims wait for the platform this long; then the caller is told that it's out.
@@ -66,6 +72,7 @@
     ex.spawn(follow::run(Arc::clone(&router))).detach();
     ex.spawn(leaving::run(Arc::clone(&router), Arc::new(vms))).detach();
     ex.spawn(watch::run(Arc::clone(&router))).detach();
+    ex.spawn(metrics::run(Arc::clone(&router))).detach();
     ex.spawn(stall::run(Arc::clone(&router))).detach();
 
     let (close_peers, peers_closed) = stop::new();
--- a/crates/curranthook_tests/tests/metrics.rs
+++ b/crates/curranthook_tests/tests/metrics.rs
@@ -348,6 +348,8 @@
         Chat::new("main", "m@1", "hello").send(&site.router("r1")).await?;
         let seen = eventually(LIMIT, async || Ok(receiver.has("answer.whole"))).await;
         assert!(seen.is_ok(), "{:?}", receiver.names.lock());
+        let seen = eventually(LIMIT, async || Ok(receiver.has("peers.table_reads"))).await;
+        assert!(seen.is_ok(), "{:?}", receiver.names.lock());
         Ok(())
     })
 }
