One type counts evidence everywhere; a cut network is no evidence against a version

Cause: the peers' evidence and the verdict each had their own sums of the same things, and two functions turned one into the other. A connection that broke counted as a failure of the version, so a cut cable could have had it withdrawn. Change: peers use the policy's counts; only an engine's own error counts against a version.

--- a/crates/curranthook_peers/src/bin/curranthook-peer.rs
+++ b/crates/curranthook_peers/src/bin/curranthook-peer.rs
@@ -23,7 +23,7 @@
 };
 use curranthook_peers::{
     Node, Setup,
-    evidence::{Failed, Sample},
+    evidence::{Outcome, Sample},
     rpc,
 };
 use curranthook_platform::client::Client;
@@ -108,7 +108,7 @@
         let version = format!("tally-llm@{}", n % VERSIONS);
         let account = format!("account-{}", n % ACCOUNTS);
         node.demand().add(&account.as_str().into());
-        let sample = Sample { rating: Some(0.8), failed: Failed::No, tokens: 360 };
+        let sample = Sample { rating: Some(0.8), outcome: Outcome::Answered, tokens: 360 };
         node.evidence().add(&version.as_str().into(), &"summary".into(), sample);
         let line = bill::Line {
             request: format!("{vm}-{n:012}").as_str().into(),
--- a/crates/curranthook_peers/src/evidence.rs
+++ b/crates/curranthook_peers/src/evidence.rs
@@ -8,6 +8,7 @@
     collections::{BTreeSet, HashMap},
 };
 
+pub use curranthook_policy::verdict::{Counts, Outcome, Sample};
 use curranthook_types::{bill::Origin, kind, version, vm};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -20,96 +21,26 @@
 /// Entries tried for one frame; more don't fit.
 const LOOKED_AT: usize = 12;
 
-/// Whether an answer failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Failed {
-    /// It came whole.
-    No,
-    /// It was an error, broke off or never came.
-    Yes,
-}
-
-/// What one answer showed.
-#[derive(Debug, Clone, Copy)]
-pub struct Sample {
-    /// The quality, from 0 to 1, if it was rated.
-    pub rating: Option<f64>,
-    /// Whether it failed.
-    pub failed: Failed,
-    /// Tokens of the answer.
-    pub tokens: u64,
+/// The higher of each field of two.
+fn max(one: &Counts, other: &Counts) -> Counts {
+    Counts {
+        n: one.n.max(other.n),
+        sum: one.sum.max(other.sum),
+        squares: one.squares.max(other.squares),
+        calls: one.calls.max(other.calls),
+        errors: one.errors.max(other.errors),
+        tokens: one.tokens.max(other.tokens),
+        lengths: one.lengths.max(other.lengths),
+    }
 }
 
-/// Sums over samples.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Counts {
-    /// Samples.
-    pub calls: u64,
-    /// Samples that failed.
-    pub failures: u64,
-    /// Samples that were rated.
-    pub rated: u64,
-    /// The sum of ratings.
-    pub rating_sum: f64,
-    /// The sum of squared ratings.
-    pub rating_sq_sum: f64,
-    /// Tokens of answers.
-    pub tokens: u64,
-    /// The sum of the answers' lengths: for each, the logarithm of its tokens to the base 2, by
-    /// sixteenths. It shows answers that became short or long better than the sum of tokens,
-    /// which one long answer can rule.
-    pub lengths: f64,
+/// One failure in ten, or ratings below a half.
+fn is_suspicious(counts: &Counts) -> bool {
+    counts.calls < counts.errors.saturating_mul(10) || counts.sum < counts.n as f64 * 0.5
 }
 
-impl Counts {
-    fn add(&mut self, sample: &Sample) {
-        self.calls += 1;
-        self.failures += u64::from(sample.failed == Failed::Yes);
-        self.tokens += sample.tokens;
-        if sample.failed == Failed::No {
-            self.lengths += ((sample.tokens.max(1) as f64).log2() / LENGTH_SCALE).min(1.0);
-        }
-        if let Some(rating) = sample.rating {
-            self.rated += 1;
-            self.rating_sum += rating;
-            self.rating_sq_sum += rating * rating;
-        }
-    }
-
-    /// The sum of two.
-    pub fn plus(&self, other: &Self) -> Self {
-        Self {
-            calls: self.calls + other.calls,
-            failures: self.failures + other.failures,
-            rated: self.rated + other.rated,
-            rating_sum: self.rating_sum + other.rating_sum,
-            rating_sq_sum: self.rating_sq_sum + other.rating_sq_sum,
-            tokens: self.tokens + other.tokens,
-            lengths: self.lengths + other.lengths,
-        }
-    }
-
-    /// The higher of each field.
-    pub fn max(&self, other: &Self) -> Self {
-        Self {
-            calls: self.calls.max(other.calls),
-            failures: self.failures.max(other.failures),
-            rated: self.rated.max(other.rated),
-            rating_sum: self.rating_sum.max(other.rating_sum),
-            rating_sq_sum: self.rating_sq_sum.max(other.rating_sq_sum),
-            tokens: self.tokens.max(other.tokens),
-            lengths: self.lengths.max(other.lengths),
-        }
-    }
-
-    /// One failure in ten, or ratings below a half.
-    fn is_suspicious(&self) -> bool {
-        self.calls < self.failures.saturating_mul(10) || self.rating_sum < self.rated as f64 * 0.5
-    }
-
-    fn is_sane(&self) -> bool {
-        self.failures <= self.calls && self.rated <= self.calls
-    }
+fn is_sane(counts: &Counts) -> bool {
+    counts.errors <= counts.calls && counts.n <= counts.calls
 }
 
 /// What evidence is about: a version at a kind of work. A version may be good at one kind and
@@ -135,25 +66,27 @@
 const RATING_UNIT: f64 = 10_000.0;
 /// Lengths are sums over answers and need no more than hundredths.
 const LENGTH_UNIT: f64 = 100.0;
-/// The logarithm of the longest answer that is told from longer ones.
-const LENGTH_SCALE: f64 = 16.0;
 
 impl From<Counts> for Wire {
     fn from(it: Counts) -> Self {
-        let whole = |sum: f64| (sum * RATING_UNIT).round() as u64;
-        let (sum, sq_sum) = (whole(it.rating_sum), whole(it.rating_sq_sum));
-        let lengths = (it.lengths * LENGTH_UNIT).round() as u64;
-        Self(it.calls, it.failures, it.rated, sum, sq_sum, it.tokens, lengths)
+        let whole = |sum: f64, unit: f64| (sum * unit).round() as u64;
+        let (sum, squares) = (whole(it.sum, RATING_UNIT), whole(it.squares, RATING_UNIT));
+        Self(it.calls, it.errors, it.n, sum, squares, it.tokens, whole(it.lengths, LENGTH_UNIT))
     }
 }
 
 impl From<Wire> for Counts {
     fn from(it: Wire) -> Self {
-        let Wire(calls, failures, rated, sum, sq_sum, tokens, lengths) = it;
-        let lengths = lengths as f64 / LENGTH_UNIT;
-        let rating_sum = sum as f64 / RATING_UNIT;
-        let rating_sq_sum = sq_sum as f64 / RATING_UNIT;
-        Self { calls, failures, rated, rating_sum, rating_sq_sum, tokens, lengths }
+        let Wire(calls, errors, n, sum, squares, tokens, lengths) = it;
+        Self {
+            n,
+            sum: sum as f64 / RATING_UNIT,
+            squares: squares as f64 / RATING_UNIT,
+            calls,
+            errors,
+            tokens,
+            lengths: lengths as f64 / LENGTH_UNIT,
+        }
     }
 }
 
@@ -190,11 +123,7 @@
     /// Counts what an answer to this node showed.
     pub fn add(&self, version: &version::Id, kind: &kind::Id, sample: Sample) {
         let subject = Subject { version: version.clone(), kind: kind.clone() };
-        self.cells.lock().update(&subject, &self.own, |counts| {
-            let mut next = *counts;
-            next.add(&sample);
-            next
-        });
+        self.cells.lock().update(&subject, &self.own, |counts| counts.plus(&Counts::from(sample)));
     }
 
     /// The sum over all origins and kinds of work.
@@ -241,11 +170,11 @@
         let theirs = Counts::from(*wire);
         // Only this process counts for its own origin; what peers
         // pass on of it brings nothing new.
-        if origin == self.own || !theirs.is_sane() {
+        if origin == self.own || !is_sane(&theirs) {
             return;
         }
         let subject = Subject { version: version.clone(), kind: kind.clone() };
-        self.cells.lock().update(&subject, &origin, |ours| ours.max(&theirs));
+        self.cells.lock().update(&subject, &origin, |ours| max(ours, &theirs));
     }
 
     /// The entries worth sending next, as long as they fit: what changed lately, the most
@@ -286,7 +215,7 @@
     /// The lowest is sent first.
     fn urgency(&self) -> impl Ord + use<> {
         let is_hot = 0 < self.sends_left;
-        (Reverse(is_hot && self.counts.is_suspicious()), Reverse(self.sends_left), self.sent)
+        (Reverse(is_hot && is_suspicious(&self.counts)), Reverse(self.sends_left), self.sent)
     }
 }
 
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -104,6 +104,10 @@
         self.exclude.push(failed.endpoint.clone());
         if failed.begun == Begun::Perhaps {
             self.run = Run::Unknown;
+        }
+        // A connection that broke or went silent says nothing of the version: a cut cable would
+        // otherwise look like a version that turned bad. An engine's own error does.
+        if failed.reason == Retry::ServerError && failed.begun == Begun::Perhaps {
             self.router.note_failure(&self.chat.ask.kind, version);
         }
         if failed.broke == Break::Closed {
--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use curranthook_http::{Body, body};
-use curranthook_peers::evidence;
 use curranthook_policy::choice::{Plan, Sample};
 use curranthook_types::{
     Refusal, chat,
@@ -398,8 +397,3 @@
 fn prompt(chat: &Chat) -> String {
     chat.body.messages.iter().map(|it| it.content.as_str()).collect::<Vec<_>>().join("\n")
 }
-
-/// The evidence that one answer gives of its version.
-pub fn sample(rating: Option<f64>, tokens: u64) -> evidence::Sample {
-    evidence::Sample { rating, failed: evidence::Failed::No, tokens }
-}
--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -11,7 +11,11 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, stop::Stop};
-use curranthook_peers::{Node, evidence, journal};
+use curranthook_peers::{
+    Node,
+    evidence::{Outcome, Sample},
+    journal,
+};
 use curranthook_platform::Table;
 use curranthook_policy::{baseline::Strategy, limit::Bucket, retry::Budget};
 use curranthook_settings::node::Settings;
@@ -131,7 +135,7 @@
         if let Some(rating) = rating {
             self.chooser.lock().learn(kind, version, rating, self.clock.now());
         }
-        self.node.evidence().add(version, kind, crate::chat::sample(rating, tokens));
+        self.count(kind, version, Sample { rating, outcome: Outcome::Answered, tokens });
     }
 
     /// Takes in the rating of a cascade's second answer.
@@ -152,9 +156,12 @@
         rand::rng().random::<f64>() < share
     }
 
-    /// Takes in that a version gave no answer.
+    /// Takes in that an engine failed at a version's answer.
     pub fn note_failure(&self, kind: &kind::Id, version: &version::Id) {
-        let sample = evidence::Sample { rating: None, failed: evidence::Failed::Yes, tokens: 0 };
+        self.count(kind, version, Sample { rating: None, outcome: Outcome::Error, tokens: 0 });
+    }
+
+    fn count(&self, kind: &kind::Id, version: &version::Id, sample: Sample) {
         self.node.evidence().add(version, kind, sample);
     }
 }
--- a/crates/curranthook_router/src/watch.rs
+++ b/crates/curranthook_router/src/watch.rs
@@ -7,10 +7,10 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use async_io::Timer;
-use curranthook_peers::evidence::{self, Subject};
+use curranthook_peers::evidence::Subject;
 use curranthook_policy::{
     choice,
-    verdict::{Config, Counts, Reference, State, Test},
+    verdict::{Config, Reference, State, Test},
 };
 use curranthook_types::version;
 
@@ -31,7 +31,7 @@
                 .entry(id.clone())
                 .or_insert_with(|| Test::new(Config::default(), Reference::Own));
             for (origin, counts) in router.node.evidence().by_origin(id) {
-                test.merge_counts(&origin, convert(counts));
+                test.merge_counts(&origin, counts);
             }
             // The policy's own samples come on top, so only what goes beyond them counts here.
             router.sampling.lock().insert(id.clone(), test.sampling(0.0));
@@ -51,19 +51,7 @@
 fn share(router: &Router) {
     let mut chooser = router.chooser.lock();
     for (Subject { version, kind }, counts) in router.node.evidence().of_others() {
-        let ratings = choice::Counts { n: counts.rated, sum: counts.rating_sum };
+        let ratings = choice::Counts { n: counts.n, sum: counts.sum };
         chooser.merge(&kind, &version, ratings);
     }
 }
-
-fn convert(counts: evidence::Counts) -> Counts {
-    Counts {
-        n: counts.rated,
-        sum: counts.rating_sum,
-        squares: counts.rating_sq_sum,
-        calls: counts.calls,
-        errors: counts.failures,
-        tokens: counts.tokens,
-        lengths: counts.lengths,
-    }
-}
--- a/crates/curranthook_steward/src/evidence.rs
+++ b/crates/curranthook_steward/src/evidence.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use curranthook_http::client::Pool;
-use curranthook_peers::{auth, counters::Counters, evidence, link, rpc};
+use curranthook_peers::{auth, counters::Counters, link, rpc};
 use curranthook_policy::verdict::Counts;
 use curranthook_types::{Clock, bill::Origin, version};
 
@@ -18,7 +18,7 @@
 }
 
 /// The counts of one version from one node.
-pub type Row = (version::Id, Origin, evidence::Counts);
+pub type Row = (version::Id, Origin, Counts);
 
 impl Source {
     /// Asks the router whose peers' address is `router`.
@@ -38,16 +38,3 @@
         client.call(self.router, "origins", &(), rpc::TIMEOUT).await
     }
 }
-
-/// The form that the policy takes.
-pub fn convert(counts: evidence::Counts) -> Counts {
-    Counts {
-        n: counts.rated,
-        sum: counts.rating_sum,
-        squares: counts.rating_sq_sum,
-        calls: counts.calls,
-        errors: counts.failures,
-        tokens: counts.tokens,
-        lengths: counts.lengths,
-    }
-}
--- a/crates/curranthook_steward/src/rollout.rs
+++ b/crates/curranthook_steward/src/rollout.rs
@@ -12,7 +12,7 @@
 use curranthook_settings::{Document, rollout::State as Progress};
 use curranthook_types::version;
 
-use crate::evidence::{Row, convert};
+use crate::evidence::Row;
 
 /// What the counts were when this steward first saw a stage.
 #[derive(Debug, Default)]
@@ -62,7 +62,7 @@
 fn total(rows: &[Row], version: &version::Id) -> Counts {
     rows.iter()
         .filter(|(id, ..)| id == version)
-        .fold(Counts::default(), |sum, (_, _, counts)| sum.plus(&convert(*counts)))
+        .fold(Counts::default(), |sum, (_, _, counts)| sum.plus(counts))
 }
 
 /// What came after `base`. A node that was replaced takes its counts with it; the difference
--- a/crates/curranthook_steward/src/verdict.rs
+++ b/crates/curranthook_steward/src/verdict.rs
@@ -10,7 +10,7 @@
 use curranthook_settings::{Document, config::Weigh};
 use curranthook_types::version;
 
-use crate::evidence::{Row, convert};
+use crate::evidence::Row;
 
 /// The tests of all versions.
 #[derive(Debug, Default)]
@@ -35,7 +35,7 @@
                 .tests
                 .entry(version.clone())
                 .or_insert_with(|| Test::new(Config::default(), Reference::Own));
-            test.merge_counts(origin, convert(*counts));
+            test.merge_counts(origin, *counts);
         }
         self.tests
             .iter()
