--- a/crates/curranthook_tests/src/program.rs
+++ b/crates/curranthook_tests/src/program.rs
@@ -1,6 +1,6 @@
 //! Programs that run to their end, such as the operators' command line.
 
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 
 use anyhow::{Context, ensure};
 
@@ -16,3 +16,10 @@
     ensure!(output.status.success(), "{program} {args:?}: {} {stderr}", output.status);
     Ok(String::from_utf8(output.stdout)?)
 }
+
+/// Starts `program`, to be waited for with [`Child::wait_with_output`].
+pub fn spawn(program: &str, args: &[&str]) -> anyhow::Result<Child> {
+    let mut command = Command::new(binaries::path(program)?);
+    command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command.spawn().with_context(|| format!("{program} can't be started"))
+}
--- a/crates/curranthook_tests/src/site/observe.rs
+++ b/crates/curranthook_tests/src/site/observe.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use anyhow::Context;
 use curranthook_http::Exchange;
 use curranthook_settings::{Document, rollout};
 use curranthook_standin::{engine::record::Run, proxy::link::Mode};
+use curranthook_steward::lease;
 use curranthook_types::{Epoch, version};
 use serde::Deserialize;
 
@@ -151,6 +153,22 @@
         Ok(())
     }
 
+    /// The lease of a shard of control work, if somebody ever took it.
+    pub async fn lease(&self, shard: &str) -> anyhow::Result<Option<lease::Record>> {
+        let rows = self.platform.rows(lease::TABLE).await?;
+        let row = rows.into_iter().find(|it| it.key == shard);
+        Ok(row.map(|it| serde_json::from_str(&it.value)).transpose()?)
+    }
+
+    /// Waits until a steward on another VM than `former` holds the lease of a shard, and
+    /// returns it; an empty `former` is for the first holder.
+    pub async fn wait_lease(&self, shard: &str, former: &str) -> anyhow::Result<lease::Record> {
+        let is_new = |it: &lease::Record| it.holder.vm.as_str() != former;
+        let is_taken = async || Ok(self.lease(shard).await?.is_some_and(|it| is_new(&it)));
+        eventually(FOLLOW_LIMIT, is_taken).await?;
+        self.lease(shard).await?.context("a lease's row is never deleted")
+    }
+
     /// What all engines ran of `version`.
     pub async fn runs_of(&self, version: &str) -> anyhow::Result<Vec<Run>> {
         let mut all = Vec::new();
