Lines of lost routers are stored sooner; a router alone holds its answers

An owner and both peers that held its lines were killed within 3.5 to 6 s, while the replicas still waited out 15 s of silence; and a router whose peers were all gone gave answers with lines on itself alone. Beside it: in a fleet of 1,500 and more, owners flush less often than every 15 s, so replicas would have stored every line too.

Ruled out: three copies. They would cost each answer, and only move the bound.

Change: replicas wait 2.5 s while the store works and 6 s while it's out, or three flushes of the fleet; a router that knows others but reaches neither one nor the store tries again for 2 s before it gives the answer. The posting that is under way when its router ends now meets a slow table; with the wait taken out it failed (409 in place of the replay), with it it passes.

Conclusion: the bound is narrower, not gone: an owner and both holders lost within about 4 s lose what they held.

--- a/crates/curranthook_peers/src/replica.rs
+++ b/crates/curranthook_peers/src/replica.rs
@@ -6,7 +6,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -29,6 +32,12 @@
 const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// How many lines go into one object.
 const MAX_RUN: usize = 2_000;
+/// Puts a second by all nodes together; the platform gives several hundred.
+pub const FLEET_PUTS: f64 = 100.0;
+/// How long an owner may be silent while the store is thought to work.
+const QUICK: Duration = Duration::from_millis(2_500);
+/// An owner that missed so many flushes counts as silent.
+const FLUSHES_MISSED: u32 = 3;
 /// How long an origin without lines is remembered, so that a batch that arrives late isn't kept
 /// anew.
 const FORGET: Duration = Duration::from_secs(300);
@@ -70,13 +79,20 @@
     clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
     silence: Duration,
+    is_store_out: AtomicBool,
     state: Mutex<State>,
 }
 
 impl Replicas {
     /// None yet. An owner that is silent for `silence` is taken for gone.
     pub fn new(clock: Arc<dyn Clock>, counters: Arc<Counters>, silence: Duration) -> Self {
-        Self { clock, counters, silence, state: Mutex::default() }
+        Self {
+            clock,
+            counters,
+            silence,
+            is_store_out: AtomicBool::default(),
+            state: Mutex::default(),
+        }
     }
 
     /// Keeps a batch and drops what its owner has stored.
@@ -121,9 +137,11 @@
                 let end = first + run.len() as u64;
                 if store::put(objects, &origin, first, run).await.is_err() {
                     bump(&self.counters.store_failed, 1);
+                    self.is_store_out.store(true, Ordering::Relaxed);
                     return false;
                 }
                 bump(&self.counters.segment_taken_over, 1);
+                self.is_store_out.store(false, Ordering::Relaxed);
                 self.drop_lines(&origin, first, end);
             }
         }
@@ -165,13 +183,22 @@
 
     fn abandoned(&self, members: &Members) -> Vec<(Origin, BTreeMap<u64, Line>)> {
         let now = self.clock.now();
+        // Owners flush less often in a large fleet. Replicas that didn't wait for that would
+        // store every line of the fleet three times.
+        let flush = Duration::from_secs_f64(members.fleet() as f64 / FLEET_PUTS);
+        let patience = match self.is_store_out.load(Ordering::Relaxed) {
+            true => self.silence,
+            // Storing lines twice is harmless, and each second counts when VMs are lost together.
+            false => self.silence.min(QUICK),
+        };
+        let silence = patience.max(flush * FLUSHES_MISSED);
         let mut state = self.state.lock();
         state.owners.retain(|_, it| {
             !it.lines.is_empty() || now.saturating_duration_since(it.heard) < FORGET
         });
         let is_abandoned = |origin: &Origin, owner: &Owner| {
             !owner.lines.is_empty()
-                && (self.silence < now.saturating_duration_since(owner.heard)
+                && (silence < now.saturating_duration_since(owner.heard)
                     || members.is_replaced(&origin.vm, origin.incarnation))
         };
         let abandoned = state.owners.iter().filter(|(origin, it)| is_abandoned(origin, it));
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -9,7 +9,7 @@
 use crate::{
     journal::{Durability, Group, REPLICATE_TIMEOUT, SECOND_TIMEOUT},
     node::Node,
-    replica::Batch,
+    replica::{Batch, FLEET_PUTS},
     rpc,
     task::{join_all, pause},
 };
@@ -20,8 +20,10 @@
 const GATHER: Duration = Duration::from_millis(1);
 /// How many peers hold each line.
 const COPIES: usize = 2;
-/// Puts a second by all nodes together; the platform gives several hundred.
-const FLEET_PUTS: f64 = 100.0;
+/// How long lines that are with this node alone are held for a peer or the store to come back.
+const HOLD: Duration = Duration::from_secs(2);
+/// The pause between two attempts then.
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
 /// The time between looks for silent owners.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -50,11 +52,28 @@
     let durability = if group.batch.lines.is_empty() {
         Durability::Stored
     } else {
-        bring(node, &group.batch).await
+        hold(node, &group.batch).await
     };
     group.close(durability, node.counters());
 }
 
+/// Brings lines to safety and tries again for a while when nobody can be reached.
+///
+/// Peers that are replaced or paused are back within a second or two, and a VM that is lost
+/// before would take answers along that callers have and nobody pays for. A node that knows no
+/// other waits for nothing.
+async fn hold(node: &Node, batch: &Batch) -> Durability {
+    let start = node.setup.clock.now();
+    loop {
+        let durability = bring(node, batch).await;
+        let held = node.setup.clock.now().saturating_duration_since(start);
+        if durability != Durability::Alone || node.members().fleet() <= 1 || HOLD < held {
+            return durability;
+        }
+        pause(HOLD_PAUSE).await;
+    }
+}
+
 /// Two peers, else other peers and the store at once; then there's nothing left to try.
 async fn bring(node: &Node, batch: &Batch) -> Durability {
     let peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
--- a/crates/curranthook_peers/src/tuning.rs
+++ b/crates/curranthook_peers/src/tuning.rs
@@ -4,6 +4,11 @@
 
 use crate::link::Link;
 
+/// An owner with lines is heard of after each flush. With the store out that takes a put that
+/// times out, two pauses and a call, 5.2 s at most; replicas that lose patience sooner would all
+/// try to store its lines and make an outage worse.
+const OWNER_SILENCE: Duration = Duration::from_secs(6);
+
 /// Whose word on reachability a node takes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Trust {
@@ -39,7 +44,7 @@
             round: Duration::from_secs(1),
             poll: Duration::from_secs(1),
             flush: Duration::from_secs(1),
-            owner_silence: Duration::from_secs(15),
+            owner_silence: OWNER_SILENCE,
             link: None,
         }
     }
--- a/crates/curranthook_tests/tests/graceful_shutdown.rs
+++ b/crates/curranthook_tests/tests/graceful_shutdown.rs
@@ -225,10 +225,14 @@
         });
         let has_begun = async || Ok(!site.service("s1").calls().await?.is_empty());
         eventually(LIMIT, has_begun).await?;
+        // Slow enough that a router which didn't wait for the write would be gone before it.
+        let table = Fault { mode: Mode::Slow, delay_ms: 700, ..Fault::default() };
+        site.platform.set(&Faults { table, ..Faults::default() }).await?;
         site.router_process("r1").terminate()?;
         let first = posting.await?;
         assert_eq!(first.status, 200, "{first:?}");
         end(&mut site, "r1").await?;
+        site.platform.mend().await?;
         let again = call.send(&other).await?;
         assert_eq!(again.header(header::REPLAYED), Some("true"), "{again:?}");
         assert_eq!(again.json()?, first.json()?);
