A tool that measures what a node costs

Cause: the size of the target decides the design, but nothing told what a node costs by the size of the fleet, of its configuration and of its load.

Ruled out: doing it in shell, as scripts/measure.sh does for one router: counters of 96 nodes, fits and times of a publication at each node need a program. Measuring the spread with polls as in a small fleet alone: there the table brings every epoch to every node within a second, and what peers do for one another doesn't show.

--- /dev/null
+++ b/crates/curranthook_capacity/src/document.rs
@@ -0,0 +1,141 @@
+//! Made-up configurations of a wanted size.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use curranthook_settings::{Config, Document, config};
+use curranthook_types::{Epoch, price};
+use sha2::{Digest as _, Sha256};
+
+/// Versions in use; the endpoints serve them in turn.
+pub const VERSIONS: [&str; 7] =
+    ["draft@1", "draft@2", "tally@1", "tally@2", "tally@3", "large@1", "large@2"];
+/// The API key of every account's name is this and the name.
+const KEY_PREFIX: &str = "key-";
+/// A secret that signs session tokens; a measurement guards nothing.
+const SESSION_SECRET: [u8; 32] = [7; 32];
+
+/// What a configuration holds.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    /// Sites; the endpoints are dealt out to them.
+    pub n_sites: usize,
+    /// Failure domains, dealt out to the sites.
+    pub n_domains: usize,
+    /// Endpoints of all sites together.
+    pub n_endpoints: usize,
+    /// Accounts of each site.
+    pub n_accounts: usize,
+    /// Where every endpoint listens.
+    pub address: SocketAddr,
+}
+
+impl Shape {
+    /// The first document.
+    pub fn document(&self) -> Document {
+        let site = |n: usize| (site_name(n).as_str().into(), self.config(n));
+        Document {
+            epoch: Epoch(1),
+            by: "curranthook-capacity".to_owned(),
+            sites: (0..self.n_sites).map(site).collect(),
+            ..Document::default()
+        }
+    }
+
+    /// The same shape with as many endpoints as make the document about `bytes` long.
+    pub fn sized(self, bytes: usize) -> Self {
+        let mut shape = Self { n_endpoints: 0, ..self };
+        while size(&shape.document()) < bytes {
+            shape.n_endpoints += 1 + shape.n_endpoints / 8;
+        }
+        shape
+    }
+
+    fn config(&self, site: usize) -> Config {
+        let versions = VERSIONS.iter().map(|&it| (it.into(), version())).collect();
+        let mine = (0..self.n_endpoints).filter(|it| self.domain_of(*it) % self.n_sites == site);
+        let endpoint = |n: usize| (format!("worker-{n:05}").as_str().into(), self.endpoint(n));
+        let account = |n: usize| {
+            let name = format!("account-{n}");
+            (name.as_str().into(), account(&name))
+        };
+        Config {
+            site: site_name(site).as_str().into(),
+            versions,
+            services: BTreeMap::new(),
+            endpoints: mine.map(endpoint).collect(),
+            accounts: (0..self.n_accounts).map(account).collect(),
+            kinds: [("summary".into(), config::Kind { quality: 0.9, priority: 0 })].into(),
+            policy: config::Policy { rating_sample: 0.0, ..config::Policy::default() },
+            rater: None,
+            session_keys: vec![config::Key { id: "1".to_owned(), secret: SESSION_SECRET.into() }],
+        }
+    }
+
+    fn domain_of(&self, n: usize) -> usize {
+        n % self.n_domains
+    }
+
+    fn endpoint(&self, n: usize) -> config::Endpoint {
+        // Nobody listens there in most measurements; the router doesn't call what it isn't
+        // asked to use.
+        const SLOTS: usize = 100_000;
+        config::Endpoint {
+            address: self.address,
+            failure_domain: domain_name(self.domain_of(n)).as_str().into(),
+            versions: [VERSIONS[(n / self.n_domains) % VERSIONS.len()].into()].into(),
+            service: None,
+            checks_fencing: true,
+            slots: SLOTS,
+        }
+    }
+}
+
+/// The next document, with one small change, as most changes are.
+pub fn next(document: &Document) -> Document {
+    let mut next = document.clone();
+    next.epoch = Epoch(document.epoch.0 + 1);
+    next.publication = format!("publication-{}", next.epoch);
+    let endpoints = next.sites.values_mut().flat_map(|it| it.endpoints.values_mut());
+    if let Some(endpoint) = endpoints.into_iter().next() {
+        endpoint.slots += 1;
+    }
+    next
+}
+
+/// Bytes of the document as it's published.
+pub fn size(document: &Document) -> usize {
+    serde_json::to_vec(document).expect("a document can be written as JSON").len()
+}
+
+/// The API key of an account.
+pub fn key(account: &str) -> String {
+    format!("{KEY_PREFIX}{account}")
+}
+
+/// The name of the `n`th site.
+pub fn site_name(n: usize) -> String {
+    format!("site-{n}")
+}
+
+/// The name of the `n`th failure domain.
+pub fn domain_name(n: usize) -> String {
+    format!("domain-{n}")
+}
+
+fn version() -> config::Version {
+    const PRICE: price::Micros = price::Micros(1);
+    config::Version {
+        price: price::Rate { prompt: PRICE, completion: PRICE },
+        quality: [("summary".into(), 0.95)].into(),
+    }
+}
+
+fn account(name: &str) -> config::Account {
+    const UNLIMITED: f64 = 1_000_000.0;
+    config::Account {
+        key_hashes: vec![Sha256::digest(key(name)).into()],
+        versions: VERSIONS.iter().map(|&it| it.into()).collect(),
+        limit: config::Limit { requests: UNLIMITED, burst: UNLIMITED, weight: 1.0 },
+        ..config::Account::default()
+    }
+}
--- /dev/null
+++ b/crates/curranthook_capacity/src/fit.rs
@@ -0,0 +1,42 @@
+//! A straight line through measured points.
+
+/// `y = intercept + slope * x`.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Line {
+    /// How much `y` grows with each `x`.
+    pub slope: f64,
+    /// `y` at zero.
+    pub intercept: f64,
+}
+
+impl Line {
+    /// The line with the least squares to `points`; flat through their mean if all have one `x`.
+    ///
+    /// ```
+    /// # use curranthook_capacity::fit::Line;
+    /// let line = Line::through(&[(1.0, 3.0), (2.0, 5.0), (3.0, 7.0)]);
+    /// assert_eq!((line.slope, line.intercept), (2.0, 1.0));
+    /// ```
+    pub fn through(points: &[(f64, f64)]) -> Self {
+        let n = points.len().max(1) as f64;
+        let mean_x = points.iter().map(|it| it.0).sum::<f64>() / n;
+        let mean_y = points.iter().map(|it| it.1).sum::<f64>() / n;
+        let spread: f64 = points.iter().map(|it| (it.0 - mean_x).powi(2)).sum();
+        if spread == 0.0 {
+            return Self { slope: 0.0, intercept: mean_y };
+        }
+        let product: f64 = points.iter().map(|it| (it.0 - mean_x) * (it.1 - mean_y)).sum();
+        let slope = product / spread;
+        Self { slope, intercept: mean_y - slope * mean_x }
+    }
+
+    /// `y` at `x`.
+    ///
+    /// ```
+    /// # use curranthook_capacity::fit::Line;
+    /// assert_eq!(Line { slope: 2.0, intercept: 1.0 }.at(10.0), 21.0);
+    /// ```
+    pub fn at(self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
--- /dev/null
+++ b/crates/curranthook_capacity/src/measure.rs
@@ -0,0 +1,9 @@
+//! The measurements.
+
+pub mod churn;
+pub mod data;
+pub mod fleet;
+pub mod journal;
+pub mod platform;
+pub mod spread;
+pub mod tables;
--- /dev/null
+++ b/crates/curranthook_capacity/src/measure/platform.rs
@@ -0,0 +1,89 @@
+//! Calls to the platform by routers and stewards.
+
+use std::time::Instant;
+
+use async_io::Timer;
+use curranthook_http::Exchange;
+
+use crate::{
+    bench::{Bench, mean},
+    cluster::{Cluster, Kind, Layout, growth},
+    document::Shape,
+    report::Table,
+    usage::Usage,
+};
+
+const LAYOUT: Layout = Layout { n_sites: 1, n_domains: 3 };
+const PERCENT: f64 = 100.0;
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
+/// Whole VMs, a router and a steward each, at rest.
+pub async fn run(bench: &Bench) -> anyhow::Result<Vec<Table>> {
+    let mut table = Table::new(
+        "VMs with a router and a steward, at rest",
+        &[
+            "VMs",
+            "table reads/s by routers",
+            "table reads/s by stewards",
+            "table writes/s",
+            "VM list reads/s",
+            "VM list, bytes a VM",
+            "router: CPU %",
+            "router: MB",
+            "steward: CPU %",
+            "steward: MB",
+        ],
+    );
+    for n in bench.pick(vec![8, 24, 48], vec![3]) {
+        table.row(vms(bench, n).await?);
+    }
+    Ok(vec![table])
+}
+
+async fn vms(bench: &Bench, n: usize) -> anyhow::Result<[f64; 10]> {
+    let shape = Shape {
+        n_sites: LAYOUT.n_sites,
+        n_domains: LAYOUT.n_domains,
+        n_endpoints: 0,
+        n_accounts: 10,
+        address: "127.0.0.1:9".parse()?,
+    };
+    let mut cluster = Cluster::start(bench, LAYOUT, shape.document()).await?;
+    cluster.add(n, &Kind::Vm).await?;
+    Timer::after(bench.settling()).await;
+    let (start, before, asked) =
+        (Instant::now(), cluster.statuses().await?, cluster.counts().await?);
+    let (routers, stewards) = (cluster.usages()?, stewards(&cluster)?);
+    Timer::after(bench.window()).await;
+    let (after, asked_after) = (cluster.statuses().await?, cluster.counts().await?);
+    let (routers_after, stewards_after) = (cluster.usages()?, self::stewards(&cluster)?);
+    let seconds = start.elapsed().as_secs_f64();
+
+    let by_routers = growth(&before, &after, "table_reads") / seconds;
+    let reads = (asked_after.table.reads - asked.table.reads) as f64 / seconds;
+    let list = Exchange::get(cluster.platform.addr("http"), "/vms").run(&bench.pool).await?;
+    let cpu = |before: &[Usage], after: &[Usage]| {
+        let used = before.iter().zip(after).map(|(a, b)| (b.cpu - a.cpu).as_secs_f64());
+        mean(used) / seconds * PERCENT
+    };
+    let resident = |all: &[Usage]| mean(all.iter().map(|it| it.resident)) / BYTES_PER_MB;
+    let row = [
+        n as f64,
+        by_routers,
+        reads - by_routers,
+        (asked_after.table.writes - asked.table.writes) as f64 / seconds,
+        (asked_after.vms.reads - asked.vms.reads) as f64 / seconds,
+        list.body().len() as f64 / n as f64,
+        cpu(&routers, &routers_after),
+        resident(&routers_after),
+        cpu(&stewards, &stewards_after),
+        resident(&stewards_after),
+    ];
+    cluster.close();
+    Ok(row)
+}
+
+fn stewards(cluster: &Cluster<'_>) -> anyhow::Result<Vec<Usage>> {
+    let stewards = cluster.nodes.iter().filter_map(|it| it.steward.as_ref());
+    stewards.map(|it| Usage::of(it.id())).collect()
+}
--- /dev/null
+++ b/crates/curranthook_capacity/src/report.rs
@@ -0,0 +1,99 @@
+//! Tables for people and for programs.
+
+use std::fmt::Write as _;
+
+use serde::Serialize;
+
+/// One measurement's table.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Table {
+    /// What it shows.
+    pub title: String,
+    /// The heads of the columns, with units.
+    pub columns: Vec<String>,
+    /// The cells.
+    pub rows: Vec<Vec<String>>,
+    /// What has to be known to read it: fits, the load of the machine.
+    pub notes: Vec<String>,
+}
+
+impl Table {
+    /// A table without rows.
+    ///
+    /// ```
+    /// # use curranthook_capacity::report::Table;
+    /// let mut table = Table::new("Sizes", &["nodes", "bytes"]);
+    /// table.row([8.0, 1234.5]);
+    /// assert!(table.to_markdown().contains("| 8 | 1,234 |"));
+    /// ```
+    pub fn new(title: &str, columns: &[&str]) -> Self {
+        Self {
+            title: title.to_owned(),
+            columns: columns.iter().map(|&it| it.to_owned()).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a row of figures.
+    pub fn row(&mut self, cells: impl IntoIterator<Item = f64>) {
+        self.rows.push(cells.into_iter().map(figure).collect());
+    }
+
+    /// Adds a row that begins with a name.
+    pub fn named(&mut self, name: &str, cells: impl IntoIterator<Item = f64>) {
+        let cells = cells.into_iter().map(figure);
+        self.rows.push(std::iter::once(name.to_owned()).chain(cells).collect());
+    }
+
+    /// Adds a note.
+    pub fn note(&mut self, text: impl Into<String>) {
+        self.notes.push(text.into());
+    }
+
+    /// The table in Markdown.
+    pub fn to_markdown(&self) -> String {
+        let mut text = format!("### {}\n\n", self.title);
+        let line = |cells: &[String]| format!("| {} |", cells.join(" | "));
+        let rule = vec!["---".to_owned(); self.columns.len()];
+        for row in [&self.columns, &rule].into_iter().chain(&self.rows) {
+            let _written = writeln!(text, "{}", line(row));
+        }
+        text.push('\n');
+        for note in &self.notes {
+            let _written = writeln!(text, "- {note}");
+        }
+        text
+    }
+}
+
+/// A figure with about four digits that count.
+///
+/// ```
+/// # use curranthook_capacity::report::figure;
+/// assert_eq!(figure(0.012345), "0.01235");
+/// assert_eq!(figure(1234567.8), "1,234,567");
+/// ```
+pub fn figure(value: f64) -> String {
+    const DIGITS: i32 = 4;
+    const GROUP: usize = 3;
+    const WHOLE: f64 = 1000.0;
+    if !value.is_finite() {
+        return "-".to_owned();
+    }
+    if value.abs() < WHOLE {
+        let magnitude = if value == 0.0 { 0 } else { value.abs().log10().floor() as i32 };
+        let decimals = usize::try_from(DIGITS - 1 - magnitude).unwrap_or(0);
+        let text = format!("{value:.decimals$}");
+        let trimmed = text.trim_end_matches('0').trim_end_matches('.');
+        return if text.contains('.') { trimmed.to_owned() } else { text };
+    }
+    let digits = format!("{:.0}", value.abs().trunc());
+    let mut grouped = String::new();
+    for (at, digit) in digits.chars().enumerate() {
+        if at != 0 && (digits.len() - at).is_multiple_of(GROUP) {
+            grouped.push(',');
+        }
+        grouped.push(digit);
+    }
+    if value < 0.0 { format!("-{grouped}") } else { grouped }
+}
--- /dev/null
+++ b/crates/curranthook_capacity/src/usage.rs
@@ -0,0 +1,61 @@
+//! What the system says of processes and the machine.
+
+use std::{fs, time::Duration};
+
+use anyhow::Context as _;
+
+/// The unit in which the system gives processor time; fixed in its interface to programs.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Fields of `/proc/<pid>/stat` after the name: user time, system time.
+const USER_TIME: usize = 11;
+const SYSTEM_TIME: usize = 12;
+const BYTES_PER_KB: f64 = 1024.0;
+
+/// What a process has used.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Processor time since its start, of all threads.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident: f64,
+}
+
+impl Usage {
+    /// Of the process with this id.
+    ///
+    /// ```
+    /// # use curranthook_capacity::usage::Usage;
+    /// assert!(0.0 < Usage::of(std::process::id()).unwrap().resident);
+    /// ```
+    pub fn of(pid: u32) -> anyhow::Result<Self> {
+        let stat = read(&format!("/proc/{pid}/stat"))?;
+        // The name stands in parentheses and may itself hold spaces and parentheses.
+        let (_, fields) = stat.rsplit_once(')').context("no name in the process's state")?;
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let ticks = |at: usize| -> anyhow::Result<f64> {
+            Ok(fields.get(at).context("too few fields")?.parse()?)
+        };
+        let ticks = ticks(USER_TIME)? + ticks(SYSTEM_TIME)?;
+        let status = read(&format!("/proc/{pid}/status"))?;
+        let resident = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|it| it.split_whitespace().next()).context("no VmRSS")?;
+        Ok(Self {
+            cpu: Duration::from_secs_f64(ticks / TICKS_PER_SECOND),
+            resident: resident.parse::<f64>()? * BYTES_PER_KB,
+        })
+    }
+}
+
+/// How many tasks wanted to run, over the last minute.
+///
+/// ```
+/// assert!(0.0 <= curranthook_capacity::usage::load().unwrap());
+/// ```
+pub fn load() -> anyhow::Result<f64> {
+    let text = read("/proc/loadavg")?;
+    Ok(text.split_whitespace().next().context("an empty file")?.parse()?)
+}
+
+fn read(path: &str) -> anyhow::Result<String> {
+    fs::read_to_string(path).with_context(|| format!("reading {path}"))
+}
--- a/crates/curranthook_peers/src/bin/curranthook-peer.rs
+++ b/crates/curranthook_peers/src/bin/curranthook-peer.rs
@@ -13,7 +13,7 @@
 use anyhow::Context;
 use async_signal::{Signal, Signals};
 use bytes::Bytes;
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use curranthook_http::{
     Body, body,
     client::Pool,
@@ -25,6 +25,7 @@
     Node, Setup,
     evidence::{Failed, Sample},
     rpc,
+    tuning::{self, Tuning},
 };
 use curranthook_platform::client::Client;
 use curranthook_settings::node::Settings;
@@ -43,13 +44,44 @@
     /// Requests a second to make up, each with a bill line, evidence and demand.
     #[arg(long, default_value_t = 0.0)]
     load: f64,
+    /// The shortest time between reads of the table, in milliseconds: as long as in a large
+    /// fleet, to see what peers do for one another.
+    #[arg(long, hide = true)]
+    poll_ms: Option<u64>,
+    /// Parts of the spread of configurations to leave out.
+    #[arg(long, hide = true, value_enum)]
+    without: Vec<Part>,
+}
+
+/// What can be left out.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Part {
+    PushPull,
+    News,
+    Delta,
+}
+
+impl Args {
+    fn tuning(&self) -> Tuning {
+        let usual = Tuning::default();
+        let part = |it: &Part| match it {
+            Part::PushPull => tuning::Part::PushPull,
+            Part::News => tuning::Part::News,
+            Part::Delta => tuning::Part::Delta,
+        };
+        Tuning {
+            poll: self.poll_ms.map_or(usual.poll, Duration::from_millis),
+            without: self.without.iter().map(part).collect(),
+            ..usual
+        }
+    }
 }
 
 fn main() -> anyhow::Result<()> {
     let args = Args::parse();
     let _logger = Logger::try_with_env_or_str("info")?.start()?;
     let settings = read(&args.settings)?;
-    runtime::run(settings.threads, |ex| serve(ex, settings, args.load))
+    runtime::run(settings.threads, |ex| serve(ex, settings, args))
 }
 
 fn read(path: &Path) -> anyhow::Result<Settings> {
@@ -57,10 +89,10 @@
     serde_saphyr::from_str(&text).with_context(|| format!("in {}", path.display()))
 }
 
-async fn serve(ex: runtime::Handle, settings: Settings, load: f64) -> anyhow::Result<()> {
+async fn serve(ex: runtime::Handle, settings: Settings, args: Args) -> anyhow::Result<()> {
     let server = Server::bind(settings.peer_listen).context("binding the peer listener")?;
     let ready = serde_json::json!({"listening": {"peers": server.addr()}});
-    let node = Node::start(setup(&ex, settings, &server));
+    let node = Node::start_with(setup(&ex, settings, &server), args.tuning());
     writeln!(std::io::stdout(), "{ready}")?;
 
     let (trigger, stop) = stop::new();
@@ -69,9 +101,9 @@
         let ex = Arc::clone(&ex);
         ex.clone().spawn(async move { server.serve(&ex, listener, stop).await })
     };
-    if 0.0 < load {
+    if 0.0 < args.load {
         let node = Arc::clone(&node);
-        ex.spawn(make_up(node, load)).detach();
+        ex.spawn(make_up(node, args.load)).detach();
     }
     Signals::new([Signal::Term, Signal::Int])?.next().await;
     node.leave().await;
--- a/crates/curranthook_peers/src/digest.rs
+++ b/crates/curranthook_peers/src/digest.rs
@@ -9,8 +9,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    demand, evidence, member::Identity, node::Node, poison, spread::Transfer, suspect,
-    tuning::Trust,
+    demand, evidence,
+    member::Identity,
+    node::Node,
+    poison,
+    spread::Transfer,
+    suspect,
+    tuning::{Part, Trust},
 };
 
 /// Bytes of a frame's sections together. With the HTTP heads, one exchange made and one
@@ -91,8 +96,8 @@
 /// it would cost more bytes in heads than the delta has.
 pub(crate) fn answer(node: &Node, have: Epoch) -> Frame {
     let mut frame = build(node);
-    if have != Epoch::default() && have < frame.epoch {
-        let transfer = node.spread().transfer(have);
+    if node.has(Part::PushPull) && have != Epoch::default() && have < frame.epoch {
+        let transfer = node.transfer(have);
         let json = serde_json::to_vec(&transfer).expect("a transfer can be written as JSON");
         frame.transfer = Some(transfer).filter(|_| json.len() <= MAX_TRANSFER);
     }
--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -34,10 +34,10 @@
     poison::Poison,
     replica::Replicas,
     rpc,
-    spread::Spread,
+    spread::{Spread, Transfer},
     suspect::Suspects,
     task,
-    tuning::Tuning,
+    tuning::{Part, Tuning},
 };
 
 /// What a node needs to start.
@@ -273,6 +273,18 @@
         &self.tuning
     }
 
+    pub(crate) fn has(&self, part: Part) -> bool {
+        !self.tuning.without.contains(&part)
+    }
+
+    /// What a peer that has epoch `have` gets.
+    pub(crate) fn transfer(&self, have: Epoch) -> Transfer {
+        // A peer's epoch of zero asks for the whole.
+        let is_newer = have < self.epoch();
+        let base = if self.has(Part::Delta) || !is_newer { have } else { Epoch::default() };
+        self.spread.transfer(base)
+    }
+
     pub(crate) fn members(&self) -> &Members {
         &self.members
     }
--- a/crates/curranthook_peers/src/rpc.rs
+++ b/crates/curranthook_peers/src/rpc.rs
@@ -34,6 +34,7 @@
     member::Identity,
     node::Node,
     replica::Batch,
+    tuning::Part,
 };
 
 /// The path of all calls.
@@ -161,7 +162,9 @@
         let (node, frame) = (upgrade(node)?, params.one::<Frame>()?);
         met(&node, &frame.from)?;
         digest::merge(&node, &frame);
-        node.heard_of(frame.from.addr, frame.epoch);
+        if node.has(Part::PushPull) {
+            node.heard_of(frame.from.addr, frame.epoch);
+        }
         Ok::<_, ErrorObjectOwned>(digest::answer(&node, frame.epoch))
     })?;
     module.register_method("news", |params, node, _| {
@@ -172,7 +175,7 @@
     })?;
     module.register_method("document", |params, node, _| {
         let (node, have) = (upgrade(node)?, params.one::<Epoch>()?);
-        Ok::<_, ErrorObjectOwned>(node.spread().transfer(have))
+        Ok::<_, ErrorObjectOwned>(node.transfer(have))
     })?;
     module.register_method("replicate", |params, node, _| {
         let (node, batch) = (upgrade(node)?, params.one::<Batch>()?);
--- a/crates/curranthook_peers/src/task/round.rs
+++ b/crates/curranthook_peers/src/task/round.rs
@@ -10,6 +10,7 @@
     node::Node,
     rpc,
     task::{pause, spread},
+    tuning::Part,
 };
 
 /// The shortest time between reads of the VM list.
@@ -68,7 +69,9 @@
     if let Some(transfer) = theirs.transfer {
         spread::take(node, transfer);
     }
-    node.heard_of(addr, theirs.epoch);
+    if node.has(Part::PushPull) {
+        node.heard_of(addr, theirs.epoch);
+    }
 }
 
 /// Reads the VM list.
--- a/crates/curranthook_peers/src/task/spread.rs
+++ b/crates/curranthook_peers/src/task/spread.rs
@@ -11,6 +11,7 @@
     rpc::{self, News},
     spread::Transfer,
     task::{join_all, pause},
+    tuning::Part,
 };
 
 /// Reads of the table a second by all nodes together; the platform gives about two thousand.
@@ -50,7 +51,9 @@
     if node.spread().offer(document, Some(row.tag)) {
         bump(&node.counters().epoch_from_table, 1);
         learned(node);
-        tell(node).await;
+        if node.has(Part::News) {
+            tell(node).await;
+        }
     } else {
         bump(&node.counters().document_not_newer, 1);
     }
--- a/crates/curranthook_peers/src/tuning.rs
+++ b/crates/curranthook_peers/src/tuning.rs
@@ -1,6 +1,6 @@
 //! Numbers and switches that tests and measurements change.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use crate::link::Link;
 
@@ -15,6 +15,18 @@
     Others,
 }
 
+/// A part of what brings a configuration to every node. Each can be left out, to measure what it
+/// is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Part {
+    /// Exchanges compare epochs, and who has the older one gets the newer.
+    PushPull,
+    /// Who has a new epoch from the table tells a few peers at once.
+    News,
+    /// Between near epochs the change travels, not the whole document.
+    Delta,
+}
+
 /// How a node behaves where it isn't told by its settings.
 #[derive(Debug, Clone)]
 pub struct Tuning {
@@ -28,6 +40,8 @@
     pub flush: Duration,
     /// How long an owner may be silent before its replicas store its lines.
     pub owner_silence: Duration,
+    /// Parts of the spread of configurations that are left out.
+    pub without: BTreeSet<Part>,
     /// The way to peers; HTTP if not set.
     pub link: Option<Arc<dyn Link>>,
 }
@@ -40,6 +54,7 @@
             poll: Duration::from_secs(1),
             flush: Duration::from_secs(1),
             owner_silence: Duration::from_secs(15),
+            without: BTreeSet::new(),
             link: None,
         }
     }
