--- a/crates/curranthook_peers/src/evidence.rs
+++ b/crates/curranthook_peers/src/evidence.rs
@@ -3,9 +3,12 @@
 //! Each origin's counters only grow, and merging keeps the higher of each. So a digest that
 //! arrives twice, late or out of order counts nothing twice.
 
-use std::{cmp::Reverse, collections::HashMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap},
+};
 
-use curranthook_types::{bill::Origin, version, vm};
+use curranthook_types::{bill::Origin, kind, version, vm};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +55,10 @@
     pub rating_sq_sum: f64,
     /// Tokens of answers.
     pub tokens: u64,
+    /// The sum of the answers' lengths: for each, the logarithm of its tokens to the base 2, by
+    /// sixteenths. It shows answers that became short or long better than the sum of tokens,
+    /// which one long answer can rule.
+    pub lengths: f64,
 }
 
 impl Counts {
@@ -59,6 +66,9 @@
         self.calls += 1;
         self.failures += u64::from(sample.failed == Failed::Yes);
         self.tokens += sample.tokens;
+        if sample.failed == Failed::No {
+            self.lengths += ((sample.tokens.max(1) as f64).log2() / LENGTH_SCALE).min(1.0);
+        }
         if let Some(rating) = sample.rating {
             self.rated += 1;
             self.rating_sum += rating;
@@ -75,6 +85,7 @@
             rating_sum: self.rating_sum + other.rating_sum,
             rating_sq_sum: self.rating_sq_sum + other.rating_sq_sum,
             tokens: self.tokens + other.tokens,
+            lengths: self.lengths + other.lengths,
         }
     }
 
@@ -87,6 +98,7 @@
             rating_sum: self.rating_sum.max(other.rating_sum),
             rating_sq_sum: self.rating_sq_sum.max(other.rating_sq_sum),
             tokens: self.tokens.max(other.tokens),
+            lengths: self.lengths.max(other.lengths),
         }
     }
 
@@ -100,32 +112,48 @@
     }
 }
 
-/// One origin's counters for one version, as a digest carries them: VM and incarnation of the
-/// origin, version, counters.
+/// What evidence is about: a version at a kind of work. A version may be good at one kind and
+/// poor at another.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Subject {
+    /// The version.
+    pub version: version::Id,
+    /// The kind of work.
+    pub kind: kind::Id,
+}
+
+/// One origin's counters for one subject, as a digest carries them: VM and incarnation of the
+/// origin, version, kind, counters.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Entry(pub vm::Id, pub vm::Incarnation, pub version::Id, pub Wire);
+pub struct Entry(pub vm::Id, pub vm::Incarnation, pub version::Id, pub kind::Id, pub Wire);
 
 /// [`Counts`] without field names, in their order, ratings in whole ten-thousandths: a sum such
 /// as 20.800000000000004 would cost more bytes than all other fields.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Wire(u64, u64, u64, u64, u64, u64);
+pub struct Wire(u64, u64, u64, u64, u64, u64, u64);
 
 const RATING_UNIT: f64 = 10_000.0;
+/// Lengths are sums over answers and need no more than hundredths.
+const LENGTH_UNIT: f64 = 100.0;
+/// The logarithm of the longest answer that is told from longer ones.
+const LENGTH_SCALE: f64 = 16.0;
 
 impl From<Counts> for Wire {
     fn from(it: Counts) -> Self {
         let whole = |sum: f64| (sum * RATING_UNIT).round() as u64;
         let (sum, sq_sum) = (whole(it.rating_sum), whole(it.rating_sq_sum));
-        Self(it.calls, it.failures, it.rated, sum, sq_sum, it.tokens)
+        let lengths = (it.lengths * LENGTH_UNIT).round() as u64;
+        Self(it.calls, it.failures, it.rated, sum, sq_sum, it.tokens, lengths)
     }
 }
 
 impl From<Wire> for Counts {
     fn from(it: Wire) -> Self {
-        let Wire(calls, failures, rated, sum, sq_sum, tokens) = it;
+        let Wire(calls, failures, rated, sum, sq_sum, tokens, lengths) = it;
+        let lengths = lengths as f64 / LENGTH_UNIT;
         let rating_sum = sum as f64 / RATING_UNIT;
         let rating_sq_sum = sq_sum as f64 / RATING_UNIT;
-        Self { calls, failures, rated, rating_sum, rating_sq_sum, tokens }
+        Self { calls, failures, rated, rating_sum, rating_sq_sum, tokens, lengths }
     }
 }
 
@@ -141,7 +169,7 @@
 
 #[derive(Debug, Default)]
 struct Cells {
-    by_version: HashMap<version::Id, HashMap<Origin, Cell>>,
+    by_subject: HashMap<Subject, HashMap<Origin, Cell>>,
     n_entries: usize,
     steps: u64,
 }
@@ -160,45 +188,64 @@
     }
 
     /// Counts what an answer to this node showed.
-    pub fn add(&self, version: &version::Id, sample: Sample) {
-        let mut cells = self.cells.lock();
-        cells.update(version, &self.own, |counts| {
+    pub fn add(&self, version: &version::Id, kind: &kind::Id, sample: Sample) {
+        let subject = Subject { version: version.clone(), kind: kind.clone() };
+        self.cells.lock().update(&subject, &self.own, |counts| {
             let mut next = *counts;
             next.add(&sample);
             next
         });
     }
 
-    /// The sum over all origins.
+    /// The sum over all origins and kinds of work.
     pub fn total(&self, version: &version::Id) -> Counts {
-        let cells = self.cells.lock();
-        let Some(origins) = cells.by_version.get(version) else { return Counts::default() };
-        origins.values().fold(Counts::default(), |sum, cell| sum.plus(&cell.counts))
+        let rows = self.by_origin(version);
+        rows.iter().fold(Counts::default(), |sum, (_, counts)| sum.plus(counts))
     }
 
-    /// The counts of each origin.
+    /// The counts of each origin, over all kinds of work.
     pub fn by_origin(&self, version: &version::Id) -> Vec<(Origin, Counts)> {
         let cells = self.cells.lock();
-        let Some(origins) = cells.by_version.get(version) else { return Vec::new() };
-        origins.iter().map(|(origin, cell)| (origin.clone(), cell.counts)).collect()
+        let mut sums: HashMap<&Origin, Counts> = HashMap::new();
+        let origins = cells.by_subject.iter().filter(|(subject, _)| subject.version == *version);
+        for (origin, cell) in origins.flat_map(|(_, origins)| origins) {
+            let sum = sums.entry(origin).or_default();
+            *sum = sum.plus(&cell.counts);
+        }
+        sums.into_iter().map(|(origin, counts)| (origin.clone(), counts)).collect()
+    }
+
+    /// For each subject what all other nodes together have counted.
+    pub fn of_others(&self) -> Vec<(Subject, Counts)> {
+        let cells = self.cells.lock();
+        let others = |origins: &HashMap<Origin, Cell>| {
+            origins
+                .iter()
+                .filter(|(origin, _)| **origin != self.own)
+                .fold(Counts::default(), |sum, (_, cell)| sum.plus(&cell.counts))
+        };
+        cells.by_subject.iter().map(|(subject, it)| (subject.clone(), others(it))).collect()
     }
 
     /// The totals of every version that was seen.
     pub fn totals(&self) -> Vec<(version::Id, Counts)> {
-        let versions: Vec<_> = self.cells.lock().by_version.keys().cloned().collect();
+        let versions: BTreeSet<_> =
+            self.cells.lock().by_subject.keys().map(|it| it.version.clone()).collect();
         versions.into_iter().map(|it| (it.clone(), self.total(&it))).collect()
     }
 
     /// Takes in a peer's entry.
     pub fn merge(&self, entry: &Entry) {
-        let Entry(vm, incarnation, version, wire) = entry;
+        let Entry(vm, incarnation, version, kind, wire) = entry;
         let origin = Origin { vm: vm.clone(), incarnation: *incarnation };
         let theirs = Counts::from(*wire);
-        // Only this process counts for its own origin; an echo of it brings nothing new.
+        // Only this process counts for its own origin; what peers
+        // pass on of it brings nothing new.
         if origin == self.own || !theirs.is_sane() {
             return;
         }
-        self.cells.lock().update(version, &origin, |ours| ours.max(&theirs));
+        let subject = Subject { version: version.clone(), kind: kind.clone() };
+        self.cells.lock().update(&subject, &origin, |ours| ours.max(&theirs));
     }
 
     /// The entries worth sending next, as long as they fit: what changed lately, the most
@@ -209,10 +256,10 @@
         cells.steps += 1;
         let steps = cells.steps;
         let mut all: Vec<_> = cells
-            .by_version
+            .by_subject
             .iter_mut()
-            .flat_map(|(version, origins)| {
-                origins.iter_mut().map(move |(origin, cell)| (version, origin, cell))
+            .flat_map(|(subject, origins)| {
+                origins.iter_mut().map(move |(origin, cell)| (subject, origin, cell))
             })
             .collect();
         if LOOKED_AT < all.len() {
@@ -221,9 +268,10 @@
         }
         all.sort_by_key(|(.., cell)| cell.urgency());
         let mut picked = Vec::new();
-        for (version, origin, cell) in all {
-            let (vm, wire) = (origin.vm.clone(), cell.counts.into());
-            let entry = Entry(vm, origin.incarnation, version.clone(), wire);
+        for (subject, origin, cell) in all {
+            let (version, kind) = (subject.version.clone(), subject.kind.clone());
+            let wire = cell.counts.into();
+            let entry = Entry(origin.vm.clone(), origin.incarnation, version, kind, wire);
             if fits(&entry) {
                 cell.sends_left = cell.sends_left.saturating_sub(1);
                 cell.sent = steps;
@@ -243,15 +291,10 @@
 }
 
 impl Cells {
-    fn update(
-        &mut self,
-        version: &version::Id,
-        origin: &Origin,
-        next: impl FnOnce(&Counts) -> Counts,
-    ) {
+    fn update(&mut self, subject: &Subject, origin: &Origin, next: impl FnOnce(&Counts) -> Counts) {
         self.steps += 1;
         let steps = self.steps;
-        let origins = self.by_version.entry(version.clone()).or_default();
+        let origins = self.by_subject.entry(subject.clone()).or_default();
         if !origins.contains_key(origin) {
             self.n_entries += 1;
         }
@@ -268,15 +311,15 @@
     /// Forgets the entry that changed longest ago: that of a process long gone.
     fn evict(&mut self) {
         let oldest = self
-            .by_version
+            .by_subject
             .iter()
-            .flat_map(|(version, origins)| {
-                origins.iter().map(move |(origin, cell)| (cell.changed, version, origin))
+            .flat_map(|(subject, origins)| {
+                origins.iter().map(move |(origin, cell)| (cell.changed, subject, origin))
             })
             .min_by_key(|(changed, ..)| *changed);
-        let Some((_, version, origin)) = oldest else { return };
-        let (version, origin) = (version.clone(), origin.clone());
-        if let Some(origins) = self.by_version.get_mut(&version) {
+        let Some((_, subject, origin)) = oldest else { return };
+        let (subject, origin) = (subject.clone(), origin.clone());
+        if let Some(origins) = self.by_subject.get_mut(&subject) {
             origins.remove(&origin);
             self.n_entries -= 1;
         }
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_http::timeout;
+use curranthook_types::bill::Origin;
 use futures_lite::future;
 
 use crate::{
@@ -13,8 +14,10 @@
     task::{join_all, pause},
 };
 
-/// How long lines are gathered before they go to the peers together.
-const GATHER: Duration = Duration::from_millis(3);
+/// How long lines are gathered while earlier ones are on their way to the peers. Callers wait for
+/// this, so a line that finds none on its way goes at once: each in a call of its own while there
+/// are few, many in one call while there are many.
+const GATHER: Duration = Duration::from_millis(1);
 /// How many peers hold each line.
 const COPIES: usize = 2;
 /// Puts a second by all nodes together; the platform gives several hundred.
@@ -24,14 +27,22 @@
 
 /// Sends new lines to peers.
 pub(crate) async fn replicate(node: Arc<Node>) {
+    // Each group on its way holds a clone.
+    let on_their_way = Arc::new(());
     loop {
         node.journal().wait_recorded().await;
-        async_io::Timer::after(GATHER).await;
+        if 1 < Arc::strong_count(&on_their_way) {
+            async_io::Timer::after(GATHER).await;
+        }
         let Some(group) = node.journal().take_group() else { continue };
         let node = Arc::clone(&node);
         // A frozen peer must not hold up the lines that come after these.
-        let ex = Arc::clone(&node.setup.ex);
-        ex.spawn(async move { secure(&node, group).await }).detach();
+        let (ex, token) = (Arc::clone(&node.setup.ex), Arc::clone(&on_their_way));
+        ex.spawn(async move {
+            secure(&node, group).await;
+            drop(token);
+        })
+        .detach();
     }
 }
 
@@ -98,12 +109,13 @@
 /// hear that the owner lives, and don't all try to store its lines too.
 async fn mark(node: &Node) {
     let mark = node.journal().mark();
-    let holders: Vec<_> = node.holders.lock().iter().copied().collect();
+    // Taken, not read: a peer that gets new lines while this runs must not be forgotten below.
+    let holders = std::mem::take(&mut *node.holders.lock());
     let calls = holders.iter().map(|addr| node.call::<()>(*addr, "replicate", &mark, rpc::TIMEOUT));
     // One that misses this takes the owner for silent and stores the lines again, harmlessly.
     let _best_effort = join_all(calls).await;
-    if node.journal().n_lines() == 0 {
-        node.holders.lock().clear();
+    if 0 < node.journal().n_lines() {
+        node.holders.lock().extend(holders);
     }
 }
 
@@ -137,7 +149,34 @@
 pub(crate) async fn sweep(node: Arc<Node>) {
     loop {
         pause(SWEEP).await;
-        node.replicas().sweep(node.members(), &*node.setup.objects).await;
+        if !node.replicas().sweep(node.members(), &*node.setup.objects).await {
+            pass_on(&node).await;
+        }
+    }
+}
+
+/// Brings lines of owners that are gone to the nodes that keep them.
+///
+/// While the store is out such lines live on replicas only, and those are lost or replaced like
+/// any other VM. Nobody would copy the lines anew, and they would get fewer until none is left.
+async fn pass_on(node: &Node) {
+    let orphans = node.replicas().orphans(node.members());
+    node.passed.lock().retain(|(origin, _)| orphans.iter().any(|(it, _)| it == origin));
+    for (origin, batches) in orphans {
+        for keeper in node.members().keepers(&origin.vm) {
+            let process = Origin { vm: keeper.vm.clone(), incarnation: keeper.incarnation };
+            let step = (origin.clone(), process);
+            if keeper == *node.members().own() || node.passed.lock().contains(&step) {
+                continue;
+            }
+            let mut n_kept = 0;
+            for batch in &batches {
+                n_kept += send(node, &[keeper.addr], batch, rpc::TIMEOUT).await;
+            }
+            if n_kept == batches.len() {
+                node.passed.lock().insert(step);
+            }
+        }
     }
 }
 
--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -1,6 +1,6 @@
 //! Chat requests, from the parsed body to the answer.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use curranthook_http::{Body, body};
@@ -51,7 +51,8 @@
         call,
         cost: Cost::default(),
         sample: plan.sample,
-        is_rated: false,
+        stage: Stage::Direct,
+        began: router.clock.now(),
         session,
         text: String::new(),
         _in_flight: in_flight,
@@ -91,20 +92,38 @@
     let plan = router.chooser.lock().plan(&ask).map_err(refused)?;
     match pin {
         Pin::None => Ok((plan, None)),
-        Pin::New(session) | Pin::Held(session, _) => Ok((choose::for_session(plan), Some(session))),
+        Pin::New(session) => Ok((choose::for_session(plan), Some(session))),
+        // The answer's new token carries the move.
+        Pin::Held(session, _) if chat.ask.token.is_some() => {
+            Ok((choose::for_session(plan), Some(session)))
+        }
+        Pin::Held(session, from) => {
+            let plan = choose::for_session(plan);
+            let rows = &router.pins;
+            let version = rows.replace(&chat.ask.account, &session, &from, &plan.first).await?;
+            Ok((settled(snapshot, chat, plan, &version)?, Some(session)))
+        }
         Pin::Unclaimed(session) => {
             let plan = choose::for_session(plan);
             let version = router.pins.insert(&chat.ask.account, &session, &plan.first).await?;
-            let plan = if version == plan.first {
-                plan
-            } else {
-                choose::pinned(snapshot, chat, &version)?
-            };
-            Ok((plan, Some(session)))
+            Ok((settled(snapshot, chat, plan, &version)?, Some(session)))
         }
     }
 }
 
+/// The plan that was made, unless the session's row turned out to name another version.
+fn settled(
+    snapshot: &Snapshot,
+    chat: &Chat,
+    plan: Plan,
+    version: &version::Id,
+) -> Result<Plan, Refusal> {
+    if *version == plan.first {
+        return Ok(plan);
+    }
+    choose::pinned(snapshot, chat, version)
+}
+
 /// An answer that is being put together.
 struct Answer {
     router: Arc<Router>,
@@ -112,14 +131,26 @@
     call: Call,
     cost: Cost,
     sample: Sample,
-    /// Whether the rating was asked for before the answer was given, as in a cascade.
-    is_rated: bool,
+    stage: Stage,
+    began: Instant,
     session: Option<session::Id>,
     /// What was passed on so far.
     text: String,
     _in_flight: InFlight,
 }
 
+/// Where an answer stands in a cascade, which decides what its rating tells.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Stage {
+    /// There's no cascade.
+    Direct,
+    /// The first answer. It's rated before it's given out.
+    First,
+    /// The second answer, after this version's was rated too low. It sees only what the first
+    /// version fails at, so its ratings say nothing of other requests.
+    Second(version::Id),
+}
+
 /// A whole answer of one version.
 struct Whole {
     version: version::Id,
@@ -152,24 +183,38 @@
         first: version::Id,
         then: version::Id,
     ) -> Result<Response<Body>, Refusal> {
-        self.is_rated = true;
-        let whole = self.collect(Source::new(first)).await?;
-        let rating = self.rate(&whole).await;
-        if rating.is_some_and(|it| rate::GOOD <= it) {
-            return self.give(whole).await;
-        }
+        self.stage = Stage::First;
+        let cheap = match self.collect(Source::new(first.clone())).await {
+            Ok(whole) => Some(whole),
+            Err(refusal) if is_final(&refusal) => return Err(refusal),
+            Err(_) => None,
+        };
+        let rating = match &cheap {
+            Some(whole) => self.rate(whole).await,
+            None => None,
+        };
+        let cheap = match (cheap, rating) {
+            (Some(whole), Some(rating)) if rate::GOOD <= rating => return self.give(whole).await,
+            (cheap, _) => cheap,
+        };
         // An answer that couldn't be rated counts as not good enough: the account asked for a
         // quality, and the dearer version is the one known to meet it.
         self.router.metrics.retried(retry::Reason::Escalated);
         self.call.reset();
-        match self.collect(Source::new(then)).await {
-            Ok(better) => self.give(better).await,
+        self.began = self.router.clock.now();
+        match (self.collect(Source::new(then)).await, cheap) {
+            (Ok(better), cheap) => {
+                // Without a first answer it saw the request like any other.
+                self.stage = cheap.map_or(Stage::Direct, |_| Stage::Second(first));
+                self.give(better).await
+            }
             // The second version can't answer in time or at all. The first one's answer is
             // whole and allowed, so it's better than none.
-            Err(_) => {
+            (Err(_), Some(cheap)) => {
                 self.router.metrics.count("cascade.fell_back");
-                self.give(whole).await
+                self.give(cheap).await
             }
+            (Err(refusal), None) => Err(refusal),
         }
     }
 
@@ -181,6 +226,7 @@
                 Item::End(usage) => {
                     let version = source.version().clone();
                     self.add(&version, usage);
+                    self.observe(&version, usage);
                     return Ok(Whole { version, pieces, usage });
                 }
             }
@@ -194,6 +240,11 @@
         self.router.budget.lock().succeeded();
     }
 
+    fn observe(&self, version: &version::Id, usage: Usage) {
+        let took = self.router.clock.now().saturating_duration_since(self.began);
+        self.router.chooser.lock().observe(version, took, usage.completion_tokens);
+    }
+
     async fn rate(&self, whole: &Whole) -> Option<f64> {
         let addr = self.snapshot.config().rater?;
         let chat = self.call.chat();
@@ -218,18 +269,24 @@
     /// Sends the answer to the rater in the background, or just counts it.
     fn follow_up(&self, version: &version::Id, text: String, usage: Usage) {
         let router = Arc::clone(&self.router);
-        let addr = self.snapshot.config().rater;
         let kind = self.call.chat().ask.kind.clone();
-        let version = version.clone();
-        let Some(addr) = addr.filter(|_| self.sample == Sample::Rate) else {
-            return router.learn(&kind, &version, None, usage.completion_tokens);
+        let (version, tokens) = (version.clone(), usage.completion_tokens);
+        let is_sampled = self.sample == Sample::Rate || router.wants_rating(&version);
+        let Some(addr) = self.snapshot.config().rater.filter(|_| is_sampled) else {
+            return router.learn(&kind, &version, None, tokens);
         };
-        let prompt = prompt(self.call.chat());
+        let (prompt, stage) = (prompt(self.call.chat()), self.stage.clone());
         self.router
             .ex
             .spawn(async move {
                 let rating = router.rater.rate(addr, &version, &kind, &prompt, &text).await;
-                router.learn(&kind, &version, rating, usage.completion_tokens);
+                match (stage, rating) {
+                    (Stage::Second(first), Some(rating)) => {
+                        router.learn_second(&kind, &first, &version, rating);
+                        router.learn(&kind, &version, None, tokens);
+                    }
+                    _ => router.learn(&kind, &version, rating, tokens),
+                }
             })
             .detach();
     }
@@ -237,7 +294,7 @@
     async fn give(self, whole: Whole) -> Result<Response<Body>, Refusal> {
         self.bill(&whole.version).await;
         let text = whole.text();
-        if !self.is_rated {
+        if self.stage != Stage::First {
             self.follow_up(&whole.version, text.clone(), whole.usage);
         }
         let res = self.head(&whole.version);
@@ -280,7 +337,8 @@
                 }
                 Ok(Item::End(usage)) => {
                     answer.add(source.version(), usage);
-                    answer.bill(source.version()).await;
+                    answer.observe(source.version(), usage);
+                    Box::pin(answer.bill(source.version())).await;
                     let text = std::mem::take(&mut answer.text);
                     answer.follow_up(source.version(), text, usage);
                     Some((Ok(Frame::data(event(END_MARKER.as_bytes()))), None))
@@ -324,6 +382,11 @@
     }
 }
 
+/// Whether a refusal of the first version holds for any other too.
+fn is_final(refusal: &Refusal) -> bool {
+    matches!(refusal.code, Reason::Deadline | Reason::Poison | Reason::NotReady)
+}
+
 fn finish(res: http::response::Builder, body: Body) -> Response<Body> {
     res.body(body).expect("ids were checked when they came in")
 }
--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     Router, admit,
-    attempt::{self, Begun, Break, Failed, Open},
+    attempt::{self, Begun, Beside, Break, Failed, Open},
     claim::{self, Claim, State},
     gate::{Entry, Lease, Target},
     hedge,
@@ -131,7 +131,7 @@
             Ok(lease) => lease,
             Err(refusal) => {
                 // Surely not sent, so the caller may come again with the same key.
-                router.ex.spawn(claim.release()).detach();
+                release(router, claim);
                 return Err(refusal);
             }
         };
@@ -141,7 +141,7 @@
                 let stored = answer.body.clone();
                 let (status, content_type) = (answer.status, answer.content_type.clone());
                 // The caller needn't wait for the platform; a shutdown does.
-                let guard = router.enter();
+                let guard = router.enter_outcome();
                 router
                     .ex
                     .spawn(async move {
@@ -154,7 +154,7 @@
             Err(failed) if failed.begun == Begun::No => {
                 let another = tries.another(router, &call, failed, Repeat::AtMostOnce).await;
                 if let Err(refusal) = another {
-                    router.ex.spawn(claim.release()).detach();
+                    release(router, claim);
                     return Err(refusal);
                 }
             }
@@ -168,6 +168,18 @@
     }
 }
 
+/// Gives a claim up beside the answer to its caller.
+fn release(router: &Router, claim: Claim) {
+    // A router that ended before the release is stored would leave a claim that nobody may ever
+    // send, though its caller was told that it wasn't run.
+    let guard = router.enter_outcome();
+    let release = async move {
+        claim.release().await;
+        drop(guard);
+    };
+    router.ex.spawn(release).detach();
+}
+
 async fn repeatable(router: &Arc<Router>, call: &Call) -> Result<Answer, Refusal> {
     let mut tries = Tries::default();
     loop {
@@ -188,24 +200,21 @@
     tries: &Tries,
 ) -> Result<Answer, Failed> {
     let slow_after = lease.slow_after();
-    let endpoint = lease.endpoint().clone();
+    let beside = &Beside::new(&lease);
     let first = attempt(router, call, lease, Freshness::Within(FRESH));
-    let second = async {
-        let lease = second(router, call, &endpoint, tries)?;
+    let second = || async move {
+        let lease = second(router, call, beside, tries)?;
         Some(attempt(router, call, lease, Freshness::New))
     };
     hedge::run(slow_after, first, second).await
 }
 
-fn second(router: &Router, call: &Call, first: &endpoint::Id, tries: &Tries) -> Option<Lease> {
+fn second(router: &Router, call: &Call, first: &Beside, tries: &Tries) -> Option<Lease> {
     check(&*router.snapshot().ok()?, call).ok()?;
     let gate = router.gates.get(&Target::Service(call.service.clone())).ok()?;
     let entry = Entry { ask: &call.ask, weight: 1.0, affinity: None, exclude: &tries.exclude };
-    let lease = gate.try_second(entry, first)?;
-    let reason = curranthook_types::retry::Reason::SlowFirstByte;
-    router.budget.lock().spend(reason, router.clock.now()).ok()?;
-    router.metrics.retried(reason);
-    Some(lease)
+    let lease = gate.try_second(entry, &first.endpoint)?;
+    first.spend(router).then_some(lease)
 }
 
 async fn charge(router: &Router, call: &Call, failed: &Failed) {
