--- a/crates/curranthook_capacity/src/cluster.rs
+++ b/crates/curranthook_capacity/src/cluster.rs
@@ -224,6 +224,18 @@
         self.bench.put(self.platform.addr("http"), "/control/vms", &vms).await
     }
 
+    /// Puts the nodes that run on the VM list, and beside them nodes and endpoints that don't, as
+    /// many as are needed for `n_entries` and `n_endpoints`.
+    pub async fn list_more(&self, n_entries: usize, n_endpoints: usize) -> anyhow::Result<()> {
+        let running = self.nodes.iter().map(|it| it.vm.clone());
+        let n_missing = n_entries.saturating_sub(self.nodes.len());
+        let entries = (0..n_missing).map(|it| absent_vm(it, Role::Entry));
+        let endpoints = n_missing..n_missing + n_endpoints;
+        let endpoints = endpoints.map(|it| absent_vm(it, Role::Endpoint));
+        let vms: Vec<Vm> = running.chain(entries).chain(endpoints).collect();
+        self.bench.put(self.platform.addr("http"), "/control/vms", &vms).await
+    }
+
     /// Where a node takes calls of peers.
     pub fn peer_addr(&self, at: usize) -> SocketAddr {
         self.nodes[at].vm.address
@@ -290,6 +302,7 @@
             peer_listen: any,
             steward_listen: any,
             platform: node::Platform { table: platform, objects: platform, vms: platform },
+            peer_address: None,
             seeds: self.nodes.iter().take(N_SEEDS).map(|it| it.vm.address).collect(),
             peer_key: PEER_KEY.to_vec(),
             statsd: None,
@@ -303,6 +316,20 @@
     format!("vm-{n:04}")
 }
 
+/// A VM at an address where nobody listens.
+fn absent_vm(n: usize, role: Role) -> Vm {
+    const PORT: u16 = 9;
+    let octet = |it: usize| u8::try_from(it % 250 + 1).expect("it's less than 251");
+    let address = SocketAddr::from(([127, 1 + octet(n / 62_500), octet(n / 250), octet(n)], PORT));
+    Vm {
+        id: format!("absent-{n:05}").as_str().into(),
+        address,
+        failure_domain: domain_name(n % 3).as_str().into(),
+        state: VmState::Live,
+        role,
+    }
+}
+
 /// The growth of a counter over all nodes.
 pub fn growth(before: &[Status], after: &[Status], name: &str) -> f64 {
     let sum = |all: &[Status]| -> u64 {
--- a/crates/curranthook_capacity/src/main.rs
+++ b/crates/curranthook_capacity/src/main.rs
@@ -46,8 +46,12 @@
     Parts,
     /// A node's tables, by the size of the configuration.
     Tables,
+    /// Evidence of all nodes in one node's tables.
+    Evidence,
     /// Requests, tokens and open streams.
     Data,
+    /// What a router adds to the time to the first token.
+    Latency,
     /// Calls to the platform by routers and stewards.
     Platform,
     /// Bill lines, with the store up and down.
@@ -63,7 +67,9 @@
             Self::Spread => measure::spread::run(bench).await,
             Self::Parts => measure::spread::parts(bench).await,
             Self::Tables => measure::tables::run(bench).await,
+            Self::Evidence => measure::evidence::run(bench).await,
             Self::Data => measure::data::run(bench).await,
+            Self::Latency => measure::data::latency(bench).await,
             Self::Platform => measure::platform::run(bench).await,
             Self::Journal => measure::journal::run(bench).await,
             Self::Churn => measure::churn::run(bench).await,
--- a/crates/curranthook_capacity/src/measure.rs
+++ b/crates/curranthook_capacity/src/measure.rs
@@ -2,6 +2,7 @@
 
 pub mod churn;
 pub mod data;
+pub mod evidence;
 pub mod fleet;
 pub mod journal;
 pub mod platform;
--- a/crates/curranthook_capacity/src/measure/data.rs
+++ b/crates/curranthook_capacity/src/measure/data.rs
@@ -62,16 +62,19 @@
 /// One router under load, with two more that hold its bill lines.
 pub async fn run(bench: &Bench) -> anyhow::Result<Vec<Table>> {
     let site = Site::start(bench).await?;
-    let tables = vec![
-        requests(&site).await?,
-        tokens(&site).await?,
-        added(&site).await?,
-        open_streams(&site).await?,
-    ];
+    let tables = vec![requests(&site).await?, tokens(&site).await?, open_streams(&site).await?];
     site.close();
     Ok(tables)
 }
 
+/// What one router adds to the time to the first token.
+pub async fn latency(bench: &Bench) -> anyhow::Result<Vec<Table>> {
+    let site = Site::start(bench).await?;
+    let table = added(&site).await?;
+    site.close();
+    Ok(vec![table])
+}
+
 async fn requests(site: &Site<'_>) -> anyhow::Result<Table> {
     let columns =
         ["requests/s", "answered/s", "CPU, % of a core", "CPU a request, µs", "failed or refused"];
--- /dev/null
+++ b/crates/curranthook_capacity/src/measure/evidence.rs
@@ -0,0 +1,115 @@
+//! Evidence of all nodes in one node's tables, by the size of the fleet.
+
+use std::{hint::black_box, time::Instant};
+
+use curranthook_peers::evidence::{Counts, Entry, Evidence};
+use curranthook_policy::verdict::{self, Config, Reference, Test};
+use curranthook_types::bill::Origin;
+
+use crate::{
+    bench::{Bench, quantile},
+    cluster::vm_name,
+    document::VERSIONS,
+    report::Table,
+};
+
+/// The kinds of work that the versions are used for.
+const KINDS: [&str; 2] = ["summary", "query"];
+const CALLS: u64 = 100_000;
+const TOKENS: u64 = 36_000_000;
+/// Looks a second at the evidence, by a router; see `curranthook_router::watch`.
+const LOOKS: f64 = 4.0;
+/// Entries that a frame has room for, and frames that a node gets a second.
+const ENTRIES_A_SECOND: f64 = 2.0;
+const MILLIS: f64 = 1_000.0;
+const PERCENT: f64 = 100.0;
+const SECONDS_PER_HOUR: f64 = 3_600.0;
+const BYTES_PER_KB: f64 = 1_000.0;
+
+/// No process is needed: the tables are filled here.
+pub async fn run(bench: &Bench) -> anyhow::Result<Vec<Table>> {
+    let mut table = Table::new(
+        "Evidence of all nodes on 7 versions at 2 kinds of work, in one node",
+        &[
+            "nodes",
+            "entries",
+            "an entry, bytes",
+            "hours for all to come by once",
+            "filling the table, ms an entry",
+            "a router's look, ms",
+            "its CPU, % of a core",
+            "choosing for a frame, ms",
+            "all of it as an answer to a steward, KB",
+            "making that, ms",
+        ],
+    );
+    for n_nodes in bench.pick(vec![8, 96, 600, 1_800], vec![8]) {
+        table.row(nodes(bench, n_nodes)?);
+    }
+    table.note("hours: arithmetic, at two entries a second, if no entry came twice");
+    Ok(vec![table])
+}
+
+fn nodes(bench: &Bench, n_nodes: usize) -> anyhow::Result<[f64; 10]> {
+    let evidence = Evidence::new(origin(0));
+    let counts = Counts { calls: CALLS, tokens: TOKENS, ..Counts::default() };
+    let mut entry_bytes = 0;
+    let start = Instant::now();
+    for n in 1..=n_nodes {
+        for (version, kind) in VERSIONS.iter().flat_map(|it| KINDS.map(|kind| (*it, kind))) {
+            let Origin { vm, incarnation } = origin(n);
+            let entry = Entry(vm, incarnation, version.into(), kind.into(), counts.into());
+            entry_bytes = serde_json::to_vec(&entry)?.len();
+            evidence.merge(&entry);
+        }
+    }
+    let filled = start.elapsed().as_secs_f64();
+    let mut tests = VERSIONS.map(|it| (it.into(), Test::new(Config::default(), Reference::Own)));
+    let (mut looks, mut picks, mut answers) = (Vec::new(), Vec::new(), Vec::new());
+    let mut answer_bytes = 0;
+    for _ in 0..bench.pick(9, 2) {
+        let start = Instant::now();
+        for (version, test) in &mut tests {
+            for (origin, counts) in evidence.by_origin(version) {
+                test.merge_counts(&origin, convert(counts));
+            }
+        }
+        black_box(evidence.of_others());
+        looks.push(start.elapsed().as_secs_f64());
+        let start = Instant::now();
+        evidence.pick(|_| true);
+        picks.push(start.elapsed().as_secs_f64());
+        let start = Instant::now();
+        let rows: Vec<_> = tests.iter().map(|(it, _)| (it, evidence.by_origin(it))).collect();
+        answer_bytes = serde_json::to_vec(&rows)?.len();
+        answers.push(start.elapsed().as_secs_f64());
+    }
+    let n_entries = (n_nodes * VERSIONS.len() * KINDS.len()) as f64;
+    let look = quantile(looks, 0.5);
+    Ok([
+        n_nodes as f64,
+        n_entries,
+        entry_bytes as f64,
+        n_entries / ENTRIES_A_SECOND / SECONDS_PER_HOUR,
+        filled / n_entries * MILLIS,
+        look * MILLIS,
+        look * LOOKS * PERCENT,
+        quantile(picks, 0.5) * MILLIS,
+        answer_bytes as f64 / BYTES_PER_KB,
+        quantile(answers, 0.5) * MILLIS,
+    ])
+}
+
+fn origin(n: usize) -> Origin {
+    const INCARNATION: u64 = 1_796_000_000_000;
+    Origin { vm: vm_name(n).as_str().into(), incarnation: INCARNATION }
+}
+
+fn convert(counts: Counts) -> verdict::Counts {
+    verdict::Counts {
+        calls: counts.calls,
+        errors: counts.failures,
+        tokens: counts.tokens,
+        ..verdict::Counts::default()
+    }
+}
--- a/crates/curranthook_capacity/src/measure/fleet.rs
+++ b/crates/curranthook_capacity/src/measure/fleet.rs
@@ -127,5 +127,17 @@
     table.named("slope a node", lines.map(|it| it.slope));
     table.named("at zero", lines.map(|it| it.intercept));
     table.named("at 1,800 nodes", lines.map(|it| it.at(TARGET_NODES)));
+    let highest = |y: fn(&Point) -> f64| points.iter().map(y).fold(0.0, f64::max);
+    table.named(
+        "highest",
+        [
+            highest(|it| it.cpu_percent),
+            highest(|it| it.resident_mb),
+            highest(|it| it.bytes),
+            highest(|it| it.messages),
+        ],
+    );
+    table
+        .note("a falling line is noise around a flat one; the highest point counts in place of it");
     table
 }
