A steward reads the document only when it has changed

Cause: the holder of a shard reads the whole document twice a second and parses it. With 10,000 endpoints it's about a megabyte long.

Ruled out: looking less often: a withdrawal would reach the engines later.

Change: the desk keeps the document that it read last and asks for a newer one by tag, as routers do. Changes remain compare-and-set on the tag.

--- a/crates/curranthook_publish/src/store.rs
+++ b/crates/curranthook_publish/src/store.rs
@@ -63,8 +63,14 @@
 
 /// Reads the document; `None` if nothing was published yet.
 pub async fn read(table: &dyn Table) -> Result<Option<Stored>, Error> {
+    read_newer(table, None).await
+}
+
+/// Reads the document unless its row is still in state `known`; `None` then, and if nothing was
+/// published yet.
+pub async fn read_newer(table: &dyn Table, known: Option<&Tag>) -> Result<Option<Stored>, Error> {
     let (name, key) = ROW;
-    let Some(row) = table.get(name, key).await? else { return Ok(None) };
+    let Some(row) = table.get_newer(name, key, known).await? else { return Ok(None) };
     let document =
         serde_json::from_slice(&row.value).map_err(|e| Error::Unreadable(e.to_string()))?;
     Ok(Some(Stored { document, tag: row.tag }))
--- a/crates/curranthook_steward/src/document.rs
+++ b/crates/curranthook_steward/src/document.rs
@@ -9,6 +9,7 @@
     document::{Error as Edit, Stamp},
 };
 use curranthook_types::{Clock, vm};
+use parking_lot::Mutex;
 
 /// Reads and replaces the document.
 #[derive(Debug)]
@@ -16,6 +17,7 @@
     table: Arc<dyn Table>,
     clock: Arc<dyn Clock>,
     by: String,
+    last: Mutex<Option<Arc<Stored>>>,
 }
 
 /// How a change ended.
@@ -32,12 +34,20 @@
 impl Desk {
     /// A desk that publishes in the name of the steward on `vm`.
     pub fn new(table: Arc<dyn Table>, clock: Arc<dyn Clock>, vm: &vm::Id) -> Self {
-        Self { table, clock, by: format!("steward on {vm}") }
+        Self { table, clock, by: format!("steward on {vm}"), last: Mutex::default() }
     }
 
     /// The document as it is now.
-    pub async fn read(&self) -> anyhow::Result<Option<Stored>> {
-        Ok(store::read(&*self.table).await?)
+    ///
+    /// It's asked for twice a second and shard, and can be some megabytes long. So the row is
+    /// only sent, and read, when it has changed since the last time.
+    pub async fn read(&self) -> anyhow::Result<Option<Arc<Stored>>> {
+        let last = self.last.lock().clone();
+        let known = last.as_ref().map(|it| &it.tag);
+        let Some(newer) = store::read_newer(&*self.table, known).await? else { return Ok(last) };
+        let newer = Arc::new(newer);
+        *self.last.lock() = Some(Arc::clone(&newer));
+        Ok(Some(newer))
     }
 
     /// Publishes `edit` of what was read. It's compare-and-set on what was read, so a steward
