Stewards look at others' shards less often in a large fleet

Cause: each steward looks at each of six shards every 2 to 4 s.

Ruled out: fewer candidates for each shard, chosen by a hash of VM and shard. It keeps the time to take over as it is, but a candidate that is gone has to be noticed and replaced.

Change: `look::interval` grows with the fleet so that all stewards together look at most about 530 times a second. The size comes from the router beside the steward (a new peer method, `fleet`).

By arithmetic at 1,800 stewards: 2.0/8 of a look a second each, 440 in all.

A dead holder is found by whichever steward looks twice first, after about 14 s in place of 8 to 12; nodes leave bad versions alone by themselves meanwhile.

--- a/crates/curranthook_peers/src/rpc.rs
+++ b/crates/curranthook_peers/src/rpc.rs
@@ -8,6 +8,7 @@
 //! | `replicate` | [`Batch`] | null |
 //! | `leaving` | [`Identity`] | null |
 //! | `evidence` | null | list of version and [`Counts`] |
+//! | `fleet` | null | about how many nodes there are |
 //! | `origins` | null | list of version, [`Origin`] and [`Counts`] |
 //!
 //! A call carries its time and a MAC over time and body; the answer a MAC over the call's MAC
@@ -191,6 +192,9 @@
         let totals: Vec<(version::Id, Counts)> = upgrade(node)?.evidence().totals();
         Ok::<_, ErrorObjectOwned>(totals)
     })?;
+    module.register_method("fleet", |_, node, _| {
+        Ok::<_, ErrorObjectOwned>(upgrade(node)?.members().fleet())
+    })?;
     module.register_method("origins", |_, node, _| {
         let node = upgrade(node)?;
         let versions = node.evidence().totals().into_iter().map(|(version, _)| version);
--- a/crates/curranthook_steward/src/evidence.rs
+++ b/crates/curranthook_steward/src/evidence.rs
@@ -6,6 +6,7 @@
 use curranthook_peers::{auth, counters::Counters, evidence, link, rpc};
 use curranthook_policy::verdict::Counts;
 use curranthook_types::{Clock, bill::Origin, version};
+use serde::de::DeserializeOwned;
 
 /// Asks the router.
 #[derive(Debug)]
@@ -29,13 +30,25 @@
 
     /// All that the router knows, its own counts and other nodes'.
     pub async fn all(&self) -> Result<Vec<Row>, rpc::Error> {
+        self.ask("origins").await
+    }
+
+    /// About how many nodes there are, as far as the router knows.
+    pub async fn fleet(&self) -> Result<usize, rpc::Error> {
+        self.ask("fleet").await
+    }
+
+    async fn ask<R: DeserializeOwned + Clone + 'static>(
+        &self,
+        method: &str,
+    ) -> Result<R, rpc::Error> {
         let client = rpc::Client {
             link: &self.link,
             key: &self.key,
             now_millis: self.clock.unix_millis(),
             counters: &self.counters,
         };
-        client.call(self.router, "origins", &(), rpc::TIMEOUT).await
+        client.call(self.router, method, &(), rpc::TIMEOUT).await
     }
 }
 
--- a/crates/curranthook_steward/src/serve.rs
+++ b/crates/curranthook_steward/src/serve.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -30,16 +33,15 @@
 use crate::{
     document, evidence,
     lease::{EFFECT, Holder, Lease},
-    order, rollout,
+    look, order, rollout,
     shard::Shard,
     verdict,
 };
 
 /// How often a held lease is renewed.
 const RENEW: Duration = Duration::from_secs(2);
-/// How often a shard that others hold is looked at. With 1,800 stewards and six shards a site
-/// this is what most of the table's reads go to; see `docs/CAPACITY.md`.
-const LOOK: Duration = Duration::from_secs(4);
+/// How often the router is asked how large the fleet is.
+const ASK_FLEET: Duration = Duration::from_secs(10);
 /// How often held work is done.
 const WORK: Duration = Duration::from_millis(500);
 /// How often every engine is looked at, changed document or not.
@@ -63,6 +65,8 @@
     evidence: evidence::Source,
     orders: order::Desk,
     gate: Gate,
+    /// About how many nodes there are.
+    n_nodes: AtomicUsize,
     status: Mutex<Status>,
 }
 
@@ -96,6 +100,7 @@
         ),
         orders: order::Desk::new(pool()),
         gate: options.gate,
+        n_nodes: AtomicUsize::new(1),
         status: Mutex::default(),
         clock: Arc::clone(&clock),
     });
@@ -107,6 +112,7 @@
             ex.spawn(Arc::clone(&steward).keep(shard, lease, stop.clone()))
         })
         .collect();
+    ex.spawn(Arc::clone(&steward).ask_fleet(stop.clone())).detach();
     let serving = ex.spawn({
         let (ex, steward, stop) = (ex.clone(), Arc::clone(&steward), stop.clone());
         async move { server.serve(&ex, steward, stop).await }
@@ -164,11 +170,25 @@
         lease.close().await;
     }
 
+    /// Keeps the fleet's size. Without an answer the last one holds: a router that is restarted
+    /// must not have its steward look as often as in a small fleet.
+    async fn ask_fleet(self: Arc<Self>, stop: Stop) {
+        while !stop.is_set() {
+            if let Ok(n_nodes) = self.evidence.fleet().await {
+                self.n_nodes.store(n_nodes, Ordering::Relaxed);
+            }
+            futures_lite::future::or(stop.wait(), async {
+                Timer::after(ASK_FLEET).await;
+            })
+            .await;
+        }
+    }
+
     /// A steward that holds much already waits longer, so that shards spread over the stewards.
     fn look_after(&self) -> Duration {
         let n_held = u32::try_from(self.status.lock().shards.len()).unwrap_or(u32::MAX);
         let jitter = rand::rng().random_range(0.5..1.0);
-        LOOK.mul_f64(jitter) + (WORK * n_held)
+        look::interval(self.n_nodes.load(Ordering::Relaxed)).mul_f64(jitter) + (WORK * n_held)
     }
 
     fn note(&self, key: &str, is_held: bool) {
