--- a/crates/curranthook_peers/src/rpc.rs
+++ b/crates/curranthook_peers/src/rpc.rs
@@ -8,6 +8,7 @@
 //! | `replicate` | [`Batch`] | null |
 //! | `leaving` | [`Identity`] | null |
 //! | `evidence` | null | list of version and [`Counts`] |
+//! | `fleet` | null | about how many nodes there are |
 //! | `origins` | null | list of version, [`Origin`] and [`Counts`] |
 //!
 //! A call carries its time and a MAC over time and body; the answer a MAC over the call's MAC
@@ -34,6 +35,7 @@
     member::Identity,
     node::Node,
     replica::Batch,
+    tuning::Part,
 };
 
 /// The path of all calls.
@@ -161,7 +163,9 @@
         let (node, frame) = (upgrade(node)?, params.one::<Frame>()?);
         met(&node, &frame.from)?;
         digest::merge(&node, &frame);
-        node.heard_of(frame.from.addr, frame.epoch);
+        if node.has(Part::PushPull) {
+            node.heard_of(frame.from.addr, frame.epoch);
+        }
         Ok::<_, ErrorObjectOwned>(digest::answer(&node, frame.epoch))
     })?;
     module.register_method("news", |params, node, _| {
@@ -172,7 +176,7 @@
     })?;
     module.register_method("document", |params, node, _| {
         let (node, have) = (upgrade(node)?, params.one::<Epoch>()?);
-        Ok::<_, ErrorObjectOwned>(node.spread().transfer(have))
+        Ok::<_, ErrorObjectOwned>(node.transfer(have))
     })?;
     module.register_method("replicate", |params, node, _| {
         let (node, batch) = (upgrade(node)?, params.one::<Batch>()?);
@@ -188,6 +192,9 @@
         let totals: Vec<(version::Id, Counts)> = upgrade(node)?.evidence().totals();
         Ok::<_, ErrorObjectOwned>(totals)
     })?;
+    module.register_method("fleet", |_, node, _| {
+        Ok::<_, ErrorObjectOwned>(upgrade(node)?.members().fleet())
+    })?;
     module.register_method("origins", |_, node, _| {
         let node = upgrade(node)?;
         let versions = node.evidence().totals().into_iter().map(|(version, _)| version);
