Targets are met on average, by mixing two versions

Cause: a version had to meet the target with its lower confidence bound to be chosen, which takes hundreds of ratings for each kind and version. Until then the dearest version answered nearly everything, and sessions took a cascade's second version.

Ruled out: cascades for Mekong's streams. They would be cheaper still, but hold back the first token for a whole answer and a rating; latency is weighed most there.

Change: where latency is weighed most, and for sessions, each direct version and each cascade that fits the time is a point of expected quality and cost; the cheapest pair whose mix meets the target, plus what chance takes over a thousand answers and what is uncertain of the estimates, is drawn from at random. What was given before is valued by what ratings of all nodes say of it now, so a wrong estimate leaves a debt that the next hundred answers pay back. Versions with fewer than 200 ratings have each answer rated; answers in the middle of a session are sampled like all others. Ask has a scope, and a session's plan has no second stage.

--- a/crates/curranthook_policy/src/choice.rs
+++ b/crates/curranthook_policy/src/choice.rs
@@ -11,19 +11,27 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::choice::{
-    cascade::Sure, estimate::Estimate, option::Scored, second::Record, speed::Speed,
+    cascade::Sure,
+    estimate::Estimate,
+    mix::{Drawn, Point},
+    option::Scored,
+    second::Record,
+    served::Served,
+    speed::Speed,
 };
 
 mod ask;
 mod cascade;
 mod estimate;
+mod mix;
 mod option;
 mod plan;
 mod second;
+mod served;
 mod speed;
 
 pub use crate::choice::{
-    ask::{Ask, Candidate, Delivery, Rater},
+    ask::{Ask, Candidate, Delivery, Rater, Scope},
     estimate::{Counts, Tally},
     plan::{Plan, Reason, Sample},
 };
@@ -39,7 +47,7 @@
 ///
 /// ```
 /// # use std::time::Duration;
-/// # use curranthook_policy::choice::{Ask, Candidate, Chooser, Delivery, Rater, Reason};
+/// # use curranthook_policy::choice::{Ask, Candidate, Chooser, Delivery, Rater, Reason, Scope};
 /// # use curranthook_types::{kind, price, version};
 /// let mut chooser = Chooser::new(Default::default(), 1);
 /// let (kind, id) = (kind::Id::new("summary"), version::Id::new("tally-llm@1"));
@@ -53,6 +61,7 @@
 ///     expected_tokens: 100,
 ///     delivery: Delivery::Whole,
 ///     rater: Rater::Up,
+///     scope: Scope::Request,
 /// };
 /// let plan = chooser.plan(&ask).unwrap();
 /// assert_eq!((plan.first, plan.reason), (id.clone(), Reason::Only));
@@ -63,6 +72,7 @@
     rng: Pcg64Mcg,
     estimates: HashMap<kind::Id, HashMap<version::Id, Estimate>>,
     seconds: Record,
+    served: HashMap<kind::Id, Served>,
     speeds: HashMap<version::Id, Speed>,
     /// The latest time seen; evidence ages against it.
     now: Option<Instant>,
@@ -70,6 +80,7 @@
     /// the share holds over any run and not only on average.
     credit: f64,
     scored: Vec<Scored>,
+    points: Vec<Point>,
 }
 
 impl Chooser {
@@ -80,10 +91,12 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             estimates: HashMap::new(),
             seconds: Record::default(),
+            served: HashMap::new(),
             speeds: HashMap::new(),
             now: None,
             credit: 0.0,
             scored: Vec::new(),
+            points: Vec::new(),
         }
     }
 
@@ -108,8 +121,15 @@
         self.score(ask);
         self.credit = (self.credit + self.exploration()).min(1.0);
 
-        let plain = self.exploit(ask);
-        let draft = self.explore(ask, &plain).unwrap_or(plain);
+        let Drawn { plain, safe, wanted } = match self.mixed(ask) {
+            Some(drawn) => drawn,
+            None => {
+                let plain = self.exploit(ask);
+                Drawn { plain, safe: plain, wanted: self.wanted(ask) }
+            }
+        };
+        let draft = self.explore(ask, &safe).unwrap_or(plain);
+        self.note(ask, &draft, wanted);
         Ok(self.finish(ask, &draft))
     }
 
@@ -271,7 +291,8 @@
 
     fn finish(&mut self, ask: &Ask<'_>, draft: &Draft) -> Plan {
         let id = |it: &Scored| ask.allowed[it.place].id.clone();
-        let rate = if draft.first.belief.is_thin() || draft.reason == Reason::Explore {
+        let is_thin = !draft.first.belief.is_settled() || self.is_second_thin(ask, draft);
+        let rate = if is_thin || draft.reason == Reason::Explore {
             1.0
         } else {
             self.policy.rating_sample
@@ -285,6 +306,12 @@
         }
     }
 
+    fn is_second_thin(&self, ask: &Ask<'_>, draft: &Draft) -> bool {
+        let Some(then) = &draft.then else { return false };
+        let seen = self.seen(ask, &draft.first, then);
+        seen.is_none_or(|it| it.belief(None, self.now).is_thin())
+    }
+
     /// The version that may be best. Of two that look alike, the less known one is asked, which
     /// settles the matter.
     fn best(&self) -> Scored {
--- a/crates/curranthook_policy/src/choice/ask.rs
+++ b/crates/curranthook_policy/src/choice/ask.rs
@@ -23,6 +23,8 @@
     pub delivery: Delivery,
     /// Whether answers can be rated now.
     pub rater: Rater,
+    /// What the choice holds for.
+    pub scope: Scope,
 }
 
 /// A version that may be used.
@@ -54,3 +56,12 @@
     /// worth anything without ratings.
     Down,
 }
+
+/// What a choice holds for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// One request.
+    Request,
+    /// All requests of a session. It has one version, so no cascade.
+    Session,
+}
--- a/crates/curranthook_policy/src/choice/cascade.rs
+++ b/crates/curranthook_policy/src/choice/cascade.rs
@@ -5,7 +5,7 @@
 
 use curranthook_settings::config::Weigh;
 
-use crate::choice::{Ask, Chooser, Delivery, Rater, estimate::Estimate, option::Scored};
+use crate::choice::{Ask, Chooser, Delivery, Rater, Scope, estimate::Estimate, option::Scored};
 
 /// The longest time that a stream's first byte may be held back for a cascade where latency is
 /// weighed most.
@@ -88,10 +88,11 @@
         after.get(ask.allowed[then.place].id)
     }
 
-    /// Whether there is time for both stages, and for holding the first one back.
+    /// Whether a cascade may be used: not in a session, and only with time for both stages and
+    /// for holding the first one back.
     pub(super) fn fits(&self, ask: &Ask<'_>, first: &Scored, then: &Scored) -> bool {
         let held = first.time + RATING_TIME;
-        if ask.time_left < held + then.time {
+        if ask.scope == Scope::Session || ask.time_left < held + then.time {
             return false;
         }
         let is_hurried = ask.delivery == Delivery::Stream && self.policy.weigh == Weigh::Latency;
--- a/crates/curranthook_policy/src/choice/estimate.rs
+++ b/crates/curranthook_policy/src/choice/estimate.rs
@@ -15,8 +15,10 @@
 const UNCLAIMED_WEIGHT: f64 = 2.0;
 /// The quality assumed of a version without a claim.
 const UNCLAIMED: f64 = 0.5;
-/// Below this many ratings, every answer is rated.
+/// Below this many ratings, little is concluded.
 const THIN: f64 = 30.0;
+/// Below this many ratings, every answer is rated.
+const SETTLED: f64 = 200.0;
 
 /// Ratings, summed up since a node started.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -147,6 +149,15 @@
         1.0 / self.n.sqrt()
     }
 
+    /// The variance of the mean.
+    pub(crate) fn variance(&self) -> f64 {
+        self.mean * (1.0 - self.mean) / self.n
+    }
+
+    pub(crate) fn is_settled(&self) -> bool {
+        SETTLED <= self.rated
+    }
+
     pub(crate) fn is_thin(&self) -> bool {
         self.rated < THIN
     }
--- /dev/null
+++ b/crates/curranthook_policy/src/choice/mix.rs
@@ -0,0 +1,190 @@
+//! Mixes of versions and cascades whose answers meet the target on average.
+//!
+//! A target is a share: of all answers to a kind of work, so many must be good enough. A single
+//! version seldom hits it; one is too poor and the next one dearer than need be. Two of them,
+//! drawn at random in the right proportion, hit it for less than either that meets it alone.
+
+use curranthook_settings::config::Weigh;
+use rand::RngExt as _;
+
+use crate::choice::{
+    Ask, Chooser, Draft, Rater, Reason, Scope, cascade::Sure, estimate::Estimate, option::Scored,
+};
+
+/// The number of answers over which a share must hold in spite of chance.
+const HORIZON: f64 = 1_000.0;
+/// Answers within which what was missed, or done beyond the target, is made up for.
+const CATCH_UP: f64 = 100.0;
+/// How far below the target answers may be for a while, after better ones than need be.
+const LOWEST: f64 = 0.03;
+/// How far below the best quality the aim stays: the last hundredth can double the cost, and
+/// whether it is there at all is less certain than that.
+const NEARLY: f64 = 0.01;
+
+/// A way to serve a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Point {
+    first: Scored,
+    then: Option<Scored>,
+    quality: f64,
+    /// The variance of the estimate of `quality`.
+    variance: f64,
+    cost: f64,
+}
+
+impl Point {
+    fn draft(&self) -> Draft {
+        let reason = if self.then.is_some() { Reason::Cascade } else { Reason::Mix };
+        Draft { first: self.first, then: self.then, reason, sure: Sure::Yes }
+    }
+}
+
+/// Two ways to serve requests, and the share of the better one.
+#[derive(Debug, Clone, Copy)]
+struct Mix {
+    low: Point,
+    high: Point,
+    share: f64,
+}
+
+impl Mix {
+    fn cost(&self) -> f64 {
+        self.low.cost + self.share * (self.high.cost - self.low.cost)
+    }
+
+    /// How uncertain the mean quality of the two is.
+    fn deviation(&self) -> f64 {
+        let part = |share: f64, point: &Point| share * share * point.variance;
+        (part(1.0 - self.share, &self.low) + part(self.share, &self.high)).sqrt()
+    }
+}
+
+impl Chooser {
+    /// One of the two ways whose mix meets the target for the least cost, and the better of the
+    /// two. Where no way is good enough, that's the best. Nothing if ratings can't correct a
+    /// wrong estimate, or if a surer choice is open where exposure is weighed most.
+    pub(super) fn mixed(&mut self, ask: &Ask<'_>) -> Option<Drawn> {
+        // A cascade shows nothing that wasn't rated, but a session can't have one.
+        let has_surer = self.policy.weigh == Weigh::Exposure && ask.scope == Scope::Request;
+        if ask.rater == Rater::Down || has_surer || ask.allowed.len() == 1 {
+            return None;
+        }
+        self.fill_points(ask);
+        let best = self.points.iter().map(|it| it.quality).fold(0.0, f64::max);
+        let chance = self.wanted(ask);
+        let highest = if chance <= best - NEARLY { best - NEARLY } else { best };
+        let bounded = |aim: f64| aim.max(ask.target - LOWEST).min(highest);
+        let repay = self.excess(ask) / CATCH_UP;
+        let rough = cheapest(&self.points, bounded(chance - repay))?;
+        // Of a version that few ratings are known of, more is wanted than it seems to give.
+        let wanted = chance + self.doubt() * rough.deviation();
+        let mix = cheapest(&self.points, bounded(wanted - repay))?;
+        let taken = if self.rng.random::<f64>() < mix.share { mix.high } else { mix.low };
+        let sure = if ask.target <= best { Sure::Yes } else { Sure::No };
+        let draft = |it: &Point| Draft { sure, ..it.draft() };
+        let drawn = Drawn { plain: draft(&taken), safe: draft(&mix.high), wanted };
+        Some(if sure == Sure::Yes { drawn } else { drawn.with_reason(Reason::BestEffort) })
+    }
+
+    /// How many standard deviations of an estimate are added to what is wanted.
+    fn doubt(&self) -> f64 {
+        const HURRIED: f64 = 0.7;
+        match self.policy.weigh {
+            Weigh::Latency => HURRIED,
+            Weigh::Exposure => self.confidence(),
+        }
+    }
+
+    /// Notes how a request is served, so that later ones make up for it.
+    pub(super) fn note(&mut self, ask: &Ask<'_>, drawn: &Draft, wanted: f64) {
+        let first = ask.allowed[drawn.first.place].id;
+        let then = drawn.then.map(|it| ask.allowed[it.place].id);
+        let (quality, _) = self.quality_of(ask, &drawn.first, drawn.then.as_ref());
+        if !self.served.contains_key(ask.kind) {
+            self.served.insert(ask.kind.clone(), Default::default());
+        }
+        let served = self.served.get_mut(ask.kind).expect("inserted above");
+        served.add(first, then, quality, wanted);
+    }
+
+    /// How many more answers of late were good than wanted. What was given before is valued by
+    /// what ratings, of all nodes, say of it now: a version that turns out worse than it looked
+    /// leaves a debt, and better answers pay it back.
+    fn excess(&mut self, ask: &Ask<'_>) -> f64 {
+        let Some(served) = self.served.get_mut(ask.kind) else { return 0.0 };
+        for it in &self.points {
+            let then = it.then.map(|it| ask.allowed[it.place].id);
+            served.revalue(ask.allowed[it.first.place].id, then, it.quality);
+        }
+        served.excess()
+    }
+
+    /// The target, and what chance may take from it.
+    pub(super) fn wanted(&self, ask: &Ask<'_>) -> f64 {
+        let deviation = (ask.target * (1.0 - ask.target) / HORIZON).sqrt();
+        ask.target + self.confidence() * deviation
+    }
+
+    fn fill_points(&mut self, ask: &Ask<'_>) {
+        let mut points = std::mem::take(&mut self.points);
+        points.clear();
+        for first in &self.scored {
+            points.push(self.point(ask, first, None));
+            let dearer = self.scored.iter().filter(|it| first.cost < it.cost);
+            let fitting = dearer.filter(|it| self.fits(ask, first, it));
+            points.extend(fitting.map(|then| self.point(ask, first, Some(then))));
+        }
+        self.points = points;
+    }
+
+    fn point(&self, ask: &Ask<'_>, first: &Scored, then: Option<&Scored>) -> Point {
+        let (quality, variance) = self.quality_of(ask, first, then);
+        let cost = then.map_or(first.cost, |it| first.cost_with(it));
+        Point { first: *first, then: then.copied(), quality, variance, cost }
+    }
+
+    /// The expected quality, and the variance of that estimate.
+    fn quality_of(&self, ask: &Ask<'_>, first: &Scored, then: Option<&Scored>) -> (f64, f64) {
+        let alone = first.belief.mean();
+        let Some(then) = then else { return (alone, first.belief.variance()) };
+        // Until it was seen, the second is taken to fail where the first does.
+        let nested = first.nested(then);
+        let seen = self.seen(ask, first, then).unwrap_or(&Estimate::EMPTY);
+        let second = seen.belief(Some(nested), self.now);
+        let quality = alone + (1.0 - alone) * second.mean();
+        let by_first = (1.0 - second.mean()).powi(2) * first.belief.variance();
+        let by_second = (1.0 - alone).powi(2) * second.variance();
+        (quality, by_first + by_second)
+    }
+}
+
+/// What was drawn of a mix.
+#[derive(Debug)]
+pub(super) struct Drawn {
+    pub(super) plain: Draft,
+    /// The better one of the mix.
+    pub(super) safe: Draft,
+    /// The mean quality wanted.
+    pub(super) wanted: f64,
+}
+
+impl Drawn {
+    fn with_reason(mut self, reason: Reason) -> Self {
+        self.plain.reason = reason;
+        self
+    }
+}
+
+/// The cheapest mix of mean quality `aim`. Points between are on no cheapest mix, and there are
+/// few, so looking at all pairs is as good as a convex hull.
+fn cheapest(points: &[Point], aim: f64) -> Option<Mix> {
+    let (low, high): (Vec<&Point>, Vec<&Point>) = points.iter().partition(|it| it.quality < aim);
+    let whole = high.iter().map(|it| Mix { low: **it, high: **it, share: 1.0 });
+    let mixed = low.iter().flat_map(|low| {
+        high.iter().filter(|high| low.cost < high.cost).map(|high| {
+            let share = (aim - low.quality) / (high.quality - low.quality);
+            Mix { low: **low, high: **high, share }
+        })
+    });
+    whole.chain(mixed).min_by(|a, b| a.cost().total_cmp(&b.cost()))
+}
--- a/crates/curranthook_policy/src/choice/plan.rs
+++ b/crates/curranthook_policy/src/choice/plan.rs
@@ -32,6 +32,8 @@
     Sure,
     /// A cheap version, with a dearer one behind it.
     Cascade,
+    /// One of two ways that together meet the target on average.
+    Mix,
     /// A version about which more must be known.
     Explore,
     /// No other version may be used.
@@ -53,6 +55,7 @@
         match self {
             Self::Sure => "sure",
             Self::Cascade => "cascade",
+            Self::Mix => "mix",
             Self::Explore => "explore",
             Self::Only => "only",
             Self::BestEffort => "best_effort",
--- /dev/null
+++ b/crates/curranthook_policy/src/choice/served.rs
@@ -0,0 +1,70 @@
+//! How requests of a kind of work were served of late.
+
+use curranthook_types::version;
+
+/// Answers after which an old one no longer counts.
+const MEMORY: f64 = 1_000.0;
+
+/// How requests of a kind of work were served of late, and what quality was wanted of them.
+#[derive(Debug, Default)]
+pub(crate) struct Served {
+    ways: Vec<Way>,
+    wanted: f64,
+}
+
+/// A version or cascade, and how many answers it gave.
+#[derive(Debug)]
+struct Way {
+    first: version::Id,
+    then: Option<version::Id>,
+    n: f64,
+    quality: f64,
+}
+
+impl Way {
+    fn is(&self, first: &version::Id, then: Option<&version::Id>) -> bool {
+        self.first == *first && self.then.as_ref() == then
+    }
+}
+
+impl Served {
+    pub(crate) fn add(
+        &mut self,
+        first: &version::Id,
+        then: Option<&version::Id>,
+        quality: f64,
+        wanted: f64,
+    ) {
+        const KEEP: f64 = 1.0 - 1.0 / MEMORY;
+        self.wanted = self.wanted * KEEP + wanted;
+        self.ways.iter_mut().for_each(|it| it.n *= KEEP);
+        match self.ways.iter_mut().find(|it| it.is(first, then)) {
+            Some(way) => {
+                way.n += 1.0;
+                way.quality = quality;
+            }
+            None => {
+                let (first, then) = (first.clone(), then.cloned());
+                self.ways.push(Way { first, then, n: 1.0, quality });
+            }
+        }
+    }
+
+    /// Values what one way gave by what is known of it now.
+    pub(crate) fn revalue(
+        &mut self,
+        first: &version::Id,
+        then: Option<&version::Id>,
+        quality: f64,
+    ) {
+        if let Some(way) = self.ways.iter_mut().find(|it| it.is(first, then)) {
+            way.quality = quality;
+        }
+    }
+
+    /// How many more answers were good than wanted, as far as is known.
+    pub(crate) fn excess(&self) -> f64 {
+        let good: f64 = self.ways.iter().map(|it| it.n * it.quality).sum();
+        good - self.wanted
+    }
+}
--- a/crates/curranthook_router/src/choose.rs
+++ b/crates/curranthook_router/src/choose.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use curranthook_policy::{
-    choice::{Candidate, Delivery, Plan, Rater, Sample},
+    choice::{Candidate, Delivery, Plan, Rater, Sample, Scope},
     rollout,
 };
 use curranthook_types::{Refusal, refusal::Reason, version};
@@ -117,6 +117,7 @@
         time_left: Duration,
         rater: Rater,
     ) -> curranthook_policy::choice::Ask<'b> {
+        let in_session = chat.ask.session.is_some() || chat.ask.token.is_some();
         curranthook_policy::choice::Ask {
             kind: &chat.ask.kind,
             target: self.target,
@@ -126,6 +127,7 @@
             expected_tokens: self.expected_tokens,
             delivery: if chat.body.stream { Delivery::Stream } else { Delivery::Whole },
             rater,
+            scope: if in_session { Scope::Session } else { Scope::Request },
         }
     }
 }
@@ -143,15 +145,20 @@
     if model != AUTO && model != version.model() && model != version.as_str() {
         return refused(Reason::NotAllowed, "the session is on another model");
     }
+    // Drawn by the request's id: a tenth of the answers, not of the sessions, says more of a
+    // version than its first answers alone.
+    let draw = hash(chat.ask.request.as_str()) as f64 / u64::MAX as f64;
+    let is_rated = draw < snapshot.config().policy.rating_sample;
     Ok(Plan {
         first: version.clone(),
         then: None,
-        sample: Sample::Skip,
+        sample: if is_rated { Sample::Rate } else { Sample::Skip },
         reason: curranthook_policy::choice::Reason::Only,
     })
 }
 
-/// The plan for the first request of a session: a session has one version, so no cascade.
+/// The plan for the first request of a session: a session has one version, so no cascade. Ours
+/// plans none; this holds baselines to it.
 pub fn for_session(plan: Plan) -> Plan {
     match plan.then {
         Some(then) => Plan { first: then, then: None, ..plan },
