Overload and slow endpoints: each node takes its part, and late first bytes count

Cause, overload (goodput 149/s of 250/s, refusals up to 2 s late): an endpoint was shut to a node while an old load report, which fades over half a second, said it was full, so 18 of 32 places were used; what became free went to newcomers, and those that waited lined up anew behind them until their deadlines; and the queue let in requests whose expected wait took 0.9 of their time, with nothing left for the answer. Cause, slow endpoint (p99 +73%): a first attempt that a second one overtook was dropped as cancelled, which says nothing of its endpoint. So the slow one never gave evidence and kept its share: 378 rescues in 20 s, until the retry budget was spent.

Ruled out: retries on `not started` (none were counted), deadlines of the scenario, too few places (engines alone give 250/s).

Change: endpoint::Pool gives each endpoint a window of own requests, lowered while it reports more than one and a half times its places, raised while it has free ones; reports still order endpoints. Newcomers queue behind those that wait. The queue counts on 0.3 of the time left. First bytes are told when they come, not with the whole answer; an attempt overtaken after an unusual wait counts against its endpoint, two in a row leave it out; a slow endpoint is probed after 5 s, then less often.

Overload is near; refusals at p99 aren't within 50 ms yet.

--- a/crates/curranthook_policy/src/baseline.rs
+++ b/crates/curranthook_policy/src/baseline.rs
@@ -155,6 +155,8 @@
     ) -> Result<Pick, Miss>;
     /// A request was sent to an endpoint.
     fn started(&mut self, id: &endpoint::Id, now: Instant);
+    /// An answer began.
+    fn began(&mut self, _id: &endpoint::Id, _first_byte: Duration, _now: Instant) {}
     /// A request at an endpoint ended.
     fn finished(&mut self, id: &endpoint::Id, outcome: Outcome, now: Instant);
     /// An endpoint is leaving.
@@ -190,6 +192,10 @@
         self.started(id, now);
     }
 
+    fn began(&mut self, id: &endpoint::Id, first_byte: Duration, now: Instant) {
+        self.began(id, first_byte, now);
+    }
+
     fn finished(&mut self, id: &endpoint::Id, outcome: Outcome, now: Instant) {
         self.finished(id, outcome, now);
     }
--- a/crates/curranthook_policy/src/choice.rs
+++ b/crates/curranthook_policy/src/choice.rs
@@ -40,9 +40,6 @@
 /// given out from here on and escalated below.
 pub const GOOD_ENOUGH: f64 = 0.5;
 
-/// Where exposure is weighed most, this part of the configured exploration is used.
-const CAUTIOUS_EXPLORATION: f64 = 0.25;
-
 /// Chooses versions and learns from ratings.
 ///
 /// ```
@@ -119,7 +116,7 @@
             return Err(refusal::Reason::Deadline);
         }
         self.score(ask);
-        self.credit = (self.credit + self.exploration()).min(1.0);
+        self.credit = (self.credit + self.policy.exploration).min(1.0);
 
         let Drawn { plain, safe, wanted } = match self.mixed(ask) {
             Some(drawn) => drawn,
@@ -328,13 +325,6 @@
             Weigh::Exposure => 2.33,
         }
     }
-
-    fn exploration(&self) -> f64 {
-        match self.policy.weigh {
-            Weigh::Latency => self.policy.exploration,
-            Weigh::Exposure => self.policy.exploration * CAUTIOUS_EXPLORATION,
-        }
-    }
 }
 
 /// A plan before its ids are copied.
--- a/crates/curranthook_policy/src/choice/mix.rs
+++ b/crates/curranthook_policy/src/choice/mix.rs
@@ -27,8 +27,8 @@
     first: Scored,
     then: Option<Scored>,
     quality: f64,
-    /// The variance of the estimate of `quality`.
-    variance: f64,
+    /// The quality that is counted on: less, the fewer ratings are known.
+    counted: f64,
     cost: f64,
 }
 
@@ -48,14 +48,10 @@
 }
 
 impl Mix {
-    fn cost(&self) -> f64 {
-        self.low.cost + self.share * (self.high.cost - self.low.cost)
-    }
-
-    /// How uncertain the mean quality of the two is.
-    fn deviation(&self) -> f64 {
-        let part = |share: f64, point: &Point| share * share * point.variance;
-        (part(1.0 - self.share, &self.low) + part(self.share, &self.high)).sqrt()
+    /// What of the mean quality of the two isn't counted on.
+    fn uncounted(&self) -> f64 {
+        let part = |it: &Point| it.quality - it.counted;
+        part(&self.low) + self.share * (part(&self.high) - part(&self.low))
     }
 }
 
@@ -70,15 +66,13 @@
             return None;
         }
         self.fill_points(ask);
-        let best = self.points.iter().map(|it| it.quality).fold(0.0, f64::max);
+        let best = self.points.iter().map(|it| it.counted).fold(0.0, f64::max);
         let chance = self.wanted(ask);
         let highest = if chance <= best - NEARLY { best - NEARLY } else { best };
-        let bounded = |aim: f64| aim.max(ask.target - LOWEST).min(highest);
         let repay = self.excess(ask) / CATCH_UP;
-        let rough = cheapest(&self.points, bounded(chance - repay))?;
-        // Of a version that few ratings are known of, more is wanted than it seems to give.
-        let wanted = chance + self.doubt() * rough.deviation();
-        let mix = cheapest(&self.points, bounded(wanted - repay))?;
+        let aim = (chance - repay).max(ask.target - LOWEST).min(highest);
+        let mix = cheapest(&self.points, aim)?;
+        let wanted = chance + mix.uncounted();
         let taken = if self.rng.random::<f64>() < mix.share { mix.high } else { mix.low };
         let sure = if ask.target <= best { Sure::Yes } else { Sure::No };
         let draft = |it: &Point| Draft { sure, ..it.draft() };
@@ -86,12 +80,11 @@
         Some(if sure == Sure::Yes { drawn } else { drawn.with_reason(Reason::BestEffort) })
     }
 
-    /// How many standard deviations of an estimate are added to what is wanted.
+    /// How many standard deviations of an estimate aren't counted on.
     fn doubt(&self) -> f64 {
-        const HURRIED: f64 = 0.7;
         match self.policy.weigh {
-            Weigh::Latency => HURRIED,
-            Weigh::Exposure => self.confidence(),
+            Weigh::Latency => 0.7,
+            Weigh::Exposure => 1.0,
         }
     }
 
@@ -112,10 +105,11 @@
     /// leaves a debt, and better answers pay it back.
     fn excess(&mut self, ask: &Ask<'_>) -> f64 {
         let Some(served) = self.served.get_mut(ask.kind) else { return 0.0 };
-        for it in &self.points {
-            let then = it.then.map(|it| ask.allowed[it.place].id);
-            served.revalue(ask.allowed[it.first.place].id, then, it.quality);
-        }
+        let id = |it: &Scored| ask.allowed[it.place].id;
+        served.revalue(|first, then| {
+            let is_it = |it: &&Point| id(&it.first) == first && it.then.as_ref().map(id) == then;
+            self.points.iter().find(is_it).map(|it| it.quality)
+        });
         served.excess()
     }
 
@@ -129,10 +123,15 @@
         let mut points = std::mem::take(&mut self.points);
         points.clear();
         for first in &self.scored {
-            points.push(self.point(ask, first, None));
             let dearer = self.scored.iter().filter(|it| first.cost < it.cost);
             let fitting = dearer.filter(|it| self.fits(ask, first, it));
+            let n_before = points.len();
             points.extend(fitting.map(|then| self.point(ask, first, Some(then))));
+            // An answer of a version that little is known of is rated before it's shown, where
+            // that can be done.
+            if points.len() == n_before || !first.belief.is_thin() {
+                points.push(self.point(ask, first, None));
+            }
         }
         self.points = points;
     }
@@ -140,7 +139,8 @@
     fn point(&self, ask: &Ask<'_>, first: &Scored, then: Option<&Scored>) -> Point {
         let (quality, variance) = self.quality_of(ask, first, then);
         let cost = then.map_or(first.cost, |it| first.cost_with(it));
-        Point { first: *first, then: then.copied(), quality, variance, cost }
+        let counted = quality - self.doubt() * variance.sqrt();
+        Point { first: *first, then: then.copied(), quality, counted, cost }
     }
 
     /// The expected quality, and the variance of that estimate.
@@ -175,16 +175,21 @@
     }
 }
 
-/// The cheapest mix of mean quality `aim`. Points between are on no cheapest mix, and there are
-/// few, so looking at all pairs is as good as a convex hull.
+/// The cheapest mix whose mean quality is `aim`. There are few points, so looking at all pairs is
+/// as quick as a convex hull.
 fn cheapest(points: &[Point], aim: f64) -> Option<Mix> {
-    let (low, high): (Vec<&Point>, Vec<&Point>) = points.iter().partition(|it| it.quality < aim);
-    let whole = high.iter().map(|it| Mix { low: **it, high: **it, share: 1.0 });
-    let mixed = low.iter().flat_map(|low| {
-        high.iter().filter(|high| low.cost < high.cost).map(|high| {
-            let share = (aim - low.quality) / (high.quality - low.quality);
-            Mix { low: **low, high: **high, share }
-        })
-    });
-    whole.chain(mixed).min_by(|a, b| a.cost().total_cmp(&b.cost()))
+    let (mut least, mut best) = (f64::INFINITY, None);
+    for high in points.iter().filter(|it| aim <= it.counted) {
+        if high.cost < least {
+            (least, best) = (high.cost, Some((high, high, 1.0)));
+        }
+        for low in points.iter().filter(|it| it.counted < aim && it.cost < high.cost) {
+            let share = (aim - low.counted) / (high.counted - low.counted);
+            let cost = low.cost + share * (high.cost - low.cost);
+            if cost < least {
+                (least, best) = (cost, Some((low, high, share)));
+            }
+        }
+    }
+    best.map(|(low, high, share)| Mix { low: *low, high: *high, share })
 }
--- a/crates/curranthook_policy/src/choice/served.rs
+++ b/crates/curranthook_policy/src/choice/served.rs
@@ -50,15 +50,16 @@
         }
     }
 
-    /// Values what one way gave by what is known of it now.
+    /// Values what each way gave by what is known of it now; a way of which nothing is known
+    /// now, say because it isn't allowed here, keeps its value.
     pub(crate) fn revalue(
         &mut self,
-        first: &version::Id,
-        then: Option<&version::Id>,
-        quality: f64,
+        quality: impl Fn(&version::Id, Option<&version::Id>) -> Option<f64>,
     ) {
-        if let Some(way) = self.ways.iter_mut().find(|it| it.is(first, then)) {
-            way.quality = quality;
+        for way in &mut self.ways {
+            if let Some(quality) = quality(&way.first, way.then.as_ref()) {
+                way.quality = quality;
+            }
         }
     }
 
--- a/crates/curranthook_policy/src/endpoint.rs
+++ b/crates/curranthook_policy/src/endpoint.rs
@@ -15,6 +15,7 @@
 mod ejection;
 mod first_byte;
 mod track;
+mod window;
 
 pub use curranthook_types::endpoint::Id;
 
@@ -114,6 +115,13 @@
         /// The time to its first byte.
         first_byte: Duration,
     },
+    /// With an answer whose first byte was told before, by [`Pool::began`].
+    Done,
+    /// It was given up before its first byte, which another attempt beside it gave sooner.
+    Overtaken {
+        /// For how long it was waited for.
+        waited: Duration,
+    },
     /// With a server error, a broken connection or a time-out.
     Failed,
     /// The endpoint said that it is full and has not begun.
@@ -209,7 +217,7 @@
 
         self.open.clear();
         for (place, it) in self.tracks.iter().enumerate() {
-            if is_candidate(it) && !it.is_ejected() && it.load(now) < it.slots() {
+            if is_candidate(it) && !it.is_ejected() && it.has_room() {
                 self.open.push(place);
             }
         }
@@ -234,12 +242,26 @@
         }
     }
 
+    /// An answer began. Told now and not with its end, a slow endpoint is noticed before the
+    /// first of its slow answers is whole.
+    pub fn began(&mut self, id: &Id, first_byte: Duration, now: Instant) {
+        let Some(place) = self.places.get(id).copied() else {
+            return;
+        };
+        self.tracks[place].begin(first_byte);
+        ejection::review(&mut self.tracks, place, now);
+    }
+
     /// A request at an endpoint ended. Each `started` is followed by exactly one `finished`.
     pub fn finished(&mut self, id: &Id, outcome: Outcome, now: Instant) {
         let Some(place) = self.places.get(id).copied() else {
             return;
         };
         self.tracks[place].finish(outcome, now);
+        if outcome == Outcome::Done {
+            // It was reviewed as it began.
+            return;
+        }
         ejection::review(&mut self.tracks, place, now);
     }
 
--- a/crates/curranthook_policy/src/endpoint/ejection.rs
+++ b/crates/curranthook_policy/src/endpoint/ejection.rs
@@ -10,8 +10,16 @@
 const SLOW_FACTOR: f64 = 3.0;
 /// Differences below this time are not worth leaving an endpoint out, in seconds.
 const SLOW_MARGIN: f64 = 0.05;
-/// How long an endpoint is left out at first; the time doubles with each failed probe.
+/// Requests in a row that got their answers from elsewhere, after which it counts how long they
+/// were waited for. One may have met a connection that went silent.
+const OVERTAKEN: u32 = 2;
+/// How many times the median that wait must be. The answer would have come later still.
+const OVERTAKEN_FACTOR: f64 = 2.0;
+/// How long a failing endpoint is left out at first; the time doubles with each failed probe.
 const SHORTEST: Duration = Duration::from_secs(1);
+/// The same for a slow one. Each probe makes a caller wait, and a slow endpoint isn't missed as
+/// much as one that is thought dead while it's back already.
+const SHORTEST_SLOW: Duration = Duration::from_secs(5);
 const LONGEST: Duration = Duration::from_secs(30);
 
 /// Leaves out or takes back the endpoint at `place` after an answer or a failure.
@@ -32,7 +40,15 @@
 }
 
 fn is_slow(tracks: &[Track], place: usize) -> bool {
+    let Some(median) = median_of_others(tracks, place) else {
+        return false;
+    };
+    let is_above = |own: f64, factor: f64| median * factor < own && median + SLOW_MARGIN < own;
     let track = &tracks[place];
+    let allowed = if track.is_ejected() { 1 } else { OVERTAKEN };
+    if allowed <= track.overtaken.n {
+        return is_above(track.overtaken.waited.as_secs_f64(), OVERTAKEN_FACTOR);
+    }
     let own = if track.is_ejected() {
         // The mean still holds the time that it was left out for; only the probe counts.
         track.first_byte.last().map(|it| it.as_secs_f64())
@@ -41,10 +57,7 @@
     } else {
         None
     };
-    let (Some(own), Some(median)) = (own, median_of_others(tracks, place)) else {
-        return false;
-    };
-    median * SLOW_FACTOR < own && median + SLOW_MARGIN < own
+    own.is_some_and(|it| is_above(it, SLOW_FACTOR))
 }
 
 fn median_of_others(tracks: &[Track], place: usize) -> Option<f64> {
@@ -97,7 +110,8 @@
 }
 
 fn extend(track: &mut Track, now: Instant) {
-    let time = SHORTEST.saturating_mul(1 << track.n_ejections.min(10)).min(LONGEST);
+    let shortest = if is_failing(track) { SHORTEST } else { SHORTEST_SLOW };
+    let time = shortest.saturating_mul(1 << track.n_ejections.min(10)).min(LONGEST);
     track.n_ejections += 1;
     track.ejected = Some(Ejected { until: now + time });
 }
@@ -105,6 +119,7 @@
 fn restore(track: &mut Track) {
     track.ejected = None;
     track.n_failures = 0;
+    track.overtaken = Default::default();
     track.first_byte.restart();
 }
 
--- a/crates/curranthook_policy/src/endpoint/track.rs
+++ b/crates/curranthook_policy/src/endpoint/track.rs
@@ -5,7 +5,7 @@
 use curranthook_types::domain;
 
 use crate::{
-    endpoint::{Member, Outcome, first_byte::FirstByte},
+    endpoint::{Member, Outcome, first_byte::FirstByte, window::Window},
     hash,
 };
 
@@ -29,11 +29,13 @@
     pub(crate) first_byte: FirstByte,
     /// Failures since the last answer.
     pub(crate) n_failures: u32,
+    pub(crate) overtaken: Overtaken,
     pub(crate) ejected: Option<Ejected>,
     /// How often it was left out, one time after another.
     pub(crate) n_ejections: u32,
     /// Requests of other nodes, and when that was known.
     others: Option<(f64, Instant)>,
+    window: Window,
 }
 
 /// An endpoint that is left out.
@@ -43,15 +45,32 @@
     pub(crate) until: Instant,
 }
 
+/// Requests since the last answer that got theirs from elsewhere.
+#[derive(Debug, Default)]
+pub(crate) struct Overtaken {
+    pub(crate) n: u32,
+    /// How long the last one was waited for: its first byte would have come later still.
+    pub(crate) waited: Duration,
+}
+
+impl Overtaken {
+    fn add(&mut self, waited: Duration) {
+        self.n += 1;
+        self.waited = waited;
+    }
+}
+
 impl Track {
     pub(crate) fn new(member: Member) -> Self {
         Self {
             hash: hash::bytes(member.id.as_str().as_bytes()),
+            window: Window::new(member.slots.max(1) as f64),
             member,
             in_flight: 0,
             is_leaving: false,
             first_byte: FirstByte::default(),
             n_failures: 0,
+            overtaken: Overtaken::default(),
             ejected: None,
             n_ejections: 0,
             others: None,
@@ -60,7 +79,12 @@
 
     /// The same endpoint after its settings changed.
     pub(crate) fn with_member(self, member: Member) -> Self {
-        Self { member, ..self }
+        let window = if member.slots == self.member.slots {
+            self.window
+        } else {
+            Window::new(member.slots.max(1) as f64)
+        };
+        Self { member, window, ..self }
     }
 
     pub(crate) fn start(&mut self, now: Instant) {
@@ -72,16 +96,24 @@
         }
     }
 
+    pub(crate) fn begin(&mut self, first_byte: Duration) {
+        self.n_failures = 0;
+        self.overtaken = Overtaken::default();
+        self.first_byte.add(first_byte);
+    }
+
     pub(crate) fn finish(&mut self, outcome: Outcome, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         match outcome {
-            Outcome::Answered { first_byte } => {
-                self.n_failures = 0;
-                self.first_byte.add(first_byte);
-            }
+            Outcome::Answered { first_byte } => self.begin(first_byte),
+            Outcome::Overtaken { waited } => self.overtaken.add(waited),
+            Outcome::Done => {}
             Outcome::Failed | Outcome::Unreachable => self.n_failures += 1,
             // It holds as many as it can; others sent what we did not.
-            Outcome::Refused => self.hint(self.member.slots as u64, now),
+            Outcome::Refused => {
+                self.hint(self.member.slots as u64, now);
+                self.window.refused(now);
+            }
             Outcome::Cancelled => {}
         }
     }
@@ -89,6 +121,13 @@
     pub(crate) fn hint(&mut self, load: u64, now: Instant) {
         let others = (load as f64 - self.in_flight as f64).max(0.0);
         self.others = Some((others, now));
+        let slots = self.slots();
+        self.window.report(load as f64, slots, now);
+    }
+
+    /// Whether this node may send another request now.
+    pub(crate) fn has_room(&self) -> bool {
+        self.window.has_room(self.in_flight)
     }
 
     pub(crate) fn slots(&self) -> f64 {
--- a/crates/curranthook_policy/src/queue.rs
+++ b/crates/curranthook_policy/src/queue.rs
@@ -10,8 +10,9 @@
 /// What one request of an account of weight 1 adds to the account's virtual time.
 const UNIT: f64 = 1_000_000.0;
 const LEAST_WEIGHT: f64 = 0.001;
-/// The part of the time left that the expected wait may take; the rest is for its error.
-const USABLE: f64 = 0.9;
+/// The part of the time left that the expected wait may take; the rest is for its error and for
+/// the answer itself. A request that waits until just before its deadline is lost all the same.
+const USABLE: f64 = 0.3;
 
 /// The queue can't serve a request in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/curranthook_policy/tests/endpoint.rs
+++ b/crates/curranthook_policy/tests/endpoint.rs
@@ -86,6 +86,66 @@
     assert_eq!(pool.n_left_out(), 0);
 }
 
+/// An endpoint becomes slow, and each of its callers is rescued by a second attempt elsewhere. No
+/// answer of it is ever seen, yet it must stop getting requests: each rescue costs its caller the
+/// wait before it, and another endpoint the work.
+#[test]
+fn an_endpoint_that_is_always_overtaken_is_left_out() {
+    let (mut pool, now) = (pool(4), Instant::now());
+    for place in (0..4).cycle().take(80) {
+        pool.started(&id(place), now);
+        pool.began(&id(place), Duration::from_millis(40), now);
+        pool.finished(&id(place), Outcome::Done, now);
+    }
+    let waited = pool.slow_after(&id(0));
+    for _ in 0..2 {
+        assert_eq!(pool.n_left_out(), 0);
+        pool.started(&id(0), now);
+        pool.finished(&id(0), Outcome::Overtaken { waited }, now);
+    }
+    assert_eq!(pool.n_left_out(), 1);
+}
+
+/// An answer's end comes long after its first byte where the endpoint is slow.
+#[test]
+fn a_slow_endpoint_is_noticed_as_its_answers_begin() {
+    let (mut pool, now) = (pool(4), Instant::now());
+    for place in (0..4).cycle().take(80) {
+        pool.started(&id(place), now);
+        pool.finished(&id(place), answered(40), now);
+    }
+    for _ in 0..3 {
+        pool.started(&id(0), now);
+        pool.began(&id(0), Duration::from_millis(400), now);
+    }
+    assert_eq!(pool.n_left_out(), 1);
+    assert_eq!(pool.in_flight(&id(0)), 3, "they still run");
+}
+
+/// Several nodes share an endpoint, and each may fill it by itself. What is too much waits where
+/// nobody can refuse it in time.
+#[test]
+fn a_node_takes_its_part_of_a_full_endpoint() {
+    let (mut pool, mut now) = (pool(1), Instant::now());
+    let fill = |pool: &mut Pool, now| {
+        while let Ok(pick) = pool.pick(None, &[], now) {
+            pool.started(&pick.id, now);
+        }
+        pool.in_flight(&id(0))
+    };
+    assert_eq!(fill(&mut pool, now), 8);
+    for _ in 0..8 {
+        now += Duration::from_secs(1);
+        pool.hint(&id(0), 32, now);
+        pool.finished(&id(0), answered(80), now);
+    }
+    assert_eq!(fill(&mut pool, now), 1, "the endpoint holds four times what it can run");
+    for _ in 0..100 {
+        pool.hint(&id(0), 1, now);
+    }
+    assert_eq!(fill(&mut pool, now), 8, "it has room again");
+}
+
 /// Load reports lag. One that was true seconds ago must not keep requests from an endpoint that
 /// has long been idle.
 #[test]
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -301,7 +301,7 @@
     let mut events: Events = Box::pin(body.into_data_stream().eventsource());
     match timeout::run(limit, events.next()).await {
         Ok(Some(Ok(first))) => {
-            link.first_byte = link.lease.started().elapsed();
+            link.first_byte = link.lease.begin();
             Ok(Begin { link, first, events })
         }
         Ok(_) => Err(link.fail(Retry::ClosedEarly, "the answer broke off", Break::Closed)),
--- a/crates/curranthook_router/src/gate.rs
+++ b/crates/curranthook_router/src/gate.rs
@@ -178,7 +178,11 @@
             if entry.ask.deadline <= now {
                 return Err(Refusal::not_run(Reason::Deadline, "the deadline passed in the queue"));
             }
-            match self.try_enter(entry, now) {
+            // Newcomers go behind those that wait. If they took what gets free, those that wait
+            // would do so until their deadlines under overload.
+            let is_behind = place.is_none() && !self.inner.lock().queue.is_empty();
+            let entered = if is_behind { Err(Miss::AllBusy) } else { self.try_enter(entry, now) };
+            match entered {
                 Ok(lease) => return Ok(lease),
                 Err(Miss::Empty) => return Err(no_endpoint("no endpoint is in service")),
                 Err(Miss::AllExcluded) => return Err(no_endpoint("each endpoint failed")),
@@ -191,10 +195,13 @@
             let woken = async { _ = turn.recv().await };
             let timer = async { _ = Timer::after(LOOK_AGAIN).await };
             future::or(woken, timer).await;
-            // Its turn came. If a newcomer takes the endpoint first, it lines up again; to
-            // refuse it then would turn away a caller whose deadline can still be met.
+            // Its turn came. If the endpoint was taken first, it lines up again; to refuse it
+            // then would turn away a caller whose deadline can still be met.
             if turn.is_closed() {
-                place = None;
+                match self.try_enter(entry, self.clock.now()) {
+                    Ok(lease) => return Ok(lease),
+                    Err(_) => place = None,
+                }
             }
         }
     }
@@ -223,7 +230,13 @@
         let pick = inner.pool.pick(entry.affinity, entry.exclude, now)?;
         let Some(addr) = inner.addresses.get(&pick.id).copied() else { return Err(Miss::Empty) };
         inner.pool.started(&pick.id, now);
-        Ok(Lease { gate: Arc::clone(self), endpoint: pick.id, addr, started: now, done: false })
+        Ok(Lease {
+            gate: Arc::clone(self),
+            endpoint: pick.id,
+            addr,
+            started: now,
+            stage: Stage::Waiting,
+        })
     }
 
     fn line_up(&self, entry: Entry<'_>, now: Instant) -> Result<Receiver<()>, Refusal> {
@@ -264,7 +277,18 @@
     endpoint: endpoint::Id,
     addr: SocketAddr,
     started: Instant,
-    done: bool,
+    stage: Stage,
+}
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Its first byte hasn't come.
+    Waiting,
+    /// Its answer comes.
+    Begun,
+    /// The endpoint was given back.
+    Done,
 }
 
 impl Lease {
@@ -293,19 +317,47 @@
         self.gate.inner.lock().pool.hint(&self.endpoint, load, self.gate.clock.now());
     }
 
+    /// Notes that the first byte of the answer came, and says after how long.
+    pub fn begin(&mut self) -> Duration {
+        let now = self.gate.clock.now();
+        let first_byte = now.saturating_duration_since(self.started);
+        if self.stage == Stage::Waiting {
+            self.stage = Stage::Begun;
+            self.gate.inner.lock().pool.began(&self.endpoint, first_byte, now);
+        }
+        first_byte
+    }
+
     /// Gives the endpoint back.
     pub fn finish(mut self, outcome: Outcome) {
-        self.done = true;
+        let outcome = match (self.stage, outcome) {
+            (Stage::Begun, Outcome::Answered { .. }) => Outcome::Done,
+            (_, outcome) => outcome,
+        };
+        self.stage = Stage::Done;
         self.gate.leave(&self.endpoint, outcome);
     }
+
+    /// What it tells of the endpoint that the attempt is given up now. A caller that goes away
+    /// soon says nothing of it. If it goes, or a second attempt is faster, after a wait that is
+    /// unusual for the endpoint, then the endpoint is slow; were that not noted, it would get
+    /// requests for as long as each is rescued by another endpoint.
+    fn given_up(&self) -> Outcome {
+        let waited = self.gate.clock.now().saturating_duration_since(self.started);
+        if self.stage == Stage::Waiting && self.slow_after() <= waited {
+            Outcome::Overtaken { waited }
+        } else {
+            Outcome::Cancelled
+        }
+    }
 }
 
 impl Drop for Lease {
     // A caller that goes away drops its request wherever it stands; without this the endpoint
     // would count as busy for good.
     fn drop(&mut self) {
-        if !self.done {
-            self.gate.leave(&self.endpoint, Outcome::Cancelled);
+        if self.stage != Stage::Done {
+            self.gate.leave(&self.endpoint, self.given_up());
         }
     }
 }
