--- a/crates/curranthook_capacity/src/measure/evidence.rs
+++ b/crates/curranthook_capacity/src/measure/evidence.rs
@@ -3,7 +3,7 @@
 use std::{hint::black_box, time::Instant};
 
 use curranthook_peers::evidence::{Counts, Entry, Evidence};
-use curranthook_policy::verdict::{self, Config, Reference, Test};
+use curranthook_policy::verdict::{Config, Reference, Test};
 use curranthook_types::bill::Origin;
 
 use crate::{
@@ -71,7 +71,7 @@
         let start = Instant::now();
         for (version, test) in &mut tests {
             for (origin, counts) in evidence.by_origin(version) {
-                test.merge_counts(&origin, convert(counts));
+                test.merge_counts(&origin, counts);
             }
         }
         black_box(evidence.of_others());
@@ -104,12 +104,3 @@
     const INCARNATION: u64 = 1_796_000_000_000;
     Origin { vm: vm_name(n).as_str().into(), incarnation: INCARNATION }
 }
-
-fn convert(counts: Counts) -> verdict::Counts {
-    verdict::Counts {
-        calls: counts.calls,
-        errors: counts.failures,
-        tokens: counts.tokens,
-        ..verdict::Counts::default()
-    }
-}
