One register of poison requests; an answer takes charges back

Cause: the policy had a register of charged requests that nothing used, and the peers had written another without its release. Two restarts within ten minutes under one request refused it everywhere even after an endpoint had answered it. Change: the peers use the policy's register, with their expiry of ten minutes; a whole answer releases its request.

--- a/crates/curranthook_policy/src/poison.rs
+++ b/crates/curranthook_policy/src/poison.rs
@@ -14,7 +14,7 @@
 /// How many different endpoints must have died under a request.
 const ENDPOINTS: usize = 2;
 /// How long a charge stands.
-const EXPIRY: Duration = Duration::from_secs(3_600);
+const EXPIRY: Duration = Duration::from_secs(600);
 
 /// What a node knows of one request, for other nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -259,6 +259,7 @@
     async fn bill(&self, version: &version::Id) {
         let ask = &self.call.chat().ask;
         let line = self.cost.line(ask, version, &*self.router.clock);
+        self.router.node.poison().release(&ask.fingerprint);
         // The line must outlive this VM before the caller can know that it has the answer:
         // a VM that dies in between would otherwise have worked for free.
         self.router.record(line).await;
