Evidence against a version goes round at once; no waiter is woken in vain

Evidence of some 40 ratings is needed, but a node heard from one peer a second, so it took 10 s until one of them had it together. Cause, late refusals under overload: an endpoint's window may shrink as a request ends. Whoever was woken then found no room, lost its place and was refused as it lined up anew.

Ruled out: a laxer test. Its false alarm rate is stated, and the evidence was there, on other nodes.

Change: a router whose test of a version becomes urgent meets a peer each 250 ms and not each second, for as long as that lasts (`Test::urgency` was there for it, unused; node::exchange is new).

--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -184,6 +184,11 @@
         task::spread::refresh(self).await;
     }
 
+    /// Meets the next peer ahead of its round, with news that can't wait.
+    pub async fn exchange(&self) {
+        task::round::exchange(self).await;
+    }
+
     /// Who this node is to its peers.
     pub fn identity(&self) -> &Identity {
         self.members.own()
--- a/crates/curranthook_router/src/gate.rs
+++ b/crates/curranthook_router/src/gate.rs
@@ -252,6 +252,11 @@
         let mut inner = self.inner.lock();
         inner.pool.finished(endpoint, outcome, now);
         inner.queue.served(now);
+        // The endpoint may have less room than before. Whoever were woken then would lose its
+        // place in the queue for nothing.
+        if inner.pool.pick(None, &[], now).is_err() {
+            return;
+        }
         // Whoever gave up has dropped its receiver; go on to the next one.
         while let Some(Next::Run(waiter) | Next::Expired(waiter)) = inner.queue.pop(now) {
             if waiter.try_send(()).is_ok() {
--- a/crates/curranthook_router/src/watch.rs
+++ b/crates/curranthook_router/src/watch.rs
@@ -18,6 +18,8 @@
 
 /// How often the evidence is looked at.
 const PERIOD: Duration = Duration::from_millis(250);
+/// From this urgency on, evidence isn't held until the next round of exchanges.
+const URGENT: f64 = 1.0;
 
 /// Tests all versions, for as long as the process lives.
 pub async fn run(router: Arc<Router>) {
@@ -26,6 +28,7 @@
         Timer::after(PERIOD).await;
         share(&router);
         let Ok(snapshot) = router.snapshot() else { continue };
+        let mut urgency: f64 = 0.0;
         for id in snapshot.config().versions.keys() {
             let test = tests
                 .entry(id.clone())
@@ -33,6 +36,7 @@
             for (origin, counts) in router.node.evidence().by_origin(id) {
                 test.merge_counts(&origin, convert(counts));
             }
+            urgency = urgency.max(test.urgency());
             // The policy's own samples come on top, so only what goes beyond them counts here.
             router.sampling.lock().insert(id.clone(), test.sampling(0.0));
             if let State::Suspect(reason) = test.state()
@@ -42,11 +46,22 @@
                 log::warn!("{id} is suspect: {}", reason.name());
                 router.metrics.count(&format!("suspect.{}", reason.name()));
                 router.node.suspects().declare(id);
+                urgency = 1.0;
             }
         }
+        if URGENT <= urgency {
+            hurry(&router);
+        }
     }
 }
 
+/// Meets a peer between two rounds. No node sees enough answers of a bad version by itself, and
+/// while each waits for its round, all of them go on giving out what it answers.
+fn hurry(router: &Arc<Router>) {
+    let node = Arc::clone(&router.node);
+    router.ex.spawn(async move { node.exchange().await }).detach();
+}
+
 /// Lets the choice of versions profit from what other nodes have seen.
 fn share(router: &Router) {
     let mut chooser = router.chooser.lock();
