--- a/crates/curranthook_peers/src/node.rs
+++ b/crates/curranthook_peers/src/node.rs
@@ -34,10 +34,10 @@
     poison::Poison,
     replica::Replicas,
     rpc,
-    spread::Spread,
+    spread::{Spread, Transfer},
     suspect::Suspects,
     task,
-    tuning::Tuning,
+    tuning::{Part, Tuning},
 };
 
 /// What a node needs to start.
@@ -98,6 +98,8 @@
     replicas: Replicas,
     /// Peers that hold lines of this node's journal.
     pub(crate) holders: Mutex<BTreeSet<SocketAddr>>,
+    /// Which owners' lines were passed on to which processes.
+    pub(crate) passed: Mutex<BTreeSet<(Origin, Origin)>>,
     /// One fetch of a document at a time; peers often tell the same news at once.
     pub(crate) fetching: async_lock::Mutex<()>,
     turn: AtomicUsize,
@@ -147,6 +149,7 @@
             members: Members::new(own, tuning.trust, Arc::clone(clock), setup.seed),
             spread: Spread::default(),
             holders: Mutex::default(),
+            passed: Mutex::default(),
             fetching: async_lock::Mutex::new(()),
             turn: AtomicUsize::new(0),
             module: rpc::module(Weak::clone(weak)),
@@ -278,6 +281,18 @@
         &self.tuning
     }
 
+    pub(crate) fn has(&self, part: Part) -> bool {
+        !self.tuning.without.contains(&part)
+    }
+
+    /// What a peer that has epoch `have` gets.
+    pub(crate) fn transfer(&self, have: Epoch) -> Transfer {
+        // A peer's epoch of zero asks for the whole.
+        let is_newer = have < self.epoch();
+        let base = if self.has(Part::Delta) || !is_newer { have } else { Epoch::default() };
+        self.spread.transfer(base)
+    }
+
     pub(crate) fn members(&self) -> &Members {
         &self.members
     }
--- a/crates/curranthook_peers/src/replica.rs
+++ b/crates/curranthook_peers/src/replica.rs
@@ -6,7 +6,10 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -29,6 +32,12 @@
 const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// How many lines go into one object.
 const MAX_RUN: usize = 2_000;
+/// Puts a second by all nodes together; the platform gives several hundred.
+pub const FLEET_PUTS: f64 = 100.0;
+/// How long an owner may be silent while the store is thought to work.
+const QUICK: Duration = Duration::from_millis(2_500);
+/// An owner that missed so many flushes counts as silent.
+const FLUSHES_MISSED: u32 = 3;
 /// How long an origin without lines is remembered, so that a batch that arrives late isn't kept
 /// anew.
 const FORGET: Duration = Duration::from_secs(300);
@@ -70,13 +79,20 @@
     clock: Arc<dyn Clock>,
     counters: Arc<Counters>,
     silence: Duration,
+    is_store_out: AtomicBool,
     state: Mutex<State>,
 }
 
 impl Replicas {
     /// None yet. An owner that is silent for `silence` is taken for gone.
     pub fn new(clock: Arc<dyn Clock>, counters: Arc<Counters>, silence: Duration) -> Self {
-        Self { clock, counters, silence, state: Mutex::default() }
+        Self {
+            clock,
+            counters,
+            silence,
+            is_store_out: AtomicBool::default(),
+            state: Mutex::default(),
+        }
     }
 
     /// Keeps a batch and drops what its owner has stored.
@@ -113,34 +129,40 @@
         self.state.lock().owners.values().map(|it| it.lines.len()).sum()
     }
 
-    /// Stores the lines of owners that left, were replaced or have been silent too long.
-    pub async fn sweep(&self, members: &Members, objects: &dyn Objects) {
+    /// Stores the lines of owners that left, were replaced or have been silent too long, and
+    /// says whether all could be stored.
+    pub async fn sweep(&self, members: &Members, objects: &dyn Objects) -> bool {
         for (origin, lines) in self.abandoned(members) {
             for (first, run) in store::runs(lines.into_iter(), MAX_RUN) {
                 let end = first + run.len() as u64;
                 if store::put(objects, &origin, first, run).await.is_err() {
                     bump(&self.counters.store_failed, 1);
-                    return;
+                    self.is_store_out.store(true, Ordering::Relaxed);
+                    return false;
                 }
                 bump(&self.counters.segment_taken_over, 1);
+                self.is_store_out.store(false, Ordering::Relaxed);
                 self.drop_lines(&origin, first, end);
             }
         }
+        true
     }
 
     /// All lines kept, in batches, for a node that leaves and hands them to other peers.
     pub fn batches(&self) -> Vec<Batch> {
         let state = self.state.lock();
-        let mut batches = Vec::new();
-        for (origin, owner) in &state.owners {
-            let lines = owner.lines.iter().map(|(sequence, line)| (*sequence, line.clone()));
-            let runs = store::runs(lines, MAX_RUN).into_iter();
-            let stored_below = owner.stored_below;
-            let batch =
-                |(first, lines)| Batch { origin: origin.clone(), stored_below, first, lines };
-            batches.extend(runs.map(batch));
-        }
-        batches
+        let lines = state.owners.iter().map(|(origin, it)| (origin.clone(), it.lines.clone()));
+        lines.flat_map(|(origin, lines)| batches(&origin, lines)).collect()
+    }
+
+    /// The lines of owners that are gone, in batches, by owner.
+    pub fn orphans(&self, members: &Members) -> Vec<(Origin, Vec<Batch>)> {
+        let abandoned = self.abandoned(members).into_iter();
+        let batched = abandoned.map(|(origin, lines)| {
+            let batches = batches(&origin, lines);
+            (origin, batches)
+        });
+        batched.collect()
     }
 
     /// Stores everything, for a node that leaves; the owners' other replicas may do it too.
@@ -161,13 +183,22 @@
 
     fn abandoned(&self, members: &Members) -> Vec<(Origin, BTreeMap<u64, Line>)> {
         let now = self.clock.now();
+        // Owners flush less often in a large fleet. Replicas that didn't wait for that would
+        // store every line of the fleet three times.
+        let flush = Duration::from_secs_f64(members.fleet() as f64 / FLEET_PUTS);
+        let patience = match self.is_store_out.load(Ordering::Relaxed) {
+            true => self.silence,
+            // Storing lines twice is harmless, and each second counts when VMs are lost together.
+            false => self.silence.min(QUICK),
+        };
+        let silence = patience.max(flush * FLUSHES_MISSED);
         let mut state = self.state.lock();
         state.owners.retain(|_, it| {
             !it.lines.is_empty() || now.saturating_duration_since(it.heard) < FORGET
         });
         let is_abandoned = |origin: &Origin, owner: &Owner| {
             !owner.lines.is_empty()
-                && (self.silence < now.saturating_duration_since(owner.heard)
+                && (silence < now.saturating_duration_since(owner.heard)
                     || members.is_replaced(&origin.vm, origin.incarnation))
         };
         let abandoned = state.owners.iter().filter(|(origin, it)| is_abandoned(origin, it));
@@ -186,6 +217,14 @@
     }
 }
 
+fn batches(origin: &Origin, lines: BTreeMap<u64, Line>) -> Vec<Batch> {
+    let batch = |(first, lines)| {
+        // What is stored below is the owner's to say; a lower bound does no harm.
+        Batch { origin: origin.clone(), stored_below: 0, first, lines }
+    };
+    store::runs(lines.into_iter(), MAX_RUN).into_iter().map(batch).collect()
+}
+
 /// About how many bytes a line takes in memory.
 pub fn size(line: &Line) -> usize {
     const TREE_NODE: usize = 64;
--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -3,35 +3,48 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_http::timeout;
+use curranthook_types::bill::Origin;
 use futures_lite::future;
 
 use crate::{
     journal::{Durability, Group, REPLICATE_TIMEOUT, SECOND_TIMEOUT},
     node::Node,
-    replica::Batch,
+    replica::{Batch, FLEET_PUTS},
     rpc,
     task::{join_all, pause},
 };
 
-/// How long lines are gathered before they go to the peers together.
-const GATHER: Duration = Duration::from_millis(3);
+/// How long lines are gathered while earlier ones are on their way to the peers. Callers wait for
+/// this, so a line that finds none on its way goes at once: each in a call of its own while there
+/// are few, many in one call while there are many.
+const GATHER: Duration = Duration::from_millis(1);
 /// How many peers hold each line.
 const COPIES: usize = 2;
-/// Puts a second by all nodes together; the platform gives several hundred.
-const FLEET_PUTS: f64 = 100.0;
+/// How long lines that are with this node alone are held for a peer or the store to come back.
+const HOLD: Duration = Duration::from_secs(2);
+/// The pause between two attempts then.
+const HOLD_PAUSE: Duration = Duration::from_millis(100);
 /// The time between looks for silent owners.
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Sends new lines to peers.
 pub(crate) async fn replicate(node: Arc<Node>) {
+    // Each group on its way holds a clone.
+    let on_their_way = Arc::new(());
     loop {
         node.journal().wait_recorded().await;
-        async_io::Timer::after(GATHER).await;
+        if 1 < Arc::strong_count(&on_their_way) {
+            async_io::Timer::after(GATHER).await;
+        }
         let Some(group) = node.journal().take_group() else { continue };
         let node = Arc::clone(&node);
         // A frozen peer must not hold up the lines that come after these.
-        let ex = Arc::clone(&node.setup.ex);
-        ex.spawn(async move { secure(&node, group).await }).detach();
+        let (ex, token) = (Arc::clone(&node.setup.ex), Arc::clone(&on_their_way));
+        ex.spawn(async move {
+            secure(&node, group).await;
+            drop(token);
+        })
+        .detach();
     }
 }
 
@@ -39,11 +52,28 @@
     let durability = if group.batch.lines.is_empty() {
         Durability::Stored
     } else {
-        bring(node, &group.batch).await
+        hold(node, &group.batch).await
     };
     group.close(durability, node.counters());
 }
 
+/// Brings lines to safety and tries again for a while when nobody can be reached.
+///
+/// Peers that are replaced or paused are back within a second or two, and a VM that is lost
+/// before would take answers along that callers have and nobody pays for. A node that knows no
+/// other waits for nothing.
+async fn hold(node: &Node, batch: &Batch) -> Durability {
+    let start = node.setup.clock.now();
+    loop {
+        let durability = bring(node, batch).await;
+        let held = node.setup.clock.now().saturating_duration_since(start);
+        if durability != Durability::Alone || node.members().fleet() <= 1 || HOLD < held {
+            return durability;
+        }
+        pause(HOLD_PAUSE).await;
+    }
+}
+
 /// Two peers, else other peers and the store at once; then there's nothing left to try.
 async fn bring(node: &Node, batch: &Batch) -> Durability {
     let peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
@@ -138,7 +168,34 @@
 pub(crate) async fn sweep(node: Arc<Node>) {
     loop {
         pause(SWEEP).await;
-        node.replicas().sweep(node.members(), &*node.setup.objects).await;
+        if !node.replicas().sweep(node.members(), &*node.setup.objects).await {
+            pass_on(&node).await;
+        }
+    }
+}
+
+/// Brings lines of owners that are gone to the nodes that keep them.
+///
+/// While the store is out such lines live on replicas only, and those are lost or replaced like
+/// any other VM. Nobody would copy the lines anew, and they would get fewer until none is left.
+async fn pass_on(node: &Node) {
+    let orphans = node.replicas().orphans(node.members());
+    node.passed.lock().retain(|(origin, _)| orphans.iter().any(|(it, _)| it == origin));
+    for (origin, batches) in orphans {
+        for keeper in node.members().keepers(&origin.vm) {
+            let process = Origin { vm: keeper.vm.clone(), incarnation: keeper.incarnation };
+            let step = (origin.clone(), process);
+            if keeper == *node.members().own() || node.passed.lock().contains(&step) {
+                continue;
+            }
+            let mut n_kept = 0;
+            for batch in &batches {
+                n_kept += send(node, &[keeper.addr], batch, rpc::TIMEOUT).await;
+            }
+            if n_kept == batches.len() {
+                node.passed.lock().insert(step);
+            }
+        }
     }
 }
 
--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use curranthook_http::{Body, body};
-use curranthook_peers::evidence;
 use curranthook_policy::choice::{Plan, Sample};
 use curranthook_types::{
     Refusal, chat,
@@ -92,20 +91,38 @@
     let plan = router.chooser.lock().plan(&ask).map_err(refused)?;
     match pin {
         Pin::None => Ok((plan, None)),
-        Pin::New(session) | Pin::Held(session, _) => Ok((choose::for_session(plan), Some(session))),
+        Pin::New(session) => Ok((choose::for_session(plan), Some(session))),
+        // The answer's new token carries the move.
+        Pin::Held(session, _) if chat.ask.token.is_some() => {
+            Ok((choose::for_session(plan), Some(session)))
+        }
+        Pin::Held(session, from) => {
+            let plan = choose::for_session(plan);
+            let rows = &router.pins;
+            let version = rows.replace(&chat.ask.account, &session, &from, &plan.first).await?;
+            Ok((settled(snapshot, chat, plan, &version)?, Some(session)))
+        }
         Pin::Unclaimed(session) => {
             let plan = choose::for_session(plan);
             let version = router.pins.insert(&chat.ask.account, &session, &plan.first).await?;
-            let plan = if version == plan.first {
-                plan
-            } else {
-                choose::pinned(snapshot, chat, &version)?
-            };
-            Ok((plan, Some(session)))
+            Ok((settled(snapshot, chat, plan, &version)?, Some(session)))
         }
     }
 }
 
+/// The plan that was made, unless the session's row turned out to name another version.
+fn settled(
+    snapshot: &Snapshot,
+    chat: &Chat,
+    plan: Plan,
+    version: &version::Id,
+) -> Result<Plan, Refusal> {
+    if *version == plan.first {
+        return Ok(plan);
+    }
+    choose::pinned(snapshot, chat, version)
+}
+
 /// An answer that is being put together.
 struct Answer {
     router: Arc<Router>,
@@ -320,7 +337,7 @@
                 Ok(Item::End(usage)) => {
                     answer.add(source.version(), usage);
                     answer.observe(source.version(), usage);
-                    answer.bill(source.version()).await;
+                    Box::pin(answer.bill(source.version())).await;
                     let text = std::mem::take(&mut answer.text);
                     answer.follow_up(source.version(), text, usage);
                     Some((Ok(Frame::data(event(END_MARKER.as_bytes()))), None))
@@ -380,8 +397,3 @@
 fn prompt(chat: &Chat) -> String {
     chat.body.messages.iter().map(|it| it.content.as_str()).collect::<Vec<_>>().join("\n")
 }
-
-/// The evidence that one answer gives of its version.
-pub fn sample(rating: Option<f64>, tokens: u64) -> evidence::Sample {
-    evidence::Sample { rating, failed: evidence::Failed::No, tokens }
-}
--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -11,7 +11,11 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, stop::Stop};
-use curranthook_peers::{Node, evidence, journal};
+use curranthook_peers::{
+    Node,
+    evidence::{Outcome, Sample},
+    journal,
+};
 use curranthook_platform::Table;
 use curranthook_policy::{baseline::Strategy, limit::Bucket, retry::Budget};
 use curranthook_settings::node::Settings;
@@ -61,11 +65,13 @@
     pub stall: stall::Watch,
     /// Requests under way.
     pub in_flight: Arc<AtomicUsize>,
+    /// Outcomes of claimed calls on their way to the platform.
+    pub outcomes: Arc<AtomicUsize>,
     /// Set when the process is asked to end.
     pub stopping: Stop,
 }
 
-/// Counts as one request under way until it's dropped.
+/// Counts as one request, or one outcome, under way until it's dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<AtomicUsize>);
 
@@ -88,6 +94,12 @@
         InFlight(Arc::clone(&self.in_flight))
     }
 
+    /// Counts an outcome as on its way.
+    pub fn enter_outcome(&self) -> InFlight {
+        self.outcomes.fetch_add(1, Ordering::SeqCst);
+        InFlight(Arc::clone(&self.outcomes))
+    }
+
     /// Checks the account's limit.
     pub fn limit(&self, snapshot: &Snapshot, account: &account::Id) -> Result<(), Refusal> {
         self.node.demand().add(account);
@@ -123,7 +135,7 @@
         if let Some(rating) = rating {
             self.chooser.lock().learn(kind, version, rating, self.clock.now());
         }
-        self.node.evidence().add(version, kind, crate::chat::sample(rating, tokens));
+        self.count(kind, version, Sample { rating, outcome: Outcome::Answered, tokens });
     }
 
     /// Takes in the rating of a cascade's second answer.
@@ -144,9 +156,12 @@
         rand::rng().random::<f64>() < share
     }
 
-    /// Takes in that a version gave no answer.
+    /// Takes in that an engine failed at a version's answer.
     pub fn note_failure(&self, kind: &kind::Id, version: &version::Id) {
-        let sample = evidence::Sample { rating: None, failed: evidence::Failed::Yes, tokens: 0 };
+        self.count(kind, version, Sample { rating: None, outcome: Outcome::Error, tokens: 0 });
+    }
+
+    fn count(&self, kind: &kind::Id, version: &version::Id, sample: Sample) {
         self.node.evidence().add(version, kind, sample);
     }
 }
--- a/crates/curranthook_router/src/serve.rs
+++ b/crates/curranthook_router/src/serve.rs
@@ -27,7 +27,13 @@
 use parking_lot::Mutex;
 
 use crate::{
-    Router, follow, gate::Gates, leaving, metrics::Metrics, pin, rate::Rater, stall, watch,
+    Router, follow,
+    gate::Gates,
+    leaving,
+    metrics::{self, Metrics},
+    pin,
+    rate::Rater,
+    stall, watch,
 };
 
 /// Claims wait for the platform this long; then the caller is told that it's out.
@@ -37,6 +43,9 @@
 /// How often the end of the last requests is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
+/// How long a router that ends goes on trying to store outcomes.
+const OUTCOME_LIMIT: Duration = Duration::from_secs(20);
+
 /// What the command line sets.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -63,6 +72,7 @@
     ex.spawn(follow::run(Arc::clone(&router))).detach();
     ex.spawn(leaving::run(Arc::clone(&router), Arc::new(vms))).detach();
     ex.spawn(watch::run(Arc::clone(&router))).detach();
+    ex.spawn(metrics::run(Arc::clone(&router))).detach();
     ex.spawn(stall::run(Arc::clone(&router))).detach();
 
     let (close_peers, peers_closed) = stop::new();
@@ -84,10 +94,11 @@
     Timer::after(options.linger).await;
     close_callers.set();
     for_callers.await;
-    // Calls that go on without their caller, and outcomes still to be stored.
+    // Calls that go on without their caller.
     while 0 < router.in_flight.load(Ordering::SeqCst) {
         Timer::after(DRAIN_PERIOD).await;
     }
+    store_outcomes(&router).await;
     router.node.leave().await;
     close_peers.set();
     for_peers.await;
@@ -95,6 +106,26 @@
     Ok(())
 }
 
+/// Waits until the outcomes of claimed calls are stored, as long as that makes sense.
+///
+/// An outage of the platform outlasts the patience of whoever replaces this VM. A process that
+/// waited for its end would be killed with its bill lines still on it. A claim whose outcome
+/// isn't stored is never sent again; its repeats are told that nobody knows.
+async fn store_outcomes(router: &Router) {
+    let start = router.clock.now();
+    loop {
+        let n_outcomes = router.outcomes.load(Ordering::SeqCst);
+        if n_outcomes == 0 {
+            return;
+        }
+        if OUTCOME_LIMIT < router.clock.now().saturating_duration_since(start) {
+            log::error!("{n_outcomes} outcomes of claimed calls can't be stored");
+            return;
+        }
+        Timer::after(DRAIN_PERIOD).await;
+    }
+}
+
 fn build(
     settings: Settings,
     options: &Options,
@@ -114,7 +145,7 @@
     let node = Node::start(node::Setup {
         settings: settings.clone(),
         incarnation: clock.unix_millis(),
-        peer_addr,
+        peer_addr: settings.peer_address.unwrap_or(peer_addr),
         ex: ex.clone(),
         pool: to_peers,
         clock: Arc::clone(&clock),
@@ -139,6 +170,7 @@
         current: None.into(),
         stall: stall::Watch::new(Arc::clone(&clock)),
         in_flight: Arc::default(),
+        outcomes: Arc::default(),
         started: clock.now(),
         ex: ex.clone(),
         pool: to_endpoints,
--- a/crates/curranthook_steward/src/evidence.rs
+++ b/crates/curranthook_steward/src/evidence.rs
@@ -3,9 +3,10 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use curranthook_http::client::Pool;
-use curranthook_peers::{auth, counters::Counters, evidence, link, rpc};
+use curranthook_peers::{auth, counters::Counters, link, rpc};
 use curranthook_policy::verdict::Counts;
 use curranthook_types::{Clock, bill::Origin, version};
+use serde::de::DeserializeOwned;
 
 /// Asks the router.
 #[derive(Debug)]
@@ -18,7 +19,7 @@
 }
 
 /// The counts of one version from one node.
-pub type Row = (version::Id, Origin, evidence::Counts);
+pub type Row = (version::Id, Origin, Counts);
 
 impl Source {
     /// Asks the router whose peers' address is `router`.
@@ -29,25 +30,24 @@
 
     /// All that the router knows, its own counts and other nodes'.
     pub async fn all(&self) -> Result<Vec<Row>, rpc::Error> {
+        self.ask("origins").await
+    }
+
+    /// About how many nodes there are, as far as the router knows.
+    pub async fn fleet(&self) -> Result<usize, rpc::Error> {
+        self.ask("fleet").await
+    }
+
+    async fn ask<R: DeserializeOwned + Clone + 'static>(
+        &self,
+        method: &str,
+    ) -> Result<R, rpc::Error> {
         let client = rpc::Client {
             link: &self.link,
             key: &self.key,
             now_millis: self.clock.unix_millis(),
             counters: &self.counters,
         };
-        client.call(self.router, "origins", &(), rpc::TIMEOUT).await
-    }
-}
-
-/// The form that the policy takes.
-pub fn convert(counts: evidence::Counts) -> Counts {
-    Counts {
-        n: counts.rated,
-        sum: counts.rating_sum,
-        squares: counts.rating_sq_sum,
-        calls: counts.calls,
-        errors: counts.failures,
-        tokens: counts.tokens,
-        lengths: counts.lengths,
+        client.call(self.router, method, &(), rpc::TIMEOUT).await
     }
 }
--- a/crates/curranthook_tests/src/site/observe.rs
+++ b/crates/curranthook_tests/src/site/observe.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use anyhow::Context;
 use curranthook_http::Exchange;
-use curranthook_settings::Document;
+use curranthook_settings::{Document, rollout};
 use curranthook_standin::{engine::record::Run, proxy::link::Mode};
+use curranthook_steward::lease;
 use curranthook_types::{Epoch, version};
 use serde::Deserialize;
 
@@ -87,6 +89,23 @@
         .await
     }
 
+    /// Publishes where the roll-out from `m@1` to `m@2` stands: given up, so that all new
+    /// sessions get `m@1`, or done, so that they get `m@2`.
+    pub async fn set_rollout(&self, state: rollout::State) -> anyhow::Result<Document> {
+        let rollout = rollout::Rollout {
+            from: "m@1".into(),
+            to: "m@2".into(),
+            stages: vec![1.0],
+            stage: 0,
+            state,
+            since_millis: 0,
+        };
+        self.publish(|document| {
+            document.rollouts.insert("m".to_owned(), rollout);
+        })
+        .await
+    }
+
     /// Takes a version away from an account, in the published document.
     pub async fn disallow(&self, account: &str, version: &str) -> anyhow::Result<Document> {
         self.publish(|document| {
@@ -134,6 +153,22 @@
         Ok(())
     }
 
+    /// The lease of a shard of control work, if somebody ever took it.
+    pub async fn lease(&self, shard: &str) -> anyhow::Result<Option<lease::Record>> {
+        let rows = self.platform.rows(lease::TABLE).await?;
+        let row = rows.into_iter().find(|it| it.key == shard);
+        Ok(row.map(|it| serde_json::from_str(&it.value)).transpose()?)
+    }
+
+    /// Waits until a steward on another VM than `former` holds the lease of a shard, and
+    /// returns it; an empty `former` is for the first holder.
+    pub async fn wait_lease(&self, shard: &str, former: &str) -> anyhow::Result<lease::Record> {
+        let is_new = |it: &lease::Record| it.holder.vm.as_str() != former;
+        let is_taken = async || Ok(self.lease(shard).await?.is_some_and(|it| is_new(&it)));
+        eventually(FOLLOW_LIMIT, is_taken).await?;
+        self.lease(shard).await?.context("a lease's row is never deleted")
+    }
+
     /// What all engines ran of `version`.
     pub async fn runs_of(&self, version: &str) -> anyhow::Result<Vec<Run>> {
         let mut all = Vec::new();
