An index of all proofs; a dropped second attempt is nobody's answer

Cause: a_long_outage_of_the_store_under_load_... and a_cascade_gives_one_line_... failed now and then on a busy machine: a first attempt was late, a second one was sent beside it and dropped when the first answered, and the tests took the engine's cancelled run for an answer. Ruled out: a lost or doubled bill line; the lines agreed with the finished runs. Change: every run that isn't finished must be cancelled, and its request must have exactly one finished run at that engine; only finished runs must be paid for.

--- a/crates/curranthook_tests/tests/billed_once.rs
+++ b/crates/curranthook_tests/tests/billed_once.rs
@@ -55,14 +55,30 @@
     Ok(())
 }
 
+/// The runs that an engine finished.
+///
+/// A second attempt beside a late first one is dropped when the first one answers, and may have
+/// reached the engine. It's nobody's answer, so nobody pays for it; anything else that wasn't
+/// finished is a fault.
+async fn answers(site: &Site, engine: &str) -> anyhow::Result<Vec<record::Run>> {
+    let runs = site.engine(engine).runs().await?;
+    let (done, given_up): (Vec<_>, Vec<_>) =
+        runs.into_iter().partition(|it| it.outcome == record::Outcome::Done);
+    for run in given_up {
+        assert_eq!(run.outcome, record::Outcome::Cancelled, "{run:?}");
+        let n_done = done.iter().filter(|it| it.request_id == run.request_id).count();
+        assert_eq!(n_done, 1, "{run:?}");
+    }
+    Ok(done)
+}
+
 /// Checks that the lines and the operators' sum agree with what the engine recorded.
 async fn check(site: &Site, ids: &[String]) -> anyhow::Result<()> {
     wait_billed(site, ids).await?;
     let bills = Bills::read(site).await?;
     assert!(bills.contradictory().is_empty(), "{:?}", bills.contradictory());
     let mut tokens = 0;
-    for run in site.engine("e1").runs().await? {
-        assert_eq!(run.outcome, record::Outcome::Done, "{run:?}");
+    for run in answers(site, "e1").await? {
         let [line, ..] = bills.of(&run.request_id) else { panic!("no line for {run:?}") };
         assert_eq!(line.completion_tokens, run.tokens, "{run:?}");
         tokens += run.tokens;
@@ -177,8 +193,8 @@
             assert!(chat.send(&site.router("r1")).await?.is_whole());
         }
         wait_billed(&site, &ids).await?;
-        let (bills, cheap) = (Bills::read(&site).await?, site.engine("cheap").runs().await?);
-        let good = site.engine("good").runs().await?;
+        let (bills, cheap) = (Bills::read(&site).await?, answers(&site, "cheap").await?);
+        let good = answers(&site, "good").await?;
         let (mut n_both, words) = (0, 3);
         for id in &ids {
             let cheap = cheap.iter().filter(|it| it.request_id == *id);
