Lines copied anew go on until two peers have them

Cause: copying stopped once every peer met so far had the lines. A peer that was started a moment later never got them, and one copy was left. Seen in a run of all files at once: lines_whose_holders_are_lost_one_by_one_are_copied_anew waited for 60 s.

--- a/crates/curranthook_peers/src/task/journal.rs
+++ b/crates/curranthook_peers/src/task/journal.rs
@@ -88,7 +88,7 @@
     let store = timeout::run(SECOND_TIMEOUT, store);
     let send = send(node, others, batch, SECOND_TIMEOUT);
     let (stored, n_more) = future::zip(store, send).await;
-    if stored != Ok(true) && n_held + n_more < COPIES.min(peers.len()).max(1) {
+    if stored != Ok(true) && n_held + n_more < enough(node) {
         node.journal().set_thin(batch);
     }
     match (stored, n_held + n_more) {
@@ -158,12 +158,18 @@
     let mut peers: Vec<_> = node.members().replicas().into_iter().map(|it| it.addr).collect();
     peers.truncate(COPIES);
     for batch in node.journal().take_thin() {
-        if send(node, &peers, &batch, SECOND_TIMEOUT).await < peers.len().max(1) {
+        if send(node, &peers, &batch, SECOND_TIMEOUT).await < enough(node) {
             node.journal().set_thin(&batch);
         }
     }
 }
 
+/// How many copies lines should have. Peers that are known and not met yet count: they may be
+/// reached a moment later, and lines left with one copy till then would keep only that one.
+fn enough(node: &Node) -> usize {
+    node.members().fleet().saturating_sub(1).clamp(1, COPIES)
+}
+
 /// Stores the lines of owners that are gone.
 pub(crate) async fn sweep(node: Arc<Node>) {
     loop {
