--- a/crates/curranthook_tests/tests/billed_once.rs
+++ b/crates/curranthook_tests/tests/billed_once.rs
@@ -78,7 +78,9 @@
     let bills = Bills::read(site).await?;
     assert!(bills.contradictory().is_empty(), "{:?}", bills.contradictory());
     let mut tokens = 0;
-    for run in answers(site, "e1").await? {
+    let runs = answers(site, "e1").await?;
+    assert!(ids.iter().all(|id| runs.iter().any(|it| it.request_id == *id)), "{runs:?}");
+    for run in runs {
         let [line, ..] = bills.of(&run.request_id) else { panic!("no line for {run:?}") };
         assert_eq!(line.completion_tokens, run.tokens, "{run:?}");
         tokens += run.tokens;
