A node keeps the changes between epochs, not the documents

Cause: for deltas a node kept the last 16 documents as JSON. With 10,000 endpoints (1.3 MB) that made 206 MB after 20 changes, with 1,000 accounts at 400 endpoints (2.1 MB) 298 MB; the limit for control is 128 MB. Applying a delta cloned, parsed and wrote the whole document three times.

Ruled out: a shorter history: each document costs 10 MB still, and nodes a few epochs behind would fetch the whole. Keeping documents as text: each delta would parse two of them.

Change: one document as JSON and the patches between the last 16 epochs; a delta over several is these one after the other. A delta is applied in place, and undone where the result isn't the one that was meant. A change of more than 1,024 operations counts as a new document. Patch, hash and tag of a delta now come from one look under the lock.

The tests of curranthook_peers pass, with three new ones: a delta over several epochs, one that doesn't fit and leaves nothing behind, a change of nearly everything.

--- a/crates/curranthook_peers/src/spread.rs
+++ b/crates/curranthook_peers/src/spread.rs
@@ -20,8 +20,11 @@
 use serde_with::{hex::Hex, serde_as};
 use sha2::{Digest, Sha256};
 
-/// For how many epochs back deltas are made.
+/// For how many epochs back deltas are kept.
 const HISTORY: usize = 16;
+/// Operations of a change past which it counts as a new document. Its delta would be about as
+/// long as the whole, and a few of them would take more memory than all else in a node.
+const MAX_OPERATIONS: usize = 1_024;
 
 /// What one peer sends another that has an older epoch.
 #[serde_as]
@@ -62,11 +65,42 @@
     /// the document: a node that has an epoch from a peer would otherwise read the whole row at
     /// its next poll, only to find what it has.
     tag: Option<Tag>,
-    values: VecDeque<(Epoch, Value)>,
+    /// The newest document as JSON, which deltas are made from and applied to. Earlier ones
+    /// aren't kept: as JSON, one of 10,000 endpoints takes tens of megabytes.
+    value: Value,
+    /// The changes up to the newest, oldest first; each begins where the one before ends.
+    steps: VecDeque<Step>,
     deltas: HashMap<Epoch, Transfer>,
     waiting: Vec<Sender<()>>,
 }
 
+/// What changed from one epoch to the next one that this node had.
+#[derive(Debug)]
+struct Step {
+    base: Epoch,
+    patch: json_patch::Patch,
+}
+
+impl History {
+    fn add(&mut self, base: Epoch, patch: json_patch::Patch) {
+        if MAX_OPERATIONS < patch.len() {
+            self.steps.clear();
+            return;
+        }
+        self.steps.push_back(Step { base, patch });
+        if HISTORY < self.steps.len() {
+            self.steps.pop_front();
+        }
+    }
+
+    /// All changes since `have`, one after the other.
+    fn since(&self, have: Epoch) -> Option<json_patch::Patch> {
+        let start = self.steps.iter().position(|it| it.base == have)?;
+        let steps = self.steps.iter().skip(start);
+        Some(json_patch::Patch(steps.flat_map(|it| it.patch.0.clone()).collect()))
+    }
+}
+
 /// The newest document that a node knows.
 #[derive(Debug, Default)]
 pub struct Spread {
@@ -113,16 +147,13 @@
             }
             return false;
         }
-        history.tag = tag;
-        let value = serde_json::to_value(&document).expect("a document can be written as JSON");
-        history.values.push_back((document.epoch, value));
-        if HISTORY < history.values.len() {
-            history.values.pop_front();
+        let value = to_value(&document);
+        if let Some(base) = known {
+            let patch = json_patch::diff(&history.value, &value);
+            history.add(base, patch);
         }
-        history.deltas.clear();
-        self.newest.store(Some(Arc::new(document)));
-        // Dropping the senders wakes all that wait.
-        history.waiting.clear();
+        history.value = value;
+        self.take(&mut history, document, tag);
         true
     }
 
@@ -132,7 +163,7 @@
         if newest.epoch <= have {
             return Transfer::Nothing;
         }
-        self.delta(have, &newest).unwrap_or_else(|| {
+        self.delta(have).unwrap_or_else(|| {
             let document = Box::new((*newest).clone());
             Transfer::Full { document, tag: self.tag_of(newest.epoch) }
         })
@@ -143,18 +174,45 @@
         match transfer {
             Transfer::Nothing => Ok(false),
             Transfer::Full { document, tag } => Ok(self.offer(*document, tag)),
-            Transfer::Delta { base, patch, hash, tag } => {
-                let document = self.patched(base, &patch).ok_or(Misfit)?;
-                // A node that holds another document under the base's epoch, or lost a digit of
-                // a number on the way, would go on with a configuration nobody published.
-                if digest(&document) != hash {
-                    return Err(Misfit);
-                }
-                Ok(self.offer(document, tag))
-            }
+            Transfer::Delta { base, patch, hash, tag } => self.advance(base, patch, hash, tag),
         }
     }
 
+    fn advance(
+        &self,
+        base: Epoch,
+        patch: json_patch::Patch,
+        hash: [u8; 32],
+        tag: Option<Tag>,
+    ) -> Result<bool, Misfit> {
+        let mut history = self.history.lock();
+        let Some(newest) = self.document().filter(|it| it.epoch == base) else {
+            return Err(Misfit);
+        };
+        // A patch that fails undoes what it did.
+        json_patch::patch(&mut history.value, &patch).map_err(|_| Misfit)?;
+        let document = Document::deserialize(&history.value).ok();
+        // A node that holds another document under the base's epoch, or lost a digit of a number
+        // on the way, would go on with a configuration nobody published.
+        let document = document.filter(|it| base < it.epoch && digest(it) == hash);
+        let Some(document) = document else {
+            history.value = to_value(&newest);
+            return Err(Misfit);
+        };
+        history.add(base, patch);
+        self.take(&mut history, document, tag);
+        Ok(true)
+    }
+
+    /// Puts `document` in force; `history` is up to date but for the tag and those that wait.
+    fn take(&self, history: &mut History, document: Document, tag: Option<Tag>) {
+        history.tag = tag;
+        history.deltas.clear();
+        self.newest.store(Some(Arc::new(document)));
+        // Dropping the senders wakes all that wait.
+        history.waiting.clear();
+    }
+
     fn epoch_of_newest(&self) -> Option<Epoch> {
         self.newest.load().as_ref().map(|it| it.epoch)
     }
@@ -165,33 +223,23 @@
         history.tag.clone().filter(|_| self.epoch_of_newest() == Some(epoch))
     }
 
-    fn delta(&self, have: Epoch, newest: &Document) -> Option<Transfer> {
+    fn delta(&self, have: Epoch) -> Option<Transfer> {
+        // Under the lock no newer document can come: patch, hash and tag belong to one epoch.
         let mut history = self.history.lock();
         if let Some(delta) = history.deltas.get(&have) {
             return Some(delta.clone());
         }
-        let (_, base) = history.values.iter().find(|(epoch, _)| *epoch == have)?;
-        let (_, value) = history.values.iter().find(|(epoch, _)| *epoch == newest.epoch)?;
-        let patch = json_patch::diff(base, value);
-        // Under the lock no newer document can come, so the tag is that of the newest one.
-        let tag = history.tag.clone().filter(|_| self.epoch_of_newest() == Some(newest.epoch));
-        let delta = Transfer::Delta { base: have, patch, hash: digest(newest), tag };
-        if self.epoch_of_newest() == Some(newest.epoch) {
-            history.deltas.insert(have, delta.clone());
-        }
+        let newest = self.document()?;
+        let patch = history.since(have)?;
+        let tag = history.tag.clone();
+        let delta = Transfer::Delta { base: have, patch, hash: digest(&newest), tag };
+        history.deltas.insert(have, delta.clone());
         Some(delta)
     }
+}
 
-    fn patched(&self, base: Epoch, patch: &json_patch::Patch) -> Option<Document> {
-        let history = self.history.lock();
-        let (epoch, value) = history.values.back()?;
-        if *epoch != base {
-            return None;
-        }
-        let mut value = value.clone();
-        json_patch::patch(&mut value, patch).ok()?;
-        serde_json::from_value(value).ok()
-    }
+fn to_value(document: &Document) -> Value {
+    serde_json::to_value(document).expect("a document can be written as JSON")
 }
 
 fn digest(document: &Document) -> [u8; 32] {
--- a/crates/curranthook_peers/tests/peers/document.rs
+++ b/crates/curranthook_peers/tests/peers/document.rs
@@ -1,6 +1,6 @@
 //! The newest configuration reaches every node and never goes back.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{collections::BTreeSet, sync::atomic::Ordering, time::Duration};
 
 use curranthook_peers::spread::{Misfit, Spread, Transfer};
 use curranthook_settings::Document;
@@ -44,6 +44,57 @@
     assert!(matches!(sender.transfer(Epoch(0)), Transfer::Full { .. }));
 }
 
+/// A node was cut off while several epochs were published, and the peer that it meets had some of
+/// them from the table and some as deltas itself.
+#[test]
+fn a_delta_spans_the_epochs_in_between() {
+    let (sender, middle, late) = (Spread::default(), Spread::default(), Spread::default());
+    for spread in [&sender, &middle, &late] {
+        spread.offer(document(1), None);
+    }
+    for epoch in 2..=5 {
+        sender.offer(document(epoch), None);
+        assert_eq!(middle.apply(sender.transfer(Epoch(epoch - 1))), Ok(true));
+    }
+    let delta = middle.transfer(Epoch(1));
+    assert!(matches!(delta, Transfer::Delta { .. }));
+    assert_eq!(late.apply(delta), Ok(true));
+    assert_eq!(late.document(), sender.document());
+}
+
+/// After a delta that didn't fit, a node's next deltas would all fail, or worse, if it went on
+/// from the half of it.
+#[test]
+fn a_delta_that_does_not_fit_leaves_nothing_behind() {
+    let (sender, other) = (Spread::default(), Spread::default());
+    sender.offer(document(1), None);
+    sender.offer(document(2), None);
+    let changed = Document { at_millis: 77, ..document(1) };
+    other.offer(changed.clone(), None);
+    assert_eq!(other.apply(sender.transfer(Epoch(1))), Err(Misfit));
+    assert_eq!(other.document().as_deref(), Some(&changed));
+
+    let third = Spread::default();
+    third.offer(changed.clone(), None);
+    let next = Document { epoch: Epoch(2), ..changed };
+    third.offer(next.clone(), None);
+    assert_eq!(other.apply(third.transfer(Epoch(1))), Ok(true));
+    assert_eq!(other.document().as_deref(), Some(&next));
+}
+
+/// Every node asks for the change since the epoch that it has. One that changes nearly everything
+/// goes out whole.
+#[test]
+fn a_change_of_nearly_everything_is_not_a_delta() {
+    const N_VERSIONS: usize = 5_000;
+    let withdrawn =
+        (0..N_VERSIONS).map(|it| format!("m@{it}").as_str().into()).collect::<BTreeSet<_>>();
+    let spread = Spread::default();
+    spread.offer(document(1), None);
+    spread.offer(Document { withdrawn, ..document(2) }, None);
+    assert!(matches!(spread.transfer(Epoch(1)), Transfer::Full { .. }));
+}
+
 /// The platform's table is out for all nodes but one: they get each epoch from their peers.
 #[test]
 fn peers_bring_epochs_while_the_table_is_out() {
