--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -104,6 +104,10 @@
         self.exclude.push(failed.endpoint.clone());
         if failed.begun == Begun::Perhaps {
             self.run = Run::Unknown;
+        }
+        // A connection that broke or went silent says nothing of the version: a cut cable would
+        // otherwise look like a version that turned bad. An engine's own error does.
+        if failed.reason == Retry::ServerError && failed.begun == Begun::Perhaps {
             self.router.note_failure(&self.chat.ask.kind, version);
         }
         if failed.broke == Break::Closed {
@@ -295,7 +299,7 @@
     let mut events = events::read(body);
     match timeout::run(limit, events.next()).await {
         Ok(Some(Ok(first))) => {
-            link.first_byte = link.lease.started().elapsed();
+            link.first_byte = link.lease.begin();
             Ok(Begin { link, first, events })
         }
         Ok(_) => Err(link.fail(Retry::ClosedEarly, "the answer broke off", Break::Closed)),
--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use curranthook_http::{Body, body};
-use curranthook_peers::evidence;
 use curranthook_policy::choice::{Plan, Sample};
 use curranthook_types::{
     Refusal, chat,
@@ -260,6 +259,7 @@
     async fn bill(&self, version: &version::Id) {
         let ask = &self.call.chat().ask;
         let line = self.cost.line(ask, version, &*self.router.clock);
+        self.router.node.poison().release(&ask.fingerprint);
         // The line must outlive this VM before the caller can know that it has the answer:
         // a VM that dies in between would otherwise have worked for free.
         self.router.record(line).await;
@@ -398,8 +398,3 @@
 fn prompt(chat: &Chat) -> String {
     chat.body.messages.iter().map(|it| it.content.as_str()).collect::<Vec<_>>().join("\n")
 }
-
-/// The evidence that one answer gives of its version.
-pub fn sample(rating: Option<f64>, tokens: u64) -> evidence::Sample {
-    evidence::Sample { rating, failed: evidence::Failed::No, tokens }
-}
