All answers of a little known version are rated, those of sessions too

Ruled out: more exploration.

Change: wants_rating asks the chooser whether the version is settled at the kind of work.

--- a/crates/curranthook_policy/src/baseline.rs
+++ b/crates/curranthook_policy/src/baseline.rs
@@ -45,6 +45,11 @@
     /// Takes in what all other nodes together have gathered.
     fn merge(&mut self, _kind: &kind::Id, _version: &version::Id, _ratings: Counts) {}
 
+    /// Whether enough is known of a version that only samples of its answers need be rated.
+    fn is_settled(&self, _kind: &kind::Id, _version: &version::Id) -> bool {
+        true
+    }
+
     /// The ratings that this node gathered itself.
     fn counts(&self) -> Vec<crate::choice::Tally> {
         Vec::new()
@@ -82,6 +87,10 @@
         self.merge(kind, version, ratings);
     }
 
+    fn is_settled(&self, kind: &kind::Id, version: &version::Id) -> bool {
+        self.is_settled(kind, version)
+    }
+
     fn counts(&self) -> Vec<crate::choice::Tally> {
         self.counts()
     }
--- a/crates/curranthook_policy/src/choice.rs
+++ b/crates/curranthook_policy/src/choice.rs
@@ -189,6 +189,12 @@
         Some(it.belief(None, self.now).mean())
     }
 
+    /// Whether enough is known of a version that only samples of its answers need be rated.
+    pub fn is_settled(&self, kind: &kind::Id, version: &version::Id) -> bool {
+        let known = self.estimates.get(kind).and_then(|it| it.get(version));
+        known.is_some_and(|it| it.belief(None, self.now).is_settled())
+    }
+
     fn estimate_mut(&mut self, kind: &kind::Id, version: &version::Id) -> &mut Estimate {
         if !self.estimates.contains_key(kind) {
             self.estimates.insert(kind.clone(), HashMap::new());
--- a/crates/curranthook_policy/src/choice/mix.rs
+++ b/crates/curranthook_policy/src/choice/mix.rs
@@ -21,6 +21,9 @@
 /// whether it is there at all is less certain than that.
 const NEARLY: f64 = 0.01;
 
+/// How many standard deviations of an estimate aren't counted on.
+const DOUBT: f64 = 0.7;
+
 /// A way to serve a request.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Point {
@@ -80,14 +83,6 @@
         Some(if sure == Sure::Yes { drawn } else { drawn.with_reason(Reason::BestEffort) })
     }
 
-    /// How many standard deviations of an estimate aren't counted on.
-    fn doubt(&self) -> f64 {
-        match self.policy.weigh {
-            Weigh::Latency => 0.7,
-            Weigh::Exposure => 1.0,
-        }
-    }
-
     /// Notes how a request is served, so that later ones make up for it.
     pub(super) fn note(&mut self, ask: &Ask<'_>, drawn: &Draft, wanted: f64) {
         let first = ask.allowed[drawn.first.place].id;
@@ -139,7 +134,7 @@
     fn point(&self, ask: &Ask<'_>, first: &Scored, then: Option<&Scored>) -> Point {
         let (quality, variance) = self.quality_of(ask, first, then);
         let cost = then.map_or(first.cost, |it| first.cost_with(it));
-        let counted = quality - self.doubt() * variance.sqrt();
+        let counted = quality - DOUBT * variance.sqrt();
         Point { first: *first, then: then.copied(), quality, counted, cost }
     }
 
--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -270,7 +270,7 @@
         let router = Arc::clone(&self.router);
         let kind = self.call.chat().ask.kind.clone();
         let (version, tokens) = (version.clone(), usage.completion_tokens);
-        let is_sampled = self.sample == Sample::Rate || router.wants_rating(&version);
+        let is_sampled = self.sample == Sample::Rate || router.wants_rating(&kind, &version);
         let Some(addr) = self.snapshot.config().rater.filter(|_| is_sampled) else {
             return router.learn(&kind, &version, None, tokens);
         };
--- a/crates/curranthook_router/src/router.rs
+++ b/crates/curranthook_router/src/router.rs
@@ -150,8 +150,11 @@
     }
 
     /// Whether an answer of `version` should be rated although the policy didn't ask for it:
-    /// the version is new, or the last ratings speak against it.
-    pub fn wants_rating(&self, version: &version::Id) -> bool {
+    /// little is known of the version at this kind of work, or the last ratings speak against it.
+    pub fn wants_rating(&self, kind: &kind::Id, version: &version::Id) -> bool {
+        if !self.chooser.lock().is_settled(kind, version) {
+            return true;
+        }
         let share = self.sampling.lock().get(version).copied().unwrap_or_default();
         rand::rng().random::<f64>() < share
     }
