Endpoints that are gone or going cost a request no try and no retry budget

Cause: a refusal given before the start counted as one of three tries, and each retry as work. With five of six engines leaving at once, requests were refused with endpoint_failed although the sixth had room. Ruled out: a larger limit; the number of endpoints isn't known to the limit. Change: only attempts that may have begun count as tries; retries after a connection that was never made, or an endpoint that leaves, are free. Each endpoint is asked once, so they stay bounded.

--- a/crates/curranthook_policy/src/retry.rs
+++ b/crates/curranthook_policy/src/retry.rs
@@ -51,12 +51,13 @@
         self.earn(self.fraction);
     }
 
-    /// Takes one retry. An escalation is part of its plan and costs nothing.
+    /// Takes one retry. Some cost nothing: an escalation is part of its plan, and an endpoint that
+    /// is gone or going has done no work that would be done again.
     pub fn spend(&mut self, reason: Reason, now: Instant) -> Result<(), Spent> {
         let since = now.saturating_duration_since(self.at);
         self.at = self.at.max(now);
         self.earn(since.as_secs_f64() * Self::FLOOR_PER_SECOND);
-        if matches!(reason, Reason::Escalated) {
+        if is_free(reason) {
             return Ok(());
         }
         if self.tokens < 1.0 {
@@ -126,6 +127,12 @@
     Stop(Stop),
 }
 
+/// Whether a retry adds no work. Were those counted, a failure domain that goes away would use up
+/// the budget, and requests would be refused that other endpoints have room for.
+fn is_free(reason: Reason) -> bool {
+    matches!(reason, Reason::Escalated | Reason::Connect | Reason::EndpointLeaving)
+}
+
 /// Why there is no further attempt. Each has its counter, `retry.stop.<name>`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Stop {
--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -100,10 +100,12 @@
         failed: Failed,
         shown: u64,
     ) -> Result<(), Refusal> {
-        self.tries += 1;
         self.exclude.push(failed.endpoint.clone());
+        // An endpoint that has begun nothing costs no try: it isn't asked again, so there are
+        // only so many of them.
         if failed.begun == Begun::Perhaps {
             self.run = Run::Unknown;
+            self.tries += 1;
         }
         // A connection that broke or went silent says nothing of the version: a cut cable would
         // otherwise look like a version that turned bad. An engine's own error does.
--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -227,6 +227,8 @@
 #[derive(Debug, Default)]
 struct Tries {
     exclude: Vec<endpoint::Id>,
+    /// How many of them may have begun; only these count against the limit.
+    n_begun: u32,
     ran: Option<Run>,
 }
 
@@ -247,12 +249,13 @@
         let sent = if failed.begun == Begun::No { Sent::NotStarted } else { Sent::MayHaveRun };
         if sent == Sent::MayHaveRun {
             self.ran = Some(Run::Unknown);
+            self.n_begun += 1;
         }
         let attempt = retry::Attempt {
             repeat,
             sent,
             shown: Shown::Nothing,
-            tries: self.exclude.len() as u32,
+            tries: self.n_begun,
             time_left: call.ask.time_left(router.clock.now()),
         };
         let refusal = |code, message: &str| {
--- a/crates/curranthook_tests/tests/leaving_endpoint.rs
+++ b/crates/curranthook_tests/tests/leaving_endpoint.rs
@@ -12,7 +12,7 @@
 use curranthook_tests::{
     Site,
     call::{Answer, Call, Chat},
-    eventually, program, run,
+    eventually, executor, program, run,
 };
 use curranthook_types::header;
 
@@ -248,6 +248,32 @@
     })
 }
 
+#[test]
+fn many_endpoints_that_leave_at_once_cost_no_request() -> anyhow::Result<()> {
+    // A failure domain is emptied: five of six engines say within a moment that they leave. Forty
+    // requests meet one refusal after the other before they find the engine that stays, and the
+    // refusals aren't the requests' fault.
+    run(async {
+        let engines = ["e1", "e2", "e3", "e4", "e5", "e6"];
+        let site = site(&engines).await?;
+        for engine in &engines[..5] {
+            site.engine(engine).set(&leaving()).await?;
+        }
+        let addr = site.router("r1");
+        let asked: Vec<_> = (0..40)
+            .map(|n| {
+                let chat = Chat::new("main", "m", &format!("pen {n}")).with_max_tokens(2);
+                executor().spawn(async move { chat.send(&addr).await })
+            })
+            .collect();
+        for answer in asked {
+            let answer = answer.await?;
+            assert!(answer.is_whole(), "{answer:?}");
+        }
+        Ok(())
+    })
+}
+
 #[test]
 fn a_drained_endpoint_gets_nothing_new_even_from_a_router_without_platform() -> anyhow::Result<()> {
     // An operator drains an endpoint before work on its VM. One router has lost the platform and
