--- a/crates/curranthook_tests/src/site.rs
+++ b/crates/curranthook_tests/src/site.rs
@@ -13,7 +13,7 @@
 use anyhow::{Context, bail};
 use curranthook_http::Exchange;
 use curranthook_platform::{Role, Table, Vm, VmState, Write};
-use curranthook_settings::{Document, document, node};
+use curranthook_settings::{Config, Document, document, node};
 use curranthook_standin::proxy::link::Fault;
 use tempfile::TempDir;
 
@@ -75,6 +75,14 @@
     peers: SocketAddr,
 }
 
+/// Sets what a version costs, for prompts and answers alike, and the quality that its makers claim
+/// for summaries.
+pub fn offer(config: &mut Config, version: &str, price: u64, quality: f64) {
+    let version = config.versions.get_mut(version).expect("the engines serve it");
+    (version.price.prompt.0, version.price.completion.0) = (price, price);
+    version.quality = [("summary".into(), quality)].into();
+}
+
 impl Site {
     /// Describes a site to be started.
     pub fn builder() -> Builder {
--- a/crates/curranthook_tests/tests/allowed_versions.rs
+++ b/crates/curranthook_tests/tests/allowed_versions.rs
@@ -13,6 +13,7 @@
     Site,
     call::{Answer, Chat},
     executor, run,
+    site::offer,
 };
 use curranthook_types::{clock, header, refusal::Reason, refusal::Run};
 use yare::parameterized;
@@ -107,10 +108,7 @@
             .rater(0.0)
             .config(|config| {
                 for (id, price, quality) in [("m@1", 10, 0.6), ("m@2", 1_000, 0.99)] {
-                    let version = config.versions.get_mut(id).expect("the engines serve it");
-                    version.price.prompt.0 = price;
-                    version.price.completion.0 = price;
-                    version.quality = [("summary".into(), quality)].into();
+                    offer(config, id, price, quality);
                 }
                 config.kinds.insert("summary".into(), Kind { quality: 0.7, priority: 0 });
             })
--- a/crates/curranthook_tests/tests/billed_once.rs
+++ b/crates/curranthook_tests/tests/billed_once.rs
@@ -11,6 +11,7 @@
     bills::{self, Bills},
     call::{Answer, Chat},
     eventually, run,
+    site::offer,
 };
 use curranthook_types::header;
 
@@ -176,10 +177,7 @@
             .rater(0.0)
             .config(|config| {
                 for (id, price, quality) in [("m@1", 10_000, 0.6), ("m@2", 1_000_000, 0.99)] {
-                    let version = config.versions.get_mut(id).expect("the engines serve it");
-                    version.price.prompt.0 = price;
-                    version.price.completion.0 = price;
-                    version.quality = [("summary".into(), quality)].into();
+                    offer(config, id, price, quality);
                 }
                 config.kinds.get_mut("summary").expect("it is there").quality = 0.7;
             })
--- a/crates/curranthook_tests/tests/metrics.rs
+++ b/crates/curranthook_tests/tests/metrics.rs
@@ -21,6 +21,7 @@
     Site,
     call::{Answer, Call, Chat},
     eventually, executor, run,
+    site::offer,
 };
 use curranthook_types::{header, refusal::Reason, retry};
 use parking_lot::Mutex;
@@ -125,10 +126,7 @@
 
 fn edit(config: &mut curranthook_settings::Config) {
     for (id, price, quality) in [("c@1", 10, 0.6), ("c@2", 1_000, 0.99)] {
-        let version = config.versions.get_mut(id).expect("the engines serve it");
-        version.price.prompt.0 = price;
-        version.price.completion.0 = price;
-        version.quality = [("summary".into(), quality)].into();
+        offer(config, id, price, quality);
     }
     config.kinds.get_mut("summary").expect("it is there").quality = 0.7;
     config.policy.queue = 4;
--- a/crates/curranthook_tests/tests/true_refusal.rs
+++ b/crates/curranthook_tests/tests/true_refusal.rs
@@ -74,7 +74,7 @@
 
 /// What the caller was told, in place of an answer or at the end of one that broke off.
 fn refusal(answer: &Answer) -> Option<Refusal> {
-    #[derive(serde::Deserialize)]
+    #[derive(Debug, serde::Deserialize)]
     struct Event {
         error: Refusal,
     }
--- a/crates/curranthook_tests/tests/whole_path.rs
+++ b/crates/curranthook_tests/tests/whole_path.rs
@@ -6,6 +6,7 @@
     Site,
     call::{Call, Chat},
     eventually, run,
+    site::offer,
 };
 use curranthook_types::{bill, header, refusal};
 
@@ -66,10 +67,7 @@
             .rater(0.0)
             .config(|config| {
                 for (id, price, quality) in [("m@1", 10, 0.6), ("m@2", 1_000, 0.99)] {
-                    let version = config.versions.get_mut(id).expect("the engines serve it");
-                    version.price.prompt.0 = price;
-                    version.price.completion.0 = price;
-                    version.quality = [("summary".into(), quality)].into();
+                    offer(config, id, price, quality);
                 }
                 config.kinds.insert(
                     "summary".into(),
--- a/crates/curranthook_types/src/refusal.rs
+++ b/crates/curranthook_types/src/refusal.rs
@@ -69,14 +69,14 @@
 }
 
 /// The form of [`Run`] in JSON.
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(untagged)]
 enum Told {
     Known(bool),
     Other(Unsure),
 }
 
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Unsure {
     Unknown,
@@ -167,10 +167,7 @@
             Self::KeyClaimed => 409,
             Self::Deadline => 504,
             Self::EndpointFailed => 502,
-            Self::Overloaded
-            | Self::NoEndpoint
-            | Self::PlatformDown
-            | Self::NotReady => 503,
+            Self::Overloaded | Self::NoEndpoint | Self::PlatformDown | Self::NotReady => 503,
         }
     }
 }
@@ -222,7 +219,7 @@
     /// assert!(body.contains(r#""not_run":"unknown""#));
     /// ```
     pub fn body(&self) -> String {
-        #[derive(Serialize)]
+        #[derive(Debug, Serialize)]
         struct Body<'a> {
             error: &'a Refusal,
         }
