Going round the endpoints again counts as a try

Cause: since endpoints that are gone cost no try, a request whose only endpoint had died under it asked for it again and again until its deadline; true_refusal.rs, killed_endpoint::whole and ::stream, failed with 'the refusal waited: 59.97 s'. Change: when each endpoint was tried, the next round counts as a try.

--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -7,7 +7,7 @@
     client::{Connection, Freshness},
     timeout,
 };
-use curranthook_policy::retry::{self, Decision, Repeat, Sent, Shown, Stop};
+use curranthook_policy::retry::{self, Decision, MAX_TRIES, Repeat, Sent, Shown, Stop};
 use curranthook_types::{
     Refusal, chat, endpoint, header,
     refusal::{Reason, Run},
@@ -167,10 +167,12 @@
         // after the wait for an endpoint.
         self.check(version)?;
         let mut lease = self.lease(version).await;
-        if self.run == Run::Unknown && !self.exclude.is_empty() && is_no_endpoint(&lease) {
+        let may_go_round = self.run == Run::Unknown && self.tries < MAX_TRIES;
+        if may_go_round && !self.exclude.is_empty() && is_no_endpoint(&lease) {
             // Each endpoint was tried. A connection that broke doesn't mean that its endpoint is
-            // gone, and to ask there again is better than an answer that breaks off. The number
-            // of tries stays bounded.
+            // gone, and to ask there again is better than an answer that breaks off. Going round
+            // counts as a try: an endpoint that is really gone takes none when it's asked.
+            self.tries += 1;
             self.exclude.clear();
             lease = self.lease(version).await;
         }
