An unchanged VM list is answered by 304

Cause: each router read the whole list every two seconds; by docs/CAPACITY.md 37 VMs used up the 2 KB a second that a node may spend on control, and that is about today's size. Ruled out: reading it less often, as a leaving endpoint must get no new work after a few seconds. Change: the client sends the tag of the list it has; the stand-in answers 304 while it holds. Before and after: an_unchanged_list_of_vms_is_not_sent_again failed with 0 of 4 and passes.

--- a/crates/curranthook_platform/src/client.rs
+++ b/crates/curranthook_platform/src/client.rs
@@ -9,7 +9,7 @@
 //! | store | `PUT /objects/{key}`, `If-None-Match: *` | 201, 412 |
 //! | fetch | `GET /objects/{key}` | 200, 404 |
 //! | keys | `GET /objects?prefix=` | 200, `[key]` |
-//! | VMs | `GET /vms` | 200, `[vm]` |
+//! | VMs | `GET /vms` | 200 with `ETag`, `[vm]`; 304 |
 //!
 //! 429 and 503 mean that nothing was done.
 
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use curranthook_http::{Exchange, client::Pool, exchange};
 use http::{Method, StatusCode, header};
+use parking_lot::Mutex;
 use serde::Deserialize;
 
 use crate::{Answer, Error, Objects, Row, Table, Tag, Vm, Vms, Write};
@@ -31,6 +32,15 @@
     addr: SocketAddr,
     pool: Arc<Pool>,
     timeout: Duration,
+    /// The list of VMs as last read. Clones share it, and the lock is never held over a call.
+    vms: Arc<Mutex<Option<Seen>>>,
+}
+
+/// The list of VMs in one of its states.
+#[derive(Debug, Clone)]
+struct Seen {
+    tag: Tag,
+    vms: Vec<Vm>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -43,7 +53,7 @@
 impl Client {
     /// A client for the service at `addr`.
     pub fn new(addr: SocketAddr, pool: Arc<Pool>) -> Self {
-        Self { addr, pool, timeout: CALL_TIMEOUT }
+        Self { addr, pool, timeout: CALL_TIMEOUT, vms: Arc::default() }
     }
 
     /// Sets how long one call may take; two seconds if not set.
@@ -184,7 +194,16 @@
 impl Vms for Client {
     fn all(&self) -> Answer<'_, Vec<Vm>> {
         Box::pin(async move {
-            parse(&self.call(Method::GET, "/vms".to_owned(), None, Bytes::new()).await?)
+            let known = self.vms.lock().clone();
+            let condition = known.as_ref().map(|it| ("if-none-match", it.tag.0.as_str()));
+            let res = self.call(Method::GET, "/vms".to_owned(), condition, Bytes::new()).await?;
+            if let (StatusCode::NOT_MODIFIED, Some(seen)) = (res.status(), known) {
+                return Ok(seen.vms);
+            }
+            let vms: Vec<Vm> = parse(&res)?;
+            // A platform that gives no tag sends the whole list each time.
+            *self.vms.lock() = tag(&res).ok().map(|tag| Seen { tag, vms: vms.clone() });
+            Ok(vms)
         })
     }
 }
--- a/crates/curranthook_standin/src/platform.rs
+++ b/crates/curranthook_standin/src/platform.rs
@@ -135,7 +135,7 @@
         let res = match service {
             Service::Table => state.table.table_call(key, req),
             Service::Objects => state.objects.object_call(key, req),
-            Service::Vms => body::json(200, &state.vms.seen(now)),
+            Service::Vms => state.vms.answer(req, now),
         };
         if res.status() == 304 {
             counts.not_modified += 1;
--- a/crates/curranthook_standin/src/platform/vms.rs
+++ b/crates/curranthook_standin/src/platform/vms.rs
@@ -5,19 +5,25 @@
     time::{Duration, Instant},
 };
 
+use curranthook_http::{Body, body};
+use http::header::{ETAG, IF_NONE_MATCH};
 use serde_json::Value;
 
+use crate::app::Request;
+
 /// The list as it was and is.
 #[derive(Debug)]
 pub(super) struct Vms {
     lag: Duration,
     seen: Vec<Value>,
+    /// Counts the lists seen so far, for the `ETag`.
+    version: u64,
     unseen: VecDeque<(Instant, Vec<Value>)>,
 }
 
 impl Vms {
     pub(super) fn new(lag: Duration) -> Self {
-        Self { lag, seen: Vec::new(), unseen: VecDeque::new() }
+        Self { lag, seen: Vec::new(), version: 0, unseen: VecDeque::new() }
     }
 
     /// Sets the true list.
@@ -25,11 +31,22 @@
         self.unseen.push_back((now + self.lag, list));
     }
 
-    /// The list that callers see.
-    pub(super) fn seen(&mut self, now: Instant) -> &[Value] {
+    /// The list that callers see, or 304 for one who has it already.
+    pub(super) fn answer(&mut self, req: &Request, now: Instant) -> http::Response<Body> {
         while let Some((_, list)) = self.unseen.pop_front_if(|(at, _)| *at <= now) {
             self.seen = list;
+            self.version += 1;
         }
-        &self.seen
+        let tag = format!("\"{}\"", self.version);
+        let has_it = req.headers.get(IF_NONE_MATCH).is_some_and(|it| *it == *tag);
+        let mut res = if has_it {
+            let mut res = http::Response::new(body::full(Vec::new()));
+            *res.status_mut() = http::StatusCode::NOT_MODIFIED;
+            res
+        } else {
+            body::json(200, &self.seen)
+        };
+        res.headers_mut().insert(ETAG, tag.parse().expect("a number is a valid tag"));
+        res
     }
 }
--- a/crates/curranthook_standin/tests/platform.rs
+++ b/crates/curranthook_standin/tests/platform.rs
@@ -147,6 +147,34 @@
     })
 }
 
+/// Every router reads the list every two seconds. Were it sent whole each time, a list of a few
+/// dozen VMs would take all the bytes that a router may spend on control.
+#[test]
+fn an_unchanged_list_of_vms_is_not_sent_again() -> anyhow::Result<()> {
+    run(async {
+        let (_directory, platform) = platform(&[])?;
+        let client = platform.client();
+        let vm = |id: &str| curranthook_platform::Vm {
+            id: id.into(),
+            address: platform.addr(),
+            failure_domain: "domain-1".into(),
+            state: curranthook_platform::VmState::Live,
+            role: curranthook_platform::Role::Endpoint,
+        };
+        platform.set_vms(&[vm("vm-1")]).await?;
+        for _ in 0..3 {
+            assert_eq!(client.all().await?, [vm("vm-1")]);
+        }
+        platform.set_vms(&[vm("vm-1"), vm("vm-2")]).await?;
+        for _ in 0..3 {
+            assert_eq!(client.all().await?, [vm("vm-1"), vm("vm-2")]);
+        }
+        let counts = platform.counts().await?.vms;
+        assert_eq!((counts.reads, counts.not_modified), (6, 4));
+        Ok(())
+    })
+}
+
 #[test]
 fn a_site_without_routers_publishes_its_configuration() -> anyhow::Result<()> {
     run(async {
