--- a/crates/curranthook_steward/src/bin/curranthook-steward.rs
+++ b/crates/curranthook_steward/src/bin/curranthook-steward.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use anyhow::anyhow;
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use curranthook_http::runtime;
 use curranthook_policy::rollout::Gate;
 use curranthook_settings::{check::Finding, node};
@@ -29,12 +29,25 @@
     /// How many of them must have been rated.
     #[arg(long, default_value_t = 30)]
     stage_ratings: u64,
+    /// Log lines for people or for programs.
+    #[arg(long, value_enum, default_value_t = Format::Text)]
+    log: Format,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Format {
+    Text,
+    Json,
 }
 
 fn main() -> anyhow::Result<()> {
     let arguments = Arguments::parse();
-    let _logger =
-        Logger::try_with_env_or_str("info")?.format(flexi_logger::detailed_format).start()?;
+    let logger = Logger::try_with_env_or_str("info")?;
+    let logger = match arguments.log {
+        Format::Text => logger.format(flexi_logger::detailed_format),
+        Format::Json => logger.format(flexi_logger::json_format),
+    };
+    let _logger = logger.start()?;
     let settings = node::read(&arguments.settings).map_err(listed)?;
     let options = serve::Options {
         router: arguments.router.unwrap_or(settings.peer_listen),
