--- /dev/null
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -0,0 +1,102 @@
+//! Rows that changed, turned into what a node believes.
+
+use std::sync::Arc;
+
+use curranthook_types::endpoint;
+
+use crate::{
+    Gateway,
+    entry::State,
+    event::Event,
+    fleet,
+    follow::name,
+    gateway::Current,
+    store::{Batch, Operator, Row, Table},
+};
+
+/// Takes in rows. `is_whole` says that a row that isn't among them doesn't exist.
+pub fn batch(gateway: &Arc<Gateway>, table: Table, batch: Batch, is_whole: bool, from: &str) {
+    if let Some(now) = batch.now {
+        gateway.mirror.lock().set_clock(now, gateway.now());
+    }
+    let news = {
+        let mut mirror = gateway.mirror.lock();
+        if is_whole { mirror.replace(table, batch) } else { mirror.merge(table, batch) }
+    };
+    for row in &news {
+        match table {
+            Table::Operator => operator(gateway, row, from),
+            Table::Endpoints => entry(gateway, row),
+            Table::Fleet => fleet::row(gateway, row),
+        }
+    }
+    if table == Table::Endpoints {
+        let n = gateway.directory.lock().len();
+        gateway.metrics.endpoints.set(i64::try_from(n).unwrap_or(i64::MAX));
+    }
+}
+
+fn operator(gateway: &Arc<Gateway>, row: &Row, from: &str) {
+    let Some(value) = &row.value else { return };
+    match gateway.decoder.operator(&row.key, value) {
+        Ok(Operator::Document(document)) => {
+            let version = document.version;
+            let before = gateway.current.load().as_ref().map_or(0, |it| it.document.version);
+            // A configuration never goes back: an older row, from a peer that knows less, would
+            // bring back keys and routes that were taken away.
+            if version <= before {
+                return;
+            }
+            let routes = document.n_routes();
+            gateway.current.store(Some(Arc::new(Current { document, rev: row.rev })));
+            gateway.metrics.configuration.set(version);
+            let rev = row.rev.0;
+            gateway.log.write(&Event::Configuration { version, before, routes, rev, from });
+        }
+        Ok(Operator::Order(order)) => {
+            let service = order.service.clone();
+            gateway.rollouts.lock().ordered(order, row.rev);
+            // Steps of this order may have been read before it.
+            fleet::reread(gateway, &service);
+        }
+        Ok(Operator::Other) => {}
+        Err(e) => rejected(gateway, Table::Operator, &e.to_string()),
+    }
+}
+
+fn entry(gateway: &Arc<Gateway>, row: &Row) {
+    let id = endpoint::Id::new(&row.key);
+    let now = gateway.now();
+    let Some(value) = &row.value else {
+        gateway.directory.lock().remove(&id, now);
+        log_endpoint(gateway, &id, "", "removed", "", row);
+        return;
+    };
+    match gateway.decoder.endpoint(&id, value) {
+        Ok(entry) => {
+            let state = if entry.state == State::Ready { "ready" } else { "leaving" };
+            log_endpoint(gateway, &id, &entry.service, state, &entry.version, row);
+            gateway.directory.lock().set(entry);
+        }
+        Err(e) => {
+            gateway.directory.lock().remove(&id, now);
+            rejected(gateway, Table::Endpoints, &e.to_string());
+        }
+    }
+}
+
+fn log_endpoint(
+    gateway: &Gateway,
+    id: &endpoint::Id,
+    service: &str,
+    state: &str,
+    version: &str,
+    row: &Row,
+) {
+    let (endpoint, rev) = (id.as_str(), row.rev.0);
+    gateway.log.write(&Event::Endpoint { endpoint, service, state, version, rev });
+}
+
+fn rejected(gateway: &Gateway, table: Table, why: &str) {
+    gateway.log.write(&Event::RowRejected { table: name(table), why });
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/ask.rs
@@ -0,0 +1,121 @@
+//! A caller's request, read and checked, as the stages pass it on.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use curranthook_policy::hash;
+use http::{HeaderMap, Method, Uri};
+
+/// What the head of a caller's request says.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// The caller's id for this attempt of its own; new with each of its retries.
+    pub id: String,
+    /// The method.
+    pub method: Method,
+    /// Path and query as they came.
+    pub uri: Uri,
+    /// The host that was asked for.
+    pub host: String,
+    /// The key that the caller showed.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Which model it wants.
+    pub model: Model,
+    /// How large the work is.
+    pub tokens: Option<Tokens>,
+    /// The parts of its prompt, in order.
+    pub parts: Vec<Part>,
+    /// The last event that the caller has of the stream, if it goes on with one.
+    pub last_event: Option<u64>,
+    /// The headers that are passed on: neither those of the connection nor those that are the
+    /// system's to set.
+    pub headers: HeaderMap,
+}
+
+/// Which model a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Model {
+    /// It says nothing of models.
+    None,
+    /// Any that the route lists.
+    Any,
+    /// This one.
+    Named(String),
+}
+
+/// The size of a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tokens {
+    /// Tokens in the prompt.
+    pub prompt: u64,
+    /// The most that may be generated.
+    pub max_output: u64,
+}
+
+/// A part of a prompt. Requests share parts; the last one is the request's or its session's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// A hash of its content.
+    pub hash: u64,
+    /// Its length.
+    pub tokens: u64,
+}
+
+/// A request that was let in.
+#[derive(Debug)]
+pub struct Ask {
+    /// What its head said.
+    pub head: Head,
+    /// Its whole body.
+    pub body: Bytes,
+    /// When its caller or its route gives up, whichever is sooner.
+    pub deadline: Instant,
+    /// When it was read.
+    pub since: Instant,
+}
+
+impl Ask {
+    /// The time left until the deadline.
+    pub fn time_left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// What its prompt shares with others, as one hash of all parts but the last. It stands for
+    /// the session or subject of the request too.
+    pub fn subject(&self) -> Option<u64> {
+        let (_own, shared) = self.head.parts.split_last()?;
+        (!shared.is_empty()).then(|| shared.iter().fold(0, |it, part| hash::pair(it, part.hash)))
+    }
+
+    /// The tokens of the parts that it shares.
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = self.head.parts.split_last().map_or(&[][..], |(_own, shared)| shared);
+        shared.iter().map(|it| it.tokens).sum()
+    }
+
+    /// All tokens of its prompt.
+    pub fn prompt_tokens(&self) -> u64 {
+        let parts: u64 = self.head.parts.iter().map(|it| it.tokens).sum();
+        self.head.tokens.map_or(parts, |it| it.prompt)
+    }
+
+    /// A hash that the same request has at every node, whenever it comes.
+    pub fn fingerprint(&self) -> curranthook_policy::poison::Fingerprint {
+        use sha2::{Digest, Sha256};
+        let mut sum = Sha256::new();
+        sum.update(self.head.host.as_bytes());
+        sum.update(self.head.uri.to_string().as_bytes());
+        sum.update(self.head.key.as_deref().unwrap_or_default().as_bytes());
+        sum.update(&self.body);
+        let mut short = [0; 16];
+        short.copy_from_slice(&sum.finalize()[..16]);
+        short
+    }
+}
+
+/// The hash of a part's id.
+pub fn part_hash(id: &str) -> u64 {
+    hash::bytes(id.as_bytes())
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -0,0 +1,201 @@
+//! One attempt: a request is sent to an endpoint, and the head of the answer comes back.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use curranthook_http::{
+    client::{self, Connection, Freshness},
+    timeout,
+};
+use http::response::Parts;
+use hyper::body::Incoming;
+
+use crate::{
+    Gateway,
+    ask::Ask,
+    dialect::{self, Execution, Outgoing, Reply, Seal},
+    directory::Outcome,
+    document::Repeat,
+    lease::Lease,
+};
+
+/// How long an idle connection may be trusted with a request that can be repeated. Endpoints
+/// close idle ones after some seconds, and what is sent just then is lost.
+const FRESH: Duration = Duration::from_secs(3);
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub struct Open {
+    /// The place at the endpoint.
+    pub lease: Lease,
+    /// The connection.
+    pub conn: Connection,
+    /// What the head says.
+    pub reply: Reply,
+    /// The head.
+    pub head: Parts,
+    /// What is to come.
+    pub body: Incoming,
+    /// The time to the head.
+    pub first_byte: Duration,
+}
+
+/// Why an attempt has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Failed {
+    /// What went wrong.
+    pub cause: Cause,
+    /// Whether the request may have run.
+    pub execution: Execution,
+}
+
+/// What went wrong with an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// No connection.
+    Connect,
+    /// A kept connection turned out to be closed.
+    Stale,
+    /// The endpoint is full.
+    Full,
+    /// Another endpoint has the address.
+    Misdirected,
+    /// The connection broke.
+    Cut,
+    /// The answer is another request's.
+    Foreign,
+    /// The answer isn't the endpoint's own.
+    Unsealed,
+    /// No answer in time.
+    Timeout,
+    /// The endpoint failed.
+    Error,
+}
+
+impl Cause {
+    /// Its name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::Stale => "stale",
+            Self::Full => "full",
+            Self::Misdirected => "misdirected",
+            Self::Cut => "cut",
+            Self::Foreign => "foreign",
+            Self::Unsealed => "unsealed",
+            Self::Timeout => "timeout",
+            Self::Error => "error",
+        }
+    }
+}
+
+/// Sends `ask` to the endpoint of `lease` and waits for the head of the answer.
+pub async fn run(
+    gateway: &Arc<Gateway>,
+    ask: &Ask,
+    repeat: Repeat,
+    mut lease: Lease,
+    outgoing: &Outgoing<'_>,
+) -> Result<Open, Failed> {
+    let sent = gateway.now();
+    // What can't be repeated is never trusted to a kept connection: the endpoint may be closing
+    // it, or something between may have lost it, and nobody could tell whether it ran.
+    let freshness =
+        if repeat.is_repeatable() { Freshness::Within(FRESH) } else { Freshness::New };
+    let request = gateway.dialect.request(ask, outgoing);
+    let mut conn = match gateway.pool.take(lease.addr, freshness).await {
+        Ok(conn) => conn,
+        Err(_nothing_sent) => {
+            lease.close(Outcome::Unreachable);
+            return Err(not_run(Cause::Connect));
+        }
+    };
+    let limit = ask.time_left(gateway.now());
+    let response = match timeout::run(limit, conn.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(e)) => return Err(broken(lease, &conn, &e)),
+        Err(timeout::Elapsed) => {
+            lease.close(Outcome::Dropped);
+            return Err(may_have_run(Cause::Timeout));
+        }
+    };
+    let (head, body) = response.into_parts();
+    let reply = gateway.dialect.reply(&head);
+    lease.began(reply.load);
+    if let Some(failed) = refused(ask, &reply) {
+        lease.close(outcome(failed.cause));
+        return Err(failed);
+    }
+    gateway.pool.answered(&conn);
+    let first_byte = since(sent, gateway.now());
+    Ok(Open { lease, conn, reply, head, body, first_byte })
+}
+
+fn broken(lease: Lease, conn: &Connection, error: &client::Error) -> Failed {
+    if error.is_unsent() {
+        lease.close(Outcome::Dropped);
+        return not_run(Cause::Stale);
+    }
+    if conn.is_reused() {
+        // Closed in the moment of use, most likely; that says nothing against the endpoint.
+        lease.close(Outcome::Dropped);
+        return may_have_run(Cause::Stale);
+    }
+    lease.close(Outcome::Unreachable);
+    may_have_run(Cause::Cut)
+}
+
+/// Whether the head of an answer is none that a caller may get.
+fn refused(ask: &Ask, reply: &Reply) -> Option<Failed> {
+    if reply.execution == Execution::NotRun {
+        let is_misdirected = reply.status == http::StatusCode::MISDIRECTED_REQUEST;
+        return Some(not_run(if is_misdirected { Cause::Misdirected } else { Cause::Full }));
+    }
+    // An answer that comes late on a kept connection stands where the next one is expected. Its
+    // id tells; passed on, a caller would read somebody else's answer.
+    if reply.id.as_deref() != Some(ask.head.id.as_str()) {
+        return Some(may_have_run(Cause::Foreign));
+    }
+    (reply.seal == Seal::Missing).then(|| may_have_run(Cause::Unsealed))
+}
+
+fn outcome(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Full => Outcome::Full,
+        Cause::Misdirected => Outcome::Gone,
+        Cause::Connect | Cause::Cut => Outcome::Unreachable,
+        Cause::Stale | Cause::Foreign | Cause::Timeout => Outcome::Dropped,
+        Cause::Unsealed | Cause::Error => Outcome::Failed,
+    }
+}
+
+fn not_run(cause: Cause) -> Failed {
+    Failed { cause, execution: Execution::NotRun }
+}
+
+fn may_have_run(cause: Cause) -> Failed {
+    Failed { cause, execution: Execution::MayHaveRun }
+}
+
+fn since(start: Instant, now: Instant) -> Duration {
+    now.saturating_duration_since(start)
+}
+
+impl Open {
+    /// Takes the connection back into use if the endpoint keeps it, once the answer was read to
+    /// its end.
+    pub fn finish(self, gateway: &Gateway, outcome: Outcome) {
+        if matches!(self.reply.connection, dialect::Connection::Kept(_)) {
+            gateway.pool.put(self.conn);
+        }
+        self.lease.close(outcome);
+    }
+
+    /// Closes the connection, which tells the endpoint to stop.
+    pub fn close(self, outcome: Outcome) {
+        self.conn.close();
+        self.lease.close(outcome);
+    }
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -0,0 +1,236 @@
+//! The endpoints that a node knows, and what it has seen of each.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use curranthook_policy::hash;
+use curranthook_types::endpoint;
+
+use crate::{
+    dialect::Load,
+    entry::{Entry, State},
+    store::Row,
+};
+
+/// How long an endpoint that can't be reached is left alone after the first failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// The longest that an endpoint is left alone; about the time that one takes to start again.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// How much one answer or failure moves the share of failures: about the last ten count.
+const SMOOTHING: f64 = 0.1;
+/// How old a load may be that an endpoint told of itself.
+const LOAD_EXPIRY: Duration = Duration::from_secs(1);
+/// How long entries that vanished with the store may still be used after its return. Endpoints
+/// that live are back in the list within two seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// The endpoints of all services.
+#[derive(Debug, Default)]
+pub struct Directory {
+    endpoints: HashMap<endpoint::Id, Tracked>,
+    /// Until when removed entries are kept, because they may have lapsed with the store.
+    lapsing_until: Option<Instant>,
+}
+
+/// An endpoint and what was seen of it.
+#[derive(Debug)]
+pub struct Tracked {
+    /// Its newest entry.
+    pub entry: Entry,
+    /// A hash of its id.
+    pub seed: u64,
+    /// Requests that this node has there.
+    pub in_flight: u32,
+    /// The work of those of them that have no first byte yet.
+    pub pending: Duration,
+    /// The share of requests that failed lately.
+    pub failures: f64,
+    load: Option<(Load, Instant, u32)>,
+    pause: Duration,
+    out_until: Option<Instant>,
+    /// Since when it's missing from the list.
+    missing: bool,
+}
+
+/// How a request at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// With an answer.
+    Answered,
+    /// With an error of the endpoint's own.
+    Failed,
+    /// It was turned away, as the endpoint is full.
+    Full,
+    /// It couldn't be reached or broke off.
+    Unreachable,
+    /// The address belongs to another endpoint by now.
+    Gone,
+    /// The node dropped it.
+    Dropped,
+}
+
+impl Tracked {
+    fn new(entry: Entry) -> Self {
+        Self {
+            seed: hash::bytes(entry.id.as_str().as_bytes()),
+            entry,
+            in_flight: 0,
+            pending: Duration::ZERO,
+            failures: 0.0,
+            load: None,
+            pause: Duration::ZERO,
+            out_until: None,
+            missing: false,
+        }
+    }
+
+    /// Whether it's in the list and takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.entry.state == State::Ready
+    }
+
+    /// Whether it's left alone after failures.
+    pub fn is_out(&self, now: Instant) -> bool {
+        self.out_until.is_some_and(|until| now < until)
+    }
+
+    /// How many requests it has, its own word and this node's knowledge taken together.
+    pub fn busy(&self, now: Instant) -> u32 {
+        match self.load {
+            Some((load, at, then)) if now.saturating_duration_since(at) < LOAD_EXPIRY => {
+                (load.running + load.waiting).saturating_sub(then).saturating_add(self.in_flight)
+            }
+            _ => self.in_flight,
+        }
+    }
+
+    fn failed(&mut self, now: Instant) {
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+        self.out_until = Some(now + self.pause);
+    }
+}
+
+impl Directory {
+    /// Takes in an entry.
+    pub fn set(&mut self, entry: Entry) {
+        match self.endpoints.get_mut(&entry.id) {
+            // The same id after a restart is another endpoint: nothing known of it holds.
+            Some(it) if it.entry.born == entry.born && it.entry.addr == entry.addr => {
+                it.entry = entry;
+                it.missing = false;
+            }
+            _ => {
+                self.endpoints.insert(entry.id.clone(), Tracked::new(entry));
+            }
+        }
+    }
+
+    /// An entry was removed.
+    pub fn remove(&mut self, id: &endpoint::Id, now: Instant) {
+        let keeps = self.lapsing_until.is_some_and(|until| now < until);
+        match self.endpoints.get_mut(id) {
+            Some(it) if keeps && it.is_ready() => it.missing = true,
+            _ => {
+                self.endpoints.remove(id);
+            }
+        }
+    }
+
+    /// Only these entries exist now.
+    pub fn retain(&mut self, rows: &[Row], now: Instant) {
+        let gone: Vec<_> = self
+            .endpoints
+            .keys()
+            .filter(|id| !rows.iter().any(|row| row.value.is_some() && row.key == id.as_str()))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id, now);
+        }
+    }
+
+    /// The store is back after it was away. Entries may have lapsed meanwhile though their
+    /// endpoints live; dropping them at once would leave nobody to send to.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.lapsing_until = Some(now + LAPSE_GRACE);
+    }
+
+    /// Drops entries that lapsed and didn't come back in time.
+    pub fn sweep(&mut self, now: Instant) {
+        if self.lapsing_until.is_some_and(|until| until <= now) {
+            self.lapsing_until = None;
+            self.endpoints.retain(|_, it| !it.missing);
+        }
+    }
+
+    /// The endpoints of a service that take new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Tracked> {
+        let of_service = move |it: &&Tracked| it.entry.service == service && it.is_ready();
+        self.endpoints.values().filter(of_service)
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Tracked> {
+        self.endpoints.values()
+    }
+
+    /// One endpoint.
+    pub fn tracked(&self, id: &endpoint::Id) -> Option<&Tracked> {
+        self.endpoints.get(id)
+    }
+
+    /// A request goes to an endpoint.
+    pub fn started(&mut self, id: &endpoint::Id, work: Duration) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            it.in_flight += 1;
+            it.pending += work;
+        }
+    }
+
+    /// The first byte of its answer came.
+    pub fn began(&mut self, id: &endpoint::Id, work: Duration, load: Option<Load>, now: Instant) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            it.pending = it.pending.saturating_sub(work);
+            if let Some(load) = load {
+                it.load = Some((load, now, it.in_flight));
+            }
+        }
+    }
+
+    /// The request ended; `work` is what it still had pending.
+    pub fn finished(&mut self, id: &endpoint::Id, outcome: Outcome, work: Duration, now: Instant) {
+        let Some(it) = self.endpoints.get_mut(id) else { return };
+        it.in_flight = it.in_flight.saturating_sub(1);
+        it.pending = it.pending.saturating_sub(work);
+        let failed = match outcome {
+            Outcome::Answered => {
+                it.pause = Duration::ZERO;
+                it.out_until = None;
+                0.0
+            }
+            Outcome::Failed => 1.0,
+            Outcome::Unreachable => {
+                it.failed(now);
+                1.0
+            }
+            Outcome::Gone => {
+                self.endpoints.remove(id);
+                return;
+            }
+            Outcome::Full | Outcome::Dropped => return,
+        };
+        it.failures += SMOOTHING * (failed - it.failures);
+    }
+
+    /// How many endpoints are in the list.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -0,0 +1,183 @@
+//! What the stages and tasks of a node share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwapOption;
+use curranthook_http::{client::Pool, runtime};
+use curranthook_policy::poison::Register;
+use curranthook_types::Clock;
+use parking_lot::Mutex;
+
+use crate::{
+    affinity::Affinity,
+    budget::Budget,
+    dialect::Dialect,
+    directory::Directory,
+    document::Document,
+    event::Log,
+    metrics::Metrics,
+    mirror::Mirror,
+    rollouts::Rollouts,
+    settings::Settings,
+    store::{Decoder, Rev, Store},
+};
+
+/// How many requests the register of poison requests remembers.
+const POISON_CAPACITY: usize = 4_096;
+/// How long sent bytes or probes may stay unanswered before a connection is given up. An
+/// endpoint, peer or store without power is noticed after this; a busy one still acknowledges.
+const UNACKED: Duration = Duration::from_millis(1_200);
+/// How long a connection attempt may take: many round trips between failure domains, and less
+/// than the second after which the system would send its first packet again.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// What a node is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// The executor.
+    pub ex: runtime::Handle,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// The wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// The rows of others.
+    pub decoder: Arc<dyn Decoder>,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The log.
+    pub log: Log,
+}
+
+/// One node.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The executor.
+    pub ex: runtime::Handle,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// The wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// The rows of others.
+    pub decoder: Arc<dyn Decoder>,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The log.
+    pub log: Log,
+    /// Its settings.
+    pub settings: Settings,
+    /// Its counters.
+    pub metrics: Metrics,
+    /// Connections to endpoints and peers.
+    pub pool: Pool,
+    /// The configuration in force.
+    pub current: ArcSwapOption<Current>,
+    /// The endpoints.
+    pub directory: Mutex<Directory>,
+    /// Where prompts were read.
+    pub affinity: Mutex<Affinity>,
+    /// Repeats.
+    pub budget: Mutex<Budget>,
+    /// Requests that end endpoints.
+    pub poison: Mutex<Register>,
+    /// Roll-outs.
+    pub rollouts: Mutex<Rollouts>,
+    /// The rows of the store as they are known.
+    pub mirror: Mutex<Mirror>,
+    /// Other nodes, by name.
+    pub peers: Mutex<HashMap<String, SocketAddr>>,
+    stopping: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+/// A configuration and where it stands in the history of the store.
+#[derive(Debug)]
+pub struct Current {
+    /// The configuration.
+    pub document: Document,
+    /// Its revision.
+    pub rev: Rev,
+}
+
+/// Counts a request as under way until it's dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<Gateway>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Gateway {
+    /// A node that knows nothing yet.
+    pub fn new(parts: Parts, settings: Settings) -> Arc<Self> {
+        let Parts { ex, clock, dialect, decoder, store, log } = parts;
+        let pool = Pool::new(Arc::clone(&ex), Arc::clone(&clock));
+        let pool = pool.with_connect_timeout(CONNECT).with_liveness(UNACKED);
+        Arc::new(Self {
+            pool,
+            budget: Mutex::new(Budget::new(settings.repeats)),
+            poison: Mutex::new(Register::new(POISON_CAPACITY)),
+            ex,
+            clock,
+            dialect,
+            decoder,
+            store,
+            log,
+            settings,
+            metrics: Metrics::default(),
+            current: ArcSwapOption::empty(),
+            directory: Mutex::default(),
+            affinity: Mutex::default(),
+            rollouts: Mutex::default(),
+            mirror: Mutex::default(),
+            peers: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        })
+    }
+
+    /// The time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// How many nodes there are, this one with them.
+    pub fn n_nodes(&self) -> usize {
+        self.peers.lock().len().max(1)
+    }
+
+    /// Whether it takes new callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.current.load().is_some()
+    }
+
+    /// Whether it was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Takes no new callers from now on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a request as under way.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// How many requests are under way.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/job.rs
@@ -0,0 +1,373 @@
+//! A request on its way: the attempts at it, until one has an answer that the caller may get.
+
+use std::{sync::Arc, time::Duration};
+
+use curranthook_http::{client::Freshness, timeout};
+use curranthook_policy::hash;
+use curranthook_types::{account, endpoint};
+
+use crate::{
+    Gateway,
+    ask::{Ask, Model},
+    attempt::{self, Cause, Failed, Open},
+    cascade::{self, Verdict},
+    dialect::{Execution, Outgoing},
+    directory::Outcome,
+    document::Route,
+    event::Event,
+    gateway::{Current, InFlight},
+    lease::{self, Lease, Wanted},
+    refusal::{Ran, Reason, Refusal},
+};
+
+/// How often a request may be turned away by endpoints that didn't run it.
+const MAX_REJECTIONS: u32 = 5;
+/// When to come back while all endpoints are full: the time in which they end some requests.
+const RETRY_FULL: Duration = Duration::from_millis(400);
+/// When to come back while no endpoint can be reached: about the time in which one is noticed.
+const RETRY_AWAY: Duration = Duration::from_millis(700);
+/// How long it's asked whether an endpoint that broke off still takes connections.
+const ALIVE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Job {
+    /// The node.
+    pub gateway: Arc<Gateway>,
+    /// The request.
+    pub ask: Ask,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Who calls.
+    pub account: Option<account::Id>,
+    /// How urgent it is.
+    pub priority: u8,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// How many attempts there were.
+    pub attempts: u32,
+    service: String,
+    models: Vec<(String, f64)>,
+    model: usize,
+    tried: Vec<endpoint::Id>,
+    runs: u32,
+    rejections: u32,
+    ran: Ran,
+    configuration: u64,
+    _in_flight: InFlight,
+}
+
+/// Whether another attempt follows.
+enum Next {
+    Again,
+    Give(Refusal),
+}
+
+impl Job {
+    /// A request that was let in.
+    pub fn new(
+        gateway: &Arc<Gateway>,
+        current: &Current,
+        ask: Ask,
+        route: Arc<Route>,
+        account: Option<account::Id>,
+        priority: u8,
+    ) -> Result<Self, Refusal> {
+        let place = hash::unit(hash::bytes(ask.head.id.as_bytes()));
+        let service = route.service(place).map(str::to_owned);
+        let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Ran::No))?;
+        let models = models(&current.document, &service, &route, &ask.head.model);
+        gateway.budget.lock().asked(&service, gateway.now());
+        Ok(Self {
+            last_event: ask.head.last_event,
+            account,
+            priority,
+            attempts: 0,
+            service,
+            models,
+            model: 0,
+            tried: Vec::new(),
+            runs: 0,
+            rejections: 0,
+            ran: Ran::No,
+            configuration: current.document.version,
+            _in_flight: gateway.enter(),
+            gateway: Arc::clone(gateway),
+            ask,
+            route,
+        })
+    }
+
+    /// The time left for it.
+    pub fn time_left(&self) -> Duration {
+        self.ask.time_left(self.gateway.now())
+    }
+
+    /// Sends it until an endpoint answers it.
+    pub async fn open(&mut self) -> Result<Open, Refusal> {
+        loop {
+            if self.time_left().is_zero() {
+                return Err(self.refusal(Reason::Timeout));
+            }
+            let lease = self.place()?;
+            let (id, version) = (lease.id.clone(), lease.version.clone());
+            let started = self.gateway.now();
+            match self.attempt(lease).await {
+                Ok(open) => {
+                    self.runs += 1;
+                    self.ran = Ran::Maybe;
+                    if let Some(open) = self.judge(open, &version) {
+                        return Ok(open);
+                    }
+                }
+                Err(failed) => {
+                    let took = self.gateway.now().saturating_duration_since(started);
+                    self.log_failed(&id, &failed, took);
+                    if let Next::Give(refusal) = self.after(&id, &failed).await {
+                        return Err(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    /// An attempt failed after its answer had begun, so another may follow.
+    pub async fn broke_off(&mut self, endpoint: &endpoint::Id, cause: Cause) -> Result<(), Refusal> {
+        let failed = Failed { cause, execution: Execution::MayHaveRun };
+        self.log_failed(endpoint, &failed, Duration::ZERO);
+        match self.after_run(endpoint, &failed).await {
+            Next::Again => Ok(()),
+            Next::Give(refusal) => Err(refusal),
+        }
+    }
+
+    fn place(&mut self) -> Result<Lease, Refusal> {
+        let session = self.session();
+        let rule = self.gateway.rollouts.lock().rule(&self.service, session);
+        let model = self.models.get(self.model);
+        let name = model.map_or("", |(name, _)| name.as_str());
+        let wanted = Wanted {
+            service: &self.service,
+            rule: &rule,
+            tried: &self.tried,
+            subject: lease::subject(self.ask.subject(), name),
+            shared_tokens: self.ask.shared_tokens(),
+            prompt_tokens: self.ask.prompt_tokens(),
+            weight: model.map(|(_, weight)| *weight),
+            salt: hash::bytes(self.ask.head.id.as_bytes()),
+        };
+        let lease = Lease::take(&self.gateway, &wanted);
+        lease.ok_or_else(|| self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY))
+    }
+
+    async fn attempt(&mut self, lease: Lease) -> Result<Open, Failed> {
+        self.attempts += 1;
+        let model = self.models.get(self.model).map(|(name, _)| name.as_str());
+        let id = lease.id.clone();
+        let outgoing = Outgoing {
+            endpoint: &id,
+            account: self.account.as_ref(),
+            time_left: self.time_left(),
+            model: model.filter(|_| self.ask.head.model == Model::Any),
+            priority: model.map(|_| self.priority),
+            last_event: self.last_event,
+        };
+        self.gateway.log.write(&Event::Sent {
+            request: &self.ask.head.id,
+            route: &self.route.name,
+            endpoint: id.as_str(),
+            version: &lease.version,
+            model: model.unwrap_or_default(),
+            attempt: self.attempts,
+            busy: lease.busy,
+            resumed_after: self.last_event,
+            left_ms: millis(outgoing.time_left),
+            configuration: self.configuration,
+        });
+        attempt::run(&self.gateway, &self.ask, self.route.repeat, lease, &outgoing).await
+    }
+
+    /// Whether the caller gets this answer; if not, another attempt follows.
+    fn judge(&mut self, open: Open, version: &str) -> Option<Open> {
+        let is_error = open.reply.status.is_server_error();
+        let first_byte_ms = (!is_error).then(|| open.first_byte.as_secs_f64() * 1e3);
+        let kind = (self.route.name.as_str(), self.model);
+        self.gateway.rollouts.lock().answered(&self.service, version, kind, first_byte_ms);
+        if is_error {
+            if self.route.repeat.is_repeatable() && self.may_run_again("error") {
+                self.tried.push(open.lease.id.clone());
+                open.close(Outcome::Failed);
+                return None;
+            }
+            return Some(open);
+        }
+        let left = self.route.max_attempts.saturating_sub(self.runs);
+        let can_repeat = self.route.repeat.is_repeatable() && self.last_event.is_none();
+        if open.reply.status.is_success()
+            && can_repeat
+            && let Verdict::Escalate(model) =
+                cascade::judge(open.reply.confidence, self.model, self.models.len(), left)
+            && self.may_run_again("confidence")
+        {
+            self.gateway.log.write(&Event::Escalated {
+                request: &self.ask.head.id,
+                model: &self.models[model].0,
+                confidence: open.reply.confidence.unwrap_or_default(),
+            });
+            self.model = model;
+            open.close(Outcome::Answered);
+            return None;
+        }
+        Some(open)
+    }
+
+    async fn after(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
+        if failed.execution == Execution::MayHaveRun {
+            self.runs += 1;
+            self.ran = Ran::Maybe;
+            return self.after_run(endpoint, failed).await;
+        }
+        self.rejections += 1;
+        if failed.cause != Cause::Stale {
+            self.tried.push(endpoint.clone());
+        }
+        let reason = match failed.cause {
+            Cause::Full => Reason::Full,
+            _ => Reason::NoEndpoint,
+        };
+        let arrived = matches!(failed.cause, Cause::Full | Cause::Misdirected);
+        let is_spent = arrived && !self.spend(failed.cause.name());
+        if MAX_REJECTIONS <= self.rejections || is_spent {
+            return Next::Give(self.refusal(reason).with_retry_after(RETRY_FULL));
+        }
+        self.gateway.metrics.retried(failed.cause.name());
+        Next::Again
+    }
+
+    async fn after_run(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
+        if failed.cause == Cause::Cut {
+            self.charge(endpoint).await;
+        }
+        if failed.cause != Cause::Stale {
+            self.tried.push(endpoint.clone());
+        }
+        if failed.cause == Cause::Timeout {
+            return Next::Give(self.refusal(Reason::Timeout));
+        }
+        let now = self.gateway.now();
+        if self.gateway.poison.lock().is_poison(self.ask.fingerprint(), now) {
+            return Next::Give(self.refusal(Reason::Poison));
+        }
+        if !self.route.repeat.is_repeatable() || !self.may_run_again(failed.cause.name()) {
+            return Next::Give(self.refusal(Reason::EndpointFailed));
+        }
+        Next::Again
+    }
+
+    /// Whether it may run once more, and takes that from the budget.
+    fn may_run_again(&mut self, why: &'static str) -> bool {
+        if self.route.max_attempts <= self.runs {
+            self.not_repeated("attempts");
+            return false;
+        }
+        self.spend(why)
+    }
+
+    fn spend(&self, why: &'static str) -> bool {
+        let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
+        if !self.gateway.budget.lock().spend(&self.service, n_nodes, now) {
+            self.not_repeated("budget");
+            return false;
+        }
+        self.gateway.metrics.retried(why);
+        true
+    }
+
+    /// Charges the request with the end of `endpoint`, if that no longer takes connections.
+    async fn charge(&self, endpoint: &endpoint::Id) {
+        let addr = self.gateway.directory.lock().tracked(endpoint).map(|it| it.entry.addr);
+        let Some(addr) = addr else { return };
+        let connect = self.gateway.pool.take(addr, Freshness::New);
+        if let Ok(Ok(conn)) = timeout::run(ALIVE_TIMEOUT, connect).await {
+            self.gateway.pool.put(conn);
+            return;
+        }
+        let now = self.gateway.now();
+        self.gateway.poison.lock().charge(self.ask.fingerprint(), endpoint, now);
+        self.gateway.log.write(&Event::PoisonCharged {
+            request: &self.ask.head.id,
+            endpoint: endpoint.as_str(),
+        });
+    }
+
+    /// The refusal for `reason` after what happened so far.
+    pub fn refusal(&self, reason: Reason) -> Refusal {
+        Refusal::new(reason, self.ran)
+    }
+
+    /// A hash that all requests of the same session have.
+    fn session(&self) -> u64 {
+        let own = || hash::bytes(self.ask.head.id.as_bytes());
+        let route = hash::bytes(self.route.prefix.as_bytes());
+        self.ask.subject().map_or_else(own, |it| hash::pair(it, route))
+    }
+
+    fn log_failed(&self, endpoint: &endpoint::Id, failed: &Failed, took: Duration) {
+        self.gateway.log.write(&Event::AttemptFailed {
+            request: &self.ask.head.id,
+            endpoint: endpoint.as_str(),
+            why: failed.cause.name(),
+            execution: match failed.execution {
+                Execution::NotRun => "not_run",
+                Execution::MayHaveRun => "may_have_run",
+            },
+            took_ms: millis(took),
+        });
+    }
+
+    fn not_repeated(&self, why: &str) {
+        self.gateway.log.write(&Event::NotRepeated { request: &self.ask.head.id, why });
+    }
+
+    /// Logs and counts its end.
+    pub fn ended(&self, status: u16, outcome: &'static str, endpoint: &str, first: Duration) {
+        let took = self.gateway.now().saturating_duration_since(self.ask.since);
+        self.gateway.metrics.ended(outcome, took);
+        self.gateway.log.write(&Event::Ended {
+            request: &self.ask.head.id,
+            route: &self.route.name,
+            status,
+            outcome,
+            endpoint,
+            attempts: self.attempts,
+            first_byte_ms: millis(first),
+            took_ms: millis(took),
+        });
+    }
+}
+
+/// The models that may answer, with the price of each against the dearest one's.
+fn models(
+    document: &crate::document::Document,
+    service: &str,
+    route: &Route,
+    asked: &Model,
+) -> Vec<(String, f64)> {
+    let names = match asked {
+        Model::None => Vec::new(),
+        Model::Any => route.models.clone(),
+        Model::Named(name) => vec![name.clone()],
+    };
+    let costs = document.services.get(service).map(|it| &it.models);
+    let dearest = costs.and_then(|it| it.values().copied().reduce(f64::max));
+    let weight = |name: &str| {
+        let cost = costs.and_then(|it| it.get(name)).copied();
+        cost.zip(dearest).map_or(1.0, |(cost, dearest)| cost / dearest.max(f64::MIN_POSITIVE))
+    };
+    names.into_iter().map(|it| (it.clone(), weight(&it))).collect()
+}
+
+/// A duration in whole milliseconds.
+pub fn millis(it: Duration) -> u64 {
+    u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -0,0 +1,201 @@
+//! What a node writes for the others: its address, steps of roll-outs that are due, what it saw
+//! of a new version, and the requests that it charges.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_policy::hash;
+
+use crate::{
+    Gateway,
+    event::Event,
+    fleet::{Key, Node, Seen, log_step},
+    rollouts::Rollout,
+    steps::{self, Evidence, Phase, Step},
+    store::{Commit, Committed, Error, Progress, Report, Rev, Table},
+};
+
+/// How often it's looked at what is to be written.
+const PERIOD: Duration = Duration::from_millis(250);
+/// By how much the nodes stagger a step, so that one takes it and the others see it taken.
+const STAGGER: Duration = Duration::from_millis(400);
+/// How many nodes stagger apart; later ones share the last place.
+const MAX_RANK: usize = 8;
+/// How often what was seen of a new version is written.
+const EVIDENCE_PERIOD: Duration = Duration::from_millis(1_000);
+/// How often a failed write of the own address is repeated.
+const NODE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Writes what is due for as long as the process lives.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut lead = Lead { gateway, due: HashMap::new(), written: HashMap::new(), poison: 0 };
+    lead.announce().await;
+    loop {
+        Timer::after(PERIOD).await;
+        lead.roll_outs().await;
+        lead.poison().await;
+    }
+}
+
+struct Lead {
+    gateway: Arc<Gateway>,
+    /// Since when a step of a service is due, by the store's clock.
+    due: HashMap<String, (Phase, Duration)>,
+    /// What was written of each service, and when.
+    written: HashMap<String, (Evidence, Duration)>,
+    /// How many charges were written.
+    poison: usize,
+}
+
+impl Lead {
+    async fn announce(&self) {
+        let Some(peers) = self.gateway.settings.peers else { return };
+        let value = encode(&Node { peers });
+        let name = self.gateway.settings.node.clone();
+        let key = Key::Node(&name).to_string();
+        loop {
+            // Nothing to do if an earlier process of this node wrote the same.
+            let known = self.gateway.mirror.lock().row(Table::Fleet, &key).cloned();
+            if known.is_some_and(|it| it.value.as_deref() == Some(&value[..])) {
+                return;
+            }
+            if self.write(&key, None, &value, None).await.is_ok() {
+                return;
+            }
+            Timer::after(NODE_PERIOD).await;
+        }
+    }
+
+    async fn roll_outs(&mut self) {
+        let now = self.gateway.mirror.lock().store_time(self.gateway.now());
+        let Some(now) = now else { return };
+        let running: Vec<Rollout> = self.gateway.rollouts.lock().running().cloned().collect();
+        for it in running {
+            self.tell(&it, now).await;
+            self.step(&it, now).await;
+        }
+    }
+
+    async fn step(&mut self, it: &Rollout, now: Duration) {
+        let service = &it.order.service;
+        let next = match &it.step {
+            None => Some(Phase::Waiting),
+            Some((step, _)) => steps::due(&it.order, step, it.evidence(), now),
+        };
+        let Some(phase) = next else {
+            self.due.remove(service);
+            return;
+        };
+        let due = match self.due.get(service) {
+            Some((known, at)) if *known == phase => *at,
+            _ => {
+                self.due.insert(service.clone(), (phase, now));
+                now
+            }
+        };
+        if now < due + STAGGER * self.rank(service) {
+            return;
+        }
+        self.due.remove(service);
+        self.take_step(it, phase, now).await;
+    }
+
+    async fn take_step(&self, it: &Rollout, phase: Phase, now: Duration) {
+        let service = &it.order.service;
+        let (began, expected) = match &it.step {
+            Some((step, rev)) => (step.began, *rev),
+            None => (now, self.row_rev(service)),
+        };
+        let target = it.order.target.clone();
+        let step = Step { order: it.order_rev, target, phase, began, since: now };
+        let state = match phase {
+            Phase::Completed => Progress::Completed,
+            Phase::RolledBack => Progress::RolledBack,
+            _ => Progress::Running,
+        };
+        let is_told = phase == Phase::Waiting || phase.is_final();
+        let report = Report { service: service.clone(), target: step.target.clone(), state };
+        let key = Key::Step(service).to_string();
+        let value = encode(&step);
+        let report = is_told.then_some(&report);
+        match self.write(&key, Some(expected), &value, report).await {
+            Ok(Committed::Done(rev)) => {
+                let mut rollouts = self.gateway.rollouts.lock();
+                rollouts.stepped(service, step, rev);
+                if let Some(it) = rollouts.of(service) {
+                    log_step(&self.gateway, it, "taken");
+                }
+            }
+            Ok(Committed::Conflict) => log_step(&self.gateway, it, "conflict"),
+            Err(_logged) => {}
+        }
+    }
+
+    /// The revision that the row of a service's steps has from an earlier order.
+    fn row_rev(&self, service: &str) -> Rev {
+        let key = Key::Step(service).to_string();
+        self.gateway.mirror.lock().row(Table::Fleet, &key).map_or(Rev(0), |it| it.rev)
+    }
+
+    /// Writes what this node saw of a roll-out, if that is news.
+    async fn tell(&mut self, it: &Rollout, now: Duration) {
+        let service = &it.order.service;
+        if matches!(it.phase(), Phase::Waiting | Phase::Completed | Phase::RolledBack) {
+            return;
+        }
+        let (known, at) = self.written.get(service).copied().unwrap_or_default();
+        if known.new == it.own.new || now < at + EVIDENCE_PERIOD {
+            return;
+        }
+        self.written.insert(service.clone(), (it.own, now));
+        let key = Key::Evidence(service, &self.gateway.settings.node).to_string();
+        let value = encode(&Seen { order: it.order_rev, evidence: it.own });
+        if self.write(&key, None, &value, None).await.is_err() {
+            self.written.remove(service);
+        }
+    }
+
+    /// Writes the requests that this node charges, if there are new ones.
+    async fn poison(&mut self) {
+        let entries = self.gateway.poison.lock().export(self.gateway.now());
+        let charged: usize = entries.iter().map(|it| it.endpoints.len()).sum();
+        if charged <= self.poison {
+            return;
+        }
+        let key = Key::Poison(&self.gateway.settings.node).to_string();
+        if self.write(&key, None, &encode(&entries), None).await.is_ok() {
+            self.poison = charged;
+        }
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        expected: Option<Rev>,
+        value: &[u8],
+        report: Option<&Report>,
+    ) -> Result<Committed, Error> {
+        let result = self.gateway.store.commit(Commit { key, expected, value, report }).await;
+        self.gateway.metrics.store_call(Table::Fleet, &result);
+        if let Err(e) = &result {
+            let why = format!("{key}: {e}");
+            let (name, state) = ("store", "write_failed");
+            self.gateway.log.write(&Event::Dependency { name, state, why: &why });
+        }
+        result
+    }
+
+    /// This node's place among those that may take a step of `service`.
+    fn rank(&self, service: &str) -> u32 {
+        let weight = |node: &str| {
+            hash::pair(hash::bytes(service.as_bytes()), hash::bytes(node.as_bytes()))
+        };
+        let own = weight(&self.gateway.settings.node);
+        let before = self.gateway.peers.lock().keys().filter(|it| weight(it) < own).count();
+        u32::try_from(before.min(MAX_RANK)).unwrap_or(u32::MAX)
+    }
+}
+
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("rows can be written as JSON")
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -0,0 +1,190 @@
+//! The endpoint that a request goes to, and the account that is kept of it there.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use curranthook_policy::hash;
+use curranthook_types::endpoint;
+
+use crate::{
+    Gateway,
+    dialect::Load,
+    directory::{Outcome, Tracked},
+    place::{self, Candidate, Distance, Work},
+    rollouts::Rule,
+};
+
+/// What the largest model takes to read a token, as the engines' sheet has it: three times the
+/// 63.9 tokens a millisecond of a model of ordinary size.
+const READ_TOKEN: Duration = Duration::from_nanos(47_000);
+/// By how much a request that runs delays the first event of another one.
+const PER_RUNNING: Duration = Duration::from_millis(6);
+/// How long a plain service works on a request, about.
+const PLAIN_WORK: Duration = Duration::from_millis(50);
+/// Requests of other nodes wait at an endpoint too, of which this node knows little.
+const OTHERS: u32 = 2;
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The versions that may take it.
+    pub rule: &'a Rule,
+    /// Endpoints that were tried before.
+    pub tried: &'a [endpoint::Id],
+    /// The hash of the model and of the parts that it shares with others.
+    pub subject: Option<u64>,
+    /// The tokens of those parts.
+    pub shared_tokens: u64,
+    /// The tokens of the whole prompt.
+    pub prompt_tokens: u64,
+    /// The price of the model against the dearest one's; none for plain services.
+    pub weight: Option<f64>,
+    /// A number that differs between requests.
+    pub salt: u64,
+}
+
+impl Wanted<'_> {
+    fn reading(&self, tokens: u64) -> Duration {
+        let weight = self.weight.unwrap_or(0.0);
+        READ_TOKEN.mul_f64(tokens as f64 * weight)
+    }
+}
+
+/// A place at an endpoint. Dropping it gives it back.
+#[derive(Debug)]
+pub struct Lease {
+    gateway: Arc<Gateway>,
+    /// The endpoint.
+    pub id: endpoint::Id,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its version.
+    pub version: String,
+    /// How busy it seemed.
+    pub busy: u32,
+    pending: Duration,
+    outcome: Outcome,
+}
+
+impl Lease {
+    /// The best endpoint for a request, if there is one.
+    pub fn take(gateway: &Arc<Gateway>, wanted: &Wanted<'_>) -> Option<Self> {
+        let now = gateway.now();
+        let mut directory = gateway.directory.lock();
+        directory.sweep(now);
+        let found = {
+            let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
+            let list = eligible(&all, wanted, now);
+            let affinity = gateway.affinity.lock();
+            let offers: Vec<_> = list
+                .iter()
+                .map(|it| Candidate {
+                    seed: it.seed,
+                    wait: wait(it, wanted, now),
+                    failures: it.failures,
+                    distance: distance(gateway, it),
+                    holds_parts: wanted
+                        .subject
+                        .is_some_and(|subject| affinity.holds(subject, &it.entry.id, now)),
+                })
+                .collect();
+            let work = Work {
+                subject: wanted.subject,
+                shared: wanted.reading(wanted.shared_tokens),
+                salt: wanted.salt,
+            };
+            let index = place::choose(&offers, &work)?;
+            let (it, offer) = (list[index], offers[index]);
+            let tokens = match offer.holds_parts {
+                true => wanted.prompt_tokens.saturating_sub(wanted.shared_tokens),
+                false => wanted.prompt_tokens,
+            };
+            (it.entry.clone(), it.busy(now), wanted.reading(tokens))
+        };
+        let (entry, busy, pending) = found;
+        directory.started(&entry.id, pending);
+        if let Some(subject) = wanted.subject {
+            gateway.affinity.lock().read(subject, &entry.id, now);
+        }
+        Some(Self {
+            gateway: Arc::clone(gateway),
+            id: entry.id,
+            addr: entry.addr,
+            version: entry.version,
+            busy,
+            pending,
+            outcome: Outcome::Dropped,
+        })
+    }
+
+    /// The first byte of an answer came.
+    pub fn began(&mut self, load: Option<Load>) {
+        let now = self.gateway.now();
+        let pending = std::mem::take(&mut self.pending);
+        self.gateway.directory.lock().began(&self.id, pending, load, now);
+    }
+
+    /// Gives it back.
+    pub fn close(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let now = self.gateway.now();
+        let mut directory = self.gateway.directory.lock();
+        directory.finished(&self.id, self.outcome, self.pending, now);
+    }
+}
+
+/// The endpoints to choose from. Whoever was tried, is left alone or runs a version that the
+/// request shouldn't go to is taken only if there is nobody else.
+fn eligible<'a>(
+    all: &[&'a Tracked],
+    wanted: &Wanted<'_>,
+    now: std::time::Instant,
+) -> Vec<&'a Tracked> {
+    let is_allowed = |it: &Tracked| wanted.rule.allows(&it.entry.version);
+    let is_new = |it: &Tracked| !wanted.tried.contains(&it.entry.id);
+    let select = |keep: &dyn Fn(&Tracked) -> bool| -> Vec<&'a Tracked> {
+        all.iter().copied().filter(|it| keep(it)).collect()
+    };
+    let in_order: [&dyn Fn(&Tracked) -> bool; 3] = [
+        &|it| is_allowed(it) && is_new(it) && !it.is_out(now),
+        &|it| is_allowed(it) && is_new(it),
+        &|it| is_allowed(it),
+    ];
+    for keep in in_order {
+        let list = select(keep);
+        if !list.is_empty() {
+            return list;
+        }
+    }
+    // Nobody runs a version that the rule allows: what the others run is better than nothing,
+    // once the roll-out has begun to move requests to it or away from it.
+    match wanted.rule {
+        Rule::Only(_) => select(&|it| is_new(it)),
+        Rule::Any | Rule::Not(_) => Vec::new(),
+    }
+}
+
+fn wait(it: &Tracked, wanted: &Wanted<'_>, now: std::time::Instant) -> Duration {
+    let busy = it.busy(now);
+    if wanted.weight.is_some() {
+        return it.pending * OTHERS + PER_RUNNING * busy;
+    }
+    let slots = it.entry.slots.max(1);
+    let waiting = (busy + 1).saturating_sub(slots);
+    PLAIN_WORK * waiting / slots + Duration::from_millis(1) * busy
+}
+
+fn distance(gateway: &Gateway, it: &Tracked) -> Distance {
+    if it.entry.domain == gateway.settings.domain { Distance::Near } else { Distance::Far }
+}
+
+/// The hash that places a request: of the model and of the parts that it shares.
+pub fn subject(parts: Option<u64>, model: &str) -> Option<u64> {
+    parts.map(|it| hash::pair(it, hash::bytes(model.as_bytes())))
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -0,0 +1,52 @@
+//! One node that passes callers' requests through to endpoints, by routes.
+//!
+//! A request is a value that passes stages:
+//!
+//! - [`front`]: from the caller's connection to a [`job`], by the [`document`] in force;
+//! - [`job`]: the attempts at it, within the [`budget`] for repeats;
+//! - [`rollouts`], [`cascade`], [`place`]: which version, model and endpoint take it;
+//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there;
+//! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
+//!
+//! [`place`], [`cascade`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
+//! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
+//! [`rollouts`]. [`peers`] stands in for the store while that is away. [`lead`] writes what the
+//! nodes tell each other in [`fleet`] rows. [`gateway`] holds what all of them share, [`serve`]
+//! starts and ends it.
+//!
+//! At the borders stand [`dialect::Dialect`] (callers and endpoints), [`store::Store`] and
+//! [`store::Decoder`]; a deployment implements them.
+
+pub mod affinity;
+pub mod apply;
+pub mod ask;
+pub mod attempt;
+pub mod budget;
+pub mod cascade;
+pub mod dialect;
+pub mod directory;
+pub mod document;
+pub mod entry;
+pub mod event;
+pub mod fleet;
+pub mod follow;
+pub mod front;
+pub mod gateway;
+pub mod job;
+pub mod lead;
+pub mod lease;
+pub mod metrics;
+pub mod mirror;
+pub mod peers;
+pub mod place;
+pub mod refusal;
+pub mod rollouts;
+pub mod serve;
+pub mod settings;
+pub mod splitter;
+pub mod steps;
+pub mod store;
+pub mod stream;
+pub mod whole;
+
+pub use gateway::Gateway;
--- /dev/null
+++ b/crates/curranthook_gateway/src/mirror.rs
@@ -0,0 +1,83 @@
+//! The rows of the store as a node knows them, for peers that can't reach the store.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use crate::store::{Batch, Rev, Row, Table};
+
+/// All rows that a node knows.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    tables: HashMap<Table, Rows>,
+    /// The store's clock, and when it was read.
+    clock: Option<(Duration, Instant)>,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    rows: BTreeMap<String, Row>,
+    rev: Rev,
+}
+
+impl Mirror {
+    /// Takes in rows that changed. Returns those that are news.
+    pub fn merge(&mut self, table: Table, batch: Batch) -> Vec<Row> {
+        let known = self.tables.entry(table).or_default();
+        let is_news = |row: &Row| known.rows.get(&row.key).is_none_or(|it| it.rev < row.rev);
+        let news: Vec<_> = batch.rows.into_iter().filter(is_news).collect();
+        for row in &news {
+            known.rows.insert(row.key.clone(), row.clone());
+        }
+        known.rev = known.rev.max(batch.rev);
+        news
+    }
+
+    /// Takes in all rows of a table. Returns those that are news, and those that are gone as
+    /// rows without a value. An answer older than what is known changes nothing.
+    pub fn replace(&mut self, table: Table, batch: Batch) -> Vec<Row> {
+        let known = self.tables.entry(table).or_default();
+        if batch.rev < known.rev {
+            return Vec::new();
+        }
+        let mut gone: Vec<_> = known
+            .rows
+            .values()
+            .filter(|it| it.value.is_some() && !batch.rows.iter().any(|row| row.key == it.key))
+            .map(|it| Row { key: it.key.clone(), rev: batch.rev, value: None })
+            .collect();
+        for row in &gone {
+            known.rows.remove(&row.key);
+        }
+        gone.extend(self.merge(table, batch));
+        gone
+    }
+
+    /// Notes what the store's clock said.
+    pub fn set_clock(&mut self, store: Duration, now: Instant) {
+        self.clock = Some((store, now));
+    }
+
+    /// The store's clock, as far as it's known.
+    pub fn store_time(&self, now: Instant) -> Option<Duration> {
+        self.clock.map(|(store, at)| store + now.saturating_duration_since(at))
+    }
+
+    /// Up to where a table is known.
+    pub fn rev(&self, table: Table) -> Rev {
+        self.tables.get(&table).map_or(Rev(0), |it| it.rev)
+    }
+
+    /// All rows of a table.
+    pub fn batch(&self, table: Table) -> Batch {
+        let Some(known) = self.tables.get(&table) else { return Batch::default() };
+        let rows = known.rows.values().filter(|it| it.value.is_some()).cloned().collect();
+        Batch { rows, rev: known.rev, now: None }
+    }
+
+    /// A row of a table.
+    pub fn row(&self, table: Table, key: &str) -> Option<&Row> {
+        self.tables.get(&table)?.rows.get(key).filter(|it| it.value.is_some())
+    }
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -0,0 +1,169 @@
+//! Starts a node and ends it without cutting a request.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use curranthook_http::{
+    Body, body,
+    server::{Handler, Limits, Server},
+    stop,
+};
+use futures_lite::{StreamExt, future::Boxed};
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use crate::{
+    Gateway, event::Event, follow, front::Front, lead, peers, store::Table,
+};
+
+/// How long a node goes on taking requests after the signal to stop: the balancer asks once a
+/// second and sends new callers until it missed two answers.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// What is kept of the time until the process is killed, to end by itself.
+const RESERVE: Duration = Duration::from_millis(400);
+/// How often the end of the last requests is looked for.
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+/// How long a caller's connection may be idle. Callers keep theirs for less.
+const CALLER_IDLE: Duration = Duration::from_secs(30);
+
+/// Why a node can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be bound.
+    #[error("can't listen on {addr}: {source}")]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[error("can't receive signals: {0}")]
+    Signals(#[from] std::io::Error),
+}
+
+/// What happens to the settings while the node runs.
+pub trait Reload: Send {
+    /// Reads the settings again and says what changed.
+    fn reload(&mut self) -> Result<String, String>;
+}
+
+/// Runs a node until it's told to stop.
+pub async fn run(gateway: Arc<Gateway>, reload: &mut dyn Reload) -> Result<(), Error> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    gateway.log.write(&Event::Started { version: env!("CARGO_PKG_VERSION") });
+    let (trigger, stop) = stop::new();
+    let front = Arc::new(Front { gateway: Arc::clone(&gateway), closed: false.into() });
+    let callers = bind(gateway.settings.callers)?
+        .with_limits(Limits { head_timeout: CALLER_IDLE, ..Limits::default() });
+    listen_beside(&gateway)?;
+    tasks(&gateway);
+    let ex = Arc::clone(&gateway.ex);
+    let served = {
+        let (front, stop) = (Arc::clone(&front), stop.clone());
+        gateway.ex.spawn(async move { callers.serve(&ex, front, stop).await })
+    };
+    wait_for_stop(&gateway, &mut signals, reload).await;
+    gateway.stop();
+    gateway.log.write(&Event::Stopping { in_flight: gateway.in_flight() });
+    let limit = gateway.settings.grace.saturating_sub(RESERVE);
+    Timer::after(LINGER.min(limit)).await;
+    front.closed.store(true, Ordering::Relaxed);
+    trigger.set();
+    drain(&gateway, limit.saturating_sub(LINGER)).await;
+    gateway.log.write(&Event::Stopped { in_flight: gateway.in_flight() });
+    // The log's thread gathers lines for a moment before it writes them.
+    Timer::after(DRAIN_PERIOD * 2).await;
+    drop(served);
+    Ok(())
+}
+
+async fn wait_for_stop(gateway: &Gateway, signals: &mut Signals, reload: &mut dyn Reload) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => match reload.reload() {
+                Ok(changed) => gateway.log.write(&Event::Reloaded { changed: &changed }),
+                Err(e) => log::error!("the settings can't be read again: {e}"),
+            },
+            Ok(_) => return,
+            Err(e) => log::error!("a signal can't be received: {e}"),
+        }
+    }
+}
+
+async fn drain(gateway: &Gateway, limit: Duration) {
+    let start = gateway.now();
+    while 0 < gateway.in_flight() && gateway.now().saturating_duration_since(start) < limit {
+        Timer::after(DRAIN_PERIOD).await;
+    }
+}
+
+/// Listens for the balancer, peers and whoever reads counters.
+fn listen_beside(gateway: &Arc<Gateway>) -> Result<(), Error> {
+    let readiness = Arc::new(Readiness(Arc::clone(gateway)));
+    detach(gateway, bind(gateway.settings.readiness)?, readiness);
+    if let Some(addr) = gateway.settings.peers {
+        let server = Arc::new(peers::Server { gateway: Arc::clone(gateway) });
+        detach(gateway, bind(addr)?, server);
+    }
+    if let Some(addr) = gateway.settings.metrics {
+        detach(gateway, bind(addr)?, Arc::new(Counters(Arc::clone(gateway))));
+    }
+    Ok(())
+}
+
+fn tasks(gateway: &Arc<Gateway>) {
+    let returned = Arc::new(follow::Returned::default());
+    for table in Table::ALL {
+        let task = follow::run(Arc::clone(gateway), table, Arc::clone(&returned));
+        gateway.ex.spawn(task).detach();
+    }
+    gateway.ex.spawn(lead::run(Arc::clone(gateway))).detach();
+}
+
+fn bind(addr: SocketAddr) -> Result<Server, Error> {
+    Server::bind(addr).map_err(|source| Error::Bind { addr, source })
+}
+
+/// Serves until the process ends.
+fn detach<H: Handler>(gateway: &Arc<Gateway>, server: Server, handler: Arc<H>) {
+    let ex = Arc::clone(&gateway.ex);
+    let serve = async move {
+        let (_never, stop) = stop::new();
+        server.serve(&ex, handler, stop).await;
+    };
+    gateway.ex.spawn(serve).detach();
+}
+
+/// Tells the balancer whether the node takes new callers.
+#[derive(Debug)]
+struct Readiness(Arc<Gateway>);
+
+impl Handler for Readiness {
+    fn handle(self: Arc<Self>, _req: Request<Incoming>) -> Boxed<Response<Body>> {
+        Box::pin(async move {
+            let status = if self.0.is_ready() { 200 } else { 503 };
+            body::json(status, &serde_json::json!({ "ready": self.0.is_ready() }))
+        })
+    }
+}
+
+/// Serves the counters.
+#[derive(Debug)]
+struct Counters(Arc<Gateway>);
+
+impl Handler for Counters {
+    fn handle(self: Arc<Self>, _req: Request<Incoming>) -> Boxed<Response<Body>> {
+        Box::pin(async move {
+            let metrics = &self.0.metrics;
+            metrics.in_flight.set(i64::try_from(self.0.in_flight()).unwrap_or(i64::MAX));
+            metrics.lines_dropped.set(i64::try_from(self.0.log.dropped()).unwrap_or(i64::MAX));
+            Response::new(body::full(metrics.text()))
+        })
+    }
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -0,0 +1,30 @@
+//! What a node is told about itself and about the bounds that it must keep.
+
+use std::{net::SocketAddr, time::Duration};
+
+use curranthook_types::domain;
+
+use crate::budget::Bound;
+
+/// A node's settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Its name, unique in the fleet.
+    pub node: String,
+    /// Its failure domain.
+    pub domain: domain::Id,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it's ready.
+    pub readiness: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: Option<SocketAddr>,
+    /// Where its counters are served.
+    pub metrics: Option<SocketAddr>,
+    /// Some other nodes, for a start while the store is away. They may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Bound on repeats.
+    pub repeats: Bound,
+    /// The time from the signal to stop until the process is killed.
+    pub grace: Duration,
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/splitter.rs
@@ -0,0 +1,67 @@
+//! Cuts a stream of bytes into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// The bytes of a stream that aren't passed on yet.
+///
+/// An endpoint can break off in the middle of an event. What was passed on then ends at a whole
+/// event, so that another endpoint can go on after it.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    held: BytesMut,
+}
+
+/// Whole events.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Events {
+    /// Their bytes as they came.
+    pub bytes: Bytes,
+    /// The id of the last of them that has one.
+    pub last_id: Option<u64>,
+}
+
+impl Splitter {
+    /// Takes in bytes and returns the events that are whole now.
+    ///
+    /// ```
+    /// # use curranthook_gateway::splitter::Splitter;
+    /// let mut splitter = Splitter::default();
+    /// assert_eq!(splitter.push(b"id: 4\ndata: a\n"), None);
+    /// let events = splitter.push(b"\nid: 5\n").unwrap();
+    /// assert_eq!((&events.bytes[..], events.last_id), (&b"id: 4\ndata: a\n\n"[..], Some(4)));
+    /// assert!(!splitter.is_empty());
+    /// ```
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
+        self.held.extend_from_slice(bytes);
+        let end = last_blank_line(&self.held)?;
+        let bytes = self.held.split_to(end).freeze();
+        let last_id = last_id(&bytes);
+        Some(Events { bytes, last_id })
+    }
+
+    /// Whether nothing is held back.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Drops the beginning of an event that broke off.
+    pub fn clear(&mut self) {
+        self.held.clear();
+    }
+}
+
+/// The place after the last blank line.
+fn last_blank_line(bytes: &[u8]) -> Option<usize> {
+    (1..bytes.len()).rev().find_map(|at| {
+        let ends = bytes[at] == b'\n'
+            && (bytes[at - 1] == b'\n' || bytes[..at].ends_with(b"\n\r"));
+        ends.then_some(at + 1)
+    })
+}
+
+fn last_id(events: &[u8]) -> Option<u64> {
+    events.split(|it| *it == b'\n').rev().find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -0,0 +1,173 @@
+//! An answer that is a stream of events, passed on as they come.
+//!
+//! If the endpoint breaks off or goes silent, another one goes on after the last whole event, as
+//! far as the route allows that. The caller sees one answer, with the head of the first endpoint.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use curranthook_http::{Body, timeout};
+use futures_lite::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+
+use crate::{
+    attempt::{Cause, Open},
+    directory::Outcome,
+    job::Job,
+    refusal::Refusal,
+    splitter::Splitter,
+};
+
+/// An endpoint that lets this many times the longest pause go by without an event has stopped:
+/// the answer is late already, and callers leave soon after.
+const SILENT_PAUSES: u32 = 2;
+/// The least time after which an endpoint counts as silent, as it may read other prompts between.
+const MIN_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Why a stream ends before its end.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off: {}", .0.reason.name())]
+struct Broken(Refusal);
+
+/// A stream on its way to its caller. Dropping it tells the endpoint to stop.
+#[derive(Debug)]
+struct Relay {
+    job: Job,
+    open: Option<Open>,
+    splitter: Splitter,
+    status: u16,
+    first: Duration,
+    is_done: bool,
+}
+
+/// The body of an answer that has begun.
+pub fn body(job: Job, open: Open) -> Body {
+    let relay = Relay {
+        status: open.reply.status.as_u16(),
+        first: job.gateway.now().saturating_duration_since(job.ask.since),
+        job,
+        open: Some(open),
+        splitter: Splitter::default(),
+        is_done: false,
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        if relay.is_done {
+            return None;
+        }
+        let next = relay.next().await.transpose()?;
+        let frame = next.map(Frame::data).map_err(|e| Box::new(e) as curranthook_http::body::Error);
+        Some((frame, relay))
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+impl Relay {
+    /// The next whole events; none at the end.
+    async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        loop {
+            if self.open.is_none() {
+                self.open = Some(self.resume().await?);
+            }
+            let cause = match self.read().await {
+                Read::Events(bytes) => return Ok(Some(bytes)),
+                Read::Part => continue,
+                Read::End => {
+                    self.end("whole", Outcome::Answered);
+                    return Ok(None);
+                }
+                Read::Failed(cause) => cause,
+            };
+            self.splitter.clear();
+            self.leave(cause).await?;
+        }
+    }
+
+    async fn read(&mut self) -> Read {
+        let limit = self.job.time_left().min(self.silence());
+        let Some(open) = self.open.as_mut() else { return Read::Failed(Cause::Cut) };
+        match timeout::run(limit, open.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else { return Read::Part };
+                match self.splitter.push(&data) {
+                    Some(events) => {
+                        self.job.last_event = events.last_id.or(self.job.last_event);
+                        Read::Events(events.bytes)
+                    }
+                    None => Read::Part,
+                }
+            }
+            Ok(None) if self.splitter.is_empty() => Read::End,
+            Ok(None | Some(Err(_))) => Read::Failed(Cause::Cut),
+            Err(timeout::Elapsed) => Read::Failed(Cause::Timeout),
+        }
+    }
+
+    /// The endpoint failed: leaves it, and ends the answer if no other may go on.
+    async fn leave(&mut self, cause: Cause) -> Result<(), Broken> {
+        let Some(open) = self.open.take() else { return Ok(()) };
+        let id = open.lease.id.clone();
+        open.close(Outcome::Unreachable);
+        // Silence within the time that is left is no end of the time.
+        let cause = match cause {
+            Cause::Timeout if !self.job.time_left().is_zero() => Cause::Cut,
+            other => other,
+        };
+        if let Err(refusal) = self.job.broke_off(&id, cause).await {
+            return Err(self.broken(refusal));
+        }
+        Ok(())
+    }
+
+    async fn resume(&mut self) -> Result<Open, Broken> {
+        match self.job.open().await {
+            Ok(open) if open.reply.status.is_success() => Ok(open),
+            Ok(open) => {
+                open.close(Outcome::Failed);
+                let refusal = self.job.refusal(crate::refusal::Reason::EndpointFailed);
+                Err(self.broken(refusal))
+            }
+            Err(refusal) => Err(self.broken(refusal)),
+        }
+    }
+
+    fn broken(&mut self, refusal: Refusal) -> Broken {
+        self.job.gateway.metrics.refused(refusal.reason);
+        self.end("broke_off", Outcome::Dropped);
+        Broken(refusal)
+    }
+
+    fn end(&mut self, outcome: &'static str, of_endpoint: Outcome) {
+        self.is_done = true;
+        let open = self.open.take();
+        let endpoint = open.as_ref().map(|it| it.lease.id.clone());
+        let endpoint = endpoint.as_ref().map_or("", |it| it.as_str());
+        self.job.ended(self.status, outcome, endpoint, self.first);
+        match (open, of_endpoint) {
+            (Some(open), Outcome::Answered) => open.finish(&self.job.gateway, of_endpoint),
+            (Some(open), _) => open.close(of_endpoint),
+            (None, _) => {}
+        }
+    }
+
+    fn silence(&self) -> Duration {
+        let pause = self.job.route.gap.unwrap_or_default();
+        (pause * SILENT_PAUSES).max(MIN_SILENCE)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.end("caller_left", Outcome::Dropped);
+        }
+    }
+}
+
+/// What came.
+enum Read {
+    Events(Bytes),
+    Part,
+    End,
+    Failed(Cause),
+}
--- a/crates/curranthook_http/src/body.rs
+++ b/crates/curranthook_http/src/body.rs
@@ -49,7 +49,12 @@
 }
 
 /// Reads a whole body of at most `limit` bytes.
-pub async fn read(body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+pub async fn read(mut body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+    read_mut(&mut body, limit).await
+}
+
+/// Reads what is left of a body, at most `limit` bytes, and leaves it with its owner.
+pub async fn read_mut(body: &mut Incoming, limit: usize) -> Result<Bytes, ReadError> {
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(ReadError::TooLarge { limit }),
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -34,6 +34,8 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long sent bytes may stay unacknowledged before the kernel gives a connection up.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
+/// How many keep-alive probes in a row may stay unanswered.
+const PROBES: u32 = 2;
 
 /// Which connections will do for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -141,6 +143,9 @@
     ex: runtime::Handle,
     clock: Arc<dyn Clock>,
     connect_timeout: Duration,
+    unacked_timeout: Duration,
+    /// The time between keep-alive probes; none are sent without it.
+    probe_interval: Option<Duration>,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     /// When the newest connection that was answered had been opened.
     answered: Mutex<HashMap<SocketAddr, Instant>>,
@@ -154,6 +159,8 @@
             ex,
             clock,
             connect_timeout: CONNECT_TIMEOUT,
+            unacked_timeout: UNACKED_TIMEOUT,
+            probe_interval: None,
             idle: Mutex::default(),
             answered: Mutex::default(),
         }
@@ -164,6 +171,15 @@
         Self { connect_timeout, ..self }
     }
 
+    /// Gives connections up after this long without an acknowledgement, of sent bytes or of
+    /// probes on a connection that is waiting. Without it, a call that waits on a host that lost
+    /// its power or is cut off hangs until its own limit; with it, the call fails and can be made
+    /// elsewhere while there is time.
+    pub fn with_liveness(self, unacked_timeout: Duration) -> Self {
+        let probe_interval = Some(unacked_timeout / PROBES);
+        Self { unacked_timeout, probe_interval, ..self }
+    }
+
     /// Lends a connection to `addr`.
     pub async fn take(&self, addr: SocketAddr, freshness: Freshness) -> Result<Connection, Error> {
         while let Some(mut sender) = self.take_idle(addr, freshness) {
@@ -241,7 +257,14 @@
         let stream = dialled.map_err(|e| failed(e.kind(), e.to_string()))?;
         let socket = socket2::SockRef::from(stream.get_ref());
         let _best_effort = socket.set_tcp_nodelay(true);
-        let _best_effort = socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT));
+        let _best_effort = socket.set_tcp_user_timeout(Some(self.unacked_timeout));
+        if let Some(interval) = self.probe_interval {
+            let probes = socket2::TcpKeepalive::new()
+                .with_time(interval)
+                .with_interval(interval)
+                .with_retries(PROBES);
+            let _best_effort = socket.set_tcp_keepalive(&probes);
+        }
         let (sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|e| failed(io::ErrorKind::Other, e.to_string()))?;
--- a/crates/curranthook_http/src/server.rs
+++ b/crates/curranthook_http/src/server.rs
@@ -15,10 +15,6 @@
 
 use crate::{Body, runtime, stop::Stop};
 
-/// How long a caller may take to send the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// The largest head that is read, in bytes.
-const MAX_HEAD: usize = 64 * 1024;
 /// The pause after a failed accept, so that running out of file descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -31,11 +27,28 @@
     fn handle(self: Arc<Self>, req: http::Request<Incoming>) -> Boxed<http::Response<Body>>;
 }
 
+/// What a caller may do with its connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// How long the head of a request may take. It counts from the end of the answer before, so
+    /// it bounds the idle time of a kept connection too.
+    pub head_timeout: Duration,
+    /// The largest head that is read, in bytes.
+    pub max_head: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { head_timeout: Duration::from_secs(10), max_head: 64 * 1024 }
+    }
+}
+
 /// A bound address.
 #[derive(Debug)]
 pub struct Server {
     listener: Async<TcpListener>,
     addr: SocketAddr,
+    limits: Limits,
 }
 
 impl Server {
@@ -43,7 +56,12 @@
     pub fn bind(addr: SocketAddr) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
-        Ok(Self { listener, addr })
+        Ok(Self { listener, addr, limits: Limits::default() })
+    }
+
+    /// Sets what callers may do with their connections.
+    pub fn with_limits(self, limits: Limits) -> Self {
+        Self { limits, ..self }
     }
 
     /// The address that was bound, with its real port.
@@ -67,8 +85,9 @@
                 continue;
             };
             let (handler, stop, open) = (Arc::clone(&handler), stop.clone(), open.clone());
+            let limits = self.limits;
             ex.spawn(async move {
-                connection(stream, handler, stop).await;
+                connection(stream, handler, stop, limits).await;
                 drop(open);
             })
             .detach();
@@ -92,6 +111,7 @@
     stream: Async<std::net::TcpStream>,
     handler: Arc<H>,
     stop: Stop,
+    limits: Limits,
 ) {
     // Small events of a stream must go out at once; without this the kernel may hold them back.
     let _best_effort = stream.get_ref().set_nodelay(true);
@@ -101,8 +121,8 @@
     });
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD)
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.max_head)
         .serve_connection(FuturesIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     let finished = future::or(
