A larger model is asked only if its answer is likely to come in time

Change: the cascade weighs the small model's confidence against what the large model's answer is worth if it comes when models of late have; pace.rs keeps their pace.

--- a/crates/curranthook_gateway/src/ask.rs
+++ b/crates/curranthook_gateway/src/ask.rs
@@ -25,6 +25,8 @@
     pub model: Model,
     /// How large the work is.
     pub tokens: Option<Tokens>,
+    /// How many tokens the caller expects to be generated; often far off.
+    pub expected_output: Option<u64>,
     /// The parts of its prompt, in order.
     pub parts: Vec<Part>,
     /// The last event that the caller has of the stream, if it goes on with one.
@@ -101,6 +103,15 @@
         self.head.tokens.map_or(parts, |it| it.prompt)
     }
 
+    /// How many tokens are likely to be generated.
+    pub fn output_tokens(&self) -> u64 {
+        let most = self.head.tokens.map(|it| it.max_output);
+        match (self.head.expected_output, most) {
+            (Some(expected), Some(most)) => expected.min(most),
+            (expected, most) => expected.or(most).unwrap_or(0),
+        }
+    }
+
     /// A hash that the same request has at every node, whenever it comes.
     pub fn fingerprint(&self) -> curranthook_policy::poison::Fingerprint {
         use sha2::{Digest, Sha256};
--- a/crates/curranthook_gateway/src/cascade.rs
+++ b/crates/curranthook_gateway/src/cascade.rs
@@ -4,42 +4,77 @@
 //! before the first event, so an answer that it's unsure of is dropped, and the largest model
 //! asked, while the caller has none of it.
 
-/// Below this confidence, out of 100, the answer of a smaller model is dropped. Among 20, 30, 40
-/// and 60, the callers' total was highest at 40: lower, more poor answers are passed on; higher,
-/// the largest model is paid and waited for without need.
-pub const MIN_CONFIDENCE: u8 = 40;
-
-/// What becomes of an answer that has begun.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// The caller gets it.
-    Accept,
-    /// It's dropped, and the model at this place in the list is asked.
-    Escalate(usize),
+use std::time::Duration;
+
+/// What an answer that comes late is worth, against one on time. Callers value it at a tenth to
+/// three tenths.
+const LATE: f64 = 0.2;
+/// What a poor answer is worth, against a good one.
+const POOR: f64 = 0.05;
+/// The chance that an answer of which a small model isn't sure at all is good, and by how much it
+/// grows with each point of confidence. With both, an idle fleet asks the largest model below a
+/// confidence of about 50, a busy one less often.
+const CHANCE: (f64, f64) = (0.1, 0.015);
+/// How far off the outlook is, as a part of the time it's compared with.
+const SPREAD: f64 = 0.2;
+
+/// What is to be expected of a model for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outlook {
+    /// When the first event comes, from when the request came.
+    pub first: Duration,
+    /// When the last one does.
+    pub last: Duration,
+    /// What the answer costs, as a part of its worth.
+    pub price: f64,
+}
+
+/// By when a caller wants what.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Aim {
+    /// The time for the first event.
+    pub objective: Duration,
+    /// The time for the last one.
+    pub deadline: Duration,
 }
 
-/// Judges an answer of the model at `current` in a list of `n_models`, the smallest first.
-/// `attempts_left` are those that the route still allows.
+impl Outlook {
+    /// What a good answer is worth, as it's likely to come in time, late, or not at all.
+    fn worth(&self, aim: &Aim) -> f64 {
+        let in_time = chance(self.first, aim.objective);
+        let whole = chance(self.last, aim.deadline);
+        whole * (in_time + (1.0 - in_time) * LATE) - self.price
+    }
+}
+
+/// The chance that something expected at `at` has come by `by`.
+fn chance(at: Duration, by: Duration) -> f64 {
+    let by = by.as_secs_f64();
+    let spread = (by * SPREAD).max(f64::MIN_POSITIVE);
+    1.0 / (1.0 + ((at.as_secs_f64() - by) / spread).exp())
+}
+
+/// Whether the answer of a small model that has begun is dropped and a larger model asked, from
+/// the small one's confidence (0 to 100).
+///
+/// A busy large model answers late or not at all; then even a doubtful answer is worth more.
 ///
 /// ```
-/// # use curranthook_gateway::cascade::{self, Verdict};
-/// assert_eq!(cascade::judge(Some(90), 0, 3, 2), Verdict::Accept);
-/// assert_eq!(cascade::judge(Some(10), 0, 3, 2), Verdict::Escalate(2));
-/// assert_eq!(cascade::judge(Some(10), 0, 3, 0), Verdict::Accept);
+/// # use std::time::Duration;
+/// # use curranthook_gateway::cascade::{self, Aim, Outlook};
+/// let s = Duration::from_secs;
+/// let aim = Aim { objective: s(2), deadline: s(15) };
+/// let small = Outlook { first: s(0), last: s(1), price: 0.01 };
+/// let idle = Outlook { first: s(1), last: s(3), price: 0.1 };
+/// let busy = Outlook { first: s(6), last: s(20), price: 0.1 };
+/// assert!(cascade::escalates(10, &small, &idle, &aim));
+/// assert!(!cascade::escalates(90, &small, &idle, &aim));
+/// assert!(!cascade::escalates(10, &small, &busy, &aim));
 /// ```
-pub fn judge(
-    confidence: Option<u8>,
-    current: usize,
-    n_models: usize,
-    attempts_left: u32,
-) -> Verdict {
-    let largest = n_models.saturating_sub(1);
-    match confidence {
-        Some(it) if it < MIN_CONFIDENCE && current < largest && 0 < attempts_left => {
-            Verdict::Escalate(largest)
-        }
-        _ => Verdict::Accept,
-    }
+pub fn escalates(confidence: u8, small: &Outlook, large: &Outlook, aim: &Aim) -> bool {
+    let good = (CHANCE.0 + CHANCE.1 * f64::from(confidence)).min(1.0);
+    let kept = small.worth(aim) * (good + (1.0 - good) * POOR);
+    kept < large.worth(aim)
 }
 
 /// Ranks that the requests of small models are apart from those of large ones.
--- a/crates/curranthook_gateway/src/document.rs
+++ b/crates/curranthook_gateway/src/document.rs
@@ -99,6 +99,8 @@
     /// The models its endpoints run, with what each costs for a thousand generated tokens; empty
     /// for a plain service.
     pub models: BTreeMap<String, f64>,
+    /// How many tokens an event of a stream holds; 0 if unknown.
+    pub tokens_per_event: u32,
 }
 
 /// A client account, as one of its keys finds it.
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -63,7 +63,13 @@
         took_ms: u64,
     },
     /// A small model's answer was dropped for a larger model's.
-    Escalated { request: &'a str, model: &'a str, confidence: u8 },
+    Escalated {
+        request: &'a str,
+        model: &'a str,
+        confidence: u8,
+        first_ms: u64,
+        last_ms: u64,
+    },
     /// A repeat wasn't made.
     NotRepeated { request: &'a str, why: &'a str },
     /// A request ended.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -25,6 +25,7 @@
     event::Log,
     metrics::Metrics,
     mirror::Mirror,
+    pace::Paces,
     rollouts::Rollouts,
     settings::Settings,
     store::{Decoder, Rev, Store},
@@ -83,6 +84,8 @@
     pub directory: Mutex<Directory>,
     /// Where prompts were read.
     pub affinity: Mutex<Affinity>,
+    /// How fast models are.
+    pub paces: Mutex<Paces>,
     /// Repeats.
     pub budget: Mutex<Budget>,
     /// Requests that end endpoints.
@@ -137,6 +140,7 @@
             current: ArcSwapOption::empty(),
             directory: Mutex::default(),
             affinity: Mutex::default(),
+            paces: Mutex::default(),
             rollouts: Mutex::default(),
             mirror: Mutex::default(),
             peers: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -10,13 +10,14 @@
     Gateway,
     ask::{Ask, Model},
     attempt::{self, Cause, Failed, Open},
-    cascade::{self, Verdict},
+    cascade::{self, Aim, Outlook},
     dialect::{Execution, Outgoing},
     directory::Outcome,
     document::Route,
     event::Event,
     gateway::{Current, InFlight},
     lease::{self, Lease, Wanted},
+    pace::Pace,
     refusal::{Ran, Reason, Refusal},
 };
 
@@ -26,6 +27,9 @@
 const RETRY_FULL: Duration = Duration::from_millis(400);
 /// When to come back while no endpoint can be reached: about the time in which one is noticed.
 const RETRY_AWAY: Duration = Duration::from_millis(700);
+/// What an answer of the largest model costs, as a part of its worth: a seventh for the largest
+/// requests, more for small ones.
+const LARGE_PRICE: f64 = 0.15;
 /// How long it's asked whether an endpoint that broke off still takes connections.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -47,8 +51,9 @@
     /// How many attempts there were.
     pub attempts: u32,
     service: String,
-    models: Vec<(String, f64)>,
+    models: Vec<Candidate>,
     model: usize,
+    tokens_per_event: u32,
     tried: Vec<endpoint::Id>,
     runs: u32,
     rejections: u32,
@@ -57,6 +62,14 @@
     _in_flight: InFlight,
 }
 
+/// A model that may answer.
+#[derive(Debug, Clone, PartialEq)]
+struct Candidate {
+    name: String,
+    /// Its price against the dearest one's.
+    weight: f64,
+}
+
 /// Whether another attempt follows.
 enum Next {
     Again,
@@ -76,6 +89,8 @@
         let place = hash::unit(hash::bytes(ask.head.id.as_bytes()));
         let service = route.service(place).map(str::to_owned);
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Ran::No))?;
+        let tokens_per_event =
+            current.document.services.get(&service).map_or(0, |it| it.tokens_per_event);
         let models = models(&current.document, &service, &route, &ask.head.model);
         gateway.budget.lock().asked(&service, gateway.now());
         Ok(Self {
@@ -86,6 +101,7 @@
             service,
             models,
             model: 0,
+            tokens_per_event,
             tried: Vec::new(),
             runs: 0,
             rejections: 0,
@@ -145,7 +161,7 @@
         let session = self.session();
         let rule = self.gateway.rollouts.lock().rule(&self.service, session);
         let model = self.models.get(self.model);
-        let name = model.map_or("", |(name, _)| name.as_str());
+        let name = model.map_or("", |it| it.name.as_str());
         let wanted = Wanted {
             service: &self.service,
             rule: &rule,
@@ -153,7 +169,7 @@
             subject: lease::subject(self.ask.subject(), name),
             shared_tokens: self.ask.shared_tokens(),
             prompt_tokens: self.ask.prompt_tokens(),
-            weight: model.map(|(_, weight)| *weight),
+            weight: model.map(|it| it.weight),
             salt: hash::bytes(self.ask.head.id.as_bytes()),
         };
         let lease = Lease::take(&self.gateway, &wanted);
@@ -162,14 +178,15 @@
 
     async fn attempt(&mut self, lease: Lease) -> Result<Open, Failed> {
         self.attempts += 1;
-        let model = self.models.get(self.model).map(|(name, _)| name.as_str());
+        let candidate = self.models.get(self.model);
+        let model = candidate.map(|it| it.name.as_str());
         let id = lease.id.clone();
         let outgoing = Outgoing {
             endpoint: &id,
             account: self.account.as_ref(),
             time_left: self.time_left(),
             model: model.filter(|_| self.ask.head.model == Model::Any),
-            priority: self.models.get(self.model).map(|(_, weight)| cascade::urgency(self.priority, *weight)),
+            priority: candidate.map(|it| cascade::urgency(self.priority, it.weight)),
             last_event: self.last_event,
         };
         self.gateway.log.write(&Event::Sent {
@@ -201,26 +218,78 @@
             }
             return Some(open);
         }
-        let left = self.route.max_attempts.saturating_sub(self.runs);
-        let can_repeat = self.route.repeat.is_repeatable() && self.last_event.is_none();
-        if open.reply.status.is_success()
-            && can_repeat
-            && let Verdict::Escalate(model) =
-                cascade::judge(open.reply.confidence, self.model, self.models.len(), left)
-            && self.may_run_again("confidence")
-        {
-            self.gateway.log.write(&Event::Escalated {
-                request: &self.ask.head.id,
-                model: &self.models[model].0,
-                confidence: open.reply.confidence.unwrap_or_default(),
-            });
-            self.model = model;
+        if let Some(it) = self.models.get(self.model) {
+            let reading = lease::reading(self.ask.prompt_tokens(), it.weight);
+            let mut paces = self.gateway.paces.lock();
+            paces.began(&self.service, &it.name, reading, open.first_byte);
+        }
+        if open.reply.status.is_success() && self.escalates(open.reply.confidence) {
             open.close(Outcome::Answered);
             return None;
         }
         Some(open)
     }
 
+    /// Whether the largest model is asked in place of the one that has begun.
+    fn escalates(&mut self, confidence: Option<u8>) -> bool {
+        let can_repeat = self.route.repeat.is_repeatable() && self.last_event.is_none();
+        let largest = self.models.len().saturating_sub(1);
+        let Some(confidence) = confidence.filter(|_| can_repeat && self.model < largest) else {
+            return false;
+        };
+        let elapsed = self.gateway.now().saturating_duration_since(self.ask.since);
+        let aim = Aim {
+            objective: self.route.objective,
+            deadline: self.ask.deadline.saturating_duration_since(self.ask.since),
+        };
+        let (small, large) = (&self.models[self.model], &self.models[largest]);
+        let first = elapsed + self.pace(large).first(self.reading(large));
+        let outlook_small = Outlook {
+            first: elapsed,
+            last: elapsed + self.pace(small).rest(self.events()),
+            price: 0.0,
+        };
+        let outlook_large = Outlook {
+            first,
+            last: first + self.pace(large).rest(self.events()),
+            price: LARGE_PRICE,
+        };
+        if !cascade::escalates(confidence, &outlook_small, &outlook_large, &aim)
+            || !self.may_run_again("confidence")
+        {
+            return false;
+        }
+        self.gateway.log.write(&Event::Escalated {
+            request: &self.ask.head.id,
+            model: &self.models[largest].name,
+            confidence,
+            first_ms: millis(outlook_large.first),
+            last_ms: millis(outlook_large.last),
+        });
+        self.model = largest;
+        true
+    }
+
+    fn pace(&self, model: &Candidate) -> Pace {
+        self.gateway.paces.lock().of(&self.service, &model.name)
+    }
+
+    fn reading(&self, model: &Candidate) -> Duration {
+        lease::reading(self.ask.prompt_tokens(), model.weight)
+    }
+
+    /// How many events the answer is likely to have.
+    fn events(&self) -> u64 {
+        self.ask.output_tokens().checked_div(u64::from(self.tokens_per_event)).unwrap_or(0)
+    }
+
+    /// An answer of `events` ended `took` after its first event.
+    pub fn streamed(&self, events: u32, took: Duration) {
+        if let Some(it) = self.models.get(self.model) {
+            self.gateway.paces.lock().ended(&self.service, &it.name, events, took);
+        }
+    }
+
     async fn after(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
         if failed.execution == Execution::MayHaveRun {
             self.runs += 1;
@@ -352,7 +421,7 @@
     service: &str,
     route: &Route,
     asked: &Model,
-) -> Vec<(String, f64)> {
+) -> Vec<Candidate> {
     let names = match asked {
         Model::None => Vec::new(),
         Model::Any => route.models.clone(),
@@ -364,7 +433,7 @@
         let cost = costs.and_then(|it| it.get(name)).copied();
         cost.zip(dearest).map_or(1.0, |(cost, dearest)| cost / dearest.max(f64::MIN_POSITIVE))
     };
-    names.into_iter().map(|it| (it.clone(), weight(&it))).collect()
+    names.into_iter().map(|name| Candidate { weight: weight(&name), name }).collect()
 }
 
 /// A duration in whole milliseconds.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -46,11 +46,15 @@
 
 impl Wanted<'_> {
     fn reading(&self, tokens: u64) -> Duration {
-        let weight = self.weight.unwrap_or(0.0);
-        READ_TOKEN.mul_f64(tokens as f64 * weight)
+        reading(tokens, self.weight.unwrap_or(0.0))
     }
 }
 
+/// How long a model of that weight takes to read a prompt.
+pub fn reading(tokens: u64, weight: f64) -> Duration {
+    READ_TOKEN.mul_f64(tokens as f64 * weight)
+}
+
 /// A place at an endpoint. Dropping it gives it back.
 #[derive(Debug)]
 pub struct Lease {
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there;
 //! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
-//! [`place`], [`cascade`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
+//! [`place`], [`cascade`], [`pace`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
 //! [`rollouts`]. [`peers`] stands in for the store while that is away. [`lead`] writes what the
 //! nodes tell each other in [`fleet`] rows. [`gateway`] holds what all of them share, [`serve`]
@@ -37,6 +37,7 @@
 pub mod lease;
 pub mod metrics;
 pub mod mirror;
+pub mod pace;
 pub mod peers;
 pub mod place;
 pub mod refusal;
--- a/crates/curranthook_gateway/src/splitter.rs
+++ b/crates/curranthook_gateway/src/splitter.rs
@@ -18,6 +18,8 @@
     pub bytes: Bytes,
     /// The id of the last of them that has one.
     pub last_id: Option<u64>,
+    /// How many there are.
+    pub count: u32,
 }
 
 impl Splitter {
@@ -35,8 +37,8 @@
         self.held.extend_from_slice(bytes);
         let end = last_blank_line(&self.held)?;
         let bytes = self.held.split_to(end).freeze();
-        let last_id = last_id(&bytes);
-        Some(Events { bytes, last_id })
+        let (last_id, count) = (last_id(&bytes), count(&bytes));
+        Some(Events { bytes, last_id, count })
     }
 
     /// Whether nothing is held back.
@@ -59,6 +61,12 @@
     })
 }
 
+fn count(events: &[u8]) -> u32 {
+    let blank = events.split(|it| *it == b'\n').filter(|it| it.is_empty() || *it == b"\r");
+    // What follows the last line feed is empty too.
+    u32::try_from(blank.count().saturating_sub(1)).unwrap_or(u32::MAX)
+}
+
 fn last_id(events: &[u8]) -> Option<u64> {
     events.split(|it| *it == b'\n').rev().find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -38,6 +38,9 @@
     splitter: Splitter,
     status: u16,
     first: Duration,
+    /// How many events came from the present endpoint, and since when.
+    events: u32,
+    since: std::time::Instant,
     is_done: bool,
 }
 
@@ -46,6 +49,8 @@
     let relay = Relay {
         status: open.reply.status.as_u16(),
         first: job.gateway.now().saturating_duration_since(job.ask.since),
+        events: 0,
+        since: job.gateway.now(),
         job,
         open: Some(open),
         splitter: Splitter::default(),
@@ -68,11 +73,14 @@
         loop {
             if self.open.is_none() {
                 self.open = Some(self.resume().await?);
+                (self.events, self.since) = (0, self.job.gateway.now());
             }
             let cause = match self.read().await {
                 Read::Events(bytes) => return Ok(Some(bytes)),
                 Read::Part => continue,
                 Read::End => {
+                    let took = self.job.gateway.now().saturating_duration_since(self.since);
+                    self.job.streamed(self.events, took);
                     self.end("whole", Outcome::Answered);
                     return Ok(None);
                 }
@@ -91,6 +99,7 @@
                 let Ok(data) = frame.into_data() else { return Read::Part };
                 match self.splitter.push(&data) {
                     Some(events) => {
+                        self.events += events.count;
                         self.job.last_event = events.last_id.or(self.job.last_event);
                         Read::Events(events.bytes)
                     }
