A few nodes read the store for the others in a large fleet

Ruled out: longer waits (changes, not waits that run out, end most of them). Change: readers.rs chooses a node in 16; the others wait at a reader, which tells how old its knowledge is and refuses when it's over 1.4 s; mirrors keep removed rows; while the store is away only the operators' rows are asked for. Fleets of up to 12 nodes read as before.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -23,6 +23,9 @@
         let mut mirror = gateway.mirror.lock();
         if is_whole { mirror.replace(table, batch) } else { mirror.merge(table, batch) }
     };
+    if !news.is_empty() {
+        gateway.changed.wake();
+    }
     for row in &news {
         match table {
             Table::Operator => operator(gateway, row, from),
--- a/crates/curranthook_gateway/src/follow.rs
+++ b/crates/curranthook_gateway/src/follow.rs
@@ -1,20 +1,21 @@
 //! The tasks that follow the rows of the store, through peers while the store is away.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
 use async_io::Timer;
+use futures_lite::future;
 use rand::RngExt;
 
 use crate::{
     Gateway, apply,
     event::Event,
-    peers,
+    peers, readers,
+    signal::Signal,
     store::{Batch, Error, Rev, Table},
 };
 
@@ -23,60 +24,57 @@
 const WAIT_OPERATOR: Duration = Duration::from_secs(3);
 /// How long calls for other rows wait. Each call is charged for.
 const WAIT: Duration = Duration::from_secs(15);
-/// The pause after rows of endpoints or of the fleet changed, for each node there is. Such rows
-/// change in quick succession: when 140 endpoints start, each call of 82 nodes that waits would
-/// be answered 140 times, 11,500 calls in place of some hundred. With the pause, all nodes
-/// together make no more than 80 calls a second for a table.
+/// How long a reader's calls wait, and those of its followers there.
+const WAIT_READER: Duration = Duration::from_secs(1);
+/// How long ago a reader may have heard from the store. Together with the change to another
+/// reader this keeps a follower within the two seconds in which a configuration is in force.
+const MAX_AGE: Duration = Duration::from_millis(1_400);
+/// How long followers wait at a reader. A change or the age of its knowledge ends it sooner.
+const WAIT_FOLLOWER: Duration = Duration::from_secs(10);
+/// How long a reader that failed isn't asked.
+const READER_PAUSE: Duration = Duration::from_secs(4);
+/// How many readers are asked before the store itself.
+const MAX_READERS_ASKED: usize = 2;
+/// The pause after rows of endpoints or of the fleet changed, for each node that reads the store.
+/// Such rows change in quick succession: when 140 endpoints start, each call that waits would
+/// be answered 140 times. With the pause, all nodes together make no more than 80 calls a second
+/// for a table.
 const PAUSE_PER_NODE: Duration = Duration::from_millis(12);
 /// The bounds of that pause. The longer is half of the time in which a leaving endpoint must get
 /// no more work.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// The pause after a first failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// How long calls for other rows than operators' are put off while the store is away.
+const AWAY_PAUSE: Duration = Duration::from_secs(3);
+/// Every how many tries a node that reads at others asks a store that is away itself.
+const OWN_TRIES: u32 = 4;
 /// The longest pause between calls to a store that is away.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
 /// Wakes the calls that wait when the store has been away, as their answers may never come.
 #[derive(Debug, Default)]
 pub struct Returned {
-    count: AtomicU64,
-    event: async_io_event::Event,
-}
-
-mod async_io_event {
-    //! A flag that all who wait see at once.
-    use parking_lot::Mutex;
-
-    /// Wakes all who wait.
-    #[derive(Debug, Default)]
-    pub struct Event(Mutex<Vec<async_channel::Sender<()>>>);
-
-    impl Event {
-        /// Wakes everyone who waits now.
-        pub fn wake(&self) {
-            self.0.lock().clear();
-        }
-
-        /// Waits until the next [`Self::wake`].
-        pub async fn wait(&self) {
-            let (tx, rx) = async_channel::bounded::<()>(1);
-            self.0.lock().push(tx);
-            let _woken = rx.recv().await;
-        }
-    }
+    signal: Signal,
 }
 
 impl Returned {
     fn announce(&self) {
-        self.count.fetch_add(1, Ordering::Relaxed);
-        self.event.wake();
+        self.signal.wake();
     }
 }
 
 /// Follows one table for as long as the process lives.
 pub async fn run(gateway: Arc<Gateway>, table: Table, returned: Arc<Returned>) {
-    let mut follower =
-        Follower { gateway, table, returned, since: None, failures: 0, is_away: false };
+    let mut follower = Follower {
+        gateway,
+        table,
+        returned,
+        since: None,
+        failures: 0,
+        is_away: false,
+        failed_readers: HashMap::new(),
+    };
     loop {
         follower.step().await;
     }
@@ -90,13 +88,14 @@
     since: Option<Rev>,
     failures: u32,
     is_away: bool,
+    /// Until when readers that failed aren't asked.
+    failed_readers: HashMap<String, Instant>,
 }
 
 impl Follower {
     async fn step(&mut self) {
         let result = self.call().await;
         let Some(result) = result else { return };
-        self.gateway.metrics.store_call(self.table, &result);
         match result {
             Ok(batch) => self.take(batch).await,
             Err(Error::Compacted) => self.since = None,
@@ -104,17 +103,68 @@
         }
     }
 
-    /// Asks the store; none if the call was given up because the store was away meanwhile.
-    async fn call(&self) -> Option<Result<Batch, Error>> {
-        let store = &self.gateway.store;
-        let Some(since) = self.since else { return Some(store.all(self.table).await) };
-        let wait = if self.table == Table::Operator { WAIT_OPERATOR } else { WAIT };
-        let changes = async { Some(store.changes(self.table, since, wait).await) };
-        let given_up = async {
-            self.returned.event.wait().await;
+    /// Asks a reader or the store; none if the call was given up because the store was away
+    /// meanwhile.
+    async fn call(&mut self) -> Option<Result<Batch, Error>> {
+        let Some(since) = self.since else { return Some(self.ask_store(None).await) };
+        let (is_reader, readers) = self.readers();
+        for (name, addr) in readers {
+            let gateway = &self.gateway;
+            let call = peers::changes(gateway, addr, self.table, since, WAIT_FOLLOWER, MAX_AGE);
+            match call.await {
+                Ok(batch) => return Some(Ok(batch)),
+                Err(e) => self.reader_failed(name, &e),
+            }
+        }
+        let n_nodes = self.gateway.n_nodes();
+        if !is_reader && !readers::is_small(n_nodes) && !self.failures.is_multiple_of(OWN_TRIES) {
+            return Some(Err(Error::Down("no reader has heard from it".to_owned())));
+        }
+        let wait = match (is_reader, self.table) {
+            (true, _) => WAIT_READER,
+            (false, Table::Operator) => WAIT_OPERATOR,
+            (false, _) => WAIT,
+        };
+        let given_up = self.returned.signal.wait();
+        future::or(async { Some(self.ask_store(Some((since, wait))).await) }, async {
+            given_up.await;
             None
+        })
+        .await
+    }
+
+    async fn ask_store(&self, since: Option<(Rev, Duration)>) -> Result<Batch, Error> {
+        let store = &self.gateway.store;
+        let result = match since {
+            Some((since, wait)) => store.changes(self.table, since, wait).await,
+            None => store.all(self.table).await,
         };
-        futures_lite::future::or(changes, given_up).await
+        self.gateway.metrics.store_call(self.table, &result);
+        if result.is_ok() {
+            let now = self.gateway.now();
+            self.gateway.mirror.lock().confirm(self.table, now);
+        }
+        result
+    }
+
+    /// Whether others wait at this node, and the readers at which it may wait itself.
+    fn readers(&self) -> (bool, Vec<(String, SocketAddr)>) {
+        let now = self.gateway.now();
+        let own = &self.gateway.settings.node;
+        let peers = self.gateway.peers.lock();
+        let names: Vec<&str> = peers.keys().map(String::as_str).collect();
+        let readers = readers::of(own, &names);
+        let is_reader = readers.is_empty() && !readers::is_small(names.len());
+        let is_well = |name: &&str| self.failed_readers.get(*name).is_none_or(|until| *until < now);
+        let well = readers.into_iter().filter(is_well).take(MAX_READERS_ASKED);
+        (is_reader, well.map(|name| (name.to_owned(), peers[name])).collect())
+    }
+
+    fn reader_failed(&mut self, name: String, error: &Error) {
+        let why = error.to_string();
+        let (state, until) = ("failed", self.gateway.now() + READER_PAUSE);
+        self.gateway.log.write(&Event::Dependency { name: &name, state, why: &why });
+        self.failed_readers.insert(name, until);
     }
 
     async fn take(&mut self, batch: Batch) {
@@ -137,8 +187,8 @@
         let is_empty = batch.rows.is_empty();
         apply::batch(&self.gateway, self.table, batch, is_whole, "store");
         if self.table != Table::Operator && !is_empty {
-            let n_nodes = u32::try_from(self.gateway.n_nodes()).unwrap_or(u32::MAX);
-            let pause = PAUSE_PER_NODE.saturating_mul(n_nodes);
+            let n_readers = readers::count(self.gateway.n_nodes());
+            let pause = PAUSE_PER_NODE.saturating_mul(n_readers);
             Timer::after(pause.clamp(PAUSES.0, PAUSES.1)).await;
         }
     }
@@ -152,12 +202,16 @@
             let state = "lost";
             self.gateway.log.write(&Event::Dependency { name: "store", state, why: &why });
         }
-        // The answers that were lost may have held changes; only a whole read is sure of them.
-        if 2 <= self.failures {
-            self.since = None;
-        }
         if self.table == Table::Operator {
             peers::ask(&self.gateway).await;
+        } else if self.is_away {
+            // One call after the other shows whether the store is back; the operators' does.
+            let returned = self.returned.signal.wait();
+            future::or(returned, async {
+                Timer::after(AWAY_PAUSE).await;
+            })
+            .await;
+            return;
         }
         let pause = (FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(MAX_PAUSE);
         // Spread, so that the nodes don't all come back to the store at the same moment.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     pace::Paces,
     rollouts::Rollouts,
     settings::Settings,
+    signal::Signal,
     store::{Decoder, Rev, Store},
 };
 
@@ -94,6 +95,8 @@
     pub rollouts: Mutex<Rollouts>,
     /// The rows of the store as they are known.
     pub mirror: Mutex<Mirror>,
+    /// Wakes peers that wait for rows.
+    pub changed: Signal,
     /// Other nodes, by name.
     pub peers: Mutex<HashMap<String, SocketAddr>>,
     stopping: AtomicBool,
@@ -143,6 +146,7 @@
             paces: Mutex::default(),
             rollouts: Mutex::default(),
             mirror: Mutex::default(),
+            changed: Signal::default(),
             peers: Mutex::default(),
             stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //!
 //! [`place`], [`cascade`], [`pace`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
-//! [`rollouts`]. [`peers`] stands in for the store while that is away. [`lead`] writes what the
+//! [`rollouts`]. In a large fleet a few [`readers`] read the store for the others; [`peers`] is
+//! how nodes ask each other, and stands in for the store while that is away. [`lead`] writes what the
 //! nodes tell each other in [`fleet`] rows. [`gateway`] holds what all of them share, [`serve`]
 //! starts and ends it.
 //!
@@ -40,10 +41,12 @@
 pub mod pace;
 pub mod peers;
 pub mod place;
+pub mod readers;
 pub mod refusal;
 pub mod rollouts;
 pub mod serve;
 pub mod settings;
+pub mod signal;
 pub mod splitter;
 pub mod steps;
 pub mod store;
--- a/crates/curranthook_gateway/src/mirror.rs
+++ b/crates/curranthook_gateway/src/mirror.rs
@@ -17,8 +17,22 @@
 
 #[derive(Debug, Default)]
 struct Rows {
+    /// Rows that are gone stay without a value, so that peers hear of their end.
     rows: BTreeMap<String, Row>,
     rev: Rev,
+    /// From where on all changes are known.
+    first: Option<Rev>,
+    /// When the store last confirmed that nothing else changed.
+    confirmed: Option<Instant>,
+}
+
+/// Why a mirror can't tell what changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unknown {
+    /// It began to follow the table later.
+    Earlier,
+    /// It hasn't heard from the store for too long.
+    Stale,
 }
 
 impl Mirror {
@@ -31,6 +45,7 @@
             known.rows.insert(row.key.clone(), row.clone());
         }
         known.rev = known.rev.max(batch.rev);
+        known.first.get_or_insert(batch.rev);
         news
     }
 
@@ -48,12 +63,33 @@
             .map(|it| Row { key: it.key.clone(), rev: batch.rev, value: None })
             .collect();
         for row in &gone {
-            known.rows.remove(&row.key);
+            known.rows.insert(row.key.clone(), row.clone());
         }
         gone.extend(self.merge(table, batch));
         gone
     }
 
+    /// Notes that the store, or a peer that had heard from it `age` ago, has nothing newer.
+    pub fn confirm(&mut self, table: Table, at: Instant) {
+        let known = self.tables.entry(table).or_default();
+        known.confirmed = known.confirmed.max(Some(at));
+    }
+
+    /// When a table was last confirmed.
+    pub fn confirmed(&self, table: Table) -> Option<Instant> {
+        self.tables.get(&table)?.confirmed
+    }
+
+    /// What changed in a table after `since`.
+    pub fn changes(&self, table: Table, since: Rev) -> Result<Batch, Unknown> {
+        let known = self.tables.get(&table).ok_or(Unknown::Earlier)?;
+        if known.first.is_none_or(|first| since < first) {
+            return Err(Unknown::Earlier);
+        }
+        let rows = known.rows.values().filter(|it| since < it.rev).cloned().collect();
+        Ok(Batch { rows, rev: known.rev, now: None })
+    }
+
     /// Notes what the store's clock said.
     pub fn set_clock(&mut self, store: Duration, now: Instant) {
         self.clock = Some((store, now));
