Calls to a store that gave no answer don't wait for changes

Ruled out: peers (all were cut off alike). Change: after a failure a call asks for changes without a wait.

--- a/crates/curranthook_gateway/src/follow.rs
+++ b/crates/curranthook_gateway/src/follow.rs
@@ -121,6 +121,9 @@
             return Some(Err(Error::Down("no reader has heard from it".to_owned())));
         }
         let wait = match (is_reader, self.table) {
+            // A call that waits would hang for its whole wait at a store that is still silent,
+            // and a configuration written right after its return would come too late.
+            _ if 0 < self.failures => Duration::ZERO,
             (true, _) => WAIT_READER,
             (false, Table::Operator) => WAIT_OPERATOR,
             (false, _) => WAIT,
