Tests of a node as a process between stand-ins; unknown versions wait for their order

The entry of the new version's first worker had reached the node before the order, as they come by different calls. Ruled out: the hash (share 0 sends nobody). Change: a version that a service has beside others is used 4 s after its first entry, or as an order says. Test: a_version_whose_order_is_on_its_way_gets_nothing, seen to fail (18 of 40 requests), passes. Listeners are bound first, so tests use port 0 and read the log for the real ones.

--- a/crates/curranthook_gateway/src/affinity.rs
+++ b/crates/curranthook_gateway/src/affinity.rs
@@ -52,8 +52,6 @@
     /// ```
     pub fn holds(&self, subject: u64, endpoint: &endpoint::Id, now: Instant) -> bool {
         let Some(places) = self.places.get(&subject) else { return false };
-        places
-            .iter()
-            .any(|(id, at)| id == endpoint && now.saturating_duration_since(*at) < KEPT)
+        places.iter().any(|(id, at)| id == endpoint && now.saturating_duration_since(*at) < KEPT)
     }
 }
--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -79,7 +79,7 @@
         Ok(entry) => {
             let state = if entry.state == State::Ready { "ready" } else { "leaving" };
             log_endpoint(gateway, &id, &entry.service, state, &entry.version, row);
-            gateway.directory.lock().set(entry);
+            gateway.directory.lock().set(entry, now);
         }
         Err(e) => {
             gateway.directory.lock().remove(&id, now);
--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -102,8 +102,7 @@
     let sent = gateway.now();
     // What can't be repeated is never trusted to a kept connection: the endpoint may be closing
     // it, or something between may have lost it, and nobody could tell whether it ran.
-    let freshness =
-        if repeat.is_repeatable() { Freshness::Within(FRESH) } else { Freshness::New };
+    let freshness = if repeat.is_repeatable() { Freshness::Within(FRESH) } else { Freshness::New };
     let request = gateway.dialect.request(ask, outgoing);
     let mut conn = match gateway.pool.take(lease.addr, freshness).await {
         Ok(conn) => conn,
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -26,10 +26,16 @@
 /// that live are back in the list within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// How long a new version of a service that has others gets nothing, if no order for it is known.
+/// Entries and orders come by different calls; a lost call delays an order by up to this.
+const UNKNOWN_VERSION: Duration = Duration::from_secs(4);
+
 /// The endpoints of all services.
 #[derive(Debug, Default)]
 pub struct Directory {
     endpoints: HashMap<endpoint::Id, Tracked>,
+    /// From when on each version may be used, by service.
+    versions: HashMap<String, HashMap<String, Instant>>,
     /// Until when removed entries are kept, because they may have lapsed with the store.
     lapsing_until: Option<Instant>,
 }
@@ -50,8 +56,10 @@
     load: Option<(Load, Instant, u32)>,
     pause: Duration,
     out_until: Option<Instant>,
-    /// Since when it's missing from the list.
+    /// Whether it's missing from the list.
     missing: bool,
+    /// From when on its version may be used without an order.
+    known_from: Instant,
 }
 
 /// How a request at an endpoint ended.
@@ -72,8 +80,9 @@
 }
 
 impl Tracked {
-    fn new(entry: Entry) -> Self {
+    fn new(entry: Entry, known_from: Instant) -> Self {
         Self {
+            known_from,
             seed: hash::bytes(entry.id.as_str().as_bytes()),
             entry,
             in_flight: 0,
@@ -96,6 +105,11 @@
         self.out_until.is_some_and(|until| now < until)
     }
 
+    /// Whether its version has been in use for a while, or is the only one.
+    pub fn is_known_version(&self, now: Instant) -> bool {
+        self.known_from <= now
+    }
+
     /// How many requests it has, its own word and this node's knowledge taken together.
     pub fn busy(&self, now: Instant) -> u32 {
         match self.load {
@@ -114,7 +128,10 @@
 
 impl Directory {
     /// Takes in an entry.
-    pub fn set(&mut self, entry: Entry) {
+    pub fn set(&mut self, entry: Entry, now: Instant) {
+        let versions = self.versions.entry(entry.service.clone()).or_default();
+        let from = if versions.is_empty() { now } else { now + UNKNOWN_VERSION };
+        let known_from = *versions.entry(entry.version.clone()).or_insert(from);
         match self.endpoints.get_mut(&entry.id) {
             // The same id after a restart is another endpoint: nothing known of it holds.
             Some(it) if it.entry.born == entry.born && it.entry.addr == entry.addr => {
@@ -122,7 +139,7 @@
                 it.missing = false;
             }
             _ => {
-                self.endpoints.insert(entry.id.clone(), Tracked::new(entry));
+                self.endpoints.insert(entry.id.clone(), Tracked::new(entry, known_from));
             }
         }
     }
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -5,6 +5,7 @@
 
 use std::{
     io::Write,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -26,7 +27,13 @@
 #[expect(missing_docs, reason = "the fields are listed in docs/OPERATIONS.md")]
 pub enum Event<'a> {
     /// The process started.
-    Started { version: &'a str },
+    Started {
+        version: &'a str,
+        callers: SocketAddr,
+        readiness: SocketAddr,
+        peers: Option<SocketAddr>,
+        metrics: Option<SocketAddr>,
+    },
     /// The process was told to stop.
     Stopping { in_flight: usize },
     /// The process ends.
@@ -63,13 +70,7 @@
         took_ms: u64,
     },
     /// A small model's answer was dropped for a larger model's.
-    Escalated {
-        request: &'a str,
-        model: &'a str,
-        confidence: u8,
-        first_ms: u64,
-        last_ms: u64,
-    },
+    Escalated { request: &'a str, model: &'a str, confidence: u8, first_ms: u64, last_ms: u64 },
     /// A repeat wasn't made.
     NotRepeated { request: &'a str, why: &'a str },
     /// A request ended.
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -41,7 +41,9 @@
             "node" => Some(Self::Node(rest)),
             "step" => Some(Self::Step(rest)),
             "poison" => Some(Self::Poison(rest)),
-            "evidence" => rest.rsplit_once('/').map(|(service, node)| Self::Evidence(service, node)),
+            "evidence" => {
+                rest.rsplit_once('/').map(|(service, node)| Self::Evidence(service, node))
+            }
             _ => None,
         }
     }
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -148,7 +148,11 @@
     }
 
     /// An attempt failed after its answer had begun, so another may follow.
-    pub async fn broke_off(&mut self, endpoint: &endpoint::Id, cause: Cause) -> Result<(), Refusal> {
+    pub async fn broke_off(
+        &mut self,
+        endpoint: &endpoint::Id,
+        cause: Cause,
+    ) -> Result<(), Refusal> {
         let failed = Failed { cause, execution: Execution::MayHaveRun };
         self.log_failed(endpoint, &failed, Duration::ZERO);
         match self.after_run(endpoint, &failed).await {
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -198,9 +198,8 @@
 
     /// This node's place among those that may take a step of `service`.
     fn rank(&self, service: &str) -> u32 {
-        let weight = |node: &str| {
-            hash::pair(hash::bytes(service.as_bytes()), hash::bytes(node.as_bytes()))
-        };
+        let weight =
+            |node: &str| hash::pair(hash::bytes(service.as_bytes()), hash::bytes(node.as_bytes()));
         let own = weight(&self.gateway.settings.node);
         let before = self.gateway.peers.lock().keys().filter(|it| weight(it) < own).count();
         u32::try_from(before.min(MAX_RANK)).unwrap_or(u32::MAX)
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -155,7 +155,10 @@
     let select = |keep: &dyn Fn(&Tracked) -> bool| -> Vec<&'a Tracked> {
         all.iter().copied().filter(|it| keep(it)).collect()
     };
-    let in_order: [&dyn Fn(&Tracked) -> bool; 3] = [
+    // A version whose order may still be on its way waits, unless there is an order that decides.
+    let is_known = |it: &Tracked| *wanted.rule != Rule::Any || it.is_known_version(now);
+    let in_order: [&dyn Fn(&Tracked) -> bool; 4] = [
+        &|it| is_allowed(it) && is_known(it) && is_new(it) && !it.is_out(now),
         &|it| is_allowed(it) && is_new(it) && !it.is_out(now),
         &|it| is_allowed(it) && is_new(it),
         &|it| is_allowed(it),
--- a/crates/curranthook_gateway/src/peers.rs
+++ b/crates/curranthook_gateway/src/peers.rs
@@ -100,9 +100,8 @@
             let changed = self.gateway.changed.wait();
             let told = self.told(question)?;
             let now = self.gateway.now();
-            let is_news = question.since.is_none_or(|since| {
-                told.batch.rows.iter().any(|it| since < it.rev)
-            });
+            let is_news =
+                question.since.is_none_or(|since| told.batch.rows.iter().any(|it| since < it.rev));
             if is_news || end <= now {
                 return Ok(told);
             }
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -81,9 +81,7 @@
             return;
         }
         let service = order.service.clone();
-        let step = known
-            .and_then(|it| it.step.clone())
-            .filter(|(step, _)| step.order == rev);
+        let step = known.and_then(|it| it.step.clone()).filter(|(step, _)| step.order == rev);
         let rollout = Rollout {
             order,
             order_rev: rev,
@@ -149,8 +147,7 @@
         let usual = self.usual.get(&key).copied();
         let is_slow = |ms: f64| usual.is_some_and(|it| it * SLOW + SLOW_MARGIN_MS < ms);
         let is_bad = first_byte_ms.is_none_or(is_slow);
-        let is_target =
-            self.services.get(service).is_some_and(|it| it.order.target == version);
+        let is_target = self.services.get(service).is_some_and(|it| it.order.target == version);
         if let (Some(ms), false) = (first_byte_ms, is_target) {
             let it = self.usual.entry(key).or_insert(ms);
             *it += SMOOTHING * (ms - *it);
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    Gateway, event::Event, follow, front::Front, lead, peers, store::Table,
+    Gateway, event::Event, follow, front::Front, lead, peers, settings::Settings, store::Table,
 };
 
 /// How long a node goes on taking requests after the signal to stop: the balancer asks once a
@@ -53,21 +53,57 @@
     fn reload(&mut self) -> Result<String, String>;
 }
 
+/// The addresses of a node, bound.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: Server,
+    readiness: Server,
+    peers: Option<Server>,
+    metrics: Option<Server>,
+}
+
+impl Listeners {
+    /// Binds the addresses of `settings` and writes the real ports there.
+    pub fn bind(settings: &mut Settings) -> Result<Self, Error> {
+        let limits = Limits { head_timeout: CALLER_IDLE, ..Limits::default() };
+        let it = Self {
+            callers: bind(settings.callers)?.with_limits(limits),
+            readiness: bind(settings.readiness)?,
+            peers: settings.peers.map(bind).transpose()?,
+            metrics: settings.metrics.map(bind).transpose()?,
+        };
+        settings.callers = it.callers.addr();
+        settings.readiness = it.readiness.addr();
+        settings.peers = it.peers.as_ref().map(Server::addr);
+        settings.metrics = it.metrics.as_ref().map(Server::addr);
+        Ok(it)
+    }
+}
+
 /// Runs a node until it's told to stop.
-pub async fn run(gateway: Arc<Gateway>, reload: &mut dyn Reload) -> Result<(), Error> {
+pub async fn run(
+    gateway: Arc<Gateway>,
+    listeners: Listeners,
+    reload: &mut dyn Reload,
+) -> Result<(), Error> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    gateway.log.write(&Event::Started { version: env!("CARGO_PKG_VERSION") });
+    log_start(&gateway);
     let (trigger, stop) = stop::new();
     let front = Arc::new(Front { gateway: Arc::clone(&gateway), closed: false.into() });
-    let callers = bind(gateway.settings.callers)?
-        .with_limits(Limits { head_timeout: CALLER_IDLE, ..Limits::default() });
-    listen_beside(&gateway)?;
-    tasks(&gateway);
-    let ex = Arc::clone(&gateway.ex);
+    let callers = listeners.callers;
     let served = {
-        let (front, stop) = (Arc::clone(&front), stop.clone());
+        let (ex, front) = (Arc::clone(&gateway.ex), Arc::clone(&front));
         gateway.ex.spawn(async move { callers.serve(&ex, front, stop).await })
     };
+    detach(&gateway, listeners.readiness, Arc::new(Readiness(Arc::clone(&gateway))));
+    if let Some(server) = listeners.peers {
+        let handler = Arc::new(peers::Server { gateway: Arc::clone(&gateway) });
+        detach(&gateway, server, handler);
+    }
+    if let Some(server) = listeners.metrics {
+        detach(&gateway, server, Arc::new(Counters(Arc::clone(&gateway))));
+    }
+    tasks(&gateway);
     wait_for_stop(&gateway, &mut signals, reload).await;
     gateway.stop();
     gateway.log.write(&Event::Stopping { in_flight: gateway.in_flight() });
@@ -103,18 +139,15 @@
     }
 }
 
-/// Listens for the balancer, peers and whoever reads counters.
-fn listen_beside(gateway: &Arc<Gateway>) -> Result<(), Error> {
-    let readiness = Arc::new(Readiness(Arc::clone(gateway)));
-    detach(gateway, bind(gateway.settings.readiness)?, readiness);
-    if let Some(addr) = gateway.settings.peers {
-        let server = Arc::new(peers::Server { gateway: Arc::clone(gateway) });
-        detach(gateway, bind(addr)?, server);
-    }
-    if let Some(addr) = gateway.settings.metrics {
-        detach(gateway, bind(addr)?, Arc::new(Counters(Arc::clone(gateway))));
-    }
-    Ok(())
+fn log_start(gateway: &Gateway) {
+    let settings = &gateway.settings;
+    gateway.log.write(&Event::Started {
+        version: env!("CARGO_PKG_VERSION"),
+        callers: settings.callers,
+        readiness: settings.readiness,
+        peers: settings.peers,
+        metrics: settings.metrics,
+    });
 }
 
 fn tasks(gateway: &Arc<Gateway>) {
--- a/crates/curranthook_gateway/src/splitter.rs
+++ b/crates/curranthook_gateway/src/splitter.rs
@@ -55,8 +55,7 @@
 /// The place after the last blank line.
 fn last_blank_line(bytes: &[u8]) -> Option<usize> {
     (1..bytes.len()).rev().find_map(|at| {
-        let ends = bytes[at] == b'\n'
-            && (bytes[at - 1] == b'\n' || bytes[..at].ends_with(b"\n\r"));
+        let ends = bytes[at] == b'\n' && (bytes[at - 1] == b'\n' || bytes[..at].ends_with(b"\n\r"));
         ends.then_some(at + 1)
     })
 }
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -149,9 +149,7 @@
         Phase::Waiting => (CANARY_AT <= elapsed).then_some(Phase::Canary),
         Phase::Canary => (PARTIAL_AT <= elapsed && seen).then_some(Phase::Partial),
         Phase::Partial => (FULL_AT <= elapsed && seen).then_some(Phase::Full),
-        Phase::Full => {
-            (COMPLETE_AT <= elapsed && MIN_FULL <= in_phase).then_some(Phase::Completed)
-        }
+        Phase::Full => (COMPLETE_AT <= elapsed && MIN_FULL <= in_phase).then_some(Phase::Completed),
         Phase::Completed | Phase::RolledBack => None,
     }
 }
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -8,8 +8,7 @@
 use crate::{document::Document, entry::Entry};
 
 /// A future of a call to the store.
-pub type Answer<'a, T> =
-    std::pin::Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
+pub type Answer<'a, T> = std::pin::Pin<Box<dyn Future<Output = Result<T, Error>> + Send + 'a>>;
 
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
