Charges fit into a row; a node that knows only an order serves with what is there

Ruled out: too few engines (places were free). Change: 64 charges a row, not more often than every half second; a failed write isn't repeated at once; ready once all tables are read; with no other version left, requests go to the new one.

--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -165,7 +165,7 @@
 
     /// Whether it takes new callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.current.load().is_some()
+        !self.is_stopping() && self.current.load().is_some() && self.mirror.lock().is_read()
     }
 
     /// Whether it was told to stop.
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -1,7 +1,12 @@
 //! What a node writes for the others: its address, steps of roll-outs that are due, what it saw
 //! of a new version, and the requests that it charges.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_io::Timer;
 use curranthook_policy::hash;
@@ -25,7 +30,12 @@
 const EVIDENCE_PERIOD: Duration = Duration::from_millis(1_000);
 /// How much longer that is for each node there is, so that all nodes together write 40 rows a
 /// second at most.
-const EVIDENCE_PER_NODE: Duration = Duration::from_millis(25);
+const PERIOD_PER_NODE: Duration = Duration::from_millis(25);
+/// How often charges are written, at least. A request that ended three endpoints must be known to
+/// all nodes within the three seconds in which a node counts as in touch.
+const POISON_PERIOD: Duration = Duration::from_millis(500);
+/// How many requests a row of charges holds: at 150 bytes each a sixth of the largest row.
+const MAX_CHARGES: usize = 64;
 /// How many nodes tell of good answers. A few see enough of them; bad ones are told by all.
 const WITNESSES: u32 = 6;
 /// How often a failed write of the own address is repeated.
@@ -33,7 +43,8 @@
 
 /// Writes what is due for as long as the process lives.
 pub async fn run(gateway: Arc<Gateway>) {
-    let mut lead = Lead { gateway, due: HashMap::new(), written: HashMap::new(), poison: 0 };
+    let mut lead =
+        Lead { gateway, due: HashMap::new(), written: HashMap::new(), poison: (0, None) };
     lead.announce().await;
     loop {
         Timer::after(PERIOD).await;
@@ -48,8 +59,8 @@
     due: HashMap<String, (Phase, Duration)>,
     /// What was written of each service, and when.
     written: HashMap<String, (Evidence, Duration)>,
-    /// How many charges were written.
-    poison: usize,
+    /// What was charged when that was last written, and when.
+    poison: (usize, Option<Instant>),
 }
 
 impl Lead {
@@ -153,8 +164,7 @@
             true => known.new != it.own.new && self.rank(service) < WITNESSES,
             false => true,
         };
-        let n_nodes = u32::try_from(self.gateway.n_nodes()).unwrap_or(u32::MAX);
-        let period = EVIDENCE_PERIOD.max(EVIDENCE_PER_NODE.saturating_mul(n_nodes));
+        let period = self.period(EVIDENCE_PERIOD);
         if !is_news || now < at + period {
             return;
         }
@@ -168,15 +178,32 @@
 
     /// Writes the requests that this node charges, if there are new ones.
     async fn poison(&mut self) {
-        let entries = self.gateway.poison.lock().export(self.gateway.now());
+        let now = self.gateway.now();
+        let period = self.period(POISON_PERIOD);
+        let (known, at) = self.poison;
+        if at.is_some_and(|at| now.saturating_duration_since(at) < period) {
+            return;
+        }
+        let mut entries = self.gateway.poison.lock().export(now);
         let charged: usize = entries.iter().map(|it| it.endpoints.len()).sum();
-        if charged <= self.poison {
+        if charged <= known {
             return;
         }
+        // When many endpoints end at once, each request under way there is charged. The one that
+        // ends endpoints comes again, so it's among those with most charges or the newest.
+        entries.sort_by_key(|it| (Reverse(it.endpoints.len()), it.age));
+        entries.truncate(MAX_CHARGES);
         let key = Key::Poison(&self.gateway.settings.node).to_string();
-        if self.write(&key, None, &encode(&entries), None).await.is_ok() {
-            self.poison = charged;
-        }
+        let written = self.write(&key, None, &encode(&entries), None).await;
+        // A failed write isn't repeated at once: the store may be away, or refuse it for good.
+        let charged = if written.is_ok() { charged } else { known };
+        self.poison = (charged, Some(now));
+    }
+
+    /// How often this node may write what all nodes write.
+    fn period(&self, least: Duration) -> Duration {
+        let n_nodes = u32::try_from(self.gateway.n_nodes()).unwrap_or(u32::MAX);
+        least.max(PERIOD_PER_NODE.saturating_mul(n_nodes))
     }
 
     async fn write(
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -173,7 +173,9 @@
     // once the roll-out has begun to move requests to it or away from it.
     match wanted.rule {
         Rule::Only(_) => select(&|it| is_new(it)),
-        Rule::Any | Rule::Not(_) => Vec::new(),
+        // No other version is left, so the roll-out is over, whatever this node has heard of it.
+        Rule::Not(_) => select(&|it| is_new(it) && !it.is_out(now)),
+        Rule::Any => Vec::new(),
     }
 }
 
--- a/crates/curranthook_gateway/src/mirror.rs
+++ b/crates/curranthook_gateway/src/mirror.rs
@@ -75,6 +75,13 @@
         known.confirmed = known.confirmed.max(Some(at));
     }
 
+    /// Whether all tables have been read once. A node that knows the order of a roll-out and not
+    /// yet how far it is would send requests to a version that is gone.
+    pub fn is_read(&self) -> bool {
+        let is_read = |table| self.tables.get(table).is_some_and(|it| it.first.is_some());
+        Table::ALL.iter().all(is_read)
+    }
+
     /// When a table was last confirmed.
     pub fn confirmed(&self, table: Table) -> Option<Instant> {
         self.tables.get(&table)?.confirmed
