Readers are the nodes with most room

Ruled out: the store (it answers the other nodes), processor time (0.03 of 0.12 cores). Change: a node's row tells its capacity (the link's), readers are those with most; followers pause 0.4 s after changes of endpoints and of the fleet. Test: the example of readers::of (a small node was a reader before).

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -65,6 +65,9 @@
 pub struct Node {
     /// Its address for peers.
     pub peers: SocketAddr,
+    /// How much it can carry for others.
+    #[serde(default)]
+    pub capacity: f64,
 }
 
 /// What a node saw of a roll-out.
@@ -100,7 +103,7 @@
     match key {
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
-            gateway.peers.lock().insert((*name).to_owned(), node.peers);
+            gateway.peers.lock().insert((*name).to_owned(), node);
         }
         Key::Step(service) => {
             let step: Step = serde_json::from_slice(value)?;
--- a/crates/curranthook_gateway/src/follow.rs
+++ b/crates/curranthook_gateway/src/follow.rs
@@ -40,6 +40,9 @@
 /// be answered 140 times. With the pause, all nodes together make no more than 80 calls a second
 /// for a table.
 const PAUSE_PER_NODE: Duration = Duration::from_millis(12);
+/// The same pause at a reader. While 140 endpoints are replaced, a reader of a link of 10 Mbit/s
+/// that answered 60 followers ten times a second had no room left for its own callers.
+const PAUSE_FOLLOWER: Duration = Duration::from_millis(400);
 /// The bounds of that pause. The longer is half of the time in which a leaving endpoint must get
 /// no more work.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
@@ -155,12 +158,13 @@
         let now = self.gateway.now();
         let own = &self.gateway.settings.node;
         let peers = self.gateway.peers.lock();
-        let names: Vec<&str> = peers.keys().map(String::as_str).collect();
-        let readers = readers::of(own, &names);
-        let is_reader = readers.is_empty() && !readers::is_small(names.len());
+        let nodes: Vec<_> =
+            peers.iter().map(|(name, it)| readers::Node { name, capacity: it.capacity }).collect();
+        let readers = readers::of(own, &nodes);
+        let is_reader = readers.is_empty() && !readers::is_small(nodes.len());
         let is_well = |name: &&str| self.failed_readers.get(*name).is_none_or(|until| *until < now);
         let well = readers.into_iter().filter(is_well).take(MAX_READERS_ASKED);
-        (is_reader, well.map(|name| (name.to_owned(), peers[name])).collect())
+        (is_reader, well.map(|name| (name.to_owned(), peers[name].peers)).collect())
     }
 
     fn reader_failed(&mut self, name: String, error: &Error) {
@@ -190,12 +194,18 @@
         let is_empty = batch.rows.is_empty();
         apply::batch(&self.gateway, self.table, batch, is_whole, "store");
         if self.table != Table::Operator && !is_empty {
-            let n_readers = readers::count(self.gateway.n_nodes());
-            let pause = PAUSE_PER_NODE.saturating_mul(n_readers);
-            Timer::after(pause.clamp(PAUSES.0, PAUSES.1)).await;
+            Timer::after(self.pause()).await;
         }
     }
 
+    fn pause(&self) -> Duration {
+        if !self.readers().1.is_empty() {
+            return PAUSE_FOLLOWER;
+        }
+        let n_readers = readers::count(self.gateway.n_nodes());
+        PAUSE_PER_NODE.saturating_mul(n_readers).clamp(PAUSES.0, PAUSES.1)
+    }
+
     async fn failed(&mut self, error: &Error) {
         self.failures += 1;
         // One lost answer is no outage; its repeat tells.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -23,6 +22,7 @@
     directory::Directory,
     document::Document,
     event::Log,
+    fleet,
     metrics::Metrics,
     mirror::Mirror,
     pace::Paces,
@@ -98,7 +98,7 @@
     /// Wakes peers that wait for rows.
     pub changed: Signal,
     /// Other nodes, by name.
-    pub peers: Mutex<HashMap<String, SocketAddr>>,
+    pub peers: Mutex<HashMap<String, fleet::Node>>,
     stopping: AtomicBool,
     in_flight: AtomicUsize,
 }
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -66,7 +66,7 @@
 impl Lead {
     async fn announce(&self) {
         let Some(peers) = self.gateway.settings.peers else { return };
-        let value = encode(&Node { peers });
+        let value = encode(&Node { peers, capacity: self.gateway.settings.capacity });
         let name = self.gateway.settings.node.clone();
         let key = Key::Node(&name).to_string();
         loop {
--- a/crates/curranthook_gateway/src/peers.rs
+++ b/crates/curranthook_gateway/src/peers.rs
@@ -156,7 +156,7 @@
     let addrs: Vec<SocketAddr> = {
         let known: HashMap<_, _> = gateway.peers.lock().clone();
         let seeds = gateway.settings.seeds.iter().copied();
-        let all: BTreeSet<_> = known.into_values().chain(seeds).collect();
+        let all: BTreeSet<_> = known.into_values().map(|it| it.peers).chain(seeds).collect();
         all.into_iter().filter(|it| Some(*it) != own).sample(&mut rand::rng(), ASKED)
     };
     for addr in addrs {
--- a/crates/curranthook_gateway/src/readers.rs
+++ b/crates/curranthook_gateway/src/readers.rs
@@ -13,30 +13,45 @@
 /// The least number of readers of a larger fleet, so that the loss of a few leaves some.
 const MIN_READERS: usize = 4;
 
+/// A node that may be a reader.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Node<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// How much it can carry for others.
+    pub capacity: f64,
+}
+
 /// The readers that `node` may ask, the first choice first; none if it reads the store itself.
+/// Readers are the nodes that can carry most, so that no small one has to serve many others.
 ///
 /// ```
-/// # use curranthook_gateway::readers;
-/// let small = ["a", "b", "c"];
-/// assert!(readers::of("a", &small).is_empty());
-/// let large: Vec<_> = (0..80).map(|it| format!("node-{it}")).collect();
-/// let large: Vec<_> = large.iter().map(String::as_str).collect();
-/// let n_readers = large.iter().filter(|it| readers::of(it, &large).is_empty()).count();
-/// assert_eq!(n_readers, 5);
+/// # use curranthook_gateway::readers::{self, Node};
+/// let names: Vec<_> = (0..80).map(|it| format!("node-{it}")).collect();
+/// let nodes = names.iter().enumerate().map(|(index, name)| Node {
+///     name,
+///     capacity: if index < 10 { 200.0 } else { 10.0 },
+/// });
+/// let nodes: Vec<_> = nodes.collect();
+/// assert!(readers::of("node-1", &nodes[..5]).is_empty(), "a small fleet has no readers");
+/// let own: Vec<_> = names.iter().filter(|it| readers::of(it, &nodes).is_empty()).collect();
+/// assert_eq!(own.len(), 5);
+/// assert!(own.iter().all(|it| names[..10].contains(it)), "they are among the large nodes");
 /// ```
-pub fn of<'a>(node: &str, nodes: &[&'a str]) -> Vec<&'a str> {
+pub fn of<'a>(node: &str, nodes: &[Node<'a>]) -> Vec<&'a str> {
     if is_small(nodes.len()) {
         return Vec::new();
     }
     let mut ranked = nodes.to_vec();
-    ranked.sort_by_key(|it| hash::bytes(it.as_bytes()));
+    let seed = |it: &Node<'_>| hash::bytes(it.name.as_bytes());
+    ranked.sort_by(|a, b| b.capacity.total_cmp(&a.capacity).then_with(|| seed(a).cmp(&seed(b))));
     ranked.truncate(count(nodes.len()) as usize);
-    if ranked.contains(&node) {
+    if ranked.iter().any(|it| it.name == node) {
         return Vec::new();
     }
     let own = hash::bytes(node.as_bytes());
-    ranked.sort_by_key(|it| hash::pair(own, hash::bytes(it.as_bytes())));
-    ranked
+    ranked.sort_by_key(|it| hash::pair(own, seed(it)));
+    ranked.into_iter().map(|it| it.name).collect()
 }
 
 /// Whether all nodes of a fleet of that size read the store.
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -19,6 +19,9 @@
     pub readiness: SocketAddr,
     /// Where other nodes connect.
     pub peers: Option<SocketAddr>,
+    /// How much it can carry beside its own callers, in Mbit/s of its link; nodes with more of it
+    /// read the store for the others.
+    pub capacity: f64,
     /// Where its counters are served.
     pub metrics: Option<SocketAddr>,
     /// Some other nodes, for a start while the store is away. They may be out of date.
