--- a/crates/curranthook_cli/src/args.rs
+++ b/crates/curranthook_cli/src/args.rs
@@ -92,6 +92,16 @@
   curranthook bills
   curranthook bills --account yard-can-tho --since 24h")]
     Bills(Bills),
+    /// Show what happened to a request, from the logs of the nodes.
+    #[command(after_help = "Examples:
+  curranthook explain 9c41d07be2a35f68 node-1.log node-2.log
+  cat *.log | curranthook explain 9c41d07be2a35f68")]
+    Explain {
+        /// The request's id.
+        request: String,
+        /// Log files; standard input if none is given.
+        files: Vec<PathBuf>,
+    },
     /// Show the epoch in force.
     #[command(after_help = "Example:
   curranthook epoch --output json")]
--- a/crates/curranthook_cli/src/command.rs
+++ b/crates/curranthook_cli/src/command.rs
@@ -6,6 +6,7 @@
 pub mod diff;
 pub mod drain;
 pub mod epoch;
+pub mod explain;
 pub mod publish;
 pub mod rollout;
 pub mod status;
--- a/crates/curranthook_cli/src/run.rs
+++ b/crates/curranthook_cli/src/run.rs
@@ -8,7 +8,9 @@
 use crate::{
     Context, Error,
     args::{Accounts, Command},
-    command::{accounts, bills, check, diff, drain, epoch, publish, rollout, status, withdraw},
+    command::{
+        accounts, bills, check, diff, drain, epoch, explain, publish, rollout, status, withdraw,
+    },
     output::{Format, Show, print},
 };
 
@@ -63,6 +65,10 @@
             list.check()
         }
         Command::Bills(args) => terminal.print(&bills::run(ctx, args).await?),
+        Command::Explain { request, files } => {
+            let story = explain::run(request, files, terminal.input)?;
+            terminal.print(&story)
+        }
         Command::Epoch => terminal.print(&epoch::run(ctx).await?),
     }
 }
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -211,7 +211,7 @@
     /// Whether the caller gets this answer; if not, another attempt follows.
     fn judge(&mut self, open: Open, version: &str) -> Option<Open> {
         let is_error = open.reply.status.is_server_error();
-        let first_byte_ms = (!is_error).then(|| open.first_byte.as_secs_f64() * 1e3);
+        let first_byte_ms = (!is_error).then_some(open.first_byte.as_secs_f64() * 1e3);
         let kind = (self.route.name.as_str(), self.model);
         self.gateway.rollouts.lock().answered(&self.service, version, kind, first_byte_ms);
         if is_error {
