A version that is slow is found by the times of its answers

Single answers vary as much by themselves; only their mean tells. Ruled out: a lower bound for single answers (10% of the old version's exceed five times the usual). Change: evidence holds the logarithms of the times to the first byte and from event to event, against what is usual for the route and model; a shift of 3.3 standard errors and of 1.6 times between events, or 3 times for the first (new engines begin without cached prompts), is bad.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -93,6 +93,9 @@
         new_bad: u64,
         old_answers: u64,
         old_bad: u64,
+        /// How many times longer than the old version's the new one's first events and pauses are.
+        slower_first: f64,
+        slower_rest: f64,
         outcome: &'a str,
     },
     /// A request was charged with the end of an endpoint.
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -153,6 +153,8 @@
         new_bad: evidence.new.bad,
         old_answers: evidence.old.answers,
         old_bad: evidence.old.bad,
+        slower_first: evidence.slower_first(),
+        slower_rest: evidence.slower_rest(),
         outcome,
     });
 }
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -19,6 +19,7 @@
     lease::{self, Lease, Wanted},
     pace::Pace,
     refusal::{Ran, Reason, Refusal},
+    rollouts::Kind,
 };
 
 /// How often a request may be turned away by endpoints that didn't run it.
@@ -211,9 +212,8 @@
     /// Whether the caller gets this answer; if not, another attempt follows.
     fn judge(&mut self, open: Open, version: &str) -> Option<Open> {
         let is_error = open.reply.status.is_server_error();
-        let first_byte_ms = (!is_error).then_some(open.first_byte.as_secs_f64() * 1e3);
-        let kind = (self.route.name.as_str(), self.model);
-        self.gateway.rollouts.lock().answered(&self.service, version, kind, first_byte_ms);
+        let took = (!is_error).then_some(open.first_byte);
+        self.gateway.rollouts.lock().began(&self.service, version, self.kind(), took);
         if is_error {
             if self.route.repeat.is_repeatable() && self.may_run_again("error") {
                 self.tried.push(open.lease.id.clone());
@@ -288,10 +288,18 @@
     }
 
     /// An answer of `events` ended `took` after its first event.
-    pub fn streamed(&self, events: u32, took: Duration) {
+    pub fn streamed(&self, version: &str, events: u32, took: Duration) {
         if let Some(it) = self.models.get(self.model) {
             self.gateway.paces.lock().ended(&self.service, &it.name, events, took);
         }
+        if let Some(each) = took.checked_div(events.saturating_sub(1)) {
+            let mut rollouts = self.gateway.rollouts.lock();
+            rollouts.ended(&self.service, version, self.kind(), each);
+        }
+    }
+
+    fn kind(&self) -> Kind<'_> {
+        Kind { route: &self.route.name, model: self.model }
     }
 
     async fn after(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -160,7 +160,8 @@
             return;
         }
         let (known, at) = self.written.get(service).copied().unwrap_or_default();
-        let is_news = match known.new.bad == it.own.new.bad {
+        let is_same = known.new.bad == it.own.new.bad && !it.own.is_suspicious();
+        let is_news = match is_same {
             true => known.new != it.own.new && self.rank(service) < WITNESSES,
             false => true,
         };
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -1,6 +1,6 @@
 //! The roll-outs under way, as a node knows them.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use curranthook_policy::hash;
 
@@ -9,10 +9,10 @@
     store::{Order, Rev},
 };
 
-/// How many times longer than usual an answer takes that counts as bad.
-const SLOW: f64 = 4.0;
-/// Differences below this are noise, in milliseconds.
-const SLOW_MARGIN_MS: f64 = 100.0;
+/// How many times longer than usual an answer takes that counts as bad by itself.
+const SLOW: f64 = 5.0;
+/// What is added to all times, in milliseconds, so that differences of a few don't count.
+const MARGIN_MS: f64 = 5.0;
 /// How much one answer moves the usual time.
 const SMOOTHING: f64 = 0.1;
 
@@ -20,8 +20,24 @@
 #[derive(Debug, Default)]
 pub struct Rollouts {
     services: HashMap<String, Rollout>,
-    /// The usual time to the first byte by route and model, in milliseconds.
-    usual: HashMap<(String, usize), f64>,
+    /// The logarithm of the usual time in milliseconds, by route, model and part of the answer.
+    usual: HashMap<(String, usize, Part), f64>,
+}
+
+/// Answers that are alike in how long they take.
+#[derive(Debug, Clone, Copy)]
+pub struct Kind<'a> {
+    /// The route.
+    pub route: &'a str,
+    /// The model's place in the route's list.
+    pub model: usize,
+}
+
+/// A part of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Part {
+    First,
+    Rest,
 }
 
 /// A roll-out of one service.
@@ -135,29 +151,56 @@
         }
     }
 
-    /// Takes in an answer. `first_byte_ms` is none for a failure.
-    pub fn answered(
+    /// Takes in an answer that began. `took` is none for a failure.
+    pub fn began(&mut self, service: &str, version: &str, kind: Kind<'_>, took: Option<Duration>) {
+        let ratio = took.map(|it| self.ratio(service, version, kind, Part::First, it));
+        let is_bad = ratio.is_none_or(|it| SLOW < it);
+        let Some(counts) = self.counts(service, version) else { return };
+        counts.answers += 1;
+        counts.bad += u64::from(is_bad);
+        if let Some(ratio) = ratio {
+            counts.first.add(ratio);
+        }
+    }
+
+    /// Takes in a stream that ended, with the time from event to event.
+    pub fn ended(&mut self, service: &str, version: &str, kind: Kind<'_>, each: Duration) {
+        let ratio = self.ratio(service, version, kind, Part::Rest, each);
+        if let Some(counts) = self.counts(service, version) {
+            counts.rest.add(ratio);
+        }
+    }
+
+    /// How many times longer than usual something took. What is usual, the old version says.
+    fn ratio(
         &mut self,
         service: &str,
         version: &str,
-        kind: (&str, usize),
-        first_byte_ms: Option<f64>,
-    ) {
-        let key = (kind.0.to_owned(), kind.1);
-        let usual = self.usual.get(&key).copied();
-        let is_slow = |ms: f64| usual.is_some_and(|it| it * SLOW + SLOW_MARGIN_MS < ms);
-        let is_bad = first_byte_ms.is_none_or(is_slow);
+        kind: Kind<'_>,
+        part: Part,
+        took: Duration,
+    ) -> f64 {
+        let log = (took.as_secs_f64() * 1e3 + MARGIN_MS).ln();
         let is_target = self.services.get(service).is_some_and(|it| it.order.target == version);
-        if let (Some(ms), false) = (first_byte_ms, is_target) {
-            let it = self.usual.entry(key).or_insert(ms);
-            *it += SMOOTHING * (ms - *it);
-        }
-        let Some(it) = self.services.get_mut(service) else { return };
+        let key = (kind.route.to_owned(), kind.model, part);
+        let usual = match is_target {
+            true => self.usual.get(&key).copied().unwrap_or(log),
+            false => {
+                let it = self.usual.entry(key).or_insert(log);
+                let before = *it;
+                *it += SMOOTHING * (log - before);
+                before
+            }
+        };
+        (log - usual).exp()
+    }
+
+    /// What was seen of a version, while that is of interest.
+    fn counts(&mut self, service: &str, version: &str) -> Option<&mut Counts> {
+        let it = self.services.get_mut(service)?;
         if it.phase().is_final() || it.phase() == Phase::Waiting {
-            return;
+            return None;
         }
-        let one = Counts { answers: 1, bad: u64::from(is_bad) };
-        let counts = if is_target { &mut it.own.new } else { &mut it.own.old };
-        *counts = counts.plus(one);
+        Some(if it.order.target == version { &mut it.own.new } else { &mut it.own.old })
     }
 }
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -84,19 +84,90 @@
     pub since: Duration,
 }
 
+/// How much longer than usual answers took, as natural logarithms of the ratios.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Delay {
+    n: f64,
+    sum: f64,
+    squares: f64,
+}
+
+impl Delay {
+    /// Adds an answer that took `ratio` times as long as usual.
+    pub fn add(&mut self, ratio: f64) {
+        let log = ratio.max(MIN_RATIO).ln();
+        self.n += 1.0;
+        self.sum += log;
+        self.squares += log * log;
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            n: self.n + other.n,
+            sum: self.sum + other.sum,
+            squares: self.squares + other.squares,
+        }
+    }
+
+    fn mean(self) -> f64 {
+        self.sum / self.n.max(1.0)
+    }
+
+    /// The square of the mean's standard error.
+    fn error(self) -> f64 {
+        let variance = self.squares / self.n.max(1.0) - self.mean().powi(2);
+        variance.max(MIN_VARIANCE) / self.n.max(1.0)
+    }
+
+    /// Whether these answers surely took longer than `others`, by `factor` or more.
+    fn is_longer(self, others: Self, factor: f64) -> bool {
+        if self.n < MIN_DELAYS || others.n < MIN_DELAYS {
+            return false;
+        }
+        let shift = self.mean() - others.mean();
+        let error = (self.error() + others.error()).sqrt();
+        factor.ln() < shift && SURE * error < shift
+    }
+}
+
+/// Ratios below this count as this: an answer can't be better than good.
+const MIN_RATIO: f64 = 0.1;
+/// What the ratios of a version vary by at least, so that a few alike ones prove nothing.
+const MIN_VARIANCE: f64 = 0.25;
+/// How many answers of each version a comparison needs.
+const MIN_DELAYS: f64 = 8.0;
+/// How many standard errors apart two versions must be: by chance once in some thousand looks.
+const SURE: f64 = 3.3;
+/// How much longer a new version's first events may take. Its engines begin without the prompts
+/// that the old ones keep, and read all anew.
+const FIRST_FACTOR: f64 = 3.0;
+/// How much longer it may take from event to event, which its start doesn't change.
+const REST_FACTOR: f64 = 1.6;
+
 /// Answers of a version.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
     /// All of them.
     pub answers: u64,
     /// Those that were failures, or took many times longer than usual.
     pub bad: u64,
+    /// The time to the first byte.
+    #[serde(default)]
+    pub first: Delay,
+    /// The time from event to event.
+    #[serde(default)]
+    pub rest: Delay,
 }
 
 impl Counts {
     /// Both together.
     pub fn plus(self, other: Self) -> Self {
-        Self { answers: self.answers + other.answers, bad: self.bad + other.bad }
+        Self {
+            answers: self.answers + other.answers,
+            bad: self.bad + other.bad,
+            first: self.first.plus(other.first),
+            rest: self.rest.plus(other.rest),
+        }
     }
 
     /// The share of bad answers.
@@ -106,7 +177,7 @@
 }
 
 /// What all nodes saw of both versions since the roll-out began.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Answers of the new version.
     pub new: Counts,
@@ -124,11 +195,38 @@
     ///
     /// ```
     /// # use curranthook_gateway::steps::{Counts, Evidence};
-    /// let old = Counts { answers: 100, bad: 5 };
-    /// assert!(Evidence { new: Counts { answers: 10, bad: 5 }, old }.is_bad());
-    /// assert!(!Evidence { new: Counts { answers: 100, bad: 6 }, old }.is_bad());
+    /// let counts = |answers, bad| Counts { answers, bad, ..Counts::default() };
+    /// let old = counts(100, 5);
+    /// assert!(Evidence { new: counts(10, 5), old }.is_bad());
+    /// assert!(!Evidence { new: counts(100, 6), old }.is_bad());
     /// ```
     pub fn is_bad(self) -> bool {
+        self.fails() || self.is_slow()
+    }
+
+    /// How many times longer than the old version's the new one's first events take.
+    pub fn slower_first(self) -> f64 {
+        (self.new.first.mean() - self.old.first.mean()).exp()
+    }
+
+    /// How many times longer than the old version's the new one's pauses are.
+    pub fn slower_rest(self) -> f64 {
+        (self.new.rest.mean() - self.old.rest.mean()).exp()
+    }
+
+    /// Whether it speaks against the new version, though perhaps not surely.
+    pub fn is_suspicious(self) -> bool {
+        0 < self.new.bad
+            || FIRST_FACTOR < self.slower_first()
+            || REST_FACTOR < self.slower_rest()
+    }
+
+    fn is_slow(self) -> bool {
+        self.new.first.is_longer(self.old.first, FIRST_FACTOR)
+            || self.new.rest.is_longer(self.old.rest, REST_FACTOR)
+    }
+
+    fn fails(self) -> bool {
         MIN_BAD <= self.new.bad
             && BAD_RATIO * self.old.bad_share() + BAD_MARGIN < self.new.bad_share()
     }
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -80,7 +80,8 @@
                 Read::Part => continue,
                 Read::End => {
                     let took = self.job.gateway.now().saturating_duration_since(self.since);
-                    self.job.streamed(self.events, took);
+                    let version = self.open.as_ref().map_or("", |it| it.lease.version.as_str());
+                    self.job.streamed(version, self.events, took);
                     self.end("whole", Outcome::Answered);
                     return Ok(None);
                 }
