--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -29,6 +29,7 @@
     rollouts::Rollouts,
     settings::Settings,
     signal::Signal,
+    steps::Plan,
     store::{Decoder, Rev, Store},
 };
 
@@ -130,6 +131,7 @@
         let pool = pool.with_connect_timeout(CONNECT).with_liveness(UNACKED);
         Arc::new(Self {
             pool,
+            rollouts: Mutex::new(Rollouts::new(Plan::new(settings.exposure))),
             budget: Mutex::new(Budget::new(settings.repeats)),
             poison: Mutex::new(Register::new(POISON_CAPACITY)),
             ex,
@@ -144,7 +146,6 @@
             directory: Mutex::default(),
             affinity: Mutex::default(),
             paces: Mutex::default(),
-            rollouts: Mutex::default(),
             mirror: Mutex::default(),
             changed: Signal::default(),
             peers: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -59,6 +59,8 @@
     runs: u32,
     rejections: u32,
     ran: Ran,
+    /// Whether an endpoint answered it with an error.
+    has_failed: bool,
     configuration: u64,
     _in_flight: InFlight,
 }
@@ -107,6 +109,7 @@
             runs: 0,
             rejections: 0,
             ran: Ran::No,
+            has_failed: false,
             configuration: current.document.version,
             _in_flight: gateway.enter(),
             gateway: Arc::clone(gateway),
@@ -212,8 +215,12 @@
     /// Whether the caller gets this answer; if not, another attempt follows.
     fn judge(&mut self, open: Open, version: &str) -> Option<Open> {
         let is_error = open.reply.status.is_server_error();
-        let took = (!is_error).then_some(open.first_byte);
-        self.gateway.rollouts.lock().began(&self.service, version, self.kind(), took);
+        // A request that fails for a reason of its own fails again; it's evidence once.
+        if !self.has_failed {
+            let took = (!is_error).then_some(open.first_byte);
+            self.gateway.rollouts.lock().began(&self.service, version, self.kind(), took);
+        }
+        self.has_failed |= is_error;
         if is_error {
             if self.route.repeat.is_repeatable() && self.may_run_again("error") {
                 self.tried.push(open.lease.id.clone());
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -96,7 +96,10 @@
         let service = &it.order.service;
         let next = match &it.step {
             None => Some(Phase::Waiting),
-            Some((step, _)) => steps::due(&it.order, step, it.evidence(), now),
+            Some((step, _)) => {
+                let plan = *self.gateway.rollouts.lock().plan();
+                steps::due(&plan, &it.order, step, it.evidence(), now)
+            }
         };
         let Some(phase) = next else {
             self.due.remove(service);
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -5,20 +5,19 @@
 use curranthook_policy::hash;
 
 use crate::{
-    steps::{Counts, Evidence, Phase, Step},
+    steps::{Counts, Evidence, Phase, Plan, Step},
     store::{Order, Rev},
 };
 
-/// How many times longer than usual an answer takes that counts as bad by itself.
-const SLOW: f64 = 5.0;
 /// What is added to all times, in milliseconds, so that differences of a few don't count.
 const MARGIN_MS: f64 = 5.0;
 /// How much one answer moves the usual time.
 const SMOOTHING: f64 = 0.1;
 
 /// Roll-outs by service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Rollouts {
+    plan: Plan,
     services: HashMap<String, Rollout>,
     /// The logarithm of the usual time in milliseconds, by route, model and part of the answer.
     usual: HashMap<(String, usize, Part), f64>,
@@ -90,6 +89,16 @@
 }
 
 impl Rollouts {
+    /// None yet; all will follow `plan`.
+    pub fn new(plan: Plan) -> Self {
+        Self { plan, services: HashMap::new(), usual: HashMap::new() }
+    }
+
+    /// The schedule of all roll-outs.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
     /// Takes in an order.
     pub fn ordered(&mut self, order: Order, rev: Rev) {
         let known = self.services.get(&order.service);
@@ -144,7 +153,7 @@
         let Some(it) = self.services.get(service) else { return Rule::Any };
         let target = &it.order.target;
         let place = hash::unit(hash::pair(hash::bytes(target.as_bytes()), session));
-        if place < it.phase().share() {
+        if place < self.plan.share(it.phase()) {
             Rule::Only(target.clone())
         } else {
             Rule::Not(target.clone())
@@ -154,10 +163,9 @@
     /// Takes in an answer that began. `took` is none for a failure.
     pub fn began(&mut self, service: &str, version: &str, kind: Kind<'_>, took: Option<Duration>) {
         let ratio = took.map(|it| self.ratio(service, version, kind, Part::First, it));
-        let is_bad = ratio.is_none_or(|it| SLOW < it);
         let Some(counts) = self.counts(service, version) else { return };
         counts.answers += 1;
-        counts.bad += u64::from(is_bad);
+        counts.bad += u64::from(ratio.is_none());
         if let Some(ratio) = ratio {
             counts.first.add(ratio);
         }
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -28,6 +28,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bound on repeats.
     pub repeats: Bound,
+    /// The largest share of a service's requests that a bad version may get during its roll-out.
+    pub exposure: f64,
     /// The time from the signal to stop until the process is killed.
     pub grace: Duration,
 }
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -10,25 +10,75 @@
 
 use crate::store::{Order, Rev};
 
-/// When the first requests go to the new version, as a part of the time that the order allows.
-/// Until then sessions that are under way would have to change their version early on.
-const CANARY_AT: f64 = 0.51;
-/// When a larger part goes there.
-const PARTIAL_AT: f64 = 0.62;
-/// When all go there.
-const FULL_AT: f64 = 0.72;
-/// When the old version is given up: late enough for what still runs there to end.
-const COMPLETE_AT: f64 = 0.9;
-/// How long all requests must have been on the new version before the old one is given up.
-const MIN_FULL: Duration = Duration::from_secs(3);
+/// How a roll-out is spread over the time that its order allows.
+///
+/// Some versions turn out bad under a load that they meet only in full use, or not at all before
+/// it. So the schedule itself keeps the requests that meet a version of which nobody knows yet
+/// within the bound: most of the time goes by with a few, all of them follow shortly before the
+/// end. Until half the time is over none go there, as sessions under way would have to change
+/// their version early on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Plan {
+    /// The largest share of a service's requests that a bad version may get in all.
+    exposure: f64,
+}
+
+/// When the old version is given up, as a part of the time. What is left covers a lost write.
+const COMPLETE_AT: f64 = 0.97;
+/// For which part of the time all requests go to the new version, in units of the bound.
+const FULL: f64 = 0.6;
+/// Which share of the requests goes there before, in units of the bound, and for how long.
+const PARTIAL: (f64, f64) = (1.5, 0.1);
+/// The same for the first requests. Together the phases use 0.82 of a bound of 0.15.
+const CANARY: (f64, f64) = (0.5, 0.13);
+
+impl Plan {
+    /// A schedule for a bound on exposure.
+    ///
+    /// ```
+    /// # use curranthook_gateway::steps::{Phase, Plan};
+    /// let plan = Plan::new(0.15);
+    /// assert!(plan.exposure() < 0.15);
+    /// assert!(plan.share(Phase::Canary) < plan.share(Phase::Partial));
+    /// ```
+    pub fn new(exposure: f64) -> Self {
+        Self { exposure }
+    }
+
+    /// The share of sessions on the new version.
+    pub fn share(&self, phase: Phase) -> f64 {
+        match phase {
+            Phase::Waiting | Phase::RolledBack => 0.0,
+            Phase::Canary => CANARY.0 * self.exposure,
+            Phase::Partial => PARTIAL.0 * self.exposure,
+            Phase::Full | Phase::Completed => 1.0,
+        }
+    }
+
+    /// The share of all requests until the end of the order's time that go to the new version
+    /// before the old one is given up.
+    pub fn exposure(&self) -> f64 {
+        self.exposure * (CANARY.0 * CANARY.1 + PARTIAL.0 * PARTIAL.1 + FULL)
+    }
+
+    /// When a phase begins, as a part of the time that the order allows.
+    fn begins(&self, phase: Phase) -> f64 {
+        let full = COMPLETE_AT - FULL * self.exposure;
+        match phase {
+            Phase::Waiting | Phase::RolledBack => 0.0,
+            Phase::Canary => full - PARTIAL.1 - CANARY.1,
+            Phase::Partial => full - PARTIAL.1,
+            Phase::Full => full,
+            Phase::Completed => COMPLETE_AT,
+        }
+    }
+}
+
 /// How many answers of the new version a larger share needs.
 const MIN_ANSWERS: u64 = 5;
 /// How many bad answers speak against a version; fewer may be chance.
 const MIN_BAD: u64 = 4;
-/// A version is bad if its share of bad answers is above the old one's times this, and more by
-/// [`BAD_MARGIN`].
-const BAD_RATIO: f64 = 3.0;
-/// See [`BAD_RATIO`].
+/// By how much its share of bad answers must be above the old version's.
 const BAD_MARGIN: f64 = 0.1;
 
 /// How far a roll-out is.
@@ -50,16 +100,6 @@
 }
 
 impl Phase {
-    /// The share of sessions on the new version.
-    pub fn share(self) -> f64 {
-        match self {
-            Self::Waiting | Self::RolledBack => 0.0,
-            Self::Canary => 0.08,
-            Self::Partial => 0.25,
-            Self::Full | Self::Completed => 1.0,
-        }
-    }
-
     /// Whether it is over.
     pub fn is_final(self) -> bool {
         matches!(self, Self::Completed | Self::RolledBack)
@@ -149,7 +189,8 @@
 pub struct Counts {
     /// All of them.
     pub answers: u64,
-    /// Those that were failures, or took many times longer than usual.
+    /// Those that were failures. Slow ones aren't among them: under a disturbance that slows both
+    /// versions, the old one's would hide the new one's failures.
     pub bad: u64,
     /// The time to the first byte.
     #[serde(default)]
@@ -216,9 +257,7 @@
 
     /// Whether it speaks against the new version, though perhaps not surely.
     pub fn is_suspicious(self) -> bool {
-        0 < self.new.bad
-            || FIRST_FACTOR < self.slower_first()
-            || REST_FACTOR < self.slower_rest()
+        0 < self.new.bad || FIRST_FACTOR < self.slower_first() || REST_FACTOR < self.slower_rest()
     }
 
     fn is_slow(self) -> bool {
@@ -227,27 +266,37 @@
     }
 
     fn fails(self) -> bool {
-        MIN_BAD <= self.new.bad
-            && BAD_RATIO * self.old.bad_share() + BAD_MARGIN < self.new.bad_share()
+        let shift = self.new.bad_share() - self.old.bad_share();
+        let both = self.new.plus(self.old).bad_share();
+        let answers = |it: Counts| (it.answers as f64).max(1.0);
+        let per_answer = 1.0 / answers(self.new) + 1.0 / answers(self.old);
+        let error = (both * (1.0 - both) * per_answer).sqrt();
+        MIN_BAD <= self.new.bad && BAD_MARGIN < shift && SURE * error < shift
     }
 }
 
 /// The phase that is due, if it's another than the present one. `now` is the store's clock.
-pub fn due(order: &Order, step: &Step, evidence: Evidence, now: Duration) -> Option<Phase> {
+pub fn due(
+    plan: &Plan,
+    order: &Order,
+    step: &Step,
+    evidence: Evidence,
+    now: Duration,
+) -> Option<Phase> {
     if step.phase.is_final() {
         return None;
     }
     if evidence.is_bad() {
         return Some(Phase::RolledBack);
     }
+    let next = match step.phase {
+        Phase::Waiting => Phase::Canary,
+        Phase::Canary => Phase::Partial,
+        Phase::Partial => Phase::Full,
+        Phase::Full => Phase::Completed,
+        Phase::Completed | Phase::RolledBack => return None,
+    };
     let elapsed = now.saturating_sub(step.began).as_secs_f64() / order.within.as_secs_f64();
-    let in_phase = now.saturating_sub(step.since);
-    let seen = MIN_ANSWERS <= evidence.new.answers;
-    match step.phase {
-        Phase::Waiting => (CANARY_AT <= elapsed).then_some(Phase::Canary),
-        Phase::Canary => (PARTIAL_AT <= elapsed && seen).then_some(Phase::Partial),
-        Phase::Partial => (FULL_AT <= elapsed && seen).then_some(Phase::Full),
-        Phase::Full => (COMPLETE_AT <= elapsed && MIN_FULL <= in_phase).then_some(Phase::Completed),
-        Phase::Completed | Phase::RolledBack => None,
-    }
+    let seen = next <= Phase::Canary || MIN_ANSWERS <= evidence.new.answers;
+    (plan.begins(next) <= elapsed && seen).then_some(next)
 }
--- /dev/null
+++ b/crates/curranthook_gateway/tests/decisions.rs
@@ -0,0 +1,143 @@
+//! Placing, cascading and repeating, without a network.
+
+use std::time::{Duration, Instant};
+
+use curranthook_gateway::{
+    budget::{Bound, Budget},
+    cascade::{self, Aim, Outlook},
+    place::{self, Candidate, Distance, Work},
+    splitter::Splitter,
+};
+use yare::parameterized;
+
+fn idle(seed: u64) -> Candidate {
+    Candidate {
+        seed,
+        wait: Duration::ZERO,
+        failures: 0.0,
+        distance: Distance::Near,
+        holds_parts: false,
+    }
+}
+
+fn work(subject: u64, shared_ms: u64) -> Work {
+    Work { subject: Some(subject), shared: Duration::from_millis(shared_ms), salt: subject }
+}
+
+/// Two nodes that see the same endpoints in another order send the same parts to the same one.
+#[test]
+fn nodes_agree_on_homes_without_a_message() {
+    let ours: Vec<_> = (1..=12).map(idle).collect();
+    let theirs: Vec<_> = ours.iter().rev().copied().collect();
+    for subject in 0..200 {
+        let work = work(subject, 300);
+        let at = |all: &[Candidate]| all[place::choose(all, &work).unwrap()].seed;
+        assert_eq!(at(&ours), at(&theirs));
+    }
+}
+
+/// One endpoint of twelve goes. Only what had its home there moves; the rest is still found.
+#[test]
+fn the_loss_of_an_endpoint_moves_only_its_own() {
+    let all: Vec<_> = (1..=12).map(idle).collect();
+    let moved = (0..1_200).filter(|subject| {
+        let work = work(*subject, 300);
+        let before = all[place::choose(&all, &work).unwrap()].seed;
+        let after = all[..11][place::choose(&all[..11], &work).unwrap()].seed;
+        before != after
+    });
+    let moved = moved.count();
+    assert!((60..150).contains(&moved), "{moved} of 1200, a twelfth is 100");
+}
+
+/// A subject is asked for by everybody at once. Its home fills up, and when waiting there takes
+/// longer than reading the parts elsewhere, others help.
+#[test]
+fn a_busy_home_is_passed_over() {
+    let mut all: Vec<_> = (1..=4).map(idle).collect();
+    let work = work(7, 300);
+    let home = place::choose(&all, &work).unwrap();
+    all[home].wait = Duration::from_millis(200);
+    assert_eq!(place::choose(&all, &work), Some(home), "waiting is shorter than reading");
+    all[home].wait = Duration::from_millis(400);
+    assert_ne!(place::choose(&all, &work), Some(home));
+}
+
+/// An endpoint fails most requests while its health check is good. Callers would see it in one
+/// request of four; it's left alone as long as others are there.
+#[test]
+fn a_failing_endpoint_is_left_alone() {
+    let mut all: Vec<_> = (1..=4).map(idle).collect();
+    all[2].failures = 0.6;
+    for salt in 0..100 {
+        let work = Work { subject: None, shared: Duration::ZERO, salt };
+        assert_ne!(place::choose(&all, &work), Some(2));
+    }
+}
+
+/// The small model is unsure, and how long the large one takes grows with the load. It's asked
+/// as long as its answer is likely to come in time, and no longer.
+#[parameterized(
+    idle_unsure = { 10, 700, 2_000, true },
+    idle_sure = { 80, 700, 2_000, false },
+    late_but_unsure = { 20, 2_600, 5_000, false },
+    never_whole = { 0, 1_000, 20_000, false },
+)]
+fn a_larger_model_is_asked_if_it_helps(confidence: u8, first: u64, last: u64, expected: bool) {
+    let ms = Duration::from_millis;
+    let aim = Aim { objective: ms(2_000), deadline: ms(15_000) };
+    let small = Outlook { first: ms(100), last: ms(900), price: 0.0 };
+    let large = Outlook { first: ms(first), last: ms(last), price: 0.15 };
+    assert_eq!(cascade::escalates(confidence, &small, &large, &aim), expected);
+}
+
+/// All endpoints fail for a while, and every request would be sent again and again. The nodes of
+/// a fleet together stay within the bound, in any span of its length.
+#[test]
+fn a_fleet_keeps_the_bound_on_repeats() {
+    let bound = Bound { ratio: 0.9, slack: 52.0, window: Duration::from_secs(10) };
+    let (start, n_nodes) = (Instant::now(), 6);
+    let mut nodes: Vec<_> = (0..n_nodes).map(|_| Budget::new(bound)).collect();
+    let mut repeats = Vec::new();
+    let mut asked = 0;
+    for tick in 0..400_u64 {
+        let now = start + Duration::from_millis(tick * 50);
+        for node in &mut nodes {
+            node.asked("models", now);
+            asked += 1;
+            (0..3).filter(|_| node.spend("models", n_nodes, now)).for_each(|_| repeats.push(now));
+        }
+    }
+    let per_window = f64::from(asked) / 2.0;
+    for from in (0..200).map(|it| start + Duration::from_millis(it * 50)) {
+        let inside = |at: &&Instant| from <= **at && **at < from + bound.window;
+        let n = repeats.iter().filter(inside).count() as f64;
+        assert!(n <= bound.ratio * per_window + bound.slack, "{n} repeats in a window");
+    }
+}
+
+/// Bytes come in pieces of any size. What is passed on is the same, whole events only, and what
+/// is left is the beginning of the next one.
+#[test]
+fn events_are_the_same_however_they_are_cut() {
+    let text: Vec<u8> =
+        (1..=20).flat_map(|n| format!("id: {n}\ndata: e{n}\n\n").into_bytes()).collect();
+    let all = [&text[..], b"id: 21\nda"].concat();
+    for size in 1..60 {
+        let (mut splitter, mut out) = (Splitter::default(), Vec::new());
+        let (mut count, mut last) = (0, None);
+        for piece in all.chunks(size) {
+            if let Some(events) = splitter.push(piece) {
+                out.extend_from_slice(&events.bytes);
+                count += events.count;
+                last = events.last_id.or(last);
+            }
+        }
+        assert_eq!(
+            (out.as_slice(), count, last),
+            (text.as_slice(), 20, Some(20)),
+            "pieces of {size}"
+        );
+        assert!(!splitter.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -0,0 +1,112 @@
+//! Roll-outs: how much a bad version meets, and what speaks against one.
+
+use std::time::Duration;
+
+use curranthook_gateway::{
+    steps::{self, Counts, Delay, Evidence, Phase, Plan, Step},
+    store::{Order, Rev},
+};
+use yare::parameterized;
+
+fn order(within: Duration) -> Order {
+    Order { service: "models".to_owned(), target: "v2".to_owned(), within }
+}
+
+fn step(phase: Phase, since: Duration) -> Step {
+    let target = "v2".to_owned();
+    Step { order: Rev(1), target, phase, began: Duration::ZERO, since }
+}
+
+fn counts(answers: u64, bad: u64) -> Counts {
+    Counts { answers, bad, ..Counts::default() }
+}
+
+fn delays(ratios: impl IntoIterator<Item = f64>) -> Delay {
+    let mut delay = Delay::default();
+    ratios.into_iter().for_each(|it| delay.add(it));
+    delay
+}
+
+/// A version whose faults nobody can see before it's in full use is completed. Until the end of
+/// the order's time it has met no more requests than the bound allows, as otherwise a fault that
+/// shows late would reach many callers.
+#[parameterized(
+    short = { 12, 0.15 },
+    usual = { 24, 0.15 },
+    large_fleet = { 24, 0.0975 },
+    long = { 600, 0.05 },
+)]
+fn a_version_that_seems_good_stays_within_the_bound(seconds: u64, bound: f64) {
+    let (plan, order) = (Plan::new(bound), order(Duration::from_secs(seconds)));
+    let seen = Evidence { new: counts(100, 0), old: counts(1_000, 0) };
+    let mut now = step(Phase::Waiting, Duration::ZERO);
+    let (mut met, mut early) = (0.0, 0.0);
+    let slices = 10_000;
+    for slice in 0..slices {
+        let at = order.within.mul_f64(f64::from(slice) / f64::from(slices));
+        if let Some(phase) = steps::due(&plan, &order, &now, seen, at) {
+            now = step(phase, at);
+        }
+        met += plan.share(now.phase) / f64::from(slices);
+        if slice < slices / 2 {
+            early += plan.share(now.phase);
+        }
+    }
+    assert_eq!(now.phase, Phase::Completed, "it's done in time");
+    assert!(met < bound + 0.03, "{met} of all requests met it");
+    assert!(plan.exposure() < bound);
+    assert_eq!(early, 0.0, "sessions keep their version in the first half");
+}
+
+/// Half of a version's answers take eight times as long as usual. Single answers vary that much
+/// by themselves, so only all of them together tell.
+#[test]
+fn a_slow_version_is_found() {
+    let usual = || (0..200).map(|it| [0.4, 0.7, 1.0, 1.5, 2.5][it % 5]);
+    let slow =
+        (0..24).map(|it| [0.4, 0.7, 1.0, 1.5, 2.5][it % 5] * if it % 2 == 0 { 8.0 } else { 1.0 });
+    let old = Counts { rest: delays(usual()), ..counts(200, 0) };
+    let new = Counts { rest: delays(slow), ..counts(24, 0) };
+    assert!(Evidence { new, old }.is_bad());
+    let same = Counts { rest: delays(usual().take(24)), ..counts(24, 0) };
+    assert!(!Evidence { new: same, old }.is_bad());
+}
+
+/// A new version's engines begin without the prompts that the old ones keep, so its first events
+/// come later for a while. That's no fault of the version.
+#[test]
+fn cold_engines_are_no_bad_version() {
+    let old =
+        Counts { first: delays((0..200).map(|it| [0.5, 1.0, 2.0][it % 3])), ..counts(200, 0) };
+    let new = Counts { first: delays((0..40).map(|it| [1.0, 2.0, 4.0][it % 3])), ..counts(40, 0) };
+    assert!(!Evidence { new, old }.is_bad());
+}
+
+/// Nodes are killed while a version is on trial, and the old one's answers come late too. What
+/// is slow at both must not hide that half of the new one's answers are failures.
+#[test]
+fn failures_are_seen_beside_a_disturbance() {
+    let late = || delays((0..100).map(|_| 9.0));
+    let old = Counts { first: late(), rest: late(), ..counts(280, 0) };
+    let new = Counts { first: late(), rest: late(), ..counts(14, 6) };
+    assert!(Evidence { new, old }.is_bad());
+}
+
+/// A plain service fails one lookup in seven, whichever version runs it. By chance a new version
+/// meets a few more of them at first.
+#[test]
+fn what_fails_anyway_speaks_against_nobody() {
+    let old = counts(97, 10);
+    assert!(!Evidence { new: counts(24, 5), old }.is_bad());
+    assert!(!Evidence { new: counts(9, 4), old: counts(20, 4) }.is_bad());
+    assert!(Evidence { new: counts(22, 14), old: counts(52, 7) }.is_bad());
+}
+
+/// A node that was frozen comes back with an old step. Nothing follows a final one.
+#[parameterized(completed = { Phase::Completed }, rolled_back = { Phase::RolledBack })]
+fn nothing_follows_the_end(phase: Phase) {
+    let (plan, order) = (Plan::new(0.15), order(Duration::from_secs(24)));
+    let bad = Evidence { new: counts(100, 90), old: counts(100, 0) };
+    let late = Duration::from_secs(1_000);
+    assert_eq!(steps::due(&plan, &order, &step(phase, Duration::ZERO), bad, late), None);
+}
