A lost answer on a kept connection isn't taken for a connection closed while idle

Ruled out: idle connections (closed ones show in a round trip). Change: stale only within 10 ms; later it's a cut, and the endpoint isn't asked again.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -25,6 +25,10 @@
 /// close idle ones after some seconds, and what is sent just then is lost.
 const FRESH: Duration = Duration::from_secs(3);
 
+/// Within this time a connection that was closed while it was idle shows it: a few round trips
+/// between failure domains.
+const AT_ONCE: Duration = Duration::from_millis(10);
+
 /// An answer that has begun.
 #[derive(Debug)]
 pub struct Open {
@@ -114,7 +118,7 @@
     let limit = ask.time_left(gateway.now());
     let response = match timeout::run(limit, conn.send(request)).await {
         Ok(Ok(response)) => response,
-        Ok(Err(e)) => return Err(broken(lease, &conn, &e)),
+        Ok(Err(e)) => return Err(broken(lease, &conn, &e, since(sent, gateway.now()))),
         Err(timeout::Elapsed) => {
             lease.close(Outcome::Dropped);
             return Err(may_have_run(Cause::Timeout));
@@ -132,13 +136,14 @@
     Ok(Open { lease, conn, reply, head, body, first_byte })
 }
 
-fn broken(lease: Lease, conn: &Connection, error: &client::Error) -> Failed {
+fn broken(lease: Lease, conn: &Connection, error: &client::Error, took: Duration) -> Failed {
     if error.is_unsent() {
         lease.close(Outcome::Dropped);
         return not_run(Cause::Stale);
     }
-    if conn.is_reused() {
-        // Closed in the moment of use, most likely; that says nothing against the endpoint.
+    if conn.is_reused() && took < AT_ONCE {
+        // Closed in the moment of use, most likely; that says nothing against the endpoint. Later,
+        // the endpoint had the request and lost its answer.
         lease.close(Outcome::Dropped);
         return may_have_run(Cause::Stale);
     }
