--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -170,7 +170,7 @@
         thread::sleep(GATHER);
         let mut text = first;
         text.push('\n');
-        for Line(more) in queue.try_iter() {
+        for Line(more) in queue.try_iter().take(CAPACITY) {
             text.push_str(&more);
             text.push('\n');
         }
