--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -48,6 +48,16 @@
     Dependency { name: &'a str, state: &'a str, why: &'a str },
     /// An endpoint appeared, changed or went.
     Endpoint { endpoint: &'a str, service: &'a str, state: &'a str, version: &'a str, rev: u64 },
+    /// A request wasn't let in.
+    Refused {
+        request: &'a str,
+        path: &'a str,
+        status: u16,
+        reason: &'a str,
+        retry_after_ms: Option<u64>,
+        configuration: Option<u64>,
+        in_flight: usize,
+    },
     /// A request was sent to an endpoint.
     Sent {
         request: &'a str,
--- a/crates/curranthook_gateway/src/front.rs
+++ b/crates/curranthook_gateway/src/front.rs
@@ -11,8 +11,9 @@
     Gateway,
     ask::Ask,
     document::Denied,
+    event::Event,
     gateway::Current,
-    job::Job,
+    job::{Job, millis},
     refusal::{Ran, Reason, Refusal},
     stream, whole,
 };
@@ -21,8 +22,9 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// How long a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// When to come back to a node that has no configuration yet.
-const RETRY_NOT_READY: Duration = Duration::from_millis(500);
+/// When to come back to a node that has no configuration yet: it has one 0.13 s after its start if
+/// the store is up.
+const RETRY_NOT_READY: Duration = Duration::from_millis(200);
 /// When to come back to a fleet of which this node is leaving: at once, to another node.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
@@ -42,7 +44,10 @@
             let (head, body) = req.into_parts();
             let answered = match self.admit(&head, body).await {
                 Ok(job) => answer(job).await,
-                Err(refusal) => Err(refusal),
+                Err(refusal) => {
+                    self.log_refused(&head, &refusal);
+                    Err(refusal)
+                }
             };
             let mut res = answered.unwrap_or_else(|refusal| refuse(gateway, &refusal));
             if gateway.is_stopping() {
@@ -54,6 +59,20 @@
 }
 
 impl Front {
+    fn log_refused(&self, head: &Parts, refusal: &Refusal) {
+        let gateway = &self.gateway;
+        let read = gateway.dialect.head(head).ok();
+        gateway.log.write(&Event::Refused {
+            request: read.as_ref().map_or("", |it| it.id.as_str()),
+            path: head.uri.path(),
+            status: refusal.status.as_u16(),
+            reason: refusal.reason.name(),
+            retry_after_ms: refusal.retry_after.map(millis),
+            configuration: gateway.current.load().as_ref().map(|it| it.document.version),
+            in_flight: gateway.in_flight(),
+        });
+    }
+
     /// Reads a request and lets it in.
     async fn admit(&self, head: &Parts, body: Incoming) -> Result<Job, Refusal> {
         let gateway = &self.gateway;
