Nodes tell each other what they have waiting at engines

Cause: engines read prompts one after another and a node sees only its own; first events of the largest model came after 1.6 s at the median where reading takes 0.8 s.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -65,6 +65,9 @@
 pub struct Node {
     /// Its address for peers.
     pub peers: SocketAddr,
+    /// Its address for notices.
+    #[serde(default)]
+    pub notices: Option<SocketAddr>,
     /// How much it can carry for others.
     #[serde(default)]
     pub capacity: f64,
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     affinity::Affinity,
+    board::Board,
     budget::Budget,
     dialect::Dialect,
     directory::Directory,
@@ -96,6 +97,10 @@
     pub rollouts: Mutex<Rollouts>,
     /// The rows of the store as they are known.
     pub mirror: Mutex<Mirror>,
+    /// What other nodes have waiting at endpoints.
+    pub board: Mutex<Board>,
+    /// Wakes whoever tells other nodes what this one has waiting.
+    pub waiting_changed: Signal,
     /// Wakes peers that wait for rows.
     pub changed: Signal,
     /// Other nodes, by name.
@@ -147,6 +152,8 @@
             affinity: Mutex::default(),
             paces: Mutex::default(),
             mirror: Mutex::default(),
+            board: Mutex::default(),
+            waiting_changed: Signal::default(),
             changed: Signal::default(),
             peers: Mutex::default(),
             stopping: AtomicBool::new(false),
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -68,7 +68,10 @@
 impl Lead {
     async fn announce(&self) {
         let Some(peers) = self.gateway.settings.peers else { return };
-        let value = encode(&Node { peers, capacity: self.gateway.settings.capacity });
+        let value = {
+            let settings = &self.gateway.settings;
+            encode(&Node { peers, notices: settings.notices, capacity: settings.capacity })
+        };
         let name = self.gateway.settings.node.clone();
         let key = Key::Node(&name).to_string();
         loop {
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Gateway,
+    board::Board,
     dialect::Load,
     directory::{Outcome, Tracked},
     place::{self, Candidate, Distance, Work},
@@ -20,8 +21,6 @@
 const PER_RUNNING: Duration = Duration::from_millis(6);
 /// How long a plain service works on a request, about.
 const PLAIN_WORK: Duration = Duration::from_millis(50);
-/// Requests of other nodes wait at an endpoint too, of which this node knows little.
-const OTHERS: u32 = 2;
 
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
@@ -81,11 +80,12 @@
             let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
             let list = eligible(&all, wanted, now);
             let affinity = gateway.affinity.lock();
+            let board = gateway.board.lock();
             let offers: Vec<_> = list
                 .iter()
                 .map(|it| Candidate {
                     seed: it.seed,
-                    wait: wait(it, wanted, now),
+                    wait: wait(it, wanted, &board, now),
                     failures: it.failures,
                     distance: distance(gateway, it),
                     holds_parts: wanted
@@ -108,6 +108,7 @@
         };
         let (entry, busy, pending) = found;
         directory.started(&entry.id, pending);
+        gateway.waiting_changed.wake();
         if let Some(subject) = wanted.subject {
             gateway.affinity.lock().read(subject, &entry.id, now);
         }
@@ -127,6 +128,7 @@
         let now = self.gateway.now();
         let pending = std::mem::take(&mut self.pending);
         self.gateway.directory.lock().began(&self.id, pending, load, now);
+        self.gateway.waiting_changed.wake();
     }
 
     /// Gives it back.
@@ -179,10 +181,10 @@
     }
 }
 
-fn wait(it: &Tracked, wanted: &Wanted<'_>, now: std::time::Instant) -> Duration {
+fn wait(it: &Tracked, wanted: &Wanted<'_>, board: &Board, now: std::time::Instant) -> Duration {
     let busy = it.busy(now);
     if wanted.weight.is_some() {
-        return it.pending * OTHERS + PER_RUNNING * busy;
+        return it.pending + board.waiting(&it.entry.id, now) + PER_RUNNING * busy;
     }
     let slots = it.entry.slots.max(1);
     let waiting = (busy + 1).saturating_sub(slots);
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! - [`front`]: from the caller's connection to a [`job`], by the [`document`] in force;
 //! - [`job`]: the attempts at it, within the [`budget`] for repeats;
 //! - [`rollouts`], [`cascade`], [`place`]: which version, model and endpoint take it;
-//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there;
+//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`board`] has what
+//!   other nodes sent there;
 //! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
 //! [`place`], [`cascade`], [`pace`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
@@ -22,6 +23,7 @@
 pub mod apply;
 pub mod ask;
 pub mod attempt;
+pub mod board;
 pub mod budget;
 pub mod cascade;
 pub mod dialect;
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -1,12 +1,12 @@
 //! Starts a node and ends it without cutting a request.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, UdpSocket},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use curranthook_http::{
     Body, body,
@@ -18,7 +18,8 @@
 use hyper::body::Incoming;
 
 use crate::{
-    Gateway, event::Event, follow, front::Front, lead, peers, settings::Settings, store::Table,
+    Gateway, board, event::Event, follow, front::Front, lead, peers, settings::Settings,
+    store::Table,
 };
 
 /// How long a node goes on taking requests after the signal to stop: the balancer asks once a
@@ -59,6 +60,7 @@
     callers: Server,
     readiness: Server,
     peers: Option<Server>,
+    notices: Option<Async<UdpSocket>>,
     metrics: Option<Server>,
 }
 
@@ -70,11 +72,13 @@
             callers: bind(settings.callers)?.with_limits(limits),
             readiness: bind(settings.readiness)?,
             peers: settings.peers.map(bind).transpose()?,
+            notices: settings.notices.map(bind_datagrams).transpose()?,
             metrics: settings.metrics.map(bind).transpose()?,
         };
         settings.callers = it.callers.addr();
         settings.readiness = it.readiness.addr();
         settings.peers = it.peers.as_ref().map(Server::addr);
+        settings.notices = it.notices.as_ref().and_then(|it| it.get_ref().local_addr().ok());
         settings.metrics = it.metrics.as_ref().map(Server::addr);
         Ok(it)
     }
@@ -104,6 +108,9 @@
         detach(&gateway, server, Arc::new(Counters(Arc::clone(&gateway))));
     }
     tasks(&gateway);
+    if let Some(socket) = listeners.notices {
+        gateway.ex.spawn(board::run(Arc::clone(&gateway), socket)).detach();
+    }
     wait_for_stop(&gateway, &mut signals, reload).await;
     gateway.stop();
     gateway.log.write(&Event::Stopping { in_flight: gateway.in_flight() });
@@ -163,6 +170,10 @@
     Server::bind(addr).map_err(|source| Error::Bind { addr, source })
 }
 
+fn bind_datagrams(addr: SocketAddr) -> Result<Async<UdpSocket>, Error> {
+    Async::<UdpSocket>::bind(addr).map_err(|source| Error::Bind { addr, source })
+}
+
 /// Serves until the process ends.
 fn detach<H: Handler>(gateway: &Arc<Gateway>, server: Server, handler: Arc<H>) {
     let ex = Arc::clone(&gateway.ex);
