A doubtful version goes no further; a node that sees failures stops by itself

Ruled out: lost steps (each was taken once). Change: a larger share needs answers that are no worse than the old version's, eight of them for full use; a node whose evidence speaks against a version sends it nothing more, whatever the fleet's step. Small models don't wait for what large ones have waiting (they go first). Tests: a_doubtful_version_goes_no_further, a_node_that_sees_failures_stops_by_itself, seen to fail. A good version of a small plain service may be completed after its time (a missed duty).

--- a/crates/curranthook_gateway/src/cascade.rs
+++ b/crates/curranthook_gateway/src/cascade.rs
@@ -80,7 +80,7 @@
 /// Ranks that the requests of small models are apart from those of large ones.
 const LARGE: u8 = 4;
 /// The weight from which a model counts as large: its prompts take long to read.
-const LARGE_WEIGHT: f64 = 0.5;
+pub const LARGE_WEIGHT: f64 = 0.5;
 
 /// How urgent a request to a model is at its engine, 0 before all others. `rank` is the route's
 /// or account's, `weight` the model's price against the dearest one's.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -8,6 +8,7 @@
 use crate::{
     Gateway,
     board::Board,
+    cascade,
     dialect::Load,
     directory::{Outcome, Tracked},
     place::{self, Candidate, Distance, Work},
@@ -183,8 +184,11 @@
 
 fn wait(it: &Tracked, wanted: &Wanted<'_>, board: &Board, now: std::time::Instant) -> Duration {
     let busy = it.busy(now);
-    if wanted.weight.is_some() {
-        return it.pending + board.waiting(&it.entry.id, now) + PER_RUNNING * busy;
+    if let Some(weight) = wanted.weight {
+        let waiting = it.pending + board.waiting(&it.entry.id, now);
+        // Small models go first at an engine and wait for what is being read just then only.
+        let waiting = if weight < cascade::LARGE_WEIGHT { waiting / 8 } else { waiting };
+        return waiting + PER_RUNNING * busy;
     }
     let slots = it.entry.slots.max(1);
     let waiting = (busy + 1).saturating_sub(slots);
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -153,7 +153,10 @@
         let Some(it) = self.services.get(service) else { return Rule::Any };
         let target = &it.order.target;
         let place = hash::unit(hash::pair(hash::bytes(target.as_bytes()), session));
-        if place < self.plan.share(it.phase()) {
+        // Steps of the whole fleet take their time, more so while the store is away; a node that
+        // knows better doesn't wait for them.
+        let is_suspect = !it.phase().is_final() && it.evidence().is_bad();
+        if !is_suspect && place < self.plan.share(it.phase()) {
             Rule::Only(target.clone())
         } else {
             Rule::Not(target.clone())
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -74,8 +74,8 @@
     }
 }
 
-/// How many answers of the new version a larger share needs.
-const MIN_ANSWERS: u64 = 5;
+/// How many answers of the new version a larger share needs, and how many its use by all.
+const MIN_ANSWERS: (u64, u64) = (5, 8);
 /// How many bad answers speak against a version; fewer may be chance.
 const MIN_BAD: u64 = 4;
 /// By how much its share of bad answers must be above the old version's.
@@ -245,6 +245,12 @@
         self.fails() || self.is_slow()
     }
 
+    /// Whether enough answers are known, and not clearly more of them are bad than the old
+    /// version's. A version may be neither good nor bad for a while.
+    fn seems_good(self, min_answers: u64) -> bool {
+        min_answers <= self.new.answers && self.new.bad_share() - self.old.bad_share() < BAD_MARGIN
+    }
+
     /// How many times longer than the old version's the new one's first events take.
     pub fn slower_first(self) -> f64 {
         (self.new.first.mean() - self.old.first.mean()).exp()
@@ -297,6 +303,10 @@
         Phase::Completed | Phase::RolledBack => return None,
     };
     let elapsed = now.saturating_sub(step.began).as_secs_f64() / order.within.as_secs_f64();
-    let seen = next <= Phase::Canary || MIN_ANSWERS <= evidence.new.answers;
-    (plan.begins(next) <= elapsed && seen).then_some(next)
+    let is_known = match next {
+        Phase::Partial => evidence.seems_good(MIN_ANSWERS.0),
+        Phase::Full | Phase::Completed => evidence.seems_good(MIN_ANSWERS.1),
+        _ => true,
+    };
+    (plan.begins(next) <= elapsed && is_known).then_some(next)
 }
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use curranthook_gateway::{
+    rollouts::{Kind, Rollouts, Rule},
     steps::{self, Counts, Delay, Evidence, Phase, Plan, Step},
     store::{Order, Rev},
 };
@@ -110,3 +111,39 @@
     let late = Duration::from_secs(1_000);
     assert_eq!(steps::due(&plan, &order, &step(phase, Duration::ZERO), bad, late), None);
 }
+
+/// Nodes are cut off while a version is on trial, so few answers are known, and half of them are
+/// failures: too few to condemn the version. Given to everybody on that, it would fail half of all
+/// requests for seconds.
+#[test]
+fn a_doubtful_version_goes_no_further() {
+    let (plan, order) = (Plan::new(0.15), order(Duration::from_secs(24)));
+    let doubtful = Evidence { new: counts(6, 3), old: counts(96, 0) };
+    for phase in [Phase::Canary, Phase::Partial] {
+        let late = Duration::from_secs(23);
+        assert_eq!(steps::due(&plan, &order, &step(phase, Duration::ZERO), doubtful, late), None);
+    }
+    let few = Evidence { new: counts(7, 0), old: counts(96, 0) };
+    let partial = step(Phase::Partial, Duration::ZERO);
+    assert_eq!(steps::due(&plan, &order, &partial, few, Duration::from_secs(23)), None);
+}
+
+/// A node alone sees that the new version fails. It stops sending requests there at once, whatever
+/// step the fleet is at; the store may be away, and the others may not have seen it yet.
+#[test]
+fn a_node_that_sees_failures_stops_by_itself() {
+    let mut rollouts = Rollouts::new(Plan::new(0.15));
+    rollouts.ordered(order(Duration::from_secs(24)), Rev(1));
+    assert!(rollouts.stepped("models", step(Phase::Full, Duration::ZERO), Rev(2)));
+    assert_eq!(rollouts.rule("models", 7), Rule::Only("v2".to_owned()));
+    let kind = Kind { route: "r", model: 0 };
+    for n in 0..8 {
+        let took = (n % 2 == 0).then_some(Duration::from_millis(50));
+        rollouts.began("models", "v1", kind, Some(Duration::from_millis(50)));
+        rollouts.began("models", "v2", kind, took);
+    }
+    for _ in 0..20 {
+        rollouts.began("models", "v1", kind, Some(Duration::from_millis(50)));
+    }
+    assert_eq!(rollouts.rule("models", 7), Rule::Not("v2".to_owned()));
+}
