An answered request isn't to blame for endpoints that ended; models apart from the job

Change: a whole answer releases it; the fingerprint is computed once a request; models.rs holds which models may answer. No behaviour changed besides.

--- a/crates/curranthook_gateway/src/ask.rs
+++ b/crates/curranthook_gateway/src/ask.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use curranthook_policy::hash;
+use curranthook_policy::{hash, poison::Fingerprint};
 use http::{HeaderMap, Method, Uri};
+use sha2::{Digest, Sha256};
 
 /// What the head of a caller's request says.
 #[derive(Debug, Clone)]
@@ -76,9 +77,17 @@
     pub deadline: Instant,
     /// When it was read.
     pub since: Instant,
+    /// A hash that the same request has at every node, whenever it comes.
+    pub fingerprint: Fingerprint,
 }
 
 impl Ask {
+    /// A request that was read at `since` and is given up on after `patience`.
+    pub fn new(head: Head, body: Bytes, since: Instant, patience: Duration) -> Self {
+        let fingerprint = fingerprint(&head, &body);
+        Self { head, body, deadline: since + patience, since, fingerprint }
+    }
+
     /// The time left until the deadline.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
@@ -111,19 +120,17 @@
             (expected, most) => expected.or(most).unwrap_or(0),
         }
     }
+}
 
-    /// A hash that the same request has at every node, whenever it comes.
-    pub fn fingerprint(&self) -> curranthook_policy::poison::Fingerprint {
-        use sha2::{Digest, Sha256};
-        let mut sum = Sha256::new();
-        sum.update(self.head.host.as_bytes());
-        sum.update(self.head.uri.to_string().as_bytes());
-        sum.update(self.head.key.as_deref().unwrap_or_default().as_bytes());
-        sum.update(&self.body);
-        let mut short = [0; 16];
-        short.copy_from_slice(&sum.finalize()[..16]);
-        short
-    }
+fn fingerprint(head: &Head, body: &[u8]) -> Fingerprint {
+    let mut sum = Sha256::new();
+    sum.update(head.host.as_bytes());
+    sum.update(head.uri.to_string().as_bytes());
+    sum.update(head.key.as_deref().unwrap_or_default().as_bytes());
+    sum.update(body);
+    let mut short = Fingerprint::default();
+    short.copy_from_slice(&sum.finalize()[..size_of::<Fingerprint>()]);
+    short
 }
 
 /// The hash of a part's id.
--- a/crates/curranthook_gateway/src/front.rs
+++ b/crates/curranthook_gateway/src/front.rs
@@ -103,8 +103,8 @@
         let (route, account) = admit(&current, &head)?;
         let patience = head.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
         let priority = account.as_ref().and_then(|it| it.priority).unwrap_or(route.priority);
-        let ask = Ask { head, body, deadline: since + patience, since };
-        if gateway.poison.lock().is_poison(ask.fingerprint(), since) {
+        let ask = Ask::new(head, body, since, patience);
+        if gateway.poison.lock().is_poison(ask.fingerprint, since) {
             return Err(refuse(Reason::Poison));
         }
         Job::new(gateway, &current, ask, route, account.map(|it| it.id), priority)
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -17,6 +17,7 @@
     event::Event,
     gateway::{Current, InFlight},
     lease::{self, Lease, Wanted},
+    models::{Candidate, Models},
     pace::Pace,
     refusal::{Ran, Reason, Refusal},
     rollouts::Kind,
@@ -34,6 +35,9 @@
 /// How long it's asked whether an endpoint that broke off still takes connections.
 const ALIVE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// The outcome of a request whose answer arrived whole.
+pub const WHOLE: &str = "whole";
+
 /// A request on its way.
 #[derive(Debug)]
 pub struct Job {
@@ -52,9 +56,7 @@
     /// How many attempts there were.
     pub attempts: u32,
     service: String,
-    models: Vec<Candidate>,
-    model: usize,
-    tokens_per_event: u32,
+    models: Models,
     tried: Vec<endpoint::Id>,
     runs: u32,
     rejections: u32,
@@ -65,14 +67,6 @@
     _in_flight: InFlight,
 }
 
-/// A model that may answer.
-#[derive(Debug, Clone, PartialEq)]
-struct Candidate {
-    name: String,
-    /// Its price against the dearest one's.
-    weight: f64,
-}
-
 /// Whether another attempt follows.
 enum Next {
     Again,
@@ -92,9 +86,7 @@
         let place = hash::unit(hash::bytes(ask.head.id.as_bytes()));
         let service = route.service(place).map(str::to_owned);
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Ran::No))?;
-        let tokens_per_event =
-            current.document.services.get(&service).map_or(0, |it| it.tokens_per_event);
-        let models = models(&current.document, &service, &route, &ask.head.model);
+        let models = Models::new(&current.document, &service, &route, &ask.head.model);
         gateway.budget.lock().asked(&service, gateway.now());
         Ok(Self {
             last_event: ask.head.last_event,
@@ -103,8 +95,6 @@
             attempts: 0,
             service,
             models,
-            model: 0,
-            tokens_per_event,
             tried: Vec::new(),
             runs: 0,
             rejections: 0,
@@ -168,7 +158,7 @@
     fn place(&mut self) -> Result<Lease, Refusal> {
         let session = self.session();
         let rule = self.gateway.rollouts.lock().rule(&self.service, session);
-        let model = self.models.get(self.model);
+        let model = self.models.current();
         let name = model.map_or("", |it| it.name.as_str());
         let wanted = Wanted {
             service: &self.service,
@@ -186,7 +176,7 @@
 
     async fn attempt(&mut self, lease: Lease) -> Result<Open, Failed> {
         self.attempts += 1;
-        let candidate = self.models.get(self.model);
+        let candidate = self.models.current();
         let model = candidate.map(|it| it.name.as_str());
         let id = lease.id.clone();
         let outgoing = Outgoing {
@@ -229,7 +219,7 @@
             }
             return Some(open);
         }
-        if let Some(it) = self.models.get(self.model) {
+        if let Some(it) = self.models.current() {
             let reading = lease::reading(self.ask.prompt_tokens(), it.weight);
             let mut paces = self.gateway.paces.lock();
             paces.began(&self.service, &it.name, reading, open.first_byte);
@@ -244,59 +234,47 @@
     /// Whether the largest model is asked in place of the one that has begun.
     fn escalates(&mut self, confidence: Option<u8>) -> bool {
         let can_repeat = self.route.repeat.is_repeatable() && self.last_event.is_none();
-        let largest = self.models.len().saturating_sub(1);
-        let Some(confidence) = confidence.filter(|_| can_repeat && self.model < largest) else {
+        let (Some(small), Some(large)) = (self.models.current(), self.models.larger()) else {
             return false;
         };
+        let Some(confidence) = confidence.filter(|_| can_repeat) else { return false };
         let elapsed = self.gateway.now().saturating_duration_since(self.ask.since);
         let aim = Aim {
             objective: self.route.objective,
             deadline: self.ask.deadline.saturating_duration_since(self.ask.since),
         };
-        let (small, large) = (&self.models[self.model], &self.models[largest]);
-        let first = elapsed + self.pace(large).first(self.reading(large));
-        let outlook_small = Outlook {
-            first: elapsed,
-            last: elapsed + self.pace(small).rest(self.events()),
-            price: 0.0,
-        };
-        let outlook_large = Outlook {
-            first,
-            last: first + self.pace(large).rest(self.events()),
-            price: LARGE_PRICE,
-        };
-        if !cascade::escalates(confidence, &outlook_small, &outlook_large, &aim)
-            || !self.may_run_again("confidence")
-        {
+        let reading = lease::reading(self.ask.prompt_tokens(), large.weight);
+        let first = elapsed + self.pace(large).first(reading);
+        let name = large.name.clone();
+        let small = self.outlook(small, elapsed, 0.0);
+        let large = self.outlook(large, first, LARGE_PRICE);
+        let is_better = cascade::escalates(confidence, &small, &large, &aim);
+        if !is_better || !self.may_run_again("confidence") {
             return false;
         }
         self.gateway.log.write(&Event::Escalated {
             request: &self.ask.head.id,
-            model: &self.models[largest].name,
+            model: &name,
             confidence,
-            first_ms: millis(outlook_large.first),
-            last_ms: millis(outlook_large.last),
+            first_ms: millis(large.first),
+            last_ms: millis(large.last),
         });
-        self.model = largest;
+        self.models.switch_to_largest();
         true
     }
 
-    fn pace(&self, model: &Candidate) -> Pace {
-        self.gateway.paces.lock().of(&self.service, &model.name)
-    }
-
-    fn reading(&self, model: &Candidate) -> Duration {
-        lease::reading(self.ask.prompt_tokens(), model.weight)
+    fn outlook(&self, model: &Candidate, first: Duration, price: f64) -> Outlook {
+        let events = self.models.events(self.ask.output_tokens());
+        Outlook { first, last: first + self.pace(model).rest(events), price }
     }
 
-    /// How many events the answer is likely to have.
-    fn events(&self) -> u64 {
-        self.ask.output_tokens().checked_div(u64::from(self.tokens_per_event)).unwrap_or(0)
+    fn pace(&self, model: &Candidate) -> Pace {
+        self.gateway.paces.lock().of(&self.service, &model.name)
     }
 
     /// An answer of `events` ended `took` after its first event.
     pub fn streamed(&self, version: &str, events: u32, took: Duration) {
-        if let Some(it) = self.models.get(self.model) {
+        if let Some(it) = self.models.current() {
             self.gateway.paces.lock().ended(&self.service, &it.name, events, took);
         }
         if let Some(each) = took.checked_div(events.saturating_sub(1)) {
@@ -306,7 +284,7 @@
     }
 
     fn kind(&self) -> Kind<'_> {
-        Kind { route: &self.route.name, model: self.model }
+        Kind { route: &self.route.name, model: self.models.index() }
     }
 
     async fn after(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
@@ -343,7 +321,7 @@
             return Next::Give(self.refusal(Reason::Timeout));
         }
         let now = self.gateway.now();
-        if self.gateway.poison.lock().is_poison(self.ask.fingerprint(), now) {
+        if self.gateway.poison.lock().is_poison(self.ask.fingerprint, now) {
             return Next::Give(self.refusal(Reason::Poison));
         }
         if !self.route.repeat.is_repeatable() || !self.may_run_again(failed.cause.name()) {
@@ -381,7 +359,7 @@
             return;
         }
         let now = self.gateway.now();
-        self.gateway.poison.lock().charge(self.ask.fingerprint(), endpoint, now);
+        self.gateway.poison.lock().charge(self.ask.fingerprint, endpoint, now);
         self.gateway.log.write(&Event::PoisonCharged {
             request: &self.ask.head.id,
             endpoint: endpoint.as_str(),
@@ -420,6 +398,10 @@
     /// Logs and counts its end.
     pub fn ended(&self, status: u16, outcome: &'static str, endpoint: &str, first: Duration) {
         let took = self.gateway.now().saturating_duration_since(self.ask.since);
+        if outcome == WHOLE {
+            // Endpoints that ended while they ran it had another reason, then.
+            self.gateway.poison.lock().release(self.ask.fingerprint);
+        }
         self.gateway.metrics.ended(outcome, took);
         self.gateway.log.write(&Event::Ended {
             request: &self.ask.head.id,
@@ -434,27 +416,6 @@
     }
 }
 
-/// The models that may answer, with the price of each against the dearest one's.
-fn models(
-    document: &crate::document::Document,
-    service: &str,
-    route: &Route,
-    asked: &Model,
-) -> Vec<Candidate> {
-    let names = match asked {
-        Model::None => Vec::new(),
-        Model::Any => route.models.clone(),
-        Model::Named(name) => vec![name.clone()],
-    };
-    let costs = document.services.get(service).map(|it| &it.models);
-    let dearest = costs.and_then(|it| it.values().copied().reduce(f64::max));
-    let weight = |name: &str| {
-        let cost = costs.and_then(|it| it.get(name)).copied();
-        cost.zip(dearest).map_or(1.0, |(cost, dearest)| cost / dearest.max(f64::MIN_POSITIVE))
-    };
-    names.into_iter().map(|name| Candidate { weight: weight(&name), name }).collect()
-}
-
 /// A duration in whole milliseconds.
 pub fn millis(it: Duration) -> u64 {
     u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod lease;
 pub mod metrics;
 pub mod mirror;
+pub mod models;
 pub mod pace;
 pub mod peers;
 pub mod place;
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -14,7 +14,7 @@
 use crate::{
     attempt::{Cause, Open},
     directory::Outcome,
-    job::Job,
+    job::{self, Job},
     refusal::Refusal,
     splitter::Splitter,
 };
@@ -82,7 +82,7 @@
                     let took = self.job.gateway.now().saturating_duration_since(self.since);
                     let version = self.open.as_ref().map_or("", |it| it.lease.version.as_str());
                     self.job.streamed(version, self.events, took);
-                    self.end("whole", Outcome::Answered);
+                    self.end(job::WHOLE, Outcome::Answered);
                     return Ok(None);
                 }
                 Read::Failed(cause) => cause,
--- a/crates/curranthook_gateway/src/whole.rs
+++ b/crates/curranthook_gateway/src/whole.rs
@@ -10,7 +10,7 @@
 use crate::{
     attempt::Cause,
     directory::Outcome,
-    job::Job,
+    job::{Job, WHOLE},
     refusal::{Reason, Refusal},
 };
 
@@ -31,7 +31,7 @@
                 let is_error = status.is_server_error();
                 let outcome = if is_error { Outcome::Failed } else { Outcome::Answered };
                 open.finish(&job.gateway, outcome);
-                job.ended(status.as_u16(), "whole", id.as_str(), first);
+                job.ended(status.as_u16(), WHOLE, id.as_str(), first);
                 return Ok((head, bytes));
             }
             Ok(Err(body::ReadError::TooLarge { .. })) => {
