Settings that change without a signal are noticed

Cause: the platform may change the file without SIGHUP. Change: it's looked at every five seconds. Test: settings_that_change_without_a_signal_are_noticed.

--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -13,7 +13,10 @@
     server::{Handler, Limits, Server},
     stop,
 };
-use futures_lite::{StreamExt, future::Boxed};
+use futures_lite::{
+    StreamExt,
+    future::{self, Boxed},
+};
 use http::{Request, Response};
 use hyper::body::Incoming;
 
@@ -27,6 +30,8 @@
 const LINGER: Duration = Duration::from_millis(2_600);
 /// What is kept of the time until the process is killed, to end by itself.
 const RESERVE: Duration = Duration::from_millis(400);
+/// How often the settings are looked at, as they may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(5);
 /// How often the end of the last requests is looked for.
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 /// How long a caller's connection may be idle. Callers keep theirs for less.
@@ -127,18 +132,27 @@
 }
 
 async fn wait_for_stop(gateway: &Gateway, signals: &mut Signals, reload: &mut dyn Reload) {
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => match reload.reload() {
-                Ok(changed) => gateway.log.write(&Event::Reloaded { changed: &changed }),
-                Err(e) => log::error!("the settings can't be read again: {e}"),
-            },
-            Ok(_) => return,
-            Err(e) => log::error!("a signal can't be received: {e}"),
+    loop {
+        let look = async {
+            Timer::after(SETTINGS_PERIOD).await;
+            Some(Ok(Signal::Hup))
+        };
+        match future::or(signals.next(), look).await {
+            Some(Ok(Signal::Hup)) => read_again(gateway, reload),
+            Some(Ok(_)) | None => return,
+            Some(Err(e)) => log::error!("a signal can't be received: {e}"),
         }
     }
 }
 
+fn read_again(gateway: &Gateway, reload: &mut dyn Reload) {
+    match reload.reload() {
+        Ok(changed) if changed.is_empty() => {}
+        Ok(changed) => gateway.log.write(&Event::Reloaded { changed: &changed }),
+        Err(e) => log::error!("the settings can't be read again: {e}"),
+    }
+}
+
 async fn drain(gateway: &Gateway, limit: Duration) {
     let start = gateway.now();
     while 0 < gateway.in_flight() && gateway.now().saturating_duration_since(start) < limit {
