--- a/crates/curranthook_router/src/bin/curranthook-router.rs
+++ b/crates/curranthook_router/src/bin/curranthook-router.rs
@@ -2,12 +2,10 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use anyhow::anyhow;
-use clap::{Parser, ValueEnum};
+use clap::Parser;
 use curranthook_http::runtime;
 use curranthook_router::serve;
-use curranthook_settings::{check::Finding, node};
-use flexi_logger::Logger;
+use curranthook_settings::startup::{self, Format};
 
 /// Stands between callers and model endpoints: one on each entry VM.
 #[derive(Debug, Parser)]
@@ -29,29 +27,13 @@
     log: Format,
 }
 
-#[derive(Debug, Clone, Copy, ValueEnum)]
-enum Format {
-    Text,
-    Json,
-}
-
 fn main() -> anyhow::Result<()> {
     let arguments = Arguments::parse();
-    let logger = Logger::try_with_env_or_str("info")?;
-    let logger = match arguments.log {
-        Format::Text => logger.format(flexi_logger::detailed_format),
-        Format::Json => logger.format(flexi_logger::json_format),
-    };
-    let _logger = logger.start()?;
-    let settings = node::read(&arguments.settings).map_err(listed)?;
+    let _log = startup::log(arguments.log)?;
+    let settings = startup::settings(&arguments.settings)?;
     let options = serve::Options {
         policy: arguments.policy,
         linger: Duration::from_millis(arguments.linger_ms),
     };
     runtime::run(settings.threads, |ex| serve::run(settings, options, ex))
 }
-
-fn listed(findings: Vec<Finding>) -> anyhow::Error {
-    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
-    anyhow!("the node settings have errors:\n{}", lines.join("\n"))
-}
--- a/crates/curranthook_settings/src/lib.rs
+++ b/crates/curranthook_settings/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`config::Config`] is one site's configuration after its overlay is merged in.
 //! [`document::Document`] is what the platform's table keeps: the configuration of every site
 //! under one epoch, with the state that commands change (withdrawals, drains, roll-outs).
-//! [`node::Settings`] is the small file that tells one process its addresses.
+//! [`node::Settings`] is the small file that tells one process its addresses, [`startup`] reads
+//! it and starts the log.
 
 pub mod check;
 pub mod config;
@@ -12,6 +13,7 @@
 pub mod overlay;
 pub mod rollout;
 pub mod source;
+pub mod startup;
 
 pub use config::Config;
 pub use document::Document;
--- a/crates/curranthook_steward/src/bin/curranthook-steward.rs
+++ b/crates/curranthook_steward/src/bin/curranthook-steward.rs
@@ -2,13 +2,11 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use anyhow::anyhow;
-use clap::{Parser, ValueEnum};
+use clap::Parser;
 use curranthook_http::runtime;
 use curranthook_policy::rollout::Gate;
-use curranthook_settings::{check::Finding, node};
+use curranthook_settings::startup::{self, Format};
 use curranthook_steward::serve;
-use flexi_logger::Logger;
 
 /// Does control work under leases: one beside each router, all equal.
 #[derive(Debug, Parser)]
@@ -34,21 +32,10 @@
     log: Format,
 }
 
-#[derive(Debug, Clone, Copy, ValueEnum)]
-enum Format {
-    Text,
-    Json,
-}
-
 fn main() -> anyhow::Result<()> {
     let arguments = Arguments::parse();
-    let logger = Logger::try_with_env_or_str("info")?;
-    let logger = match arguments.log {
-        Format::Text => logger.format(flexi_logger::detailed_format),
-        Format::Json => logger.format(flexi_logger::json_format),
-    };
-    let _logger = logger.start()?;
-    let settings = node::read(&arguments.settings).map_err(listed)?;
+    let _log = startup::log(arguments.log)?;
+    let settings = startup::settings(&arguments.settings)?;
     let options = serve::Options {
         router: arguments.router.unwrap_or(settings.peer_listen),
         gate: Gate {
@@ -60,8 +47,3 @@
     };
     runtime::run(1, |ex| serve::run(settings, options, ex))
 }
-
-fn listed(findings: Vec<Finding>) -> anyhow::Error {
-    let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
-    anyhow!("the node settings have errors:\n{}", lines.join("\n"))
-}
--- a/crates/curranthook_tests/src/site/builder.rs
+++ b/crates/curranthook_tests/src/site/builder.rs
@@ -6,13 +6,17 @@
 };
 
 use curranthook_platform::{Table, Write};
-use curranthook_settings::{Config, Document, config::Endpoint, document, node};
-use curranthook_standin::engine::profile::Profile;
+use curranthook_settings::{
+    Config, Document,
+    config::{Endpoint, Kind},
+    document, node,
+};
+use curranthook_standin::engine::profile::{Profile, Version};
 use curranthook_types::Epoch;
 
 use crate::standin::{Engine, Platform, Proxy, Rater, Service};
 
-use super::{Edit, NAME, Site, config};
+use super::{Edit, NAME, Site, config, offer};
 
 /// A site to be started.
 #[derive(Debug, Default)]
@@ -33,6 +37,23 @@
 }
 
 impl Builder {
+    /// Adds a cascade: `m@1`, cheap and poor, at the engine `cheap`, before `m@2`, dear and good,
+    /// at `dear`. Ratings come at once, and work of the kind `summary` needs what only `m@2`
+    /// reaches, so each answer of `m@1` is followed by the question whether to ask `m@2`.
+    pub fn poor_cascade(self) -> Self {
+        let poor = Version { quality: 0.0, ..Version::default() };
+        self.engine("cheap", &["m@1"])
+            .engine("dear", &["m@2"])
+            .profile("cheap", Profile { default: poor, ..Profile::default() })
+            .rater(0.0)
+            .config(|config| {
+                for (id, price, quality) in [("m@1", 10, 0.6), ("m@2", 1_000, 0.99)] {
+                    offer(config, id, price, quality);
+                }
+                config.kinds.insert("summary".into(), Kind { quality: 0.7, priority: 0 });
+            })
+    }
+
     /// Adds an engine that serves `versions`.
     pub fn engine(mut self, id: &str, versions: &[&str]) -> Self {
         let versions = versions.iter().map(|&it| it.to_owned()).collect();
--- a/crates/curranthook_tests/tests/allowed_versions.rs
+++ b/crates/curranthook_tests/tests/allowed_versions.rs
@@ -4,7 +4,7 @@
 
 use async_io::Timer;
 use curranthook_router::token;
-use curranthook_settings::config::{Key, Kind};
+use curranthook_settings::config::Key;
 use curranthook_standin::{
     engine::profile::{Profile, Version},
     proxy::link::Mode,
@@ -13,7 +13,6 @@
     Site,
     call::{Answer, Chat},
     executor, run,
-    site::offer,
 };
 use curranthook_types::{clock, header, refusal::Reason, refusal::Run};
 use yare::parameterized;
@@ -100,22 +99,7 @@
 #[test]
 fn a_cascade_does_not_escalate_to_a_version_that_the_account_lost() -> anyhow::Result<()> {
     run(async {
-        let poor = Version { quality: 0.0, ..Version::default() };
-        let site = Site::builder()
-            .engine("cheap", &["m@1"])
-            .engine("dear", &["m@2"])
-            .profile("cheap", Profile { default: poor, ..Profile::default() })
-            .rater(0.0)
-            .config(|config| {
-                for (id, price, quality) in [("m@1", 10, 0.6), ("m@2", 1_000, 0.99)] {
-                    offer(config, id, price, quality);
-                }
-                config.kinds.insert("summary".into(), Kind { quality: 0.7, priority: 0 });
-            })
-            .routers(1)
-            .behind_proxy()
-            .start()
-            .await?;
+        let site = Site::builder().poor_cascade().routers(1).behind_proxy().start().await?;
         let r1 = site.router("r1");
         let chat = Chat::new("main", "auto", "crate log").with_header(header::KIND, "summary");
 
--- a/crates/curranthook_tests/tests/withdrawn_version.rs
+++ b/crates/curranthook_tests/tests/withdrawn_version.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use curranthook_settings::config::Kind;
 use curranthook_standin::{
     engine::profile::{Profile, Version},
     engine::record::Outcome,
@@ -14,7 +13,6 @@
     Site,
     call::{Answer, Chat},
     eventually, executor, run,
-    site::offer,
 };
 use curranthook_types::{chat::END_MARKER, header, refusal::Reason, refusal::Run};
 use yare::parameterized;
@@ -120,22 +118,7 @@
 #[test]
 fn a_cascade_does_not_escalate_to_a_withdrawn_version() -> anyhow::Result<()> {
     run(async {
-        let poor = Version { quality: 0.0, ..Version::default() };
-        let site = Site::builder()
-            .engine("cheap", &["m@1"])
-            .engine("dear", &["m@2"])
-            .profile("cheap", Profile { default: poor, ..Profile::default() })
-            .rater(0.0)
-            .config(|config| {
-                for (id, price, quality) in [("m@1", 10, 0.6), ("m@2", 1_000, 0.99)] {
-                    offer(config, id, price, quality);
-                }
-                config.kinds.insert("summary".into(), Kind { quality: 0.7, priority: 0 });
-            })
-            .routers(1)
-            .behind_proxy()
-            .start()
-            .await?;
+        let site = Site::builder().poor_cascade().routers(1).behind_proxy().start().await?;
         let r1 = site.router("r1");
         let chat = Chat::new("main", "auto", "crate log").with_header(header::KIND, "summary");
 
