--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use curranthook_policy::poison;
+use curranthook_types::domain;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -68,6 +69,9 @@
     /// Its address for notices.
     #[serde(default)]
     pub notices: Option<SocketAddr>,
+    /// Its failure domain.
+    #[serde(default)]
+    pub domain: Option<domain::Id>,
     /// How much it can carry for others.
     #[serde(default)]
     pub capacity: f64,
--- a/crates/curranthook_gateway/src/follow.rs
+++ b/crates/curranthook_gateway/src/follow.rs
@@ -158,8 +158,14 @@
         let now = self.gateway.now();
         let own = &self.gateway.settings.node;
         let peers = self.gateway.peers.lock();
-        let nodes: Vec<_> =
-            peers.iter().map(|(name, it)| readers::Node { name, capacity: it.capacity }).collect();
+        let nodes: Vec<_> = peers
+            .iter()
+            .map(|(name, it)| readers::Node {
+                name,
+                capacity: it.capacity,
+                domain: it.domain.as_ref(),
+            })
+            .collect();
         let readers = readers::of(own, &nodes);
         let is_reader = readers.is_empty() && !readers::is_small(nodes.len());
         let is_well = |name: &&str| self.failed_readers.get(*name).is_none_or(|until| *until < now);
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -16,6 +16,7 @@
     event::Event,
     fleet::{Key, Node, Seen, log_step},
     rollouts::Rollout,
+    settings::Settings,
     steps::{self, Evidence, Phase, Step},
     store::{Commit, Committed, Error, Progress, Report, Rev, Table},
 };
@@ -69,8 +70,8 @@
     async fn announce(&self) {
         let Some(peers) = self.gateway.settings.peers else { return };
         let value = {
-            let settings = &self.gateway.settings;
-            encode(&Node { peers, notices: settings.notices, capacity: settings.capacity })
+            let Settings { notices, capacity, domain, .. } = self.gateway.settings.clone();
+            encode(&Node { peers, notices, domain: Some(domain), capacity })
         };
         let name = self.gateway.settings.node.clone();
         let key = Key::Node(&name).to_string();
--- a/crates/curranthook_gateway/src/readers.rs
+++ b/crates/curranthook_gateway/src/readers.rs
@@ -5,6 +5,7 @@
 //! wait for changes at one of those, which says how old its knowledge is.
 
 use curranthook_policy::hash;
+use curranthook_types::domain;
 
 /// Up to this many nodes, all of them read the store.
 const ALL: usize = 12;
@@ -20,6 +21,8 @@
     pub name: &'a str,
     /// How much it can carry for others.
     pub capacity: f64,
+    /// Its failure domain, if it's known.
+    pub domain: Option<&'a domain::Id>,
 }
 
 /// The readers that `node` may ask, the first choice first; none if it reads the store itself.
@@ -31,6 +34,7 @@
 /// let nodes = names.iter().enumerate().map(|(index, name)| Node {
 ///     name,
 ///     capacity: if index < 10 { 200.0 } else { 10.0 },
+///     domain: None,
 /// });
 /// let nodes: Vec<_> = nodes.collect();
 /// assert!(readers::of("node-1", &nodes[..5]).is_empty(), "a small fleet has no readers");
@@ -50,7 +54,9 @@
         return Vec::new();
     }
     let own = hash::bytes(node.as_bytes());
-    ranked.sort_by_key(|it| hash::pair(own, seed(it)));
+    let home = nodes.iter().find(|it| it.name == node).and_then(|it| it.domain);
+    // Rows are sent to each follower; what crosses failure domains is charged for.
+    ranked.sort_by_key(|it| (home != it.domain, hash::pair(own, seed(it))));
     ranked.into_iter().map(|it| it.name).collect()
 }
 
