--- a/crates/curranthook_gateway/src/follow.rs
+++ b/crates/curranthook_gateway/src/follow.rs
@@ -223,22 +223,28 @@
         }
         if self.table == Table::Operator {
             peers::ask(&self.gateway).await;
-        } else if self.is_away {
+        } else if self.is_away && self.since.is_some() {
             // One call after the other shows whether the store is back; the operators' does.
+            // What was never read is asked for all the same, as the node serves nobody without it.
             let returned = self.returned.signal.wait();
+            let pause = spread(AWAY_PAUSE);
             future::or(returned, async {
-                Timer::after(AWAY_PAUSE).await;
+                Timer::after(pause).await;
             })
             .await;
             return;
         }
         let pause = (FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(MAX_PAUSE);
-        // Spread, so that the nodes don't all come back to the store at the same moment.
-        let spread = rand::rng().random_range(0.7..1.3);
-        Timer::after(pause.mul_f64(spread)).await;
+        Timer::after(spread(pause)).await;
     }
 }
 
+/// A pause of about that length. Nodes that all paused alike would come back to the store at the
+/// same moment, be turned away as too many, and pause alike again.
+fn spread(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.6..1.4))
+}
+
 /// A table's name in logs.
 pub fn name(table: Table) -> &'static str {
     match table {
