Failures of one kind of request condemn a version among many good answers

Ruled out: evidence that was lost. Change: the margin is 0.03 and three bad answers do, with 3.3 standard errors as before; a larger share needs a version that isn't above the old one by more than 1.5 standard errors. Test: failures_of_one_kind_of_request_are_found_among_many_good_answers, seen to fail. a_doubtful_version_goes_no_further asked for no step at 3 failures of 6; they condemn the version now, so it asks for that, and for no step at 2 of 6: as strict. What a plain service fails anyway still speaks against nobody (its test is unchanged).

--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -77,9 +77,11 @@
 /// How many answers of the new version a larger share needs, and how many its use by all.
 const MIN_ANSWERS: (u64, u64) = (5, 8);
 /// How many bad answers speak against a version; fewer may be chance.
-const MIN_BAD: u64 = 4;
+const MIN_BAD: u64 = 3;
 /// By how much its share of bad answers must be above the old version's.
-const BAD_MARGIN: f64 = 0.1;
+const BAD_MARGIN: f64 = 0.03;
+/// How many standard errors above the old version's it may be for a larger share.
+const DOUBTFUL: f64 = 1.5;
 
 /// How far a roll-out is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -248,7 +250,8 @@
     /// Whether enough answers are known, and not clearly more of them are bad than the old
     /// version's. A version may be neither good nor bad for a while.
     fn seems_good(self, min_answers: u64) -> bool {
-        min_answers <= self.new.answers && self.new.bad_share() - self.old.bad_share() < BAD_MARGIN
+        let (shift, error) = self.bad_shift();
+        min_answers <= self.new.answers && (shift < BAD_MARGIN || shift < DOUBTFUL * error)
     }
 
     /// How many times longer than the old version's the new one's first events take.
@@ -272,12 +275,18 @@
     }
 
     fn fails(self) -> bool {
+        let (shift, error) = self.bad_shift();
+        MIN_BAD <= self.new.bad && BAD_MARGIN < shift && SURE * error < shift
+    }
+
+    /// By how much the new version's share of bad answers is above the old one's, and the standard
+    /// error of that.
+    fn bad_shift(self) -> (f64, f64) {
         let shift = self.new.bad_share() - self.old.bad_share();
         let both = self.new.plus(self.old).bad_share();
         let answers = |it: Counts| (it.answers as f64).max(1.0);
         let per_answer = 1.0 / answers(self.new) + 1.0 / answers(self.old);
-        let error = (both * (1.0 - both) * per_answer).sqrt();
-        MIN_BAD <= self.new.bad && BAD_MARGIN < shift && SURE * error < shift
+        (shift, (both * (1.0 - both) * per_answer).sqrt())
     }
 }
 
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -118,10 +118,12 @@
 #[test]
 fn a_doubtful_version_goes_no_further() {
     let (plan, order) = (Plan::new(0.15), order(Duration::from_secs(24)));
-    let doubtful = Evidence { new: counts(6, 3), old: counts(96, 0) };
+    let doubtful = Evidence { new: counts(6, 2), old: counts(96, 0) };
+    let worse = Evidence { new: counts(6, 3), old: counts(96, 0) };
     for phase in [Phase::Canary, Phase::Partial] {
-        let late = Duration::from_secs(23);
-        assert_eq!(steps::due(&plan, &order, &step(phase, Duration::ZERO), doubtful, late), None);
+        let (late, at) = (Duration::from_secs(23), step(phase, Duration::ZERO));
+        assert_eq!(steps::due(&plan, &order, &at, doubtful, late), None);
+        assert_eq!(steps::due(&plan, &order, &at, worse, late), Some(Phase::RolledBack));
     }
     let few = Evidence { new: counts(7, 0), old: counts(96, 0) };
     let partial = step(Phase::Partial, Duration::ZERO);
@@ -147,3 +149,20 @@
     }
     assert_eq!(rollouts.rule("models", 7), Rule::Not("v2".to_owned()));
 }
+
+/// A version fails at one kind of request only, so few of all its answers are failures; the old
+/// version has none at all. Taken for good, it would go on failing that kind for everybody.
+#[test]
+fn failures_of_one_kind_of_request_are_found_among_many_good_answers() {
+    let (plan, order) = (Plan::new(0.15), order(Duration::from_secs(24)));
+    let late = Duration::from_secs(23);
+    let one = Evidence { new: counts(33, 3), old: counts(333, 0) };
+    assert!(one.is_bad());
+    let canary = step(Phase::Canary, Duration::ZERO);
+    let doubtful = Evidence { new: counts(11, 1), old: counts(120, 0) };
+    assert!(!doubtful.is_bad());
+    assert_eq!(steps::due(&plan, &order, &canary, doubtful, late), None);
+    // One failure among very many is no reason to wait.
+    let fine = Evidence { new: counts(90, 1), old: counts(900, 2) };
+    assert_eq!(steps::due(&plan, &order, &canary, fine, late), Some(Phase::Partial));
+}
