Connections that wait for an answer are probed, a second apart

Keep-alive probes were meant to find it, but the kernel takes whole seconds: 600 ms became 0, the call to set it failed, and its error was dropped. What was found was found by unacknowledged bytes or by the silence of a stream that had begun. Ruled out: the endpoint's queue (others there were told by silence at 7.9 s). Change: probes after one second, one may stay unanswered; an option that can't be set gives a log line.

--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -36,8 +36,8 @@
 
 /// How many requests the register of poison requests remembers.
 const POISON_CAPACITY: usize = 4_096;
-/// How long sent bytes or probes may stay unanswered before a connection is given up. An
-/// endpoint, peer or store without power is noticed after this; a busy one still acknowledges.
+/// How long sent bytes may stay unacknowledged before a connection is given up. An endpoint, peer
+/// or store without power is noticed after this; a busy one still acknowledges.
 const UNACKED: Duration = Duration::from_millis(1_200);
 /// How long a connection attempt may take: many round trips between failure domains, and less
 /// than the second after which the system would send its first packet again.
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -34,8 +34,11 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long sent bytes may stay unacknowledged before the kernel gives a connection up.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection may hear nothing before it's probed, and how long a probe may stay
+/// unanswered. The kernel takes whole seconds: of less it keeps none, and probes after two hours.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// How many keep-alive probes in a row may stay unanswered.
-const PROBES: u32 = 2;
+const PROBES: u32 = 1;
 
 /// Which connections will do for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +51,13 @@
     New,
 }
 
+/// Whether connections that wait for an answer are probed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Probing {
+    On,
+    Off,
+}
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -145,7 +155,7 @@
     connect_timeout: Duration,
     unacked_timeout: Duration,
     /// The time between keep-alive probes; none are sent without it.
-    probe_interval: Option<Duration>,
+    probing: Probing,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     /// When the newest connection that was answered had been opened.
     answered: Mutex<HashMap<SocketAddr, Instant>>,
@@ -160,7 +170,7 @@
             clock,
             connect_timeout: CONNECT_TIMEOUT,
             unacked_timeout: UNACKED_TIMEOUT,
-            probe_interval: None,
+            probing: Probing::Off,
             idle: Mutex::default(),
             answered: Mutex::default(),
         }
@@ -171,13 +181,12 @@
         Self { connect_timeout, ..self }
     }
 
-    /// Gives connections up after this long without an acknowledgement, of sent bytes or of
-    /// probes on a connection that is waiting. Without it, a call that waits on a host that lost
-    /// its power or is cut off hangs until its own limit; with it, the call fails and can be made
-    /// elsewhere while there is time.
+    /// Gives connections up after this long without an acknowledgement of sent bytes, and after
+    /// [`PROBES`] probes without an answer on a connection that is waiting. Without it, a call that
+    /// waits on a host that lost its power or is cut off hangs until its own limit; with it, the
+    /// call fails within two seconds and can be made elsewhere while there is time.
     pub fn with_liveness(self, unacked_timeout: Duration) -> Self {
-        let probe_interval = Some(unacked_timeout / PROBES);
-        Self { unacked_timeout, probe_interval, ..self }
+        Self { unacked_timeout, probing: Probing::On, ..self }
     }
 
     /// Lends a connection to `addr`.
@@ -249,21 +258,29 @@
         None
     }
 
+    fn configure(&self, stream: &std::net::TcpStream) -> io::Result<()> {
+        let socket = socket2::SockRef::from(stream);
+        socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_user_timeout(Some(self.unacked_timeout))?;
+        if self.probing == Probing::On {
+            let probes = socket2::TcpKeepalive::new()
+                .with_time(PROBE_INTERVAL)
+                .with_interval(PROBE_INTERVAL)
+                .with_retries(PROBES);
+            socket.set_tcp_keepalive(&probes)?;
+        }
+        Ok(())
+    }
+
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
         let opened = self.clock.now();
         let failed = |kind, why: String| Error::Connect { addr, kind, why };
         let dial = timeout::run(self.connect_timeout, Async::<std::net::TcpStream>::connect(addr));
         let dialled = dial.await.map_err(|e| failed(io::ErrorKind::TimedOut, e.to_string()))?;
         let stream = dialled.map_err(|e| failed(e.kind(), e.to_string()))?;
-        let socket = socket2::SockRef::from(stream.get_ref());
-        let _best_effort = socket.set_tcp_nodelay(true);
-        let _best_effort = socket.set_tcp_user_timeout(Some(self.unacked_timeout));
-        if let Some(interval) = self.probe_interval {
-            let probes = socket2::TcpKeepalive::new()
-                .with_time(interval)
-                .with_interval(interval)
-                .with_retries(PROBES);
-            let _best_effort = socket.set_tcp_keepalive(&probes);
+        if let Err(e) = self.configure(stream.get_ref()) {
+            // Calls still work, but a silent host is noticed late.
+            log::warn!("a connection to {addr} can't be configured: {e}");
         }
         let (sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
