Requests wait for the first configuration of a node that starts

Cause: a process that starts listens before it has read the store, and refused what came in that tenth of a second, to come back 0.2 s later. Ruled out: endpoints (no request was refused once tables were read). Change: requests wait up to 0.4 s from the start of the process for the first read. Later the store counts as away: refused at once, to come back after twice the time that the node has been without it, from 1 s to 5 s.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -23,9 +23,6 @@
         let mut mirror = gateway.mirror.lock();
         if is_whole { mirror.replace(table, batch) } else { mirror.merge(table, batch) }
     };
-    if !news.is_empty() {
-        gateway.changed.wake();
-    }
     for row in &news {
         match table {
             Table::Operator => operator(gateway, row, from),
@@ -37,6 +34,11 @@
         let n = gateway.directory.lock().len();
         gateway.metrics.endpoints.set(i64::try_from(n).unwrap_or(i64::MAX));
     }
+    // Last, as whoever is woken looks at what was taken in. The first read of a table counts even
+    // if that is empty: requests may be waiting for it.
+    if !news.is_empty() || is_whole {
+        gateway.changed.wake();
+    }
 }
 
 fn operator(gateway: &Arc<Gateway>, row: &Row, from: &str) {
--- a/crates/curranthook_gateway/src/front.rs
+++ b/crates/curranthook_gateway/src/front.rs
@@ -15,16 +15,13 @@
     gateway::Current,
     job::{Job, millis},
     refusal::{Ran, Reason, Refusal},
-    stream, whole,
+    starting, stream, whole,
 };
 
 /// How long callers wait that don't say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// How long a body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// When to come back to a node that has no configuration yet: it has one 0.13 s after its start if
-/// the store is up.
-const RETRY_NOT_READY: Duration = Duration::from_millis(200);
 /// When to come back to a fleet of which this node is leaving: at once, to another node.
 const RETRY_STOPPING: Duration = Duration::from_millis(50);
 
@@ -85,8 +82,9 @@
             log::debug!("a caller's head can't be read: {e}");
             refuse(Reason::Invalid)
         })?;
+        starting::wait(gateway).await;
         let Some(current) = gateway.current.load_full() else {
-            return Err(refuse(Reason::NotReady).with_retry_after(RETRY_NOT_READY));
+            return Err(starting::refusal(gateway));
         };
         // Before the body: whoever may not call at all isn't read any further.
         admit(&current, &head)?;
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -105,6 +105,8 @@
     pub changed: Signal,
     /// Other nodes, by name.
     pub peers: Mutex<HashMap<String, fleet::Node>>,
+    /// When the process started.
+    pub started: Instant,
     stopping: AtomicBool,
     in_flight: AtomicUsize,
 }
@@ -132,6 +134,7 @@
     /// A node that knows nothing yet.
     pub fn new(parts: Parts, settings: Settings) -> Arc<Self> {
         let Parts { ex, clock, dialect, decoder, store, log } = parts;
+        let started = clock.now();
         let pool = Pool::new(Arc::clone(&ex), Arc::clone(&clock));
         let pool = pool.with_connect_timeout(CONNECT).with_liveness(UNACKED);
         Arc::new(Self {
@@ -156,6 +159,7 @@
             waiting_changed: Signal::default(),
             changed: Signal::default(),
             peers: Mutex::default(),
+            started,
             stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         })
@@ -173,7 +177,12 @@
 
     /// Whether it takes new callers.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.current.load().is_some() && self.mirror.lock().is_read()
+        !self.is_stopping() && self.is_serving()
+    }
+
+    /// Whether it knows all that it needs to serve requests.
+    pub fn is_serving(&self) -> bool {
+        self.current.load().is_some() && self.mirror.lock().is_read()
     }
 
     /// Whether it was told to stop.
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! A request is a value that passes stages:
 //!
 //! - [`front`]: from the caller's connection to a [`job`], by the [`document`] in force;
+//! - [`starting`]: the wait for the first configuration;
 //! - [`job`]: the attempts at it, within the [`budget`] for repeats;
 //! - [`rollouts`], [`cascade`], [`place`]: which version, model and endpoint take it;
 //! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`board`] has what
@@ -51,6 +52,7 @@
 pub mod settings;
 pub mod signal;
 pub mod splitter;
+pub mod starting;
 pub mod steps;
 pub mod store;
 pub mod stream;
