--- a/crates/curranthook_http/tests/liveness.rs
+++ b/crates/curranthook_http/tests/liveness.rs
@@ -21,7 +21,7 @@
 fn a_connection_that_waits_is_probed_within_a_second() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
-    let pool = Pool::new(runtime::start(1), Arc::new(clock::System::default()))
+    let pool = Pool::new(runtime::start(1), Arc::new(clock::System))
         .with_liveness(Duration::from_millis(1_200));
     let take = timeout::run(LIMIT, pool.take(addr, Freshness::New));
     let _conn = async_io::block_on(take).unwrap().unwrap();
