Roll-outs leave time for a step that is late

Cause: the last step was due at 0.97 of the time from the first step, not from the order; an order heard 0.6 s late, or a first node that was cut off (0.4 s for each that follows), made it late. Bad versions met so few requests before 0.65 of the time that a store that went away then left no verdict. Ruled out: doubt about the version (evidence was good at each late step). Change: the time counts from when the order was heard; nodes follow each other after 0.2 s; the first requests go to the new version from 0.54 of the time on, fewer for longer; a third of the bound is left at the end. All phases and the rest use 0.95 of the bound. Test: a_version_that_seems_good_stays_within_the_bound now allows the bound itself, not 0.03 more.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -60,7 +60,8 @@
         }
         Ok(Operator::Order(order)) => {
             let service = order.service.clone();
-            gateway.rollouts.lock().ordered(order, row.rev);
+            let heard = gateway.mirror.lock().store_time(gateway.now());
+            gateway.rollouts.lock().ordered(order, row.rev, heard);
             // Steps of this order may have been read before it.
             fleet::reread(gateway, &service);
         }
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -24,7 +24,7 @@
 /// How often it's looked at what is to be written.
 const PERIOD: Duration = Duration::from_millis(250);
 /// By how much the nodes stagger a step, so that one takes it and the others see it taken.
-const STAGGER: Duration = Duration::from_millis(400);
+const STAGGER: Duration = Duration::from_millis(200);
 /// How many nodes stagger apart; later ones share the last place.
 const MAX_RANK: usize = 8;
 /// After how long a step is tried again that couldn't be written.
@@ -131,7 +131,8 @@
         let service = &it.order.service;
         let (began, expected) = match &it.step {
             Some((step, rev)) => (step.began, *rev),
-            None => (now, self.row_rev(service)),
+            // Nodes whose place is later take this step later; the time they had the order counts.
+            None => (it.heard.unwrap_or(now), self.row_rev(service)),
         };
         let target = it.order.target.clone();
         let step = Step { order: it.order_rev, target, phase, began, since: now };
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -46,6 +46,8 @@
     pub order: Order,
     /// The revision of the order, which tells orders apart.
     pub order_rev: Rev,
+    /// When this node heard of the order, by the store's clock; none if that isn't known.
+    pub heard: Option<Duration>,
     /// The newest step and its revision; none if none was taken.
     pub step: Option<(Step, Rev)>,
     /// What this node saw.
@@ -99,8 +101,8 @@
         &self.plan
     }
 
-    /// Takes in an order.
-    pub fn ordered(&mut self, order: Order, rev: Rev) {
+    /// Takes in an order, heard of when the store's clock said `heard`.
+    pub fn ordered(&mut self, order: Order, rev: Rev, heard: Option<Duration>) {
         let known = self.services.get(&order.service);
         if known.is_some_and(|it| rev <= it.order_rev) {
             return;
@@ -110,6 +112,7 @@
         let rollout = Rollout {
             order,
             order_rev: rev,
+            heard,
             step,
             own: Evidence::default(),
             others: HashMap::new(),
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -23,14 +23,19 @@
     exposure: f64,
 }
 
-/// When the old version is given up, as a part of the time. What is left covers a lost write.
-const COMPLETE_AT: f64 = 0.97;
-/// For which part of the time all requests go to the new version, in units of the bound.
-const FULL: f64 = 0.6;
+/// How much of the time is left when the old version is given up, in units of the bound. It covers
+/// an order that is heard late, a step whose node is lost, and a lost write; requests in it count
+/// as met by the new version, too.
+const REST: f64 = 0.33;
+/// For which part of the time all requests go to the new version before that, in units of the bound.
+/// At 24 s and a bound of 0.15 these are 1.6 s, in which most answers of the old version end.
+const FULL: f64 = 0.45;
 /// Which share of the requests goes there before, in units of the bound, and for how long.
-const PARTIAL: (f64, f64) = (1.5, 0.1);
-/// The same for the first requests. Together the phases use 0.82 of a bound of 0.15.
-const CANARY: (f64, f64) = (0.5, 0.13);
+const PARTIAL: (f64, f64) = (1.2, 0.08);
+/// The same for the first requests, from 0.54 of the time on for a bound of 0.15. Few for long
+/// rather than many for a short time: a version that fails is found before the time is short, also
+/// if the store goes away meanwhile. All phases together use 0.95 of the bound.
+const CANARY: (f64, f64) = (0.3, 0.26);
 
 impl Plan {
     /// A schedule for a bound on exposure.
@@ -55,21 +60,22 @@
         }
     }
 
-    /// The share of all requests until the end of the order's time that go to the new version
-    /// before the old one is given up.
+    /// The share of all requests until the end of the order's time that go to the new version, if
+    /// nothing speaks against it.
     pub fn exposure(&self) -> f64 {
-        self.exposure * (CANARY.0 * CANARY.1 + PARTIAL.0 * PARTIAL.1 + FULL)
+        self.exposure * (CANARY.0 * CANARY.1 + PARTIAL.0 * PARTIAL.1 + FULL + REST)
     }
 
     /// When a phase begins, as a part of the time that the order allows.
     fn begins(&self, phase: Phase) -> f64 {
-        let full = COMPLETE_AT - FULL * self.exposure;
+        let completed = 1.0 - REST * self.exposure;
+        let full = completed - FULL * self.exposure;
         match phase {
             Phase::Waiting | Phase::RolledBack => 0.0,
             Phase::Canary => full - PARTIAL.1 - CANARY.1,
             Phase::Partial => full - PARTIAL.1,
             Phase::Full => full,
-            Phase::Completed => COMPLETE_AT,
+            Phase::Completed => completed,
         }
     }
 }
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -54,7 +54,7 @@
         }
     }
     assert_eq!(now.phase, Phase::Completed, "it's done in time");
-    assert!(met < bound + 0.03, "{met} of all requests met it");
+    assert!(met <= bound, "{met} of all requests met it");
     assert!(plan.exposure() < bound);
     assert_eq!(early, 0.0, "sessions keep their version in the first half");
 }
@@ -135,7 +135,7 @@
 #[test]
 fn a_node_that_sees_failures_stops_by_itself() {
     let mut rollouts = Rollouts::new(Plan::new(0.15));
-    rollouts.ordered(order(Duration::from_secs(24)), Rev(1));
+    rollouts.ordered(order(Duration::from_secs(24)), Rev(1), None);
     assert!(rollouts.stepped("models", step(Phase::Full, Duration::ZERO), Rev(2)));
     assert_eq!(rollouts.rule("models", 7), Rule::Only("v2".to_owned()));
     let kind = Kind { route: "r", model: 0 };
