--- a/crates/curranthook_gateway/src/ask.rs
+++ b/crates/curranthook_gateway/src/ask.rs
@@ -103,13 +103,12 @@
     /// The tokens of the parts that it shares.
     pub fn shared_tokens(&self) -> u64 {
         let shared = self.head.parts.split_last().map_or(&[][..], |(_own, shared)| shared);
-        shared.iter().map(|it| it.tokens).sum()
+        sum(shared)
     }
 
     /// All tokens of its prompt.
     pub fn prompt_tokens(&self) -> u64 {
-        let parts: u64 = self.head.parts.iter().map(|it| it.tokens).sum();
-        self.head.tokens.map_or(parts, |it| it.prompt)
+        self.head.tokens.map_or_else(|| sum(&self.head.parts), |it| it.prompt)
     }
 
     /// How many tokens are likely to be generated.
@@ -122,6 +121,11 @@
     }
 }
 
+/// The tokens of all parts. A caller may claim any number for each.
+fn sum(parts: &[Part]) -> u64 {
+    parts.iter().fold(0, |sum, it| sum.saturating_add(it.tokens))
+}
+
 fn fingerprint(head: &Head, body: &[u8]) -> Fingerprint {
     let mut sum = Sha256::new();
     sum.update(head.host.as_bytes());
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -114,7 +114,8 @@
     pub fn busy(&self, now: Instant) -> u32 {
         match self.load {
             Some((load, at, then)) if now.saturating_duration_since(at) < LOAD_EXPIRY => {
-                (load.running + load.waiting).saturating_sub(then).saturating_add(self.in_flight)
+                let told = load.running.saturating_add(load.waiting);
+                told.saturating_sub(then).saturating_add(self.in_flight)
             }
             _ => self.in_flight,
         }
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -162,7 +162,7 @@
 
     fn silence(&self) -> Duration {
         let pause = self.job.route.gap.unwrap_or_default();
-        (pause * SILENT_PAUSES).max(MIN_SILENCE)
+        pause.saturating_mul(SILENT_PAUSES).max(MIN_SILENCE)
     }
 }
 
