Nodes of a large fleet ask the keepers of a few engines before they place a request

Cause: above 12 nodes nobody saw what others had sent to an engine. Change: each endpoint has a keeper, the same at all nodes by rendezvous hashing. Nodes tell keepers what they have waiting and ask those of the four best candidates before they place a request for a model; without an answer in 15 ms they go by what they know. board, notices and keepers are apart now.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -92,6 +92,7 @@
     let Some(value) = &row.value else {
         if let Key::Node(name) = key {
             gateway.peers.lock().remove(name);
+            gateway.keepers.lock().set(name, None);
         }
         return;
     };
@@ -110,6 +111,7 @@
     match key {
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
+            gateway.keepers.lock().set(name, node.notices);
             gateway.peers.lock().insert((*name).to_owned(), node);
         }
         Key::Step(service) => {
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -24,8 +24,10 @@
     document::Document,
     event::Log,
     fleet,
+    keepers::Keepers,
     metrics::Metrics,
     mirror::Mirror,
+    notices::Notices,
     pace::Paces,
     rollouts::Rollouts,
     settings::Settings,
@@ -99,6 +101,10 @@
     pub mirror: Mutex<Mirror>,
     /// What other nodes have waiting at endpoints.
     pub board: Mutex<Board>,
+    /// Who is told of it in a large fleet.
+    pub keepers: Mutex<Keepers>,
+    /// The datagrams between nodes; none if the node has no address for them.
+    pub notices: OnceLock<Arc<Notices>>,
     /// Wakes whoever tells other nodes what this one has waiting.
     pub waiting_changed: Signal,
     /// Wakes peers that wait for rows.
@@ -156,6 +162,8 @@
             paces: Mutex::default(),
             mirror: Mutex::default(),
             board: Mutex::default(),
+            keepers: Mutex::default(),
+            notices: OnceLock::new(),
             waiting_changed: Signal::default(),
             changed: Signal::default(),
             peers: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -18,6 +18,7 @@
     gateway::{Current, InFlight},
     lease::{self, Lease, Wanted},
     models::{Candidate, Models},
+    notices,
     pace::Pace,
     refusal::{Ran, Reason, Refusal},
     rollouts::Kind,
@@ -119,7 +120,7 @@
             if self.time_left().is_zero() {
                 return Err(self.refusal(Reason::Timeout));
             }
-            let lease = self.place()?;
+            let lease = self.place().await?;
             let (id, version) = (lease.id.clone(), lease.version.clone());
             let started = self.gateway.now();
             match self.attempt(lease).await {
@@ -155,7 +156,7 @@
         }
     }
 
-    fn place(&mut self) -> Result<Lease, Refusal> {
+    async fn place(&mut self) -> Result<Lease, Refusal> {
         let session = self.session();
         let rule = self.gateway.rollouts.lock().rule(&self.service, session);
         let model = self.models.current();
@@ -170,7 +171,12 @@
             weight: model.map(|it| it.weight),
             salt: hash::bytes(self.ask.head.id.as_bytes()),
         };
-        let lease = Lease::take(&self.gateway, &wanted);
+        let shortlist = lease::shortlist(&self.gateway, &wanted);
+        let heard = match shortlist.is_empty() {
+            true => lease::Heard::new(),
+            false => notices::ask(&self.gateway, shortlist).await,
+        };
+        let lease = Lease::take(&self.gateway, &wanted, &heard);
         lease.ok_or_else(|| self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY))
     }
 
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -1,17 +1,21 @@
 //! The endpoint that a request goes to, and the account that is kept of it there.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use curranthook_policy::hash;
 use curranthook_types::endpoint;
 
 use crate::{
-    Gateway,
-    board::Board,
-    cascade,
+    Gateway, cascade,
     dialect::Load,
     directory::{Outcome, Tracked},
     place::{self, Candidate, Distance, Work},
+    readers,
     rollouts::Rule,
 };
 
@@ -23,6 +27,13 @@
 /// How long a plain service works on a request, about.
 const PLAIN_WORK: Duration = Duration::from_millis(50);
 
+/// Of how many endpoints other nodes are asked before a request is placed. With four, the three
+/// that aren't its home help where that is busy; each more costs two datagrams a request.
+const SHORTLIST: usize = 4;
+
+/// The work that other nodes have waiting, by endpoint.
+pub type Heard = HashMap<endpoint::Id, Duration>;
+
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -48,6 +59,10 @@
     fn reading(&self, tokens: u64) -> Duration {
         reading(tokens, self.weight.unwrap_or(0.0))
     }
+
+    fn work(&self) -> Work {
+        Work { subject: self.subject, shared: self.reading(self.shared_tokens), salt: self.salt }
+    }
 }
 
 /// How long a model of that weight takes to read a prompt.
@@ -72,34 +87,21 @@
 }
 
 impl Lease {
-    /// The best endpoint for a request, if there is one.
-    pub fn take(gateway: &Arc<Gateway>, wanted: &Wanted<'_>) -> Option<Self> {
+    /// The best endpoint for a request, if there is one. `heard` is what other nodes have waiting
+    /// at some endpoints; if it says anything, those are the ones to choose from.
+    pub fn take(gateway: &Arc<Gateway>, wanted: &Wanted<'_>, heard: &Heard) -> Option<Self> {
         let now = gateway.now();
         let mut directory = gateway.directory.lock();
         directory.sweep(now);
-        let found = {
+        let (entry, busy, pending) = {
             let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
-            let list = eligible(&all, wanted, now);
-            let affinity = gateway.affinity.lock();
-            let board = gateway.board.lock();
-            let offers: Vec<_> = list
-                .iter()
-                .map(|it| Candidate {
-                    seed: it.seed,
-                    wait: wait(it, wanted, &board, now),
-                    failures: it.failures,
-                    distance: distance(gateway, it),
-                    holds_parts: wanted
-                        .subject
-                        .is_some_and(|subject| affinity.holds(subject, &it.entry.id, now)),
-                })
-                .collect();
-            let work = Work {
-                subject: wanted.subject,
-                shared: wanted.reading(wanted.shared_tokens),
-                salt: wanted.salt,
-            };
-            let index = place::choose(&offers, &work)?;
+            let mut list = eligible(&all, wanted, now);
+            if list.iter().any(|it| heard.contains_key(&it.entry.id)) {
+                // Of the others nobody knows how busy they are; they'd seem idle.
+                list.retain(|it| heard.contains_key(&it.entry.id));
+            }
+            let offers = offers(gateway, &list, wanted, heard, now);
+            let index = place::choose(&offers, &wanted.work())?;
             let (it, offer) = (list[index], offers[index]);
             let tokens = match offer.holds_parts {
                 true => wanted.prompt_tokens.saturating_sub(wanted.shared_tokens),
@@ -107,7 +109,6 @@
             };
             (it.entry.clone(), it.busy(now), wanted.reading(tokens))
         };
-        let (entry, busy, pending) = found;
         directory.started(&entry.id, pending);
         gateway.waiting_changed.wake();
         if let Some(subject) = wanted.subject {
@@ -146,13 +147,50 @@
     }
 }
 
+/// The endpoints of which other nodes are asked before a request is placed, the best first by what
+/// this node knows; none in a small fleet, whose nodes tell each other.
+pub fn shortlist(gateway: &Gateway, wanted: &Wanted<'_>) -> Vec<endpoint::Id> {
+    if wanted.weight.is_none() || readers::is_small(gateway.n_nodes()) {
+        return Vec::new();
+    }
+    let now = gateway.now();
+    let directory = gateway.directory.lock();
+    let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
+    let list = eligible(&all, wanted, now);
+    let offers = offers(gateway, &list, wanted, &Heard::new(), now);
+    let best = place::best(&offers, &wanted.work(), SHORTLIST);
+    best.into_iter().map(|it| list[it].entry.id.clone()).collect()
+}
+
+fn offers(
+    gateway: &Gateway,
+    list: &[&Tracked],
+    wanted: &Wanted<'_>,
+    heard: &Heard,
+    now: Instant,
+) -> Vec<Candidate> {
+    let affinity = gateway.affinity.lock();
+    let board = gateway.board.lock();
+    let own = &gateway.settings.node;
+    let of_others = |id: &endpoint::Id| {
+        let heard = heard.get(id).copied();
+        heard.unwrap_or_else(|| board.waiting(id, own, now))
+    };
+    let holds =
+        |id: &endpoint::Id| wanted.subject.is_some_and(|subject| affinity.holds(subject, id, now));
+    let offer = |it: &&Tracked| Candidate {
+        seed: it.seed,
+        wait: wait(it, wanted, of_others(&it.entry.id), now),
+        failures: it.failures,
+        distance: distance(gateway, it),
+        holds_parts: holds(&it.entry.id),
+    };
+    list.iter().map(offer).collect()
+}
+
 /// The endpoints to choose from. Whoever was tried, is left alone or runs a version that the
 /// request shouldn't go to is taken only if there is nobody else.
-fn eligible<'a>(
-    all: &[&'a Tracked],
-    wanted: &Wanted<'_>,
-    now: std::time::Instant,
-) -> Vec<&'a Tracked> {
+fn eligible<'a>(all: &[&'a Tracked], wanted: &Wanted<'_>, now: Instant) -> Vec<&'a Tracked> {
     let is_allowed = |it: &Tracked| wanted.rule.allows(&it.entry.version);
     let is_new = |it: &Tracked| !wanted.tried.contains(&it.entry.id);
     let select = |keep: &dyn Fn(&Tracked) -> bool| -> Vec<&'a Tracked> {
@@ -182,10 +220,10 @@
     }
 }
 
-fn wait(it: &Tracked, wanted: &Wanted<'_>, board: &Board, now: std::time::Instant) -> Duration {
+fn wait(it: &Tracked, wanted: &Wanted<'_>, of_others: Duration, now: Instant) -> Duration {
     let busy = it.busy(now);
     if let Some(weight) = wanted.weight {
-        let waiting = it.pending + board.waiting(&it.entry.id, now);
+        let waiting = it.pending + of_others;
         // Small models go first at an engine and wait for what is being read just then only.
         let waiting = if weight < cascade::LARGE_WEIGHT { waiting / 8 } else { waiting };
         return waiting + PER_RUNNING * busy;
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -6,8 +6,8 @@
 //! - [`starting`]: the wait for the first configuration;
 //! - [`job`]: the attempts at it, within the [`budget`] for repeats;
 //! - [`rollouts`], [`cascade`], [`place`]: which version, model and endpoint take it;
-//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`board`] has what
-//!   other nodes sent there;
+//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`notices`] tells what
+//!   other nodes sent there, by the [`board`] or, in a large fleet, by its [`keepers`];
 //! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
 //! [`place`], [`cascade`], [`pace`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
@@ -37,11 +37,13 @@
 pub mod front;
 pub mod gateway;
 pub mod job;
+pub mod keepers;
 pub mod lead;
 pub mod lease;
 pub mod metrics;
 pub mod mirror;
 pub mod models;
+pub mod notices;
 pub mod pace;
 pub mod peers;
 pub mod place;
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
     store: Family<StoreLabels, Counter>,
+    questions: Family<Label, Counter>,
     first_byte: Histogram,
     whole: Histogram,
     /// The version of the configuration in force.
@@ -62,6 +63,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             store: Family::default(),
+            questions: Family::default(),
             first_byte: buckets(),
             whole: buckets(),
             configuration: Gauge::default(),
@@ -81,6 +83,8 @@
         all.register("refusals", "Requests ended by the node, by reason", self.refusals.clone());
         all.register("retries", "Further attempts, by reason", self.retries.clone());
         all.register("store_calls", "Calls to the store", self.store.clone());
+        let help = "Questions about work waiting at endpoints, by result";
+        all.register("questions", help, self.questions.clone());
         let unit = Unit::Seconds;
         let help = "Time to the first byte of an answer";
         all.register_with_unit("first_byte", help, unit.clone(), self.first_byte.clone());
@@ -131,6 +135,11 @@
         self.store.get_or_create(&StoreLabels { table, result }).inc();
     }
 
+    /// Counts a question about the work that waits at endpoints: answered in time, or not.
+    pub fn asked(&self, result: &'static str) {
+        self.questions.get_or_create(&Label { name: result }).inc();
+    }
+
     /// All of them as text.
     ///
     /// ```
--- /dev/null
+++ b/crates/curranthook_gateway/src/notices.rs
@@ -0,0 +1,248 @@
+//! The datagrams by which nodes know of each other's work at engines.
+//!
+//! In a small fleet each node tells all others what it has waiting. In a large one it tells only
+//! the [`keepers`] of the endpoints concerned, and asks the keepers of a few candidates before it
+//! places a request. A lost datagram is made good by the next; a question without an answer costs
+//! [`ANSWER_TIMEOUT`], and the request is placed by what its node knows itself.
+//!
+//! [`keepers`]: crate::keepers
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use curranthook_http::timeout;
+use curranthook_types::endpoint;
+use futures_lite::future;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::{Gateway, readers};
+
+/// How often a node with work waiting tells it again.
+const REPEAT: Duration = Duration::from_millis(300);
+/// The least time between two rounds of notices.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Work below this isn't worth telling: less than the way to an engine and back.
+const MIN_WORK: Duration = Duration::from_millis(10);
+/// How long the answer of a keeper may take: a few ways between failure domains and the turn of a
+/// small node. A request waits for it, so it's little against the second that callers wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(15);
+/// The largest datagram; what doesn't fit isn't told.
+const MAX_DATAGRAM: usize = 1_400;
+/// How many endpoints fit into one.
+const MAX_ENTRIES: usize = 32;
+
+/// Work that waits at endpoints.
+type Waiting = HashMap<endpoint::Id, Duration>;
+
+/// What nodes send each other.
+#[serde_as]
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Message {
+    /// What `node` has waiting, in place of what it told before.
+    Notice {
+        node: String,
+        #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
+        waiting: Waiting,
+    },
+    /// What do all nodes but `node` have waiting at these endpoints?
+    Question { id: u64, node: String, endpoints: Vec<endpoint::Id> },
+    /// The answer to a question.
+    Answer {
+        id: u64,
+        #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
+        waiting: Waiting,
+    },
+}
+
+/// The socket, and the questions that wait for answers.
+#[derive(Debug)]
+pub struct Notices {
+    socket: Async<UdpSocket>,
+    next: AtomicU64,
+    asked: Mutex<HashMap<u64, Sender<(u64, Waiting)>>>,
+}
+
+impl Notices {
+    /// Notices over `socket`.
+    pub fn new(socket: Async<UdpSocket>) -> Self {
+        Self { socket, next: AtomicU64::new(0), asked: Mutex::default() }
+    }
+
+    async fn send(&self, message: &Message, addr: SocketAddr) {
+        let bytes = serde_json::to_vec(message).expect("a message can be written as JSON");
+        if let Err(e) = self.socket.send_to(&bytes, addr).await {
+            log::debug!("{addr} can't be told: {e}");
+        }
+    }
+}
+
+/// Tells the others and listens to them, for as long as the process lives.
+pub async fn run(gateway: Arc<Gateway>, notices: Arc<Notices>) {
+    let hears = hear(Arc::clone(&gateway), Arc::clone(&notices));
+    gateway.ex.spawn(hears).detach();
+    let mut told = HashSet::new();
+    loop {
+        let changed = gateway.waiting_changed.wait();
+        let again = async {
+            match told.is_empty() {
+                true => std::future::pending().await,
+                false => {
+                    Timer::after(REPEAT).await;
+                }
+            }
+        };
+        future::or(changed, again).await;
+        told = tell(&gateway, &notices, told).await;
+        Timer::after(PAUSE).await;
+    }
+}
+
+async fn hear(gateway: Arc<Gateway>, notices: Arc<Notices>) {
+    let mut bytes = [0; MAX_DATAGRAM];
+    loop {
+        match notices.socket.recv_from(&mut bytes).await {
+            Ok((n, from)) => match serde_json::from_slice(&bytes[..n]) {
+                Ok(message) => take(&gateway, &notices, message, from).await,
+                Err(e) => log::debug!("a message of {from} can't be read: {e}"),
+            },
+            Err(e) => {
+                log::debug!("no message can be received: {e}");
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn take(gateway: &Gateway, notices: &Notices, message: Message, from: SocketAddr) {
+    let now = gateway.now();
+    match message {
+        Message::Notice { node, waiting } => gateway.board.lock().told(node, waiting, now),
+        Message::Question { id, node, endpoints } => {
+            let waiting = kept(gateway, endpoints, &node);
+            notices.send(&Message::Answer { id, waiting }, from).await;
+        }
+        Message::Answer { id, waiting } => {
+            let asked = notices.asked.lock().remove(&id);
+            // Whoever asked may have gone on without it.
+            let _late = asked.map(|it| it.try_send((id, waiting)));
+        }
+    }
+}
+
+/// What all nodes but `asker` have waiting at `endpoints`, as far as this node was told.
+fn kept(gateway: &Gateway, endpoints: Vec<endpoint::Id>, asker: &str) -> Waiting {
+    let (directory, board, now) = (gateway.directory.lock(), gateway.board.lock(), gateway.now());
+    let own = &gateway.settings.node;
+    let waiting = |id: &endpoint::Id| {
+        let of_others = board.waiting(id, asker, now);
+        let of_this = directory.tracked(id).map_or(Duration::ZERO, |it| it.pending);
+        // This node doesn't tell itself.
+        if own == asker { of_others } else { of_others + of_this }
+    };
+    endpoints.into_iter().map(|id| (id.clone(), waiting(&id))).collect()
+}
+
+/// Tells others what this node has waiting: all of them, or the keepers of the endpoints. Returns
+/// who was told of any work; whoever was before is told that there's none.
+async fn tell(
+    gateway: &Gateway,
+    notices: &Notices,
+    before: HashSet<SocketAddr>,
+) -> HashSet<SocketAddr> {
+    let waiting: Waiting = {
+        let directory = gateway.directory.lock();
+        let all = directory.all().filter(|it| MIN_WORK <= it.pending);
+        all.map(|it| (it.entry.id.clone(), it.pending)).take(MAX_ENTRIES).collect()
+    };
+    let mut shares = shares(gateway, waiting);
+    for addr in before {
+        shares.entry(addr).or_default();
+    }
+    let mut told = HashSet::new();
+    for (addr, waiting) in shares {
+        if !waiting.is_empty() {
+            told.insert(addr);
+        }
+        let node = gateway.settings.node.clone();
+        notices.send(&Message::Notice { node, waiting }, addr).await;
+    }
+    told
+}
+
+/// Who is told what.
+fn shares(gateway: &Gateway, waiting: Waiting) -> HashMap<SocketAddr, Waiting> {
+    let own = gateway.settings.notices;
+    let peers = gateway.peers.lock();
+    if readers::is_small(peers.len()) {
+        let others = peers.values().filter_map(|it| it.notices).filter(|it| Some(*it) != own);
+        return others.map(|addr| (addr, waiting.clone())).collect();
+    }
+    drop(peers);
+    let (keepers, now) = (gateway.keepers.lock(), gateway.now());
+    let mut shares: HashMap<SocketAddr, Waiting> = HashMap::new();
+    for (id, work) in waiting {
+        let keeper = keepers.of(&id, now).filter(|it| Some(*it) != own);
+        if let Some(addr) = keeper {
+            shares.entry(addr).or_default().insert(id, work);
+        }
+    }
+    shares
+}
+
+/// What the other nodes have waiting at `endpoints`, as far as their keepers tell in time.
+pub async fn ask(gateway: &Gateway, endpoints: Vec<endpoint::Id>) -> Waiting {
+    let Some(notices) = gateway.notices.get() else { return Waiting::new() };
+    let own = gateway.settings.notices;
+    let mut by_keeper: HashMap<SocketAddr, Vec<endpoint::Id>> = HashMap::new();
+    {
+        let (keepers, now) = (gateway.keepers.lock(), gateway.now());
+        for id in endpoints {
+            if let Some(addr) = keepers.of(&id, now) {
+                by_keeper.entry(addr).or_default().push(id);
+            }
+        }
+    }
+    let mut waiting = Waiting::new();
+    if let Some(ids) = own.and_then(|own| by_keeper.remove(&own)) {
+        waiting.extend(kept(gateway, ids, &gateway.settings.node));
+    }
+    let (tx, rx) = async_channel::bounded(by_keeper.len().max(1));
+    let mut open = HashMap::new();
+    for (addr, endpoints) in by_keeper {
+        let id = notices.next.fetch_add(1, Ordering::Relaxed);
+        notices.asked.lock().insert(id, tx.clone());
+        open.insert(id, addr);
+        let node = gateway.settings.node.clone();
+        notices.send(&Message::Question { id, node, endpoints }, addr).await;
+    }
+    let gather = async {
+        while !open.is_empty() {
+            let Ok((id, told)) = rx.recv().await else { return };
+            if let Some(addr) = open.remove(&id) {
+                gateway.keepers.lock().answered(addr);
+                gateway.metrics.asked("answered");
+            }
+            waiting.extend(told);
+        }
+    };
+    // Elapsed or not, what was told by then counts.
+    let _elapsed = timeout::run(ANSWER_TIMEOUT, gather).await;
+    for (id, addr) in open {
+        notices.asked.lock().remove(&id);
+        gateway.keepers.lock().missed(addr, gateway.now());
+        gateway.metrics.asked("unanswered");
+    }
+    waiting
+}
--- a/crates/curranthook_gateway/src/place.rs
+++ b/crates/curranthook_gateway/src/place.rs
@@ -69,11 +69,45 @@
 /// assert_eq!(place::choose(&[busy, idle], &work), Some(1));
 /// ```
 pub fn choose(candidates: &[Candidate], work: &Work) -> Option<usize> {
+    costs(candidates, work).min().map(|it| it.index)
+}
+
+/// The `n` best candidates, the best first.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use curranthook_gateway::place::{self, Candidate, Distance, Work};
+/// let at = |seed, wait| Candidate {
+///     seed,
+///     wait: Duration::from_millis(wait),
+///     failures: 0.0,
+///     distance: Distance::Near,
+///     holds_parts: false,
+/// };
+/// let work = Work { subject: None, shared: Duration::ZERO, salt: 7 };
+/// assert_eq!(place::best(&[at(1, 300), at(2, 100), at(3, 200)], &work, 2), [1, 2]);
+/// ```
+pub fn best(candidates: &[Candidate], work: &Work, n: usize) -> Vec<usize> {
+    let mut all: Vec<_> = costs(candidates, work).collect();
+    all.sort_unstable();
+    all.truncate(n);
+    all.into_iter().map(|it| it.index).collect()
+}
+
+/// What a candidate costs. The hash decides between equals.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Cost {
+    time: Duration,
+    tie: u64,
+    index: usize,
+}
+
+fn costs(candidates: &[Candidate], work: &Work) -> impl Iterator<Item = Cost> {
     let home = work.subject.and_then(|subject| {
         let weights = candidates.iter().map(|it| hash::pair(subject, it.seed));
         weights.enumerate().max_by_key(|(_, weight)| *weight).map(|(index, _)| index)
     });
-    let costs = candidates.iter().enumerate().map(|(index, it)| {
+    candidates.iter().enumerate().map(move |(index, it)| {
         let is_home = home == Some(index);
         let reading = if is_home || it.holds_parts { Duration::ZERO } else { work.shared };
         let failing = FAILING.mul_f64((it.failures - SOUND).max(0.0));
@@ -82,7 +116,6 @@
             Some(subject) => u64::MAX - hash::pair(subject, it.seed),
             None => hash::pair(work.salt, it.seed),
         };
-        (it.wait + reading + failing + travel, tie)
-    });
-    costs.enumerate().min_by_key(|(_, cost)| *cost).map(|(index, _)| index)
+        Cost { time: it.wait + reading + failing + travel, tie, index }
+    })
 }
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -21,7 +21,14 @@
 use hyper::body::Incoming;
 
 use crate::{
-    Gateway, board, event::Event, follow, front::Front, lead, peers, settings::Settings,
+    Gateway,
+    event::Event,
+    follow,
+    front::Front,
+    lead,
+    notices::{self, Notices},
+    peers,
+    settings::Settings,
     store::Table,
 };
 
@@ -114,7 +121,9 @@
     }
     tasks(&gateway);
     if let Some(socket) = listeners.notices {
-        gateway.ex.spawn(board::run(Arc::clone(&gateway), socket)).detach();
+        let notices = Arc::new(Notices::new(socket));
+        let notices = Arc::clone(gateway.notices.get_or_init(|| notices));
+        gateway.ex.spawn(notices::run(Arc::clone(&gateway), notices)).detach();
     }
     wait_for_stop(&gateway, &mut signals, reload).await;
     gateway.stop();
