--- a/crates/curranthook_gateway/src/follow.rs
+++ b/crates/curranthook_gateway/src/follow.rs
@@ -8,6 +8,7 @@
 };
 
 use async_io::Timer;
+use curranthook_http::timeout;
 use futures_lite::future;
 use rand::RngExt;
 
@@ -55,6 +56,15 @@
 const OWN_TRIES: u32 = 4;
 /// The longest pause between calls to a store that is away.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// The same for a node that has no configuration and so serves nobody. After all nodes had been
+/// killed while the store was away, they were ready 0.8 s to 1.6 s after its return with the longer
+/// one.
+const MAX_PAUSE_UNREAD: Duration = Duration::from_millis(300);
+/// How long the first calls for the configuration may take. After every third failure they may take
+/// that much longer, so that a slow store is read in the end; a silent one is asked again soon.
+const FIRST_LIMIT: Duration = Duration::from_millis(600);
+/// How many calls have the same limit.
+const CALLS_PER_LIMIT: u32 = 3;
 
 /// Wakes the calls that wait when the store has been away, as their answers may never come.
 #[derive(Debug, Default)]
@@ -110,7 +120,7 @@
     /// Asks a reader or the store; none if the call was given up because the store was away
     /// meanwhile.
     async fn call(&mut self) -> Option<Result<Batch, Error>> {
-        let Some(since) = self.since else { return Some(self.ask_store(None).await) };
+        let Some(since) = self.since else { return self.read_all().await };
         let (is_reader, readers) = self.readers();
         for (name, addr) in readers {
             let gateway = &self.gateway;
@@ -140,6 +150,22 @@
         .await
     }
 
+    /// Reads all rows; none if the call was given up because the store was away meanwhile.
+    async fn read_all(&self) -> Option<Result<Batch, Error>> {
+        let given_up = self.returned.signal.wait();
+        let read = self.ask_store(None);
+        if self.table == Table::Operator {
+            let limit = FIRST_LIMIT.saturating_mul(self.failures / CALLS_PER_LIMIT + 1);
+            let read = timeout::run(limit, read).await;
+            return Some(read.unwrap_or_else(|e| Err(Error::Lost(e.to_string()))));
+        }
+        future::or(async { Some(read.await) }, async {
+            given_up.await;
+            None
+        })
+        .await
+    }
+
     async fn ask_store(&self, since: Option<(Rev, Duration)>) -> Result<Batch, Error> {
         let store = &self.gateway.store;
         let result = match since {
@@ -225,9 +251,8 @@
         }
         if self.table == Table::Operator {
             peers::ask(&self.gateway).await;
-        } else if self.is_away && self.since.is_some() {
+        } else if self.is_away {
             // One call after the other shows whether the store is back; the operators' does.
-            // What was never read is asked for all the same, as the node serves nobody without it.
             let returned = self.returned.signal.wait();
             let pause = spread(AWAY_PAUSE);
             future::or(returned, async {
@@ -236,7 +261,8 @@
             .await;
             return;
         }
-        let pause = (FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(MAX_PAUSE);
+        let longest = if self.since.is_some() { MAX_PAUSE } else { MAX_PAUSE_UNREAD };
+        let pause = (FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(longest);
         Timer::after(spread(pause)).await;
     }
 }
