--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -1,8 +1,9 @@
 //! A request on its way: the attempts at it, until one has an answer that the caller may get.
 
+mod again;
+
 use std::{sync::Arc, time::Duration};
 
-use curranthook_http::{client::Freshness, timeout};
 use curranthook_policy::hash;
 use curranthook_types::{account, endpoint};
 
@@ -24,17 +25,13 @@
     rollouts::Kind,
 };
 
-/// How often a request may be turned away by endpoints that didn't run it.
-const MAX_REJECTIONS: u32 = 5;
-/// When to come back while all endpoints are full: the time in which they end some requests.
-const RETRY_FULL: Duration = Duration::from_millis(400);
+use self::again::Next;
+
 /// When to come back while no endpoint can be reached: about the time in which one is noticed.
 const RETRY_AWAY: Duration = Duration::from_millis(700);
 /// What an answer of the largest model costs, as a part of its worth: a seventh for the largest
 /// requests, more for small ones.
 const LARGE_PRICE: f64 = 0.15;
-/// How long it's asked whether an endpoint that broke off still takes connections.
-const ALIVE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The outcome of a request whose answer arrived whole.
 pub const WHOLE: &str = "whole";
@@ -68,12 +65,6 @@
     _in_flight: InFlight,
 }
 
-/// Whether another attempt follows.
-enum Next {
-    Again,
-    Give(Refusal),
-}
-
 impl Job {
     /// A request that was let in.
     pub fn new(
@@ -293,85 +284,6 @@
         Kind { route: &self.route.name, model: self.models.index() }
     }
 
-    async fn after(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
-        if failed.execution == Execution::MayHaveRun {
-            self.runs += 1;
-            self.ran = Ran::Maybe;
-            return self.after_run(endpoint, failed).await;
-        }
-        self.rejections += 1;
-        if failed.cause != Cause::Stale {
-            self.tried.push(endpoint.clone());
-        }
-        let reason = match failed.cause {
-            Cause::Full => Reason::Full,
-            _ => Reason::NoEndpoint,
-        };
-        let arrived = matches!(failed.cause, Cause::Full | Cause::Misdirected);
-        let is_spent = arrived && !self.spend(failed.cause.name());
-        if MAX_REJECTIONS <= self.rejections || is_spent {
-            return Next::Give(self.refusal(reason).with_retry_after(RETRY_FULL));
-        }
-        self.gateway.metrics.retried(failed.cause.name());
-        Next::Again
-    }
-
-    async fn after_run(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
-        if failed.cause == Cause::Cut {
-            self.charge(endpoint).await;
-        }
-        if failed.cause != Cause::Stale {
-            self.tried.push(endpoint.clone());
-        }
-        if failed.cause == Cause::Timeout {
-            return Next::Give(self.refusal(Reason::Timeout));
-        }
-        let now = self.gateway.now();
-        if self.gateway.poison.lock().is_poison(self.ask.fingerprint, now) {
-            return Next::Give(self.refusal(Reason::Poison));
-        }
-        if !self.route.repeat.is_repeatable() || !self.may_run_again(failed.cause.name()) {
-            return Next::Give(self.refusal(Reason::EndpointFailed));
-        }
-        Next::Again
-    }
-
-    /// Whether it may run once more, and takes that from the budget.
-    fn may_run_again(&mut self, why: &'static str) -> bool {
-        if self.route.max_attempts <= self.runs {
-            self.not_repeated("attempts");
-            return false;
-        }
-        self.spend(why)
-    }
-
-    fn spend(&self, why: &'static str) -> bool {
-        let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
-        if !self.gateway.budget.lock().spend(&self.service, n_nodes, now) {
-            self.not_repeated("budget");
-            return false;
-        }
-        self.gateway.metrics.retried(why);
-        true
-    }
-
-    /// Charges the request with the end of `endpoint`, if that no longer takes connections.
-    async fn charge(&self, endpoint: &endpoint::Id) {
-        let addr = self.gateway.directory.lock().tracked(endpoint).map(|it| it.entry.addr);
-        let Some(addr) = addr else { return };
-        let connect = self.gateway.pool.take(addr, Freshness::New);
-        if let Ok(Ok(conn)) = timeout::run(ALIVE_TIMEOUT, connect).await {
-            self.gateway.pool.put(conn);
-            return;
-        }
-        let now = self.gateway.now();
-        self.gateway.poison.lock().charge(self.ask.fingerprint, endpoint, now);
-        self.gateway.log.write(&Event::PoisonCharged {
-            request: &self.ask.head.id,
-            endpoint: endpoint.as_str(),
-        });
-    }
-
     /// The refusal for `reason` after what happened so far.
     pub fn refusal(&self, reason: Reason) -> Refusal {
         Refusal::new(reason, self.ran)
@@ -397,10 +309,6 @@
         });
     }
 
-    fn not_repeated(&self, why: &str) {
-        self.gateway.log.write(&Event::NotRepeated { request: &self.ask.head.id, why });
-    }
-
     /// Logs and counts its end.
     pub fn ended(&self, status: u16, outcome: &'static str, endpoint: &str, first: Duration) {
         let took = self.gateway.now().saturating_duration_since(self.ask.since);
