A quiet service's version goes on after three answers

Cause: the first phase of a roll-out gives a plain service of 16 requests a second about four answers, and five were asked for before a larger share. Change: three. Use by all still needs eight. Test, seen to fail: a_version_of_a_quiet_service_goes_on_in_time. What is left is short of answers before all may use it; listed as open.

--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -80,8 +80,10 @@
     }
 }
 
-/// How many answers of the new version a larger share needs, and how many its use by all.
-const MIN_ANSWERS: (u64, u64) = (5, 8);
+/// How many answers of the new version a larger share needs, and how many its use by all. A plain
+/// service of 16 requests a second sees four during its first phase; were five needed, its good
+/// versions would be done too late.
+const MIN_ANSWERS: (u64, u64) = (3, 8);
 /// How many bad answers speak against a version; fewer may be chance.
 const MIN_BAD: u64 = 3;
 /// By how much its share of bad answers must be above the old version's.
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -130,6 +130,17 @@
     assert_eq!(steps::due(&plan, &order, &partial, few, Duration::from_secs(23)), None);
 }
 
+/// A plain service has few requests, so that few answers are known when the first phase ends. Its
+/// version goes on in time all the same; operators would otherwise see a good one reported late.
+#[test]
+fn a_version_of_a_quiet_service_goes_on_in_time() {
+    let (plan, order) = (Plan::new(0.15), order(Duration::from_secs(24)));
+    let seen = Evidence { new: counts(3, 0), old: counts(90, 5) };
+    let canary = step(Phase::Canary, Duration::ZERO);
+    let at = order.within.mul_f64(0.85);
+    assert_eq!(steps::due(&plan, &order, &canary, seen, at), Some(Phase::Partial));
+}
+
 /// A node alone sees that the new version fails. It stops sending requests there at once, whatever
 /// step the fleet is at; the store may be away, and the others may not have seen it yet.
 #[test]
