--- a/crates/curranthook_gateway/src/notices.rs
+++ b/crates/curranthook_gateway/src/notices.rs
@@ -3,7 +3,7 @@
 //! In a small fleet each node tells all others what it has waiting. In a large one it tells only
 //! the [`keepers`] of the endpoints concerned, and asks the keepers of a few candidates before it
 //! places a request. A lost datagram is made good by the next; a question without an answer costs
-//! [`ANSWER_TIMEOUT`], and the request is placed by what its node knows itself.
+//! 15 ms, and the request is placed by what its node knows itself.
 //!
 //! [`keepers`]: crate::keepers
 
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -181,10 +181,10 @@
         Self { connect_timeout, ..self }
     }
 
-    /// Gives connections up after this long without an acknowledgement of sent bytes, and after
-    /// [`PROBES`] probes without an answer on a connection that is waiting. Without it, a call that
-    /// waits on a host that lost its power or is cut off hangs until its own limit; with it, the
-    /// call fails within two seconds and can be made elsewhere while there is time.
+    /// Gives connections up after this long without an acknowledgement of sent bytes, and when a
+    /// probe of a connection that is waiting stays unanswered. Without it, a call that waits on a
+    /// host that lost its power or is cut off hangs until its own limit; with it, the call fails
+    /// within two seconds and can be made elsewhere while there is time.
     pub fn with_liveness(self, unacked_timeout: Duration) -> Self {
         Self { unacked_timeout, probing: Probing::On, ..self }
     }
