Questions to keepers in functions of their own, and none kept after its caller left

Cause: read as a newcomer, ask had five jobs; a request that was dropped while it waited for a lost answer left its question in the table for good. Change: three functions, and a question ends with its request.

--- a/crates/curranthook_gateway/src/notices.rs
+++ b/crates/curranthook_gateway/src/notices.rs
@@ -17,7 +17,7 @@
     time::Duration,
 };
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use curranthook_http::timeout;
 use curranthook_types::endpoint;
@@ -204,45 +204,92 @@
 /// What the other nodes have waiting at `endpoints`, as far as their keepers tell in time.
 pub async fn ask(gateway: &Gateway, endpoints: Vec<endpoint::Id>) -> Waiting {
     let Some(notices) = gateway.notices.get() else { return Waiting::new() };
-    let own = gateway.settings.notices;
-    let mut by_keeper: HashMap<SocketAddr, Vec<endpoint::Id>> = HashMap::new();
-    {
-        let (keepers, now) = (gateway.keepers.lock(), gateway.now());
-        for id in endpoints {
-            if let Some(addr) = keepers.of(&id, now) {
-                by_keeper.entry(addr).or_default().push(id);
-            }
+    let settings = &gateway.settings;
+    let mut by_keeper = by_keeper(gateway, endpoints);
+    let own = settings.notices.and_then(|own| by_keeper.remove(&own)).unwrap_or_default();
+    let mut waiting = kept(gateway, own, &settings.node);
+    let questions = Questions::send(gateway, notices, by_keeper).await;
+    waiting.extend(questions.answers().await);
+    waiting
+}
+
+fn by_keeper(
+    gateway: &Gateway,
+    endpoints: Vec<endpoint::Id>,
+) -> HashMap<SocketAddr, Vec<endpoint::Id>> {
+    let (keepers, now) = (gateway.keepers.lock(), gateway.now());
+    let mut all: HashMap<SocketAddr, Vec<endpoint::Id>> = HashMap::new();
+    for id in endpoints {
+        if let Some(addr) = keepers.of(&id, now) {
+            all.entry(addr).or_default().push(id);
         }
     }
-    let mut waiting = Waiting::new();
-    if let Some(ids) = own.and_then(|own| by_keeper.remove(&own)) {
-        waiting.extend(kept(gateway, ids, &gateway.settings.node));
-    }
-    let (tx, rx) = async_channel::bounded(by_keeper.len().max(1));
-    let mut open = HashMap::new();
-    for (addr, endpoints) in by_keeper {
-        let id = notices.next.fetch_add(1, Ordering::Relaxed);
-        notices.asked.lock().insert(id, tx.clone());
-        open.insert(id, addr);
-        let node = gateway.settings.node.clone();
-        notices.send(&Message::Question { id, node, endpoints }, addr).await;
+    all
+}
+
+/// Questions on their way.
+struct Questions<'a> {
+    gateway: &'a Gateway,
+    notices: &'a Notices,
+    /// Who was asked, by the question's id.
+    open: HashMap<u64, SocketAddr>,
+    answers: Receiver<(u64, Waiting)>,
+}
+
+impl<'a> Questions<'a> {
+    /// Asks each keeper about its endpoints.
+    async fn send(
+        gateway: &'a Gateway,
+        notices: &'a Notices,
+        by_keeper: HashMap<SocketAddr, Vec<endpoint::Id>>,
+    ) -> Self {
+        let (tx, answers) = async_channel::bounded(by_keeper.len().max(1));
+        let mut open = HashMap::new();
+        for (addr, endpoints) in by_keeper {
+            let id = notices.next.fetch_add(1, Ordering::Relaxed);
+            notices.asked.lock().insert(id, tx.clone());
+            open.insert(id, addr);
+            let node = gateway.settings.node.clone();
+            notices.send(&Message::Question { id, node, endpoints }, addr).await;
+        }
+        Self { gateway, notices, open, answers }
     }
-    let gather = async {
-        while !open.is_empty() {
-            let Ok((id, told)) = rx.recv().await else { return };
-            if let Some(addr) = open.remove(&id) {
-                gateway.keepers.lock().answered(addr);
-                gateway.metrics.asked("answered");
+
+    /// The answers that come in time.
+    async fn answers(mut self) -> Waiting {
+        let mut waiting = Waiting::new();
+        let gather = async {
+            while !self.open.is_empty() {
+                let Ok((id, told)) = self.answers.recv().await else { return };
+                if let Some(addr) = self.open.remove(&id) {
+                    self.gateway.keepers.lock().answered(addr);
+                    self.gateway.metrics.asked("answered");
+                }
+                waiting.extend(told);
             }
-            waiting.extend(told);
+        };
+        // Elapsed or not, what was told by then counts.
+        let _elapsed = timeout::run(ANSWER_TIMEOUT, gather).await;
+        self.close();
+        waiting
+    }
+
+    /// Gives up the questions that have no answer.
+    fn close(self) {
+        for addr in self.open.values() {
+            self.gateway.keepers.lock().missed(*addr, self.gateway.now());
+            self.gateway.metrics.asked("unanswered");
+        }
+    }
+}
+
+impl Drop for Questions<'_> {
+    /// A caller that leaves drops its request here, too; without this, what it asked would be kept
+    /// for good if the answers are lost.
+    fn drop(&mut self) {
+        let mut asked = self.notices.asked.lock();
+        for id in self.open.keys() {
+            asked.remove(id);
         }
-    };
-    // Elapsed or not, what was told by then counts.
-    let _elapsed = timeout::run(ANSWER_TIMEOUT, gather).await;
-    for (id, addr) in open {
-        notices.asked.lock().remove(&id);
-        gateway.keepers.lock().missed(addr, gateway.now());
-        gateway.metrics.asked("unanswered");
     }
-    waiting
 }
