A tree of relays in place of readers; nodes that start take rows from a parent

Ruled out: longer waits alone (the age of what a reader knows is told by them). A node that starts reads the rows of the fleet and takes the others from a parent; at the first start of a fleet nodes write their addresses first and read a second later.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -9,9 +9,9 @@
     entry::State,
     event::Event,
     fleet,
-    follow::name,
     gateway::Current,
     store::{Batch, Operator, Row, Table},
+    watch::name,
 };
 
 /// Takes in rows. `is_whole` says that a row that isn't among them doesn't exist.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use curranthook_http::{client::Pool, runtime};
+use curranthook_http::{client::Pool, runtime, timeout};
 use curranthook_policy::poison::Register;
 use curranthook_types::Clock;
 use parking_lot::Mutex;
@@ -35,7 +35,7 @@
     signal::Signal,
     starting::Waiting,
     steps::Plan,
-    store::{Decoder, Rev, Store},
+    store::{Decoder, Rev, Store, Table},
 };
 
 /// How many requests the register of poison requests remembers.
@@ -191,6 +191,20 @@
         self.peers.lock().len().max(1)
     }
 
+    /// Waits until the rows of the fleet are read, `limit` at most.
+    pub async fn members_known(&self, limit: Duration) {
+        let read = async {
+            loop {
+                let changed = self.changed.wait();
+                if self.mirror.lock().knows(Table::Fleet) {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let _elapsed = timeout::run(limit, read).await;
+    }
+
     /// Whether it takes new callers.
     pub fn is_ready(&self) -> bool {
         !self.is_stopping() && self.is_serving()
--- a/crates/curranthook_gateway/src/keepers.rs
+++ b/crates/curranthook_gateway/src/keepers.rs
@@ -15,11 +15,24 @@
 use curranthook_policy::hash;
 use curranthook_types::endpoint;
 
+/// Up to this many nodes, each tells all others what it has waiting, and no accounts are kept.
+const MAX_BROADCAST: usize = 12;
 /// How many questions in a row a keeper may leave unanswered. One may be lost or late.
 const MAX_UNANSWERED: u32 = 3;
 /// How long a node that left them unanswered is passed over; about the time of a restart.
 const PAUSE: Duration = Duration::from_secs(4);
 
+/// Whether a fleet of that size keeps accounts.
+///
+/// ```
+/// # use curranthook_gateway::keepers;
+/// assert!(!keepers::are_used(6));
+/// assert!(keepers::are_used(295));
+/// ```
+pub fn are_used(n_nodes: usize) -> bool {
+    MAX_BROADCAST < n_nodes
+}
+
 /// The nodes that may keep accounts, and how well they answer.
 #[derive(Debug, Default)]
 pub struct Keepers {
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -41,6 +41,11 @@
 const MAX_CHARGES: usize = 64;
 /// How many nodes tell of good answers. A few see enough of them; bad ones are told by all.
 const WITNESSES: u32 = 6;
+/// How long a node that starts waits to see whether its address is known from before.
+const MEMBERS_LIMIT: Duration = Duration::from_millis(500);
+/// Over how long the nodes of a fleet that starts for the first time spread these writes. The store
+/// turns away more than some hundred a second.
+const ANNOUNCE_SPREAD: Duration = Duration::from_millis(900);
 /// How often a failed write of the own address is repeated.
 const NODE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -75,6 +80,11 @@
         };
         let name = self.gateway.settings.node.clone();
         let key = Key::Node(&name).to_string();
+        if self.gateway.settings.is_first_start {
+            Timer::after(ANNOUNCE_SPREAD.mul_f64(rand::random())).await;
+        } else {
+            self.gateway.members_known(MEMBERS_LIMIT).await;
+        }
         loop {
             // Nothing to do if an earlier process of this node wrote the same.
             let known = self.gateway.mirror.lock().row(Table::Fleet, &key).cloned();
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -10,9 +10,9 @@
 //!   other nodes sent there, by the [`board`] or, in a large fleet, by its [`keepers`];
 //! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
-//! [`place`], [`cascade`], [`pace`], [`reading`], [`budget`] and [`steps`] decide without I/O or a clock. [`follow`] and
+//! [`place`], [`cascade`], [`pace`], [`reading`], [`budget`] and [`steps`] decide without I/O or a clock. [`watch`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
-//! [`rollouts`]. In a large fleet a few [`readers`] read the store for the others; [`peers`] is
+//! [`rollouts`]. In a large fleet changes reach most nodes by a tree of [`relays`]; [`peers`] is
 //! how nodes ask each other, and stands in for the store while that is away; [`outage`] tells
 //! whether it's away from all. [`lead`] writes what the
 //! nodes tell each other in [`fleet`] rows. [`gateway`] holds what all of them share, [`serve`]
@@ -34,7 +34,6 @@
 pub mod entry;
 pub mod event;
 pub mod fleet;
-pub mod follow;
 pub mod front;
 pub mod gateway;
 pub mod job;
@@ -50,9 +49,9 @@
 pub mod pace;
 pub mod peers;
 pub mod place;
-pub mod readers;
 pub mod reading;
 pub mod refusal;
+pub mod relays;
 pub mod rollouts;
 pub mod serve;
 pub mod settings;
@@ -62,6 +61,7 @@
 pub mod steps;
 pub mod store;
 pub mod stream;
+pub mod watch;
 pub mod whole;
 
 pub use gateway::Gateway;
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -141,6 +141,7 @@
             Err(store::Error::Down(_)) => "down",
             Err(store::Error::Lost(_)) => "lost",
             Err(store::Error::Garbled(_)) => "garbled",
+            Err(store::Error::Stale(_)) => "stale",
             Err(store::Error::Compacted) => "compacted",
         };
         self.store.get_or_create(&StoreLabels { table, result }).inc();
--- a/crates/curranthook_gateway/src/mirror.rs
+++ b/crates/curranthook_gateway/src/mirror.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     tables: HashMap<Table, Rows>,
+    /// When the store last answered a call for the operators' rows, which are asked for most often.
+    confirmed: Option<Instant>,
     /// The store's clock, and when it was read.
     clock: Option<(Duration, Instant)>,
 }
@@ -22,8 +24,8 @@
     rev: Rev,
     /// From where on all changes are known.
     first: Option<Rev>,
-    /// When the store last confirmed that nothing else changed.
-    confirmed: Option<Instant>,
+    /// Whether the last call for them failed.
+    is_interrupted: bool,
 }
 
 /// Why a mirror can't tell what changed.
@@ -46,6 +48,7 @@
         }
         known.rev = known.rev.max(batch.rev);
         known.first.get_or_insert(batch.rev);
+        known.is_interrupted = false;
         news
     }
 
@@ -69,22 +72,37 @@
         gone
     }
 
-    /// Notes that the store, or a peer that had heard from it `age` ago, has nothing newer.
-    pub fn confirm(&mut self, table: Table, at: Instant) {
-        let known = self.tables.entry(table).or_default();
-        known.confirmed = known.confirmed.max(Some(at));
+    /// Notes that the store answered at `at`, this node or one that told it.
+    pub fn confirm(&mut self, at: Instant) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Notes that a call for a table failed. Until the next one that doesn't, its rows may be out of date
+    /// though the store answers calls for others.
+    pub fn interrupted(&mut self, table: Table) {
+        self.tables.entry(table).or_default().is_interrupted = true;
+    }
+
+    /// Whether a table has been read.
+    pub fn knows(&self, table: Table) -> bool {
+        self.tables.get(&table).is_some_and(|it| it.first.is_some())
     }
 
     /// Whether all tables have been read once. A node that knows the order of a roll-out and not
     /// yet how far it is would send requests to a version that is gone.
     pub fn is_read(&self) -> bool {
-        let is_read = |table| self.tables.get(table).is_some_and(|it| it.first.is_some());
-        Table::ALL.iter().all(is_read)
+        Table::ALL.into_iter().all(|it| self.knows(it))
+    }
+
+    /// How long ago the store answered.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed.map(|at| now.saturating_duration_since(at))
     }
 
-    /// When a table was last confirmed.
-    pub fn confirmed(&self, table: Table) -> Option<Instant> {
-        self.tables.get(&table)?.confirmed
+    /// Whether the rows of a table are at most `max_age` old.
+    pub fn is_fresh(&self, table: Table, max_age: Duration, now: Instant) -> bool {
+        let is_interrupted = self.tables.get(&table).is_some_and(|it| it.is_interrupted);
+        !is_interrupted && self.age(now).is_some_and(|age| age <= max_age)
     }
 
     /// What changed in a table after `since`.
--- a/crates/curranthook_gateway/src/notices.rs
+++ b/crates/curranthook_gateway/src/notices.rs
@@ -26,7 +26,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, readers};
+use crate::{Gateway, keepers};
 
 /// How often a node with work waiting tells it again.
 const REPEAT: Duration = Duration::from_millis(300);
@@ -185,7 +185,7 @@
 fn shares(gateway: &Gateway, waiting: Waiting) -> HashMap<SocketAddr, Waiting> {
     let own = gateway.settings.notices;
     let peers = gateway.peers.lock();
-    if readers::is_small(peers.len()) {
+    if !keepers::are_used(peers.len()) {
         let others = peers.values().filter_map(|it| it.notices).filter(|it| Some(*it) != own);
         return others.map(|addr| (addr, waiting.clone())).collect();
     }
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -11,9 +11,9 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Tracked},
+    keepers,
     pace::Pace,
     place::{self, Candidate, Distance, Work},
-    readers,
     reading::Prompt,
     rollouts::Rule,
 };
@@ -126,7 +126,7 @@
 /// The endpoints of which other nodes are asked before a request is placed, the best first by what
 /// this node knows; none in a small fleet, whose nodes tell each other.
 pub fn shortlist(gateway: &Gateway, wanted: &Wanted<'_>) -> Vec<endpoint::Id> {
-    if wanted.model.is_none() || readers::is_small(gateway.n_nodes()) {
+    if wanted.model.is_none() || !keepers::are_used(gateway.n_nodes()) {
         return Vec::new();
     }
     let now = gateway.now();
--- a/crates/curranthook_gateway/src/peers.rs
+++ b/crates/curranthook_gateway/src/peers.rs
@@ -1,5 +1,5 @@
-//! How nodes ask each other for rows of the store: the many of a large fleet one of its readers,
-//! and any node its peers while the store turns it away.
+//! How nodes ask each other for rows of the store: the nodes of a large fleet their parents, and any node
+//! its peers while the store turns it away.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -9,7 +9,7 @@
 };
 
 use async_io::Timer;
-use curranthook_http::{Body, Exchange, body, server::Handler};
+use curranthook_http::{Body, Exchange, body, server::Handler, timeout};
 use futures_lite::future::{self, Boxed};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -92,14 +92,18 @@
 
 impl Server {
     /// Waits until there is something to tell, the wait is over, or this node has itself not
-    /// heard from the store for too long: the asker then looks elsewhere, so that a reader that
+    /// heard from the store for too long: the asker then looks elsewhere, so that a relay that
     /// is cut off doesn't keep the others from news.
     async fn answer(&self, question: &Question) -> Result<Told, Unknown> {
         let end = self.gateway.now() + question.wait;
         loop {
             let changed = self.gateway.changed.wait();
-            let told = self.told(question)?;
             let now = self.gateway.now();
+            if self.is_unread(question) && now < end {
+                let _elapsed = timeout::run(end - now, changed).await;
+                continue;
+            }
+            let told = self.told(question)?;
             let is_news =
                 question.since.is_none_or(|since| told.batch.rows.iter().any(|it| since < it.rev));
             if is_news || end <= now {
@@ -115,11 +119,18 @@
         }
     }
 
+    /// Whether this node is itself about to read what a child asks for. The nodes of a fleet start
+    /// together.
+    fn is_unread(&self, question: &Question) -> bool {
+        let is_child = question.max_age.is_some();
+        is_child && question.since.is_none() && !self.gateway.mirror.lock().knows(question.table)
+    }
+
     fn told(&self, question: &Question) -> Result<Told, Unknown> {
         let (table, now) = (question.table, self.gateway.now());
         let mirror = self.gateway.mirror.lock();
-        let age = mirror.confirmed(table).map(|at| now.saturating_duration_since(at));
-        if question.max_age.is_some_and(|max| age.is_none_or(|age| max < age)) {
+        let age = mirror.age(now);
+        if question.max_age.is_some_and(|max| !mirror.is_fresh(table, max, now)) {
             return Err(Unknown::Stale);
         }
         let batch = match question.since {
@@ -130,24 +141,46 @@
     }
 }
 
-/// Waits at a reader for rows that change after `since`.
+/// Waits at a parent for rows that change after `since`.
 pub async fn changes(
     gateway: &Gateway,
-    reader: SocketAddr,
+    parent: SocketAddr,
     table: Table,
     since: Rev,
     wait: Duration,
     max_age: Duration,
 ) -> Result<Batch, Error> {
     let question = Question { table, since: Some(since), wait, max_age: Some(max_age) };
-    let told = fetch(gateway, reader, &question).await?;
-    let now = gateway.now();
-    let confirmed = told.age.and_then(|age| now.checked_sub(age));
-    if let Some(at) = confirmed {
-        gateway.mirror.lock().confirm(table, at);
+    let batch = ask_parent(gateway, parent, &question).await?;
+    Ok(Batch { rev: batch.rev.max(since), ..batch })
+}
+
+/// All rows of a table from a parent, which may read them itself within `wait`.
+pub async fn snapshot(
+    gateway: &Gateway,
+    parent: SocketAddr,
+    table: Table,
+    wait: Duration,
+    max_age: Duration,
+) -> Result<Batch, Error> {
+    let question = Question { table, since: None, wait, max_age: Some(max_age) };
+    let batch = ask_parent(gateway, parent, &question).await?;
+    match batch.rev {
+        Rev(0) => Err(Error::Down(format!("peer {parent} hasn't read it"))),
+        _ => Ok(batch),
+    }
+}
+
+async fn ask_parent(
+    gateway: &Gateway,
+    parent: SocketAddr,
+    question: &Question,
+) -> Result<Batch, Error> {
+    let told = fetch(gateway, parent, question).await?;
+    if let Some(at) = told.age.and_then(|age| gateway.now().checked_sub(age)) {
+        gateway.mirror.lock().confirm(at);
     }
-    let rev = told.batch.rev.max(since);
-    Ok(Batch { rev, now: told.now, ..told.batch })
+    Ok(Batch { now: told.now, ..told.batch })
 }
 
 /// Takes in what some peers know, after the store gave no answer.
@@ -200,6 +233,7 @@
             serde_json::from_slice(res.body()).map_err(|e| Error::Garbled(e.to_string()))
         }
         StatusCode::GONE => Err(Error::Compacted),
+        StatusCode::SERVICE_UNAVAILABLE => Err(Error::Stale(addr)),
         other => Err(Error::Down(format!("peer {addr}: {other}"))),
     }
 }
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -23,13 +23,13 @@
 use crate::{
     Gateway,
     event::Event,
-    follow,
     front::Front,
     lead,
     notices::{self, Notices},
     peers,
     settings::Settings,
     store::Table,
+    watch,
 };
 
 /// How long a node goes on taking requests after the signal to stop: the balancer asks once a
@@ -181,9 +181,9 @@
 }
 
 fn tasks(gateway: &Arc<Gateway>) {
-    let returned = Arc::new(follow::Returned::default());
+    let shared = Arc::new(watch::Shared::default());
     for table in Table::ALL {
-        let task = follow::run(Arc::clone(gateway), table, Arc::clone(&returned));
+        let task = watch::run(Arc::clone(gateway), table, Arc::clone(&shared));
         gateway.ex.spawn(task).detach();
     }
     gateway.ex.spawn(lead::run(Arc::clone(gateway))).detach();
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub repeats: Bound,
     /// The largest share of a service's requests that a bad version may get during its roll-out.
     pub exposure: f64,
+    /// Whether the whole fleet starts for the first time, so that no node has written its address yet.
+    pub is_first_start: bool,
     /// The time from the signal to stop until the process is killed.
     pub grace: Duration,
 }
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store as a node sees it: rows that change, and changes that are agreed on.
 
-use std::{fmt::Debug, time::Duration};
+use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
 use curranthook_types::endpoint;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
     /// The answer can't be understood.
     #[error("the store's answer can't be read: {0}")]
     Garbled(String),
+    /// A peer that was asked in its place is itself out of date.
+    #[error("{0} hasn't heard from the store for too long")]
+    Stale(SocketAddr),
     /// The changes asked for are no longer kept; read everything again.
     #[error("the store no longer has these changes")]
     Compacted,
