--- a/crates/curranthook_gateway/tests/beliefs.rs
+++ b/crates/curranthook_gateway/tests/beliefs.rs
@@ -43,10 +43,10 @@
     assert_eq!(mirror.rev(Table::Operator), Rev(9));
 }
 
-/// An endpoint's row is removed while a follower isn't listening. It hears of that at its next
+/// An endpoint's row is removed while a child isn't listening. It hears of that at its next
 /// question; otherwise it would send work to an endpoint that has left.
 #[test]
-fn removed_rows_are_told_to_followers() {
+fn removed_rows_are_told_to_children() {
     let mut mirror = Mirror::default();
     mirror.replace(
         Table::Endpoints,
@@ -61,10 +61,10 @@
     assert_eq!(told.rows, [row("e-2", 8, None)]);
 }
 
-/// A reader that started after its follower has never seen the rows that were removed before.
-/// It says so, and the follower reads everything.
+/// A parent that started after its child has never seen the rows that were removed before.
+/// It says so, and the child reads everything.
 #[test]
-fn a_reader_that_began_later_says_so() {
+fn a_parent_that_began_later_says_so() {
     let mut mirror = Mirror::default();
     assert_eq!(mirror.changes(Table::Fleet, Rev(1)), Err(Unknown::Earlier));
     mirror.replace(Table::Fleet, batch(9, vec![]));
--- a/crates/curranthook_gateway/tests/decisions.rs
+++ b/crates/curranthook_gateway/tests/decisions.rs
@@ -9,7 +9,6 @@
     splitter::Splitter,
     starting::{self, Waiting},
 };
-use curranthook_types::domain;
 use yare::parameterized;
 
 fn idle(seed: u64) -> Candidate {
