Nodes tell each other which engine read which shared parts

Change: a node adds what it sent to be read to its notices: to all others in a small fleet, else to the node that keeps the account of the subject, which answers beside the keepers of the candidates. Where that is known, the home counts only between equals. Engines that hold the parts and aren't on the shortlist are asked about too. Tests: parts_are_sent_where_they_are_known_to_be, telling_what_was_read_shortens_the_wait (plays the load).

--- a/crates/curranthook_gateway/src/affinity.rs
+++ b/crates/curranthook_gateway/src/affinity.rs
@@ -1,4 +1,4 @@
-//! Where the shared parts of prompts were read last, as far as this node sent them.
+//! Where the shared parts of prompts were read last, as far as this node sent them or was told.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -6,6 +6,7 @@
 };
 
 use curranthook_types::endpoint;
+use serde::{Deserialize, Serialize};
 
 /// How long parts are taken to be kept. Engines drop the parts that were used least recently.
 const KEPT: Duration = Duration::from_secs(30);
@@ -14,6 +15,15 @@
 /// How many endpoints are remembered for a subject.
 const PLACES: usize = 3;
 
+/// Parts that were sent to an endpoint to be read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Read {
+    /// The hash of the model and the parts.
+    pub subject: u64,
+    /// The endpoint.
+    pub endpoint: endpoint::Id,
+}
+
 /// The endpoints that read the parts of each subject.
 #[derive(Debug, Default)]
 pub struct Affinity {
@@ -40,18 +50,19 @@
         }
     }
 
-    /// Whether `endpoint` is likely to have the parts of `subject`.
+    /// The endpoints that are likely to have the parts of `subject`.
     ///
     /// ```
     /// # use std::time::Instant;
     /// # use curranthook_gateway::affinity::Affinity;
     /// let (mut affinity, now) = (Affinity::default(), Instant::now());
     /// affinity.read(7, &"engine-1".into(), now);
-    /// assert!(affinity.holds(7, &"engine-1".into(), now));
-    /// assert!(!affinity.holds(7, &"engine-2".into(), now));
+    /// assert_eq!(affinity.holders(7, now), ["engine-1".into()]);
+    /// assert!(affinity.holders(8, now).is_empty());
     /// ```
-    pub fn holds(&self, subject: u64, endpoint: &endpoint::Id, now: Instant) -> bool {
-        let Some(places) = self.places.get(&subject) else { return false };
-        places.iter().any(|(id, at)| id == endpoint && now.saturating_duration_since(*at) < KEPT)
+    pub fn holders(&self, subject: u64, now: Instant) -> Vec<endpoint::Id> {
+        let places = self.places.get(&subject).map_or(&[][..], Vec::as_slice);
+        let is_kept = |at: Instant| now.saturating_duration_since(at) < KEPT;
+        places.iter().filter(|(_, at)| is_kept(*at)).map(|(id, _)| id.clone()).collect()
     }
 }
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -19,7 +19,7 @@
     gateway::{Current, InFlight},
     lease::Lease,
     models::{Candidate, Models},
-    notices,
+    notices::{self, Heard},
     offer::{self, Wanted, Wants},
     pace::{First, Pace},
     refusal::{Ran, Reason, Refusal},
@@ -167,15 +167,28 @@
         let session = self.session();
         let rule = self.gateway.rollouts.lock().rule(&self.service, session);
         let wanted = self.wanted(&rule, self.models.current());
-        let shortlist = offer::shortlist(&self.gateway, &wanted);
-        let heard = match shortlist.is_empty() {
-            true => offer::Heard::new(),
-            false => notices::ask(&self.gateway, shortlist).await,
-        };
+        let heard = self.hear(&wanted).await;
         let lease = Lease::take(&self.gateway, &wanted, &heard);
         lease.ok_or_else(|| self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY))
     }
 
+    /// What other nodes tell of the endpoints that may take it; nothing in a small fleet, whose nodes
+    /// have told already.
+    async fn hear(&self, wanted: &Wanted<'_>) -> Heard {
+        let shortlist = offer::shortlist(&self.gateway, wanted);
+        if shortlist.is_empty() {
+            return Heard::default();
+        }
+        let mut heard = notices::ask(&self.gateway, shortlist, wanted.subject).await;
+        let is_unheard = |it: &endpoint::Id| !heard.waiting.contains_key(it);
+        let holders = heard.holders.iter().flatten();
+        let unheard: Vec<_> = holders.filter(|it| is_unheard(it)).cloned().collect();
+        if !unheard.is_empty() {
+            heard.waiting.extend(notices::ask(&self.gateway, unheard, None).await.waiting);
+        }
+        heard
+    }
+
     /// What is to be placed if `model` is asked.
     fn wanted<'a>(&'a self, rule: &'a Rule, model: Option<&Candidate>) -> Wanted<'a> {
         let name = model.map_or("", |it| it.name.as_str());
@@ -294,7 +307,7 @@
     fn first_event(&self, rule: &Rule, model: &Candidate) -> Option<Duration> {
         let wanted = self.wanted(rule, Some(model));
         let directory = self.gateway.directory.lock();
-        let offer = offer::best(&self.gateway, &directory, &wanted, &offer::Heard::new())?;
+        let offer = offer::best(&self.gateway, &directory, &wanted, &Heard::default())?;
         Some(offer.first_event(&wanted.model?.pace))
     }
 
--- a/crates/curranthook_gateway/src/keepers.rs
+++ b/crates/curranthook_gateway/src/keepers.rs
@@ -76,9 +76,13 @@
     /// assert_eq!(ours.of(&endpoint, now), theirs.of(&endpoint, now));
     /// ```
     pub fn of(&self, endpoint: &endpoint::Id, now: Instant) -> Option<SocketAddr> {
-        let seed = hash::bytes(endpoint.as_str().as_bytes());
+        self.of_subject(hash::bytes(endpoint.as_str().as_bytes()), now)
+    }
+
+    /// The address of the node that knows where the parts of `subject` were read.
+    pub fn of_subject(&self, subject: u64, now: Instant) -> Option<SocketAddr> {
         let answering = self.nodes.iter().filter(|it| !self.is_silent(it.addr, now));
-        answering.max_by_key(|it| hash::pair(seed, it.seed)).map(|it| it.addr)
+        answering.max_by_key(|it| hash::pair(subject, it.seed)).map(|it| it.addr)
     }
 
     /// A node answered a question.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -6,9 +6,11 @@
 
 use crate::{
     Gateway,
+    affinity::Read,
     dialect::Load,
     directory::Outcome,
-    offer::{self, Heard, Offer, Wanted},
+    notices::Heard,
+    offer::{self, Offer, Wanted},
     reading::Prompt,
 };
 
@@ -47,10 +49,13 @@
         let pending = pace.map_or(Duration::ZERO, |it| it.speed.reading(prompt));
         let entry = offer.endpoint.entry.clone();
         directory.started(&entry.id, pending);
-        gateway.waiting_changed.wake();
         if let Some(subject) = wanted.subject {
             gateway.affinity.lock().read(subject, &entry.id, now);
+            if let Some(notices) = gateway.notices.get() {
+                notices.read(Read { subject, endpoint: entry.id.clone() });
+            }
         }
+        gateway.waiting_changed.wake();
         Some(Self {
             gateway: Arc::clone(gateway),
             id: entry.id,
--- a/crates/curranthook_gateway/src/notices.rs
+++ b/crates/curranthook_gateway/src/notices.rs
@@ -26,7 +26,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, keepers};
+use crate::{Gateway, affinity::Read, keepers};
 
 /// How often a node with work waiting tells it again.
 const REPEAT: Duration = Duration::from_millis(300);
@@ -42,6 +42,9 @@
 /// How many endpoints fit into one.
 const MAX_ENTRIES: usize = 32;
 
+/// How many prompts sent to be read fit into one beside them.
+const MAX_READS: usize = 8;
+
 /// Work that waits at endpoints.
 type Waiting = HashMap<endpoint::Id, Duration>;
 
@@ -55,29 +58,68 @@
         node: String,
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
         waiting: Waiting,
+        /// What it has sent to be read since.
+        #[serde(default)]
+        reads: Vec<Read>,
     },
     /// What do all nodes but `node` have waiting at these endpoints?
-    Question { id: u64, node: String, endpoints: Vec<endpoint::Id> },
+    Question {
+        id: u64,
+        node: String,
+        endpoints: Vec<endpoint::Id>,
+        /// Where were the parts of this subject read?
+        #[serde(default)]
+        subject: Option<u64>,
+    },
     /// The answer to a question.
     Answer {
         id: u64,
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
         waiting: Waiting,
+        /// Where the subject's parts were read, if that was asked.
+        #[serde(default)]
+        holders: Option<Vec<endpoint::Id>>,
     },
 }
 
+/// What other nodes know that bears on where a request goes.
+#[derive(Debug, Clone, Default)]
+pub struct Heard {
+    /// The work that they have waiting, for the endpoints asked about.
+    pub waiting: Waiting,
+    /// The endpoints that read the shared parts lately; none if nobody could tell.
+    pub holders: Option<Vec<endpoint::Id>>,
+}
+
+impl Heard {
+    fn extend(&mut self, other: Self) {
+        self.waiting.extend(other.waiting);
+        self.holders = other.holders.or(self.holders.take());
+    }
+}
+
 /// The socket, and the questions that wait for answers.
 #[derive(Debug)]
 pub struct Notices {
     socket: Async<UdpSocket>,
     next: AtomicU64,
-    asked: Mutex<HashMap<u64, Sender<(u64, Waiting)>>>,
+    asked: Mutex<HashMap<u64, Sender<(u64, Heard)>>>,
+    /// What this node sent to be read and hasn't told yet.
+    reads: Mutex<Vec<Read>>,
 }
 
 impl Notices {
     /// Notices over `socket`.
     pub fn new(socket: Async<UdpSocket>) -> Self {
-        Self { socket, next: AtomicU64::new(0), asked: Mutex::default() }
+        Self { socket, next: AtomicU64::new(0), asked: Mutex::default(), reads: Mutex::default() }
+    }
+
+    /// Notes that parts were sent to be read, to be told with the next notice.
+    pub fn read(&self, read: Read) {
+        let mut reads = self.reads.lock();
+        if reads.len() < MAX_READS {
+            reads.push(read);
+        }
     }
 
     async fn send(&self, message: &Message, addr: SocketAddr) {
@@ -128,21 +170,32 @@
 async fn take(gateway: &Gateway, notices: &Notices, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Notice { node, waiting } => gateway.board.lock().told(node, waiting, now),
-        Message::Question { id, node, endpoints } => {
-            let waiting = kept(gateway, endpoints, &node);
-            notices.send(&Message::Answer { id, waiting }, from).await;
+        Message::Notice { node, waiting, reads } => {
+            gateway.board.lock().told(node, waiting, now);
+            let mut affinity = gateway.affinity.lock();
+            reads.iter().for_each(|it| affinity.read(it.subject, &it.endpoint, now));
         }
-        Message::Answer { id, waiting } => {
+        Message::Question { id, node, endpoints, subject } => {
+            let Heard { waiting, holders } = kept(gateway, endpoints, subject, &node);
+            notices.send(&Message::Answer { id, waiting, holders }, from).await;
+        }
+        Message::Answer { id, waiting, holders } => {
             let asked = notices.asked.lock().remove(&id);
             // Whoever asked may have gone on without it.
-            let _late = asked.map(|it| it.try_send((id, waiting)));
+            let _late = asked.map(|it| it.try_send((id, Heard { waiting, holders })));
         }
     }
 }
 
-/// What all nodes but `asker` have waiting at `endpoints`, as far as this node was told.
-fn kept(gateway: &Gateway, endpoints: Vec<endpoint::Id>, asker: &str) -> Waiting {
+/// What all nodes but `asker` have waiting at `endpoints`, and where `subject` was read, as far as this
+/// node was told.
+fn kept(
+    gateway: &Gateway,
+    endpoints: Vec<endpoint::Id>,
+    subject: Option<u64>,
+    asker: &str,
+) -> Heard {
+    let holders = subject.map(|it| gateway.affinity.lock().holders(it, gateway.now()));
     let (directory, board, now) = (gateway.directory.lock(), gateway.board.lock(), gateway.now());
     let own = &gateway.settings.node;
     let waiting = |id: &endpoint::Id| {
@@ -151,7 +204,8 @@
         // This node doesn't tell itself.
         if own == asker { of_others } else { of_others + of_this }
     };
-    endpoints.into_iter().map(|id| (id.clone(), waiting(&id))).collect()
+    let waiting = endpoints.into_iter().map(|id| (id.clone(), waiting(&id))).collect();
+    Heard { waiting, holders }
 }
 
 /// Tells others what this node has waiting: all of them, or the keepers of the endpoints. Returns
@@ -166,64 +220,91 @@
         let all = directory.all().filter(|it| MIN_WORK <= it.pending);
         all.map(|it| (it.entry.id.clone(), it.pending)).take(MAX_ENTRIES).collect()
     };
-    let mut shares = shares(gateway, waiting);
+    let reads = std::mem::take(&mut *notices.reads.lock());
+    let mut shares = shares(gateway, waiting, reads);
     for addr in before {
         shares.entry(addr).or_default();
     }
     let mut told = HashSet::new();
-    for (addr, waiting) in shares {
+    for (addr, Share { waiting, reads }) in shares {
         if !waiting.is_empty() {
             told.insert(addr);
         }
         let node = gateway.settings.node.clone();
-        notices.send(&Message::Notice { node, waiting }, addr).await;
+        notices.send(&Message::Notice { node, waiting, reads }, addr).await;
     }
     told
 }
 
+/// What one node is told.
+#[derive(Debug, Clone, Default)]
+struct Share {
+    waiting: Waiting,
+    reads: Vec<Read>,
+}
+
 /// Who is told what.
-fn shares(gateway: &Gateway, waiting: Waiting) -> HashMap<SocketAddr, Waiting> {
+fn shares(gateway: &Gateway, waiting: Waiting, reads: Vec<Read>) -> HashMap<SocketAddr, Share> {
     let own = gateway.settings.notices;
     let peers = gateway.peers.lock();
     if !keepers::are_used(peers.len()) {
         let others = peers.values().filter_map(|it| it.notices).filter(|it| Some(*it) != own);
-        return others.map(|addr| (addr, waiting.clone())).collect();
+        let all = Share { waiting, reads };
+        return others.map(|addr| (addr, all.clone())).collect();
     }
     drop(peers);
     let (keepers, now) = (gateway.keepers.lock(), gateway.now());
-    let mut shares: HashMap<SocketAddr, Waiting> = HashMap::new();
+    let mut shares: HashMap<SocketAddr, Share> = HashMap::new();
     for (id, work) in waiting {
         let keeper = keepers.of(&id, now).filter(|it| Some(*it) != own);
         if let Some(addr) = keeper {
-            shares.entry(addr).or_default().insert(id, work);
+            shares.entry(addr).or_default().waiting.insert(id, work);
+        }
+    }
+    for read in reads {
+        let keeper = keepers.of_subject(read.subject, now).filter(|it| Some(*it) != own);
+        if let Some(addr) = keeper {
+            shares.entry(addr).or_default().reads.push(read);
         }
     }
     shares
 }
 
-/// What the other nodes have waiting at `endpoints`, as far as their keepers tell in time.
-pub async fn ask(gateway: &Gateway, endpoints: Vec<endpoint::Id>) -> Waiting {
-    let Some(notices) = gateway.notices.get() else { return Waiting::new() };
+/// What the other nodes have waiting at `endpoints`, and where `subject` was read, as far as their keepers
+/// tell in time.
+pub async fn ask(gateway: &Gateway, endpoints: Vec<endpoint::Id>, subject: Option<u64>) -> Heard {
+    let Some(notices) = gateway.notices.get() else { return Heard::default() };
     let settings = &gateway.settings;
-    let mut by_keeper = by_keeper(gateway, endpoints);
+    let mut by_keeper = by_keeper(gateway, endpoints, subject);
     let own = settings.notices.and_then(|own| by_keeper.remove(&own)).unwrap_or_default();
-    let mut waiting = kept(gateway, own, &settings.node);
+    let mut heard = kept(gateway, own.endpoints, own.subject, &settings.node);
     let questions = Questions::send(gateway, notices, by_keeper).await;
-    waiting.extend(questions.answers().await);
-    waiting
+    heard.extend(questions.answers().await);
+    heard
+}
+
+/// What one keeper is asked.
+#[derive(Debug, Default)]
+struct Asked {
+    endpoints: Vec<endpoint::Id>,
+    subject: Option<u64>,
 }
 
 fn by_keeper(
     gateway: &Gateway,
     endpoints: Vec<endpoint::Id>,
-) -> HashMap<SocketAddr, Vec<endpoint::Id>> {
+    subject: Option<u64>,
+) -> HashMap<SocketAddr, Asked> {
     let (keepers, now) = (gateway.keepers.lock(), gateway.now());
-    let mut all: HashMap<SocketAddr, Vec<endpoint::Id>> = HashMap::new();
+    let mut all: HashMap<SocketAddr, Asked> = HashMap::new();
     for id in endpoints {
         if let Some(addr) = keepers.of(&id, now) {
-            all.entry(addr).or_default().push(id);
+            all.entry(addr).or_default().endpoints.push(id);
         }
     }
+    if let Some(addr) = subject.and_then(|it| keepers.of_subject(it, now)) {
+        all.entry(addr).or_default().subject = subject;
+    }
     all
 }
 
@@ -233,31 +314,31 @@
     notices: &'a Notices,
     /// Who was asked, by the question's id.
     open: HashMap<u64, SocketAddr>,
-    answers: Receiver<(u64, Waiting)>,
+    answers: Receiver<(u64, Heard)>,
 }
 
 impl<'a> Questions<'a> {
-    /// Asks each keeper about its endpoints.
+    /// Asks each keeper.
     async fn send(
         gateway: &'a Gateway,
         notices: &'a Notices,
-        by_keeper: HashMap<SocketAddr, Vec<endpoint::Id>>,
+        by_keeper: HashMap<SocketAddr, Asked>,
     ) -> Self {
         let (tx, answers) = async_channel::bounded(by_keeper.len().max(1));
         let mut open = HashMap::new();
-        for (addr, endpoints) in by_keeper {
+        for (addr, Asked { endpoints, subject }) in by_keeper {
             let id = notices.next.fetch_add(1, Ordering::Relaxed);
             notices.asked.lock().insert(id, tx.clone());
             open.insert(id, addr);
             let node = gateway.settings.node.clone();
-            notices.send(&Message::Question { id, node, endpoints }, addr).await;
+            notices.send(&Message::Question { id, node, endpoints, subject }, addr).await;
         }
         Self { gateway, notices, open, answers }
     }
 
     /// The answers that come in time.
-    async fn answers(mut self) -> Waiting {
-        let mut waiting = Waiting::new();
+    async fn answers(mut self) -> Heard {
+        let mut heard = Heard::default();
         let gather = async {
             while !self.open.is_empty() {
                 let Ok((id, told)) = self.answers.recv().await else { return };
@@ -265,13 +346,13 @@
                     self.gateway.keepers.lock().answered(addr);
                     self.gateway.metrics.asked("answered");
                 }
-                waiting.extend(told);
+                heard.extend(told);
             }
         };
         // Elapsed or not, what was told by then counts.
         let _elapsed = timeout::run(ANSWER_TIMEOUT, gather).await;
         self.close();
-        waiting
+        heard
     }
 
     /// Gives up the questions that have no answer.
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -1,9 +1,6 @@
 //! The endpoints that may take a request, and what each offers it as far as the node knows.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use curranthook_policy::hash;
 use curranthook_types::endpoint;
@@ -12,8 +9,9 @@
     Gateway, cascade,
     directory::{Directory, Tracked},
     keepers,
+    notices::Heard,
     pace::Pace,
-    place::{self, Candidate, Distance, Work},
+    place::{self, Candidate, Distance, Holders, Work},
     reading::Prompt,
     rollouts::Rule,
 };
@@ -27,9 +25,6 @@
 /// worth with answers, and 0.81 without.
 const SHORTLIST: usize = 4;
 
-/// The work that other nodes have waiting, by endpoint.
-pub type Heard = HashMap<endpoint::Id, Duration>;
-
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -71,9 +66,9 @@
         self.model.map_or(Duration::ZERO, |it| it.pace.speed.reading(prompt))
     }
 
-    fn work(&self) -> Work {
+    fn work(&self, holders: Holders) -> Work {
         let shared = self.reading(false).saturating_sub(self.reading(true));
-        Work { subject: self.subject, shared, salt: self.salt }
+        Work { subject: self.subject, shared, holders, salt: self.salt }
     }
 }
 
@@ -108,12 +103,12 @@
     let now = gateway.now();
     let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
     let mut list = eligible(&all, wanted, now);
-    if list.iter().any(|it| heard.contains_key(&it.entry.id)) {
+    if list.iter().any(|it| heard.waiting.contains_key(&it.entry.id)) {
         // Of the others nobody knows how busy they are; they'd seem idle.
-        list.retain(|it| heard.contains_key(&it.entry.id));
+        list.retain(|it| heard.waiting.contains_key(&it.entry.id));
     }
-    let candidates = candidates(gateway, &list, wanted, heard, now);
-    let index = place::choose(&candidates, &wanted.work())?;
+    let (holders, candidates) = candidates(gateway, &list, wanted, heard, now);
+    let index = place::choose(&candidates, &wanted.work(holders))?;
     let endpoint = list[index];
     Some(Offer {
         prompt: wanted.prompt(candidates[index].holds_parts),
@@ -133,8 +128,8 @@
     let directory = gateway.directory.lock();
     let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
     let list = eligible(&all, wanted, now);
-    let candidates = candidates(gateway, &list, wanted, &Heard::new(), now);
-    let best = place::best(&candidates, &wanted.work(), SHORTLIST);
+    let (holders, candidates) = candidates(gateway, &list, wanted, &Heard::default(), now);
+    let best = place::best(&candidates, &wanted.work(holders), SHORTLIST);
     best.into_iter().map(|it| list[it].entry.id.clone()).collect()
 }
 
@@ -144,23 +139,28 @@
     wanted: &Wanted<'_>,
     heard: &Heard,
     now: Instant,
-) -> Vec<Candidate> {
-    let affinity = gateway.affinity.lock();
-    let holds =
-        |id: &endpoint::Id| wanted.subject.is_some_and(|subject| affinity.holds(subject, id, now));
+) -> (Holders, Vec<Candidate>) {
+    let own = || {
+        let subject = wanted.subject?;
+        Some(gateway.affinity.lock().holders(subject, now))
+    };
+    // The nodes of a small fleet tell all others what they sent to be read.
+    let is_known = heard.holders.is_some() || !keepers::are_used(gateway.n_nodes());
+    let holders = if is_known { Holders::Known } else { Holders::Guessed };
+    let holding = heard.holders.clone().or_else(own).unwrap_or_default();
     let candidate = |it: &&Tracked| Candidate {
         seed: it.seed,
         wait: wait(it, wanted, of_others(gateway, &it.entry.id, heard, now), now),
         failures: it.failures,
         distance: distance(gateway, it),
-        holds_parts: holds(&it.entry.id),
+        holds_parts: holding.contains(&it.entry.id),
     };
-    list.iter().map(candidate).collect()
+    (holders, list.iter().map(candidate).collect())
 }
 
 /// The work that other nodes have waiting at an endpoint.
 fn of_others(gateway: &Gateway, id: &endpoint::Id, heard: &Heard, now: Instant) -> Duration {
-    let heard = heard.get(id).copied();
+    let heard = heard.waiting.get(id).copied();
     heard.unwrap_or_else(|| gateway.board.lock().waiting(id, &gateway.settings.node, now))
 }
 
--- a/crates/curranthook_gateway/src/place.rs
+++ b/crates/curranthook_gateway/src/place.rs
@@ -3,7 +3,9 @@
 //! Engines keep the prompts they read, so a request is cheapest where its shared parts were read
 //! last. A rendezvous hash over the endpoints gives every node the same order of homes for the
 //! same parts without a message; a home that is busy is passed over when reading the parts again
-//! elsewhere takes less time than waiting for it.
+//! elsewhere takes less time than waiting for it. Where nodes tell each other what was read where, that
+//! goes before the hash: most parts are read for the first time, and then no endpoint is better than
+//! another.
 
 use std::time::Duration;
 
@@ -40,10 +42,21 @@
     pub subject: Option<u64>,
     /// How long reading those parts takes.
     pub shared: Duration,
+    /// What is known of where they were read.
+    pub holders: Holders,
     /// A number that differs between requests, to break ties.
     pub salt: u64,
 }
 
+/// What is known of the endpoints that keep shared parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Holders {
+    /// The candidates that hold them are marked, and no others do.
+    Known,
+    /// Others may; most likely the home does.
+    Guessed,
+}
+
 /// What another failure domain costs in comparison: a round trip and some bytes.
 const FAR: Duration = Duration::from_millis(3);
 /// What an endpoint costs at which every request fails: more than any wait that is worth it.
@@ -56,7 +69,7 @@
 ///
 /// ```
 /// # use std::time::Duration;
-/// # use curranthook_gateway::place::{self, Candidate, Distance, Work};
+/// # use curranthook_gateway::place::{self, Candidate, Distance, Holders, Work};
 /// let idle = Candidate {
 ///     seed: 1,
 ///     wait: Duration::ZERO,
@@ -65,7 +78,8 @@
 ///     holds_parts: false,
 /// };
 /// let busy = Candidate { seed: 2, wait: Duration::from_secs(1), ..idle };
-/// let work = Work { subject: None, shared: Duration::ZERO, salt: 7 };
+/// let holders = Holders::Guessed;
+/// let work = Work { subject: None, shared: Duration::ZERO, holders, salt: 7 };
 /// assert_eq!(place::choose(&[busy, idle], &work), Some(1));
 /// ```
 pub fn choose(candidates: &[Candidate], work: &Work) -> Option<usize> {
@@ -76,7 +90,7 @@
 ///
 /// ```
 /// # use std::time::Duration;
-/// # use curranthook_gateway::place::{self, Candidate, Distance, Work};
+/// # use curranthook_gateway::place::{self, Candidate, Distance, Holders, Work};
 /// let at = |seed, wait| Candidate {
 ///     seed,
 ///     wait: Duration::from_millis(wait),
@@ -84,7 +98,8 @@
 ///     distance: Distance::Near,
 ///     holds_parts: false,
 /// };
-/// let work = Work { subject: None, shared: Duration::ZERO, salt: 7 };
+/// let holders = Holders::Guessed;
+/// let work = Work { subject: None, shared: Duration::ZERO, holders, salt: 7 };
 /// assert_eq!(place::best(&[at(1, 300), at(2, 100), at(3, 200)], &work, 2), [1, 2]);
 /// ```
 pub fn best(candidates: &[Candidate], work: &Work, n: usize) -> Vec<usize> {
@@ -108,7 +123,7 @@
         weights.enumerate().max_by_key(|(_, weight)| *weight).map(|(index, _)| index)
     });
     candidates.iter().enumerate().map(move |(index, it)| {
-        let is_home = home == Some(index);
+        let is_home = home == Some(index) && work.holders == Holders::Guessed;
         let reading = if is_home || it.holds_parts { Duration::ZERO } else { work.shared };
         let failing = FAILING.mul_f64((it.failures - SOUND).max(0.0));
         let travel = if it.distance == Distance::Near { Duration::ZERO } else { FAR };
--- a/crates/curranthook_gateway/tests/decisions.rs
+++ b/crates/curranthook_gateway/tests/decisions.rs
@@ -5,7 +5,7 @@
 use curranthook_gateway::{
     budget::{Bound, Budget},
     cascade::{self, Aim, Outlook},
-    place::{self, Candidate, Distance, Work},
+    place::{self, Candidate, Distance, Holders, Work},
     splitter::Splitter,
     starting::{self, Waiting},
 };
@@ -22,7 +22,8 @@
 }
 
 fn work(subject: u64, shared_ms: u64) -> Work {
-    Work { subject: Some(subject), shared: Duration::from_millis(shared_ms), salt: subject }
+    let shared = Duration::from_millis(shared_ms);
+    Work { subject: Some(subject), shared, holders: Holders::Guessed, salt: subject }
 }
 
 /// Two nodes that see the same endpoints in another order send the same parts to the same one.
@@ -37,6 +38,22 @@
     }
 }
 
+/// Parts that nobody has read yet go to an idle endpoint rather than to their busy home, and to the
+/// one that read them wherever that is.
+#[test]
+fn parts_are_sent_where_they_are_known_to_be() {
+    let mut all: Vec<_> = (1..=12).map(idle).collect();
+    let guessed = work(7, 600);
+    let home = place::choose(&all, &guessed).unwrap();
+    all[home].wait = Duration::from_millis(300);
+    assert_eq!(place::choose(&all, &guessed), Some(home));
+    let known = Work { holders: Holders::Known, ..guessed };
+    assert_ne!(place::choose(&all, &known), Some(home));
+    let other = (home + 5) % all.len();
+    all[other].holds_parts = true;
+    assert_eq!(place::choose(&all, &known), Some(other));
+}
+
 /// One endpoint of twelve goes. Only what had its home there moves; the rest is still found.
 #[test]
 fn the_loss_of_an_endpoint_moves_only_its_own() {
@@ -71,7 +88,8 @@
     let mut all: Vec<_> = (1..=4).map(idle).collect();
     all[2].failures = 0.6;
     for salt in 0..100 {
-        let work = Work { subject: None, shared: Duration::ZERO, salt };
+        let holders = Holders::Guessed;
+        let work = Work { subject: None, shared: Duration::ZERO, holders, salt };
         assert_ne!(place::choose(&all, &work), Some(2));
     }
 }
--- a/crates/curranthook_gateway/tests/shared_engines.rs
+++ b/crates/curranthook_gateway/tests/shared_engines.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use curranthook_gateway::place::{self, Candidate, Distance, Work};
+use curranthook_gateway::place::{self, Candidate, Distance, Holders, Work};
 use curranthook_policy::hash;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -15,14 +15,31 @@
 /// How long it takes to read what requests share, and what is a request's own.
 const READING: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(150));
 /// What requests are about; some are asked for more often than others.
-const N_SUBJECTS: u64 = 225;
-const SKEW: f64 = 2.0;
+const SUBJECTS: Subjects = Subjects { n: 225, skew: 2.0 };
+/// Subjects of which most are asked for a few times only.
+const MANY_SUBJECTS: Subjects = Subjects { n: 4_000, skew: 1.0 };
 /// By when callers want the first event.
 const OBJECTIVE: Duration = Duration::from_secs(2);
 const LENGTH: Duration = Duration::from_secs(40);
 /// Of how many candidates others are asked.
 const SHORTLIST: usize = 4;
 
+/// How many subjects there are, and how much more often the first are asked for than the last.
+#[derive(Debug, Clone, Copy)]
+struct Subjects {
+    n: u64,
+    skew: f64,
+}
+
+/// How requests fared.
+#[derive(Debug, Clone, Copy)]
+struct Fared {
+    /// The share of first events that came too late.
+    late: f64,
+    /// The mean time to them.
+    mean: Duration,
+}
+
 /// What a node knows of the work that waits at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Sight {
@@ -60,22 +77,22 @@
     }
 }
 
-/// Places requests for a while; the share of first events that come too late.
-fn late(sight: Sight, seed: u64) -> f64 {
+/// Places requests for a while.
+fn play(sight: Sight, holders: Holders, subjects: Subjects, seed: u64) -> Fared {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut engines = vec![Engine::default(); N_ENGINES];
-    let (mut now, mut n_late, mut n_all) = (Duration::ZERO, 0, 0);
+    let (mut now, mut n_late, mut n_all, mut sum) = (Duration::ZERO, 0, 0, Duration::ZERO);
     while now < LENGTH {
         now += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / RATE);
         let node = rng.random_range(0..N_NODES);
-        let subject = (rng.random::<f64>().powf(SKEW) * N_SUBJECTS as f64) as u64;
-        let work = Work { subject: Some(subject), shared: READING.0, salt: 0 };
+        let subject = (rng.random::<f64>().powf(subjects.skew) * subjects.n as f64) as u64;
+        let work = Work { subject: Some(subject), shared: READING.0, holders, salt: 0 };
         let offer = |index: usize, sees_all: bool| Candidate {
             seed: hash::bytes(format!("engine-{index}").as_bytes()),
             wait: engines[index].wait(now, |it| sees_all || it == node),
             failures: 0.0,
             distance: Distance::Near,
-            holds_parts: false,
+            holds_parts: holders == Holders::Known && engines[index].holds.contains(&subject),
         };
         let all = |sees_all| (0..N_ENGINES).map(|it| offer(it, sees_all)).collect::<Vec<_>>();
         let index = match sight {
@@ -89,9 +106,10 @@
         };
         let first = engines[index].read(subject, node, now) - now;
         n_all += 1;
-        n_late += usize::from(OBJECTIVE < first);
+        n_late += u32::from(OBJECTIVE < first);
+        sum += first;
     }
-    f64::from(u32::try_from(n_late).unwrap()) / f64::from(n_all)
+    Fared { late: f64::from(n_late) / f64::from(n_all), mean: sum / n_all }
 }
 
 /// Seventy nodes send prompts to 140 engines, each to the home of what the prompt is about. Homes of
@@ -100,8 +118,18 @@
 /// that sees everything. Late first events: 6 in 100 by its own sight alone, none with answers.
 #[parameterized(first = { 1 }, second = { 2 }, third = { 3 })]
 fn asking_about_a_few_engines_keeps_callers_from_queues(seed: u64) {
-    let (own, asked, whole) =
-        (late(Sight::Own, seed), late(Sight::Asked, seed), late(Sight::Whole, seed));
+    let late = |sight| play(sight, Holders::Guessed, SUBJECTS, seed).late;
+    let (own, asked, whole) = (late(Sight::Own), late(Sight::Asked), late(Sight::Whole));
     assert!(asked < own / 5.0, "late: {own} without, {asked} with answers");
     assert!(asked < whole + 0.02, "late: {asked} with answers, {whole} with all in sight");
 }
+
+/// Most prompts are about something that no engine has read yet. A node that takes their home for one
+/// that has lets callers wait there for others' prompts, beside idle engines, and doesn't find the engine
+/// that read them elsewhere.
+#[parameterized(first = { 1 }, second = { 2 }, third = { 3 })]
+fn telling_what_was_read_shortens_the_wait(seed: u64) {
+    let mean = |holders| play(Sight::Asked, holders, MANY_SUBJECTS, seed).mean;
+    let (guessed, known) = (mean(Holders::Guessed), mean(Holders::Known));
+    assert!(known < guessed.mul_f64(0.95), "first events after {known:?}, {guessed:?} by guess");
+}
--- a/crates/curranthook_gateway/tests/unfitted.rs
+++ b/crates/curranthook_gateway/tests/unfitted.rs
@@ -4,7 +4,7 @@
 
 use curranthook_gateway::{
     pace::{First, Paces},
-    place::{self, Candidate, Distance, Work},
+    place::{self, Candidate, Distance, Holders, Work},
     reading::Prompt,
 };
 
@@ -87,7 +87,10 @@
         let choose = |speed: u32| {
             let shared = Duration::from_millis(250) * speed;
             let offers: Vec<_> = (0..6).map(|it| offer(it, speed)).collect();
-            place::choose(&offers, &Work { subject: Some(salt), shared, salt })
+            place::choose(
+                &offers,
+                &Work { subject: Some(salt), shared, holders: Holders::Guessed, salt },
+            )
         };
         assert_eq!(choose(1), choose(2));
     }
