--- a/crates/curranthook_gateway/src/cascade.rs
+++ b/crates/curranthook_gateway/src/cascade.rs
@@ -11,17 +11,12 @@
 const LATE: f64 = 0.2;
 /// What a poor answer is worth, against a good one.
 const POOR: f64 = 0.05;
-/// The confidence at which a small model's answer is as likely poor as good, and within how many points
-/// of it that turns. Where each answer below 20, 35, 50, 65 was dropped in plays of a calm day, 0.28,
-/// 0.10, 0.04 and no part of the answers that callers got were poor; a straight line from 0.1 at no
-/// confidence kept poor answers of 20 to 45. With the curve, callers of three sites got 0.003 to 0.010
-/// +- 0.001 to 0.004 more of what a calm day's requests are worth, in other plays -0.001 to 0.008 +- 0.002
-/// to 0.006, and as much on days with trouble.
-const EVEN: f64 = 50.0;
-const TURN: f64 = 10.0;
-/// What an answer of the largest model costs, as a part of its worth: the engine's time that it's
-/// charged for is a sixteenth to two fifths, the rest is what other requests wait longer for. With 0.3,
-/// callers of busy days got 0.01 to 0.02 less than with 0.45.
+/// The confidence at which a small model's answer is as likely low-quality as accepted, and the scale of
+/// the logistic curve around it, both in points of 100.
+const CONFIDENCE_MIDPOINT: f64 = 50.0;
+const CONFIDENCE_SCALE: f64 = 10.0;
+/// What an answer of the largest model costs, as a part of its worth: the engine's time, and what other
+/// requests wait longer for.
 pub const LARGE_PRICE: f64 = 0.45;
 /// How far off the outlook is, as a part of the time it's compared with.
 const SPREAD: f64 = 0.2;
@@ -80,7 +75,8 @@
 /// assert!(!cascade::escalates(10, &small, &busy, &aim));
 /// ```
 pub fn escalates(confidence: u8, small: &Outlook, large: &Outlook, aim: &Aim) -> bool {
-    let good = 1.0 / (1.0 + ((EVEN - f64::from(confidence)) / TURN).exp());
+    let good =
+        1.0 / (1.0 + ((CONFIDENCE_MIDPOINT - f64::from(confidence)) / CONFIDENCE_SCALE).exp());
     let kept = small.worth(aim) * (good + (1.0 - good) * POOR);
     kept < large.worth(aim)
 }
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -19,10 +19,7 @@
 /// How long a plain service works on a request, about.
 const PLAIN_WORK: Duration = Duration::from_millis(50);
 
-/// Of how many endpoints other nodes are asked before a request is placed. With four, the three
-/// that aren't its home help where that is busy; each more costs two datagrams a request. In a
-/// played calm day of 71 nodes before 140 engines, callers got 0.88 of what their requests were
-/// worth with answers, and 0.81 without.
+/// Of how many endpoints other nodes are asked before a request is placed. Each costs two datagrams.
 const SHORTLIST: usize = 4;
 
 /// What is to be placed.
--- a/crates/curranthook_gateway/src/reading.rs
+++ b/crates/curranthook_gateway/src/reading.rs
@@ -3,8 +3,7 @@
 //! The time grows with the tokens that are read, with how many pairs of them attend to each other
 //! (for the longest prompts that is as much again) and with how many requests run beside them. How
 //! fast, differs from deployment to deployment and from model to model, so a Kalman filter follows it
-//! request by request from a prior. In played days with trouble on a site of slow engines, callers got
-//! 0.028 +- 0.008 more of what their requests are worth than with figures of one deployment's sheet.
+//! request by request from a prior.
 
 use std::time::Duration;
 
@@ -16,14 +15,11 @@
 /// of the filter are of a like size.
 const UNITS: (f64, f64, f64) = (1e4, 1e8, 10.0);
 /// What is expected before anything is seen, in seconds by the units above; for tokens and pairs of
-/// the dearest model, and of cheaper ones in proportion to their price. Half and twice the time for
-/// tokens made no difference to callers on three sites (-0.003 to +0.006 +- 0.002 to 0.006 of what
-/// days with trouble are worth).
+/// the dearest model, and of cheaper ones in proportion to their price.
 const PRIOR: [f64; N] = [0.05, 0.47, 0.0, 0.06];
 /// How far off each of them may be.
 const DOUBT: [f64; N] = [0.05, 0.3, 0.3, 0.06];
-/// How much of that doubt comes back with each request, as engines and load change. Four times as much,
-/// with twice the noise, made no difference either (-0.004 to -0.001 +- 0.002 to 0.007).
+/// How much of that doubt comes back with each request, as engines and load change.
 const DRIFT: f64 = 1e-3;
 /// How far off a single time may be from what is right on average: seconds, and a part of it.
 const NOISE: (f64, f64) = (0.02, 0.2);
--- a/crates/curranthook_gateway/src/starting.rs
+++ b/crates/curranthook_gateway/src/starting.rs
@@ -4,8 +4,7 @@
 //! process of the fleet has just lost come at that moment. Turned away, they would have used up
 //! their last try, though the answer is there soon after. So requests wait for the first read of the
 //! store, a small part of the time that their callers have, and so many at a time; the others are
-//! told at once to come back later. Where all nodes were killed while the store was away, callers
-//! got 0.027 +- 0.009 more of what a day's requests are worth than with refusals after 0.4 s.
+//! told at once to come back later.
 
 use std::{
     sync::atomic::{AtomicUsize, Ordering},
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -27,14 +27,14 @@
 /// an order that is heard late, a step whose node is lost, and a lost write; requests in it count
 /// as met by the new version, too.
 const REST: f64 = 0.33;
-/// For which part of the time all requests go to the new version before that, in units of the bound.
-/// At 24 s and a bound of 0.15 these are 1.6 s, in which most answers of the old version end.
+/// For which part of the time all requests go to the new version before that, in units of the bound. Most
+/// answers of the old version end in it.
 const FULL: f64 = 0.45;
 /// Which share of the requests goes there before, in units of the bound, and for how long.
 const PARTIAL: (f64, f64) = (1.2, 0.08);
-/// The same for the first requests, from 0.54 of the time on for a bound of 0.15. Few for long
-/// rather than many for a short time: a version that fails is found before the time is short, also
-/// if the store goes away meanwhile. All phases together use 0.95 of the bound.
+/// The same for the first requests. Few for long rather than many for a short time: a version that fails
+/// is found before the time is short, also if the store goes away meanwhile. All phases together stay within
+/// the bound.
 const CANARY: (f64, f64) = (0.3, 0.26);
 
 impl Plan {
--- a/crates/curranthook_gateway/src/watch.rs
+++ b/crates/curranthook_gateway/src/watch.rs
@@ -1,13 +1,9 @@
 //! The tasks that watch the rows of the store, at a parent or in the store itself, and through peers
 //! while the store is away.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
-    task::Poll,
-    time::{Duration, Instant},
-};
+mod parents;
+
+use std::{sync::Arc, task::Poll, time::Duration};
 
 use async_io::Timer;
 use curranthook_http::timeout;
@@ -15,17 +11,18 @@
     FutureExt,
     future::{self, Boxed},
 };
-use parking_lot::Mutex;
 use rand::RngExt;
 
 use crate::{
     Gateway, apply,
     event::Event,
     peers, relays,
-    signal::Signal,
     store::{Batch, Error, Rev, Table},
 };
 
+pub use self::parents::Shared;
+use self::parents::{Parent, Role, place, role_changed};
+
 /// How long a call for operators' rows waits for a change in a fleet without relays. It also notices
 /// that the store is away, so it's short; a lost answer delays a configuration by no more than this.
 const WAIT_OPERATOR: Duration = Duration::from_secs(3);
@@ -36,12 +33,6 @@
 const WAIT_RELAYED_OPERATOR: Duration = Duration::from_millis(700);
 /// How long calls for other rows wait there. A call whose answer is lost hangs for that long.
 const WAIT_RELAYED: Duration = Duration::from_secs(5);
-/// How long a parent that failed isn't asked.
-const PARENT_PAUSE: Duration = Duration::from_secs(4);
-/// The same for one that is out of date. It may have missed a single answer of the store.
-const STALE_PAUSE: Duration = Duration::from_millis(600);
-/// How many parents are asked before the store itself.
-const MAX_PARENTS_ASKED: usize = 2;
 /// How long all nodes wait before their first reads when the fleet starts for the first time. By then each
 /// has written its address ([`crate::lead`]), and most find a parent instead of reading the store.
 const FIRST_START_PAUSE: Duration = Duration::from_secs(1);
@@ -50,9 +41,8 @@
 /// How long a parent may take to hand all rows to a node that starts, before that reads them in the store.
 const SNAPSHOT_LIMIT: Duration = Duration::from_millis(200);
 /// The pause after rows of endpoints or of the fleet changed, for each node of a fleet without relays.
-/// Such rows change in quick succession: when 140 endpoints start, each call that waits would
-/// be answered 140 times. With the pause, all nodes together make no more than 80 calls a second
-/// for a table.
+/// Such rows change in quick succession: when many endpoints start, each call that waits would be answered
+/// once for each. With the pause, all nodes together make no more than 80 calls a second for a table.
 const PAUSE_PER_NODE: Duration = Duration::from_millis(12);
 /// The bounds of that pause. The longer is half of the time in which a leaving endpoint must get
 /// no more work.
@@ -61,8 +51,8 @@
 const PAUSE_ROOT: Duration = Duration::from_millis(250);
 /// The same for rows of the fleet, which no bound waits for.
 const PAUSE_ROOT_FLEET: Duration = Duration::from_millis(500);
-/// The same pause at a parent. While 140 endpoints are replaced, a relay of a link of 10 Mbit/s
-/// that answered 60 children ten times a second had no room left for its own callers.
+/// The same pause at a parent. A relay on a weak link that answered its children more often while many
+/// endpoints are replaced would have no room left for its own callers.
 const PAUSE_CHILD: Duration = Duration::from_millis(400);
 /// The pause after a first failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
@@ -75,37 +65,13 @@
 const OWN_TRIES: u32 = 4;
 /// The longest pause between calls to a store that is away.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
-/// The same for a node that has no configuration and so serves nobody. After all nodes had been
-/// killed while the store was away, they were ready 0.8 s to 1.6 s after its return with the longer
-/// one.
+/// The same for a node that has no configuration and so serves nobody.
 const MAX_PAUSE_UNREAD: Duration = Duration::from_millis(300);
 /// How long a first call for the configuration is waited for before another one is made beside it.
 /// A call that was sent while the store was silent hangs until its own limit, though the store may be
 /// back long before; a slow store still answers the older call.
 const FIRST_LIMIT: Duration = Duration::from_millis(600);
 
-/// What the watches of a node's tables tell each other.
-#[derive(Debug, Default)]
-pub struct Shared {
-    /// Wakes calls that wait at a store that has been away, as their answers may never come.
-    returned: Signal,
-    /// Until when parents that failed aren't asked.
-    failed_parents: Mutex<HashMap<String, Instant>>,
-    /// Wakes calls that wait at parents when one has failed.
-    parent_failed: Signal,
-}
-
-impl Shared {
-    fn is_failed(&self, parent: &str, now: Instant) -> bool {
-        self.failed_parents.lock().get(parent).is_some_and(|until| now <= *until)
-    }
-
-    fn failed(&self, parent: String, until: Instant) {
-        self.failed_parents.lock().insert(parent, until);
-        self.parent_failed.wake();
-    }
-}
-
 /// Watches one table for as long as the process lives.
 pub async fn run(gateway: Arc<Gateway>, table: Table, shared: Arc<Shared>) {
     if gateway.settings.is_first_start {
@@ -149,24 +115,6 @@
     Parent,
 }
 
-/// A node to ask.
-struct Parent {
-    name: String,
-    addr: SocketAddr,
-    max_age: Duration,
-}
-
-/// What a node does for the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Role {
-    /// It watches the store for itself, as all do in a small fleet.
-    Single,
-    /// It watches the store for others.
-    Root,
-    /// It waits at parents.
-    Child,
-}
-
 /// Rows that were told.
 struct Told {
     batch: Batch,
@@ -193,7 +141,7 @@
         for parent in parents {
             match self.ask_parent(&parent).await? {
                 Ok(told) => return Some(Ok(told)),
-                Err(e) => self.parent_failed(parent.name, &e),
+                Err(e) => self.shared.failed(&self.gateway, parent.name, &e),
             }
         }
         if role == Role::Child && !self.failures.is_multiple_of(OWN_TRIES) {
@@ -275,14 +223,6 @@
         result
     }
 
-    fn parent_failed(&self, name: String, error: &Error) {
-        let why = error.to_string();
-        let pause = if matches!(error, Error::Stale(_)) { STALE_PAUSE } else { PARENT_PAUSE };
-        let (state, until) = ("failed", self.gateway.now() + pause);
-        self.gateway.log.write(&Event::Dependency { name: &name, state, why: &why });
-        self.shared.failed(name, until);
-    }
-
     async fn take(&mut self, told: Told) {
         let Told { batch, origin, is_whole } = told;
         if self.is_away {
@@ -350,40 +290,6 @@
     }
 }
 
-/// The node's place in the fleet, and the parents that may be asked now.
-fn place(gateway: &Gateway, shared: &Shared) -> (Role, Vec<Parent>) {
-    let now = gateway.now();
-    let peers = gateway.peers.lock();
-    let nodes: Vec<_> = peers
-        .iter()
-        .map(|(name, it)| relays::Node { name, capacity: it.capacity, domain: it.domain.as_ref() })
-        .collect();
-    if !relays::are_used(nodes.len()) {
-        return (Role::Single, Vec::new());
-    }
-    let all = relays::parents(&gateway.settings.node, &nodes);
-    let role = if all.is_empty() { Role::Root } else { Role::Child };
-    let well = all.iter().filter(|it| !shared.is_failed(it.name, now));
-    let well = well.take(MAX_PARENTS_ASKED).map(|it| Parent {
-        name: it.name.to_owned(),
-        addr: peers[it.name].peers,
-        max_age: it.max_age,
-    });
-    (role, well.collect())
-}
-
-/// Waits until the node's role is another than `role`. The root of a fleet that has grown would
-/// otherwise wait as in a small one, and be out of date for its children.
-async fn role_changed(gateway: &Gateway, shared: &Shared, role: Role) {
-    loop {
-        let changed = gateway.changed.wait();
-        if place(gateway, shared).0 != role {
-            return;
-        }
-        changed.await;
-    }
-}
-
 /// Runs a call to the store; none if the store was away and came back meanwhile.
 async fn unless_returned(
     shared: &Shared,
--- /dev/null
+++ b/crates/curranthook_gateway/src/watch/parents.rs
@@ -0,0 +1,96 @@
+//! The node's place in the tree of relays, and which of its parents may be asked.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+
+use crate::{Gateway, event::Event, relays, signal::Signal, store::Error};
+
+/// How long a parent that failed isn't asked.
+const PARENT_PAUSE: Duration = Duration::from_secs(4);
+/// The same for one that is out of date. It may have missed a single answer of the store.
+const STALE_PAUSE: Duration = Duration::from_millis(600);
+/// How many parents are asked before the store itself.
+const MAX_PARENTS_ASKED: usize = 2;
+
+/// What the watches of a node's tables tell each other.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// Wakes calls that wait at a store that has been away, as their answers may never come.
+    pub(super) returned: Signal,
+    /// Until when parents that failed aren't asked.
+    failed_parents: Mutex<HashMap<String, Instant>>,
+    /// Wakes calls that wait at parents when one has failed.
+    pub(super) parent_failed: Signal,
+}
+
+impl Shared {
+    pub(super) fn is_failed(&self, parent: &str, now: Instant) -> bool {
+        self.failed_parents.lock().get(parent).is_some_and(|until| now <= *until)
+    }
+
+    /// A parent failed, and isn't asked for a while.
+    pub(super) fn failed(&self, gateway: &Gateway, parent: String, error: &Error) {
+        let why = error.to_string();
+        let pause = if matches!(error, Error::Stale(_)) { STALE_PAUSE } else { PARENT_PAUSE };
+        gateway.log.write(&Event::Dependency { name: &parent, state: "failed", why: &why });
+        self.failed_parents.lock().insert(parent, gateway.now() + pause);
+        self.parent_failed.wake();
+    }
+}
+
+/// A node to ask.
+pub(super) struct Parent {
+    pub(super) name: String,
+    pub(super) addr: SocketAddr,
+    pub(super) max_age: Duration,
+}
+
+/// What a node does for the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Role {
+    /// It watches the store for itself, as all do in a small fleet.
+    Single,
+    /// It watches the store for others.
+    Root,
+    /// It waits at parents.
+    Child,
+}
+
+/// The node's place in the fleet, and the parents that may be asked now.
+pub(super) fn place(gateway: &Gateway, shared: &Shared) -> (Role, Vec<Parent>) {
+    let now = gateway.now();
+    let peers = gateway.peers.lock();
+    let nodes: Vec<_> = peers
+        .iter()
+        .map(|(name, it)| relays::Node { name, capacity: it.capacity, domain: it.domain.as_ref() })
+        .collect();
+    if !relays::are_used(nodes.len()) {
+        return (Role::Single, Vec::new());
+    }
+    let all = relays::parents(&gateway.settings.node, &nodes);
+    let role = if all.is_empty() { Role::Root } else { Role::Child };
+    let well = all.iter().filter(|it| !shared.is_failed(it.name, now));
+    let well = well.take(MAX_PARENTS_ASKED).map(|it| Parent {
+        name: it.name.to_owned(),
+        addr: peers[it.name].peers,
+        max_age: it.max_age,
+    });
+    (role, well.collect())
+}
+
+/// Waits until the node's role is another than `role`. The root of a fleet that has grown would
+/// otherwise wait as in a small one, and be out of date for its children.
+pub(super) async fn role_changed(gateway: &Gateway, shared: &Shared, role: Role) {
+    loop {
+        let changed = gateway.changed.wait();
+        if place(gateway, shared).0 != role {
+            return;
+        }
+        changed.await;
+    }
+}
