The field's terms: retry, respond, backoff, cooldown, cross-domain penalty

Cause: again, give, after, away pause, far and sound needed this project's own prose to be understood.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -1,6 +1,6 @@
 //! A request on its way: the attempts at it, until one has an answer that the caller may get.
 
-mod again;
+mod retry;
 
 use std::{sync::Arc, time::Duration};
 
@@ -26,7 +26,7 @@
     rollouts::{Kind, Rule},
 };
 
-use self::again::Next;
+use self::retry::Next;
 
 /// When to come back while no endpoint can be reached: about the time in which one is noticed.
 const RETRY_AWAY: Duration = Duration::from_millis(700);
@@ -141,7 +141,7 @@
                 Err(failed) => {
                     let took = self.gateway.now().saturating_duration_since(started);
                     self.log_failed(&id, &failed, took);
-                    if let Next::Give(refusal) = self.after(&id, &failed).await {
+                    if let Next::Respond(refusal) = self.on_failure(&id, &failed).await {
                         return Err(refusal);
                     }
                 }
@@ -157,9 +157,9 @@
     ) -> Result<(), Refusal> {
         let failed = Failed { cause, execution: Execution::MayHaveRun };
         self.log_failed(endpoint, &failed, Duration::ZERO);
-        match self.after_run(endpoint, &failed).await {
-            Next::Again => Ok(()),
-            Next::Give(refusal) => Err(refusal),
+        match self.on_maybe_run(endpoint, &failed).await {
+            Next::Retry => Ok(()),
+            Next::Respond(refusal) => Err(refusal),
         }
     }
 
--- a/crates/curranthook_gateway/src/job/again.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -24,18 +24,18 @@
 /// Whether another attempt follows.
 pub(super) enum Next {
     /// One does.
-    Again,
+    Retry,
     /// None does, and the caller gets this.
-    Give(Refusal),
+    Respond(Refusal),
 }
 
 impl Job {
     /// What follows an attempt at `endpoint` that failed.
-    pub(super) async fn after(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
+    pub(super) async fn on_failure(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
         if failed.execution == Execution::MayHaveRun {
             self.runs += 1;
             self.ran = Ran::Maybe;
-            return self.after_run(endpoint, failed).await;
+            return self.on_maybe_run(endpoint, failed).await;
         }
         self.rejections += 1;
         if failed.cause != Cause::Stale {
@@ -48,14 +48,14 @@
         let arrived = matches!(failed.cause, Cause::Full | Cause::Misdirected);
         let is_spent = arrived && !self.spend(failed.cause.name());
         if MAX_REJECTIONS <= self.rejections || is_spent {
-            return Next::Give(self.refusal(reason).with_retry_after(RETRY_FULL));
+            return Next::Respond(self.refusal(reason).with_retry_after(RETRY_FULL));
         }
         self.gateway.metrics.retried(failed.cause.name());
-        Next::Again
+        Next::Retry
     }
 
     /// What follows an attempt at `endpoint` that may have run.
-    pub(super) async fn after_run(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
+    pub(super) async fn on_maybe_run(&mut self, endpoint: &endpoint::Id, failed: &Failed) -> Next {
         if failed.cause == Cause::Cut {
             self.charge(endpoint).await;
         }
@@ -63,16 +63,16 @@
             self.tried.push(endpoint.clone());
         }
         if failed.cause == Cause::Timeout {
-            return Next::Give(self.refusal(Reason::Timeout));
+            return Next::Respond(self.refusal(Reason::Timeout));
         }
         let now = self.gateway.now();
         if self.gateway.poison.lock().is_poison(self.ask.fingerprint, now) {
-            return Next::Give(self.refusal(Reason::Poison));
+            return Next::Respond(self.refusal(Reason::Poison));
         }
         if !self.route.repeat.is_repeatable() || !self.may_run_again(failed.cause.name()) {
-            return Next::Give(self.refusal(Reason::EndpointFailed));
+            return Next::Respond(self.refusal(Reason::EndpointFailed));
         }
-        Next::Again
+        Next::Retry
     }
 
     /// Whether it may run once more, and takes that from the budget.
--- a/crates/curranthook_gateway/src/place.rs
+++ b/crates/curranthook_gateway/src/place.rs
@@ -58,12 +58,12 @@
 }
 
 /// What another failure domain costs in comparison: a round trip and some bytes.
-const FAR: Duration = Duration::from_millis(3);
+const CROSS_DOMAIN_PENALTY: Duration = Duration::from_millis(3);
 /// What an endpoint costs at which every request fails: more than any wait that is worth it.
-const FAILING: Duration = Duration::from_millis(1_500);
+const FAILING_PENALTY: Duration = Duration::from_millis(1_500);
 /// Below this share of failures an endpoint counts as sound; endpoints fail some requests for
 /// reasons of the requests' own.
-const SOUND: f64 = 0.3;
+const MAX_HEALTHY_FAILURES: f64 = 0.3;
 
 /// The best candidate.
 ///
@@ -125,8 +125,9 @@
     candidates.iter().enumerate().map(move |(index, it)| {
         let is_home = home == Some(index) && work.holders == Holders::Guessed;
         let reading = if is_home || it.holds_parts { Duration::ZERO } else { work.shared };
-        let failing = FAILING.mul_f64((it.failures - SOUND).max(0.0));
-        let travel = if it.distance == Distance::Near { Duration::ZERO } else { FAR };
+        let failing = FAILING_PENALTY.mul_f64((it.failures - MAX_HEALTHY_FAILURES).max(0.0));
+        let travel =
+            if it.distance == Distance::Near { Duration::ZERO } else { CROSS_DOMAIN_PENALTY };
         let tie = match work.subject {
             Some(subject) => u64::MAX - hash::pair(subject, it.seed),
             None => hash::pair(work.salt, it.seed),
--- a/crates/curranthook_gateway/src/watch.rs
+++ b/crates/curranthook_gateway/src/watch.rs
@@ -55,18 +55,18 @@
 /// endpoints are replaced would have no room left for its own callers.
 const PAUSE_CHILD: Duration = Duration::from_millis(400);
 /// The pause after a first failure.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
+const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// How long calls for other rows than operators' are put off while the store is away. An endpoint
 /// that leaves right after may get no more work two seconds later.
-const AWAY_PAUSE: Duration = Duration::from_secs(1);
+const OUTAGE_BACKOFF: Duration = Duration::from_secs(1);
 /// The same for a node without a configuration, to which those rows are of no use yet.
-const UNREAD_PAUSE: Duration = Duration::from_secs(3);
+const UNREAD_BACKOFF: Duration = Duration::from_secs(3);
 /// Every how many tries a node that has parents asks a store that is away itself.
 const OWN_TRIES: u32 = 4;
 /// The longest pause between calls to a store that is away.
-const MAX_PAUSE: Duration = Duration::from_millis(800);
+const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// The same for a node that has no configuration and so serves nobody.
-const MAX_PAUSE_UNREAD: Duration = Duration::from_millis(300);
+const MAX_BACKOFF_UNREAD: Duration = Duration::from_millis(300);
 /// How long a first call for the configuration is waited for before another one is made beside it.
 /// A call that was sent while the store was silent hangs until its own limit, though the store may be
 /// back long before; a slow store still answers the older call.
@@ -278,14 +278,14 @@
             // Any rows that are applied may be the configuration.
             let applied = self.gateway.changed.wait();
             if self.gateway.current.load().is_none() {
-                return pause_unless(applied, UNREAD_PAUSE).await;
+                return pause_unless(applied, UNREAD_BACKOFF).await;
             }
         } else if self.is_away {
             // One call after the other shows whether the store is back; the operators' does.
-            return pause_unless(self.shared.returned.wait(), AWAY_PAUSE).await;
+            return pause_unless(self.shared.returned.wait(), OUTAGE_BACKOFF).await;
         }
-        let longest = if self.since.is_some() { MAX_PAUSE } else { MAX_PAUSE_UNREAD };
-        let pause = (FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(longest);
+        let longest = if self.since.is_some() { MAX_BACKOFF } else { MAX_BACKOFF_UNREAD };
+        let pause = (FIRST_BACKOFF * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(longest);
         Timer::after(spread(pause)).await;
     }
 }
--- a/crates/curranthook_gateway/src/watch/parents.rs
+++ b/crates/curranthook_gateway/src/watch/parents.rs
@@ -11,9 +11,9 @@
 use crate::{Gateway, event::Event, relays, signal::Signal, store::Error};
 
 /// How long a parent that failed isn't asked.
-const PARENT_PAUSE: Duration = Duration::from_secs(4);
+const PARENT_COOLDOWN: Duration = Duration::from_secs(4);
 /// The same for one that is out of date. It may have missed a single answer of the store.
-const STALE_PAUSE: Duration = Duration::from_millis(600);
+const STALE_COOLDOWN: Duration = Duration::from_millis(600);
 /// How many parents are asked before the store itself.
 const MAX_PARENTS_ASKED: usize = 2;
 
@@ -36,7 +36,7 @@
     /// A parent failed, and isn't asked for a while.
     pub(super) fn failed(&self, gateway: &Gateway, parent: String, error: &Error) {
         let why = error.to_string();
-        let pause = if matches!(error, Error::Stale(_)) { STALE_PAUSE } else { PARENT_PAUSE };
+        let pause = if matches!(error, Error::Stale(_)) { STALE_COOLDOWN } else { PARENT_COOLDOWN };
         gateway.log.write(&Event::Dependency { name: &parent, state: "failed", why: &why });
         self.failed_parents.lock().insert(parent, gateway.now() + pause);
         self.parent_failed.wake();
