A node that isn't listed yet waits at parents like a leaf

Cause: the new test of a start in a running fleet found rows-get calls for the operators' and the endpoints' tables: a node whose own row hadn't come back to it had no place in the ranking, so it took itself for the root, read all tables in the store and watched it. Change: such a node ranks behind all others.

--- a/crates/curranthook_gateway/src/relays.rs
+++ b/crates/curranthook_gateway/src/relays.rs
@@ -67,14 +67,15 @@
         return Vec::new();
     }
     let ranked = ranked(nodes);
-    let Some(rank) = ranked.iter().position(|it| it.name == node) else { return Vec::new() };
+    // A node that starts isn't among them until its own row comes back to it.
+    let rank = ranked.iter().position(|it| it.name == node).unwrap_or(nodes.len());
     let relays = &ranked[1..=n_relays(nodes.len())];
     if rank <= relays.len() || nodes.len() <= MAX_FLAT {
         let roots = ranked.iter().take(rank.min(ROOTS));
         return roots.map(|it| Parent { name: it.name, max_age: ROOT_MAX_AGE }).collect();
     }
     let own = hash::bytes(node.as_bytes());
-    let home = ranked[rank].domain;
+    let home = ranked.get(rank).and_then(|it| it.domain);
     let mut relays = relays.to_vec();
     // What crosses failure domains is charged for.
     relays.sort_by_key(|it| (home != it.domain, hash::pair(own, seed(it))));
--- a/crates/curranthook_gateway/tests/relays.rs
+++ b/crates/curranthook_gateway/tests/relays.rs
@@ -108,6 +108,14 @@
     }
 }
 
+/// A node that is added isn't in the list until its own row comes back to it. If it took itself for the root
+/// meanwhile, each added node would read all tables in the store.
+#[parameterized(flat = { 18, 5 }, large = { 295, 5 })]
+fn a_node_that_is_not_listed_yet_has_parents(n_nodes: usize, n_domains: usize) {
+    let fleet = Fleet::new(n_nodes, n_domains);
+    assert!(!relays::parents("node-new", &fleet.nodes()).is_empty());
+}
+
 /// A node of the model check: what it knows, and which of its ways are open.
 struct Model {
     mirror: Mirror,
