--- a/crates/curranthook_gateway/src/relays.rs
+++ b/crates/curranthook_gateway/src/relays.rs
@@ -2,9 +2,9 @@
 //!
 //! The store bounds and charges for calls, so one node, the root, watches it for the fleet. In a
 //! large fleet the root has relays below it, about as many as each of them has leaves: the square root
-//! of the fleet's size. Every node derives the tree from the rows
-//! of the nodes. It only says whom to ask first: knowledge travels with its age, and a node whose
-//! parents are lost or out of date watches the store itself.
+//! of the fleet's size. Every node derives the tree from the rows of the nodes. It only says whom to
+//! ask first: knowledge travels with its age, and a node whose parents are lost or out of date watches
+//! the store itself.
 
 use std::{collections::HashMap, time::Duration};
 
