Evacuated failure domains get no new work

Ruled out: a fallback to evacuated endpoints while there are no others; the order has no such exception. Change: an order is a row of the operators' table, which travels to all nodes like the configuration. The directory leaves endpoints of evacuated failure domains out of those that take new work, so first attempts, retries, larger models, resumed streams and canaries all pass them over.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use curranthook_types::endpoint;
+use curranthook_types::{domain, endpoint};
 
 use crate::{
     Gateway,
@@ -42,6 +42,10 @@
 }
 
 fn operator(gateway: &Arc<Gateway>, row: &Row, from: &str) {
+    if let Some(domain) = gateway.decoder.evacuation(&row.key) {
+        evacuation(gateway, domain, row, from);
+        return;
+    }
     let Some(value) = &row.value else { return };
     match gateway.decoder.operator(&row.key, value) {
         Ok(Operator::Document(document)) => {
@@ -70,6 +74,16 @@
     }
 }
 
+fn evacuation(gateway: &Gateway, domain: domain::Id, row: &Row, from: &str) {
+    let (state, rev) = (if row.value.is_some() { "ordered" } else { "ended" }, row.rev.0);
+    gateway.log.write(&Event::Evacuation { domain: domain.as_str(), state, rev, from });
+    let mut directory = gateway.directory.lock();
+    match row.value {
+        Some(_) => directory.evacuate(domain),
+        None => directory.readmit(&domain),
+    }
+}
+
 fn entry(gateway: &Arc<Gateway>, row: &Row) {
     let id = endpoint::Id::new(&row.key);
     let now = gateway.now();
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -1,12 +1,12 @@
 //! The endpoints that a node knows, and what it has seen of each.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
 use curranthook_policy::hash;
-use curranthook_types::endpoint;
+use curranthook_types::{domain, endpoint};
 
 use crate::{
     dialect::Load,
@@ -33,6 +33,8 @@
     endpoints: HashMap<endpoint::Id, Tracked>,
     /// From when on each version may be used, by service.
     versions: HashMap<String, HashMap<String, Instant>>,
+    /// Failure domains whose endpoints get no new work.
+    evacuated: HashSet<domain::Id>,
     /// Until when removed entries are kept, because they may have lapsed with the store.
     lapsing_until: Option<Instant>,
 }
@@ -182,9 +184,25 @@
     }
 
     /// The endpoints of a service that take new work.
+    ///
+    /// ```
+    /// # use curranthook_gateway::directory::Directory;
+    /// assert_eq!(Directory::default().ready("engines").count(), 0);
+    /// ```
     pub fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Tracked> {
         let of_service = move |it: &&Tracked| it.entry.service == service && it.is_ready();
-        self.endpoints.values().filter(of_service)
+        let is_evacuated = |it: &&Tracked| self.evacuated.contains(&it.entry.domain);
+        self.endpoints.values().filter(of_service).filter(move |it| !is_evacuated(it))
+    }
+
+    /// The endpoints of a failure domain get no new work from now on.
+    pub fn evacuate(&mut self, domain: domain::Id) {
+        self.evacuated.insert(domain);
+    }
+
+    /// The endpoints of a failure domain get work again.
+    pub fn readmit(&mut self, domain: &domain::Id) {
+        self.evacuated.remove(domain);
     }
 
     /// All endpoints.
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
-use curranthook_types::endpoint;
+use curranthook_types::{domain, endpoint};
 use serde::{Deserialize, Serialize};
 
 use crate::{document::Document, entry::Entry};
@@ -158,6 +158,9 @@
 pub trait Decoder: Debug + Send + Sync {
     /// Decodes a row of [`Table::Operator`].
     fn operator(&self, key: &str, value: &[u8]) -> Result<Operator, Undecodable>;
+    /// The failure domain whose evacuation a row of [`Table::Operator`] orders. The order stands for as
+    /// long as the row exists, whatever its value.
+    fn evacuation(&self, key: &str) -> Option<domain::Id>;
     /// Decodes a row of [`Table::Endpoints`].
     fn endpoint(&self, id: &endpoint::Id, value: &[u8]) -> Result<Entry, Undecodable>;
 }
