Endpoints in slow start get a bounded rate from the whole fleet

Cause: an endpoint says in its entry how long it stays cold, and nobody used it. Ruled out: an equal part for each node (81 nodes before 8.4 requests a second have less than one each). Change: a few nodes hold a permit for a part of the rate each, found by rendezvous hashing without a message; the others pass the endpoint over. Three quarters of the tolerated rate are handed out, so that requests held up on their way, and nodes that disagree on the fleet, stay within the bound.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -11,6 +11,7 @@
 use crate::{
     dialect::Load,
     entry::{Entry, State},
+    slow_start::SlowStart,
     store::Row,
 };
 
@@ -23,6 +24,8 @@
 /// How old a load may be that an endpoint told of itself.
 const LOAD_EXPIRY: Duration = Duration::from_secs(1);
 
+/// The longest slow start that an entry is believed.
+const MAX_SLOW_START: Duration = Duration::from_secs(600);
 /// How long a new version of a service that has others gets nothing, if no order for it is known.
 /// Entries and orders come by different calls; a lost call delays an order by up to this.
 const UNKNOWN_VERSION: Duration = Duration::from_secs(4);
@@ -55,6 +58,8 @@
     load: Option<(Load, Instant, u32)>,
     pause: Duration,
     out_until: Option<Instant>,
+    /// Its slow start, while there is one.
+    slow_start: Option<SlowStart>,
     /// Whether it's missing from the list.
     missing: bool,
     /// From when on its version may be used without an order.
@@ -90,6 +95,7 @@
             load: None,
             pause: Duration::ZERO,
             out_until: None,
+            slow_start: None,
             missing: false,
         }
     }
@@ -120,6 +126,21 @@
         }
     }
 
+    /// Whether it takes a request now: always, but for an endpoint in slow start.
+    pub fn admits(&self, now: Instant) -> bool {
+        self.slow_start.is_none_or(|it| it.admits(now))
+    }
+
+    /// Takes in how long its entry says that it stays in slow start.
+    fn set_warm_in(&mut self, warm_in: Duration, now: Instant) {
+        let end = now + warm_in.min(MAX_SLOW_START);
+        match &mut self.slow_start {
+            _ if warm_in.is_zero() => self.slow_start = None,
+            Some(it) => it.set_end(end),
+            none => *none = Some(SlowStart::new(end)),
+        }
+    }
+
     fn failed(&mut self, now: Instant) {
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.out_until = Some(now + self.pause);
@@ -132,16 +153,20 @@
         let versions = self.versions.entry(entry.service.clone()).or_default();
         let from = if versions.is_empty() { now } else { now + UNKNOWN_VERSION };
         let known_from = *versions.entry(entry.version.clone()).or_insert(from);
-        match self.endpoints.get_mut(&entry.id) {
+        let (id, warm_in) = (entry.id.clone(), entry.warm_in);
+        match self.endpoints.get_mut(&id) {
             // The same id after a restart is another endpoint: nothing known of it holds.
             Some(it) if it.entry.born == entry.born && it.entry.addr == entry.addr => {
                 it.entry = entry;
                 it.missing = false;
             }
             _ => {
-                self.endpoints.insert(entry.id.clone(), Tracked::new(entry, known_from));
+                self.endpoints.insert(id.clone(), Tracked::new(entry, known_from));
             }
         }
+        if let Some(it) = self.endpoints.get_mut(&id) {
+            it.set_warm_in(warm_in, now);
+        }
     }
 
     /// An entry was removed.
@@ -215,11 +240,31 @@
         self.endpoints.get(id)
     }
 
+    /// Works out what this node may send to the endpoints of a service in slow start, where that isn't
+    /// known. `interval` tells it from the hash of the endpoint's id (see
+    /// [`slow_start::interval`](crate::slow_start::interval)).
+    pub fn permit_slow_starts(
+        &mut self,
+        service: &str,
+        now: Instant,
+        interval: impl Fn(u64) -> Option<Duration>,
+    ) {
+        for it in self.endpoints.values_mut().filter(|it| it.entry.service == service) {
+            let (seed, slow_start) = (it.seed, it.slow_start.as_mut());
+            if let Some(it) = slow_start.filter(|it| it.is_outdated(now)) {
+                it.set_interval(interval(seed), now);
+            }
+        }
+    }
+
     /// A request goes to an endpoint.
-    pub fn started(&mut self, id: &endpoint::Id, work: Duration) {
+    pub fn started(&mut self, id: &endpoint::Id, work: Duration, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
             it.in_flight += 1;
             it.pending += work;
+            if let Some(slow_start) = &mut it.slow_start {
+                slow_start.sent(now);
+            }
         }
     }
 
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -42,13 +42,14 @@
         let now = gateway.now();
         let mut directory = gateway.directory.lock();
         directory.sweep(now);
+        offer::permit_slow_starts(gateway, &mut directory, wanted.service, now);
         let offer = offer::best(gateway, &directory, wanted, heard)?;
         let Offer { prompt, busy, waited, .. } = offer;
         let pace = wanted.model.map(|it| it.pace);
         let expected = pace.map(|it| offer.first_event(&it));
         let pending = pace.map_or(Duration::ZERO, |it| it.speed.reading(prompt));
         let entry = offer.endpoint.entry.clone();
-        directory.started(&entry.id, pending);
+        directory.started(&entry.id, pending, now);
         if let Some(subject) = wanted.subject {
             gateway.affinity.lock().read(subject, &entry.id, now);
             if let Some(notices) = gateway.notices.get() {
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //!   other nodes sent there, by the [`board`] or, in a large fleet, by its [`keepers`];
 //! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
-//! [`place`], [`cascade`], [`pace`], [`reading`], [`budget`] and [`steps`] decide without I/O or a clock. [`watch`] and
+//! [`place`], [`cascade`], [`pace`], [`reading`], [`budget`], [`slow_start`] and [`steps`] decide without I/O or a clock. [`watch`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
 //! [`rollouts`]. In a large fleet changes reach most nodes by a tree of [`relays`]; [`peers`] is
 //! how nodes ask each other, and stands in for the store while that is away; [`outage`] tells
@@ -56,6 +56,7 @@
 pub mod serve;
 pub mod settings;
 pub mod signal;
+pub mod slow_start;
 pub mod splitter;
 pub mod starting;
 pub mod steps;
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -1,6 +1,10 @@
 //! The endpoints that may take a request, and what each offers it as far as the node knows.
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::LazyCell,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use curranthook_policy::hash;
 use curranthook_types::endpoint;
@@ -8,12 +12,14 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Tracked},
+    gateway::Current,
     keepers,
     notices::Heard,
     pace::Pace,
     place::{self, Candidate, Distance, Holders, Work},
     reading::Prompt,
     rollouts::Rule,
+    slow_start,
 };
 
 /// How long a plain service works on a request, about.
@@ -98,7 +104,7 @@
     heard: &Heard,
 ) -> Option<Offer<'a>> {
     let now = gateway.now();
-    let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
+    let all: Vec<&Tracked> = directory.ready(wanted.service).filter(|it| it.admits(now)).collect();
     let mut list = eligible(&all, wanted, now);
     if list.iter().any(|it| heard.waiting.contains_key(&it.entry.id)) {
         // Of the others nobody knows how busy they are; they'd seem idle.
@@ -122,14 +128,36 @@
         return Vec::new();
     }
     let now = gateway.now();
-    let directory = gateway.directory.lock();
-    let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
+    let mut directory = gateway.directory.lock();
+    permit_slow_starts(gateway, &mut directory, wanted.service, now);
+    let all: Vec<&Tracked> = directory.ready(wanted.service).filter(|it| it.admits(now)).collect();
     let list = eligible(&all, wanted, now);
     let (holders, candidates) = candidates(gateway, &list, wanted, &Heard::default(), now);
     let best = place::best(&candidates, &wanted.work(holders), SHORTLIST);
     best.into_iter().map(|it| list[it].entry.id.clone()).collect()
 }
 
+/// Works out which endpoints of `service` in slow start this node may send requests to.
+pub fn permit_slow_starts(
+    gateway: &Gateway,
+    directory: &mut Directory,
+    service: &str,
+    now: Instant,
+) {
+    let current = gateway.current.load();
+    let service_of = |it: &Arc<Current>| it.document.services.get(service)?.slow_start_rate;
+    let rate = current.as_ref().and_then(service_of);
+    let own = hash::bytes(gateway.settings.node.as_bytes());
+    let nodes = LazyCell::new(|| {
+        let peers = gateway.peers.lock();
+        peers.keys().map(|it| hash::bytes(it.as_bytes())).collect::<Vec<_>>()
+    });
+    directory.permit_slow_starts(service, now, |endpoint| match rate {
+        Some(rate) => slow_start::interval(rate, endpoint, own, &nodes),
+        None => Some(Duration::ZERO),
+    });
+}
+
 fn candidates(
     gateway: &Gateway,
     list: &[&Tracked],
