Load owners are asked before a larger model is

Cause: in a large fleet a node sees its own work only, a hundredth of what waits, so the largest model seemed to answer at once wherever it hadn't sent anything itself. Ruled out: estimates by model; with what others have waiting they were right within a fifth. Change: where the larger model would be worth it at an idle engine, the owners of the candidates are asked, and the decision is made again by what they tell. What was told places the attempt too.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -78,6 +78,8 @@
     /// Whether an endpoint answered it with an error.
     has_failed: bool,
     configuration: u64,
+    /// What other nodes told while the next attempt was decided on.
+    heard: Option<Heard>,
     _in_flight: InFlight,
 }
 
@@ -109,6 +111,7 @@
             ran: Ran::No,
             has_failed: false,
             configuration: current.document.version,
+            heard: None,
             _in_flight: gateway.enter(),
             gateway: Arc::clone(gateway),
             ask,
@@ -134,7 +137,7 @@
                 Ok(open) => {
                     self.runs += 1;
                     self.ran = Ran::Maybe;
-                    if let Some(open) = self.judge(open, &version) {
+                    if let Some(open) = self.judge(open, &version).await {
                         return Ok(open);
                     }
                 }
@@ -166,8 +169,12 @@
     async fn place(&mut self) -> Result<Lease, Refusal> {
         let session = self.session();
         let rule = self.gateway.rollouts.lock().rule(&self.service, session);
+        let heard = self.heard.take();
         let wanted = self.wanted(&rule, self.models.current());
-        let heard = self.hear(&wanted).await;
+        let heard = match heard {
+            Some(heard) => heard,
+            None => self.hear(&wanted).await,
+        };
         let lease = Lease::take(&self.gateway, &wanted, &heard);
         lease.ok_or_else(|| self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY))
     }
@@ -234,7 +241,7 @@
     }
 
     /// Whether the caller gets this answer; if not, another attempt follows.
-    fn judge(&mut self, open: Open, version: &str) -> Option<Open> {
+    async fn judge(&mut self, open: Open, version: &str) -> Option<Open> {
         let is_error = open.reply.status.is_server_error();
         // A request that fails for a reason of its own fails again; it's evidence once.
         if !self.has_failed {
@@ -264,7 +271,7 @@
             let mut paces = self.gateway.paces.lock();
             paces.began(&self.service, &it.name, it.weight, first);
         }
-        if open.reply.status.is_success() && self.escalates(open.reply.confidence) {
+        if open.reply.status.is_success() && self.escalates(open.reply.confidence).await {
             open.close(Outcome::Answered);
             return None;
         }
@@ -272,42 +279,53 @@
     }
 
     /// Whether the largest model is asked in place of the one that has begun.
-    fn escalates(&mut self, confidence: Option<u8>) -> bool {
+    async fn escalates(&mut self, confidence: Option<u8>) -> bool {
         let can_repeat = self.route.repeat.is_repeatable() && self.last_event.is_none();
-        let (Some(small), Some(large)) = (self.models.current(), self.models.larger()) else {
-            return false;
-        };
         let Some(confidence) = confidence.filter(|_| can_repeat) else { return false };
-        let elapsed = self.gateway.now().saturating_duration_since(self.ask.since);
-        let aim = Aim {
-            objective: self.route.objective,
-            deadline: self.ask.deadline.saturating_duration_since(self.ask.since),
-        };
+        let Some(large) = self.models.larger() else { return false };
         let rule = self.gateway.rollouts.lock().rule(&self.service, self.session());
-        let first = elapsed + self.first_event(&rule, large).unwrap_or_default();
-        let name = large.name.clone();
-        let small = self.outlook(small, elapsed, 0.0);
-        let large = self.outlook(large, first, cascade::LARGE_PRICE);
-        let is_better = cascade::escalates(confidence, &small, &large, &aim);
-        if !is_better || !self.may_run_again("confidence") {
+        // Work of other nodes only delays the larger model, so most answers are kept without asking.
+        if self.better(confidence, &rule, &Heard::default()).is_none() {
+            return false;
+        }
+        let heard = self.hear(&self.wanted(&rule, Some(large))).await;
+        let Some(expected) = self.better(confidence, &rule, &heard) else { return false };
+        let model = large.name.clone();
+        if !self.may_run_again("confidence") {
             return false;
         }
         self.gateway.log.write(&Event::Escalated {
             request: &self.ask.head.id,
-            model: &name,
+            model: &model,
             confidence,
-            first_ms: millis(large.first),
-            last_ms: millis(large.last),
+            first_ms: millis(expected.first),
+            last_ms: millis(expected.last),
         });
         self.models.switch_to_largest();
+        self.heard = Some(heard);
         true
     }
 
-    /// When the first event of `model` is likely to come, at the endpoint that it would get now.
-    fn first_event(&self, rule: &Rule, model: &Candidate) -> Option<Duration> {
+    /// What is to be expected of the largest model, if that is better than the answer that has begun.
+    fn better(&self, confidence: u8, rule: &Rule, heard: &Heard) -> Option<Outlook> {
+        let (small, large) = (self.models.current()?, self.models.larger()?);
+        let elapsed = self.gateway.now().saturating_duration_since(self.ask.since);
+        let aim = Aim {
+            objective: self.route.objective,
+            deadline: self.ask.deadline.saturating_duration_since(self.ask.since),
+        };
+        let first = elapsed + self.first_event(rule, large, heard)?;
+        let small = self.outlook(small, elapsed, 0.0);
+        let large = self.outlook(large, first, cascade::LARGE_PRICE);
+        cascade::escalates(confidence, &small, &large, &aim).then_some(large)
+    }
+
+    /// When the first event of `model` is likely to come, at the endpoint that it would get now; none if
+    /// there is no endpoint for it.
+    fn first_event(&self, rule: &Rule, model: &Candidate, heard: &Heard) -> Option<Duration> {
         let wanted = self.wanted(rule, Some(model));
         let directory = self.gateway.directory.lock();
-        let offer = offer::best(&self.gateway, &directory, &wanted, &Heard::default())?;
+        let offer = offer::best(&self.gateway, &directory, &wanted, heard)?;
         Some(offer.first_event(&wanted.model?.pace))
     }
 
