Calls that run once wait for their connection to hold, and leave few behind

Cause: each such call opened a connection and left it idle for 20 s; no such call used it again. Change: at most half of an endpoint's connections, divided by the nodes, stay idle; a call that can't be repeated is sent 8 ms after its connection was accepted, and if that was reset by then it surely hasn't run.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -29,6 +29,10 @@
 /// between failure domains.
 const AT_ONCE: Duration = Duration::from_millis(10);
 
+/// How long a new connection must hold before a request that can't be repeated is sent on it: a round
+/// trip between failure domains and the time in which an endpoint accepts a connection or resets it.
+const SETTLE: Duration = Duration::from_millis(8);
+
 /// An answer that has begun.
 #[derive(Debug)]
 pub struct Open {
@@ -115,6 +119,12 @@
             return Err(not_run(Cause::Connect));
         }
     };
+    if !repeat.is_repeatable()
+        && let Err(_nothing_sent) = conn.settle(SETTLE).await
+    {
+        lease.close(Outcome::Unreachable);
+        return Err(not_run(Cause::Connect));
+    }
     let limit = ask.time_left(gateway.now());
     let response = match timeout::run(limit, conn.send(request)).await {
         Ok(Ok(response)) => response,
@@ -192,7 +202,7 @@
     /// its end.
     pub fn finish(self, gateway: &Gateway, outcome: Outcome) {
         if matches!(self.reply.connection, dialect::Connection::Kept(_)) {
-            gateway.pool.put(self.conn);
+            gateway.pool.put_within(self.conn, self.lease.max_idle);
         }
         self.lease.close(outcome);
     }
--- a/crates/curranthook_gateway/src/document.rs
+++ b/crates/curranthook_gateway/src/document.rs
@@ -101,6 +101,8 @@
     pub models: BTreeMap<String, f64>,
     /// How many tokens an event of a stream holds; 0 if unknown.
     pub tokens_per_event: u32,
+    /// How many connections an endpoint takes from all nodes together; any number if there is none.
+    pub max_connections: Option<usize>,
     /// How many requests a second an endpoint in slow start takes from all nodes together; any number
     /// if there is none.
     pub slow_start_rate: Option<f64>,
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
     budget::Budget,
     dialect::Dialect,
     directory::Directory,
-    document::Document,
+    document::{Document, Service},
     event::Log,
     fleet,
     keepers::Keepers,
@@ -191,6 +191,11 @@
         self.peers.lock().len().max(1)
     }
 
+    /// What the configuration in force says of a service; none if it says nothing.
+    pub fn service<T>(&self, name: &str, say: impl FnOnce(&Service) -> Option<T>) -> Option<T> {
+        say(self.current.load().as_ref()?.document.services.get(name)?)
+    }
+
     /// Waits until the rows of the fleet are read, `limit` at most.
     pub async fn members_known(&self, limit: Duration) {
         let read = async {
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -7,6 +7,7 @@
 use crate::{
     Gateway,
     affinity::Read,
+    connections,
     dialect::Load,
     directory::Outcome,
     notices::Heard,
@@ -32,6 +33,8 @@
     pub waited: Duration,
     /// When its first event is likely to come; none for plain services.
     pub expected: Option<Duration>,
+    /// How many idle connections this node may keep there.
+    pub max_idle: usize,
     pending: Duration,
     outcome: Outcome,
 }
@@ -57,6 +60,8 @@
             }
         }
         gateway.waiting_changed.wake();
+        let max_connections = gateway.service(wanted.service, |it| it.max_connections);
+        let max_idle = max_connections.map(|it| connections::max_idle(it, gateway.n_nodes()));
         Some(Self {
             gateway: Arc::clone(gateway),
             id: entry.id,
@@ -66,6 +71,7 @@
             prompt,
             waited,
             expected,
+            max_idle: max_idle.unwrap_or(usize::MAX),
             pending,
             outcome: Outcome::Dropped,
         })
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod board;
 pub mod budget;
 pub mod cascade;
+pub mod connections;
 pub mod dialect;
 pub mod directory;
 pub mod document;
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::LazyCell,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -12,7 +11,6 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Tracked},
-    gateway::Current,
     keepers,
     notices::Heard,
     pace::Pace,
@@ -144,9 +142,7 @@
     service: &str,
     now: Instant,
 ) {
-    let current = gateway.current.load();
-    let service_of = |it: &Arc<Current>| it.document.services.get(service)?.slow_start_rate;
-    let rate = current.as_ref().and_then(service_of);
+    let rate = gateway.service(service, |it| it.slow_start_rate);
     let own = hash::bytes(gateway.settings.node.as_bytes());
     let nodes = LazyCell::new(|| {
         let peers = gateway.peers.lock();
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use bytes::Bytes;
 use curranthook_types::Clock;
 use http_body_util::Full;
@@ -135,6 +135,14 @@
         })
     }
 
+    /// Waits for `wait` to see whether the other end drops the connection at once, as an endpoint over
+    /// its limit does right after it accepted one. What would have been sent is then known not to have
+    /// arrived.
+    pub async fn settle(&self, wait: Duration) -> Result<(), Error> {
+        Timer::after(wait).await;
+        if self.sender.is_closed() { Err(Error::NotSent) } else { Ok(()) }
+    }
+
     /// Closes the connection; whatever still comes on it is dropped.
     pub fn close(self) {
         drop(self);
@@ -203,15 +211,22 @@
 
     /// Takes back a connection whose last answer was read to its end and is beyond doubt.
     pub fn put(&self, conn: Connection) {
+        self.put_within(conn, MAX_IDLE);
+    }
+
+    /// Takes back a connection like [`put`](Self::put), and closes those that were idle for longest if
+    /// there are more than `max_idle` to the same address.
+    pub fn put_within(&self, conn: Connection, max_idle: usize) {
         if conn.sender.is_closed() {
             return;
         }
         let idle = Idle { sender: conn.sender, since: self.clock.now() };
         let mut all = self.idle.lock();
         let list = all.entry(conn.addr).or_default();
-        if list.len() < MAX_IDLE {
-            list.push(idle);
-        }
+        list.retain(|it| !it.sender.is_closed());
+        list.push(idle);
+        let n_excess = list.len().saturating_sub(max_idle);
+        list.drain(..n_excess);
     }
 
     /// Closes the idle connections to `addr`, after one of them was found to be silent.
