An address belongs to the endpoint that started last

Cause: the entry of an endpoint that crashed stays in the list for three heartbeats, beside that of its successor at the same address. Change: of two entries with one address the one that was born later is kept, in whatever order they come. Test: the_newest_endpoint_has_the_address.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -1,7 +1,9 @@
 //! The endpoints that a node knows, and what it has seen of each.
 
 use std::{
+    cmp::Ordering,
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -34,6 +36,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     endpoints: HashMap<endpoint::Id, Tracked>,
+    /// The endpoint that was last known at each address.
+    by_addr: HashMap<SocketAddr, endpoint::Id>,
     /// From when on each version may be used, by service.
     versions: HashMap<String, HashMap<String, Instant>>,
     /// Failure domains whose endpoints get no new work.
@@ -150,6 +154,9 @@
 impl Directory {
     /// Takes in an entry.
     pub fn set(&mut self, entry: Entry, now: Instant) {
+        if self.drop_older(&entry) == Some(entry.id.clone()) {
+            return;
+        }
         let versions = self.versions.entry(entry.service.clone()).or_default();
         let from = if versions.is_empty() { now } else { now + UNKNOWN_VERSION };
         let known_from = *versions.entry(entry.version.clone()).or_insert(from);
@@ -169,6 +176,25 @@
         }
     }
 
+    /// Drops the older one of `entry` and another endpoint that was known at its address, and says which.
+    /// The list keeps the entry of an endpoint that crashed for some seconds, beside that of its successor.
+    fn drop_older(&mut self, entry: &Entry) -> Option<endpoint::Id> {
+        let known = self.by_addr.insert(entry.addr, entry.id.clone());
+        let other = known.filter(|it| *it != entry.id)?;
+        let born = self.endpoints.get(&other)?.entry.born;
+        let (own, others) = entry.born.zip(born)?;
+        let older = match own.cmp(&others) {
+            Ordering::Greater => other,
+            Ordering::Less => {
+                self.by_addr.insert(entry.addr, other);
+                entry.id.clone()
+            }
+            Ordering::Equal => return None,
+        };
+        self.endpoints.remove(&older);
+        Some(older)
+    }
+
     /// An entry was removed.
     pub fn remove(&mut self, id: &endpoint::Id, now: Instant) {
         let keeps = self.lapsing_until.is_some_and(|until| now < until);
--- a/crates/curranthook_gateway/tests/beliefs.rs
+++ b/crates/curranthook_gateway/tests/beliefs.rs
@@ -8,6 +8,7 @@
     mirror::{Mirror, Unknown},
     store::{Batch, Rev, Row, Table},
 };
+use yare::parameterized;
 
 fn row(key: &str, rev: u64, value: Option<&str>) -> Row {
     Row { key: key.to_owned(), rev: Rev(rev), value: value.map(|it| it.as_bytes().to_vec()) }
@@ -116,3 +117,16 @@
     directory.set(Entry { born: Some(7), ..entry("e-1", "v1") }, now);
     assert!(!directory.tracked(&"e-1".into()).unwrap().is_out(now));
 }
+
+/// Guards against sending requests to an endpoint that crashed, whose entry the list still has beside that of
+/// its successor at the same address: each would be turned away there and use up the budget of retries.
+#[parameterized(in_order = { 1, 2 }, out_of_order = { 2, 1 })]
+fn the_newest_endpoint_has_the_address(first: u64, second: u64) {
+    let (mut directory, now) = (Directory::default(), Instant::now());
+    for born in [first, second] {
+        let id = format!("e-{born}");
+        directory.set(Entry { born: Some(born), ..entry(&id, "v1") }, now);
+    }
+    let ready: Vec<_> = directory.ready("models").map(|it| it.entry.id.as_str()).collect();
+    assert_eq!(ready, ["e-2"]);
+}
