Nodes tell each other which endpoints can't be reached

Change: a node that couldn't open a connection, and reaches others, tells the endpoint's load owner (all nodes in a small fleet); owners tell whoever asks before a placement. It's believed for a second. If all candidates are down, others are asked about.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -115,7 +115,7 @@
     let mut conn = match gateway.pool.take(lease.addr, freshness).await {
         Ok(conn) => conn,
         Err(_nothing_sent) => {
-            lease.close(Outcome::Unreachable);
+            lease.close(Outcome::NoConnection);
             return Err(not_run(Cause::Connect));
         }
     };
@@ -179,7 +179,8 @@
     match cause {
         Cause::Full => Outcome::Full,
         Cause::Misdirected => Outcome::Gone,
-        Cause::Connect | Cause::Cut => Outcome::Unreachable,
+        Cause::Connect => Outcome::NoConnection,
+        Cause::Cut => Outcome::Unreachable,
         Cause::Stale | Cause::Foreign | Cause::Timeout => Outcome::Dropped,
         Cause::Unsealed | Cause::Error => Outcome::Failed,
     }
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -26,6 +26,11 @@
 /// How old a load may be that an endpoint told of itself.
 const LOAD_EXPIRY: Duration = Duration::from_secs(1);
 
+/// How long it's believed that an endpoint can't be reached; then a node tries it again.
+const UNREACHABLE_EXPIRY: Duration = Duration::from_secs(1);
+/// How long ago an endpoint must have answered for this node to blame another endpoint, and not its own
+/// links, for a connection that fails.
+const LINKS_EXPIRY: Duration = Duration::from_secs(1);
 /// The longest slow start that an entry is believed.
 const MAX_SLOW_START: Duration = Duration::from_secs(600);
 /// How long a new version of a service that has others gets nothing, if no order for it is known.
@@ -42,6 +47,8 @@
     versions: HashMap<String, HashMap<String, Instant>>,
     /// Failure domains whose endpoints get no new work.
     evacuated: HashSet<domain::Id>,
+    /// When an endpoint last answered.
+    last_answer: Option<Instant>,
     /// Until when removed entries are kept, because they may have lapsed with the store.
     lapsing_until: Option<Instant>,
 }
@@ -62,6 +69,8 @@
     load: Option<(Load, Instant, u32)>,
     pause: Duration,
     out_until: Option<Instant>,
+    /// When this node, or one that told it, last found that no connection can be opened.
+    unreachable_since: Option<Instant>,
     /// Its slow start, while there is one.
     slow_start: Option<SlowStart>,
     /// Whether it's missing from the list.
@@ -79,7 +88,9 @@
     Failed,
     /// It was turned away, as the endpoint is full.
     Full,
-    /// It couldn't be reached or broke off.
+    /// No connection to it could be opened.
+    NoConnection,
+    /// It broke off.
     Unreachable,
     /// The address belongs to another endpoint by now.
     Gone,
@@ -99,6 +110,7 @@
             load: None,
             pause: Duration::ZERO,
             out_until: None,
+            unreachable_since: None,
             slow_start: None,
             missing: false,
         }
@@ -114,6 +126,12 @@
         self.out_until.is_some_and(|until| now < until)
     }
 
+    /// Whether this node, or one that told it, found lately that no connection can be opened.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        let since = self.unreachable_since;
+        since.is_some_and(|at| now.saturating_duration_since(at) < UNREACHABLE_EXPIRY)
+    }
+
     /// Whether its version has been in use for a while, or is the only one.
     pub fn is_known_version(&self, now: Instant) -> bool {
         self.known_from <= now
@@ -145,6 +163,10 @@
         }
     }
 
+    fn avoid(&mut self, now: Instant) {
+        self.out_until = self.out_until.max(Some(now + UNREACHABLE_EXPIRY));
+    }
+
     fn failed(&mut self, now: Instant) {
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.out_until = Some(now + self.pause);
@@ -296,6 +318,7 @@
 
     /// The first byte of its answer came.
     pub fn began(&mut self, id: &endpoint::Id, work: Duration, load: Option<Load>, now: Instant) {
+        self.last_answer = Some(now);
         if let Some(it) = self.endpoints.get_mut(id) {
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
@@ -313,9 +336,15 @@
             Outcome::Answered => {
                 it.pause = Duration::ZERO;
                 it.out_until = None;
+                it.unreachable_since = None;
                 0.0
             }
             Outcome::Failed => 1.0,
+            Outcome::NoConnection => {
+                it.failed(now);
+                it.unreachable_since = Some(now);
+                1.0
+            }
             Outcome::Unreachable => {
                 it.failed(now);
                 1.0
@@ -329,6 +358,26 @@
         it.failures += SMOOTHING * (failed - it.failures);
     }
 
+    /// Whether a connection that fails is its endpoint's fault, as this node reaches others.
+    pub fn reaches_others(&self, now: Instant) -> bool {
+        self.last_answer.is_some_and(|at| now.saturating_duration_since(at) < LINKS_EXPIRY)
+    }
+
+    /// Another node found that no connection to an endpoint can be opened.
+    pub fn reported_unreachable(&mut self, id: &endpoint::Id, now: Instant) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            it.unreachable_since = Some(now);
+            it.avoid(now);
+        }
+    }
+
+    /// Leaves an endpoint alone that others can't reach.
+    pub fn avoid(&mut self, id: &endpoint::Id, now: Instant) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            it.avoid(now);
+        }
+    }
+
     /// How many endpoints are in the list.
     pub fn len(&self) -> usize {
         self.endpoints.len()
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -31,6 +31,9 @@
 /// When to come back while no endpoint can be reached: about the time in which one is noticed.
 const RETRY_AWAY: Duration = Duration::from_millis(700);
 
+/// How many times others are asked for an endpoint that can be reached, before a request is placed.
+const MAX_QUESTIONS: usize = 3;
+
 /// The outcome of a request whose answer arrived whole.
 pub const WHOLE: &str = "whole";
 
@@ -182,16 +185,36 @@
     /// What other nodes tell of the endpoints that may take it; nothing in a small fleet, whose nodes
     /// have told already.
     async fn hear(&self, wanted: &Wanted<'_>) -> Heard {
-        let shortlist = offer::shortlist(&self.gateway, wanted);
-        if shortlist.is_empty() {
-            return Heard::default();
+        let mut heard = Heard::default();
+        for _ in 0..MAX_QUESTIONS {
+            let shortlist = offer::shortlist(&self.gateway, wanted);
+            if shortlist.is_empty() {
+                return Heard::default();
+            }
+            heard = self.ask_others(shortlist, wanted.subject).await;
+            if heard.unreachable.is_empty() {
+                break;
+            }
+            let now = self.gateway.now();
+            let mut directory = self.gateway.directory.lock();
+            heard.unreachable.iter().for_each(|it| directory.avoid(it, now));
+            // One that can be reached is enough.
+            if heard.waiting.keys().any(|it| !heard.unreachable.contains(it)) {
+                break;
+            }
         }
-        let mut heard = notices::ask(&self.gateway, shortlist, wanted.subject).await;
+        heard
+    }
+
+    async fn ask_others(&self, shortlist: Vec<endpoint::Id>, subject: Option<u64>) -> Heard {
+        let mut heard = notices::ask(&self.gateway, shortlist, subject).await;
         let is_unheard = |it: &endpoint::Id| !heard.waiting.contains_key(it);
         let holders = heard.holders.iter().flatten();
         let unheard: Vec<_> = holders.filter(|it| is_unheard(it)).cloned().collect();
         if !unheard.is_empty() {
-            heard.waiting.extend(notices::ask(&self.gateway, unheard, None).await.waiting);
+            let of_holders = notices::ask(&self.gateway, unheard, None).await;
+            heard.waiting.extend(of_holders.waiting);
+            heard.unreachable.extend(of_holders.unreachable);
         }
         heard
     }
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -96,5 +96,13 @@
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.lock();
         directory.finished(&self.id, self.outcome, self.pending, now);
+        let is_lost = matches!(self.outcome, Outcome::NoConnection | Outcome::Gone);
+        if is_lost
+            && directory.reaches_others(now)
+            && let Some(notices) = self.gateway.notices.get()
+        {
+            notices.unreachable(self.id.clone());
+            self.gateway.waiting_changed.wake();
+        }
     }
 }
--- a/crates/curranthook_gateway/src/notices.rs
+++ b/crates/curranthook_gateway/src/notices.rs
@@ -45,6 +45,9 @@
 /// How many prompts sent to be read fit into one beside them.
 const MAX_READS: usize = 8;
 
+/// How many unreachable endpoints fit into one beside them.
+const MAX_UNREACHABLE: usize = 8;
+
 /// Work that waits at endpoints.
 type Waiting = HashMap<endpoint::Id, Duration>;
 
@@ -61,6 +64,9 @@
         /// What it has sent to be read since.
         #[serde(default)]
         reads: Vec<Read>,
+        /// The endpoints to which it couldn't open a connection since.
+        #[serde(default)]
+        unreachable: Vec<endpoint::Id>,
     },
     /// What do all nodes but `node` have waiting at these endpoints?
     Question {
@@ -79,6 +85,9 @@
         /// Where the subject's parts were read, if that was asked.
         #[serde(default)]
         holders: Option<Vec<endpoint::Id>>,
+        /// Those of the endpoints asked about that can't be reached.
+        #[serde(default)]
+        unreachable: Vec<endpoint::Id>,
     },
 }
 
@@ -89,11 +98,14 @@
     pub waiting: Waiting,
     /// The endpoints that read the shared parts lately; none if nobody could tell.
     pub holders: Option<Vec<endpoint::Id>>,
+    /// Those of the endpoints asked about to which no connection can be opened.
+    pub unreachable: Vec<endpoint::Id>,
 }
 
 impl Heard {
     fn extend(&mut self, other: Self) {
         self.waiting.extend(other.waiting);
+        self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
     }
 }
@@ -106,12 +118,20 @@
     asked: Mutex<HashMap<u64, Sender<(u64, Heard)>>>,
     /// What this node sent to be read and hasn't told yet.
     reads: Mutex<Vec<Read>>,
+    /// The endpoints that it couldn't reach and hasn't told of yet.
+    unreachable: Mutex<Vec<endpoint::Id>>,
 }
 
 impl Notices {
     /// Notices over `socket`.
     pub fn new(socket: Async<UdpSocket>) -> Self {
-        Self { socket, next: AtomicU64::new(0), asked: Mutex::default(), reads: Mutex::default() }
+        Self {
+            socket,
+            next: AtomicU64::new(0),
+            asked: Mutex::default(),
+            reads: Mutex::default(),
+            unreachable: Mutex::default(),
+        }
     }
 
     /// Notes that parts were sent to be read, to be told with the next notice.
@@ -122,6 +142,14 @@
         }
     }
 
+    /// Notes that no connection to an endpoint could be opened, to be told with the next notice.
+    pub fn unreachable(&self, endpoint: endpoint::Id) {
+        let mut all = self.unreachable.lock();
+        if all.len() < MAX_UNREACHABLE && !all.contains(&endpoint) {
+            all.push(endpoint);
+        }
+    }
+
     async fn send(&self, message: &Message, addr: SocketAddr) {
         let bytes = serde_json::to_vec(message).expect("a message can be written as JSON");
         if let Err(e) = self.socket.send_to(&bytes, addr).await {
@@ -170,19 +198,22 @@
 async fn take(gateway: &Gateway, notices: &Notices, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Notice { node, waiting, reads } => {
+        Message::Notice { node, waiting, reads, unreachable } => {
             gateway.board.lock().told(node, waiting, now);
+            let mut directory = gateway.directory.lock();
+            unreachable.iter().for_each(|it| directory.reported_unreachable(it, now));
+            drop(directory);
             let mut affinity = gateway.affinity.lock();
             reads.iter().for_each(|it| affinity.read(it.subject, &it.endpoint, now));
         }
         Message::Question { id, node, endpoints, subject } => {
-            let Heard { waiting, holders } = kept(gateway, endpoints, subject, &node);
-            notices.send(&Message::Answer { id, waiting, holders }, from).await;
+            let Heard { waiting, holders, unreachable } = kept(gateway, endpoints, subject, &node);
+            notices.send(&Message::Answer { id, waiting, holders, unreachable }, from).await;
         }
-        Message::Answer { id, waiting, holders } => {
+        Message::Answer { id, waiting, holders, unreachable } => {
             let asked = notices.asked.lock().remove(&id);
             // Whoever asked may have gone on without it.
-            let _late = asked.map(|it| it.try_send((id, Heard { waiting, holders })));
+            let _late = asked.map(|it| it.try_send((id, Heard { waiting, holders, unreachable })));
         }
     }
 }
@@ -204,8 +235,11 @@
         // This node doesn't tell itself.
         if own == asker { of_others } else { of_others + of_this }
     };
+    let is_unreachable =
+        |id: &&endpoint::Id| directory.tracked(id).is_some_and(|it| it.is_unreachable(now));
+    let unreachable = endpoints.iter().filter(is_unreachable).cloned().collect();
     let waiting = endpoints.into_iter().map(|id| (id.clone(), waiting(&id))).collect();
-    Heard { waiting, holders }
+    Heard { waiting, holders, unreachable }
 }
 
 /// Tells others what this node has waiting: all of them, or the keepers of the endpoints. Returns
@@ -221,17 +255,18 @@
         all.map(|it| (it.entry.id.clone(), it.pending)).take(MAX_ENTRIES).collect()
     };
     let reads = std::mem::take(&mut *notices.reads.lock());
-    let mut shares = shares(gateway, waiting, reads);
+    let unreachable = std::mem::take(&mut *notices.unreachable.lock());
+    let mut shares = shares(gateway, Share { waiting, reads, unreachable });
     for addr in before {
         shares.entry(addr).or_default();
     }
     let mut told = HashSet::new();
-    for (addr, Share { waiting, reads }) in shares {
+    for (addr, Share { waiting, reads, unreachable }) in shares {
         if !waiting.is_empty() {
             told.insert(addr);
         }
         let node = gateway.settings.node.clone();
-        notices.send(&Message::Notice { node, waiting, reads }, addr).await;
+        notices.send(&Message::Notice { node, waiting, reads, unreachable }, addr).await;
     }
     told
 }
@@ -241,27 +276,33 @@
 struct Share {
     waiting: Waiting,
     reads: Vec<Read>,
+    unreachable: Vec<endpoint::Id>,
 }
 
-/// Who is told what.
-fn shares(gateway: &Gateway, waiting: Waiting, reads: Vec<Read>) -> HashMap<SocketAddr, Share> {
+/// Who is told what of `all`.
+fn shares(gateway: &Gateway, all: Share) -> HashMap<SocketAddr, Share> {
     let own = gateway.settings.notices;
     let peers = gateway.peers.lock();
     if !keepers::are_used(peers.len()) {
         let others = peers.values().filter_map(|it| it.notices).filter(|it| Some(*it) != own);
-        let all = Share { waiting, reads };
         return others.map(|addr| (addr, all.clone())).collect();
     }
     drop(peers);
     let (keepers, now) = (gateway.keepers.lock(), gateway.now());
     let mut shares: HashMap<SocketAddr, Share> = HashMap::new();
-    for (id, work) in waiting {
+    for (id, work) in all.waiting {
         let keeper = keepers.of(&id, now).filter(|it| Some(*it) != own);
         if let Some(addr) = keeper {
             shares.entry(addr).or_default().waiting.insert(id, work);
         }
     }
-    for read in reads {
+    for id in all.unreachable {
+        let keeper = keepers.of(&id, now).filter(|it| Some(*it) != own);
+        if let Some(addr) = keeper {
+            shares.entry(addr).or_default().unreachable.push(id);
+        }
+    }
+    for read in all.reads {
         let keeper = keepers.of_subject(read.subject, now).filter(|it| Some(*it) != own);
         if let Some(addr) = keeper {
             shares.entry(addr).or_default().reads.push(read);
--- a/crates/curranthook_gateway/tests/beliefs.rs
+++ b/crates/curranthook_gateway/tests/beliefs.rs
@@ -130,3 +130,27 @@
     let ready: Vec<_> = directory.ready("models").map(|it| it.entry.id.as_str()).collect();
     assert_eq!(ready, ["e-2"]);
 }
+
+/// Guards against each node of a fleet finding out by itself that an endpoint can't be reached, and against
+/// believing that for good.
+#[test]
+fn an_endpoint_that_others_cannot_reach_is_left_alone_for_a_while() {
+    let (mut directory, now) = (Directory::default(), Instant::now());
+    let id = "e-1".into();
+    directory.set(entry("e-1", "v1"), now);
+    directory.reported_unreachable(&id, now);
+    let is_out = |after| directory.tracked(&id).unwrap().is_out(now + after);
+    assert!(is_out(Duration::from_millis(500)));
+    assert!(!is_out(Duration::from_secs(2)));
+}
+
+/// Guards against blaming endpoints for connections that fail while this node's own links are down.
+#[test]
+fn a_node_that_reaches_nobody_blames_no_endpoint() {
+    let (mut directory, now) = (Directory::default(), Instant::now());
+    directory.set(entry("e-1", "v1"), now);
+    assert!(!directory.reaches_others(now));
+    directory.began(&"e-1".into(), Duration::ZERO, None, now);
+    assert!(directory.reaches_others(now));
+    assert!(!directory.reaches_others(now + Duration::from_secs(2)));
+}
