Idle connections are closed after three seconds; only those of calls that run once are few

Change: the pool of a gateway drops connections idle for 3 s; the bound holds for requests that can't be repeated.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -23,7 +23,7 @@
 
 /// How long an idle connection may be trusted with a request that can be repeated. Endpoints
 /// close idle ones after some seconds, and what is sent just then is lost.
-const FRESH: Duration = Duration::from_secs(3);
+pub const MAX_IDLE_AGE: Duration = Duration::from_secs(3);
 
 /// Within this time a connection that was closed while it was idle shows it: a few round trips
 /// between failure domains.
@@ -110,7 +110,8 @@
     let sent = gateway.now();
     // What can't be repeated is never trusted to a kept connection: the endpoint may be closing
     // it, or something between may have lost it, and nobody could tell whether it ran.
-    let freshness = if repeat.is_repeatable() { Freshness::Within(FRESH) } else { Freshness::New };
+    let freshness =
+        if repeat.is_repeatable() { Freshness::Within(MAX_IDLE_AGE) } else { Freshness::New };
     let request = gateway.dialect.request(ask, outgoing);
     let mut conn = match gateway.pool.take(lease.addr, freshness).await {
         Ok(conn) => conn,
@@ -201,9 +202,11 @@
 impl Open {
     /// Takes the connection back into use if the endpoint keeps it, once the answer was read to
     /// its end.
-    pub fn finish(self, gateway: &Gateway, outcome: Outcome) {
+    pub fn finish(self, gateway: &Gateway, repeat: Repeat, outcome: Outcome) {
         if matches!(self.reply.connection, dialect::Connection::Kept(_)) {
-            gateway.pool.put_within(self.conn, self.lease.max_idle);
+            // Requests that can't be repeated leave connections behind and never take one of them.
+            let max_idle = if repeat.is_repeatable() { usize::MAX } else { self.lease.max_idle };
+            gateway.pool.put_within(self.conn, max_idle);
         }
         self.lease.close(outcome);
     }
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     affinity::Affinity,
+    attempt,
     board::Board,
     budget::Budget,
     dialect::Dialect,
@@ -149,6 +150,7 @@
         let started = clock.now();
         let pool = Pool::new(Arc::clone(&ex), Arc::clone(&clock));
         let pool = pool.with_connect_timeout(CONNECT).with_liveness(UNACKED);
+        let pool = pool.with_max_idle_age(attempt::MAX_IDLE_AGE);
         Arc::new(Self {
             pool,
             rollouts: Mutex::new(Rollouts::new(Plan::new(settings.exposure))),
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -177,7 +177,9 @@
             last_event: self.last_event,
         });
         match (open, of_endpoint) {
-            (Some(open), Outcome::Answered) => open.finish(&self.job.gateway, of_endpoint),
+            (Some(open), Outcome::Answered) => {
+                open.finish(&self.job.gateway, self.job.route.repeat, of_endpoint)
+            }
             (Some(open), _) => open.close(of_endpoint),
             (None, _) => {}
         }
