Events that came just before a stream breaks off reach its caller

Cause: an error in a body closes the caller's connection at once, with what it holds unwritten. An event that came with, or right before, the end of the time was counted as passed on and lost. Change: the stream lets its connection write once before it reports the error.

--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use curranthook_http::{Body, timeout};
-use futures_lite::stream;
+use futures_lite::{future, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
@@ -69,6 +69,11 @@
             return None;
         }
         let next = relay.next().await.transpose()?;
+        if next.is_err() {
+            // A connection writes what it holds while it waits for more; an error closes it at once, and
+            // the events just before it would be lost.
+            future::yield_now().await;
+        }
         let frame = next.map(Frame::data).map_err(|e| Box::new(e) as curranthook_http::body::Error);
         Some((frame, relay))
     });
