--- a/crates/curranthook_gateway/src/watch.rs
+++ b/crates/curranthook_gateway/src/watch.rs
@@ -21,7 +21,7 @@
 };
 
 pub use self::parents::Shared;
-use self::parents::{Parent, Role, place, role_changed};
+use self::parents::{Parent, Role, are_stale, place, role_changed};
 
 /// How long a call for operators' rows waits for a change in a fleet without relays. It also notices
 /// that the store is away, so it's short; a lost answer delays a configuration by no more than this.
@@ -63,6 +63,8 @@
 const UNREAD_BACKOFF: Duration = Duration::from_secs(3);
 /// Every how many tries a node that has parents asks a store that is away itself.
 const OWN_TRIES: u32 = 4;
+/// How many nodes of a fleet whose parents are all out of date ask the store at a time.
+const OWN_TRIES_AT_ONCE: f64 = 16.0;
 /// The longest pause between calls to a store that is away.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// The same for a node that has no configuration and so serves nobody.
@@ -144,7 +146,7 @@
                 Err(e) => self.shared.failed(&self.gateway, parent.name, &e),
             }
         }
-        if role == Role::Child && !self.failures.is_multiple_of(OWN_TRIES) {
+        if role == Role::Child && !self.tries_itself() {
             return Some(Err(Error::Down("no parent has heard from it".to_owned())));
         }
         let (is_whole, result) = match self.since {
@@ -154,6 +156,17 @@
         Some(result.map(|batch| Told { batch, origin: Origin::Store, is_whole }))
     }
 
+    /// Whether a node that has parents asks the store itself now. When all nodes find their parents out of
+    /// date at once, only some do, and the others hear from them.
+    fn tries_itself(&self) -> bool {
+        if !self.failures.is_multiple_of(OWN_TRIES) {
+            return false;
+        }
+        let n_nodes = self.gateway.n_nodes() as f64;
+        !are_stale(&self.gateway, &self.shared)
+            || rand::rng().random_bool((OWN_TRIES_AT_ONCE / n_nodes).min(1.0))
+    }
+
     /// Waits at a parent; none if it failed meanwhile, as another table's call found.
     async fn ask_parent(&mut self, parent: &Parent) -> Option<Result<Told, Error>> {
         let (gateway, shared, table) = (&self.gateway, &self.shared, self.table);
--- a/crates/curranthook_gateway/src/watch/parents.rs
+++ b/crates/curranthook_gateway/src/watch/parents.rs
@@ -23,22 +23,38 @@
     /// Wakes calls that wait at a store that has been away, as their answers may never come.
     pub(super) returned: Signal,
     /// Until when parents that failed aren't asked.
-    failed_parents: Mutex<HashMap<String, Instant>>,
+    failed_parents: Mutex<HashMap<String, Failed>>,
     /// Wakes calls that wait at parents when one has failed.
     pub(super) parent_failed: Signal,
 }
 
+/// A parent that failed.
+#[derive(Debug, Clone, Copy)]
+struct Failed {
+    /// Until when it isn't asked.
+    until: Instant,
+    /// Whether it answered, that it's out of date.
+    is_stale: bool,
+}
+
 impl Shared {
     pub(super) fn is_failed(&self, parent: &str, now: Instant) -> bool {
-        self.failed_parents.lock().get(parent).is_some_and(|until| now <= *until)
+        self.failed_parents.lock().get(parent).is_some_and(|it| now <= it.until)
+    }
+
+    /// Whether a parent said lately that it's out of date itself.
+    fn is_stale(&self, parent: &str, now: Instant) -> bool {
+        self.failed_parents.lock().get(parent).is_some_and(|it| now <= it.until && it.is_stale)
     }
 
     /// A parent failed, and isn't asked for a while.
     pub(super) fn failed(&self, gateway: &Gateway, parent: String, error: &Error) {
         let why = error.to_string();
-        let pause = if matches!(error, Error::Stale(_)) { STALE_COOLDOWN } else { PARENT_COOLDOWN };
+        let is_stale = matches!(error, Error::Stale(_));
+        let pause = if is_stale { STALE_COOLDOWN } else { PARENT_COOLDOWN };
         gateway.log.write(&Event::Dependency { name: &parent, state: "failed", why: &why });
-        self.failed_parents.lock().insert(parent, gateway.now() + pause);
+        let failed = Failed { until: gateway.now() + pause, is_stale };
+        self.failed_parents.lock().insert(parent, failed);
         self.parent_failed.wake();
     }
 }
@@ -94,3 +110,17 @@
         changed.await;
     }
 }
+
+/// Whether all parents of the node answer, and none has heard from the store. Then the store is likely away,
+/// or slow, for all nodes alike.
+pub(super) fn are_stale(gateway: &Gateway, shared: &Shared) -> bool {
+    let now = gateway.now();
+    let peers = gateway.peers.lock();
+    let nodes: Vec<_> = peers
+        .iter()
+        .map(|(name, it)| relays::Node { name, capacity: it.capacity, domain: it.domain.as_ref() })
+        .collect();
+    let parents = relays::parents(&gateway.settings.node, &nodes);
+    let mut asked = parents.iter().take(MAX_PARENTS_ASKED);
+    asked.all(|it| shared.is_stale(it.name, now))
+}
