`reading` is `prefill`, the field's term

Cause: "reading a prompt" is this project's own wording; a newcomer searches for prefill. Change: names only: module, functions and fields; pages that name the module.

--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -12,7 +12,7 @@
     directory::Outcome,
     notices::Heard,
     offer::{self, Offer, Wanted},
-    reading::Prompt,
+    prefill::Prompt,
 };
 
 /// A place at an endpoint. Dropping it gives it back.
@@ -50,7 +50,7 @@
         let Offer { prompt, busy, waited, .. } = offer;
         let pace = wanted.model.map(|it| it.pace);
         let expected = pace.map(|it| offer.first_event(&it));
-        let pending = pace.map_or(Duration::ZERO, |it| it.speed.reading(prompt));
+        let pending = pace.map_or(Duration::ZERO, |it| it.speed.prefill(prompt));
         let entry = offer.endpoint.entry.clone();
         directory.started(&entry.id, pending, now);
         if let Some(subject) = wanted.subject {
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //!   other nodes sent there, by the [`board`] or, in a large fleet, by its [`keepers`];
 //! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
-//! [`place`], [`cascade`], [`pace`], [`reading`], [`budget`], [`slow_start`] and [`steps`] decide without I/O or a clock. [`watch`] and
+//! [`place`], [`cascade`], [`pace`], [`prefill`], [`budget`], [`slow_start`] and [`steps`] decide without I/O or a clock. [`watch`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
 //! [`rollouts`]. In a large fleet changes reach most nodes by a tree of [`relays`]; [`peers`] is
 //! how nodes ask each other, and stands in for the store while that is away; [`outage`] tells
@@ -50,7 +50,7 @@
 pub mod pace;
 pub mod peers;
 pub mod place;
-pub mod reading;
+pub mod prefill;
 pub mod refusal;
 pub mod relays;
 pub mod rollouts;
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -15,7 +15,7 @@
     notices::Heard,
     pace::Pace,
     place::{self, Candidate, Distance, Holders, Work},
-    reading::Prompt,
+    prefill::Prompt,
     rollouts::Rule,
     slow_start,
 };
@@ -62,13 +62,13 @@
         Prompt::new(self.prompt_tokens, if holds_parts { self.shared_tokens } else { 0 })
     }
 
-    fn reading(&self, holds_parts: bool) -> Duration {
+    fn prefill(&self, holds_parts: bool) -> Duration {
         let prompt = self.prompt(holds_parts);
-        self.model.map_or(Duration::ZERO, |it| it.pace.speed.reading(prompt))
+        self.model.map_or(Duration::ZERO, |it| it.pace.speed.prefill(prompt))
     }
 
     fn work(&self, holders: Holders) -> Work {
-        let shared = self.reading(false).saturating_sub(self.reading(true));
+        let shared = self.prefill(false).saturating_sub(self.prefill(true));
         Work { subject: self.subject, shared, holders, salt: self.salt }
     }
 }
--- a/crates/curranthook_gateway/src/pace.rs
+++ b/crates/curranthook_gateway/src/pace.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::reading::{self, Filter, Prompt, Speed};
+use crate::prefill::{self, Filter, Prompt, Speed};
 
 /// How much one answer moves a mean.
 const SMOOTHING: f64 = 0.1;
@@ -49,7 +49,7 @@
 
     /// The time that `events` take after the first.
     pub fn rest(&self, events: u64) -> Duration {
-        reading::seconds(self.event * events as f64)
+        prefill::seconds(self.event * events as f64)
     }
 }
 
@@ -58,7 +58,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use curranthook_gateway::{pace::{First, Paces}, reading::Prompt};
+    /// # use curranthook_gateway::{pace::{First, Paces}, prefill::Prompt};
     /// let (mut paces, prompt) = (Paces::default(), Prompt::new(8_000, 0));
     /// let waited = Duration::from_millis(500);
     /// let first = First { prompt, busy: 3, waited, took: Duration::from_secs(1) };
--- a/crates/curranthook_gateway/src/place.rs
+++ b/crates/curranthook_gateway/src/place.rs
@@ -40,7 +40,7 @@
 pub struct Work {
     /// The hash of the parts of its prompt that it shares with others, and of the model.
     pub subject: Option<u64>,
-    /// How long reading those parts takes.
+    /// How long the prefill of those parts takes.
     pub shared: Duration,
     /// What is known of where they were read.
     pub holders: Holders,
@@ -124,7 +124,7 @@
     });
     candidates.iter().enumerate().map(move |(index, it)| {
         let is_home = home == Some(index) && work.holders == Holders::Guessed;
-        let reading = if is_home || it.holds_parts { Duration::ZERO } else { work.shared };
+        let prefill = if is_home || it.holds_parts { Duration::ZERO } else { work.shared };
         let failing = FAILING_PENALTY.mul_f64((it.failures - MAX_HEALTHY_FAILURES).max(0.0));
         let travel =
             if it.distance == Distance::Near { Duration::ZERO } else { CROSS_DOMAIN_PENALTY };
@@ -132,6 +132,6 @@
             Some(subject) => u64::MAX - hash::pair(subject, it.seed),
             None => hash::pair(work.salt, it.seed),
         };
-        Cost { time: it.wait + reading + failing + travel, tie, index }
+        Cost { time: it.wait + prefill + failing + travel, tie, index }
     })
 }
--- a/crates/curranthook_gateway/src/reading.rs
+++ b/crates/curranthook_gateway/src/prefill.rs
@@ -70,7 +70,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use curranthook_gateway::reading::{Filter, Prompt};
+    /// # use curranthook_gateway::prefill::{Filter, Prompt};
     /// let mut filter = Filter::new(1.0);
     /// let prompt = Prompt::new(10_000, 0);
     /// let took = Duration::from_millis(300);
@@ -118,8 +118,8 @@
 }
 
 impl Speed {
-    /// The time that an engine spends on reading a prompt.
-    pub fn reading(&self, prompt: Prompt) -> Duration {
+    /// The time that an engine takes for the prefill of a prompt.
+    pub fn prefill(&self, prompt: Prompt) -> Duration {
         let (read, pairs) = prompt.sizes();
         seconds(self.0[1] * read + self.0[2] * pairs)
     }
@@ -127,7 +127,7 @@
     /// The time to the first event, once the engine has read all that waited before it.
     pub fn first(&self, prompt: Prompt, busy: u32) -> Duration {
         let rest = self.0[0] + self.0[3] * f64::from(busy) / UNITS.2;
-        self.reading(prompt) + seconds(rest)
+        self.prefill(prompt) + seconds(rest)
     }
 
     /// By how much each request that runs delays the first event of another one.
--- a/crates/curranthook_gateway/tests/estimates.rs
+++ b/crates/curranthook_gateway/tests/estimates.rs
@@ -4,7 +4,7 @@
 
 use curranthook_gateway::{
     pace::{First, Pace, Paces},
-    reading::{Filter, Prompt},
+    prefill::{Filter, Prompt},
 };
 use rand::{Rng, RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
--- a/crates/curranthook_gateway/tests/shared_engines.rs
+++ b/crates/curranthook_gateway/tests/shared_engines.rs
@@ -55,24 +55,24 @@
 #[derive(Debug, Clone, Default)]
 struct Engine {
     /// For each request that waits or is read: when its first event comes, and who sent it.
-    reading: Vec<(Duration, usize)>,
+    prefills: Vec<(Duration, usize)>,
     holds: HashSet<u64>,
 }
 
 impl Engine {
     /// How long the work of the nodes that `is_known` takes from `now` on.
     fn wait(&self, now: Duration, is_known: impl Fn(usize) -> bool) -> Duration {
-        let known = self.reading.iter().filter(|(_, node)| is_known(*node));
+        let known = self.prefills.iter().filter(|(_, node)| is_known(*node));
         let ends = known.map(|(end, _)| end.saturating_sub(now));
         ends.max().unwrap_or_default()
     }
 
     fn read(&mut self, subject: u64, node: usize, now: Duration) -> Duration {
-        self.reading.retain(|(end, _)| now < *end);
+        self.prefills.retain(|(end, _)| now < *end);
         let start = now + self.wait(now, |_| true);
         let shared = if self.holds.insert(subject) { READING.0 } else { Duration::ZERO };
         let end = start + shared + READING.1;
-        self.reading.push((end, node));
+        self.prefills.push((end, node));
         end
     }
 }
--- a/crates/curranthook_gateway/tests/unfitted.rs
+++ b/crates/curranthook_gateway/tests/unfitted.rs
@@ -5,7 +5,7 @@
 use curranthook_gateway::{
     pace::{First, Paces},
     place::{self, Candidate, Distance, Holders, Work},
-    reading::Prompt,
+    prefill::Prompt,
 };
 
 /// Words by which deployments could be told apart: of their names, places, services and requests.
