Load table, load owners, load reports and unary answers, in the field's terms

Cause: `board`, `keepers`, `notices` and `whole` are words of this project; a newcomer of the field looks for load reports, who owns a record, and unary against streaming responses. Change: names only, of modules, types, fields and pages. Names on the wire between nodes stay, so that nodes of both versions understand each other.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -66,9 +66,9 @@
 pub struct Node {
     /// Its address for peers.
     pub peers: SocketAddr,
-    /// Its address for notices.
-    #[serde(default)]
-    pub notices: Option<SocketAddr>,
+    /// Its address for load reports, under the name that it has always had on the wire.
+    #[serde(default, rename = "notices")]
+    pub reports: Option<SocketAddr>,
     /// Its failure domain.
     #[serde(default)]
     pub domain: Option<domain::Id>,
@@ -92,7 +92,7 @@
     let Some(value) = &row.value else {
         if let Key::Node(name) = key {
             gateway.peers.lock().remove(name);
-            gateway.keepers.lock().set(name, None);
+            gateway.load_owners.lock().set(name, None);
         }
         return;
     };
@@ -111,7 +111,7 @@
     match key {
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
-            gateway.keepers.lock().set(name, node.notices);
+            gateway.load_owners.lock().set(name, node.reports);
             gateway.peers.lock().insert((*name).to_owned(), node);
         }
         Key::Step(service) => {
--- a/crates/curranthook_gateway/src/front.rs
+++ b/crates/curranthook_gateway/src/front.rs
@@ -15,7 +15,7 @@
     gateway::Current,
     job::{End, Job, millis},
     refusal::{Ran, Reason, Refusal},
-    starting, stream, whole,
+    starting, stream, unary,
 };
 
 /// How long callers wait that don't say.
@@ -129,7 +129,7 @@
     let answered = if job.route.repeat.is_stream() {
         open_stream(job).await
     } else {
-        match whole::read(&mut job).await {
+        match unary::read(&mut job).await {
             Ok((head, bytes)) => {
                 let headers = gateway.dialect.passed_on(&head.headers);
                 Ok(respond(head.status, headers, body::full(bytes)))
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -18,17 +18,17 @@
 use crate::{
     affinity::Affinity,
     attempt,
-    board::Board,
     budget::Budget,
     dialect::Dialect,
     directory::Directory,
     document::{Document, Service},
     event::Log,
     fleet,
-    keepers::Keepers,
+    load_owners::Owners,
+    load_reports::Reports,
+    load_table::LoadTable,
     metrics::Metrics,
     mirror::Mirror,
-    notices::Notices,
     outage::Outage,
     pace::Paces,
     rollouts::Rollouts,
@@ -105,11 +105,11 @@
     /// Whom the store doesn't answer.
     pub outage: Mutex<Outage>,
     /// What other nodes have waiting at endpoints.
-    pub board: Mutex<Board>,
+    pub load_table: Mutex<LoadTable>,
     /// Who is told of it in a large fleet.
-    pub keepers: Mutex<Keepers>,
+    pub load_owners: Mutex<Owners>,
     /// The datagrams between nodes; none if the node has no address for them.
-    pub notices: OnceLock<Arc<Notices>>,
+    pub load_reports: OnceLock<Arc<Reports>>,
     /// Wakes whoever tells other nodes what this one has waiting.
     pub waiting_changed: Signal,
     /// Wakes peers that wait for rows.
@@ -170,9 +170,9 @@
             paces: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
-            board: Mutex::default(),
-            keepers: Mutex::default(),
-            notices: OnceLock::new(),
+            load_table: Mutex::default(),
+            load_owners: Mutex::default(),
+            load_reports: OnceLock::new(),
             waiting_changed: Signal::default(),
             changed: Signal::default(),
             peers: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -18,8 +18,8 @@
     event::Event,
     gateway::{Current, InFlight},
     lease::Lease,
+    load_reports::{self, Heard},
     models::{Candidate, Models},
-    notices::{self, Heard},
     offer::{self, Wanted, Wants},
     pace::{First, Pace},
     refusal::{Ran, Reason, Refusal},
@@ -207,12 +207,12 @@
     }
 
     async fn ask_others(&self, shortlist: Vec<endpoint::Id>, subject: Option<u64>) -> Heard {
-        let mut heard = notices::ask(&self.gateway, shortlist, subject).await;
+        let mut heard = load_reports::ask(&self.gateway, shortlist, subject).await;
         let is_unheard = |it: &endpoint::Id| !heard.waiting.contains_key(it);
         let holders = heard.holders.iter().flatten();
         let unheard: Vec<_> = holders.filter(|it| is_unheard(it)).cloned().collect();
         if !unheard.is_empty() {
-            let of_holders = notices::ask(&self.gateway, unheard, None).await;
+            let of_holders = load_reports::ask(&self.gateway, unheard, None).await;
             heard.waiting.extend(of_holders.waiting);
             heard.unreachable.extend(of_holders.unreachable);
         }
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -75,8 +75,8 @@
     async fn announce(&self) {
         let Some(peers) = self.gateway.settings.peers else { return };
         let value = {
-            let Settings { notices, capacity, domain, .. } = self.gateway.settings.clone();
-            encode(&Node { peers, notices, domain: Some(domain), capacity })
+            let Settings { reports, capacity, domain, .. } = self.gateway.settings.clone();
+            encode(&Node { peers, reports, domain: Some(domain), capacity })
         };
         let name = self.gateway.settings.node.clone();
         let key = Key::Node(&name).to_string();
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -10,7 +10,7 @@
     connections,
     dialect::Load,
     directory::Outcome,
-    notices::Heard,
+    load_reports::Heard,
     offer::{self, Offer, Wanted},
     prefill::Prompt,
 };
@@ -55,8 +55,8 @@
         directory.started(&entry.id, pending, now);
         if let Some(subject) = wanted.subject {
             gateway.affinity.lock().read(subject, &entry.id, now);
-            if let Some(notices) = gateway.notices.get() {
-                notices.read(Read { subject, endpoint: entry.id.clone() });
+            if let Some(reports) = gateway.load_reports.get() {
+                reports.read(Read { subject, endpoint: entry.id.clone() });
             }
         }
         gateway.waiting_changed.wake();
@@ -99,9 +99,9 @@
         let is_lost = matches!(self.outcome, Outcome::NoConnection | Outcome::Gone);
         if is_lost
             && directory.reaches_others(now)
-            && let Some(notices) = self.gateway.notices.get()
+            && let Some(reports) = self.gateway.load_reports.get()
         {
-            notices.unreachable(self.id.clone());
+            reports.unreachable(self.id.clone());
             self.gateway.waiting_changed.wake();
         }
     }
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -6,9 +6,9 @@
 //! - [`starting`]: the wait for the first configuration;
 //! - [`job`]: the attempts at it, within the [`budget`] for repeats;
 //! - [`rollouts`], [`cascade`], [`offer`], [`place`]: which version, model and endpoint take it;
-//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`notices`] tells what
-//!   other nodes sent there, by the [`board`] or, in a large fleet, by its [`keepers`];
-//! - [`whole`] or [`stream`]: the answer, read whole or passed on event by event.
+//! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`load_reports`] tells what
+//!   other nodes sent there, by the [`load_table`] or, in a large fleet, by its [`load_owners`];
+//! - [`unary`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
 //! [`place`], [`cascade`], [`pace`], [`prefill`], [`budget`], [`slow_start`] and [`steps`] decide without I/O or a clock. [`watch`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
@@ -25,7 +25,6 @@
 pub mod apply;
 pub mod ask;
 pub mod attempt;
-pub mod board;
 pub mod budget;
 pub mod cascade;
 pub mod connections;
@@ -38,13 +37,14 @@
 pub mod front;
 pub mod gateway;
 pub mod job;
-pub mod keepers;
 pub mod lead;
 pub mod lease;
+pub mod load_owners;
+pub mod load_reports;
+pub mod load_table;
 pub mod metrics;
 pub mod mirror;
 pub mod models;
-pub mod notices;
 pub mod offer;
 pub mod outage;
 pub mod pace;
@@ -63,7 +63,7 @@
 pub mod steps;
 pub mod store;
 pub mod stream;
+pub mod unary;
 pub mod watch;
-pub mod whole;
 
 pub use gateway::Gateway;
--- a/crates/curranthook_gateway/src/keepers.rs
+++ b/crates/curranthook_gateway/src/load_owners.rs
@@ -1,9 +1,9 @@
-//! Which node keeps the account of an endpoint.
+//! Which node keeps the load account of an endpoint.
 //!
 //! In a large fleet nobody can tell everybody what it has waiting where: 71 nodes would get 700
-//! notices a second each. Instead each endpoint has one node that hears of all work waiting there,
+//! reports a second each. Instead each endpoint has one owner, a node that hears of all work waiting there,
 //! and nodes ask it before they send more. Rendezvous hashing over the known nodes gives all of them
-//! the same keeper without a message. Where they disagree, or a keeper is lost, a request is placed
+//! the same owner without a message. Where they disagree, or an owner is lost, a request is placed
 //! by what its own node knows; nothing else depends on it.
 
 use std::{
@@ -17,7 +17,7 @@
 
 /// Up to this many nodes, each tells all others what it has waiting, and no accounts are kept.
 const MAX_BROADCAST: usize = 12;
-/// How many questions in a row a keeper may leave unanswered. One may be lost or late.
+/// How many questions in a row an owner may leave unanswered. One may be lost or late.
 const MAX_UNANSWERED: u32 = 3;
 /// How long a node that left them unanswered is passed over; about the time of a restart.
 const PAUSE: Duration = Duration::from_secs(4);
@@ -25,9 +25,9 @@
 /// Whether a fleet of that size keeps accounts.
 ///
 /// ```
-/// # use curranthook_gateway::keepers;
-/// assert!(!keepers::are_used(6));
-/// assert!(keepers::are_used(295));
+/// # use curranthook_gateway::load_owners;
+/// assert!(!load_owners::are_used(6));
+/// assert!(load_owners::are_used(295));
 /// ```
 pub fn are_used(n_nodes: usize) -> bool {
     MAX_BROADCAST < n_nodes
@@ -35,14 +35,14 @@
 
 /// The nodes that may keep accounts, and how well they answer.
 #[derive(Debug, Default)]
-pub struct Keepers {
-    nodes: Vec<Keeper>,
+pub struct Owners {
+    nodes: Vec<Owner>,
     unanswered: HashMap<SocketAddr, Unanswered>,
 }
 
 /// A node that may keep accounts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Keeper {
+struct Owner {
     seed: u64,
     addr: SocketAddr,
 }
@@ -53,20 +53,20 @@
     until: Option<Instant>,
 }
 
-impl Keepers {
-    /// A node is reached at `addr`, or takes no notices.
+impl Owners {
+    /// A node is reached at `addr`, or takes no reports.
     pub fn set(&mut self, node: &str, addr: Option<SocketAddr>) {
         let seed = hash::bytes(node.as_bytes());
         self.nodes.retain(|it| it.seed != seed);
-        self.nodes.extend(addr.map(|addr| Keeper { seed, addr }));
+        self.nodes.extend(addr.map(|addr| Owner { seed, addr }));
     }
 
     /// The address of the node that keeps the account of `endpoint`.
     ///
     /// ```
     /// # use std::time::Instant;
-    /// # use curranthook_gateway::keepers::Keepers;
-    /// let (mut ours, mut theirs) = (Keepers::default(), Keepers::default());
+    /// # use curranthook_gateway::load_owners::Owners;
+    /// let (mut ours, mut theirs) = (Owners::default(), Owners::default());
     /// for port in 1..=20 {
     ///     ours.set(&format!("node-{port}"), Some(([127, 0, 0, 1], port).into()));
     ///     theirs.set(&format!("node-{}", 21 - port), Some(([127, 0, 0, 1], 21 - port).into()));
--- a/crates/curranthook_gateway/src/notices.rs
+++ b/crates/curranthook_gateway/src/load_reports.rs
@@ -1,11 +1,11 @@
 //! The datagrams by which nodes know of each other's work at engines.
 //!
 //! In a small fleet each node tells all others what it has waiting. In a large one it tells only
-//! the [`keepers`] of the endpoints concerned, and asks the keepers of a few candidates before it
+//! the [`load_owners`] of the endpoints concerned, and asks the owners of a few candidates before it
 //! places a request. A lost datagram is made good by the next; a question without an answer costs
 //! 15 ms, and the request is placed by what its node knows itself.
 //!
-//! [`keepers`]: crate::keepers
+//! [`load_owners`]: crate::load_owners
 
 use std::{
     collections::{HashMap, HashSet},
@@ -26,15 +26,15 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, affinity::Read, keepers};
+use crate::{Gateway, affinity::Read, load_owners};
 
 /// How often a node with work waiting tells it again.
 const REPEAT: Duration = Duration::from_millis(300);
-/// The least time between two rounds of notices.
+/// The least time between two rounds of reports.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Work below this isn't worth telling: less than the way to an engine and back.
 const MIN_WORK: Duration = Duration::from_millis(10);
-/// How long the answer of a keeper may take: a few ways between failure domains and the turn of a
+/// How long the answer of an owner may take: a few ways between failure domains and the turn of a
 /// small node. A request waits for it, so it's little against the second that callers wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(15);
 /// The largest datagram; what doesn't fit isn't told.
@@ -57,7 +57,8 @@
 #[serde(rename_all = "snake_case")]
 enum Message {
     /// What `node` has waiting, in place of what it told before.
-    Notice {
+    #[serde(rename = "notice")]
+    Report {
         node: String,
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
         waiting: Waiting,
@@ -112,7 +113,7 @@
 
 /// The socket, and the questions that wait for answers.
 #[derive(Debug)]
-pub struct Notices {
+pub struct Reports {
     socket: Async<UdpSocket>,
     next: AtomicU64,
     asked: Mutex<HashMap<u64, Sender<(u64, Heard)>>>,
@@ -122,8 +123,8 @@
     unreachable: Mutex<Vec<endpoint::Id>>,
 }
 
-impl Notices {
-    /// Notices over `socket`.
+impl Reports {
+    /// Reports over `socket`.
     pub fn new(socket: Async<UdpSocket>) -> Self {
         Self {
             socket,
@@ -134,7 +135,7 @@
         }
     }
 
-    /// Notes that parts were sent to be read, to be told with the next notice.
+    /// Notes that parts were sent to be read, to be told with the next report.
     pub fn read(&self, read: Read) {
         let mut reads = self.reads.lock();
         if reads.len() < MAX_READS {
@@ -142,7 +143,7 @@
         }
     }
 
-    /// Notes that no connection to an endpoint could be opened, to be told with the next notice.
+    /// Notes that no connection to an endpoint could be opened, to be told with the next report.
     pub fn unreachable(&self, endpoint: endpoint::Id) {
         let mut all = self.unreachable.lock();
         if all.len() < MAX_UNREACHABLE && !all.contains(&endpoint) {
@@ -159,8 +160,8 @@
 }
 
 /// Tells the others and listens to them, for as long as the process lives.
-pub async fn run(gateway: Arc<Gateway>, notices: Arc<Notices>) {
-    let hears = hear(Arc::clone(&gateway), Arc::clone(&notices));
+pub async fn run(gateway: Arc<Gateway>, reports: Arc<Reports>) {
+    let hears = hear(Arc::clone(&gateway), Arc::clone(&reports));
     gateway.ex.spawn(hears).detach();
     let mut told = HashSet::new();
     loop {
@@ -174,17 +175,17 @@
             }
         };
         future::or(changed, again).await;
-        told = tell(&gateway, &notices, told).await;
+        told = tell(&gateway, &reports, told).await;
         Timer::after(PAUSE).await;
     }
 }
 
-async fn hear(gateway: Arc<Gateway>, notices: Arc<Notices>) {
+async fn hear(gateway: Arc<Gateway>, reports: Arc<Reports>) {
     let mut bytes = [0; MAX_DATAGRAM];
     loop {
-        match notices.socket.recv_from(&mut bytes).await {
+        match reports.socket.recv_from(&mut bytes).await {
             Ok((n, from)) => match serde_json::from_slice(&bytes[..n]) {
-                Ok(message) => take(&gateway, &notices, message, from).await,
+                Ok(message) => take(&gateway, &reports, message, from).await,
                 Err(e) => log::debug!("a message of {from} can't be read: {e}"),
             },
             Err(e) => {
@@ -195,11 +196,11 @@
     }
 }
 
-async fn take(gateway: &Gateway, notices: &Notices, message: Message, from: SocketAddr) {
+async fn take(gateway: &Gateway, reports: &Reports, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Notice { node, waiting, reads, unreachable } => {
-            gateway.board.lock().told(node, waiting, now);
+        Message::Report { node, waiting, reads, unreachable } => {
+            gateway.load_table.lock().report(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.reported_unreachable(it, now));
             drop(directory);
@@ -208,10 +209,10 @@
         }
         Message::Question { id, node, endpoints, subject } => {
             let Heard { waiting, holders, unreachable } = kept(gateway, endpoints, subject, &node);
-            notices.send(&Message::Answer { id, waiting, holders, unreachable }, from).await;
+            reports.send(&Message::Answer { id, waiting, holders, unreachable }, from).await;
         }
         Message::Answer { id, waiting, holders, unreachable } => {
-            let asked = notices.asked.lock().remove(&id);
+            let asked = reports.asked.lock().remove(&id);
             // Whoever asked may have gone on without it.
             let _late = asked.map(|it| it.try_send((id, Heard { waiting, holders, unreachable })));
         }
@@ -227,10 +228,11 @@
     asker: &str,
 ) -> Heard {
     let holders = subject.map(|it| gateway.affinity.lock().holders(it, gateway.now()));
-    let (directory, board, now) = (gateway.directory.lock(), gateway.board.lock(), gateway.now());
+    let (directory, load_table, now) =
+        (gateway.directory.lock(), gateway.load_table.lock(), gateway.now());
     let own = &gateway.settings.node;
     let waiting = |id: &endpoint::Id| {
-        let of_others = board.waiting(id, asker, now);
+        let of_others = load_table.waiting(id, asker, now);
         let of_this = directory.tracked(id).map_or(Duration::ZERO, |it| it.pending);
         // This node doesn't tell itself.
         if own == asker { of_others } else { of_others + of_this }
@@ -242,11 +244,11 @@
     Heard { waiting, holders, unreachable }
 }
 
-/// Tells others what this node has waiting: all of them, or the keepers of the endpoints. Returns
+/// Tells others what this node has waiting: all of them, or the owners of the endpoints. Returns
 /// who was told of any work; whoever was before is told that there's none.
 async fn tell(
     gateway: &Gateway,
-    notices: &Notices,
+    reports: &Reports,
     before: HashSet<SocketAddr>,
 ) -> HashSet<SocketAddr> {
     let waiting: Waiting = {
@@ -254,8 +256,8 @@
         let all = directory.all().filter(|it| MIN_WORK <= it.pending);
         all.map(|it| (it.entry.id.clone(), it.pending)).take(MAX_ENTRIES).collect()
     };
-    let reads = std::mem::take(&mut *notices.reads.lock());
-    let unreachable = std::mem::take(&mut *notices.unreachable.lock());
+    let reads = std::mem::take(&mut *reports.reads.lock());
+    let unreachable = std::mem::take(&mut *reports.unreachable.lock());
     let mut shares = shares(gateway, Share { waiting, reads, unreachable });
     for addr in before {
         shares.entry(addr).or_default();
@@ -266,7 +268,7 @@
             told.insert(addr);
         }
         let node = gateway.settings.node.clone();
-        notices.send(&Message::Notice { node, waiting, reads, unreachable }, addr).await;
+        reports.send(&Message::Report { node, waiting, reads, unreachable }, addr).await;
     }
     told
 }
@@ -281,69 +283,69 @@
 
 /// Who is told what of `all`.
 fn shares(gateway: &Gateway, all: Share) -> HashMap<SocketAddr, Share> {
-    let own = gateway.settings.notices;
+    let own = gateway.settings.reports;
     let peers = gateway.peers.lock();
-    if !keepers::are_used(peers.len()) {
-        let others = peers.values().filter_map(|it| it.notices).filter(|it| Some(*it) != own);
+    if !load_owners::are_used(peers.len()) {
+        let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own);
         return others.map(|addr| (addr, all.clone())).collect();
     }
     drop(peers);
-    let (keepers, now) = (gateway.keepers.lock(), gateway.now());
+    let (owners, now) = (gateway.load_owners.lock(), gateway.now());
     let mut shares: HashMap<SocketAddr, Share> = HashMap::new();
     for (id, work) in all.waiting {
-        let keeper = keepers.of(&id, now).filter(|it| Some(*it) != own);
-        if let Some(addr) = keeper {
+        let owner = owners.of(&id, now).filter(|it| Some(*it) != own);
+        if let Some(addr) = owner {
             shares.entry(addr).or_default().waiting.insert(id, work);
         }
     }
     for id in all.unreachable {
-        let keeper = keepers.of(&id, now).filter(|it| Some(*it) != own);
-        if let Some(addr) = keeper {
+        let owner = owners.of(&id, now).filter(|it| Some(*it) != own);
+        if let Some(addr) = owner {
             shares.entry(addr).or_default().unreachable.push(id);
         }
     }
     for read in all.reads {
-        let keeper = keepers.of_subject(read.subject, now).filter(|it| Some(*it) != own);
-        if let Some(addr) = keeper {
+        let owner = owners.of_subject(read.subject, now).filter(|it| Some(*it) != own);
+        if let Some(addr) = owner {
             shares.entry(addr).or_default().reads.push(read);
         }
     }
     shares
 }
 
-/// What the other nodes have waiting at `endpoints`, and where `subject` was read, as far as their keepers
+/// What the other nodes have waiting at `endpoints`, and where `subject` was read, as far as their owners
 /// tell in time.
 pub async fn ask(gateway: &Gateway, endpoints: Vec<endpoint::Id>, subject: Option<u64>) -> Heard {
-    let Some(notices) = gateway.notices.get() else { return Heard::default() };
+    let Some(reports) = gateway.load_reports.get() else { return Heard::default() };
     let settings = &gateway.settings;
-    let mut by_keeper = by_keeper(gateway, endpoints, subject);
-    let own = settings.notices.and_then(|own| by_keeper.remove(&own)).unwrap_or_default();
+    let mut by_owner = by_owner(gateway, endpoints, subject);
+    let own = settings.reports.and_then(|own| by_owner.remove(&own)).unwrap_or_default();
     let mut heard = kept(gateway, own.endpoints, own.subject, &settings.node);
-    let questions = Questions::send(gateway, notices, by_keeper).await;
+    let questions = Questions::send(gateway, reports, by_owner).await;
     heard.extend(questions.answers().await);
     heard
 }
 
-/// What one keeper is asked.
+/// What one owner is asked.
 #[derive(Debug, Default)]
 struct Asked {
     endpoints: Vec<endpoint::Id>,
     subject: Option<u64>,
 }
 
-fn by_keeper(
+fn by_owner(
     gateway: &Gateway,
     endpoints: Vec<endpoint::Id>,
     subject: Option<u64>,
 ) -> HashMap<SocketAddr, Asked> {
-    let (keepers, now) = (gateway.keepers.lock(), gateway.now());
+    let (owners, now) = (gateway.load_owners.lock(), gateway.now());
     let mut all: HashMap<SocketAddr, Asked> = HashMap::new();
     for id in endpoints {
-        if let Some(addr) = keepers.of(&id, now) {
+        if let Some(addr) = owners.of(&id, now) {
             all.entry(addr).or_default().endpoints.push(id);
         }
     }
-    if let Some(addr) = subject.and_then(|it| keepers.of_subject(it, now)) {
+    if let Some(addr) = subject.and_then(|it| owners.of_subject(it, now)) {
         all.entry(addr).or_default().subject = subject;
     }
     all
@@ -352,29 +354,29 @@
 /// Questions on their way.
 struct Questions<'a> {
     gateway: &'a Gateway,
-    notices: &'a Notices,
+    reports: &'a Reports,
     /// Who was asked, by the question's id.
     open: HashMap<u64, SocketAddr>,
     answers: Receiver<(u64, Heard)>,
 }
 
 impl<'a> Questions<'a> {
-    /// Asks each keeper.
+    /// Asks each owner.
     async fn send(
         gateway: &'a Gateway,
-        notices: &'a Notices,
-        by_keeper: HashMap<SocketAddr, Asked>,
+        reports: &'a Reports,
+        by_owner: HashMap<SocketAddr, Asked>,
     ) -> Self {
-        let (tx, answers) = async_channel::bounded(by_keeper.len().max(1));
+        let (tx, answers) = async_channel::bounded(by_owner.len().max(1));
         let mut open = HashMap::new();
-        for (addr, Asked { endpoints, subject }) in by_keeper {
-            let id = notices.next.fetch_add(1, Ordering::Relaxed);
-            notices.asked.lock().insert(id, tx.clone());
+        for (addr, Asked { endpoints, subject }) in by_owner {
+            let id = reports.next.fetch_add(1, Ordering::Relaxed);
+            reports.asked.lock().insert(id, tx.clone());
             open.insert(id, addr);
             let node = gateway.settings.node.clone();
-            notices.send(&Message::Question { id, node, endpoints, subject }, addr).await;
+            reports.send(&Message::Question { id, node, endpoints, subject }, addr).await;
         }
-        Self { gateway, notices, open, answers }
+        Self { gateway, reports, open, answers }
     }
 
     /// The answers that come in time.
@@ -384,7 +386,7 @@
             while !self.open.is_empty() {
                 let Ok((id, told)) = self.answers.recv().await else { return };
                 if let Some(addr) = self.open.remove(&id) {
-                    self.gateway.keepers.lock().answered(addr);
+                    self.gateway.load_owners.lock().answered(addr);
                     self.gateway.metrics.asked("answered");
                 }
                 heard.extend(told);
@@ -399,7 +401,7 @@
     /// Gives up the questions that have no answer.
     fn close(self) {
         for addr in self.open.values() {
-            self.gateway.keepers.lock().missed(*addr, self.gateway.now());
+            self.gateway.load_owners.lock().missed(*addr, self.gateway.now());
             self.gateway.metrics.asked("unanswered");
         }
     }
@@ -409,7 +411,7 @@
     /// A caller that leaves drops its request here, too; without this, what it asked would be kept
     /// for good if the answers are lost.
     fn drop(&mut self) {
-        let mut asked = self.notices.asked.lock();
+        let mut asked = self.reports.asked.lock();
         for id in self.open.keys() {
             asked.remove(id);
         }
--- a/crates/curranthook_gateway/src/board.rs
+++ b/crates/curranthook_gateway/src/load_table.rs
@@ -1,10 +1,10 @@
 //! What other nodes have sent to engines that hasn't begun yet.
 //!
 //! An engine reads prompts one after another, some of them for seconds, and the nodes that send
-//! them don't see each other's. Each node tells others what it has waiting where (see [`notices`]);
+//! them don't see each other's. Each node tells others what it has waiting where (see [`load_reports`]);
 //! this is what a node was told.
 //!
-//! [`notices`]: crate::notices
+//! [`load_reports`]: crate::load_reports
 
 use std::{
     collections::HashMap,
@@ -18,13 +18,13 @@
 
 /// What each node has waiting.
 #[derive(Debug, Default)]
-pub struct Board {
+pub struct LoadTable {
     nodes: HashMap<String, (Instant, HashMap<endpoint::Id, Duration>)>,
 }
 
-impl Board {
+impl LoadTable {
     /// Takes in what `node` has waiting.
-    pub fn told(&mut self, node: String, waiting: HashMap<endpoint::Id, Duration>, now: Instant) {
+    pub fn report(&mut self, node: String, waiting: HashMap<endpoint::Id, Duration>, now: Instant) {
         self.nodes.insert(node, (now, waiting));
     }
 
@@ -32,13 +32,13 @@
     ///
     /// ```
     /// # use std::{collections::HashMap, time::{Duration, Instant}};
-    /// # use curranthook_gateway::board::Board;
-    /// let (mut board, now) = (Board::default(), Instant::now());
+    /// # use curranthook_gateway::load_table::LoadTable;
+    /// let (mut load_table, now) = (LoadTable::default(), Instant::now());
     /// let work = Duration::from_millis(400);
-    /// board.told("node-2".to_owned(), HashMap::from([("engine-1".into(), work)]), now);
-    /// assert_eq!(board.waiting(&"engine-1".into(), "node-1", now), work);
-    /// assert_eq!(board.waiting(&"engine-1".into(), "node-2", now), Duration::ZERO);
-    /// assert_eq!(board.waiting(&"engine-1".into(), "node-1", now + work * 3), Duration::ZERO);
+    /// load_table.report("node-2".to_owned(), HashMap::from([("engine-1".into(), work)]), now);
+    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-1", now), work);
+    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-2", now), Duration::ZERO);
+    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-1", now + work * 3), Duration::ZERO);
     /// ```
     pub fn waiting(&self, endpoint: &endpoint::Id, asker: &str, now: Instant) -> Duration {
         let others = self.nodes.iter().filter(|(node, _)| *node != asker);
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -11,8 +11,8 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Tracked},
-    keepers,
-    notices::Heard,
+    load_owners,
+    load_reports::Heard,
     pace::Pace,
     place::{self, Candidate, Distance, Holders, Work},
     prefill::Prompt,
@@ -122,7 +122,7 @@
 /// The endpoints of which other nodes are asked before a request is placed, the best first by what
 /// this node knows; none in a small fleet, whose nodes tell each other.
 pub fn shortlist(gateway: &Gateway, wanted: &Wanted<'_>) -> Vec<endpoint::Id> {
-    if wanted.model.is_none() || !keepers::are_used(gateway.n_nodes()) {
+    if wanted.model.is_none() || !load_owners::are_used(gateway.n_nodes()) {
         return Vec::new();
     }
     let now = gateway.now();
@@ -166,7 +166,7 @@
         Some(gateway.affinity.lock().holders(subject, now))
     };
     // The nodes of a small fleet tell all others what they sent to be read.
-    let is_known = heard.holders.is_some() || !keepers::are_used(gateway.n_nodes());
+    let is_known = heard.holders.is_some() || !load_owners::are_used(gateway.n_nodes());
     let holders = if is_known { Holders::Known } else { Holders::Guessed };
     let holding = heard.holders.clone().or_else(own).unwrap_or_default();
     let candidate = |it: &&Tracked| Candidate {
@@ -182,7 +182,7 @@
 /// The work that other nodes have waiting at an endpoint.
 fn of_others(gateway: &Gateway, id: &endpoint::Id, heard: &Heard, now: Instant) -> Duration {
     let heard = heard.waiting.get(id).copied();
-    heard.unwrap_or_else(|| gateway.board.lock().waiting(id, &gateway.settings.node, now))
+    heard.unwrap_or_else(|| gateway.load_table.lock().waiting(id, &gateway.settings.node, now))
 }
 
 /// The endpoints to choose from. Whoever was tried, is left alone or runs a version that the
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -25,7 +25,7 @@
     event::Event,
     front::Front,
     lead,
-    notices::{self, Notices},
+    load_reports::{self, Reports},
     peers,
     settings::Settings,
     store::Table,
@@ -72,7 +72,7 @@
     callers: Server,
     readiness: Server,
     peers: Option<Server>,
-    notices: Option<Async<UdpSocket>>,
+    reports: Option<Async<UdpSocket>>,
     metrics: Option<Server>,
 }
 
@@ -84,13 +84,13 @@
             callers: bind(settings.callers)?.with_limits(limits),
             readiness: bind(settings.readiness)?,
             peers: settings.peers.map(bind).transpose()?,
-            notices: settings.notices.map(bind_datagrams).transpose()?,
+            reports: settings.reports.map(bind_datagrams).transpose()?,
             metrics: settings.metrics.map(bind).transpose()?,
         };
         settings.callers = it.callers.addr();
         settings.readiness = it.readiness.addr();
         settings.peers = it.peers.as_ref().map(Server::addr);
-        settings.notices = it.notices.as_ref().and_then(|it| it.get_ref().local_addr().ok());
+        settings.reports = it.reports.as_ref().and_then(|it| it.get_ref().local_addr().ok());
         settings.metrics = it.metrics.as_ref().map(Server::addr);
         Ok(it)
     }
@@ -120,10 +120,10 @@
         detach(&gateway, server, Arc::new(Counters(Arc::clone(&gateway))));
     }
     tasks(&gateway);
-    if let Some(socket) = listeners.notices {
-        let notices = Arc::new(Notices::new(socket));
-        let notices = Arc::clone(gateway.notices.get_or_init(|| notices));
-        gateway.ex.spawn(notices::run(Arc::clone(&gateway), notices)).detach();
+    if let Some(socket) = listeners.reports {
+        let reports = Arc::new(Reports::new(socket));
+        let reports = Arc::clone(gateway.load_reports.get_or_init(|| reports));
+        gateway.ex.spawn(load_reports::run(Arc::clone(&gateway), reports)).detach();
     }
     wait_for_stop(&gateway, &mut signals, reload).await;
     gateway.stop();
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -19,8 +19,8 @@
     pub readiness: SocketAddr,
     /// Where other nodes connect.
     pub peers: Option<SocketAddr>,
-    /// Where other nodes send their notices, by UDP.
-    pub notices: Option<SocketAddr>,
+    /// Where other nodes send their load reports, by UDP.
+    pub reports: Option<SocketAddr>,
     /// How much it can carry beside its own callers, in Mbit/s of its link; nodes with more of it
     /// read the store for the others.
     pub capacity: f64,
--- a/crates/curranthook_gateway/tests/shared_engines.rs
+++ b/crates/curranthook_gateway/tests/shared_engines.rs
@@ -114,7 +114,7 @@
 
 /// Seventy nodes send prompts to 140 engines, each to the home of what the prompt is about. Homes of
 /// what many ask for have a queue that no single node sees, while most engines are idle; callers
-/// wait for seconds. A node that asks the keepers of a few candidates does nearly as well as one
+/// wait for seconds. A node that asks the owners of a few candidates does nearly as well as one
 /// that sees everything. Late first events: 6 in 100 by its own sight alone, none with answers.
 #[parameterized(first = { 1 }, second = { 2 }, third = { 3 })]
 fn asking_about_a_few_engines_keeps_callers_from_queues(seed: u64) {
