Strong nodes alone are relays where they can carry all leaves

Cause: the tree takes the square root of the fleet's size as relays, so three or four nodes on links of 10 Mbit/s served eight leaves each. Change: nodes of less than half the largest capacity are no relays if the strong ones have at most four times the leaves of an even tree. Test: weak_nodes_are_no_parents_if_the_strong_ones_can_carry_all, seen to fail first.

--- a/crates/curranthook_gateway/src/relays.rs
+++ b/crates/curranthook_gateway/src/relays.rs
@@ -17,6 +17,10 @@
 const MAX_FLAT: usize = 24;
 /// How many nodes may take the root's place, the root with them.
 const ROOTS: usize = 3;
+/// From which part of the largest capacity on a node counts as strong.
+const STRONG: f64 = 0.5;
+/// How many times as many leaves as in an even tree a strong relay may have.
+const MAX_LOAD: usize = 4;
 /// How many relays a leaf may ask.
 const RELAYS_PER_LEAF: usize = 3;
 /// How long ago a root may have heard from the store. Together with the change to another parent
@@ -69,7 +73,7 @@
     let ranked = ranked(nodes);
     // A node that starts isn't among them until its own row comes back to it.
     let rank = ranked.iter().position(|it| it.name == node).unwrap_or(nodes.len());
-    let relays = &ranked[1..=n_relays(nodes.len())];
+    let relays = &ranked[1..=n_relays(nodes)];
     if rank <= relays.len() || nodes.len() <= MAX_FLAT {
         let roots = ranked.iter().take(rank.min(ROOTS));
         return roots.map(|it| Parent { name: it.name, max_age: ROOT_MAX_AGE }).collect();
@@ -110,8 +114,14 @@
     MAX_UNRELAYED < n_nodes
 }
 
-/// How many relays a fleet of that size has.
-fn n_relays(n_nodes: usize) -> usize {
-    let floor = n_nodes.isqrt();
-    if floor * floor < n_nodes { floor + 1 } else { floor }
+/// How many relays a fleet has: the square root of its size, but no weak nodes if the strong ones can
+/// carry all leaves. A relay on a weak link would delay its own callers whenever many rows change.
+fn n_relays(nodes: &[Node<'_>]) -> usize {
+    let floor = nodes.len().isqrt();
+    let root = if floor * floor < nodes.len() { floor + 1 } else { floor };
+    let most = nodes.iter().map(|it| it.capacity).fold(0.0, f64::max);
+    let n_strong = nodes.iter().filter(|it| most * STRONG <= it.capacity).count();
+    // The strongest of all is the root of the tree.
+    let n_strong_relays = n_strong.saturating_sub(1);
+    if root <= n_strong_relays * MAX_LOAD { root.min(n_strong_relays) } else { root }
 }
--- a/crates/curranthook_gateway/tests/relays.rs
+++ b/crates/curranthook_gateway/tests/relays.rs
@@ -194,3 +194,23 @@
         mirror.interrupted(Table::Operator);
     }
 }
+
+/// Guards against relays on weak links, whose own callers wait while many rows change.
+#[test]
+fn weak_nodes_are_no_parents_if_the_strong_ones_can_carry_all() {
+    let names: Vec<_> = (0..81).map(|it| format!("node-{it}")).collect();
+    let domains: Vec<domain::Id> = ["z-a", "z-b", "z-c"].map(Into::into).to_vec();
+    let nodes: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| relays::Node {
+            name,
+            capacity: if index < 6 { 200.0 } else { 10.0 },
+            domain: Some(&domains[index % domains.len()]),
+        })
+        .collect();
+    let parents = names.iter().flat_map(|it| relays::parents(it, &nodes));
+    let weak: Vec<_> =
+        parents.filter(|it| !names[..6].iter().any(|name| name == it.name)).collect();
+    assert_eq!(weak, []);
+}
