Only some leaves ask a store that is away

Change: leaves whose relays all answer that they're out of date ask the store by chance, about eight of a fleet at a time; the root, those that stand in for it, and relays go on as before.

--- a/crates/curranthook_gateway/src/relays.rs
+++ b/crates/curranthook_gateway/src/relays.rs
@@ -27,7 +27,7 @@
 /// this keeps a configuration in force within two seconds.
 const ROOT_MAX_AGE: Duration = Duration::from_millis(1_400);
 /// How long ago a relay may have. It hears from its root at intervals of its own.
-const RELAY_MAX_AGE: Duration = Duration::from_millis(2_200);
+pub const RELAY_MAX_AGE: Duration = Duration::from_millis(2_200);
 
 /// A node of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/curranthook_gateway/src/watch.rs
+++ b/crates/curranthook_gateway/src/watch.rs
@@ -21,7 +21,7 @@
 };
 
 pub use self::parents::Shared;
-use self::parents::{Parent, Role, are_stale, place, role_changed};
+use self::parents::{Parent, Role, are_relays_stale, place, role_changed};
 
 /// How long a call for operators' rows waits for a change in a fleet without relays. It also notices
 /// that the store is away, so it's short; a lost answer delays a configuration by no more than this.
@@ -63,8 +63,8 @@
 const UNREAD_BACKOFF: Duration = Duration::from_secs(3);
 /// Every how many tries a node that has parents asks a store that is away itself.
 const OWN_TRIES: u32 = 4;
-/// How many nodes of a fleet whose parents are all out of date ask the store at a time.
-const OWN_TRIES_AT_ONCE: f64 = 16.0;
+/// How many leaves of a fleet whose relays are all out of date ask the store at a time.
+const OWN_TRIES_AT_ONCE: f64 = 8.0;
 /// The longest pause between calls to a store that is away.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// The same for a node that has no configuration and so serves nobody.
@@ -156,15 +156,14 @@
         Some(result.map(|batch| Told { batch, origin: Origin::Store, is_whole }))
     }
 
-    /// Whether a node that has parents asks the store itself now. When all nodes find their parents out of
-    /// date at once, only some do, and the others hear from them.
+    /// Whether a node that has parents asks the store itself now. When all leaves find their relays out of
+    /// date at once, only some do; the others hear of the store's return from their relays.
     fn tries_itself(&self) -> bool {
         if !self.failures.is_multiple_of(OWN_TRIES) {
             return false;
         }
-        let n_nodes = self.gateway.n_nodes() as f64;
-        !are_stale(&self.gateway, &self.shared)
-            || rand::rng().random_bool((OWN_TRIES_AT_ONCE / n_nodes).min(1.0))
+        let share = OWN_TRIES_AT_ONCE / self.gateway.n_nodes() as f64;
+        !are_relays_stale(&self.gateway, &self.shared) || rand::random::<f64>() < share
     }
 
     /// Waits at a parent; none if it failed meanwhile, as another table's call found.
--- a/crates/curranthook_gateway/src/watch/parents.rs
+++ b/crates/curranthook_gateway/src/watch/parents.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 
-use crate::{Gateway, event::Event, relays, signal::Signal, store::Error};
+use crate::{Gateway, event::Event, fleet, relays, signal::Signal, store::Error};
 
 /// How long a parent that failed isn't asked.
 const PARENT_COOLDOWN: Duration = Duration::from_secs(4);
@@ -81,10 +81,7 @@
 pub(super) fn place(gateway: &Gateway, shared: &Shared) -> (Role, Vec<Parent>) {
     let now = gateway.now();
     let peers = gateway.peers.lock();
-    let nodes: Vec<_> = peers
-        .iter()
-        .map(|(name, it)| relays::Node { name, capacity: it.capacity, domain: it.domain.as_ref() })
-        .collect();
+    let nodes = nodes(&peers);
     if !relays::are_used(nodes.len()) {
         return (Role::Single, Vec::new());
     }
@@ -111,16 +108,20 @@
     }
 }
 
-/// Whether all parents of the node answer, and none has heard from the store. Then the store is likely away,
-/// or slow, for all nodes alike.
-pub(super) fn are_stale(gateway: &Gateway, shared: &Shared) -> bool {
+/// Whether all relays that a leaf asks answer, and none has heard from the store. They ask it themselves,
+/// so it's likely away, or slow, for all nodes alike.
+pub(super) fn are_relays_stale(gateway: &Gateway, shared: &Shared) -> bool {
     let now = gateway.now();
     let peers = gateway.peers.lock();
-    let nodes: Vec<_> = peers
+    let nodes = nodes(&peers);
+    let parents = relays::parents(&gateway.settings.node, &nodes);
+    let is_leaf = parents.iter().all(|it| it.max_age == relays::RELAY_MAX_AGE);
+    is_leaf && parents.iter().take(MAX_PARENTS_ASKED).all(|it| shared.is_stale(it.name, now))
+}
+
+fn nodes(peers: &HashMap<String, fleet::Node>) -> Vec<relays::Node<'_>> {
+    peers
         .iter()
         .map(|(name, it)| relays::Node { name, capacity: it.capacity, domain: it.domain.as_ref() })
-        .collect();
-    let parents = relays::parents(&gateway.settings.node, &nodes);
-    let mut asked = parents.iter().take(MAX_PARENTS_ASKED);
-    asked.all(|it| shared.is_stale(it.name, now))
+        .collect()
 }
--- a/crates/curranthook_gateway/tests/relays.rs
+++ b/crates/curranthook_gateway/tests/relays.rs
@@ -203,7 +203,7 @@
     let nodes: Vec<_> = names
         .iter()
         .enumerate()
-        .map(|(index, name)| relays::Node {
+        .map(|(index, name)| Node {
             name,
             capacity: if index < 6 { 200.0 } else { 10.0 },
             domain: Some(&domains[index % domains.len()]),
