Connections idle for three seconds are kept again

Conclusion: reverted; the bound for calls that run once, and the wait for their connection to hold, stay.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -23,7 +23,7 @@
 
 /// How long an idle connection may be trusted with a request that can be repeated. Endpoints
 /// close idle ones after some seconds, and what is sent just then is lost.
-pub const MAX_IDLE_AGE: Duration = Duration::from_secs(3);
+const MAX_IDLE_AGE: Duration = Duration::from_secs(3);
 
 /// Within this time a connection that was closed while it was idle shows it: a few round trips
 /// between failure domains.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -17,7 +17,6 @@
 
 use crate::{
     affinity::Affinity,
-    attempt,
     budget::Budget,
     dialect::Dialect,
     directory::Directory,
@@ -150,7 +149,6 @@
         let started = clock.now();
         let pool = Pool::new(Arc::clone(&ex), Arc::clone(&clock));
         let pool = pool.with_connect_timeout(CONNECT).with_liveness(UNACKED);
-        let pool = pool.with_max_idle_age(attempt::MAX_IDLE_AGE);
         Arc::new(Self {
             pool,
             rollouts: Mutex::new(Rollouts::new(Plan::new(settings.exposure))),
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -28,7 +28,7 @@
 
 /// How many idle connections are kept for each address.
 const MAX_IDLE: usize = 512;
-/// Past this much idle time a connection isn't used again for anything, if the pool isn't told otherwise.
+/// Past this much idle time a connection isn't reused for anything.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
 /// How long an idle connection may take to be ready for another call.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
@@ -164,8 +164,6 @@
     unacked_timeout: Duration,
     /// The time between keep-alive probes; none are sent without it.
     probing: Probing,
-    /// Past this much idle time a connection isn't used again for anything.
-    max_idle_age: Duration,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     /// When the newest connection that was answered had been opened.
     answered: Mutex<HashMap<SocketAddr, Instant>>,
@@ -181,7 +179,6 @@
             connect_timeout: CONNECT_TIMEOUT,
             unacked_timeout: UNACKED_TIMEOUT,
             probing: Probing::Off,
-            max_idle_age: MAX_IDLE_AGE,
             idle: Mutex::default(),
             answered: Mutex::default(),
         }
@@ -192,11 +189,6 @@
         Self { connect_timeout, ..self }
     }
 
-    /// Sets how long a connection may be idle before it's closed; 20 seconds if not set.
-    pub fn with_max_idle_age(self, max_idle_age: Duration) -> Self {
-        Self { max_idle_age, ..self }
-    }
-
     /// Gives connections up after this long without an acknowledgement of sent bytes, and when a
     /// probe of a connection that is waiting stays unanswered. Without it, a call that waits on a
     /// host that lost its power or is cut off hangs until its own limit; with it, the call fails
@@ -228,12 +220,10 @@
         if conn.sender.is_closed() {
             return;
         }
-        let now = self.clock.now();
-        let idle = Idle { sender: conn.sender, since: now };
+        let idle = Idle { sender: conn.sender, since: self.clock.now() };
         let mut all = self.idle.lock();
         let list = all.entry(conn.addr).or_default();
-        let is_fresh = |it: &Idle| now.saturating_duration_since(it.since) <= self.max_idle_age;
-        list.retain(|it| is_fresh(it) && !it.sender.is_closed());
+        list.retain(|it| !it.sender.is_closed());
         list.push(idle);
         let n_excess = list.len().saturating_sub(max_idle.min(MAX_IDLE));
         list.drain(..n_excess);
@@ -263,8 +253,8 @@
         freshness: Freshness,
     ) -> Option<SendRequest<Full<Bytes>>> {
         let max_age = match freshness {
-            Freshness::Any => self.max_idle_age,
-            Freshness::Within(age) => age.min(self.max_idle_age),
+            Freshness::Any => MAX_IDLE_AGE,
+            Freshness::Within(age) => age.min(MAX_IDLE_AGE),
             Freshness::New => return None,
         };
         let now = self.clock.now();
