Headers of endpoints that no decoder reads are logged

Endpoints said things in the heads of their answers, and no line of any node told what; whether the header is spelled with the platform's prefix couldn't be seen either. Change: event header_unknown, once for each endpoint, header and value, bounded. No logic changes.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -9,6 +9,7 @@
     client::{self, Connection, Freshness},
     timeout,
 };
+use curranthook_types::endpoint;
 use http::response::Parts;
 use hyper::body::Incoming;
 
@@ -18,6 +19,7 @@
     dialect::{self, Execution, Outgoing, Reply, Seal},
     directory::Outcome,
     document::Repeat,
+    event::Event,
     lease::Lease,
 };
 
@@ -137,6 +139,7 @@
     };
     let (head, body) = response.into_parts();
     let reply = gateway.dialect.reply(&head);
+    log_unknown_headers(gateway, &lease.id, &head);
     lease.began(reply.load);
     if let Some(failed) = refused(ask, &reply) {
         lease.close(outcome(failed.cause));
@@ -147,6 +150,16 @@
     Ok(Open { lease, conn, reply, head, body, first_byte })
 }
 
+fn log_unknown_headers(gateway: &Gateway, id: &endpoint::Id, head: &Parts) {
+    let unknown = gateway.dialect.unknown(&head.headers);
+    for (name, value) in unknown {
+        let (name, value) = (name.as_str(), value.to_str().unwrap_or_default());
+        if gateway.unknown_headers.lock().is_new(id, name, value) {
+            gateway.log.write(&Event::HeaderUnknown { endpoint: id.as_str(), name, value });
+        }
+    }
+}
+
 fn broken(lease: Lease, conn: &Connection, error: &client::Error, took: Duration) -> Failed {
     if error.is_unsent() {
         lease.close(Outcome::Dropped);
--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use curranthook_types::{account, endpoint};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::{
     ask::{Ask, Head},
@@ -22,13 +22,15 @@
     fn request(&self, ask: &Ask, send: &Outgoing<'_>) -> http::Request<Bytes>;
     /// Reads the head of an endpoint's answer.
     fn reply(&self, head: &http::response::Parts) -> Reply;
+    /// The headers of an endpoint's answer that no decoder reads.
+    fn unknown<'a>(&self, headers: &'a HeaderMap) -> Vec<(&'a HeaderName, &'a HeaderValue)>;
     /// The headers of an endpoint's answer that its caller gets.
     fn passed_on(&self, headers: &HeaderMap) -> HeaderMap;
     /// Adds to `headers` what a refusal says.
     fn refused(&self, refusal: &Refusal, headers: &mut HeaderMap);
     /// Adds to `headers` that no more requests are taken on this connection.
     fn closing(&self, headers: &mut HeaderMap) {
-        headers.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+        headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
 }
 
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -74,6 +74,8 @@
         left_ms: u64,
         configuration: u64,
     },
+    /// An endpoint sends a header that no decoder reads.
+    HeaderUnknown { endpoint: &'a str, name: &'a str, value: &'a str },
     /// An attempt failed.
     AttemptFailed {
         request: &'a str,
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -36,6 +36,7 @@
     starting::Waiting,
     steps::Plan,
     store::{Decoder, Rev, Store, Table},
+    unknown_headers::UnknownHeaders,
 };
 
 /// How many requests the register of poison requests remembers.
@@ -115,6 +116,8 @@
     pub changed: Signal,
     /// Other nodes, by name.
     pub peers: Mutex<HashMap<String, fleet::Node>>,
+    /// What endpoints said that nobody reads.
+    pub unknown_headers: Mutex<UnknownHeaders>,
     /// Requests that wait for the first configuration.
     pub starting: Waiting,
     /// When the process started.
@@ -174,6 +177,7 @@
             waiting_changed: Signal::default(),
             changed: Signal::default(),
             peers: Mutex::default(),
+            unknown_headers: Mutex::default(),
             starting: Waiting::default(),
             started,
             stopping: AtomicBool::new(false),
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -64,6 +64,7 @@
 pub mod store;
 pub mod stream;
 pub mod unary;
+pub mod unknown_headers;
 pub mod watch;
 
 pub use gateway::Gateway;
