--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -290,7 +290,7 @@
 
     /// Works out what this node may send to the endpoints of a service in slow start, where that isn't
     /// known. `interval` tells it from the hash of the endpoint's id (see
-    /// [`slow_start::interval`](crate::slow_start::interval)).
+    /// [`permit::interval`](crate::permit::interval)).
     pub fn permit_slow_starts(
         &mut self,
         service: &str,
@@ -299,8 +299,9 @@
     ) {
         for it in self.endpoints.values_mut().filter(|it| it.entry.service == service) {
             let (seed, slow_start) = (it.seed, it.slow_start.as_mut());
-            if let Some(it) = slow_start.filter(|it| it.is_outdated(now)) {
-                it.set_interval(interval(seed), now);
+            if let Some(it) = slow_start.filter(|it| !it.is_over(now) && it.share.is_outdated(now))
+            {
+                it.share.set_interval(interval(seed), now);
             }
         }
     }
@@ -311,7 +312,7 @@
             it.in_flight += 1;
             it.pending += work;
             if let Some(slow_start) = &mut it.slow_start {
-                slow_start.sent(now);
+                slow_start.share.sent(now);
             }
         }
     }
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //!   other nodes sent there, by the [`load_table`] or, in a large fleet, by its [`load_owners`];
 //! - [`unary`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
-//! [`place`], [`cascade`], [`pace`], [`prefill`], [`budget`], [`slow_start`] and [`steps`] decide without I/O or a clock. [`watch`] and
+//! [`place`], [`cascade`], [`pace`], [`prefill`], [`budget`], [`permit`] and [`steps`] decide without I/O or a clock. [`watch`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
 //! [`rollouts`]. In a large fleet changes reach most nodes by a tree of [`relays`]; [`peers`] is
 //! how nodes ask each other, and stands in for the store while that is away; [`outage`] tells
@@ -49,6 +49,7 @@
 pub mod outage;
 pub mod pace;
 pub mod peers;
+pub mod permit;
 pub mod place;
 pub mod prefill;
 pub mod refusal;
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -14,10 +14,10 @@
     load_owners,
     load_reports::Heard,
     pace::Pace,
+    permit,
     place::{self, Candidate, Distance, Holders, Work},
     prefill::Prompt,
     rollouts::Rule,
-    slow_start,
 };
 
 /// How long a plain service works on a request, about.
@@ -149,7 +149,7 @@
         peers.keys().map(|it| hash::bytes(it.as_bytes())).collect::<Vec<_>>()
     });
     directory.permit_slow_starts(service, now, |endpoint| match rate {
-        Some(rate) => slow_start::interval(rate, endpoint, own, &nodes),
+        Some(rate) => permit::interval(rate, endpoint, own, &nodes),
         None => Some(Duration::ZERO),
     });
 }
--- a/crates/curranthook_gateway/tests/slow_start.rs
+++ b/crates/curranthook_gateway/tests/slow_start.rs
@@ -8,7 +8,8 @@
 use curranthook_gateway::{
     directory::{Directory, Tracked},
     entry::{Entry, State},
-    slow_start::{self, SlowStart},
+    permit,
+    slow_start::SlowStart,
 };
 use curranthook_policy::hash;
 use rand::{RngExt, SeedableRng};
@@ -33,7 +34,7 @@
             let known = seeds.iter().filter(|it| own == *it || UNKNOWN <= rng.random());
             let known: Vec<u64> = known.copied().collect();
             let mut it = SlowStart::new(end);
-            it.set_interval(slow_start::interval(rate, seed, *own, &known), start);
+            it.share.set_interval(permit::interval(rate, seed, *own, &known), start);
             it
         })
         .collect();
@@ -41,7 +42,7 @@
     let mut now = start;
     while now < end {
         for it in nodes.iter_mut().filter(|it| it.admits(now)) {
-            it.sent(now);
+            it.share.sent(now);
             arrived.push(now + MAX_HELD_UP.mul_f64(rng.random()));
         }
         now += STEP;
