The fleet keeps the rate that an endpoint names

Callers saw: nothing yet; an engine in need got from each node what it takes from all of them together. Cause: no decoder read the header, and nothing but slow starts knew of a rate that the whole fleet shares. Ruled out: that nodes heard of it late (requests went on for seconds after all nodes had answers), and that each took the whole rate for itself (nobody read it: the only use of an answer's head was its load). Change: the limit is read from each answer; the fleet shares it by permits, as in slow starts, but whose turn it is changes every 4 s by the store's clock, so that each node hears now and then whether the limit still holds. Only a whole answer without the header ends a limit; an answer of another endpoint at the same address says nothing. Why it works: first choices, retries, second models, resumed streams and canaries are all placed through the same list of endpoints that admit a request, and a permit is used up when a request is placed.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -141,7 +141,14 @@
     let reply = gateway.dialect.reply(&head);
     log_unknown_headers(gateway, &lease.id, &head);
     lease.began(reply.load);
-    if let Some(failed) = refused(ask, &reply) {
+    let refused = refused(ask, &reply);
+    let is_misdirected = refused.as_ref().is_some_and(|it| it.cause == Cause::Misdirected);
+    // An answer that went wrong may lack what its endpoint says in all others.
+    let is_whole = refused.is_none() && reply.status.is_success();
+    if !is_misdirected && (is_whole || reply.rate_limit.is_some()) {
+        lease.limit_named(reply.rate_limit);
+    }
+    if let Some(failed) = refused {
         lease.close(outcome(failed.cause));
         return Err(failed);
     }
--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -62,7 +62,7 @@
 }
 
 /// The head of an endpoint's answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
     /// Its status.
     pub status: StatusCode,
@@ -76,6 +76,8 @@
     pub confidence: Option<u8>,
     /// How busy the endpoint is.
     pub load: Option<Load>,
+    /// The requests a second that the endpoint takes from all nodes together; none if it names no limit.
+    pub rate_limit: Option<f64>,
     /// Whether the endpoint closes the connection.
     pub connection: Connection,
 }
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -13,6 +13,7 @@
 use crate::{
     dialect::Load,
     entry::{Entry, State},
+    rate_limit::{self, RateLimit},
     slow_start::SlowStart,
     store::Row,
 };
@@ -37,6 +38,17 @@
 /// Entries and orders come by different calls; a lost call delays an order by up to this.
 const UNKNOWN_VERSION: Duration = Duration::from_secs(4);
 
+/// What this node may send to an endpoint whose rate all nodes share: the least time between two requests,
+/// none if there may be none. Endpoints are told by the hash of their id.
+pub trait Permits {
+    /// To an endpoint in slow start.
+    fn slow_start(&self, endpoint: u64) -> Option<Duration>;
+    /// To one that names a limit of `rate` requests a second, in the present turn.
+    fn limited(&self, endpoint: u64, rate: f64) -> Option<Duration>;
+    /// The present turn (see [`rate_limit::turn`]).
+    fn turn(&self) -> u64;
+}
+
 /// The endpoints of all services.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -73,6 +85,10 @@
     unreachable_since: Option<Instant>,
     /// Its slow start, while there is one.
     slow_start: Option<SlowStart>,
+    /// The limit that it names, while it names one.
+    rate_limit: Option<RateLimit>,
+    /// When it was last said, by the store's clock, whether it names a limit.
+    limit_said: Duration,
     /// Whether it's missing from the list.
     missing: bool,
     /// From when on its version may be used without an order.
@@ -112,6 +128,8 @@
             out_until: None,
             unreachable_since: None,
             slow_start: None,
+            rate_limit: None,
+            limit_said: Duration::ZERO,
             missing: false,
         }
     }
@@ -148,9 +166,29 @@
         }
     }
 
-    /// Whether it takes a request now: always, but for an endpoint in slow start.
+    /// Whether it takes a request of this node now: always, but for an endpoint in slow start or one that
+    /// names a limit.
     pub fn admits(&self, now: Instant) -> bool {
-        self.slow_start.is_none_or(|it| it.admits(now))
+        let is_slow_start = self.slow_start.is_some_and(|it| !it.admits(now));
+        let is_limited = self.rate_limit.is_some_and(|it| !it.admits(now));
+        !is_slow_start && !is_limited
+    }
+
+    /// Takes in what was said of its limit. Returns whether that changes it.
+    fn set_rate_limit(&mut self, notice: &rate_limit::Notice) -> bool {
+        if notice.at < self.limit_said {
+            return false;
+        }
+        self.limit_said = notice.at;
+        let before = self.rate_limit.map(|it| it.rate);
+        if before == notice.rate {
+            return false;
+        }
+        self.rate_limit = notice.rate.map(|rate| match self.rate_limit {
+            Some(it) => it.with_rate(rate),
+            None => RateLimit::new(rate),
+        });
+        true
     }
 
     /// Takes in how long its entry says that it stays in slow start.
@@ -288,24 +326,26 @@
         self.endpoints.get(id)
     }
 
-    /// Works out what this node may send to the endpoints of a service in slow start, where that isn't
-    /// known. `interval` tells it from the hash of the endpoint's id (see
-    /// [`permit::interval`](crate::permit::interval)).
-    pub fn permit_slow_starts(
-        &mut self,
-        service: &str,
-        now: Instant,
-        interval: impl Fn(u64) -> Option<Duration>,
-    ) {
+    /// Works out what this node may send to the endpoints of a service that take a bounded rate from all
+    /// nodes, where that isn't known.
+    pub fn renew_permits(&mut self, service: &str, permits: &impl Permits, now: Instant) {
         for it in self.endpoints.values_mut().filter(|it| it.entry.service == service) {
-            let (seed, slow_start) = (it.seed, it.slow_start.as_mut());
-            if let Some(it) = slow_start.filter(|it| !it.is_over(now) && it.share.is_outdated(now))
-            {
-                it.share.set_interval(interval(seed), now);
+            let slow_start = it.slow_start.as_mut();
+            if let Some(slow_start) = slow_start.filter(|it| it.is_outdated(now)) {
+                slow_start.share.set_interval(permits.slow_start(it.seed), now);
+            }
+            let (limit, turn) = (it.rate_limit.as_mut(), permits.turn());
+            if let Some(limit) = limit.filter(|it| it.is_outdated(turn, now)) {
+                limit.set_interval(permits.limited(it.seed, limit.rate), turn, now);
             }
         }
     }
 
+    /// Takes in what an endpoint, or a node in its place, said of its limit. Returns whether that changes it.
+    pub fn set_rate_limit(&mut self, id: &endpoint::Id, notice: &rate_limit::Notice) -> bool {
+        self.endpoints.get_mut(id).is_some_and(|it| it.set_rate_limit(notice))
+    }
+
     /// A request goes to an endpoint.
     pub fn started(&mut self, id: &endpoint::Id, work: Duration, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
@@ -314,6 +354,9 @@
             if let Some(slow_start) = &mut it.slow_start {
                 slow_start.share.sent(now);
             }
+            if let Some(limit) = &mut it.rate_limit {
+                limit.sent(now);
+            }
         }
     }
 
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -48,6 +48,8 @@
     Dependency { name: &'a str, state: &'a str, why: &'a str },
     /// An endpoint appeared, changed or went.
     Endpoint { endpoint: &'a str, service: &'a str, state: &'a str, version: &'a str, rev: u64 },
+    /// An endpoint names a limit in requests a second, another one, or none any more.
+    RateLimit { endpoint: &'a str, rate: Option<f64>, from: &'a str },
     /// The evacuation of a failure domain was ordered or ended.
     Evacuation { domain: &'a str, state: &'a str, rev: u64, from: &'a str },
     /// A request wasn't let in.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -190,6 +190,11 @@
         self.clock.now()
     }
 
+    /// The store's clock, as far as it's known.
+    pub fn store_time(&self) -> Option<Duration> {
+        self.mirror.lock().store_time(self.now())
+    }
+
     /// How many nodes there are, this one with them.
     pub fn n_nodes(&self) -> usize {
         self.peers.lock().len().max(1)
--- a/crates/curranthook_gateway/src/lead.rs
+++ b/crates/curranthook_gateway/src/lead.rs
@@ -99,7 +99,7 @@
     }
 
     async fn roll_outs(&mut self) {
-        let now = self.gateway.mirror.lock().store_time(self.gateway.now());
+        let now = self.gateway.store_time();
         let Some(now) = now else { return };
         let running: Vec<Rollout> = self.gateway.rollouts.lock().running().cloned().collect();
         for it in running {
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -10,9 +10,11 @@
     connections,
     dialect::Load,
     directory::Outcome,
+    event::Event,
     load_reports::Heard,
     offer::{self, Offer, Wanted},
     prefill::Prompt,
+    rate_limit,
 };
 
 /// A place at an endpoint. Dropping it gives it back.
@@ -35,6 +37,8 @@
     pub expected: Option<Duration>,
     /// How many idle connections this node may keep there.
     pub max_idle: usize,
+    /// Which start of the endpoint it's for.
+    born: Option<u64>,
     pending: Duration,
     outcome: Outcome,
 }
@@ -45,7 +49,7 @@
         let now = gateway.now();
         let mut directory = gateway.directory.lock();
         directory.sweep(now);
-        offer::permit_slow_starts(gateway, &mut directory, wanted.service, now);
+        offer::renew_permits(gateway, &mut directory, wanted.service, now);
         let offer = offer::best(gateway, &directory, wanted, heard)?;
         let Offer { prompt, busy, waited, .. } = offer;
         let pace = wanted.model.map(|it| it.pace);
@@ -67,6 +71,7 @@
             id: entry.id,
             addr: entry.addr,
             version: entry.version,
+            born: entry.born,
             busy,
             prompt,
             waited,
@@ -77,6 +82,24 @@
         })
     }
 
+    /// The endpoint said of its limit that it takes `rate` requests a second, or that it names none.
+    pub fn limit_named(&self, rate: Option<f64>) {
+        let at = self.gateway.store_time().unwrap_or_default();
+        let notice = rate_limit::Notice { rate, at };
+        let mut directory = self.gateway.directory.lock();
+        let is_same = directory.tracked(&self.id).is_some_and(|it| it.entry.born == self.born);
+        if !is_same || !directory.set_rate_limit(&self.id, &notice) {
+            return;
+        }
+        drop(directory);
+        let endpoint = self.id.as_str();
+        self.gateway.log.write(&Event::RateLimit { endpoint, rate, from: "answer" });
+        if let Some(reports) = self.gateway.load_reports.get() {
+            reports.limit(&self.id, notice);
+            self.gateway.waiting_changed.wake();
+        }
+    }
+
     /// The first byte of an answer came.
     pub fn began(&mut self, load: Option<Load>) {
         let now = self.gateway.now();
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod permit;
 pub mod place;
 pub mod prefill;
+pub mod rate_limit;
 pub mod refusal;
 pub mod relays;
 pub mod rollouts;
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -10,13 +10,14 @@
 
 use crate::{
     Gateway, cascade,
-    directory::{Directory, Tracked},
+    directory::{Directory, Permits, Tracked},
     load_owners,
     load_reports::Heard,
     pace::Pace,
     permit,
     place::{self, Candidate, Distance, Holders, Work},
     prefill::Prompt,
+    rate_limit,
     rollouts::Rule,
 };
 
@@ -127,7 +128,7 @@
     }
     let now = gateway.now();
     let mut directory = gateway.directory.lock();
-    permit_slow_starts(gateway, &mut directory, wanted.service, now);
+    renew_permits(gateway, &mut directory, wanted.service, now);
     let all: Vec<&Tracked> = directory.ready(wanted.service).filter(|it| it.admits(now)).collect();
     let list = eligible(&all, wanted, now);
     let (holders, candidates) = candidates(gateway, &list, wanted, &Heard::default(), now);
@@ -135,23 +136,46 @@
     best.into_iter().map(|it| list[it].entry.id.clone()).collect()
 }
 
-/// Works out which endpoints of `service` in slow start this node may send requests to.
-pub fn permit_slow_starts(
-    gateway: &Gateway,
-    directory: &mut Directory,
-    service: &str,
-    now: Instant,
-) {
-    let rate = gateway.service(service, |it| it.slow_start_rate);
-    let own = hash::bytes(gateway.settings.node.as_bytes());
+/// Works out what this node may send to the endpoints of `service` whose rate all nodes share.
+pub fn renew_permits(gateway: &Gateway, directory: &mut Directory, service: &str, now: Instant) {
     let nodes = LazyCell::new(|| {
         let peers = gateway.peers.lock();
         peers.keys().map(|it| hash::bytes(it.as_bytes())).collect::<Vec<_>>()
     });
-    directory.permit_slow_starts(service, now, |endpoint| match rate {
-        Some(rate) => permit::interval(rate, endpoint, own, &nodes),
-        None => Some(Duration::ZERO),
-    });
+    let shared = Shared {
+        slow_start_rate: gateway.service(service, |it| it.slow_start_rate),
+        turn: rate_limit::turn(gateway.store_time().unwrap_or_default()),
+        own: hash::bytes(gateway.settings.node.as_bytes()),
+        nodes,
+    };
+    directory.renew_permits(service, &shared, now);
+}
+
+/// What the nodes of the fleet may send.
+struct Shared<F> {
+    slow_start_rate: Option<f64>,
+    turn: u64,
+    /// The hash of this node's name.
+    own: u64,
+    /// Those of all nodes' names.
+    nodes: LazyCell<Vec<u64>, F>,
+}
+
+impl<F: FnOnce() -> Vec<u64>> Permits for Shared<F> {
+    fn slow_start(&self, endpoint: u64) -> Option<Duration> {
+        match self.slow_start_rate {
+            Some(rate) => permit::interval(rate, endpoint, self.own, &self.nodes),
+            None => Some(Duration::ZERO),
+        }
+    }
+
+    fn limited(&self, endpoint: u64, rate: f64) -> Option<Duration> {
+        rate_limit::interval(rate, endpoint, self.turn, self.own, &self.nodes)
+    }
+
+    fn turn(&self) -> u64 {
+        self.turn
+    }
 }
 
 fn candidates(
--- a/crates/curranthook_gateway/src/permit.rs
+++ b/crates/curranthook_gateway/src/permit.rs
@@ -38,7 +38,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Share {
     permit: Option<Permit>,
-    last_sent: Option<Instant>,
+    /// When the next request may be sent; any time if there is none.
+    next: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -73,12 +74,21 @@
     /// assert!(!it.admits(now + s / 2) && it.admits(now + s));
     /// ```
     pub fn admits(&self, now: Instant) -> bool {
-        let Some(interval) = self.permit.and_then(|it| it.interval) else { return false };
-        self.last_sent.is_none_or(|at| at + interval <= now)
+        self.interval().is_some() && self.next.is_none_or(|at| at <= now)
+    }
+
+    /// The least time between two requests; none if there may be none.
+    pub fn interval(&self) -> Option<Duration> {
+        self.permit?.interval
     }
 
     /// A request was sent.
     pub fn sent(&mut self, now: Instant) {
-        self.last_sent = Some(now);
+        self.defer(now + self.interval().unwrap_or_default());
+    }
+
+    /// Nothing may be sent before then.
+    pub fn defer(&mut self, until: Instant) {
+        self.next = self.next.max(Some(until));
     }
 }
--- a/crates/curranthook_gateway/src/slow_start.rs
+++ b/crates/curranthook_gateway/src/slow_start.rs
@@ -4,7 +4,7 @@
 //! node would choose it. The rate that it takes is a bound on the whole fleet, which shares it by
 //! [`permit`](crate::permit).
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::permit::Share;
 
@@ -41,6 +41,11 @@
         self.until <= now
     }
 
+    /// Whether the node has to work out its permit again.
+    pub fn is_outdated(&self, now: Instant) -> bool {
+        !self.is_over(now) && self.share.is_outdated(now)
+    }
+
     /// Whether a request may be sent now.
     pub fn admits(&self, now: Instant) -> bool {
         self.is_over(now) || self.share.admits(now)
--- a/crates/curranthook_gateway/tests/slow_start.rs
+++ b/crates/curranthook_gateway/tests/slow_start.rs
@@ -6,7 +6,7 @@
 };
 
 use curranthook_gateway::{
-    directory::{Directory, Tracked},
+    directory::{Directory, Permits, Tracked},
     entry::{Entry, State},
     permit,
     slow_start::SlowStart,
@@ -92,8 +92,25 @@
     }
 }
 
+/// The permits of a node that holds none.
+struct NoPermits;
+
+impl Permits for NoPermits {
+    fn slow_start(&self, _endpoint: u64) -> Option<Duration> {
+        None
+    }
+
+    fn limited(&self, _endpoint: u64, _rate: f64) -> Option<Duration> {
+        None
+    }
+
+    fn turn(&self) -> u64 {
+        0
+    }
+}
+
 fn admits(directory: &mut Directory, now: Instant) -> bool {
-    directory.permit_slow_starts("models", now, |_| None);
+    directory.renew_permits("models", &NoPermits, now);
     directory.tracked(&"e-1".into()).is_some_and(|it: &Tracked| it.admits(now))
 }
 
