--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -174,6 +174,14 @@
         !is_slow_start && !is_limited
     }
 
+    /// The requests a second that it takes from all nodes, if it's bounded and takes none of this node now.
+    /// `slow_start_rate` is what endpoints in slow start take.
+    pub fn throttled(&self, slow_start_rate: Option<f64>, now: Instant) -> Option<f64> {
+        let limited = self.rate_limit.filter(|it| !it.admits(now)).map(|it| it.rate);
+        let slow_start = self.slow_start.filter(|it| !it.admits(now)).and(slow_start_rate);
+        limited.into_iter().chain(slow_start).reduce(f64::min)
+    }
+
     /// Takes in what was said of its limit. Returns whether that changes it.
     fn set_rate_limit(&mut self, notice: &rate_limit::Notice) -> bool {
         if notice.at < self.limit_said {
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
     mirror::Mirror,
     outage::Outage,
     pace::Paces,
+    returns::Returns,
     rollouts::Rollouts,
     settings::Settings,
     signal::Signal,
@@ -96,6 +97,8 @@
     pub paces: Mutex<Paces>,
     /// Repeats.
     pub budget: Mutex<Budget>,
+    /// When refused callers may come back.
+    pub returns: Mutex<Returns>,
     /// Requests that end endpoints.
     pub poison: Mutex<Register>,
     /// Roll-outs.
@@ -167,6 +170,7 @@
             metrics: Metrics::default(),
             current: ArcSwapOption::empty(),
             directory: Mutex::default(),
+            returns: Mutex::default(),
             affinity: Mutex::default(),
             paces: Mutex::default(),
             mirror: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -180,7 +180,17 @@
             None => self.hear(&wanted).await,
         };
         let lease = Lease::take(&self.gateway, &wanted, &heard);
-        lease.ok_or_else(|| self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY))
+        lease.ok_or_else(|| self.unplaced(&wanted))
+    }
+
+    /// The refusal of a request that no endpoint takes.
+    fn unplaced(&self, wanted: &Wanted<'_>) -> Refusal {
+        let Some(rate) = offer::throttled(&self.gateway, wanted) else {
+            return self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY);
+        };
+        let (own, now) = (rate / self.gateway.n_nodes() as f64, self.gateway.now());
+        let after = self.gateway.returns.lock().book(&self.service, own, now);
+        self.refusal(Reason::Throttled).with_retry_after(after)
     }
 
     /// What other nodes tell of the endpoints that may take it; nothing in a small fleet, whose nodes
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod rate_limit;
 pub mod refusal;
 pub mod relays;
+pub mod returns;
 pub mod rollouts;
 pub mod serve;
 pub mod settings;
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -136,6 +136,17 @@
     best.into_iter().map(|it| list[it].entry.id.clone()).collect()
 }
 
+/// The requests a second that all nodes together may send to the endpoints that could take a request but
+/// take none of this node now; none if there are no such endpoints.
+pub fn throttled(gateway: &Gateway, wanted: &Wanted<'_>) -> Option<f64> {
+    let now = gateway.now();
+    let slow_start_rate = gateway.service(wanted.service, |it| it.slow_start_rate);
+    let directory = gateway.directory.lock();
+    let allowed =
+        directory.ready(wanted.service).filter(|it| wanted.rule.allows(&it.entry.version));
+    allowed.filter_map(|it| it.throttled(slow_start_rate, now)).reduce(|a, b| a + b)
+}
+
 /// Works out what this node may send to the endpoints of `service` whose rate all nodes share.
 pub fn renew_permits(gateway: &Gateway, directory: &mut Directory, service: &str, now: Instant) {
     let nodes = LazyCell::new(|| {
--- a/crates/curranthook_gateway/src/refusal.rs
+++ b/crates/curranthook_gateway/src/refusal.rs
@@ -19,6 +19,8 @@
     TooLarge,
     /// No endpoint can take it now.
     NoEndpoint,
+    /// The endpoints that could take it take no more for now.
+    Throttled,
     /// All endpoints that were asked are full.
     Full,
     /// The node is shutting down.
@@ -48,6 +50,7 @@
             Self::Invalid => "invalid",
             Self::TooLarge => "too_large",
             Self::NoEndpoint => "no_endpoint",
+            Self::Throttled => "throttled",
             Self::Full => "full",
             Self::Stopping => "stopping",
             Self::Poison => "poison",
--- a/crates/curranthook_gateway/tests/rate_limits.rs
+++ b/crates/curranthook_gateway/tests/rate_limits.rs
@@ -35,8 +35,8 @@
     mean: f64,
 }
 
-/// A fleet of `n_nodes` that gets `demand` requests a second which would all fit one endpoint.
-fn arrivals(rate: f64, n_nodes: usize, demand: f64, seed: u64) -> Arrivals {
+/// A fleet of `n_nodes` that gets `demand` requests a second from `idle` on, which would all fit one endpoint.
+fn arrivals(rate: f64, n_nodes: usize, demand: f64, idle: Duration, seed: u64) -> Arrivals {
     let (mut rng, start) = (Pcg64::seed_from_u64(seed), Instant::now());
     let seeds: Vec<u64> = (0..n_nodes).map(|it| hash::bytes(&it.to_le_bytes())).collect();
     let known: Vec<Vec<u64>> = seeds
@@ -52,7 +52,9 @@
     let mut due = 0.0;
     let mut elapsed = Duration::ZERO;
     while elapsed < LENGTH {
-        due += demand * STEP.as_secs_f64();
+        if idle <= elapsed {
+            due += demand * STEP.as_secs_f64();
+        }
         while 1.0 <= due {
             due -= 1.0;
             let (index, now) = (rng.random_range(0..n_nodes), start + elapsed);
@@ -94,7 +96,7 @@
 )]
 fn the_fleet_keeps_the_rate_that_is_named(rate: f64, n_nodes: usize, demand: f64) {
     for seed in 0..3 {
-        let it = arrivals(rate, n_nodes, demand, seed);
+        let it = arrivals(rate, n_nodes, demand, Duration::ZERO, seed);
         let allowed = rate * 1.5 * WINDOW.as_secs_f64() + SLACK;
         assert!(it.most as f64 <= allowed, "{} in a window, {allowed} allowed", it.most);
         assert!(rate * 0.4 < it.mean, "only {} of {rate} requests a second", it.mean);
@@ -102,6 +104,16 @@
     }
 }
 
+/// Guards against permits that nobody used for a while and all nodes use at once.
+#[parameterized(small = { 1.0, 6, 60.0 }, large = { 1.0, 89, 500.0 }, fast = { 12.0, 89, 500.0 })]
+fn a_burst_after_a_pause_keeps_the_rate(rate: f64, n_nodes: usize, demand: f64) {
+    for seed in 0..3 {
+        let it = arrivals(rate, n_nodes, demand, LENGTH / 2, seed);
+        let allowed = rate * 1.5 * WINDOW.as_secs_f64() + SLACK;
+        assert!(it.most as f64 <= allowed, "{} in a window, {allowed} allowed", it.most);
+    }
+}
+
 /// Guards against nodes that never hear whether an endpoint still names a limit, and callers that never get
 /// a turn.
 #[parameterized(small = { 1.0, 6 }, large = { 8.0, 89 })]
@@ -121,7 +133,7 @@
 #[test]
 fn an_endpoint_that_takes_nothing_is_asked_now_and_then() {
     for seed in 0..5 {
-        let it = arrivals(0.0, 6, 60.0, seed);
+        let it = arrivals(0.0, 6, 60.0, Duration::ZERO, seed);
         assert!(0.1 < it.mean && it.mean < 0.5, "{} requests a second", it.mean);
         assert!(it.most <= 3, "{} requests in a window", it.most);
     }
