A version whose endpoints take no more for now isn't gone

Callers saw: while the old version's endpoints named a limit, or were in slow start, the requests that they don't take went to a new version that had shown nothing yet: 9 of 10 in the test, before its first step. Cause: endpoints that admit no request were left out before versions were chosen, so that a throttled version looked like one that nobody runs, and what others run stood in for it. Change: versions are chosen among all endpoints, and what admits a request among those.

--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -103,7 +103,7 @@
     heard: &Heard,
 ) -> Option<Offer<'a>> {
     let now = gateway.now();
-    let all: Vec<&Tracked> = directory.ready(wanted.service).filter(|it| it.admits(now)).collect();
+    let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
     let mut list = eligible(&all, wanted, now);
     if list.iter().any(|it| heard.waiting.contains_key(&it.entry.id)) {
         // Of the others nobody knows how busy they are; they'd seem idle.
@@ -129,7 +129,7 @@
     let now = gateway.now();
     let mut directory = gateway.directory.lock();
     renew_permits(gateway, &mut directory, wanted.service, now);
-    let all: Vec<&Tracked> = directory.ready(wanted.service).filter(|it| it.admits(now)).collect();
+    let all: Vec<&Tracked> = directory.ready(wanted.service).collect();
     let list = eligible(&all, wanted, now);
     let (holders, candidates) = candidates(gateway, &list, wanted, &Heard::default(), now);
     let best = place::best(&candidates, &wanted.work(holders), SHORTLIST);
@@ -220,21 +220,25 @@
     heard.unwrap_or_else(|| gateway.load_table.lock().waiting(id, &gateway.settings.node, now))
 }
 
-/// The endpoints to choose from. Whoever was tried, is left alone or runs a version that the
-/// request shouldn't go to is taken only if there is nobody else.
+/// The endpoints to choose from, of those that take a request now. Whoever was tried, is left alone or runs
+/// a version that the request shouldn't go to is taken only if there is nobody else.
 fn eligible<'a>(all: &[&'a Tracked], wanted: &Wanted<'_>, now: Instant) -> Vec<&'a Tracked> {
     let is_allowed = |it: &Tracked| wanted.rule.allows(&it.entry.version);
     let is_new = |it: &Tracked| !wanted.tried.contains(&it.entry.id);
     let select = |keep: &dyn Fn(&Tracked) -> bool| -> Vec<&'a Tracked> {
-        all.iter().copied().filter(|it| keep(it)).collect()
+        all.iter().copied().filter(|it| it.admits(now) && keep(it)).collect()
     };
     // A version whose order may still be on its way waits, unless there is an order that decides.
     let is_known = |it: &Tracked| *wanted.rule != Rule::Any || it.is_known_version(now);
+    // A version whose endpoints take no more for now isn't gone: no other takes its place.
+    let is_throttled = |it: &Tracked| !it.admits(now) && is_allowed(it) && is_known(it);
+    let has_throttled = all.iter().any(|it| is_throttled(it));
+    let is_usable = |it: &Tracked| is_allowed(it) && (is_known(it) || !has_throttled);
     let in_order: [&dyn Fn(&Tracked) -> bool; 4] = [
         &|it| is_allowed(it) && is_known(it) && is_new(it) && !it.is_out(now),
-        &|it| is_allowed(it) && is_new(it) && !it.is_out(now),
-        &|it| is_allowed(it) && is_new(it),
-        &|it| is_allowed(it),
+        &|it| is_usable(it) && is_new(it) && !it.is_out(now),
+        &|it| is_usable(it) && is_new(it),
+        &|it| is_usable(it),
     ];
     for keep in in_order {
         let list = select(keep);
@@ -247,8 +251,8 @@
     match wanted.rule {
         Rule::Only(_) => select(&|it| is_new(it)),
         // No other version is left, so the roll-out is over, whatever this node has heard of it.
-        Rule::Not(_) => select(&|it| is_new(it) && !it.is_out(now)),
-        Rule::Any => Vec::new(),
+        Rule::Not(_) if !has_throttled => select(&|it| is_new(it) && !it.is_out(now)),
+        Rule::Not(_) | Rule::Any => Vec::new(),
     }
 }
 
