--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`rollouts`], [`cascade`], [`offer`], [`place`]: which version, model and endpoint take it;
 //! - [`lease`], [`attempt`]: the place at an endpoint, and one attempt there; [`load_reports`] tells what
 //!   other nodes sent there, by the [`load_table`] or, in a large fleet, by its [`load_owners`];
+//! - [`permit`]: what endpoints in [`slow_start`] or with a [`rate_limit`] take from the whole fleet; [`returns`]
+//!   tells refused callers when to come back;
 //! - [`unary`] or [`stream`]: the answer, read whole or passed on event by event.
 //!
 //! [`place`], [`cascade`], [`pace`], [`prefill`], [`budget`], [`permit`] and [`steps`] decide without I/O or a clock. [`watch`] and
