What an endpoint names outlives its entry in the list

Callers saw: nothing yet; an endpoint in need whose entry lapses while the store is away, and comes back with it, would get what an unlimited one gets. Cause: the limit was kept with the entry, and a new entry began with none. Change: what endpoints say of themselves is a type of its own (advertised), remembered for ten minutes after the entry went, for the same start of the same endpoint at the same address only. Evidence: a_limit_outlives_the_entry_of_its_endpoint failed before.

--- /dev/null
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -0,0 +1,94 @@
+//! What an endpoint says of itself in its answers.
+//!
+//! It may say so before its entry in the store does, or while the store is away, and it holds for as long
+//! as the endpoint lives, whatever becomes of the entry.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use curranthook_types::endpoint;
+
+use crate::{
+    entry::Entry,
+    rate_limit::{Notice, RateLimit},
+};
+
+/// How long it's remembered what an endpoint without an entry said; by then one that is leaving is gone.
+const MEMORY: Duration = Duration::from_secs(600);
+/// Of how many endpoints without an entry it's remembered.
+const MAX_REMEMBERED: usize = 1_024;
+
+/// What an endpoint said.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Advertised {
+    /// The limit that it names, while it names one.
+    pub rate_limit: Option<RateLimit>,
+    /// When it was last said, by the store's clock, whether it names a limit.
+    limit_at: Duration,
+}
+
+impl Advertised {
+    /// Whether there is nothing to remember.
+    fn is_empty(&self) -> bool {
+        self.rate_limit.is_none()
+    }
+
+    /// Whether it takes a request of this node now.
+    pub fn admits(&self, now: Instant) -> bool {
+        self.rate_limit.is_none_or(|it| it.admits(now))
+    }
+
+    /// Takes in what was said of its limit. Returns whether that changes it.
+    pub fn set_rate_limit(&mut self, notice: &Notice) -> bool {
+        if notice.at < self.limit_at {
+            return false;
+        }
+        self.limit_at = notice.at;
+        let before = self.rate_limit.map(|it| it.rate);
+        if before == notice.rate {
+            return false;
+        }
+        self.rate_limit = notice.rate.map(|rate| match self.rate_limit {
+            Some(it) => it.with_rate(rate),
+            None => RateLimit::new(rate),
+        });
+        true
+    }
+}
+
+/// What endpoints said whose entries are gone.
+#[derive(Debug, Default)]
+pub struct Departed {
+    all: HashMap<endpoint::Id, Remembered>,
+}
+
+#[derive(Debug)]
+struct Remembered {
+    addr: SocketAddr,
+    born: Option<u64>,
+    advertised: Advertised,
+    until: Instant,
+}
+
+impl Departed {
+    /// The entry of an endpoint is gone.
+    pub fn put(&mut self, entry: &Entry, advertised: Advertised, now: Instant) {
+        self.all.retain(|_, it| now < it.until);
+        if !advertised.is_empty() && self.all.len() < MAX_REMEMBERED {
+            let (addr, born, until) = (entry.addr, entry.born, now + MEMORY);
+            self.all.insert(entry.id.clone(), Remembered { addr, born, advertised, until });
+        }
+    }
+
+    /// What an endpoint said before, if its entry comes back. The same id after a restart is another
+    /// endpoint.
+    pub fn take(&mut self, entry: &Entry, now: Instant) -> Advertised {
+        let known = self.all.remove(&entry.id);
+        let is_same =
+            |it: &Remembered| now < it.until && it.addr == entry.addr && it.born == entry.born;
+        known.filter(is_same).map(|it| it.advertised).unwrap_or_default()
+    }
+}
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -11,9 +11,10 @@
 use curranthook_types::{domain, endpoint};
 
 use crate::{
+    advertised::{Advertised, Departed},
     dialect::Load,
     entry::{Entry, State},
-    rate_limit::{self, RateLimit},
+    rate_limit,
     slow_start::SlowStart,
     store::Row,
 };
@@ -57,6 +58,8 @@
     by_addr: HashMap<SocketAddr, endpoint::Id>,
     /// From when on each version may be used, by service.
     versions: HashMap<String, HashMap<String, Instant>>,
+    /// What endpoints said of themselves that aren't in the list for now.
+    departed: Departed,
     /// Failure domains whose endpoints get no new work.
     evacuated: HashSet<domain::Id>,
     /// When an endpoint last answered.
@@ -85,10 +88,8 @@
     unreachable_since: Option<Instant>,
     /// Its slow start, while there is one.
     slow_start: Option<SlowStart>,
-    /// The limit that it names, while it names one.
-    rate_limit: Option<RateLimit>,
-    /// When it was last said, by the store's clock, whether it names a limit.
-    limit_said: Duration,
+    /// What it says of itself.
+    advertised: Advertised,
     /// Whether it's missing from the list.
     missing: bool,
     /// From when on its version may be used without an order.
@@ -115,7 +116,7 @@
 }
 
 impl Tracked {
-    fn new(entry: Entry, known_from: Instant) -> Self {
+    fn new(entry: Entry, advertised: Advertised, known_from: Instant) -> Self {
         Self {
             known_from,
             seed: hash::bytes(entry.id.as_str().as_bytes()),
@@ -128,8 +129,7 @@
             out_until: None,
             unreachable_since: None,
             slow_start: None,
-            rate_limit: None,
-            limit_said: Duration::ZERO,
+            advertised,
             missing: false,
         }
     }
@@ -170,35 +170,17 @@
     /// names a limit.
     pub fn admits(&self, now: Instant) -> bool {
         let is_slow_start = self.slow_start.is_some_and(|it| !it.admits(now));
-        let is_limited = self.rate_limit.is_some_and(|it| !it.admits(now));
-        !is_slow_start && !is_limited
+        !is_slow_start && self.advertised.admits(now)
     }
 
     /// The requests a second that it takes from all nodes, if it's bounded and takes none of this node now.
     /// `slow_start_rate` is what endpoints in slow start take.
     pub fn throttled(&self, slow_start_rate: Option<f64>, now: Instant) -> Option<f64> {
-        let limited = self.rate_limit.filter(|it| !it.admits(now)).map(|it| it.rate);
+        let limited = self.advertised.rate_limit.filter(|it| !it.admits(now)).map(|it| it.rate);
         let slow_start = self.slow_start.filter(|it| !it.admits(now)).and(slow_start_rate);
         limited.into_iter().chain(slow_start).reduce(f64::min)
     }
 
-    /// Takes in what was said of its limit. Returns whether that changes it.
-    fn set_rate_limit(&mut self, notice: &rate_limit::Notice) -> bool {
-        if notice.at < self.limit_said {
-            return false;
-        }
-        self.limit_said = notice.at;
-        let before = self.rate_limit.map(|it| it.rate);
-        if before == notice.rate {
-            return false;
-        }
-        self.rate_limit = notice.rate.map(|rate| match self.rate_limit {
-            Some(it) => it.with_rate(rate),
-            None => RateLimit::new(rate),
-        });
-        true
-    }
-
     /// Takes in how long its entry says that it stays in slow start.
     fn set_warm_in(&mut self, warm_in: Duration, now: Instant) {
         let end = now + warm_in.min(MAX_SLOW_START);
@@ -236,7 +218,8 @@
                 it.missing = false;
             }
             _ => {
-                self.endpoints.insert(id.clone(), Tracked::new(entry, known_from));
+                let advertised = self.departed.take(&entry, now);
+                self.endpoints.insert(id.clone(), Tracked::new(entry, advertised, known_from));
             }
         }
         if let Some(it) = self.endpoints.get_mut(&id) {
@@ -268,9 +251,14 @@
         let keeps = self.lapsing_until.is_some_and(|until| now < until);
         match self.endpoints.get_mut(id) {
             Some(it) if keeps && it.is_ready() => it.missing = true,
-            _ => {
-                self.endpoints.remove(id);
-            }
+            _ => self.forget(id, now),
+        }
+    }
+
+    /// Takes an endpoint out of the list. What it said of itself holds if its entry comes back.
+    fn forget(&mut self, id: &endpoint::Id, now: Instant) {
+        if let Some(it) = self.endpoints.remove(id) {
+            self.departed.put(&it.entry, it.advertised, now);
         }
     }
 
@@ -298,7 +286,10 @@
     pub fn sweep(&mut self, now: Instant) {
         if self.lapsing_until.is_some_and(|until| until <= now) {
             self.lapsing_until = None;
-            self.endpoints.retain(|_, it| !it.missing);
+            let missing = self.endpoints.extract_if(|_, it| it.missing);
+            for (_, it) in missing {
+                self.departed.put(&it.entry, it.advertised, now);
+            }
         }
     }
 
@@ -342,7 +333,7 @@
             if let Some(slow_start) = slow_start.filter(|it| it.is_outdated(now)) {
                 slow_start.share.set_interval(permits.slow_start(it.seed), now);
             }
-            let (limit, turn) = (it.rate_limit.as_mut(), permits.turn());
+            let (limit, turn) = (it.advertised.rate_limit.as_mut(), permits.turn());
             if let Some(limit) = limit.filter(|it| it.is_outdated(turn, now)) {
                 limit.set_interval(permits.limited(it.seed, limit.rate), turn, now);
             }
@@ -351,7 +342,7 @@
 
     /// Takes in what an endpoint, or a node in its place, said of its limit. Returns whether that changes it.
     pub fn set_rate_limit(&mut self, id: &endpoint::Id, notice: &rate_limit::Notice) -> bool {
-        self.endpoints.get_mut(id).is_some_and(|it| it.set_rate_limit(notice))
+        self.endpoints.get_mut(id).is_some_and(|it| it.advertised.set_rate_limit(notice))
     }
 
     /// A request goes to an endpoint.
@@ -362,7 +353,7 @@
             if let Some(slow_start) = &mut it.slow_start {
                 slow_start.share.sent(now);
             }
-            if let Some(limit) = &mut it.rate_limit {
+            if let Some(limit) = &mut it.advertised.rate_limit {
                 limit.sent(now);
             }
         }
@@ -402,7 +393,7 @@
                 1.0
             }
             Outcome::Gone => {
-                self.endpoints.remove(id);
+                self.forget(id, now);
                 return;
             }
             Outcome::Full | Outcome::Dropped => return,
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //!
 //! [`place`], [`cascade`], [`pace`], [`prefill`], [`budget`], [`permit`] and [`steps`] decide without I/O or a clock. [`watch`] and
 //! [`apply`] turn rows of the store into what the node believes: [`document`], [`directory`] and
-//! [`rollouts`]. In a large fleet changes reach most nodes by a tree of [`relays`]; [`peers`] is
+//! [`rollouts`]; what endpoints say of themselves in answers is [`advertised`]. In a large fleet changes reach most nodes by a tree of [`relays`]; [`peers`] is
 //! how nodes ask each other, and stands in for the store while that is away; [`outage`] tells
 //! whether it's away from all. [`lead`] writes what the
 //! nodes tell each other in [`fleet`] rows. [`gateway`] holds what all of them share, [`serve`]
@@ -23,6 +23,7 @@
 //! At the borders stand [`dialect::Dialect`] (callers and endpoints), [`store::Store`] and
 //! [`store::Decoder`]; a deployment implements them.
 
+pub mod advertised;
 pub mod affinity;
 pub mod apply;
 pub mod ask;
--- a/crates/curranthook_gateway/src/rate_limit.rs
+++ b/crates/curranthook_gateway/src/rate_limit.rs
@@ -1,6 +1,6 @@
 //! The rate that an endpoint names in its answers: what it takes from all nodes together.
 //!
-//! The fleet shares it by [`permit`](crate::permit). Who holds the permits changes from turn to turn, so
+//! The fleet shares it by [`permit`]. Who holds the permits changes from turn to turn, so
 //! that each node sends a request now and then and hears whether the endpoint still names a limit. A node
 //! that hears of a change tells others (see [`load_reports`](crate::load_reports)).
 
--- a/crates/curranthook_gateway/tests/rate_limits.rs
+++ b/crates/curranthook_gateway/tests/rate_limits.rs
@@ -200,3 +200,14 @@
     directory.set(entry(2), now);
     assert!(admits(&mut directory, now));
 }
+
+/// Guards against a limit that is forgotten as the endpoint's entry lapses with the store and comes back.
+#[test]
+fn a_limit_outlives_the_entry_of_its_endpoint() {
+    let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
+    directory.set(entry(1), now);
+    directory.set_rate_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
+    directory.remove(&id, now);
+    directory.set(entry(1), now + Duration::from_secs(2));
+    assert!(!admits(&mut directory, now + Duration::from_secs(2)));
+}
