An endpoint that says that it leaves gets no new work

Callers saw: answers, as the endpoint still served; requests would be cut off when it ends. Cause: nodes knew of leaving endpoints from their entries alone; the store was away for 13 s, and an answer that says so was read by nobody. Ruled out: requests placed before the node knew (they came seconds later), and an entry that overwrote what it knew (nothing did: the store was silent all the while). Change: the word is read from each answer but those of another endpoint at the same address; it holds for that start of the endpoint, whatever its entry says, also after the entry went and came back. Why it works: all kinds of attempts are placed among the endpoints that are ready, which it no longer is.

--- a/crates/curranthook_gateway/src/advertised.rs
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -28,12 +28,14 @@
     pub rate_limit: Option<RateLimit>,
     /// When it was last said, by the store's clock, whether it names a limit.
     limit_at: Duration,
+    /// Whether it's leaving; an endpoint that said so never takes that back.
+    pub is_leaving: bool,
 }
 
 impl Advertised {
     /// Whether there is nothing to remember.
     fn is_empty(&self) -> bool {
-        self.rate_limit.is_none()
+        self.rate_limit.is_none() && !self.is_leaving
     }
 
     /// Whether it takes a request of this node now.
--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -20,7 +20,7 @@
     directory::Outcome,
     document::Repeat,
     event::Event,
-    lease::Lease,
+    lease::{Completeness, Lease},
 };
 
 /// How long an idle connection may be trusted with a request that can be repeated. Endpoints
@@ -143,10 +143,10 @@
     lease.began(reply.load);
     let refused = refused(ask, &reply);
     let is_misdirected = refused.as_ref().is_some_and(|it| it.cause == Cause::Misdirected);
-    // An answer that went wrong may lack what its endpoint says in all others.
-    let is_whole = refused.is_none() && reply.status.is_success();
-    if !is_misdirected && (is_whole || reply.rate_limit.is_some()) {
-        lease.limit_named(reply.rate_limit);
+    if !is_misdirected {
+        let is_whole = refused.is_none() && reply.status.is_success();
+        let completeness = if is_whole { Completeness::Whole } else { Completeness::Partial };
+        lease.advertised(&reply, completeness);
     }
     if let Some(failed) = refused {
         lease.close(outcome(failed.cause));
--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     ask::{Ask, Head},
+    entry::State,
     refusal::Refusal,
 };
 
@@ -78,6 +79,8 @@
     pub load: Option<Load>,
     /// The requests a second that the endpoint takes from all nodes together; none if it names no limit.
     pub rate_limit: Option<f64>,
+    /// Whether the endpoint takes more work or is about to end.
+    pub state: State,
     /// Whether the endpoint closes the connection.
     pub connection: Connection,
 }
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -134,9 +134,9 @@
         }
     }
 
-    /// Whether it's in the list and takes new work.
+    /// Whether it takes new work, by its entry and by its own word.
     pub fn is_ready(&self) -> bool {
-        self.entry.state == State::Ready
+        self.entry.state == State::Ready && !self.advertised.is_leaving
     }
 
     /// Whether it's left alone after failures.
@@ -345,6 +345,12 @@
         self.endpoints.get_mut(id).is_some_and(|it| it.advertised.set_rate_limit(notice))
     }
 
+    /// An endpoint said that it's leaving. Returns whether that's news.
+    pub fn set_leaving(&mut self, id: &endpoint::Id) -> bool {
+        let known = self.endpoints.get_mut(id);
+        known.is_some_and(|it| !std::mem::replace(&mut it.advertised.is_leaving, true))
+    }
+
     /// A request goes to an endpoint.
     pub fn started(&mut self, id: &endpoint::Id, work: Duration, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -50,6 +50,8 @@
     Endpoint { endpoint: &'a str, service: &'a str, state: &'a str, version: &'a str, rev: u64 },
     /// An endpoint names a limit in requests a second, another one, or none any more.
     RateLimit { endpoint: &'a str, rate: Option<f64>, from: &'a str },
+    /// An endpoint says that it's leaving.
+    Leaving { endpoint: &'a str, from: &'a str },
     /// The evacuation of a failure domain was ordered or ended.
     Evacuation { domain: &'a str, state: &'a str, rev: u64, from: &'a str },
     /// A request wasn't let in.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -8,8 +8,9 @@
     Gateway,
     affinity::Read,
     connections,
-    dialect::Load,
+    dialect::{Load, Reply},
     directory::Outcome,
+    entry::State,
     event::Event,
     load_reports::Heard,
     offer::{self, Offer, Wanted},
@@ -43,6 +44,15 @@
     outcome: Outcome,
 }
 
+/// Whether an answer is all that its endpoint would say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Completeness {
+    /// A successful answer to the request.
+    Whole,
+    /// A failure, a refusal, or none of the request's.
+    Partial,
+}
+
 impl Lease {
     /// A place at the best endpoint for a request, if there is one (see [`offer::best`]).
     pub fn take(gateway: &Arc<Gateway>, wanted: &Wanted<'_>, heard: &Heard) -> Option<Self> {
@@ -82,16 +92,28 @@
         })
     }
 
-    /// The endpoint said of its limit that it takes `rate` requests a second, or that it names none.
-    pub fn limit_named(&self, rate: Option<f64>) {
+    /// Takes in what the endpoint says of itself in an answer.
+    pub fn advertised(&self, reply: &Reply, completeness: Completeness) {
+        let tracked = self.gateway.directory.lock().tracked(&self.id).map(|it| it.entry.born);
+        // The id may be that of another start by now.
+        if tracked != Some(self.born) {
+            return;
+        }
+        // An answer that went wrong may lack what its endpoint says in all others.
+        if completeness == Completeness::Whole || reply.rate_limit.is_some() {
+            self.limit_named(reply.rate_limit);
+        }
+        if reply.state == State::Leaving {
+            self.leaving();
+        }
+    }
+
+    fn limit_named(&self, rate: Option<f64>) {
         let at = self.gateway.store_time().unwrap_or_default();
         let notice = rate_limit::Notice { rate, at };
-        let mut directory = self.gateway.directory.lock();
-        let is_same = directory.tracked(&self.id).is_some_and(|it| it.entry.born == self.born);
-        if !is_same || !directory.set_rate_limit(&self.id, &notice) {
+        if !self.gateway.directory.lock().set_rate_limit(&self.id, &notice) {
             return;
         }
-        drop(directory);
         let endpoint = self.id.as_str();
         self.gateway.log.write(&Event::RateLimit { endpoint, rate, from: "answer" });
         if let Some(reports) = self.gateway.load_reports.get() {
@@ -100,6 +122,13 @@
         }
     }
 
+    fn leaving(&self) {
+        if self.gateway.directory.lock().set_leaving(&self.id) {
+            let endpoint = self.id.as_str();
+            self.gateway.log.write(&Event::Leaving { endpoint, from: "answer" });
+        }
+    }
+
     /// The first byte of an answer came.
     pub fn began(&mut self, load: Option<Load>) {
         let now = self.gateway.now();
