--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Gateway,
-    entry::State,
+    entry::{Entry, State},
     event::Event,
     fleet,
     gateway::Current,
@@ -89,13 +89,13 @@
     let now = gateway.now();
     let Some(value) = &row.value else {
         gateway.directory.lock().remove(&id, now);
-        log_endpoint(gateway, &id, "", "removed", "", row);
+        log_endpoint(gateway, &id, None, "removed", row);
         return;
     };
     match gateway.decoder.endpoint(&id, value) {
         Ok(entry) => {
             let state = if entry.state == State::Ready { "ready" } else { "leaving" };
-            log_endpoint(gateway, &id, &entry.service, state, &entry.version, row);
+            log_endpoint(gateway, &id, Some(&entry), state, row);
             gateway.directory.lock().set(entry, now);
         }
         Err(e) => {
@@ -108,13 +108,18 @@
 fn log_endpoint(
     gateway: &Gateway,
     id: &endpoint::Id,
-    service: &str,
+    entry: Option<&Entry>,
     state: &str,
-    version: &str,
     row: &Row,
 ) {
-    let (endpoint, rev) = (id.as_str(), row.rev.0);
-    gateway.log.write(&Event::Endpoint { endpoint, service, state, version, rev });
+    gateway.log.write(&Event::Endpoint {
+        endpoint: id.as_str(),
+        service: entry.map_or("", |it| it.service.as_str()),
+        state,
+        version: entry.map_or("", |it| it.version.as_str()),
+        born: entry.and_then(|it| it.born),
+        rev: row.rev.0,
+    });
 }
 
 fn rejected(gateway: &Gateway, table: Table, why: &str) {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -47,7 +47,15 @@
     /// The store, or a peer in its place, was lost or came back.
     Dependency { name: &'a str, state: &'a str, why: &'a str },
     /// An endpoint appeared, changed or went.
-    Endpoint { endpoint: &'a str, service: &'a str, state: &'a str, version: &'a str, rev: u64 },
+    Endpoint {
+        endpoint: &'a str,
+        service: &'a str,
+        state: &'a str,
+        version: &'a str,
+        /// Which start of it, in milliseconds of the wall clock.
+        born: Option<u64>,
+        rev: u64,
+    },
     /// An endpoint names a limit in requests a second, another one, or none any more.
     RateLimit { endpoint: &'a str, rate: Option<f64>, from: &'a str },
     /// An endpoint says that it's leaving.
