A pause that an endpoint names with a refusal is kept

Cause: only the load was read from the head of a refusal. Change: the node leaves the endpoint alone for so long, 10 minutes at most; it's a word to this node, so others aren't told. A request that no other endpoint takes is refused as throttled and told when the first pause ends. Before and after: an_endpoint_that_names_a_pause_gets_no_requests_in_it failed (12 ms), and passes; a_pause_of_the_only_endpoint failed before (0.4 s told for a pause of 3 s).

--- a/crates/curranthook_gateway/src/advertised.rs
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -21,6 +21,9 @@
 /// Of how many endpoints without an entry it's remembered.
 const MAX_REMEMBERED: usize = 1_024;
 
+/// The longest pause that is believed.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// What an endpoint said.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Advertised {
@@ -30,17 +33,38 @@
     limit_at: Duration,
     /// Whether it's leaving; an endpoint that said so never takes that back.
     pub is_leaving: bool,
+    /// Until when it wants no requests of this node.
+    paused_until: Option<Instant>,
 }
 
 impl Advertised {
     /// Whether there is nothing to remember.
     fn is_empty(&self) -> bool {
-        self.rate_limit.is_none() && !self.is_leaving
+        self.rate_limit.is_none() && !self.is_leaving && self.paused_until.is_none()
     }
 
     /// Whether it takes a request of this node now.
     pub fn admits(&self, now: Instant) -> bool {
-        self.rate_limit.is_none_or(|it| it.admits(now))
+        self.paused_until(now).is_none() && self.rate_limit.is_none_or(|it| it.admits(now))
+    }
+
+    /// Until when it wants no requests of this node; none if it takes some.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
+    /// It wants no requests of this node for so long.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::advertised::Advertised;
+    /// let (mut it, now, s) = (Advertised::default(), Instant::now(), Duration::from_secs(1));
+    /// it.pause(2 * s, now);
+    /// it.pause(s, now);
+    /// assert!(!it.admits(now + s) && it.admits(now + 2 * s));
+    /// ```
+    pub fn pause(&mut self, length: Duration, now: Instant) {
+        self.paused_until = self.paused_until.max(Some(now + length.min(MAX_PAUSE)));
     }
 
     /// Takes in what was said of its limit. Returns whether that changes it.
--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -79,6 +79,8 @@
     pub load: Option<Load>,
     /// The requests a second that the endpoint takes from all nodes together; none if it names no limit.
     pub rate_limit: Option<f64>,
+    /// For how long an endpoint that turned the request away wants none of this node.
+    pub pause: Option<Duration>,
     /// Whether the endpoint takes more work or is about to end.
     pub state: State,
     /// Whether the endpoint closes the connection.
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -167,7 +167,7 @@
     }
 
     /// Whether it takes a request of this node now: always, but for an endpoint in slow start or one that
-    /// names a limit.
+    /// names a limit or a pause.
     pub fn admits(&self, now: Instant) -> bool {
         let is_slow_start = self.slow_start.is_some_and(|it| !it.admits(now));
         !is_slow_start && self.advertised.admits(now)
@@ -181,6 +181,11 @@
         limited.into_iter().chain(slow_start).reduce(f64::min)
     }
 
+    /// Until when it wants no requests of this node; none if it takes some.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.advertised.paused_until(now)
+    }
+
     /// Takes in how long its entry says that it stays in slow start.
     fn set_warm_in(&mut self, warm_in: Duration, now: Instant) {
         let end = now + warm_in.min(MAX_SLOW_START);
@@ -351,6 +356,13 @@
         known.is_some_and(|it| !std::mem::replace(&mut it.advertised.is_leaving, true))
     }
 
+    /// An endpoint wants no requests of this node for so long.
+    pub fn pause(&mut self, id: &endpoint::Id, length: Duration, now: Instant) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            it.advertised.pause(length, now);
+        }
+    }
+
     /// A request goes to an endpoint.
     pub fn started(&mut self, id: &endpoint::Id, work: Duration, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -60,6 +60,8 @@
     RateLimit { endpoint: &'a str, rate: Option<f64>, from: &'a str },
     /// An endpoint says that it's leaving.
     Leaving { endpoint: &'a str, from: &'a str },
+    /// An endpoint that turned a request away wants none of this node for a while.
+    Paused { endpoint: &'a str, length_ms: u64 },
     /// The evacuation of a failure domain was ordered or ended.
     Evacuation { domain: &'a str, state: &'a str, rev: u64, from: &'a str },
     /// A request wasn't let in.
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -185,12 +185,15 @@
 
     /// The refusal of a request that no endpoint takes.
     fn unplaced(&self, wanted: &Wanted<'_>) -> Refusal {
-        let Some(rate) = offer::throttled(&self.gateway, wanted) else {
+        let Some(throttled) = offer::throttled(&self.gateway, wanted) else {
             return self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AWAY);
         };
-        let (own, now) = (rate / self.gateway.n_nodes() as f64, self.gateway.now());
-        let after = self.gateway.returns.lock().book(&self.service, own, now);
-        self.refusal(Reason::Throttled).with_retry_after(after)
+        let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
+        let by_pause = throttled.resumes.map(|it| it.saturating_duration_since(now));
+        let own_rate = Some(throttled.rate / n_nodes as f64).filter(|it| 0.0 < *it);
+        let by_rate = own_rate.map(|it| self.gateway.returns.lock().book(&self.service, it, now));
+        let after = by_pause.into_iter().chain(by_rate).min();
+        self.refusal(Reason::Throttled).with_retry_after(after.unwrap_or(RETRY_AWAY))
     }
 
     /// What other nodes tell of the endpoints that may take it; nothing in a small fleet, whose nodes
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -106,6 +106,15 @@
         if reply.state == State::Leaving {
             self.leaving();
         }
+        if let Some(length) = reply.pause {
+            self.pause(length);
+        }
+    }
+
+    fn pause(&self, length: Duration) {
+        self.gateway.directory.lock().pause(&self.id, length, self.gateway.now());
+        let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+        self.gateway.log.write(&Event::Paused { endpoint: self.id.as_str(), length_ms });
     }
 
     fn limit_named(&self, rate: Option<f64>) {
--- a/crates/curranthook_gateway/src/offer.rs
+++ b/crates/curranthook_gateway/src/offer.rs
@@ -136,15 +136,28 @@
     best.into_iter().map(|it| list[it].entry.id.clone()).collect()
 }
 
-/// The requests a second that all nodes together may send to the endpoints that could take a request but
-/// take none of this node now; none if there are no such endpoints.
-pub fn throttled(gateway: &Gateway, wanted: &Wanted<'_>) -> Option<f64> {
+/// What the endpoints take that could take a request, but not one of this node now.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Throttled {
+    /// The requests a second that all nodes together may send to those whose rate is shared.
+    pub rate: f64,
+    /// When the first pause ends that one of them named.
+    pub resumes: Option<Instant>,
+}
+
+/// The endpoints that could take a request but take none of this node now; none if there are none.
+pub fn throttled(gateway: &Gateway, wanted: &Wanted<'_>) -> Option<Throttled> {
     let now = gateway.now();
     let slow_start_rate = gateway.service(wanted.service, |it| it.slow_start_rate);
     let directory = gateway.directory.lock();
-    let allowed =
-        directory.ready(wanted.service).filter(|it| wanted.rule.allows(&it.entry.version));
-    allowed.filter_map(|it| it.throttled(slow_start_rate, now)).reduce(|a, b| a + b)
+    let ready = directory.ready(wanted.service);
+    let held_back = ready.filter(|it| wanted.rule.allows(&it.entry.version) && !it.admits(now));
+    held_back.fold(None, |sum, it| {
+        let Throttled { rate, resumes } = sum.unwrap_or_default();
+        let own = it.throttled(slow_start_rate, now).unwrap_or_default();
+        let resumes = resumes.into_iter().chain(it.paused_until(now)).min();
+        Some(Throttled { rate: rate + own, resumes })
+    })
 }
 
 /// Works out what this node may send to the endpoints of `service` whose rate all nodes share.
