What an endpoint says holds also if its answer comes after its entry went

Callers saw: nothing yet. An answer that says that its endpoint leaves can come while the entry has lapsed with the store; it was dropped, and the endpoint got requests once its entry was back as ready. Cause: words were taken in only for endpoints that are in the list at that moment. Change: a word is kept by the start of an endpoint (id, address, time of its start), in the list or not.

--- a/crates/curranthook_gateway/src/advertised.rs
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -85,6 +85,24 @@
     }
 }
 
+/// One start of an endpoint. The same id after a restart is another endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    /// The endpoint.
+    pub id: endpoint::Id,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// When it started, in milliseconds of the wall clock.
+    pub born: Option<u64>,
+}
+
+impl Start {
+    /// The start that an entry is of.
+    pub fn of(entry: &Entry) -> Self {
+        Self { id: entry.id.clone(), addr: entry.addr, born: entry.born }
+    }
+}
+
 /// What endpoints said whose entries are gone.
 #[derive(Debug, Default)]
 pub struct Departed {
@@ -93,8 +111,7 @@
 
 #[derive(Debug)]
 struct Remembered {
-    addr: SocketAddr,
-    born: Option<u64>,
+    start: Start,
     advertised: Advertised,
     until: Instant,
 }
@@ -102,19 +119,32 @@
 impl Departed {
     /// The entry of an endpoint is gone.
     pub fn put(&mut self, entry: &Entry, advertised: Advertised, now: Instant) {
-        self.all.retain(|_, it| now < it.until);
-        if !advertised.is_empty() && self.all.len() < MAX_REMEMBERED {
-            let (addr, born, until) = (entry.addr, entry.born, now + MEMORY);
-            self.all.insert(entry.id.clone(), Remembered { addr, born, advertised, until });
+        if !advertised.is_empty()
+            && let Some(it) = self.get_mut(&Start::of(entry), now)
+        {
+            *it = advertised;
+        }
+    }
+
+    /// What an endpoint without an entry said; none if no more of them can be remembered.
+    pub fn get_mut(&mut self, start: &Start, now: Instant) -> Option<&mut Advertised> {
+        self.all.retain(|_, it| now < it.until && !it.advertised.is_empty());
+        let is_known = self.all.get(&start.id).is_some_and(|it| it.start == *start);
+        if !is_known {
+            if MAX_REMEMBERED <= self.all.len() {
+                return None;
+            }
+            let (start, advertised) = (start.clone(), Advertised::default());
+            let remembered = Remembered { start, advertised, until: now + MEMORY };
+            self.all.insert(remembered.start.id.clone(), remembered);
         }
+        self.all.get_mut(&start.id).map(|it| &mut it.advertised)
     }
 
-    /// What an endpoint said before, if its entry comes back. The same id after a restart is another
-    /// endpoint.
+    /// What an endpoint said before, as its entry comes back.
     pub fn take(&mut self, entry: &Entry, now: Instant) -> Advertised {
         let known = self.all.remove(&entry.id);
-        let is_same =
-            |it: &Remembered| now < it.until && it.addr == entry.addr && it.born == entry.born;
+        let is_same = |it: &Remembered| now < it.until && it.start == Start::of(entry);
         known.filter(is_same).map(|it| it.advertised).unwrap_or_default()
     }
 }
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -11,7 +11,7 @@
 use curranthook_types::{domain, endpoint};
 
 use crate::{
-    advertised::{Advertised, Departed},
+    advertised::{Advertised, Departed, Start},
     dialect::Load,
     entry::{Entry, State},
     rate_limit,
@@ -209,7 +209,7 @@
 impl Directory {
     /// Takes in an entry.
     pub fn set(&mut self, entry: Entry, now: Instant) {
-        if self.drop_older(&entry) == Some(entry.id.clone()) {
+        if self.drop_older(&entry, now) == Some(entry.id.clone()) {
             return;
         }
         let versions = self.versions.entry(entry.service.clone()).or_default();
@@ -218,7 +218,7 @@
         let (id, warm_in) = (entry.id.clone(), entry.warm_in);
         match self.endpoints.get_mut(&id) {
             // The same id after a restart is another endpoint: nothing known of it holds.
-            Some(it) if it.entry.born == entry.born && it.entry.addr == entry.addr => {
+            Some(it) if Start::of(&it.entry) == Start::of(&entry) => {
                 it.entry = entry;
                 it.missing = false;
             }
@@ -234,7 +234,7 @@
 
     /// Drops the older one of `entry` and another endpoint that was known at its address, and says which.
     /// The list keeps the entry of an endpoint that crashed for some seconds, beside that of its successor.
-    fn drop_older(&mut self, entry: &Entry) -> Option<endpoint::Id> {
+    fn drop_older(&mut self, entry: &Entry, now: Instant) -> Option<endpoint::Id> {
         let known = self.by_addr.insert(entry.addr, entry.id.clone());
         let other = known.filter(|it| *it != entry.id)?;
         let born = self.endpoints.get(&other)?.entry.born;
@@ -247,7 +247,7 @@
             }
             Ordering::Equal => return None,
         };
-        self.endpoints.remove(&older);
+        self.forget(&older, now);
         Some(older)
     }
 
@@ -345,21 +345,40 @@
         }
     }
 
-    /// Takes in what an endpoint, or a node in its place, said of its limit. Returns whether that changes it.
-    pub fn set_rate_limit(&mut self, id: &endpoint::Id, notice: &rate_limit::Notice) -> bool {
+    /// Takes in what another node heard of an endpoint's limit. Returns whether that changes it.
+    pub fn reported_limit(&mut self, id: &endpoint::Id, notice: &rate_limit::Notice) -> bool {
         self.endpoints.get_mut(id).is_some_and(|it| it.advertised.set_rate_limit(notice))
     }
 
+    /// Takes in what an endpoint said of its limit. Returns whether that changes it.
+    pub fn set_rate_limit(
+        &mut self,
+        start: &Start,
+        notice: &rate_limit::Notice,
+        now: Instant,
+    ) -> bool {
+        self.advertised(start, now).is_some_and(|it| it.set_rate_limit(notice))
+    }
+
     /// An endpoint said that it's leaving. Returns whether that's news.
-    pub fn set_leaving(&mut self, id: &endpoint::Id) -> bool {
-        let known = self.endpoints.get_mut(id);
-        known.is_some_and(|it| !std::mem::replace(&mut it.advertised.is_leaving, true))
+    pub fn set_leaving(&mut self, start: &Start, now: Instant) -> bool {
+        let known = self.advertised(start, now);
+        known.is_some_and(|it| !std::mem::replace(&mut it.is_leaving, true))
     }
 
     /// An endpoint wants no requests of this node for so long.
-    pub fn pause(&mut self, id: &endpoint::Id, length: Duration, now: Instant) {
-        if let Some(it) = self.endpoints.get_mut(id) {
-            it.advertised.pause(length, now);
+    pub fn pause(&mut self, start: &Start, length: Duration, now: Instant) {
+        if let Some(it) = self.advertised(start, now) {
+            it.pause(length, now);
+        }
+    }
+
+    /// What a start of an endpoint says of itself; none if there is another one under its id.
+    fn advertised(&mut self, start: &Start, now: Instant) -> Option<&mut Advertised> {
+        match self.endpoints.get_mut(&start.id) {
+            Some(it) if Start::of(&it.entry) == *start => Some(&mut it.advertised),
+            Some(_) => None,
+            None => self.departed.get_mut(start, now),
         }
     }
 
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     Gateway,
+    advertised::Start,
     affinity::Read,
     connections,
     dialect::{Load, Reply},
@@ -94,33 +95,27 @@
 
     /// Takes in what the endpoint says of itself in an answer.
     pub fn advertised(&self, reply: &Reply, completeness: Completeness) {
-        let tracked = self.gateway.directory.lock().tracked(&self.id).map(|it| it.entry.born);
-        // The id may be that of another start by now.
-        if tracked != Some(self.born) {
-            return;
-        }
+        let start = Start { id: self.id.clone(), addr: self.addr, born: self.born };
         // An answer that went wrong may lack what its endpoint says in all others.
         if completeness == Completeness::Whole || reply.rate_limit.is_some() {
-            self.limit_named(reply.rate_limit);
+            self.limit_named(&start, reply.rate_limit);
         }
-        if reply.state == State::Leaving {
-            self.leaving();
+        let (endpoint, now) = (self.id.as_str(), self.gateway.now());
+        let mut directory = self.gateway.directory.lock();
+        if reply.state == State::Leaving && directory.set_leaving(&start, now) {
+            self.gateway.log.write(&Event::Leaving { endpoint, from: "answer" });
         }
         if let Some(length) = reply.pause {
-            self.pause(length);
+            directory.pause(&start, length, now);
+            let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
+            self.gateway.log.write(&Event::Paused { endpoint, length_ms });
         }
     }
 
-    fn pause(&self, length: Duration) {
-        self.gateway.directory.lock().pause(&self.id, length, self.gateway.now());
-        let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
-        self.gateway.log.write(&Event::Paused { endpoint: self.id.as_str(), length_ms });
-    }
-
-    fn limit_named(&self, rate: Option<f64>) {
-        let at = self.gateway.store_time().unwrap_or_default();
+    fn limit_named(&self, start: &Start, rate: Option<f64>) {
+        let (now, at) = (self.gateway.now(), self.gateway.store_time().unwrap_or_default());
         let notice = rate_limit::Notice { rate, at };
-        if !self.gateway.directory.lock().set_rate_limit(&self.id, &notice) {
+        if !self.gateway.directory.lock().set_rate_limit(start, &notice, now) {
             return;
         }
         let endpoint = self.id.as_str();
@@ -131,13 +126,6 @@
         }
     }
 
-    fn leaving(&self) {
-        if self.gateway.directory.lock().set_leaving(&self.id) {
-            let endpoint = self.id.as_str();
-            self.gateway.log.write(&Event::Leaving { endpoint, from: "answer" });
-        }
-    }
-
     /// The first byte of an answer came.
     pub fn began(&mut self, load: Option<Load>) {
         let now = self.gateway.now();
--- a/crates/curranthook_gateway/src/load_reports.rs
+++ b/crates/curranthook_gateway/src/load_reports.rs
@@ -273,7 +273,7 @@
 /// Takes in what another node heard of a limit, and passes it on if it's news.
 fn hear_limit(gateway: &Gateway, reports: &Reports, limit: &Limit) {
     let notice = rate_limit::Notice { rate: limit.rate, at: limit.at };
-    if !gateway.directory.lock().set_rate_limit(&limit.endpoint, &notice) {
+    if !gateway.directory.lock().reported_limit(&limit.endpoint, &notice) {
         return;
     }
     let endpoint = limit.endpoint.as_str();
--- a/crates/curranthook_gateway/tests/rate_limits.rs
+++ b/crates/curranthook_gateway/tests/rate_limits.rs
@@ -181,12 +181,12 @@
     let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
     directory.set(entry(1), now);
     let notice = |rate, at| Notice { rate, at: Duration::from_secs(at) };
-    assert!(directory.set_rate_limit(&id, &notice(Some(1.0), 5)));
+    assert!(directory.reported_limit(&id, &notice(Some(1.0), 5)));
     assert!(!admits(&mut directory, now));
-    assert!(!directory.set_rate_limit(&id, &notice(None, 4)));
+    assert!(!directory.reported_limit(&id, &notice(None, 4)));
     assert!(!admits(&mut directory, now));
-    assert!(directory.set_rate_limit(&id, &notice(None, 6)));
-    assert!(!directory.set_rate_limit(&id, &notice(Some(1.0), 5)));
+    assert!(directory.reported_limit(&id, &notice(None, 6)));
+    assert!(!directory.reported_limit(&id, &notice(Some(1.0), 5)));
     assert!(admits(&mut directory, now));
 }
 
@@ -195,7 +195,7 @@
 fn an_endpoint_that_starts_again_has_no_limit() {
     let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
     directory.set(entry(1), now);
-    directory.set_rate_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
+    directory.reported_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
     assert!(!admits(&mut directory, now));
     directory.set(entry(2), now);
     assert!(admits(&mut directory, now));
@@ -206,7 +206,7 @@
 fn a_limit_outlives_the_entry_of_its_endpoint() {
     let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
     directory.set(entry(1), now);
-    directory.set_rate_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
+    directory.reported_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
     directory.remove(&id, now);
     directory.set(entry(1), now + Duration::from_secs(2));
     assert!(!admits(&mut directory, now + Duration::from_secs(2)));
