Callers aren't told to come back soon to an endpoint that takes nothing

An endpoint that names a limit of 0 gave refusals 0.7 s as the time to come back; it's told by the rate at which such an endpoint is asked. an_endpoint_that_takes_nothing_is_no_reason_to_come_back_soon failed before (0.7).

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -176,7 +176,11 @@
     /// The requests a second that it takes from all nodes, if it's bounded and takes none of this node now.
     /// `slow_start_rate` is what endpoints in slow start take.
     pub fn throttled(&self, slow_start_rate: Option<f64>, now: Instant) -> Option<f64> {
-        let limited = self.advertised.rate_limit.filter(|it| !it.admits(now)).map(|it| it.rate);
+        let limited = self
+            .advertised
+            .rate_limit
+            .filter(|it| !it.admits(now))
+            .map(|it| rate_limit::granted(it.rate));
         let slow_start = self.slow_start.filter(|it| !it.admits(now)).and(slow_start_rate);
         limited.into_iter().chain(slow_start).reduce(f64::min)
     }
--- a/crates/curranthook_gateway/src/rate_limit.rs
+++ b/crates/curranthook_gateway/src/rate_limit.rs
@@ -49,7 +49,18 @@
 /// assert!((0..6).all(|node| (0..60).any(|turn| holder(turn) == Some(node))));
 /// ```
 pub fn interval(rate: f64, endpoint: u64, turn: u64, node: u64, nodes: &[u64]) -> Option<Duration> {
-    permit::interval(rate.max(MIN_RATE), hash::pair(endpoint, turn), node, nodes)
+    permit::interval(granted(rate), hash::pair(endpoint, turn), node, nodes)
+}
+
+/// The requests a second that the fleet may send to an endpoint that names `rate`.
+///
+/// ```
+/// # use curranthook_gateway::rate_limit;
+/// assert_eq!(rate_limit::granted(1.5), 1.5);
+/// assert!(0.0 < rate_limit::granted(0.0));
+/// ```
+pub fn granted(rate: f64) -> f64 {
+    rate.max(MIN_RATE)
 }
 
 /// The turn at a time of the store's clock.
