--- a/crates/curranthook_gateway/src/advertised.rs
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -17,7 +17,7 @@
 };
 
 /// How long it's remembered what an endpoint without an entry said; by then one that is leaving is gone.
-const MEMORY: Duration = Duration::from_secs(600);
+const ADVERTISED_EXPIRY: Duration = Duration::from_secs(600);
 /// Of how many endpoints without an entry it's remembered.
 const MAX_REMEMBERED: usize = 1_024;
 
@@ -135,7 +135,7 @@
                 return None;
             }
             let (start, advertised) = (start.clone(), Advertised::default());
-            let remembered = Remembered { start, advertised, until: now + MEMORY };
+            let remembered = Remembered { start, advertised, until: now + ADVERTISED_EXPIRY };
             self.all.insert(remembered.start.id.clone(), remembered);
         }
         self.all.get_mut(&start.id).map(|it| &mut it.advertised)
--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -146,7 +146,7 @@
     if !is_misdirected {
         let is_whole = refused.is_none() && reply.status.is_success();
         let completeness = if is_whole { Completeness::Whole } else { Completeness::Partial };
-        lease.advertised(&reply, completeness);
+        lease.record_advertised(&reply, completeness);
     }
     if let Some(failed) = refused {
         lease.close(outcome(failed.cause));
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -94,11 +94,11 @@
     }
 
     /// Takes in what the endpoint says of itself in an answer.
-    pub fn advertised(&self, reply: &Reply, completeness: Completeness) {
+    pub fn record_advertised(&self, reply: &Reply, completeness: Completeness) {
         let start = Start { id: self.id.clone(), addr: self.addr, born: self.born };
         // An answer that went wrong may lack what its endpoint says in all others.
         if completeness == Completeness::Whole || reply.rate_limit.is_some() {
-            self.limit_named(&start, reply.rate_limit);
+            self.record_rate_limit(&start, reply.rate_limit);
         }
         let (endpoint, now) = (self.id.as_str(), self.gateway.now());
         let mut directory = self.gateway.directory.lock();
@@ -112,7 +112,7 @@
         }
     }
 
-    fn limit_named(&self, start: &Start, rate: Option<f64>) {
+    fn record_rate_limit(&self, start: &Start, rate: Option<f64>) {
         let (now, at) = (self.gateway.now(), self.gateway.store_time().unwrap_or_default());
         let notice = rate_limit::Notice { rate, at };
         if !self.gateway.directory.lock().set_rate_limit(start, &notice, now) {
