--- a/crates/curranthook_gateway/tests/advertised.rs
+++ b/crates/curranthook_gateway/tests/advertised.rs
@@ -1,26 +1,14 @@
 //! What endpoints say of themselves, and entries that come and go.
 
+mod support;
+
 use std::time::{Duration, Instant};
 
-use curranthook_gateway::{
-    advertised::Start,
-    directory::Directory,
-    entry::{Entry, State},
-};
-
-fn entry(born: u64) -> Entry {
-    Entry {
-        id: "e-1".into(),
-        service: "models".to_owned(),
-        addr: "127.0.0.1:9".parse().unwrap(),
-        domain: "z-a".into(),
-        version: "v1".to_owned(),
-        slots: 8,
-        state: State::Ready,
-        warm_in: Duration::ZERO,
-        born: Some(born),
-    }
-}
+use curranthook_gateway::{advertised::Start, directory::Directory};
+
+use self::support::entry;
+
+const WARM: Duration = Duration::ZERO;
 
 fn is_ready(directory: &Directory) -> bool {
     directory.ready("models").next().is_some()
@@ -31,10 +19,10 @@
 #[test]
 fn a_word_that_comes_after_the_entry_went_holds() {
     let (mut directory, now) = (Directory::default(), Instant::now());
-    directory.set(entry(1), now);
+    directory.set(entry(1, WARM), now);
     directory.remove(&"e-1".into(), now);
-    assert!(directory.set_leaving(&Start::of(&entry(1)), now));
-    directory.set(entry(1), now);
+    assert!(directory.set_leaving(&Start::of(&entry(1, WARM)), now));
+    directory.set(entry(1, WARM), now);
     assert!(!is_ready(&directory));
 }
 
@@ -43,11 +31,11 @@
 #[test]
 fn a_word_holds_for_one_start_of_an_endpoint() {
     let (mut directory, now) = (Directory::default(), Instant::now());
-    directory.set(entry(1), now);
-    assert!(directory.set_leaving(&Start::of(&entry(1)), now));
+    directory.set(entry(1, WARM), now);
+    assert!(directory.set_leaving(&Start::of(&entry(1, WARM)), now));
     assert!(!is_ready(&directory));
-    directory.set(entry(2), now);
+    directory.set(entry(2, WARM), now);
     assert!(is_ready(&directory));
-    assert!(!directory.set_leaving(&Start::of(&entry(1)), now));
+    assert!(!directory.set_leaving(&Start::of(&entry(1, WARM)), now));
     assert!(is_ready(&directory));
 }
--- a/crates/curranthook_gateway/tests/rate_limits.rs
+++ b/crates/curranthook_gateway/tests/rate_limits.rs
@@ -1,13 +1,11 @@
 //! Endpoints that name a rate, before fleets of any size.
 
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+mod support;
+
+use std::time::{Duration, Instant};
 
 use curranthook_gateway::{
     directory::{Directory, Permits},
-    entry::{Entry, State},
     rate_limit::{self, Notice, RateLimit},
 };
 use curranthook_policy::hash;
@@ -15,6 +13,9 @@
 use rand_pcg::Pcg64;
 use yare::parameterized;
 
+use self::support::{entry, most_in_window};
+
+const WARM: Duration = Duration::ZERO;
 const LENGTH: Duration = Duration::from_secs(32);
 const STEP: Duration = Duration::from_millis(5);
 /// The span in which requests are counted, and what may come besides in it.
@@ -71,16 +72,8 @@
         }
         elapsed += STEP;
     }
-    arrived.sort();
-    let (mut window, mut most) = (VecDeque::new(), 0);
-    for at in &arrived {
-        window.push_back(*at);
-        while window.front().is_some_and(|it| *it + WINDOW <= *at) {
-            window.pop_front();
-        }
-        most = most.max(window.len());
-    }
-    Arrivals { most, mean: arrived.len() as f64 / LENGTH.as_secs_f64() }
+    let mean = arrived.len() as f64 / LENGTH.as_secs_f64();
+    Arrivals { most: most_in_window(arrived, WINDOW), mean }
 }
 
 /// Guards against an endpoint in need that gets from each node what it takes from all of them, and against
@@ -165,20 +158,6 @@
     }
 }
 
-fn entry(born: u64) -> Entry {
-    Entry {
-        id: "e-1".into(),
-        service: "models".to_owned(),
-        addr: "127.0.0.1:9".parse().unwrap(),
-        domain: "z-a".into(),
-        version: "v1".to_owned(),
-        slots: 8,
-        state: State::Ready,
-        warm_in: Duration::ZERO,
-        born: Some(born),
-    }
-}
-
 fn admits(directory: &mut Directory, now: Instant) -> bool {
     directory.renew_permits("models", &AllPermits, now);
     directory.tracked(&"e-1".into()).unwrap().admits(now)
@@ -188,7 +167,7 @@
 #[test]
 fn a_notice_that_comes_late_changes_nothing() {
     let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
-    directory.set(entry(1), now);
+    directory.set(entry(1, WARM), now);
     let notice = |rate, at| Notice { rate, at: Duration::from_secs(at) };
     assert!(directory.reported_limit(&id, &notice(Some(1.0), 5)));
     assert!(!admits(&mut directory, now));
@@ -203,10 +182,10 @@
 #[test]
 fn an_endpoint_that_starts_again_has_no_limit() {
     let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
-    directory.set(entry(1), now);
+    directory.set(entry(1, WARM), now);
     directory.reported_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
     assert!(!admits(&mut directory, now));
-    directory.set(entry(2), now);
+    directory.set(entry(2, WARM), now);
     assert!(admits(&mut directory, now));
 }
 
@@ -214,9 +193,9 @@
 #[test]
 fn a_limit_outlives_the_entry_of_its_endpoint() {
     let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
-    directory.set(entry(1), now);
+    directory.set(entry(1, WARM), now);
     directory.reported_limit(&id, &Notice { rate: Some(1.0), at: Duration::ZERO });
     directory.remove(&id, now);
-    directory.set(entry(1), now + Duration::from_secs(2));
+    directory.set(entry(1, WARM), now + Duration::from_secs(2));
     assert!(!admits(&mut directory, now + Duration::from_secs(2)));
 }
--- a/crates/curranthook_gateway/tests/slow_start.rs
+++ b/crates/curranthook_gateway/tests/slow_start.rs
@@ -1,13 +1,11 @@
 //! Endpoints in slow start, before fleets of any size.
 
-use std::{
-    collections::VecDeque,
-    time::{Duration, Instant},
-};
+mod support;
+
+use std::time::{Duration, Instant};
 
 use curranthook_gateway::{
     directory::{Directory, Permits, Tracked},
-    entry::{Entry, State},
     permit,
     slow_start::{self, SlowStart},
 };
@@ -16,6 +14,8 @@
 use rand_pcg::Pcg64;
 use yare::parameterized;
 
+use self::support::{entry, most_in_window};
+
 const LENGTH: Duration = Duration::from_secs(20);
 const STEP: Duration = Duration::from_millis(5);
 /// How long a request may be held up on its way to the endpoint.
@@ -50,16 +50,8 @@
         }
         now += STEP;
     }
-    arrived.sort();
-    let (mut window, mut most) = (VecDeque::new(), 0);
-    for at in &arrived {
-        window.push_back(*at);
-        while window.front().is_some_and(|it| *it + Duration::from_secs(1) <= *at) {
-            window.pop_front();
-        }
-        most = most.max(window.len());
-    }
-    (most, arrived.len() as f64 / LENGTH.as_secs_f64())
+    let mean = arrived.len() as f64 / LENGTH.as_secs_f64();
+    (most_in_window(arrived, Duration::from_secs(1)), mean)
 }
 
 /// Guards against a crash of an endpoint that has just started, as all nodes send it what a warm one takes,
@@ -81,20 +73,6 @@
     }
 }
 
-fn entry(warm_in: Duration, born: u64) -> Entry {
-    Entry {
-        id: "e-1".into(),
-        service: "models".to_owned(),
-        addr: "127.0.0.1:9".parse().unwrap(),
-        domain: "z-a".into(),
-        version: "v1".to_owned(),
-        slots: 8,
-        state: State::Ready,
-        warm_in,
-        born: Some(born),
-    }
-}
-
 /// The permits of a node that holds none.
 struct NoPermits;
 
@@ -121,10 +99,10 @@
 #[parameterized(in_use = { 1 }, started_again = { 2 })]
 fn an_endpoint_that_turns_cold_is_in_slow_start(born: u64) {
     let (mut directory, now) = (Directory::default(), Instant::now());
-    directory.set(entry(Duration::ZERO, 1), now);
+    directory.set(entry(1, Duration::ZERO), now);
     assert!(admits(&mut directory, now));
     let warm_in = Duration::from_secs(3);
-    directory.set(entry(warm_in, born), now);
+    directory.set(entry(born, warm_in), now);
     assert!(!admits(&mut directory, now));
     assert!(admits(&mut directory, now + warm_in));
 }
@@ -133,7 +111,7 @@
 #[test]
 fn an_endpoint_that_says_it_is_warm_takes_any_load() {
     let (mut directory, now) = (Directory::default(), Instant::now());
-    directory.set(entry(Duration::from_secs(3), 1), now);
-    directory.set(entry(Duration::ZERO, 1), now);
+    directory.set(entry(1, Duration::from_secs(3)), now);
+    directory.set(entry(1, Duration::ZERO), now);
     assert!(admits(&mut directory, now));
 }
