A peer that is tried again pushes nobody out of a view with room

Cause: each 60 turns one live peer of a part of the view is given up for a spare, also where the part has room for both. A peer that can't be reached counts as a spare the moment it's due to be tried again; if that is the turn of the exchange, a live one is dropped for it. In a fleet of six the views are never full. Change: only a full part of the view exchanges a peer, as its comment has always said. Evidence: a_peer_that_is_tried_again_pushes_nobody_out_of_a_view_with_room failed at the 60th turn before (vm-5 missing), and passes. The node on the users' platform doesn't use this crate.

--- a/crates/curranthook_peers/src/member.rs
+++ b/crates/curranthook_peers/src/member.rs
@@ -366,7 +366,8 @@
                 .filter(|(_, it)| in_group(it) && it.in_view)
                 .map(|it| *it.0)
                 .collect();
-            if view.is_empty() || n_spare == 0 {
+            // A view with room takes in a spare without giving anybody up for it.
+            if view.len() < group.room() || n_spare == 0 {
                 continue;
             }
             let addr = view[state.rng.random_range(0..view.len())];
--- a/crates/curranthook_peers/tests/peers/membership.rs
+++ b/crates/curranthook_peers/tests/peers/membership.rs
@@ -1,8 +1,13 @@
 //! A peer counts as alive by this node's own contact only.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use curranthook_peers::Node;
+use curranthook_peers::{
+    Node,
+    member::{Identity, Members},
+    tuning::Trust,
+};
+use curranthook_types::{Clock, clock::Manual, vm};
 use yare::parameterized;
 
 use crate::support::{Fleet, wait};
@@ -97,3 +102,39 @@
         assert!(met.await.is_some(), "the neighbour was forgotten");
     });
 }
+
+/// Guards against a live peer that is dropped for one that can't be reached, the moment that is due to be
+/// tried again, though the view has room for both.
+#[test]
+fn a_peer_that_is_tried_again_pushes_nobody_out_of_a_view_with_room() {
+    let identity = |n: u8| Identity {
+        vm: vm::Id::new(format!("vm-{n}")),
+        incarnation: 1,
+        addr: SocketAddr::from(([127, 0, 0, 1], 9_000 + u16::from(n))),
+        domain: "z-a".into(),
+        site: "s-a".into(),
+    };
+    let clock = Arc::new(Manual::default());
+    let members = Members::new(identity(0), Trust::Own, Arc::clone(&clock) as Arc<dyn Clock>, 7);
+    let peers: Vec<Identity> = (1..=5).map(identity).collect();
+    peers.iter().for_each(|it| members.seed(it.addr));
+    let call = |is_cut: bool| {
+        let addr = members.next().expect("somebody to call");
+        match peers.iter().find(|it| it.addr == addr) {
+            Some(peer) if !is_cut || peer.vm != peers[0].vm => {
+                members.answered(addr, peer).unwrap();
+            }
+            _ => members.failed(addr),
+        }
+        // Longer than an unreachable peer is left alone.
+        clock.advance(Duration::from_secs(61));
+    };
+    (0..20).for_each(|_| call(false));
+    (0..20).for_each(|_| call(true));
+    let before: Vec<_> = members.alive().into_iter().map(|it| it.identity.vm).collect();
+    for turn in 0..120 {
+        call(true);
+        let alive: Vec<_> = members.alive().into_iter().map(|it| it.identity.vm).collect();
+        assert_eq!(alive, before, "turn {turn}");
+    }
+}
