What nodes tell each other of limits stands in a module; an answer is recorded under one lock

Change: load_reports::limits has the queue, the datagram's entry, telling and hearing; Lease::record_advertised locks once.

--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -96,11 +96,9 @@
     /// Takes in what the endpoint says of itself in an answer.
     pub fn record_advertised(&self, reply: &Reply, completeness: Completeness) {
         let start = Start { id: self.id.clone(), addr: self.addr, born: self.born };
-        // An answer that went wrong may lack what its endpoint says in all others.
-        if completeness == Completeness::Whole || reply.rate_limit.is_some() {
-            self.record_rate_limit(&start, reply.rate_limit);
-        }
         let (endpoint, now) = (self.id.as_str(), self.gateway.now());
+        let at = self.gateway.store_time().unwrap_or_default();
+        let notice = rate_limit::Notice { rate: reply.rate_limit, at };
         let mut directory = self.gateway.directory.lock();
         if reply.state == State::Leaving && directory.set_leaving(&start, now) {
             self.gateway.log.write(&Event::Leaving { endpoint, from: "answer" });
@@ -110,15 +108,17 @@
             let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
             self.gateway.log.write(&Event::Paused { endpoint, length_ms });
         }
+        // An answer that went wrong may lack what its endpoint says in all others.
+        let tells_limit = completeness == Completeness::Whole || notice.rate.is_some();
+        let is_news = tells_limit && directory.set_rate_limit(&start, &notice, now);
+        drop(directory);
+        if is_news {
+            self.tell_rate_limit(notice);
+        }
     }
 
-    fn record_rate_limit(&self, start: &Start, rate: Option<f64>) {
-        let (now, at) = (self.gateway.now(), self.gateway.store_time().unwrap_or_default());
-        let notice = rate_limit::Notice { rate, at };
-        if !self.gateway.directory.lock().set_rate_limit(start, &notice, now) {
-            return;
-        }
-        let endpoint = self.id.as_str();
+    fn tell_rate_limit(&self, notice: rate_limit::Notice) {
+        let (endpoint, rate) = (self.id.as_str(), notice.rate);
         self.gateway.log.write(&Event::RateLimit { endpoint, rate, from: "answer" });
         if let Some(reports) = self.gateway.load_reports.get() {
             reports.limit(&self.id, notice);
--- a/crates/curranthook_gateway/src/load_reports.rs
+++ b/crates/curranthook_gateway/src/load_reports.rs
@@ -7,6 +7,7 @@
 //!
 //! [`load_owners`]: crate::load_owners
 
+mod limits;
 mod questions;
 
 use std::{
@@ -21,12 +22,12 @@
 use curranthook_types::endpoint;
 use futures_lite::future;
 use parking_lot::Mutex;
-use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, affinity::Read, event::Event, load_owners, rate_limit};
+use crate::{Gateway, affinity::Read, load_owners, rate_limit};
 
+use self::limits::Limit;
 pub use self::questions::ask;
 
 /// How often a node with work waiting tells it again.
@@ -46,30 +47,9 @@
 /// How many unreachable endpoints fit into one beside them.
 const MAX_UNREACHABLE: usize = 8;
 
-/// How many limits fit into one.
-const MAX_LIMITS: usize = 16;
-/// How many limits may wait to be told; a node that misses some hears of them at its next turn.
-const MAX_LIMITS_QUEUED: usize = 256;
-
-/// To how many nodes of a large fleet a node passes on what it hears of limits. Each of them does the same,
-/// so that nearly all nodes of a fleet of thousands hear of it within a few rounds.
-const LIMIT_FANOUT: usize = 8;
-
 /// Work that waits at endpoints.
 type Waiting = HashMap<endpoint::Id, Duration>;
 
-/// What an endpoint said of its limit.
-#[serde_as]
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Limit {
-    endpoint: endpoint::Id,
-    /// The requests a second that it takes; none if it names no limit.
-    rate: Option<f64>,
-    /// When it said so, by the store's clock.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    at: Duration,
-}
-
 /// What nodes send each other.
 #[serde_as]
 #[derive(Debug, Serialize, Deserialize)]
@@ -143,7 +123,7 @@
     /// The endpoints that it couldn't reach and hasn't told of yet.
     unreachable: Mutex<Vec<endpoint::Id>>,
     /// What it heard of limits and hasn't told yet.
-    limits: Mutex<Vec<Limit>>,
+    limits: limits::Queue,
 }
 
 impl Reports {
@@ -155,7 +135,7 @@
             asked: Mutex::default(),
             reads: Mutex::default(),
             unreachable: Mutex::default(),
-            limits: Mutex::default(),
+            limits: limits::Queue::default(),
         }
     }
 
@@ -177,16 +157,7 @@
 
     /// Notes what an endpoint said of its limit, to be told soon.
     pub fn limit(&self, endpoint: &endpoint::Id, notice: rate_limit::Notice) {
-        let rate_limit::Notice { rate, at } = notice;
-        let mut all = self.limits.lock();
-        all.retain(|it| it.endpoint != *endpoint);
-        if all.len() < MAX_LIMITS_QUEUED {
-            all.push(Limit { endpoint: endpoint.clone(), rate, at });
-        }
-    }
-
-    fn has_limits(&self) -> bool {
-        !self.limits.lock().is_empty()
+        self.limits.push(endpoint, notice);
     }
 
     async fn send(&self, message: &Message, addr: SocketAddr) {
@@ -205,7 +176,7 @@
     loop {
         wait_for_news(&gateway, &reports, &told).await;
         told = tell(&gateway, &reports, told).await;
-        tell_limits(&gateway, &reports).await;
+        limits::tell(&gateway, &reports).await;
         Timer::after(PAUSE).await;
     }
 }
@@ -214,7 +185,7 @@
 async fn wait_for_news(gateway: &Gateway, reports: &Reports, told: &HashSet<SocketAddr>) {
     let changed = gateway.waiting_changed.wait();
     // What came while others were being told woke nobody.
-    if reports.has_limits() {
+    if !reports.limits.is_empty() {
         return;
     }
     let again = async {
@@ -256,7 +227,7 @@
             reads.iter().for_each(|it| affinity.read(it.subject, &it.endpoint, now));
         }
         Message::Limits { limits } => {
-            limits.iter().for_each(|it| hear_limit(gateway, reports, it));
+            limits.iter().for_each(|it| limits::hear(gateway, reports, it));
         }
         Message::Question { id, node, endpoints, subject } => {
             let Heard { waiting, holders, unreachable } = kept(gateway, endpoints, subject, &node);
@@ -270,21 +241,6 @@
     }
 }
 
-/// Takes in what another node heard of a limit, and passes it on if it's news.
-fn hear_limit(gateway: &Gateway, reports: &Reports, limit: &Limit) {
-    let notice = rate_limit::Notice { rate: limit.rate, at: limit.at };
-    if !gateway.directory.lock().reported_limit(&limit.endpoint, &notice) {
-        return;
-    }
-    let endpoint = limit.endpoint.as_str();
-    gateway.log.write(&Event::RateLimit { endpoint, rate: limit.rate, from: "peer" });
-    // In a small fleet whoever heard it told all.
-    if load_owners::are_used(gateway.n_nodes()) {
-        reports.limit(&limit.endpoint, notice);
-        gateway.waiting_changed.wake();
-    }
-}
-
 /// What all nodes but `asker` have waiting at `endpoints`, and where `subject` was read, as far as this
 /// node was told.
 fn kept(
@@ -339,31 +295,6 @@
     told
 }
 
-/// Tells others what endpoints said of their limits: all of them in a small fleet, a few in a large one.
-async fn tell_limits(gateway: &Gateway, reports: &Reports) {
-    let limits: Vec<Limit> = {
-        let mut all = reports.limits.lock();
-        let n = all.len().min(MAX_LIMITS);
-        all.drain(..n).collect()
-    };
-    if limits.is_empty() {
-        return;
-    }
-    let own = gateway.settings.reports;
-    let others: Vec<SocketAddr> = {
-        let peers = gateway.peers.lock();
-        let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own);
-        match load_owners::are_used(peers.len()) {
-            true => others.sample(&mut rand::rng(), LIMIT_FANOUT),
-            false => others.collect(),
-        }
-    };
-    let message = Message::Limits { limits };
-    for addr in others {
-        reports.send(&message, addr).await;
-    }
-}
-
 /// What one node is told.
 #[derive(Debug, Clone, Default)]
 struct Share {
