Move load knowledge into a folder; read contention and slowdowns

The gateway's modules on load stood among fifty others. They are now the folder load, with a tour. Two inputs of the decisions under load are read and not used yet: whether requests compete for capacity (settings), and the fourth figure of the load header, which was dropped.

No decision changes.

--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -120,7 +120,7 @@
 }
 
 /// The load that an endpoint reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Load {
     /// The number of running requests.
     pub running: u32,
@@ -128,4 +128,7 @@
     pub waiting: u32,
     /// The number of requests that can run at once.
     pub slots: u32,
+    /// How long work takes at the endpoint at this moment, relative to its usual time; none if the
+    /// endpoint does not report it.
+    pub slowdown: Option<f64>,
 }
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -17,9 +17,11 @@
     document::Route,
     event::Event,
     gateway::{Configuration, InFlight},
-    latency::{Estimate, FirstEvent},
     lease::Lease,
-    load_reports::{self, PeerState},
+    load::{
+        latency::{Estimate, FirstEvent},
+        reports::{self, PeerState},
+    },
     models::{Candidate, Models},
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
@@ -231,12 +233,12 @@
         shortlist: Vec<endpoint::Id>,
         prefix_hash: Option<u64>,
     ) -> PeerState {
-        let mut peer_state = load_reports::query(&self.gateway, shortlist, prefix_hash).await;
+        let mut peer_state = reports::query(&self.gateway, shortlist, prefix_hash).await;
         let is_unreported = |it: &endpoint::Id| !peer_state.waiting.contains_key(it);
         let holders = peer_state.holders.iter().flatten();
         let unreported: Vec<_> = holders.filter(|it| is_unreported(it)).cloned().collect();
         if !unreported.is_empty() {
-            let holder_reports = load_reports::query(&self.gateway, unreported, None).await;
+            let holder_reports = reports::query(&self.gateway, unreported, None).await;
             peer_state.waiting.extend(holder_reports.waiting);
             peer_state.unreachable.extend(holder_reports.unreachable);
         }
--- a/crates/curranthook_gateway/src/job/escalation.rs
+++ b/crates/curranthook_gateway/src/job/escalation.rs
@@ -6,7 +6,7 @@
 use crate::{
     cascade::{self, Forecast, Targets},
     event::Event,
-    load_reports::PeerState,
+    load::reports::PeerState,
     models::Candidate,
     rollouts::Rule,
     selection,
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -13,8 +13,7 @@
     directory::Outcome,
     entry::State,
     event::Event,
-    load_reports::PeerState,
-    prefill::Prompt,
+    load::{prefill::Prompt, reports::PeerState},
     rate_limit,
     selection::{self, Choice, Criteria},
 };
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -9,14 +9,14 @@
 //! - [`rollouts`], [`cascade`], [`selection`], [`placement`]: choose the version, the model and the
 //!   endpoint;
 //! - [`lease`], [`attempt`]: count the request as load of an endpoint, and make one attempt there;
-//!   [`load_reports`] receives the load that other nodes put on endpoints, which is stored in the
-//!   [`load_table`] or, in a large fleet, queried from the endpoints' [`load_owners`];
+//!   [`load`] contains what the node knows about the load of endpoints, from its own requests and
+//!   from other nodes;
 //! - [`permit`]: divides among the nodes the request rate of endpoints that are in [`slow_start`]
 //!   or announce a [`rate_limit`]; [`retry_schedule`] spreads the `Retry-After` times of refused
 //!   callers;
 //! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
 //!
-//! [`placement`], [`cascade`], [`latency`], [`prefill`], [`retry_budget`], [`permit`] and [`steps`]
+//! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`retry_budget`], [`permit`] and [`steps`]
 //! make decisions without I/O and without reading a clock. [`watch`] and [`apply`] turn rows of the
 //! store into the node's state: [`document`], [`directory`] and [`rollouts`]; [`advertised`]
 //! contains what endpoints state about themselves in response headers. In a large fleet, changes
@@ -44,11 +44,8 @@
 pub mod frontend;
 pub mod gateway;
 pub mod job;
-pub mod latency;
 pub mod lease;
-pub mod load_owners;
-pub mod load_reports;
-pub mod load_table;
+pub mod load;
 pub mod metrics;
 pub mod mirror;
 pub mod models;
@@ -56,7 +53,6 @@
 pub mod peers;
 pub mod permit;
 pub mod placement;
-pub mod prefill;
 pub mod rate_limit;
 pub mod refusal;
 pub mod relays;
--- a/crates/curranthook_gateway/src/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::prefill::{self, Coefficients, Filter, Prompt};
+use crate::load::prefill::{self, Coefficients, Filter, Prompt};
 
 /// The weight of a new observation in the moving average of event intervals, from 0 to 1.
 const SMOOTHING_FACTOR: f64 = 0.1;
@@ -64,7 +64,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use curranthook_gateway::{latency::{FirstEvent, Estimator}, prefill::Prompt};
+    /// # use curranthook_gateway::load::{latency::{FirstEvent, Estimator}, prefill::Prompt};
     /// let (mut estimator, prompt) = (Estimator::default(), Prompt::new(8_000, 0));
     /// let queue_delay = Duration::from_millis(500);
     /// let elapsed = Duration::from_secs(1);
--- a/crates/curranthook_gateway/src/load_owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -28,9 +28,9 @@
 /// Whether a fleet of `n_nodes` uses load owners.
 ///
 /// ```
-/// # use curranthook_gateway::load_owners;
-/// assert!(!load_owners::are_used(6));
-/// assert!(load_owners::are_used(295));
+/// # use curranthook_gateway::load::owners;
+/// assert!(!owners::are_used(6));
+/// assert!(owners::are_used(295));
 /// ```
 pub fn are_used(n_nodes: usize) -> bool {
     MAX_BROADCAST_NODES < n_nodes
@@ -68,7 +68,7 @@
     ///
     /// ```
     /// # use std::time::Instant;
-    /// # use curranthook_gateway::load_owners::Owners;
+    /// # use curranthook_gateway::load::owners::Owners;
     /// let (mut ours, mut theirs) = (Owners::default(), Owners::default());
     /// for port in 1..=20 {
     ///     ours.set_node(&format!("node-{port}"), Some(([127, 0, 0, 1], port).into()));
--- a/crates/curranthook_gateway/src/prefill.rs
+++ b/crates/curranthook_gateway/src/load/prefill.rs
@@ -73,7 +73,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use curranthook_gateway::prefill::{Filter, Prompt};
+    /// # use curranthook_gateway::load::prefill::{Filter, Prompt};
     /// let mut filter = Filter::new(1.0);
     /// let prompt = Prompt::new(10_000, 0);
     /// let elapsed = Duration::from_millis(300);
--- a/crates/curranthook_gateway/src/load_reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -1,11 +1,11 @@
 //! Datagrams through which nodes exchange the amount of work that they have pending at engines.
 //!
 //! In a small fleet, each node reports its pending work to all others. In a large one, it reports
-//! only to the [`load_owners`] of the endpoints concerned, and queries the owners of a few
+//! only to the [`owners`] of the endpoints concerned, and queries the owners of a few
 //! candidates before it places a request. A lost report is replaced by the next one. An unanswered
 //! query costs 15 ms, and the request is then placed by what the node observed itself.
 //!
-//! [`load_owners`]: crate::load_owners
+//! [`owners`]: crate::load::owners
 
 mod limits;
 mod queries;
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, affinity::Record, load_owners, rate_limit};
+use crate::{Gateway, affinity::Record, load::owners, rate_limit};
 
 use self::limits::Limit;
 pub use self::queries::query;
@@ -323,7 +323,7 @@
 fn reports_by_node(gateway: &Gateway, report: Report) -> HashMap<SocketAddr, Report> {
     let own_addr = gateway.settings.reports;
     let peers = gateway.peers.lock();
-    if !load_owners::are_used(peers.len()) {
+    if !owners::are_used(peers.len()) {
         let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own_addr);
         return others.map(|addr| (addr, report.clone())).collect();
     }
--- a/crates/curranthook_gateway/src/load_reports/limits.rs
+++ b/crates/curranthook_gateway/src/load/reports/limits.rs
@@ -9,7 +9,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{Message, Socket};
-use crate::{Gateway, event::Event, load_owners, rate_limit};
+use crate::{Gateway, event::Event, load::owners, rate_limit};
 
 /// The maximum number of limits in a datagram.
 const MAX_LIMITS_PER_DATAGRAM: usize = 16;
@@ -70,7 +70,7 @@
     let endpoint = limit.endpoint.as_str();
     gateway.log.write(&Event::RateLimit { endpoint, rate: limit.rate, from: "peer" });
     // In a small fleet, the node that received the limit from the endpoint sent it to all others.
-    if load_owners::are_used(gateway.n_nodes()) {
+    if owners::are_used(gateway.n_nodes()) {
         reports.queue_limit(&limit.endpoint, notice);
         gateway.pending_work_changed.wake();
     }
@@ -87,7 +87,7 @@
     let others: Vec<SocketAddr> = {
         let peers = gateway.peers.lock();
         let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own_addr);
-        match load_owners::are_used(peers.len()) {
+        match owners::are_used(peers.len()) {
             true => others.sample(&mut rand::rng(), GOSSIP_FANOUT),
             false => others.collect(),
         }
--- a/crates/curranthook_gateway/src/load_table.rs
+++ b/crates/curranthook_gateway/src/load/table.rs
@@ -2,9 +2,9 @@
 //!
 //! An engine prefills prompts one after another, and a prompt may take seconds. A node does not see
 //! the prompts that other nodes send, so each node reports its pending work at each endpoint (see
-//! [`load_reports`]). This table contains the reports received from other nodes.
+//! [`reports`]). This table contains the reports received from other nodes.
 //!
-//! [`load_reports`]: crate::load_reports
+//! [`reports`]: crate::load::reports
 
 use std::{
     collections::HashMap,
@@ -33,7 +33,7 @@
     ///
     /// ```
     /// # use std::{collections::HashMap, time::{Duration, Instant}};
-    /// # use curranthook_gateway::load_table::LoadTable;
+    /// # use curranthook_gateway::load::table::LoadTable;
     /// let (mut load_table, now) = (LoadTable::default(), Instant::now());
     /// let work = Duration::from_millis(400);
     /// load_table.update("node-2".to_owned(), HashMap::from([("engine-1".into(), work)]), now);
--- a/crates/curranthook_gateway/src/rate_limit.rs
+++ b/crates/curranthook_gateway/src/rate_limit.rs
@@ -3,7 +3,7 @@
 //!
 //! The fleet shares the rate by [`permit`]. The holders of the permits rotate, so that each node
 //! sends the endpoint some requests and learns from the answers whether it still reports a limit. A
-//! node that learns of a change informs others (see [`load_reports`](crate::load_reports)).
+//! node that learns of a change informs others (see [`load_reports`](crate::load::reports)).
 
 use std::time::{Duration, Instant};
 
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -12,12 +12,9 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Permits, Tracked},
-    latency::Estimate,
-    load_owners,
-    load_reports::PeerState,
+    load::{latency::Estimate, owners, prefill::Prompt, reports::PeerState},
     permit,
     placement::{self, CacheHolders, Candidate, Locality, Task},
-    prefill::Prompt,
     rate_limit,
     rollouts::Rule,
     slow_start,
@@ -132,7 +129,7 @@
 /// according to the load that this node knows; empty in a small fleet, whose nodes report their
 /// load to each other.
 pub fn shortlist(gateway: &Gateway, criteria: &Criteria<'_>) -> Vec<endpoint::Id> {
-    if criteria.model.is_none() || !load_owners::are_used(gateway.n_nodes()) {
+    if criteria.model.is_none() || !owners::are_used(gateway.n_nodes()) {
         return Vec::new();
     }
     let now = gateway.now();
@@ -232,8 +229,7 @@
         Some(gateway.affinity.lock().holders(prefix_hash, now))
     };
     // The nodes of a small fleet report to all others which prefixes they sent to which endpoints.
-    let are_holders_known =
-        peer_state.holders.is_some() || !load_owners::are_used(gateway.n_nodes());
+    let are_holders_known = peer_state.holders.is_some() || !owners::are_used(gateway.n_nodes());
     let holders = if are_holders_known { CacheHolders::Known } else { CacheHolders::Guessed };
     let cached_at = peer_state.holders.clone().or_else(own_record).unwrap_or_default();
     let candidate = |it: &&Tracked| Candidate {
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -25,7 +25,7 @@
     event::Event,
     fleet_writer,
     frontend::Frontend,
-    load_reports::{self, Socket},
+    load::reports::{self, Socket},
     peers,
     settings::Settings,
     store::Table,
@@ -125,7 +125,7 @@
     if let Some(socket) = listeners.reports {
         let reports = Arc::new(Socket::new(socket));
         let reports = Arc::clone(gateway.load_reports.get_or_init(|| reports));
-        gateway.ex.spawn(load_reports::run(Arc::clone(&gateway), reports)).detach();
+        gateway.ex.spawn(reports::run(Arc::clone(&gateway), reports)).detach();
     }
     wait_for_stop(&gateway, &mut signals, reload).await;
     gateway.stop();
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -29,6 +29,8 @@
     /// The addresses of some other nodes, for a start while the store is unavailable. The list may
     /// be out of date.
     pub seeds: Vec<SocketAddr>,
+    /// Whether decisions consider how requests of different ranks compete for capacity.
+    pub contention: Contention,
     /// The retry budget's limit.
     pub retries: retry_budget::Limit,
     /// The maximum share of a service's requests that a bad version may receive during its rollout.
@@ -39,3 +41,13 @@
     /// The time from the signal to stop until the process is killed.
     pub grace: Duration,
 }
+
+/// Whether decisions consider how requests of different ranks compete for capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contention {
+    /// Each request is weighed by its own forecast only.
+    Ignored,
+    /// Decisions weigh a request's rank and work against those of the requests that it competes
+    /// with.
+    ByRank,
+}
--- a/crates/curranthook_gateway/tests/deployment_independence.rs
+++ b/crates/curranthook_gateway/tests/deployment_independence.rs
@@ -4,9 +4,11 @@
 use std::{fs, path::Path, time::Duration};
 
 use curranthook_gateway::{
-    latency::{Estimator, FirstEvent},
+    load::{
+        latency::{Estimator, FirstEvent},
+        prefill::Prompt,
+    },
     placement::{self, CacheHolders, Candidate, Locality, Task},
-    prefill::Prompt,
 };
 
 /// Words that identify a deployment: parts of its name and of the names of its sites, services and
--- a/crates/curranthook_gateway/tests/estimates.rs
+++ b/crates/curranthook_gateway/tests/estimates.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use curranthook_gateway::{
-    latency::{Estimate, Estimator, FirstEvent},
-    prefill::{Filter, Prompt},
+    load::latency::{Estimate, Estimator, FirstEvent},
+    load::prefill::{Filter, Prompt},
 };
 use rand::{Rng, RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
