Ask load owners about services without models

Cause: 84 to 89 nodes send calls of some 15 ms to three endpoints of 6 slots. Each node sees one or two calls a second, so the load in its own answers is older than the load itself.

Change: nodes report their requests in flight at such endpoints to the load owner, and ask two owners before a call is placed. The answer has the requests of all other nodes, and the load that the owner saw last with its age. load::occupancy estimates the time of a call from these; without an answer, the node decides as before. A report that waited at a paused owner is recognized by the store's clock and dropped. Calls that run once are refused as full if no endpoint is likely to have room. All this takes effect only in fleets with load owners, and where settings list the contention or an endpoint of the service reported a slowdown.

A change of the requests in flight during a round of reports used to be missed until the next signal; a flag now starts another round.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -58,6 +58,8 @@
     advertised_cache: Cache,
     /// Failure domains whose endpoints get no new requests.
     evacuated: HashSet<domain::Id>,
+    /// The services of which an endpoint has reported a slowdown.
+    slowed_services: HashSet<String>,
     /// When any endpoint last answered.
     last_answer: Option<Instant>,
     /// Until when endpoints whose entries were removed are kept, because the entries may have
@@ -291,6 +293,9 @@
         if let Some(it) = self.endpoints.get_mut(id) {
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
+                if load.slowdown.is_some() && !self.slowed_services.contains(&it.entry.service) {
+                    self.slowed_services.insert(it.entry.service.clone());
+                }
                 it.load = Some((load, now, it.in_flight));
             }
         }
@@ -329,11 +334,20 @@
                 self.remove_tracked(id, now);
                 return;
             }
-            Outcome::Full | Outcome::Abandoned => return,
+            Outcome::Full => {
+                it.refused_as_full(now);
+                return;
+            }
+            Outcome::Abandoned => return,
         };
         it.failures += FAILURE_SMOOTHING * (failure - it.failures);
     }
 
+    /// Whether an endpoint of the service has reported a slowdown, which may be that of usual work.
+    pub fn reports_slowdown(&self, service: &str) -> bool {
+        self.slowed_services.contains(service)
+    }
+
     /// Whether any endpoint answered recently. If so, this node's own links work, and a failed
     /// connection is the endpoint's fault.
     pub fn has_recent_answer(&self, now: Instant) -> bool {
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -8,6 +8,7 @@
     advertised::Advertised,
     dialect::Load,
     entry::{Entry, State},
+    load::occupancy::Observation,
     rate_limit,
     slow_start::SlowStart,
 };
@@ -19,6 +20,11 @@
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 /// The maximum age of a load reported by an endpoint.
 const LOAD_EXPIRY: Duration = Duration::from_secs(1);
+/// How long the number of requests at which an endpoint refused one applies. The endpoint may accept
+/// more after that, or fewer.
+const FULL_EXPIRY: Duration = Duration::from_secs(2);
+/// The maximum age of a load that counts as part of an answer that is being handled.
+const SAME_ANSWER: Duration = Duration::from_millis(5);
 /// How long an endpoint counts as unreachable. After that, a node sends it requests again.
 const UNREACHABLE_EXPIRY: Duration = Duration::from_secs(1);
 /// The upper limit applied to the slow start time in an entry.
@@ -40,6 +46,9 @@
     /// The load that the endpoint last reported, when it did, and how many requests this node had
     /// in flight there at that time.
     pub(super) load: Option<(Load, Instant, u32)>,
+    /// The number of requests that the endpoint had when it refused one because it was full, and
+    /// when that was.
+    pub(super) full_at: Option<(u32, Instant)>,
     /// The length of its last ejection; zero after an answer.
     pub(super) ejection_time: Duration,
     pub(super) ejected_until: Option<Instant>,
@@ -66,6 +75,7 @@
             pending: Duration::ZERO,
             failures: 0.0,
             load: None,
+            full_at: None,
             ejection_time: Duration::ZERO,
             ejected_until: None,
             unreachable_since: None,
@@ -109,6 +119,28 @@
         }
     }
 
+    /// The load that the endpoint last reported to this node.
+    pub fn observation(&self, now: Instant) -> Option<Observation> {
+        let (load, at, _) = self.load?;
+        Some(Observation { load, age: now.saturating_duration_since(at) })
+    }
+
+    /// The number of requests at which the endpoint refused one because it was full; none if it did
+    /// not do so recently.
+    pub fn full_at(&self, now: Instant) -> Option<u32> {
+        let recent = |(_, at): &(u32, Instant)| now.saturating_duration_since(*at) < FULL_EXPIRY;
+        self.full_at.filter(recent).map(|(n_requests, _)| n_requests)
+    }
+
+    /// Records that the endpoint refused a request because it was full. A load with free slots, or
+    /// none, does not tell how many requests it accepts.
+    pub(super) fn refused_as_full(&mut self, now: Instant) {
+        let observation = self.observation(now).filter(|it| it.age <= SAME_ANSWER);
+        let n_requests = observation.map(|it| it.load.running.saturating_add(it.load.waiting));
+        let n_requests = n_requests.filter(|it| self.entry.slots.max(1) <= *it);
+        self.full_at = n_requests.map(|it| (it, now)).or(self.full_at);
+    }
+
     /// Whether this node may send the endpoint a request now. Always true, except in slow start,
     /// under a rate limit, or during a pause.
     pub fn admits(&self, now: Instant) -> bool {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -84,6 +84,10 @@
         model: &'a str,
         attempt: u32,
         busy: u32,
+        /// The requests that other nodes have at the endpoint, and the age of the load that it was
+        /// last seen to report, if known.
+        others_in_flight: Option<u32>,
+        load_age_ms: Option<u64>,
         expected_ms: Option<u64>,
         resumed_after: Option<u64>,
         left_ms: u64,
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -22,7 +22,7 @@
     document::{Document, Service},
     event::Log,
     fleet,
-    load::{latency::Estimator, owners::Owners, reports::Socket, table::LoadTable},
+    load::{in_flight, latency::Estimator, owners::Owners, reports::Socket, table::LoadTable},
     metrics::Metrics,
     mirror::Mirror,
     outage::Outage,
@@ -106,6 +106,8 @@
     pub outage: Mutex<Outage>,
     /// Work that other nodes have pending at endpoints.
     pub load_table: Mutex<LoadTable>,
+    /// Requests that other nodes have in flight at endpoints of services without models.
+    pub in_flight_table: Mutex<in_flight::Table>,
     /// The owner of each endpoint's load information, in a large fleet.
     pub load_owners: Mutex<Owners>,
     /// The datagram socket for load reports; none if the node has no address for it.
@@ -173,6 +175,7 @@
             mirror: Mutex::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
+            in_flight_table: Mutex::default(),
             load_owners: Mutex::default(),
             load_reports: OnceLock::new(),
             pending_work_changed: Signal::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -14,19 +14,19 @@
     cascade,
     dialect::{Execution, Outgoing},
     directory::Outcome,
-    document::Route,
+    document::{RetryPolicy, Route},
     event::Event,
     gateway::{Configuration, InFlight},
     lease::Lease,
     load::{
         latency::{Estimate, FirstEvent},
-        reports::{self, PeerState},
+        reports::{self, PeerState, Query},
     },
     models::{Candidate, Models},
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
     rollouts::{Kind, Rule},
-    selection::{self, Criteria, TargetModel},
+    selection::{self, Criteria, TargetModel, Unavailable},
 };
 
 use self::retry::Decision;
@@ -184,8 +184,10 @@
             Some(peer_state) => peer_state,
             None => self.query_peers(&criteria).await,
         };
-        let lease = Lease::acquire(&self.gateway, &criteria, &peer_state);
-        lease.ok_or_else(|| self.no_endpoint_refusal(&criteria))
+        Lease::acquire(&self.gateway, &criteria, &peer_state).map_err(|e| match e {
+            Unavailable::NoEndpoint => self.no_endpoint_refusal(&criteria),
+            Unavailable::Full => self.full_refusal(),
+        })
     }
 
     /// The refusal of a request that no endpoint can take.
@@ -213,7 +215,7 @@
             if shortlist.is_empty() {
                 return PeerState::default();
             }
-            peer_state = self.query_owners(shortlist, criteria.prefix_hash).await;
+            peer_state = self.query_owners(shortlist, criteria).await;
             if peer_state.unreachable.is_empty() {
                 break;
             }
@@ -231,14 +233,20 @@
     async fn query_owners(
         &self,
         shortlist: Vec<endpoint::Id>,
-        prefix_hash: Option<u64>,
+        criteria: &Criteria<'_>,
     ) -> PeerState {
-        let mut peer_state = reports::query(&self.gateway, shortlist, prefix_hash).await;
+        let query = Query {
+            endpoints: shortlist,
+            prefix_hash: criteria.prefix_hash,
+            in_flight: criteria.model.is_none(),
+        };
+        let mut peer_state = reports::query(&self.gateway, query).await;
         let is_unreported = |it: &endpoint::Id| !peer_state.waiting.contains_key(it);
         let holders = peer_state.holders.iter().flatten();
         let unreported: Vec<_> = holders.filter(|it| is_unreported(it)).cloned().collect();
         if !unreported.is_empty() {
-            let holder_reports = reports::query(&self.gateway, unreported, None).await;
+            let query = Query { endpoints: unreported, ..Query::default() };
+            let holder_reports = reports::query(&self.gateway, query).await;
             peer_state.waiting.extend(holder_reports.waiting);
             peer_state.unreachable.extend(holder_reports.unreachable);
         }
@@ -259,6 +267,8 @@
                 relative_price: it.relative_price,
                 latency: self.latency(it),
             }),
+            at_most_once: matches!(self.route.retry_policy, RetryPolicy::AtMostOnce),
+            time_left: self.time_left(),
             salt: hash::bytes(self.request.head.id.as_bytes()),
         }
     }
@@ -285,6 +295,8 @@
             model: model.unwrap_or_default(),
             attempt: self.n_attempts,
             busy: lease.outstanding,
+            others_in_flight: lease.occupancy.others,
+            load_age_ms: lease.occupancy.observed.map(|it| millis(it.age)),
             expected_ms: lease.expected_time_to_first_event.map(millis),
             resumed_after: self.last_event_id,
             left_ms: millis(outgoing.time_left),
--- a/crates/curranthook_gateway/src/job/escalation.rs
+++ b/crates/curranthook_gateway/src/job/escalation.rs
@@ -68,7 +68,7 @@
     ) -> Option<Duration> {
         let criteria = self.criteria(rule, Some(model));
         let directory = self.gateway.directory.lock();
-        let choice = selection::best(&self.gateway, &directory, &criteria, peer_state)?;
+        let choice = selection::best(&self.gateway, &directory, &criteria, peer_state).ok()?;
         Some(choice.time_to_first_event(&criteria.model?.latency))
     }
 
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -60,6 +60,11 @@
         Decision::Retry
     }
 
+    /// The refusal of a request for which all endpoints are full.
+    pub(super) fn full_refusal(&self) -> Refusal {
+        self.refusal(Reason::Full).with_retry_after(RETRY_AFTER_FULL)
+    }
+
     /// Decides what follows a failed attempt at `endpoint` that may have run the request.
     pub(super) async fn on_ambiguous_failure(
         &mut self,
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -13,9 +13,9 @@
     directory::Outcome,
     entry::State,
     event::Event,
-    load::{prefill::Prompt, reports::PeerState},
+    load::{in_flight, occupancy::Occupancy, prefill::Prompt, reports::PeerState},
     rate_limit,
-    selection::{self, Choice, Criteria},
+    selection::{self, Choice, Criteria, Unavailable},
 };
 
 /// A request slot at an endpoint. Dropping the lease releases the slot.
@@ -35,6 +35,8 @@
     pub prompt: Prompt,
     /// The prefill time of the work that was queued ahead of the request.
     pub queue_delay: Duration,
+    /// What was known about the requests at the endpoint.
+    pub occupancy: Occupancy,
     /// The expected time to the first event; `None` for a service without models.
     pub expected_time_to_first_event: Option<Duration>,
     /// How many idle connections this node may keep to the endpoint.
@@ -42,6 +44,8 @@
     /// When the endpoint started, in milliseconds of the wall clock; identifies its incarnation.
     started_ms: Option<u64>,
     pending_prefill: Duration,
+    /// Whether other nodes are informed when the lease ends.
+    is_shared: bool,
     outcome: Outcome,
 }
 
@@ -62,13 +66,15 @@
         gateway: &Arc<Gateway>,
         criteria: &Criteria<'_>,
         peer_state: &PeerState,
-    ) -> Option<Self> {
+    ) -> Result<Self, Unavailable> {
         let now = gateway.now();
         let mut directory = gateway.directory.lock();
         directory.remove_lapsed(now);
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
-        let Choice { prompt, outstanding, queue_delay, .. } = choice;
+        let Choice { prompt, outstanding, queue_delay, occupancy, .. } = choice;
+        let is_shared =
+            criteria.model.is_none() && in_flight::is_shared(gateway, &directory, criteria.service);
         let latency = criteria.model.map(|it| it.latency);
         let expected_time_to_first_event = latency.map(|it| choice.time_to_first_event(&it));
         let pending_prefill =
@@ -81,10 +87,13 @@
                 reports.queue_prefill(Record { prefix_hash, endpoint: entry.id.clone() });
             }
         }
+        if is_shared {
+            report_in_flight(gateway);
+        }
         gateway.pending_work_changed.wake();
         let max_connections = gateway.service(criteria.service, |it| it.max_connections);
         let max_idle = max_connections.map(|it| connections::max_idle(it, gateway.n_nodes()));
-        Some(Self {
+        Ok(Self {
             gateway: Arc::clone(gateway),
             id: entry.id,
             addr: entry.addr,
@@ -93,9 +102,11 @@
             outstanding,
             prompt,
             queue_delay,
+            occupancy,
             expected_time_to_first_event,
             max_idle: max_idle.unwrap_or(usize::MAX),
             pending_prefill,
+            is_shared,
             outcome: Outcome::Abandoned,
         })
     }
@@ -148,11 +159,21 @@
     }
 }
 
+fn report_in_flight(gateway: &Gateway) {
+    if let Some(reports) = gateway.load_reports.get() {
+        reports.in_flight_changed();
+    }
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.lock();
         directory.request_ended(&self.id, self.outcome, self.pending_prefill, now);
+        if self.is_shared {
+            report_in_flight(&self.gateway);
+            self.gateway.pending_work_changed.wake();
+        }
         let is_unreachable =
             matches!(self.outcome, Outcome::ConnectFailed | Outcome::AddressReused);
         if is_unreachable
--- a/crates/curranthook_gateway/src/load.rs
+++ b/crates/curranthook_gateway/src/load.rs
@@ -4,9 +4,13 @@
 //!   filter in [`prefill`];
 //! - [`reports`] exchanges pending work with other nodes: in a small fleet with all of them, in a
 //!   large one with the endpoints' [`owners`];
-//! - [`table`] contains the work that other nodes reported.
+//! - [`table`] contains the work that other nodes reported;
+//! - [`in_flight`] contains the requests that other nodes reported at endpoints of services without
+//!   models, and [`occupancy`] estimates the time of a call at such an endpoint from them.
 
+pub mod in_flight;
 pub mod latency;
+pub mod occupancy;
 pub mod owners;
 pub mod prefill;
 pub mod reports;
--- /dev/null
+++ b/crates/curranthook_gateway/src/load/in_flight.rs
@@ -0,0 +1,190 @@
+//! The numbers of requests that other nodes have in flight at endpoints of services without models.
+//!
+//! Addresses many nodes that send short calls to few endpoints. Each node reports its number to the
+//! endpoint's load owner, which keeps the last report of each node in this table (see
+//! [`reports`]). A report that arrives late, because its sender or the owner was paused, is
+//! dropped: the calls that it counts have ended.
+//!
+//! [`reports`]: crate::load::reports
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use curranthook_types::endpoint;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::Value;
+
+use super::occupancy::{self, Observation};
+use crate::{Gateway, dialect::Load, directory::Directory};
+
+/// How long a report is valid. A node with requests in flight repeats its report every 300 ms.
+const EXPIRY: Duration = Duration::from_millis(800);
+/// The maximum number of requests that a node may report at one endpoint: more than the connections
+/// that an endpoint accepts.
+const MAX_COUNT: u32 = 10_000;
+
+/// The numbers of requests at endpoints.
+pub type Counts = HashMap<endpoint::Id, u32>;
+
+/// The last report of each node.
+#[derive(Debug, Default)]
+pub struct Table {
+    nodes: HashMap<String, Report>,
+}
+
+#[derive(Debug)]
+struct Report {
+    /// When the report was sent, or received if that is unknown.
+    at: Instant,
+    counts: Counts,
+}
+
+impl Table {
+    /// Stores the report of `node`, in place of its previous one. `age` is the time since it was
+    /// sent; none if that is unknown.
+    pub fn update(&mut self, node: String, counts: Counts, age: Option<Duration>, now: Instant) {
+        self.nodes.retain(|_, it| it.is_valid(now));
+        let age = age.unwrap_or_default();
+        let Some(at) = now.checked_sub(age).filter(|_| age < EXPIRY) else {
+            log::debug!("ignoring a report of {node} that is {age:?} old");
+            return;
+        };
+        self.nodes.insert(node, Report { at, counts });
+    }
+
+    /// The number of requests in flight at an endpoint, except those of `requester`, which knows
+    /// its own.
+    ///
+    /// ```
+    /// # use std::{collections::HashMap, time::{Duration, Instant}};
+    /// # use curranthook_gateway::load::in_flight::Table;
+    /// let (mut table, now) = (Table::default(), Instant::now());
+    /// table.update("node-2".to_owned(), HashMap::from([("e-1".into(), 3)]), None, now);
+    /// assert_eq!(table.count(&"e-1".into(), "node-1", now), 3);
+    /// assert_eq!(table.count(&"e-1".into(), "node-2", now), 0);
+    /// assert_eq!(table.count(&"e-1".into(), "node-1", now + Duration::from_secs(1)), 0);
+    /// ```
+    pub fn count(&self, endpoint: &endpoint::Id, requester: &str, now: Instant) -> u32 {
+        let others = self.nodes.iter().filter(|(node, _)| *node != requester);
+        let valid = others.filter(|(_, it)| it.is_valid(now));
+        let counts = valid.filter_map(|(_, it)| it.counts.get(endpoint).copied());
+        counts.fold(0, u32::saturating_add)
+    }
+}
+
+impl Report {
+    fn is_valid(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < EXPIRY
+    }
+}
+
+/// What an owner states about endpoints in an answer.
+#[derive(Debug, Clone, Default)]
+pub struct Figures {
+    /// The requests that all nodes except the requester have in flight.
+    pub counts: Counts,
+    /// The load that the owner itself saw last.
+    pub observed: HashMap<endpoint::Id, Observed>,
+}
+
+impl Figures {
+    /// The figures of this node for `endpoints`. `requester` is left out of the counts.
+    pub fn of(gateway: &Gateway, endpoints: &[endpoint::Id], requester: &str) -> Self {
+        let directory = gateway.directory.lock();
+        let (table, now) = (gateway.in_flight_table.lock(), gateway.now());
+        let is_own = gateway.settings.node == requester;
+        let count = |id: &endpoint::Id| {
+            let own = directory.get(id).filter(|_| !is_own).map_or(0, |it| it.in_flight);
+            table.count(id, requester, now).saturating_add(own)
+        };
+        let observed = endpoints.iter().filter_map(|id| {
+            let observation = directory.get(id)?.observation(now)?;
+            observation.is_usable().then(|| (id.clone(), Observed(observation)))
+        });
+        Self {
+            counts: endpoints.iter().map(|id| (id.clone(), count(id))).collect(),
+            observed: observed.collect(),
+        }
+    }
+
+    /// Adds the figures for other endpoints.
+    pub fn extend(&mut self, other: Self) {
+        self.counts.extend(other.counts);
+        self.observed.extend(other.observed);
+    }
+}
+
+/// Whether the nodes share their numbers of requests in flight at the endpoints of a service.
+pub fn is_shared(gateway: &Gateway, directory: &Directory, service: &str) -> bool {
+    let contention = gateway.settings.contention;
+    occupancy::is_shared(contention, directory.reports_slowdown(service), gateway.n_nodes())
+        && gateway.service(service, |it| Some(it.models.is_empty())) == Some(true)
+}
+
+/// This node's requests in flight at the endpoints of services that share them; at most `n`
+/// endpoints.
+pub fn own_counts(gateway: &Gateway, n: usize) -> Counts {
+    let directory = gateway.directory.lock();
+    let busy = directory.all().filter(|it| 0 < it.in_flight);
+    let shared = busy.filter(|it| is_shared(gateway, &directory, &it.entry.service));
+    shared.map(|it| (it.entry.id.clone(), it.in_flight)).take(n).collect()
+}
+
+/// An [`Observation`] in a message: the running and waiting requests, the slots, the slowdown and
+/// the age in ms.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Observed(pub Observation);
+
+type ObservedFields = (u32, u32, u32, Option<f64>, u64);
+
+impl Serialize for Observed {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let Observation { load, age } = self.0;
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let fields: ObservedFields =
+            (load.running, load.waiting, load.slots, load.slowdown, age_ms);
+        fields.serialize(serializer)
+    }
+}
+
+/// Reads counts from a message, without those that are malformed or out of range.
+pub fn read_counts<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Counts, D::Error> {
+    read_map(deserializer, |it| {
+        let count = u32::try_from(it.as_u64()?).ok()?;
+        (count <= MAX_COUNT).then_some(count)
+    })
+}
+
+/// Reads observations from a message, without those that are malformed or out of range.
+pub fn read_observed<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<HashMap<endpoint::Id, Observed>, D::Error> {
+    read_map(deserializer, |it| {
+        let (running, waiting, slots, slowdown, age_ms) =
+            serde_json::from_value::<ObservedFields>(it.clone()).ok()?;
+        let load = Load { running, waiting, slots, slowdown };
+        let observation = Observation { load, age: Duration::from_millis(age_ms) };
+        let is_valid = running.max(waiting) <= MAX_COUNT && observation.is_usable();
+        is_valid.then_some(Observed(observation))
+    })
+}
+
+fn read_map<'de, D: Deserializer<'de>, T>(
+    deserializer: D,
+    read: impl Fn(&Value) -> Option<T>,
+) -> Result<HashMap<endpoint::Id, T>, D::Error> {
+    let Value::Object(fields) = Value::deserialize(deserializer)? else {
+        log::debug!("ignoring figures of endpoints that are not a map");
+        return Ok(HashMap::new());
+    };
+    let fields = fields.into_iter().filter_map(|(id, value)| {
+        let figure = read(&value);
+        if figure.is_none() {
+            log::debug!("ignoring a malformed figure of endpoint {id}: {value}");
+        }
+        Some((id.as_str().into(), figure?))
+    });
+    Ok(fields.collect())
+}
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -13,7 +13,10 @@
 use std::{
     collections::{HashMap, HashSet},
     net::{SocketAddr, UdpSocket},
-    sync::{Arc, atomic::AtomicU64},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -25,10 +28,18 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, affinity::Record, load::owners, rate_limit};
+use crate::{
+    Gateway,
+    affinity::Record,
+    load::{
+        in_flight::{self, Counts, Figures, Observed},
+        owners,
+    },
+    rate_limit,
+};
 
 use self::limits::Limit;
-pub use self::queries::query;
+pub use self::queries::{Query, query};
 
 /// How often a node repeats its report while it has work pending.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -43,6 +54,10 @@
 /// The maximum number of endpoints in a report, so that it fits into a datagram.
 const MAX_REPORTED_ENDPOINTS: usize = 32;
 
+/// The maximum number of endpoints in a report that also contains requests in flight. These take a
+/// few more bytes.
+const MAX_REPORTED_WITH_IN_FLIGHT: usize = 28;
+
 /// The maximum number of prompts sent for prefill in a report, in addition to the endpoints with
 /// pending work.
 const MAX_REPORTED_PREFILLS: usize = 8;
@@ -67,11 +82,18 @@
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
         waiting: PendingWork,
         /// The prompts that `node` sent for prefill since its previous report.
-        #[serde(default, rename = "reads")]
+        #[serde(default, rename = "reads", skip_serializing_if = "Vec::is_empty")]
         prefills: Vec<Record>,
         /// The endpoints to which `node` could not open a connection since its previous report.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         unreachable: Vec<endpoint::Id>,
+        /// The number of requests that `node` has in flight at endpoints of services without models.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        in_flight: Counts,
+        /// When the report was sent, by the store's clock; none if that is unknown.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        at_ms: Option<u64>,
     },
     /// Rate limits reported by endpoints.
     Limits { limits: Vec<Limit> },
@@ -82,8 +104,11 @@
         endpoints: Vec<endpoint::Id>,
         /// The prompt prefix whose holders are requested, if any: the hash of the model and the
         /// shared prompt parts.
-        #[serde(default, rename = "subject")]
+        #[serde(default, rename = "subject", skip_serializing_if = "Option::is_none")]
         prefix_hash: Option<u64>,
+        /// Whether the answer is to contain the requests in flight.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        in_flight: bool,
     },
     /// The answer to a question.
     Answer {
@@ -92,11 +117,19 @@
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
         waiting: PendingWork,
         /// The endpoints that have prefilled the prompt prefix, if the question contains one.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         holders: Option<Vec<endpoint::Id>>,
         /// Those of the endpoints in the question that are unreachable.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         unreachable: Vec<endpoint::Id>,
+        /// The requests that all nodes except the one that asked have in flight.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        in_flight: Counts,
+        /// The load that the owner itself saw last.
+        #[serde(default, deserialize_with = "in_flight::read_observed")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        loads: HashMap<endpoint::Id, Observed>,
     },
 }
 
@@ -109,6 +142,8 @@
     pub holders: Option<Vec<endpoint::Id>>,
     /// Those of the given endpoints to which no connection can be opened.
     pub unreachable: Vec<endpoint::Id>,
+    /// The requests at each of the given endpoints, for a service without models.
+    pub in_flight: Figures,
 }
 
 impl PeerState {
@@ -116,6 +151,7 @@
         self.waiting.extend(other.waiting);
         self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
+        self.in_flight.extend(other.in_flight);
     }
 }
 
@@ -130,6 +166,8 @@
     prefills: Mutex<Vec<Record>>,
     /// Unreachable endpoints that have not been reported yet.
     unreachable: Mutex<Vec<endpoint::Id>>,
+    /// Whether the requests in flight changed after the last report.
+    in_flight_changed: AtomicBool,
     /// Rate limits that have not been reported yet.
     limits: limits::Queue,
 }
@@ -139,10 +177,12 @@
     pub fn new(socket: Async<UdpSocket>) -> Self {
         Self {
             socket,
-            next_query_id: AtomicU64::new(0),
+            // A late answer to a query of the previous process must not match a new query.
+            next_query_id: AtomicU64::new(rand::random::<u32>().into()),
             open_queries: Mutex::default(),
             prefills: Mutex::default(),
             unreachable: Mutex::default(),
+            in_flight_changed: AtomicBool::new(false),
             limits: limits::Queue::default(),
         }
     }
@@ -170,6 +210,11 @@
         self.limits.push(endpoint, notice);
     }
 
+    /// Records that the reported requests in flight changed, for the next report.
+    pub fn in_flight_changed(&self) {
+        self.in_flight_changed.store(true, Ordering::Relaxed);
+    }
+
     async fn send(&self, message: &Message, addr: SocketAddr) {
         let bytes = serde_json::to_vec(message).expect("a message can be written as JSON");
         if let Err(e) = self.socket.send_to(&bytes, addr).await {
@@ -185,6 +230,7 @@
     let mut reported_to = HashSet::new();
     loop {
         wait_for_changes(&gateway, &reports, &reported_to).await;
+        reports.in_flight_changed.store(false, Ordering::Relaxed);
         reported_to = send_reports(&gateway, &reports, reported_to).await;
         limits::send(&gateway, &reports).await;
         Timer::after(MIN_REPORT_INTERVAL).await;
@@ -196,8 +242,8 @@
 async fn wait_for_changes(gateway: &Gateway, reports: &Socket, reported_to: &HashSet<SocketAddr>) {
     let changed = gateway.pending_work_changed.wait();
     // This task misses a signal that arrives while it is sending reports, so limits that were
-    // queued meanwhile are checked here.
-    if !reports.limits.is_empty() {
+    // queued meanwhile are checked here, and whether calls began or ended.
+    if !reports.limits.is_empty() || reports.in_flight_changed.load(Ordering::Relaxed) {
         return;
     }
     let repeat = async {
@@ -230,7 +276,10 @@
 async fn handle(gateway: &Gateway, reports: &Socket, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Report { node, waiting, prefills, unreachable } => {
+        Message::Report { node, waiting, prefills, unreachable, in_flight, at_ms } => {
+            let at = at_ms.map(Duration::from_millis).zip(gateway.store_time());
+            let age = at.map(|(at, now)| now.saturating_sub(at));
+            gateway.in_flight_table.lock().update(node.clone(), in_flight, age, now);
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.report_unreachable(it, now));
@@ -241,16 +290,22 @@
         Message::Limits { limits } => {
             limits.iter().for_each(|it| limits::receive(gateway, reports, it));
         }
-        Message::Question { id, node, endpoints, prefix_hash } => {
-            let PeerState { waiting, holders, unreachable } =
-                local_state(gateway, endpoints, prefix_hash, &node);
-            reports.send(&Message::Answer { id, waiting, holders, unreachable }, from).await;
+        Message::Question { id, node, endpoints, prefix_hash, in_flight } => {
+            let query = Query { endpoints, prefix_hash, in_flight };
+            let PeerState { waiting, holders, unreachable, in_flight } =
+                local_state(gateway, query, &node);
+            let Figures { counts: in_flight, observed: loads } = in_flight;
+            let answer = Message::Answer { id, waiting, holders, unreachable, in_flight, loads };
+            reports.send(&answer, from).await;
         }
-        Message::Answer { id, waiting, holders, unreachable } => {
+        Message::Answer { id, waiting, holders, unreachable, in_flight, loads } => {
             let query = reports.open_queries.lock().remove(&id);
-            // The send fails if the query has already timed out.
-            let _ignored =
-                query.map(|it| it.try_send((id, PeerState { waiting, holders, unreachable })));
+            let in_flight = Figures { counts: in_flight, observed: loads };
+            let state = PeerState { waiting, holders, unreachable, in_flight };
+            if let Some(it) = query {
+                // The send fails if the query has already timed out.
+                let _ignored = it.try_send((id, state));
+            }
         }
     }
 }
@@ -258,12 +313,9 @@
 /// What this node knows from its own requests and from received reports: the work that all nodes
 /// except `requester` have pending at `endpoints`, which of these are unreachable, and the
 /// endpoints that have prefilled the prompt prefix.
-fn local_state(
-    gateway: &Gateway,
-    endpoints: Vec<endpoint::Id>,
-    prefix_hash: Option<u64>,
-    requester: &str,
-) -> PeerState {
+fn local_state(gateway: &Gateway, query: Query, requester: &str) -> PeerState {
+    let Query { endpoints, prefix_hash, in_flight } = query;
+    let figures = in_flight.then(|| Figures::of(gateway, &endpoints, requester));
     let holders = prefix_hash.map(|it| gateway.affinity.lock().holders(it, gateway.now()));
     let (directory, load_table, now) =
         (gateway.directory.lock(), gateway.load_table.lock(), gateway.now());
@@ -278,7 +330,7 @@
         |id: &&endpoint::Id| directory.get(id).is_some_and(|it| it.is_unreachable(now));
     let unreachable = endpoints.iter().filter(is_unreachable).cloned().collect();
     let waiting = endpoints.into_iter().map(|id| (id.clone(), pending_work(&id))).collect();
-    PeerState { waiting, holders, unreachable }
+    PeerState { waiting, holders, unreachable, in_flight: figures.unwrap_or_default() }
 }
 
 /// Reports this node's pending work: to all nodes, or to the owners of the endpoints. Returns the
@@ -296,17 +348,24 @@
     };
     let prefills = std::mem::take(&mut *reports.prefills.lock());
     let unreachable = std::mem::take(&mut *reports.unreachable.lock());
-    let mut reports_by_node = reports_by_node(gateway, Report { waiting, prefills, unreachable });
+    let free = MAX_REPORTED_WITH_IN_FLIGHT.saturating_sub(waiting.len());
+    let in_flight = in_flight::own_counts(gateway, free);
+    let report = Report { waiting, prefills, unreachable, in_flight };
+    let mut reports_by_node = reports_by_node(gateway, report);
     for addr in previous {
         reports_by_node.entry(addr).or_default();
     }
+    let at_ms = gateway.store_time().and_then(|it| u64::try_from(it.as_millis()).ok());
     let mut reported_to = HashSet::new();
-    for (addr, Report { waiting, prefills, unreachable }) in reports_by_node {
-        if !waiting.is_empty() {
+    for (addr, report) in reports_by_node {
+        let Report { waiting, prefills, unreachable, in_flight } = report;
+        if !waiting.is_empty() || !in_flight.is_empty() {
             reported_to.insert(addr);
         }
         let node = gateway.settings.node.clone();
-        reports.send(&Message::Report { node, waiting, prefills, unreachable }, addr).await;
+        let at_ms = at_ms.filter(|_| !in_flight.is_empty());
+        let report = Message::Report { node, waiting, prefills, unreachable, in_flight, at_ms };
+        reports.send(&report, addr).await;
     }
     reported_to
 }
@@ -317,6 +376,7 @@
     waiting: PendingWork,
     prefills: Vec<Record>,
     unreachable: Vec<endpoint::Id>,
+    in_flight: Counts,
 }
 
 /// Splits `report` into the reports to send to each node.
@@ -329,16 +389,20 @@
     }
     drop(peers);
     let (owners, now) = (gateway.load_owners.lock(), gateway.now());
+    let owner_of = |id: &endpoint::Id| owners.owner_of(id, now).filter(|it| Some(*it) != own_addr);
     let mut reports_by_node: HashMap<SocketAddr, Report> = HashMap::new();
     for (id, work) in report.waiting {
-        let owner = owners.owner_of(&id, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
+        if let Some(addr) = owner_of(&id) {
             reports_by_node.entry(addr).or_default().waiting.insert(id, work);
         }
     }
+    for (id, count) in report.in_flight {
+        if let Some(addr) = owner_of(&id) {
+            reports_by_node.entry(addr).or_default().in_flight.insert(id, count);
+        }
+    }
     for id in report.unreachable {
-        let owner = owners.owner_of(&id, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
+        if let Some(addr) = owner_of(&id) {
             reports_by_node.entry(addr).or_default().unreachable.push(id);
         }
     }
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -14,42 +14,42 @@
 /// compared to the second that callers wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(15);
 
-/// Queries the owners of `endpoints` for the work that other nodes have pending there, and the
-/// owner of `prefix_hash`, the hash of the model and the shared prompt parts, for the endpoints
-/// that have prefilled them. Returns the answers that arrive within `ANSWER_TIMEOUT`.
-pub async fn query(
-    gateway: &Gateway,
-    endpoints: Vec<endpoint::Id>,
-    prefix_hash: Option<u64>,
-) -> PeerState {
+/// What load owners are asked.
+#[derive(Debug, Default)]
+pub struct Query {
+    /// The endpoints whose pending work is requested.
+    pub endpoints: Vec<endpoint::Id>,
+    /// The hash of the model and the shared prompt parts; requests the endpoints that have prefilled
+    /// them.
+    pub prefix_hash: Option<u64>,
+    /// Whether the requests in flight at the endpoints are requested too.
+    pub in_flight: bool,
+}
+
+/// Queries the owners of the endpoints and of the prefix. Returns the answers that arrive within
+/// `ANSWER_TIMEOUT`.
+pub async fn query(gateway: &Gateway, query: Query) -> PeerState {
     let Some(reports) = gateway.load_reports.get() else { return PeerState::default() };
     let settings = &gateway.settings;
-    let mut by_owner = by_owner(gateway, endpoints, prefix_hash);
+    let in_flight = query.in_flight;
+    let mut by_owner = by_owner(gateway, query);
     let own_query = settings.reports.and_then(|addr| by_owner.remove(&addr)).unwrap_or_default();
-    let mut state =
-        local_state(gateway, own_query.endpoints, own_query.prefix_hash, &settings.node);
-    let queries = Queries::send(gateway, reports, by_owner).await;
+    let mut state = local_state(gateway, own_query, &settings.node);
+    let queries = Queries::send(gateway, reports, by_owner, in_flight).await;
     state.extend(queries.answers().await);
     state
 }
 
-/// The contents of a query to one owner.
-#[derive(Debug, Default)]
-struct Query {
-    endpoints: Vec<endpoint::Id>,
-    prefix_hash: Option<u64>,
-}
-
-fn by_owner(
-    gateway: &Gateway,
-    endpoints: Vec<endpoint::Id>,
-    prefix_hash: Option<u64>,
-) -> HashMap<SocketAddr, Query> {
+/// Splits a query into the queries to each owner.
+fn by_owner(gateway: &Gateway, query: Query) -> HashMap<SocketAddr, Query> {
+    let Query { endpoints, prefix_hash, in_flight } = query;
     let (owners, now) = (gateway.load_owners.lock(), gateway.now());
     let mut queries: HashMap<SocketAddr, Query> = HashMap::new();
     for id in endpoints {
         if let Some(addr) = owners.owner_of(&id, now) {
-            queries.entry(addr).or_default().endpoints.push(id);
+            let query = queries.entry(addr).or_default();
+            query.endpoints.push(id);
+            query.in_flight = in_flight;
         }
     }
     if let Some(addr) = prefix_hash.and_then(|it| owners.owner_of_hash(it, now)) {
@@ -64,6 +64,8 @@
     reports: &'a Socket,
     /// The owner to which each query was sent, by the query's id.
     open: HashMap<u64, SocketAddr>,
+    /// Whether the queries request the requests in flight.
+    in_flight: bool,
     answers: Receiver<(u64, PeerState)>,
 }
 
@@ -73,17 +75,19 @@
         gateway: &'a Gateway,
         reports: &'a Socket,
         by_owner: HashMap<SocketAddr, Query>,
+        in_flight: bool,
     ) -> Self {
         let (tx, answers) = async_channel::bounded(by_owner.len().max(1));
         let mut open = HashMap::new();
-        for (addr, Query { endpoints, prefix_hash }) in by_owner {
+        for (addr, Query { endpoints, prefix_hash, .. }) in by_owner {
             let id = reports.next_query_id.fetch_add(1, Ordering::Relaxed);
             reports.open_queries.lock().insert(id, tx.clone());
             open.insert(id, addr);
             let node = gateway.settings.node.clone();
-            reports.send(&Message::Question { id, node, endpoints, prefix_hash }, addr).await;
+            let question = Message::Question { id, node, endpoints, prefix_hash, in_flight };
+            reports.send(&question, addr).await;
         }
-        Self { gateway, reports, open, answers }
+        Self { gateway, reports, open, in_flight, answers }
     }
 
     /// Collects the answers that arrive within `ANSWER_TIMEOUT`.
@@ -94,7 +98,8 @@
                 let Ok((id, answer)) = self.answers.recv().await else { return };
                 if let Some(addr) = self.open.remove(&id) {
                     self.gateway.load_owners.lock().record_answer(addr);
-                    self.gateway.metrics.record_query("answered");
+                    let is_complete = !self.in_flight || !answer.in_flight.counts.is_empty();
+                    self.record_result(if is_complete { "answered" } else { "uncounted" });
                 }
                 state.extend(answer);
             }
@@ -109,7 +114,15 @@
     fn record_timeouts(self) {
         for addr in self.open.values() {
             self.gateway.load_owners.lock().record_timeout(*addr, self.gateway.now());
-            self.gateway.metrics.record_query("unanswered");
+            self.record_result("unanswered");
+        }
+    }
+
+    fn record_result(&self, result: &'static str) {
+        let metrics = &self.gateway.metrics;
+        match self.in_flight {
+            true => metrics.record_plain_query(result),
+            false => metrics.record_query(result),
         }
     }
 }
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -1,6 +1,8 @@
 //! Selects the endpoint for a request, based on the load, failures and cached prefixes that the
 //! node knows of each endpoint.
 
+mod plain;
+
 use std::{
     cell::LazyCell,
     time::{Duration, Instant},
@@ -12,7 +14,10 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Permits, Tracked},
-    load::{latency::Estimate, owners, prefill::Prompt, reports::PeerState},
+    load::{
+        in_flight, latency::Estimate, occupancy::Occupancy, owners, prefill::Prompt,
+        reports::PeerState,
+    },
     permit,
     placement::{self, CacheHolders, Candidate, Locality, Task},
     rate_limit,
@@ -27,6 +32,9 @@
 /// costs two datagrams.
 const SHORTLIST_LEN: usize = 4;
 
+/// The same for a service without models, whose calls are many and short.
+const PLAIN_SHORTLIST_LEN: usize = 2;
+
 /// What a request requires of an endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct Criteria<'a> {
@@ -44,6 +52,10 @@
     pub prompt_tokens: u64,
     /// The model; `None` for a service without models.
     pub model: Option<TargetModel>,
+    /// Whether the request is a call that may run only once.
+    pub at_most_once: bool,
+    /// The time left until the deadline.
+    pub time_left: Duration,
     /// A value that differs between requests, to break ties.
     pub salt: u64,
 }
@@ -85,6 +97,17 @@
     pub outstanding: u32,
     /// The prefill time of the work that is queued at the endpoint ahead of the request.
     pub queue_delay: Duration,
+    /// What is known about the requests at the endpoint.
+    pub occupancy: Occupancy,
+}
+
+/// Why no endpoint can take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// No endpoint accepts requests.
+    NoEndpoint,
+    /// No endpoint is likely to have a slot or a place in its queue.
+    Full,
 }
 
 impl Choice<'_> {
@@ -94,7 +117,7 @@
     }
 }
 
-/// The best endpoint for a request, if there is one. `peer_state` contains the load that other
+/// The best endpoint for a request. `peer_state` contains the load that other
 /// nodes put on some endpoints; if it covers any eligible endpoint, only covered ones are
 /// considered.
 pub fn best<'a>(
@@ -102,18 +125,21 @@
     directory: &'a Directory,
     criteria: &Criteria<'_>,
     peer_state: &PeerState,
-) -> Option<Choice<'a>> {
+) -> Result<Choice<'a>, Unavailable> {
     let now = gateway.now();
     let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
     let mut endpoints = eligible(&ready, criteria, now);
     if endpoints.iter().any(|it| peer_state.waiting.contains_key(&it.entry.id)) {
         // The load of endpoints that are not covered is unknown, so they would seem idle.
-        endpoints.retain(|it| peer_state.waiting.contains_key(&it.entry.id));
+        let is_covered = |it: &&Tracked| peer_state.waiting.contains_key(&it.entry.id);
+        let (covered, others) = endpoints.into_iter().partition(is_covered);
+        endpoints = plain::with_room(covered, others, criteria, peer_state, now)?;
     }
     let (holders, candidates) = candidates(gateway, &endpoints, criteria, peer_state, now);
-    let index = placement::choose(&candidates, &criteria.task(holders))?;
+    let index = placement::choose(&candidates, &criteria.task(holders));
+    let index = index.ok_or(Unavailable::NoEndpoint)?;
     let endpoint = endpoints[index];
-    Some(Choice {
+    Ok(Choice {
         prompt: criteria.prompt(candidates[index].has_prefix_cached),
         outstanding: endpoint.estimated_requests(now),
         queue_delay: queue_delay(
@@ -121,6 +147,7 @@
             criteria,
             remote_queue(gateway, &endpoint.entry.id, peer_state, now),
         ),
+        occupancy: plain::occupancy(endpoint, peer_state, now),
         endpoint,
     })
 }
@@ -129,17 +156,22 @@
 /// according to the load that this node knows; empty in a small fleet, whose nodes report their
 /// load to each other.
 pub fn shortlist(gateway: &Gateway, criteria: &Criteria<'_>) -> Vec<endpoint::Id> {
-    if criteria.model.is_none() || !owners::are_used(gateway.n_nodes()) {
+    if !owners::are_used(gateway.n_nodes()) {
         return Vec::new();
     }
     let now = gateway.now();
     let mut directory = gateway.directory.lock();
+    let is_plain = criteria.model.is_none();
+    if is_plain && !in_flight::is_shared(gateway, &directory, criteria.service) {
+        return Vec::new();
+    }
+    let n = if is_plain { PLAIN_SHORTLIST_LEN } else { SHORTLIST_LEN };
     renew_permits(gateway, &mut directory, criteria.service, now);
     let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
     let endpoints = eligible(&ready, criteria, now);
     let (holders, candidates) =
         candidates(gateway, &endpoints, criteria, &PeerState::default(), now);
-    let indices = placement::best(&candidates, &criteria.task(holders), SHORTLIST_LEN);
+    let indices = placement::best(&candidates, &criteria.task(holders), n);
     indices.into_iter().map(|it| endpoints[it].entry.id.clone()).collect()
 }
 
@@ -238,6 +270,7 @@
             it,
             criteria,
             remote_queue(gateway, &it.entry.id, peer_state, now),
+            peer_state,
             now,
         ),
         failure_rate: it.failures,
@@ -302,6 +335,7 @@
     endpoint: &Tracked,
     criteria: &Criteria<'_>,
     remote_queue: Duration,
+    peer_state: &PeerState,
     now: Instant,
 ) -> Duration {
     let outstanding = endpoint.estimated_requests(now);
@@ -309,6 +343,9 @@
         return queue_delay(endpoint, criteria, remote_queue)
             + model.latency.coefficients.delay_per_concurrent_request() * outstanding;
     }
+    if !peer_state.in_flight.counts.is_empty() {
+        return plain::occupancy(endpoint, peer_state, now).expected_time(endpoint.entry.slots);
+    }
     // One millisecond per outstanding request prefers the less loaded of endpoints with free slots.
     let slots = endpoint.entry.slots.max(1);
     let waiting = (outstanding + 1).saturating_sub(slots);
