Rank of a request by its account and its route

curranthook_policy::rank joins both into a level of 0 to 4. A route never raises a request above those of an account with a more urgent priority. Levels are clamped, so that account 1 with route 2 shares level 4 with account 2, and the routes of account 2 are not told apart. Nothing uses the level yet.

--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! A request passes [`limit`] (is the account within its rate limit?), [`rollout`] and [`choice`]
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
-//! [`poison`]. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
+//! [`poison`]. [`rank`] orders requests that compete for the same engines. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
 
 pub mod baseline;
@@ -16,6 +16,7 @@
 pub mod limit;
 pub mod poison;
 pub mod queue;
+pub mod rank;
 pub mod retry;
 pub mod rollout;
 pub mod verdict;
