Engines get the priority of a request's rank

An account's priority replaced the route's, so engines could not tell the routes of accounts with the same priority apart.

With Contention::ByRank, the priority at the engine is the rank's level for small models and the level + 5 for the largest (0 to 9). With Ignored it is as before. Job::priority carries both priorities. Admitted requests are counted by level in metrics.

--- a/crates/curranthook_gateway/src/cascade.rs
+++ b/crates/curranthook_gateway/src/cascade.rs
@@ -6,6 +6,10 @@
 
 use std::time::Duration;
 
+use curranthook_policy::rank::{self, Rank};
+
+use crate::settings::Contention;
+
 /// The value of a late answer relative to one on time. Callers value it at 0.1 to 0.3.
 const LATE_VALUE: f64 = 0.2;
 /// The value of a low-quality answer relative to a good one.
@@ -90,24 +94,34 @@
     small_value < large.value(targets)
 }
 
-/// The number of priority ranks. Requests to large models rank this far behind those to small
-/// models.
+/// The number of priority ranks of routes and accounts if contention is ignored. Requests to large
+/// models rank this far behind those to small models.
 const N_RANKS: u8 = 4;
 /// The relative price from which a model counts as large, which means that its prefill takes long.
 pub const LARGE_MODEL_MIN_RELATIVE_PRICE: f64 = 0.5;
 
-/// The priority of a request at its engine; 0 is served first. `rank` comes from the route or the
-/// account, `relative_price` is the model's price relative to the most expensive model.
+/// The priority of a request at its engine, from 0 to 9; 0 is served first. `relative_price` is the
+/// model's price relative to the most expensive model. If contention is ignored, an account's
+/// priority replaces that of the route.
 ///
 /// Engines prefill prompts one after another. A small model prefills in a tenth of the time, and
 /// its confidence decides whether a larger model is called at all, so its requests do not wait
 /// behind those of a large one.
 ///
 /// ```
-/// # use curranthook_gateway::cascade;
-/// assert!(cascade::engine_priority(2, 0.1) < cascade::engine_priority(0, 1.0));
+/// # use curranthook_gateway::{cascade, settings::Contention};
+/// # use curranthook_policy::rank::Rank;
+/// let (urgent, other) = (Rank { account: None, route: 0 }, Rank { account: None, route: 2 });
+/// for contention in [Contention::Ignored, Contention::ByRank] {
+///     let priority = |rank, relative_price| cascade::engine_priority(rank, contention, relative_price);
+///     assert!(priority(urgent, 0.1) < priority(other, 0.1));
+///     assert!(priority(other, 0.1) < priority(urgent, 1.0));
+/// }
 /// ```
-pub fn engine_priority(rank: u8, relative_price: f64) -> u8 {
-    let rank = rank.min(N_RANKS - 1);
-    if relative_price < LARGE_MODEL_MIN_RELATIVE_PRICE { rank } else { rank + N_RANKS }
+pub fn engine_priority(rank: Rank, contention: Contention, relative_price: f64) -> u8 {
+    let (level, n_levels) = match contention {
+        Contention::Ignored => (rank.account.unwrap_or(rank.route).min(N_RANKS - 1), N_RANKS),
+        Contention::ByRank => (rank.level(), rank::N_LEVELS),
+    };
+    if relative_price < LARGE_MODEL_MIN_RELATIVE_PRICE { level } else { level + n_levels }
 }
--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use curranthook_http::{Body, body, server::Handler, timeout};
+use curranthook_policy::rank::Rank;
 use futures_lite::future::Boxed;
 use http::{Request, Response, header, request::Parts};
 use hyper::body::Incoming;
@@ -102,7 +103,8 @@
         let configuration = gateway.configuration.load_full().unwrap_or(configuration);
         let (route, account) = admit(&configuration, &head)?;
         let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-        let priority = account.as_ref().and_then(|it| it.priority).unwrap_or(route.priority);
+        let account_priority = account.as_ref().and_then(|it| it.priority);
+        let priority = Rank { account: account_priority, route: route.priority };
         let request = request::Request::new(head, body, received_at, timeout);
         if gateway.poison.lock().is_poison(request.fingerprint, received_at) {
             return Err(refusal(Reason::Poison));
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -1,17 +1,17 @@
 //! Runs an admitted request: makes attempts until one yields a response for the caller.
 
+mod contention;
 mod escalation;
 mod retry;
 
 use std::{sync::Arc, time::Duration};
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, rank::Rank};
 use curranthook_types::{account, endpoint};
 
 use crate::{
     Gateway,
     attempt::{self, Cause, Exchange, Failure},
-    cascade,
     dialect::{Execution, Outgoing},
     directory::Outcome,
     document::Route,
@@ -70,8 +70,8 @@
     pub route: Arc<Route>,
     /// The client account of the caller.
     pub account: Option<account::Id>,
-    /// The rank of the request; 0 is served first.
-    pub priority: u8,
+    /// The priorities of the caller's account and of the route.
+    pub priority: Rank,
     /// The id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
     /// The number of attempts so far.
@@ -100,13 +100,14 @@
         request: Request,
         route: Arc<Route>,
         account: Option<account::Id>,
-        priority: u8,
+        priority: Rank,
     ) -> Result<Self, Refusal> {
         let split_point = hash::unit(hash::bytes(request.head.id.as_bytes()));
         let service = route.service(split_point).map(str::to_owned);
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Started::No))?;
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
+        contention::record_level(gateway, priority);
         Ok(Self {
             last_event_id: request.head.last_event_id,
             account,
@@ -273,8 +274,7 @@
             account: self.account.as_ref(),
             time_left: self.time_left(),
             model: model.filter(|_| self.request.head.model == Model::Any),
-            priority: candidate
-                .map(|it| cascade::engine_priority(self.priority, it.relative_price)),
+            priority: candidate.map(|it| self.engine_priority(it)),
             last_event_id: self.last_event_id,
         };
         self.gateway.log.write(&Event::Sent {
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -23,6 +23,13 @@
     pub name: &'static str,
 }
 
+/// The label of a counter that is split by the level of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LevelLabel {
+    /// The level of the requests' rank; 0 is the most urgent.
+    pub level: u32,
+}
+
 /// The labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreLabels {
@@ -37,6 +44,7 @@
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<Label, Counter>,
+    levels: Family<LevelLabel, Counter>,
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
@@ -61,6 +69,7 @@
         let it = Self {
             registry: Mutex::new(Registry::with_prefix("curranthook")),
             requests: Family::default(),
+            levels: Family::default(),
             refusals: Family::default(),
             retries: Family::default(),
             store_calls: Family::default(),
@@ -83,6 +92,8 @@
     fn register(&self) {
         let mut registry = self.registry.lock();
         registry.register("requests", "Requests that ended, by outcome", self.requests.clone());
+        let help = "Requests by the level of their rank";
+        registry.register("requests_by_level", help, self.levels.clone());
         registry.register(
             "refusals",
             "Requests ended by the node, by reason",
@@ -117,6 +128,11 @@
         self.answer_time.observe(took.as_secs_f64());
     }
 
+    /// Counts an admitted request by the level of its rank.
+    pub fn record_level(&self, level: u8) {
+        self.levels.get_or_create(&LevelLabel { level: level.into() }).inc();
+    }
+
     /// Counts a request that the node refused.
     pub fn record_refusal(&self, reason: refusal::Reason) {
         self.refusals.get_or_create(&Label { name: reason.name() }).inc();
