Forecasts count less urgent work by an eighth

The forecast of the largest model's first event counted all prefill time that waits at an engine, also that which the engine serves later because it is less urgent. During a burst of long prompts, urgent requests therefore stayed with poor answers of small models.

Pending work is kept by the engine's priority: in the directory, the load table, reports and answers. Work::wait counts work of the request's own and more urgent priorities in full and an eighth of the rest; placement, forecast and escalation use it with Contention::ByRank. With Ignored, all work is recorded at priority 0, decisions use the sum as before, and the bytes of messages are as before.

In messages, by_priority stands beside waiting: a list of pairs of a priority and its ms per endpoint, in ascending order of endpoint ids. The ids are not repeated, as 32 endpoints would not fit a datagram otherwise. What is malformed counts as most urgent. A report that is too long drops the priorities of the endpoints with the least work first, then prompts sent for prefill; sums never.

Sums over 1e6 s are dropped on receipt, also with Ignored.

The event sent states level, wait and waiting work with its age.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -15,6 +15,7 @@
     advertised::{Advertised, Cache, Incarnation},
     dialect::Load,
     entry::Entry,
+    load::work::Work,
     rate_limit,
     store::Row,
 };
@@ -266,7 +267,7 @@
 
     /// Records that a request is being sent. `work` is its expected prefill time, which counts as
     /// pending until the first byte of the answer.
-    pub fn request_sent(&mut self, id: &endpoint::Id, work: Duration, now: Instant) {
+    pub fn request_sent(&mut self, id: &endpoint::Id, work: Work, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
             it.in_flight += 1;
             it.pending += work;
@@ -283,7 +284,7 @@
     pub fn first_byte_received(
         &mut self,
         id: &endpoint::Id,
-        work: Duration,
+        work: Work,
         load: Option<Load>,
         now: Instant,
     ) {
@@ -298,13 +299,7 @@
 
     /// Records the end of a request. `work` is the part of its expected prefill time that was still
     /// pending.
-    pub fn request_ended(
-        &mut self,
-        id: &endpoint::Id,
-        outcome: Outcome,
-        work: Duration,
-        now: Instant,
-    ) {
+    pub fn request_ended(&mut self, id: &endpoint::Id, outcome: Outcome, work: Work, now: Instant) {
         let Some(it) = self.endpoints.get_mut(id) else { return };
         it.in_flight = it.in_flight.saturating_sub(1);
         it.pending = it.pending.saturating_sub(work);
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -8,6 +8,7 @@
     advertised::Advertised,
     dialect::Load,
     entry::{Entry, State},
+    load::work::Work,
     rate_limit,
     slow_start::SlowStart,
 };
@@ -34,7 +35,7 @@
     /// The number of this node's requests in flight at the endpoint.
     pub in_flight: u32,
     /// The expected prefill time of those requests that have no first byte yet.
-    pub pending: Duration,
+    pub pending: Work,
     /// The moving average of the share of requests that failed.
     pub failures: f64,
     /// The load that the endpoint last reported, when it did, and how many requests this node had
@@ -63,7 +64,7 @@
             id_hash: hash::bytes(entry.id.as_str().as_bytes()),
             entry,
             in_flight: 0,
-            pending: Duration::ZERO,
+            pending: Work::default(),
             failures: 0.0,
             load: None,
             ejection_time: Duration::ZERO,
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -18,6 +18,8 @@
 use curranthook_types::Clock;
 use serde::Serialize;
 
+use crate::load::work::N_PRIORITIES;
+
 /// The maximum number of queued lines. A busy node logs about that many in a second.
 const QUEUE_CAPACITY: usize = 2_048;
 
@@ -85,6 +87,8 @@
         attempt: u32,
         busy: u32,
         expected_ms: Option<u64>,
+        #[serde(flatten)]
+        contention: Option<Contention>,
         resumed_after: Option<u64>,
         left_ms: u64,
         configuration: u64,
@@ -138,6 +142,20 @@
     LinesDropped { count: u64 },
 }
 
+/// What is known of the requests that compete for an endpoint with the one that is sent.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Contention {
+    /// The level of the request's rank; 0 is the most urgent.
+    pub level: u8,
+    /// How long the waiting work is expected to delay the request.
+    pub wait_ms: u64,
+    /// The waiting work by the engine's priority.
+    pub waiting_ms: [u64; N_PRIORITIES],
+    /// The age of the oldest report of another node that the waiting work is based on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub waiting_age_ms: Option<u64>,
+}
+
 /// A queued line: the event serialized as JSON.
 #[derive(Debug)]
 struct Line(String);
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -260,6 +260,7 @@
                 relative_price: it.relative_price,
                 latency: self.latency(it),
             }),
+            priority: model.and_then(|it| self.contended_priority(it)),
             salt: hash::bytes(self.request.head.id.as_bytes()),
         }
     }
@@ -286,6 +287,7 @@
             attempt: self.n_attempts,
             busy: lease.outstanding,
             expected_ms: lease.expected_time_to_first_event.map(millis),
+            contention: self.contention(&lease),
             resumed_after: self.last_event_id,
             left_ms: millis(outgoing.time_left),
             configuration: self.configuration_version,
--- a/crates/curranthook_gateway/src/job/contention.rs
+++ b/crates/curranthook_gateway/src/job/contention.rs
@@ -2,8 +2,8 @@
 
 use curranthook_policy::rank::Rank;
 
-use super::Job;
-use crate::{Gateway, cascade, models::Candidate, settings::Contention};
+use super::{Job, millis};
+use crate::{Gateway, cascade, event, lease::Lease, models::Candidate, settings::Contention};
 
 fn is_by_rank(gateway: &Gateway) -> bool {
     gateway.settings.contention == Contention::ByRank
@@ -22,4 +22,22 @@
         let contention = self.gateway.settings.contention;
         cascade::engine_priority(self.priority, contention, model.relative_price)
     }
+
+    /// The same; `None` if decisions ignore ranks.
+    pub(super) fn contended_priority(&self, model: &Candidate) -> Option<u8> {
+        is_by_rank(&self.gateway).then(|| self.engine_priority(model))
+    }
+
+    /// What the log states about requests that compete with this one; `None` if decisions ignore
+    /// ranks, and for services without models.
+    pub(super) fn contention(&self, lease: &Lease) -> Option<event::Contention> {
+        self.models.current().filter(|_| is_by_rank(&self.gateway))?;
+        let (work, age) = lease.waiting;
+        Some(event::Contention {
+            level: self.priority.level(),
+            wait_ms: millis(lease.queue_delay),
+            waiting_ms: work.by_priority().map(millis),
+            waiting_age_ms: age.map(millis),
+        })
+    }
 }
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -13,7 +13,7 @@
     directory::Outcome,
     entry::State,
     event::Event,
-    load::{prefill::Prompt, reports::PeerState},
+    load::{prefill::Prompt, reports::PeerState, work::Work},
     rate_limit,
     selection::{self, Choice, Criteria},
 };
@@ -35,13 +35,16 @@
     pub prompt: Prompt,
     /// The prefill time of the work that was queued ahead of the request.
     pub queue_delay: Duration,
+    /// All work that was queued at the endpoint, and the age of the oldest report of another node
+    /// that it is based on.
+    pub waiting: (Work, Option<Duration>),
     /// The expected time to the first event; `None` for a service without models.
     pub expected_time_to_first_event: Option<Duration>,
     /// How many idle connections this node may keep to the endpoint.
     pub max_idle: usize,
     /// When the endpoint started, in milliseconds of the wall clock; identifies its incarnation.
     started_ms: Option<u64>,
-    pending_prefill: Duration,
+    pending_prefill: Work,
     outcome: Outcome,
 }
 
@@ -68,11 +71,12 @@
         directory.remove_lapsed(now);
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
-        let Choice { prompt, outstanding, queue_delay, .. } = choice;
+        let Choice { prompt, outstanding, queue_delay, waiting, waiting_age, .. } = choice;
         let latency = criteria.model.map(|it| it.latency);
         let expected_time_to_first_event = latency.map(|it| choice.time_to_first_event(&it));
-        let pending_prefill =
-            latency.map_or(Duration::ZERO, |it| it.coefficients.prefill_time(prompt));
+        let prefill = latency.map_or(Duration::ZERO, |it| it.coefficients.prefill_time(prompt));
+        // Where priorities are ignored, all work is recorded as the most urgent.
+        let pending_prefill = Work::new(criteria.priority.unwrap_or_default(), prefill);
         let entry = choice.endpoint.entry.clone();
         directory.request_sent(&entry.id, pending_prefill, now);
         if let Some(prefix_hash) = criteria.prefix_hash {
@@ -93,6 +97,7 @@
             outstanding,
             prompt,
             queue_delay,
+            waiting: (waiting, waiting_age),
             expected_time_to_first_event,
             max_idle: max_idle.unwrap_or(usize::MAX),
             pending_prefill,
--- a/crates/curranthook_gateway/src/load.rs
+++ b/crates/curranthook_gateway/src/load.rs
@@ -4,10 +4,13 @@
 //!   filter in [`prefill`];
 //! - [`reports`] exchanges pending work with other nodes: in a small fleet with all of them, in a
 //!   large one with the endpoints' [`owners`];
-//! - [`table`] contains the work that other nodes reported.
+//! - [`table`] contains the work that other nodes reported;
+//! - [`work`] is pending work by priority, and [`breakdown`] its form in messages.
 
+pub mod breakdown;
 pub mod latency;
 pub mod owners;
 pub mod prefill;
 pub mod reports;
 pub mod table;
+pub mod work;
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -7,6 +7,7 @@
 //!
 //! [`owners`]: crate::load::owners
 
+mod datagram;
 mod limits;
 mod queries;
 
@@ -25,10 +26,19 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, affinity::Record, load::owners, rate_limit};
+use crate::{
+    Gateway,
+    affinity::Record,
+    load::{
+        breakdown::{self, Breakdown, PendingWork},
+        owners,
+        work::Work,
+    },
+    rate_limit,
+};
 
 use self::limits::Limit;
-pub use self::queries::query;
+pub use self::{datagram::datagram, queries::query};
 
 /// How often a node repeats its report while it has work pending.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -39,9 +49,9 @@
 const MIN_REPORTED_WORK: Duration = Duration::from_millis(10);
 /// The maximum size of a datagram, in bytes; a longer one is truncated on receipt and rejected as
 /// malformed. The limits below bound the contents of a report. What exceeds them is not reported.
-const MAX_DATAGRAM: usize = 1_400;
+pub const MAX_DATAGRAM: usize = 1_400;
 /// The maximum number of endpoints in a report, so that it fits into a datagram.
-const MAX_REPORTED_ENDPOINTS: usize = 32;
+pub const MAX_REPORTED_ENDPOINTS: usize = 32;
 
 /// The maximum number of prompts sent for prefill in a report, in addition to the endpoints with
 /// pending work.
@@ -51,21 +61,22 @@
 /// pending work.
 const MAX_REPORTED_UNREACHABLE: usize = 8;
 
-/// The work pending at each endpoint, as its expected prefill time.
-type PendingWork = HashMap<endpoint::Id, Duration>;
-
 /// A message between nodes.
 #[serde_as]
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Message {
+pub enum Message {
     /// The work that `node` has pending at endpoints; replaces its previous report.
     #[serde(rename = "notice")]
     Report {
+        /// The name of the node.
         node: String,
         /// The pending work.
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
-        waiting: PendingWork,
+        waiting: HashMap<endpoint::Id, Duration>,
+        /// The same by priority.
+        #[serde(default, skip_serializing_if = "Breakdown::is_empty")]
+        by_priority: Breakdown,
         /// The prompts that `node` sent for prefill since its previous report.
         #[serde(default, rename = "reads")]
         prefills: Vec<Record>,
@@ -74,11 +85,17 @@
         unreachable: Vec<endpoint::Id>,
     },
     /// Rate limits reported by endpoints.
-    Limits { limits: Vec<Limit> },
+    Limits {
+        /// The rate limits.
+        limits: Vec<Limit>,
+    },
     /// Asks how much work all nodes except `node` have pending at these endpoints.
     Question {
+        /// The id of the question, repeated in the answer.
         id: u64,
+        /// The name of the requesting node.
         node: String,
+        /// The endpoints.
         endpoints: Vec<endpoint::Id>,
         /// The prompt prefix whose holders are requested, if any: the hash of the model and the
         /// shared prompt parts.
@@ -87,10 +104,14 @@
     },
     /// The answer to a question.
     Answer {
+        /// The id of the question.
         id: u64,
         /// The pending work.
         #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
-        waiting: PendingWork,
+        waiting: HashMap<endpoint::Id, Duration>,
+        /// The same by priority.
+        #[serde(default, skip_serializing_if = "Breakdown::is_empty")]
+        by_priority: Breakdown,
         /// The endpoints that have prefilled the prompt prefix, if the question contains one.
         #[serde(default)]
         holders: Option<Vec<endpoint::Id>>,
@@ -170,9 +191,12 @@
         self.limits.push(endpoint, notice);
     }
 
-    async fn send(&self, message: &Message, addr: SocketAddr) {
-        let bytes = serde_json::to_vec(message).expect("a message can be written as JSON");
-        if let Err(e) = self.socket.send_to(&bytes, addr).await {
+    async fn send(&self, message: Message, addr: SocketAddr) {
+        self.send_bytes(&datagram(message), addr).await;
+    }
+
+    async fn send_bytes(&self, bytes: &[u8], addr: SocketAddr) {
+        if let Err(e) = self.socket.send_to(bytes, addr).await {
             log::debug!("cannot send to {addr}: {e}");
         }
     }
@@ -230,7 +254,8 @@
 async fn handle(gateway: &Gateway, reports: &Socket, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Report { node, waiting, prefills, unreachable } => {
+        Message::Report { node, waiting, by_priority, prefills, unreachable } => {
+            let waiting = join(waiting, &by_priority, from);
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.report_unreachable(it, now));
@@ -244,9 +269,12 @@
         Message::Question { id, node, endpoints, prefix_hash } => {
             let PeerState { waiting, holders, unreachable } =
                 local_state(gateway, endpoints, prefix_hash, &node);
-            reports.send(&Message::Answer { id, waiting, holders, unreachable }, from).await;
+            let (waiting, by_priority) = breakdown::split(&waiting);
+            let answer = Message::Answer { id, waiting, by_priority, holders, unreachable };
+            reports.send(answer, from).await;
         }
-        Message::Answer { id, waiting, holders, unreachable } => {
+        Message::Answer { id, waiting, by_priority, holders, unreachable } => {
+            let waiting = join(waiting, &by_priority, from);
             let query = reports.open_queries.lock().remove(&id);
             // The send fails if the query has already timed out.
             let _ignored =
@@ -255,6 +283,19 @@
     }
 }
 
+/// Joins the sums and the breakdown of a message from `from`.
+fn join(
+    waiting: HashMap<endpoint::Id, Duration>,
+    by_priority: &Breakdown,
+    from: SocketAddr,
+) -> PendingWork {
+    let (pending, n_dropped) = breakdown::join(waiting, by_priority);
+    if 0 < n_dropped {
+        log::debug!("malformed work of {n_dropped} endpoints from {from}");
+    }
+    pending
+}
+
 /// What this node knows from its own requests and from received reports: the work that all nodes
 /// except `requester` have pending at `endpoints`, which of these are unreachable, and the
 /// endpoints that have prefilled the prompt prefix.
@@ -270,7 +311,7 @@
     let own_name = &gateway.settings.node;
     let pending_work = |id: &endpoint::Id| {
         let others_work = load_table.waiting(id, requester, now);
-        let own_work = directory.get(id).map_or(Duration::ZERO, |it| it.pending);
+        let own_work = directory.get(id).map_or(Work::default(), |it| it.pending);
         // A node does not send reports to itself, so only other requesters get its own work added.
         if own_name == requester { others_work } else { others_work + own_work }
     };
@@ -291,7 +332,7 @@
 ) -> HashSet<SocketAddr> {
     let waiting: PendingWork = {
         let directory = gateway.directory.lock();
-        let busy = directory.all().filter(|it| MIN_REPORTED_WORK <= it.pending);
+        let busy = directory.all().filter(|it| MIN_REPORTED_WORK <= it.pending.total());
         busy.map(|it| (it.entry.id.clone(), it.pending)).take(MAX_REPORTED_ENDPOINTS).collect()
     };
     let prefills = std::mem::take(&mut *reports.prefills.lock());
@@ -306,7 +347,9 @@
             reported_to.insert(addr);
         }
         let node = gateway.settings.node.clone();
-        reports.send(&Message::Report { node, waiting, prefills, unreachable }, addr).await;
+        let (waiting, by_priority) = breakdown::split(&waiting);
+        let report = Message::Report { node, waiting, by_priority, prefills, unreachable };
+        reports.send(report, addr).await;
     }
     reported_to
 }
--- /dev/null
+++ b/crates/curranthook_gateway/src/load/reports/datagram.rs
@@ -0,0 +1,33 @@
+//! Encodes messages into datagrams.
+
+use super::{MAX_DATAGRAM, Message};
+
+/// The bytes of a message. From a report that exceeds [`MAX_DATAGRAM`], the priorities of the
+/// endpoints with the least waiting work are dropped first, and then prompts sent for prefill.
+/// Without its priorities, work counts as the most urgent until the next report, which only delays
+/// other requests; without its sum, the endpoint would seem idle.
+pub fn datagram(mut message: Message) -> Vec<u8> {
+    let mut bytes = to_vec(&message);
+    if let Some(excess) = excess(&bytes)
+        && let Message::Report { waiting, by_priority, .. } = &mut message
+    {
+        by_priority.shorten(waiting, excess);
+        bytes = to_vec(&message);
+    }
+    while MAX_DATAGRAM < bytes.len()
+        && let Message::Report { prefills, .. } = &mut message
+        && prefills.pop().is_some()
+    {
+        bytes = to_vec(&message);
+    }
+    bytes
+}
+
+/// The number of bytes over [`MAX_DATAGRAM`], if there are any.
+fn excess(bytes: &[u8]) -> Option<usize> {
+    bytes.len().checked_sub(MAX_DATAGRAM).filter(|it| 0 < *it)
+}
+
+fn to_vec(message: &Message) -> Vec<u8> {
+    serde_json::to_vec(message).expect("a message can be written as JSON")
+}
--- a/crates/curranthook_gateway/src/load/reports/limits.rs
+++ b/crates/curranthook_gateway/src/load/reports/limits.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::{Message, Socket};
+use super::{Message, Socket, datagram};
 use crate::{Gateway, event::Event, load::owners, rate_limit};
 
 /// The maximum number of limits in a datagram.
@@ -24,7 +24,7 @@
 /// An endpoint's report about its rate limit, as sent between nodes.
 #[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub(super) struct Limit {
+pub struct Limit {
     endpoint: endpoint::Id,
     /// The requests per second that the endpoint accepts; none if it reports no limit.
     rate: Option<f64>,
@@ -92,8 +92,8 @@
             false => others.collect(),
         }
     };
-    let message = Message::Limits { limits };
+    let bytes = datagram(Message::Limits { limits });
     for addr in others {
-        reports.send(&message, addr).await;
+        reports.send_bytes(&bytes, addr).await;
     }
 }
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -81,7 +81,7 @@
             reports.open_queries.lock().insert(id, tx.clone());
             open.insert(id, addr);
             let node = gateway.settings.node.clone();
-            reports.send(&Message::Question { id, node, endpoints, prefix_hash }, addr).await;
+            reports.send(Message::Question { id, node, endpoints, prefix_hash }, addr).await;
         }
         Self { gateway, reports, open, answers }
     }
--- a/crates/curranthook_gateway/src/load/table.rs
+++ b/crates/curranthook_gateway/src/load/table.rs
@@ -13,6 +13,8 @@
 
 use curranthook_types::endpoint;
 
+use crate::load::{breakdown::PendingWork, work::Work};
+
 /// How long a report is valid after it was received. A node with pending work repeats its report
 /// more often.
 const EXPIRY: Duration = Duration::from_millis(800);
@@ -20,12 +22,12 @@
 /// The last report of each node.
 #[derive(Debug, Default)]
 pub struct LoadTable {
-    nodes: HashMap<String, (Instant, HashMap<endpoint::Id, Duration>)>,
+    nodes: HashMap<String, (Instant, PendingWork)>,
 }
 
 impl LoadTable {
     /// Stores the report of `node`, in place of its previous one.
-    pub fn update(&mut self, node: String, pending: HashMap<endpoint::Id, Duration>, now: Instant) {
+    pub fn update(&mut self, node: String, pending: PendingWork, now: Instant) {
         self.nodes.insert(node, (now, pending));
     }
 
@@ -33,17 +35,35 @@
     ///
     /// ```
     /// # use std::{collections::HashMap, time::{Duration, Instant}};
-    /// # use curranthook_gateway::load::table::LoadTable;
+    /// # use curranthook_gateway::load::{table::LoadTable, work::Work};
     /// let (mut load_table, now) = (LoadTable::default(), Instant::now());
-    /// let work = Duration::from_millis(400);
+    /// let work = Work::new(7, Duration::from_millis(400));
     /// load_table.update("node-2".to_owned(), HashMap::from([("engine-1".into(), work)]), now);
     /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-1", now), work);
-    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-2", now), Duration::ZERO);
-    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-1", now + work * 3), Duration::ZERO);
+    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-2", now), Work::default());
+    /// let later = now + Duration::from_secs(1);
+    /// assert_eq!(load_table.waiting(&"engine-1".into(), "node-1", later), Work::default());
     /// ```
-    pub fn waiting(&self, endpoint: &endpoint::Id, requester: &str, now: Instant) -> Duration {
-        let others = self.nodes.iter().filter(|(node, _)| *node != requester);
-        let fresh = others.filter(|(_, (at, _))| now.saturating_duration_since(*at) < EXPIRY);
-        fresh.filter_map(|(_, (_, pending))| pending.get(endpoint)).sum()
+    pub fn waiting(&self, endpoint: &endpoint::Id, requester: &str, now: Instant) -> Work {
+        self.fresh(endpoint, requester, now).map(|(_, work)| *work).sum()
+    }
+
+    /// The age of the oldest report that [`Self::waiting`] counts; `None` if it counts none.
+    pub fn age(&self, endpoint: &endpoint::Id, requester: &str, now: Instant) -> Option<Duration> {
+        self.fresh(endpoint, requester, now).map(|(age, _)| age).max()
+    }
+
+    /// The age of each report that is valid, and the work that it states for an endpoint.
+    fn fresh(
+        &self,
+        endpoint: &endpoint::Id,
+        requester: &str,
+        now: Instant,
+    ) -> impl Iterator<Item = (Duration, &Work)> {
+        let others = self.nodes.iter().filter(move |(node, _)| *node != requester);
+        others.filter_map(move |(_, (at, pending))| {
+            let age = now.saturating_duration_since(*at);
+            Some(age).filter(|it| *it < EXPIRY).zip(pending.get(endpoint))
+        })
     }
 }
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -12,7 +12,7 @@
 use crate::{
     Gateway, cascade,
     directory::{Directory, Permits, Tracked},
-    load::{latency::Estimate, owners, prefill::Prompt, reports::PeerState},
+    load::{latency::Estimate, owners, prefill::Prompt, reports::PeerState, work::Work},
     permit,
     placement::{self, CacheHolders, Candidate, Locality, Task},
     rate_limit,
@@ -44,6 +44,9 @@
     pub prompt_tokens: u64,
     /// The model; `None` for a service without models.
     pub model: Option<TargetModel>,
+    /// The priority that the request has at an engine with that model; `None` if decisions ignore
+    /// how requests compete for capacity.
+    pub priority: Option<u8>,
     /// A value that differs between requests, to break ties.
     pub salt: u64,
 }
@@ -85,6 +88,11 @@
     pub outstanding: u32,
     /// The prefill time of the work that is queued at the endpoint ahead of the request.
     pub queue_delay: Duration,
+    /// All work that is queued at the endpoint.
+    pub waiting: Work,
+    /// The age of the oldest report of another node that `waiting` is based on; `None` if it is
+    /// based on no report, or on an answer to this node's question.
+    pub waiting_age: Option<Duration>,
 }
 
 impl Choice<'_> {
@@ -113,14 +121,16 @@
     let (holders, candidates) = candidates(gateway, &endpoints, criteria, peer_state, now);
     let index = placement::choose(&candidates, &criteria.task(holders))?;
     let endpoint = endpoints[index];
+    let id = &endpoint.entry.id;
+    let waiting = endpoint.pending + remote_queue(gateway, id, peer_state, now);
+    let is_answered = peer_state.waiting.contains_key(id);
+    let reported_age = || gateway.load_table.lock().age(id, &gateway.settings.node, now);
     Some(Choice {
         prompt: criteria.prompt(candidates[index].has_prefix_cached),
         outstanding: endpoint.estimated_requests(now),
-        queue_delay: queue_delay(
-            endpoint,
-            criteria,
-            remote_queue(gateway, &endpoint.entry.id, peer_state, now),
-        ),
+        queue_delay: queue_delay(&waiting, criteria),
+        waiting,
+        waiting_age: if is_answered { None } else { reported_age() },
         endpoint,
     })
 }
@@ -253,7 +263,7 @@
     id: &endpoint::Id,
     peer_state: &PeerState,
     now: Instant,
-) -> Duration {
+) -> Work {
     let reported = peer_state.waiting.get(id).copied();
     reported.unwrap_or_else(|| gateway.load_table.lock().waiting(id, &gateway.settings.node, now))
 }
@@ -301,12 +311,12 @@
 fn expected_wait(
     endpoint: &Tracked,
     criteria: &Criteria<'_>,
-    remote_queue: Duration,
+    remote_queue: Work,
     now: Instant,
 ) -> Duration {
     let outstanding = endpoint.estimated_requests(now);
     if let Some(model) = criteria.model {
-        return queue_delay(endpoint, criteria, remote_queue)
+        return queue_delay(&(endpoint.pending + remote_queue), criteria)
             + model.latency.coefficients.delay_per_concurrent_request() * outstanding;
     }
     // One millisecond per outstanding request prefers the less loaded of endpoints with free slots.
@@ -316,14 +326,14 @@
 }
 
 /// The time that queued work delays the request.
-fn queue_delay(endpoint: &Tracked, criteria: &Criteria<'_>, remote_queue: Duration) -> Duration {
-    let waiting = endpoint.pending + remote_queue;
-    // Engines serve small models first, so requests to them only wait for the prefill that is in
-    // progress, which is taken to be an eighth of the queued work.
+fn queue_delay(waiting: &Work, criteria: &Criteria<'_>) -> Duration {
+    if let Some(priority) = criteria.priority {
+        return waiting.wait(priority);
+    }
     let is_small_model = criteria
         .model
         .is_some_and(|it| it.relative_price < cascade::LARGE_MODEL_MIN_RELATIVE_PRICE);
-    if is_small_model { waiting / 8 } else { waiting }
+    waiting.wait_ignoring_priorities(is_small_model)
 }
 
 fn locality(gateway: &Gateway, endpoint: &Tracked) -> Locality {
--- a/crates/curranthook_gateway/tests/node_state.rs
+++ b/crates/curranthook_gateway/tests/node_state.rs
@@ -5,6 +5,7 @@
 use curranthook_gateway::{
     directory::{Directory, Outcome},
     entry::{Entry, State},
+    load::work::Work,
     mirror::{ChangesError, Mirror},
     store::{Batch, Rev, Row, Table},
 };
@@ -102,7 +103,7 @@
     let id = "e-1".into();
     let mut ejection_times = Vec::new();
     for _ in 0..5 {
-        directory.request_ended(&id, Outcome::ConnectionLost, Duration::ZERO, now);
+        directory.request_ended(&id, Outcome::ConnectionLost, Work::default(), now);
         let tracked = directory.get(&id).unwrap();
         let until = (0..100)
             .map(|it| it * 100)
@@ -110,7 +111,7 @@
         ejection_times.push(until.unwrap());
     }
     assert_eq!(ejection_times, [400, 800, 1_600, 3_200, 4_000]);
-    directory.request_ended(&id, Outcome::Answered, Duration::ZERO, now);
+    directory.request_ended(&id, Outcome::Answered, Work::default(), now);
     assert!(!directory.get(&id).unwrap().is_ejected(now));
 }
 
@@ -120,7 +121,7 @@
 fn a_restarted_endpoint_starts_with_a_clean_state() {
     let (mut directory, now) = (Directory::default(), Instant::now());
     directory.upsert(entry("e-1", "v1"), now);
-    directory.request_ended(&"e-1".into(), Outcome::ConnectionLost, Duration::ZERO, now);
+    directory.request_ended(&"e-1".into(), Outcome::ConnectionLost, Work::default(), now);
     directory.upsert(Entry { started_ms: Some(7), ..entry("e-1", "v1") }, now);
     assert!(!directory.get(&"e-1".into()).unwrap().is_ejected(now));
 }
@@ -158,7 +159,7 @@
     let (mut directory, now) = (Directory::default(), Instant::now());
     directory.upsert(entry("e-1", "v1"), now);
     assert!(!directory.has_recent_answer(now));
-    directory.first_byte_received(&"e-1".into(), Duration::ZERO, None, now);
+    directory.first_byte_received(&"e-1".into(), Work::default(), None, now);
     assert!(directory.has_recent_answer(now));
     assert!(!directory.has_recent_answer(now + Duration::from_secs(2)));
 }
--- /dev/null
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -0,0 +1,340 @@
+//! Work that waits at engines, by priority: how it delays requests, and how nodes report it.
+
+use std::{collections::HashMap, time::Duration};
+
+use curranthook_gateway::{
+    affinity::Record,
+    cascade::{self, Forecast, Targets},
+    load::{
+        breakdown::{self, Breakdown, PendingWork},
+        latency::{Estimate, Estimator},
+        prefill::Prompt,
+        reports::{self, MAX_DATAGRAM, MAX_REPORTED_ENDPOINTS, Message},
+        table::LoadTable,
+        work::Work,
+    },
+    placement::{self, CacheHolders, Candidate, Locality, Task},
+    settings::Contention,
+};
+use curranthook_policy::rank::Rank;
+use curranthook_types::endpoint;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+/// The most urgent requests of an account with the usual priority, and the least urgent ones.
+const URGENT: Rank = Rank { account: Some(1), route: 0 };
+const LEAST_URGENT: Rank = Rank { account: Some(1), route: 2 };
+/// What callers of the most urgent requests expect.
+const TARGETS: Targets =
+    Targets { objective: Duration::from_secs(2), deadline: Duration::from_secs(15) };
+/// The prompt of such a request.
+const PROMPT_TOKENS: u64 = 1_460;
+/// The prefill time of the least urgent prompts that wait at each engine.
+const BURST: Duration = Duration::from_secs(5);
+const LARGE_MODEL: f64 = 1.0;
+const SMALL_MODEL: f64 = 0.1;
+
+fn priority(rank: Rank, relative_price: f64) -> u8 {
+    cascade::engine_priority(rank, Contention::ByRank, relative_price)
+}
+
+fn burst() -> Work {
+    Work::new(priority(LEAST_URGENT, LARGE_MODEL), BURST)
+}
+
+fn latency(relative_price: f64) -> Estimate {
+    Estimator::default().estimate("engines", "model", relative_price)
+}
+
+fn forecast(relative_price: f64, wait: Duration, cost: f64) -> Forecast {
+    let prompt = Prompt::new(PROMPT_TOKENS, 0);
+    let first = latency(relative_price).time_to_first_event(prompt, 20, wait);
+    Forecast {
+        time_to_first_event: first,
+        time_to_last_event: first + Duration::from_secs(1),
+        cost,
+    }
+}
+
+/// Whether an urgent request with a poor answer of a small model goes to the largest one.
+fn escalates(large_wait: Duration) -> bool {
+    let small = forecast(SMALL_MODEL, Duration::ZERO, 0.0);
+    let large = forecast(LARGE_MODEL, large_wait, cascade::LARGE_MODEL_COST);
+    cascade::should_escalate(10, &small, &large, &TARGETS)
+}
+
+/// A burst of long, least urgent prompts waits at all engines. Guards against urgent requests that
+/// get the poor answers of small models, although engines would serve them before the burst.
+#[test]
+fn a_burst_of_less_urgent_work_does_not_hold_up_urgent_requests() {
+    let large = forecast(LARGE_MODEL, burst().wait(priority(URGENT, LARGE_MODEL)), 0.0);
+    assert!(large.time_to_first_event <= TARGETS.objective, "{large:?}");
+    assert!(escalates(burst().wait(priority(URGENT, LARGE_MODEL))));
+    let small = burst().wait(priority(URGENT, SMALL_MODEL));
+    assert!(small <= burst().wait_ignoring_priorities(true), "{small:?}");
+}
+
+/// The counterpart: guards against forecasts that overlook work which is served first.
+#[parameterized(
+    of_same_priority = { URGENT, URGENT },
+    of_more_urgent_requests = { URGENT, LEAST_URGENT },
+)]
+fn work_that_is_not_less_urgent_counts_in_full(of: Rank, request: Rank) {
+    let waiting = Work::new(priority(of, LARGE_MODEL), BURST);
+    assert_eq!(waiting.wait(priority(request, LARGE_MODEL)), BURST);
+    assert!(!escalates(waiting.wait(priority(request, LARGE_MODEL))));
+}
+
+/// Guards against decisions that change on deployments where requests do not compete: there, all
+/// work counts as before, whatever its priority.
+#[test]
+fn decisions_are_as_before_if_contention_is_ignored() {
+    for work in [burst(), BURST.into(), Work::new(2, BURST / 2) + Work::new(8, BURST / 2)] {
+        assert_eq!(work.wait_ignoring_priorities(false), BURST);
+        assert_eq!(work.wait_ignoring_priorities(true), BURST / 8);
+    }
+    assert!(!escalates(burst().wait_ignoring_priorities(false)));
+    for account in [None, Some(0), Some(1), Some(3), Some(200)] {
+        for route in [0, 1, 2, 3, 200] {
+            let rank = Rank { account, route };
+            let before = account.unwrap_or(route).min(3);
+            let now = |price| cascade::engine_priority(rank, Contention::Ignored, price);
+            assert_eq!((now(SMALL_MODEL), now(LARGE_MODEL)), (before, before + 4), "{rank:?}");
+        }
+    }
+}
+
+/// Guards against priorities that engines do not accept, and against requests to a small model that
+/// wait behind those to the largest one.
+#[test]
+fn engine_priorities_by_rank_are_0_to_9() {
+    for account in [None, Some(0), Some(1), Some(2), Some(200)] {
+        for route in [0, 1, 2, 200] {
+            let rank = Rank { account, route };
+            assert_eq!(priority(rank, SMALL_MODEL), rank.level());
+            assert_eq!(priority(rank, LARGE_MODEL), rank.level() + 5);
+            assert!(priority(rank, LARGE_MODEL) <= 9);
+        }
+    }
+}
+
+/// Guards against urgent requests that avoid an engine with much less urgent work, and go to one
+/// where more urgent work is ahead of them.
+#[test]
+fn placement_prefers_the_engine_with_less_work_ahead() {
+    let engines = [burst(), Work::new(priority(URGENT, LARGE_MODEL), Duration::from_secs(1))];
+    let choose = |wait: &dyn Fn(&Work) -> Duration| {
+        let candidate = |(index, work): (u64, &Work)| Candidate {
+            id_hash: index,
+            wait: wait(work),
+            failure_rate: 0.0,
+            locality: Locality::SameDomain,
+            has_prefix_cached: false,
+        };
+        let candidates: Vec<_> = (0..).zip(&engines).map(candidate).collect();
+        let holders = CacheHolders::Known;
+        let task = Task { prefix_hash: None, prefix_prefill: Duration::ZERO, holders, salt: 7 };
+        placement::choose(&candidates, &task)
+    };
+    assert_eq!(choose(&|it| it.wait(priority(URGENT, LARGE_MODEL))), Some(0));
+    assert_eq!(choose(&|it| it.wait(priority(LEAST_URGENT, LARGE_MODEL))), Some(1));
+    assert_eq!(choose(&|it| it.wait_ignoring_priorities(false)), Some(1));
+}
+
+/// Guards against work that remains, or is taken from another request's priority, when a request
+/// ends.
+#[test]
+fn work_is_removed_at_its_priority() {
+    let (urgent, burst) = (Work::new(7, BURST), burst());
+    assert_eq!((urgent + burst).saturating_sub(urgent), burst);
+    assert_eq!(burst.saturating_sub(urgent), burst);
+    assert_eq!(Work::new(200, BURST), Work::new(9, BURST));
+}
+
+fn pending(endpoints: &[(&str, Work)]) -> PendingWork {
+    endpoints.iter().map(|(id, work)| ((*id).into(), *work)).collect()
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Decodes a message as a node that receives it.
+fn receive(message: Value) -> (PendingWork, usize) {
+    match serde_json::from_value(message).expect("the message is decoded") {
+        Message::Report { waiting, by_priority, .. }
+        | Message::Answer { waiting, by_priority, .. } => breakdown::join(waiting, &by_priority),
+        Message::Limits { .. } | Message::Question { .. } => panic!("no pending work"),
+    }
+}
+
+/// Guards against reports and answers of nodes of an older build that are rejected, or whose work
+/// is overlooked: it counts as the most urgent.
+#[test]
+fn messages_without_priorities_count_as_most_urgent() {
+    let report = json!({ "notice": { "node": "n-1", "waiting": { "e-1": 400, "e-2": 30 } } });
+    let answer = json!({ "answer": { "id": 3, "waiting": { "e-1": 400, "e-2": 30 } } });
+    for message in [report, answer] {
+        let expected = pending(&[("e-1", ms(400).into()), ("e-2", ms(30).into())]);
+        assert_eq!(receive(message), (expected, 0));
+    }
+}
+
+/// Guards against work that is lost or changes its priority between two nodes, and against a sum
+/// that an older build would read differently.
+#[test]
+fn reported_priorities_are_received() {
+    let work = pending(&[
+        ("e-1", Work::new(2, ms(120)) + Work::new(9, ms(3_400))),
+        ("e-2", ms(30).into()),
+        ("e-0", Work::new(7, Duration::from_micros(10_600)) + Work::new(8, ms(1))),
+    ]);
+    let (waiting, by_priority) = breakdown::split(&work);
+    assert_eq!(waiting[&endpoint::Id::new("e-1")], ms(3_520));
+    let waiting: HashMap<_, _> = waiting.into_iter().map(|(id, it)| (id, it.as_millis())).collect();
+    let fields = json!({ "node": "n-1", "waiting": waiting, "by_priority": by_priority });
+    let received = receive(json!({ "notice": fields }));
+    let rounded = Work::new(7, ms(11)) + Work::new(8, ms(1));
+    let expected = pending(&[("e-0", rounded)]).into_iter().chain(work).collect::<Vec<_>>();
+    assert_eq!(received.1, 0);
+    assert_eq!(received.0.len(), 3);
+    assert!(expected.iter().all(|(id, work)| id.as_str() == "e-0" || received.0[id] == *work));
+    assert_eq!(received.0[&endpoint::Id::new("e-0")], rounded);
+}
+
+/// Guards against a report that is lost, or work that seems less urgent than it is, because its
+/// priorities are malformed. The sums count as the most urgent.
+#[parameterized(
+    no_list = { json!(7), 2 },
+    not_a_list = { json!({ "e-1": [[7, 400]] }), 2 },
+    too_few_lists = { json!([[[7, 400]]]), 2 },
+    too_many_lists = { json!([[[7, 400]], [[7, 30]], [[7, 30]]]), 2 },
+    not_pairs = { json!([[7, 400], [7, 30]]), 2 },
+    negative = { json!([[[7, -400]], [[7, 30]]]), 2 },
+    not_a_number = { json!([[["x", 400]], [[7, 30]]]), 2 },
+    too_long = { json!([(0..11).map(|it| [it, 40]).collect::<Vec<_>>(), [[0, 30]]]), 1 },
+    repeated_priority = { json!([[[7, 200], [7, 200]], []]), 1 },
+    no_such_priority = { json!([[[10, 400]], [[0, 30]]]), 1 },
+    sum_too_small = { json!([[[7, 399]], [[0, 30]]]), 1 },
+    sum_too_large = { json!([[[7, 400], [8, 1]], [[0, 30]]]), 1 },
+    sum_overflows = { json!([[[7, 400], [8, u64::MAX]], [[0, 30]]]), 1 },
+)]
+fn malformed_priorities_count_as_most_urgent(by_priority: Value, n_dropped: usize) {
+    let waiting = json!({ "e-1": 400, "e-2": 30 });
+    let fields = json!({ "node": "n-1", "waiting": waiting, "by_priority": by_priority });
+    let expected = pending(&[("e-1", ms(400).into()), ("e-2", ms(30).into())]);
+    assert_eq!(receive(json!({ "notice": fields })), (expected, n_dropped));
+}
+
+/// Guards against a sum that no message could state: the owner of the endpoint's load would crash
+/// when it adds the sums of two nodes and answers a question.
+#[test]
+fn sums_out_of_range_are_dropped() {
+    let waiting = json!({ "e-1": u64::MAX, "e-2": 30 });
+    let report = json!({ "notice": { "node": "n-1", "waiting": waiting } });
+    assert_eq!(receive(report), (pending(&[("e-2", ms(30).into())]), 1));
+}
+
+/// Guards against other bytes on the wire where no request has a priority: a node of an older build
+/// reads the same as before.
+#[test]
+fn work_without_priorities_is_reported_as_before() {
+    let (waiting, by_priority) = breakdown::split(&pending(&[("e-1", ms(400).into())]));
+    assert!(by_priority.is_empty());
+    let message = report(waiting, by_priority, 0);
+    let text = String::from_utf8(reports::datagram(message)).unwrap();
+    let before = r#"{"notice":{"node":"edge-vn-south-a-2","waiting":{"e-1":400},"reads":[],"unreachable":[]}}"#;
+    assert_eq!(text, before);
+}
+
+fn report(
+    waiting: HashMap<endpoint::Id, Duration>,
+    by_priority: Breakdown,
+    n_prefills: usize,
+) -> Message {
+    let id = || endpoint::Id::new("i-7ceb459a0f");
+    let prefill = || Record { prefix_hash: u64::MAX, endpoint: id() };
+    Message::Report {
+        node: "edge-vn-south-a-2".to_owned(),
+        waiting,
+        by_priority,
+        prefills: (0..n_prefills).map(|_| prefill()).collect(),
+        unreachable: Vec::new(),
+    }
+}
+
+/// The work of a burst at as many endpoints as a report may contain: large prompts of two
+/// priorities, the less the later the endpoint's id.
+fn busiest() -> PendingWork {
+    let work = |n: u64| Work::new(7, ms(4_000 - n)) + Work::new(9, ms(5_000));
+    let id = |n: u64| endpoint::Id::new(format!("i-7ceb459a{n:02}"));
+    (0..MAX_REPORTED_ENDPOINTS as u64).map(|n| (id(n), work(n))).collect()
+}
+
+fn received(bytes: &[u8]) -> (PendingWork, Vec<Record>) {
+    match serde_json::from_slice(bytes).unwrap() {
+        Message::Report { waiting, by_priority, prefills, .. } => {
+            let (work, n_dropped) = breakdown::join(waiting, &by_priority);
+            assert_eq!(n_dropped, 0);
+            (work, prefills)
+        }
+        _ => panic!("a report is sent"),
+    }
+}
+
+/// Guards against a report that exceeds the datagram, which receivers reject as malformed.
+#[test]
+fn priorities_at_32_endpoints_fit_a_datagram() {
+    let (waiting, by_priority) = breakdown::split(&busiest());
+    let bytes = reports::datagram(report(waiting, by_priority, 0));
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+    assert_eq!(received(&bytes).0, busiest());
+}
+
+/// Beside prompts sent for prefill, not all priorities fit. Guards against sums or prompts that are
+/// dropped in their place, and against the loss of those of the busiest endpoints.
+#[test]
+fn priorities_of_the_least_work_are_dropped_first() {
+    let (waiting, by_priority) = breakdown::split(&busiest());
+    let bytes = reports::datagram(report(waiting, by_priority, 4));
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+    let (work, prefills) = received(&bytes);
+    assert_eq!(prefills.len(), 4);
+    let mut sorted: Vec<_> = work.into_iter().collect();
+    sorted.sort_by(|(id, _), (other, _)| id.cmp(other));
+    let is_kept = |(id, work): &(endpoint::Id, Work)| *work == busiest()[id];
+    let n_kept = sorted.iter().take_while(|it| is_kept(it)).count();
+    assert!((10..MAX_REPORTED_ENDPOINTS).contains(&n_kept), "{n_kept} kept");
+    for (id, work) in &sorted[n_kept..] {
+        assert_eq!(*work, busiest()[id].total().into(), "{id}");
+    }
+}
+
+/// Guards against a report that exceeds the datagram even without priorities.
+#[test]
+fn prompts_are_dropped_before_sums() {
+    let id = |n: usize| endpoint::Id::new(format!("{n:02}-{}", "x".repeat(20)));
+    let work: PendingWork =
+        (0..MAX_REPORTED_ENDPOINTS).map(|n| (id(n), Work::new(9, ms(5_000)))).collect();
+    let (waiting, by_priority) = breakdown::split(&work);
+    let bytes = reports::datagram(report(waiting, by_priority, 8));
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+    let (received, prefills) = received(&bytes);
+    let sums: PendingWork = work.into_iter().map(|(id, it)| (id, it.total().into())).collect();
+    assert_eq!(received, sums);
+    assert!(prefills.len() < 8);
+}
+
+/// Guards against a sum over nodes that mixes priorities or counts outdated reports.
+#[test]
+fn reports_of_several_nodes_add_up_by_priority() {
+    let (mut table, now) = (LoadTable::default(), std::time::Instant::now());
+    table.update("n-1".to_owned(), pending(&[("e-1", Work::new(2, ms(100)))]), now);
+    table.update("n-2".to_owned(), pending(&[("e-1", Work::new(9, ms(300)))]), now + ms(500));
+    let (id, later) = ("e-1".into(), now + ms(600));
+    let sum = Work::new(2, ms(100)) + Work::new(9, ms(300));
+    assert_eq!(table.waiting(&id, "n-3", later), sum);
+    assert_eq!(table.age(&id, "n-3", later), Some(ms(600)));
+    assert_eq!(table.waiting(&id, "n-3", later + ms(300)), Work::new(9, ms(300)));
+    assert_eq!(table.age(&id, "n-3", later + ms(2_000)), None);
+}
