--- /dev/null
+++ b/crates/curranthook_gateway/src/job/contention.rs
@@ -0,0 +1,43 @@
+//! The rank of a request among those that compete for the same engines.
+
+use curranthook_policy::rank::Rank;
+
+use super::{Job, millis};
+use crate::{Gateway, cascade, event, lease::Lease, models::Candidate, settings::Contention};
+
+fn is_by_rank(gateway: &Gateway) -> bool {
+    gateway.settings.contention == Contention::ByRank
+}
+
+/// Counts a request by the level of its rank, unless decisions ignore ranks.
+pub(super) fn record_level(gateway: &Gateway, rank: Rank) {
+    if is_by_rank(gateway) {
+        gateway.metrics.record_level(rank.level());
+    }
+}
+
+impl Job {
+    /// The priority at an engine if `model` is to answer.
+    pub(super) fn engine_priority(&self, model: &Candidate) -> u8 {
+        let contention = self.gateway.settings.contention;
+        cascade::engine_priority(self.priority, contention, model.relative_price)
+    }
+
+    /// The same; `None` if decisions ignore ranks.
+    pub(super) fn contended_priority(&self, model: &Candidate) -> Option<u8> {
+        is_by_rank(&self.gateway).then(|| self.engine_priority(model))
+    }
+
+    /// What the log states about requests that compete with this one; `None` if decisions ignore
+    /// ranks, and for services without models.
+    pub(super) fn contention(&self, lease: &Lease) -> Option<event::Contention> {
+        self.models.current().filter(|_| is_by_rank(&self.gateway))?;
+        let (work, age) = lease.waiting;
+        Some(event::Contention {
+            level: self.priority.level(),
+            wait_ms: millis(lease.queue_delay),
+            waiting_ms: work.by_priority().map(millis),
+            waiting_age_ms: age.map(millis),
+        })
+    }
+}
