Estimate how much slower than usual an endpoint works

Cause: endpoints differ lastingly in speed and are slowed further for short periods; the figure that they report is read and not used.

--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! A request passes [`limit`] (is the account within its rate limit?), [`rollout`] and [`choice`]
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
-//! [`poison`]. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
+//! [`poison`]. [`slowdown`] estimates the speed of endpoints that report it. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
 
 pub mod baseline;
@@ -18,4 +18,5 @@
 pub mod queue;
 pub mod retry;
 pub mod rollout;
+pub mod slowdown;
 pub mod verdict;
