Place requests by endpoints' slowdown, and share it between nodes

Cause: nodes discarded the slowdown that endpoints report; slow engines got queues while fast ones were idle, and first events were late. Change: waits, the request's own time and the prefill of its prefix are multiplied by the expected factor in placement and forecasts, intervals between events by the lasting one; estimates of models learn from times divided by it. Nodes report figures to the load owners and get the newest with answers. The shortlist draws endpoints in proportion to their speed, so that slow ones are still asked when all fast ones are busy.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use curranthook_policy::slowdown;
 use curranthook_types::{domain, endpoint};
 
 use crate::{
@@ -242,6 +243,18 @@
         self.advertised(incarnation, now).is_some_and(|it| it.set_rate_limit(notice))
     }
 
+    /// Records how long work takes at an endpoint, as reported by the incarnation that started at
+    /// `started_ms`. Returns whether that is the known one.
+    pub fn record_slowdown(
+        &mut self,
+        id: &endpoint::Id,
+        started_ms: Option<u64>,
+        figure: slowdown::Figure,
+    ) -> bool {
+        let known = self.endpoints.get_mut(id).filter(|it| it.entry.started_ms == started_ms);
+        known.map(|it| it.slowdown.record(figure)).is_some()
+    }
+
     /// Marks an endpoint as leaving. Returns whether it was not marked before.
     pub fn set_leaving(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         let known = self.advertised(incarnation, now);
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, slowdown};
 
 use crate::{
     advertised::Advertised,
@@ -40,6 +40,8 @@
     /// The load that the endpoint last reported, when it did, and how many requests this node had
     /// in flight there at that time.
     pub(super) load: Option<(Load, Instant, u32)>,
+    /// How long work takes at the endpoint, according to its own reports.
+    pub slowdown: slowdown::Estimate,
     /// The length of its last ejection; zero after an answer.
     pub(super) ejection_time: Duration,
     pub(super) ejected_until: Option<Instant>,
@@ -66,6 +68,7 @@
             pending: Duration::ZERO,
             failures: 0.0,
             load: None,
+            slowdown: slowdown::Estimate::default(),
             ejection_time: Duration::ZERO,
             ejected_until: None,
             unreachable_since: None,
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -85,6 +85,12 @@
         attempt: u32,
         busy: u32,
         expected_ms: Option<u64>,
+        /// The slowdown expected of the endpoint and the age of its newest figure, if it reported
+        /// one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowdown: Option<f64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowdown_age_ms: Option<u64>,
         resumed_after: Option<u64>,
         left_ms: u64,
         configuration: u64,
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -286,6 +286,8 @@
             attempt: self.n_attempts,
             busy: lease.outstanding,
             expected_ms: lease.expected_time_to_first_event.map(millis),
+            slowdown: lease.slowdown.age.map(|_| lease.slowdown.expected.value()),
+            slowdown_age_ms: lease.slowdown.age.map(millis),
             resumed_after: self.last_event_id,
             left_ms: millis(outgoing.time_left),
             configuration: self.configuration_version,
@@ -326,13 +328,13 @@
                 prompt: lease.prompt,
                 outstanding: lease.outstanding,
                 queue_delay: lease.queue_delay,
-                elapsed: exchange.time_to_first_byte,
+                elapsed: lease.first_event_slowdown().unscale(exchange.time_to_first_byte),
             };
             let mut estimator = self.gateway.latency_estimator.lock();
             estimator.record_first_event(&self.service, &it.name, it.relative_price, first_event);
         }
-        if exchange.reply.status.is_success() && self.try_escalate(exchange.reply.confidence).await
-        {
+        let (confidence, slowdown) = (exchange.reply.confidence, exchange.lease.lasting_slowdown());
+        if exchange.reply.status.is_success() && self.try_escalate(confidence, slowdown).await {
             exchange.close(Outcome::Answered);
             return None;
         }
@@ -348,14 +350,15 @@
     }
 
     /// Records a stream of `n_events` that ended `elapsed` after its first event.
-    pub fn record_stream(&self, version: &str, n_events: u32, elapsed: Duration) {
+    pub fn record_stream(&self, lease: &Lease, n_events: u32, elapsed: Duration) {
         if let Some(it) = self.models.current() {
+            let usual = lease.lasting_slowdown().unscale(elapsed);
             let mut estimator = self.gateway.latency_estimator.lock();
-            estimator.record_stream(&self.service, &it.name, it.relative_price, n_events, elapsed);
+            estimator.record_stream(&self.service, &it.name, it.relative_price, n_events, usual);
         }
         if let Some(interval) = elapsed.checked_div(n_events.saturating_sub(1)) {
             let mut rollouts = self.gateway.rollouts.lock();
-            rollouts.record_stream_end(&self.service, version, self.kind(), interval);
+            rollouts.record_stream_end(&self.service, &lease.version, self.kind(), interval);
         }
     }
 
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use curranthook_policy::slowdown::{Factor, Figure, Outlook};
 use curranthook_types::endpoint;
 
 use crate::{
@@ -35,6 +36,8 @@
     pub prompt: Prompt,
     /// The prefill time of the work that was queued ahead of the request.
     pub queue_delay: Duration,
+    /// How long work was expected to take at the endpoint when the lease was acquired.
+    pub slowdown: Outlook,
     /// The expected time to the first event; `None` for a service without models.
     pub expected_time_to_first_event: Option<Duration>,
     /// How many idle connections this node may keep to the endpoint.
@@ -68,7 +71,10 @@
         directory.remove_lapsed(now);
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
-        let Choice { prompt, outstanding, queue_delay, .. } = choice;
+        let Choice { prompt, outstanding, queue_delay, slowdown, .. } = choice;
+        if slowdown.age.is_some() {
+            gateway.metrics.record_slowdown(slowdown.expected);
+        }
         let latency = criteria.model.map(|it| it.latency);
         let expected_time_to_first_event = latency.map(|it| choice.time_to_first_event(&it));
         let pending_prefill =
@@ -93,6 +99,7 @@
             outstanding,
             prompt,
             queue_delay,
+            slowdown,
             expected_time_to_first_event,
             max_idle: max_idle.unwrap_or(usize::MAX),
             pending_prefill,
@@ -119,10 +126,44 @@
         // A failed response may lack headers that the endpoint sends in all others.
         let states_limit = completeness == Completeness::Whole || notice.rate.is_some();
         let is_changed = states_limit && directory.set_rate_limit(&incarnation, &notice, now);
+        // Only a response to this request is evidence of the endpoint's speed.
+        let figure = reply.load.and_then(|it| it.slowdown).and_then(Factor::new);
+        let figure = figure.filter(|_| completeness == Completeness::Whole);
+        let figure = figure.map(|factor| Figure { factor, at: now });
+        let figure = figure.filter(|it| directory.record_slowdown(&self.id, self.started_ms, *it));
         drop(directory);
         if is_changed {
             self.report_rate_limit(notice);
         }
+        if let Some(figure) = figure {
+            self.report_slowdown(figure);
+        }
+    }
+
+    fn report_slowdown(&self, figure: Figure) {
+        self.gateway.metrics.record_slowdown_figures("response", 1);
+        if let Some(reports) = self.gateway.load_reports.get() {
+            reports.queue_slowdown(&self.id, self.started_ms, figure);
+            self.gateway.pending_work_changed.wake();
+        }
+    }
+
+    /// The slowdown by which the time to the first event is divided to learn the usual time: the
+    /// one that was expected. If none was known, the response that reported the first one counts.
+    pub fn first_event_slowdown(&self) -> Factor {
+        let now = self.gateway.now();
+        let current = || {
+            let directory = self.gateway.directory.lock();
+            directory.get(&self.id).map(|it| it.slowdown.expected(now))
+        };
+        let known = self.slowdown.age.map(|_| self.slowdown.expected);
+        known.or_else(current).unwrap_or(Factor::USUAL)
+    }
+
+    /// The endpoint's lasting slowdown as known now.
+    pub fn lasting_slowdown(&self) -> Factor {
+        let directory = self.gateway.directory.lock();
+        directory.get(&self.id).map_or(self.slowdown.lasting, |it| it.slowdown.lasting())
     }
 
     fn report_rate_limit(&self, notice: rate_limit::Notice) {
--- a/crates/curranthook_gateway/src/load.rs
+++ b/crates/curranthook_gateway/src/load.rs
@@ -4,10 +4,12 @@
 //!   filter in [`prefill`];
 //! - [`reports`] exchanges pending work with other nodes: in a small fleet with all of them, in a
 //!   large one with the endpoints' [`owners`];
+//! - [`slowdowns`] encodes the endpoints' slowdowns that nodes tell each other;
 //! - [`table`] contains the work that other nodes reported.
 
 pub mod latency;
 pub mod owners;
 pub mod prefill;
 pub mod reports;
+pub mod slowdowns;
 pub mod table;
--- a/crates/curranthook_gateway/src/load/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -37,7 +37,8 @@
     pub outstanding: u32,
     /// The prefill time of the work that was queued ahead of the request.
     pub queue_delay: Duration,
-    /// The time from sending the request to its first event.
+    /// The time from sending the request to its first event, divided by the slowdown that was
+    /// expected of the endpoint.
     pub elapsed: Duration,
 }
 
@@ -101,7 +102,8 @@
         it.filter.update(event.prompt, event.outstanding, event.queue_delay, event.elapsed);
     }
 
-    /// Records a stream of `n_events` that ended `elapsed` after its first event.
+    /// Records a stream of `n_events` that ended `elapsed` after its first event. `elapsed` is
+    /// divided by the lasting slowdown of the endpoint.
     pub fn record_stream(
         &mut self,
         service: &str,
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -19,13 +19,14 @@
 
 use async_channel::Sender;
 use async_io::{Async, Timer};
+use curranthook_policy::slowdown::Figure;
 use curranthook_types::endpoint;
 use futures_lite::future;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, affinity::Record, load::owners, rate_limit};
+use crate::{Gateway, affinity::Record, load::owners, load::slowdowns, rate_limit};
 
 use self::limits::Limit;
 pub use self::queries::query;
@@ -56,7 +57,7 @@
 
 /// A message between nodes.
 #[serde_as]
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Message {
     /// The work that `node` has pending at endpoints; replaces its previous report.
@@ -72,6 +73,9 @@
         /// The endpoints to which `node` could not open a connection since its previous report.
         #[serde(default)]
         unreachable: Vec<endpoint::Id>,
+        /// The slowdowns that endpoints reported to `node` since its previous report.
+        #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
+        slowdowns: slowdowns::Entries,
     },
     /// Rate limits reported by endpoints.
     Limits { limits: Vec<Limit> },
@@ -97,9 +101,28 @@
         /// Those of the endpoints in the question that are unreachable.
         #[serde(default)]
         unreachable: Vec<endpoint::Id>,
+        /// The newest slowdowns of the endpoints in the question.
+        #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
+        slowdowns: slowdowns::Entries,
     },
 }
 
+impl Message {
+    /// The message as a datagram. Slowdowns are left out if it would be too long.
+    fn encode(&self) -> Vec<u8> {
+        let encode = |it: &Self| serde_json::to_vec(it).expect("a message can be written as JSON");
+        let bytes = encode(self);
+        if bytes.len() <= MAX_DATAGRAM {
+            return bytes;
+        }
+        let mut shorter = self.clone();
+        if let Self::Report { slowdowns, .. } | Self::Answer { slowdowns, .. } = &mut shorter {
+            *slowdowns = slowdowns::Entries::default();
+        }
+        encode(&shorter)
+    }
+}
+
 /// What other nodes know about the candidate endpoints of a request.
 #[derive(Debug, Clone, Default)]
 pub struct PeerState {
@@ -132,6 +155,8 @@
     unreachable: Mutex<Vec<endpoint::Id>>,
     /// Rate limits that have not been reported yet.
     limits: limits::Queue,
+    /// Slowdowns of endpoints that have not been reported yet.
+    slowdowns: slowdowns::Queue,
 }
 
 impl Socket {
@@ -144,6 +169,7 @@
             prefills: Mutex::default(),
             unreachable: Mutex::default(),
             limits: limits::Queue::default(),
+            slowdowns: slowdowns::Queue::default(),
         }
     }
 
@@ -170,9 +196,13 @@
         self.limits.push(endpoint, notice);
     }
 
+    /// Queues an endpoint's slowdown, to be included in the next report.
+    pub fn queue_slowdown(&self, id: &endpoint::Id, started_ms: Option<u64>, figure: Figure) {
+        self.slowdowns.push(id, started_ms, figure);
+    }
+
     async fn send(&self, message: &Message, addr: SocketAddr) {
-        let bytes = serde_json::to_vec(message).expect("a message can be written as JSON");
-        if let Err(e) = self.socket.send_to(&bytes, addr).await {
+        if let Err(e) = self.socket.send_to(&message.encode(), addr).await {
             log::debug!("cannot send to {addr}: {e}");
         }
     }
@@ -195,9 +225,9 @@
 /// [`REPORT_INTERVAL`] if the last reports contained pending work.
 async fn wait_for_changes(gateway: &Gateway, reports: &Socket, reported_to: &HashSet<SocketAddr>) {
     let changed = gateway.pending_work_changed.wait();
-    // This task misses a signal that arrives while it is sending reports, so limits that were
-    // queued meanwhile are checked here.
-    if !reports.limits.is_empty() {
+    // This task misses a signal that arrives while it is sending reports, so limits and slowdowns
+    // that were queued meanwhile are checked here.
+    if !reports.limits.is_empty() || !reports.slowdowns.is_empty() {
         return;
     }
     let repeat = async {
@@ -230,7 +260,8 @@
 async fn handle(gateway: &Gateway, reports: &Socket, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Report { node, waiting, prefills, unreachable } => {
+        Message::Report { node, waiting, prefills, unreachable, slowdowns } => {
+            slowdowns::receive(gateway, &slowdowns);
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.report_unreachable(it, now));
@@ -242,11 +273,14 @@
             limits.iter().for_each(|it| limits::receive(gateway, reports, it));
         }
         Message::Question { id, node, endpoints, prefix_hash } => {
+            let slowdowns = slowdowns::Entries::known(&gateway.directory.lock(), &endpoints, now);
             let PeerState { waiting, holders, unreachable } =
                 local_state(gateway, endpoints, prefix_hash, &node);
-            reports.send(&Message::Answer { id, waiting, holders, unreachable }, from).await;
+            let answer = Message::Answer { id, waiting, holders, unreachable, slowdowns };
+            reports.send(&answer, from).await;
         }
-        Message::Answer { id, waiting, holders, unreachable } => {
+        Message::Answer { id, waiting, holders, unreachable, slowdowns } => {
+            slowdowns::receive(gateway, &slowdowns);
             let query = reports.open_queries.lock().remove(&id);
             // The send fails if the query has already timed out.
             let _ignored =
@@ -296,17 +330,20 @@
     };
     let prefills = std::mem::take(&mut *reports.prefills.lock());
     let unreachable = std::mem::take(&mut *reports.unreachable.lock());
-    let mut reports_by_node = reports_by_node(gateway, Report { waiting, prefills, unreachable });
+    let slowdowns = reports.slowdowns.take(gateway.now());
+    let report = Report { waiting, prefills, unreachable, slowdowns };
+    let mut reports_by_node = reports_by_node(gateway, report);
     for addr in previous {
         reports_by_node.entry(addr).or_default();
     }
     let mut reported_to = HashSet::new();
-    for (addr, Report { waiting, prefills, unreachable }) in reports_by_node {
+    for (addr, Report { waiting, prefills, unreachable, slowdowns }) in reports_by_node {
         if !waiting.is_empty() {
             reported_to.insert(addr);
         }
         let node = gateway.settings.node.clone();
-        reports.send(&Message::Report { node, waiting, prefills, unreachable }, addr).await;
+        let report = Message::Report { node, waiting, prefills, unreachable, slowdowns };
+        reports.send(&report, addr).await;
     }
     reported_to
 }
@@ -317,6 +354,7 @@
     waiting: PendingWork,
     prefills: Vec<Record>,
     unreachable: Vec<endpoint::Id>,
+    slowdowns: slowdowns::Entries,
 }
 
 /// Splits `report` into the reports to send to each node.
@@ -329,19 +367,23 @@
     }
     drop(peers);
     let (owners, now) = (gateway.load_owners.lock(), gateway.now());
+    let owner_of = |id: &endpoint::Id| owners.owner_of(id, now).filter(|it| Some(*it) != own_addr);
     let mut reports_by_node: HashMap<SocketAddr, Report> = HashMap::new();
     for (id, work) in report.waiting {
-        let owner = owners.owner_of(&id, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
+        if let Some(addr) = owner_of(&id) {
             reports_by_node.entry(addr).or_default().waiting.insert(id, work);
         }
     }
     for id in report.unreachable {
-        let owner = owners.owner_of(&id, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
+        if let Some(addr) = owner_of(&id) {
             reports_by_node.entry(addr).or_default().unreachable.push(id);
         }
     }
+    for slowdown in report.slowdowns {
+        if let Some(addr) = owner_of(&slowdown.endpoint) {
+            reports_by_node.entry(addr).or_default().slowdowns.push(slowdown);
+        }
+    }
     for record in report.prefills {
         let owner =
             owners.owner_of_hash(record.prefix_hash, now).filter(|it| Some(*it) != own_addr);
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
+use curranthook_policy::slowdown::Factor;
 use parking_lot::Mutex;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -41,6 +42,8 @@
     retries: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     queries: Family<Label, Counter>,
+    slowdown_figures: Family<Label, Counter>,
+    slowdown: Histogram,
     first_byte_time: Histogram,
     estimate_error: Histogram,
     answer_time: Histogram,
@@ -65,6 +68,9 @@
             retries: Family::default(),
             store_calls: Family::default(),
             queries: Family::default(),
+            slowdown_figures: Family::default(),
+            // From 0.25 to 11 times the usual time, two buckets for each doubling.
+            slowdown: Histogram::new(exponential_buckets(0.25, std::f64::consts::SQRT_2, 12)),
             first_byte_time: buckets(),
             // From 2 % to 10 times the estimate, each bucket twice as large as the one before.
             estimate_error: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
@@ -92,6 +98,10 @@
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Questions about work waiting at endpoints, by result";
         registry.register("questions", help, self.queries.clone());
+        let help = "Figures of endpoints' slowdown that were received, by source";
+        registry.register("slowdown_figures", help, self.slowdown_figures.clone());
+        let help = "Slowdown expected of the endpoints that requests were sent to, 1 is usual";
+        registry.register("slowdown", help, self.slowdown.clone());
         let unit = Unit::Seconds;
         let help = "Time to the first byte of an answer";
         registry.register_with_unit("first_byte", help, unit.clone(), self.first_byte_time.clone());
@@ -161,6 +171,16 @@
         self.queries.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts figures of endpoints' slowdown that were received.
+    pub fn record_slowdown_figures(&self, source: &'static str, n: u64) {
+        self.slowdown_figures.get_or_create(&Label { name: source }).inc_by(n);
+    }
+
+    /// Records the slowdown expected of an endpoint that a request is sent to.
+    pub fn record_slowdown(&self, expected: Factor) {
+        self.slowdown.observe(expected.value());
+    }
+
     /// All metrics in text format.
     ///
     /// ```
--- a/crates/curranthook_gateway/src/placement.rs
+++ b/crates/curranthook_gateway/src/placement.rs
@@ -9,15 +9,17 @@
 
 use std::time::Duration;
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, slowdown::Factor};
 
 /// An endpoint that may take a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
     /// The hash of the endpoint's id.
     pub id_hash: u64,
-    /// How long the work that the endpoint already has delays the request.
+    /// How long the work that the endpoint already has delays the request, at usual speed.
     pub wait: Duration,
+    /// How long work takes at the endpoint, relative to its usual time.
+    pub slowdown: Factor,
     /// The recent share of failed requests, from 0 to 1.
     pub failure_rate: f64,
     /// Whether the endpoint is in the failure domain of the node.
@@ -40,8 +42,11 @@
 pub struct Task {
     /// The hash of the model and of the prompt prefix that the request shares with others.
     pub prefix_hash: Option<u64>,
-    /// The prefill time of that prefix.
+    /// The prefill time of that prefix, at usual speed.
     pub prefix_prefill: Duration,
+    /// The time for the rest of the request, at usual speed. An endpoint that has no other work is
+    /// still worse if it takes longer for this.
+    pub own_time: Duration,
     /// What is known about which endpoints have the prefix cached.
     pub holders: CacheHolders,
     /// A value that differs between requests, to break ties.
@@ -73,41 +78,58 @@
 /// ```
 /// # use std::time::Duration;
 /// # use curranthook_gateway::placement::{self, Candidate, Locality, CacheHolders, Task};
+/// # use curranthook_policy::slowdown::Factor;
 /// let idle = Candidate {
 ///     id_hash: 1,
 ///     wait: Duration::ZERO,
+///     slowdown: Factor::USUAL,
 ///     failure_rate: 0.0,
 ///     locality: Locality::SameDomain,
 ///     has_prefix_cached: false,
 /// };
 /// let busy = Candidate { id_hash: 2, wait: Duration::from_secs(1), ..idle };
 /// let holders = CacheHolders::Guessed;
-/// let task = Task { prefix_hash: None, prefix_prefill: Duration::ZERO, holders, salt: 7 };
+/// let (prefix_prefill, own_time) = (Duration::ZERO, Duration::ZERO);
+/// let task = Task { prefix_hash: None, prefix_prefill, own_time, holders, salt: 7 };
 /// assert_eq!(placement::choose(&[busy, idle], &task), Some(1));
 /// ```
 pub fn choose(candidates: &[Candidate], task: &Task) -> Option<usize> {
-    costs(candidates, task).min().map(|it| it.index)
+    costs(candidates, task, |it, usual, tie_breaker| {
+        (it.slowdown.scale(usual + task.own_time), tie_breaker)
+    })
+    .min()
+    .map(|it| it.index)
 }
 
-/// The indices of the `n` best candidates, the best first.
+/// The indices of the `n` candidates whose load is worth asking for, the best first.
+///
+/// Their load is known only in part, so a slow endpoint may be the best one if all fast ones have
+/// work of other nodes. Speed therefore excludes none: among candidates with the same known delay,
+/// each is drawn with a probability that is proportional to its speed.
 ///
 /// ```
 /// # use std::time::Duration;
 /// # use curranthook_gateway::placement::{self, Candidate, Locality, CacheHolders, Task};
+/// # use curranthook_policy::slowdown::Factor;
 /// let candidate = |id_hash, wait| Candidate {
 ///     id_hash,
 ///     wait: Duration::from_millis(wait),
+///     slowdown: Factor::USUAL,
 ///     failure_rate: 0.0,
 ///     locality: Locality::SameDomain,
 ///     has_prefix_cached: false,
 /// };
 /// let holders = CacheHolders::Guessed;
-/// let task = Task { prefix_hash: None, prefix_prefill: Duration::ZERO, holders, salt: 7 };
+/// let (prefix_prefill, own_time) = (Duration::ZERO, Duration::ZERO);
+/// let task = Task { prefix_hash: None, prefix_prefill, own_time, holders, salt: 7 };
 /// let candidates = [candidate(1, 300), candidate(2, 100), candidate(3, 200)];
 /// assert_eq!(placement::best(&candidates, &task, 2), [1, 2]);
 /// ```
 pub fn best(candidates: &[Candidate], task: &Task, n: usize) -> Vec<usize> {
-    let mut ranked: Vec<_> = costs(candidates, task).collect();
+    let mut ranked: Vec<_> = costs(candidates, task, |it, usual, tie_breaker| {
+        (usual, weighted(tie_breaker, it.slowdown))
+    })
+    .collect();
     ranked.sort_unstable();
     ranked.truncate(n);
     ranked.into_iter().map(|it| it.index).collect()
@@ -121,7 +143,13 @@
     index: usize,
 }
 
-fn costs(candidates: &[Candidate], task: &Task) -> impl Iterator<Item = Cost> {
+/// The costs of all candidates. `weigh` applies the speed of a candidate to the time that it would
+/// usually need and to the tie-breaker.
+fn costs(
+    candidates: &[Candidate],
+    task: &Task,
+    weigh: impl Fn(&Candidate, Duration, u64) -> (Duration, u64),
+) -> impl Iterator<Item = Cost> {
     let preferred = task.prefix_hash.and_then(|prefix_hash| {
         let weights = candidates.iter().map(|it| hash::pair(prefix_hash, it.id_hash));
         weights.enumerate().max_by_key(|(_, weight)| *weight).map(|(index, _)| index)
@@ -138,10 +166,20 @@
             Some(prefix_hash) => u64::MAX - hash::pair(prefix_hash, it.id_hash),
             None => hash::pair(task.salt, it.id_hash),
         };
-        Cost {
-            time: it.wait + prefill + failure_penalty + cross_domain_penalty,
-            tie_breaker,
-            index,
-        }
+        let (time, tie_breaker) = weigh(it, it.wait + prefill, tie_breaker);
+        Cost { time: time + failure_penalty + cross_domain_penalty, tie_breaker, index }
     })
 }
+
+/// Transforms a uniformly distributed `tie_breaker` so that, of several candidates, each has the
+/// lowest one with a probability that is proportional to its speed.
+fn weighted(tie_breaker: u64, slowdown: Factor) -> u64 {
+    if slowdown == Factor::USUAL {
+        return tie_breaker;
+    }
+    // Scales an exponentially distributed variable; the lowest of several such variables belongs to
+    // each with a probability that is proportional to its rate.
+    const RANGE: f64 = u64::MAX as f64;
+    let unit = tie_breaker as f64 / RANGE;
+    ((1.0 - (1.0 - unit).powf(slowdown.value())) * RANGE) as u64
+}
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, slowdown::Outlook};
 use curranthook_types::endpoint;
 
 use crate::{
@@ -70,7 +70,8 @@
 
     fn task(&self, holders: CacheHolders) -> Task {
         let prefix_prefill = self.prefill(false).saturating_sub(self.prefill(true));
-        Task { prefix_hash: self.prefix_hash, prefix_prefill, holders, salt: self.salt }
+        let own_time = self.model.map_or(DEFAULT_PROCESSING_TIME, |_| self.prefill(true));
+        Task { prefix_hash: self.prefix_hash, prefix_prefill, own_time, holders, salt: self.salt }
     }
 }
 
@@ -83,14 +84,18 @@
     pub prompt: Prompt,
     /// The estimated number of queued and running requests at the endpoint.
     pub outstanding: u32,
-    /// The prefill time of the work that is queued at the endpoint ahead of the request.
+    /// The prefill time of the work that is queued at the endpoint ahead of the request, at usual
+    /// speed.
     pub queue_delay: Duration,
+    /// How long work takes at the endpoint, relative to its usual time.
+    pub slowdown: Outlook,
 }
 
 impl Choice<'_> {
     /// The expected time to the first event, for a model with this `latency`.
     pub fn time_to_first_event(&self, latency: &Estimate) -> Duration {
-        latency.time_to_first_event(self.prompt, self.outstanding, self.queue_delay)
+        let usual = latency.time_to_first_event(self.prompt, self.outstanding, self.queue_delay);
+        self.slowdown.expected.scale(usual)
     }
 }
 
@@ -116,6 +121,7 @@
     Some(Choice {
         prompt: criteria.prompt(candidates[index].has_prefix_cached),
         outstanding: endpoint.estimated_requests(now),
+        slowdown: endpoint.slowdown.outlook(now),
         queue_delay: queue_delay(
             endpoint,
             criteria,
@@ -240,6 +246,7 @@
             remote_queue(gateway, &it.entry.id, peer_state, now),
             now,
         ),
+        slowdown: it.slowdown.expected(now),
         failure_rate: it.failures,
         locality: locality(gateway, it),
         has_prefix_cached: cached_at.contains(&it.entry.id),
@@ -298,6 +305,7 @@
     }
 }
 
+/// The time that the work at the endpoint delays the request, at usual speed.
 fn expected_wait(
     endpoint: &Tracked,
     criteria: &Criteria<'_>,
@@ -315,7 +323,7 @@
     DEFAULT_PROCESSING_TIME * waiting / slots + Duration::from_millis(1) * outstanding
 }
 
-/// The time that queued work delays the request.
+/// The time that queued work delays the request, at usual speed.
 fn queue_delay(endpoint: &Tracked, criteria: &Criteria<'_>, remote_queue: Duration) -> Duration {
     let waiting = endpoint.pending + remote_queue;
     // Engines serve small models first, so requests to them only wait for the prefill that is in
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -100,8 +100,9 @@
                 Progress::Partial => continue,
                 Progress::End => {
                     let elapsed = self.job.gateway.now().saturating_duration_since(self.started_at);
-                    let version = self.exchange.as_ref().map_or("", |it| it.lease.version.as_str());
-                    self.job.record_stream(version, self.n_events, elapsed);
+                    if let Some(exchange) = &self.exchange {
+                        self.job.record_stream(&exchange.lease, self.n_events, elapsed);
+                    }
                     self.end(job::OUTCOME_WHOLE, Outcome::Answered);
                     return Ok(None);
                 }
--- a/crates/curranthook_gateway/tests/decisions.rs
+++ b/crates/curranthook_gateway/tests/decisions.rs
@@ -10,12 +10,14 @@
     splitter::Splitter,
     startup::{self, Waiters},
 };
+use curranthook_policy::slowdown::Factor;
 use yare::parameterized;
 
 fn idle(id_hash: u64) -> Candidate {
     Candidate {
         id_hash,
         wait: Duration::ZERO,
+        slowdown: Factor::USUAL,
         failure_rate: 0.0,
         locality: Locality::SameDomain,
         has_prefix_cached: false,
@@ -27,6 +29,7 @@
     Task {
         prefix_hash: Some(prefix_hash),
         prefix_prefill,
+        own_time: Duration::ZERO,
         holders: CacheHolders::Guessed,
         salt: prefix_hash,
     }
@@ -104,7 +107,13 @@
     endpoints[2].failure_rate = 0.6;
     for salt in 0..100 {
         let holders = CacheHolders::Guessed;
-        let task = Task { prefix_hash: None, prefix_prefill: Duration::ZERO, holders, salt };
+        let task = Task {
+            prefix_hash: None,
+            prefix_prefill: Duration::ZERO,
+            own_time: Duration::ZERO,
+            holders,
+            salt,
+        };
         assert_ne!(placement::choose(&endpoints, &task), Some(2));
     }
 }
--- a/crates/curranthook_gateway/tests/shared_engines.rs
+++ b/crates/curranthook_gateway/tests/shared_engines.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use curranthook_gateway::placement::{self, CacheHolders, Candidate, Locality, Task};
-use curranthook_policy::hash;
+use curranthook_policy::{hash, slowdown::Factor};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use yare::parameterized;
@@ -96,10 +96,17 @@
         now += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / REQUESTS_PER_SECOND);
         let node = rng.random_range(0..N_NODES);
         let prefix = (rng.random::<f64>().powf(prefixes.skew) * prefixes.n as f64) as u64;
-        let task = Task { prefix_hash: Some(prefix), prefix_prefill: PREFILL.0, holders, salt: 0 };
+        let task = Task {
+            prefix_hash: Some(prefix),
+            prefix_prefill: PREFILL.0,
+            own_time: PREFILL.1,
+            holders,
+            salt: 0,
+        };
         let candidate = |index: usize, sees_all_work: bool| Candidate {
             id_hash: hash::bytes(format!("engine-{index}").as_bytes()),
             wait: engines[index].wait(now, |it| sees_all_work || it == node),
+            slowdown: Factor::USUAL,
             failure_rate: 0.0,
             locality: Locality::SameDomain,
             has_prefix_cached: holders == CacheHolders::Known
--- a/crates/curranthook_policy/src/slowdown.rs
+++ b/crates/curranthook_policy/src/slowdown.rs
@@ -106,6 +106,8 @@
     newest: Option<Figure>,
     /// The lowest figure of each interval, the oldest first.
     samples: Vec<Figure>,
+    /// The lasting factor that follows from the samples; none without samples.
+    lasting: Option<Factor>,
 }
 
 /// What an [`Estimate`] says at some time.
@@ -142,13 +144,16 @@
         let is_close = |it: &&mut Figure| distance(it.at, figure.at) < MIN_SAMPLE_INTERVAL;
         if let Some(it) = self.samples.iter_mut().find(is_close) {
             it.factor = if figure.factor < it.factor { figure.factor } else { it.factor };
-            return;
-        }
-        let index = self.samples.partition_point(|it| it.at < figure.at);
-        self.samples.insert(index, figure);
-        if N_SAMPLES < self.samples.len() {
-            self.samples.remove(0);
+        } else {
+            let index = self.samples.partition_point(|it| it.at < figure.at);
+            self.samples.insert(index, figure);
+            if N_SAMPLES < self.samples.len() {
+                self.samples.remove(0);
+            }
         }
+        let mut factors: Vec<Factor> = self.samples.iter().map(|it| it.factor).collect();
+        factors.sort_unstable_by(Factor::total_cmp);
+        self.lasting = factors.get((factors.len() - 1) / RANK_DIVISOR).copied();
     }
 
     /// The newest figure.
@@ -158,10 +163,7 @@
 
     /// The factor outside of slow periods; [`Factor::USUAL`] if there is no figure.
     pub fn lasting(&self) -> Factor {
-        let mut factors: Vec<Factor> = self.samples.iter().map(|it| it.factor).collect();
-        factors.sort_unstable_by(Factor::total_cmp);
-        let rank = factors.len().saturating_sub(1) / RANK_DIVISOR;
-        factors.get(rank).copied().unwrap_or(Factor::USUAL)
+        self.lasting.unwrap_or(Factor::USUAL)
     }
 
     /// The factor expected for work that starts now: the newest figure while it is young, and the
