--- a/crates/curranthook_gateway/tests/slowdowns.rs
+++ b/crates/curranthook_gateway/tests/slowdowns.rs
@@ -135,10 +135,17 @@
 }
 
 /// A long prompt takes half a second at usual speed. Guards against placing it at a slow endpoint
-/// because that has no other work, although a fast one with a short queue has the first event
-/// sooner.
-#[parameterized(short_queue = { 100, Some(1) }, long_queue = { 1_500, Some(0) })]
-fn own_time_counts_at_the_speed_of_the_endpoint(queue_ms: u64, chosen: Option<usize>) {
+/// because that has less other work, although a fast one has the first event sooner.
+#[parameterized(
+    short_queue = { 0, 100, Some(1) },
+    long_queue = { 0, 1_500, Some(0) },
+    queues_at_both = { 400, 1_000, Some(1) },
+)]
+fn request_and_queue_count_at_the_speed_of_the_endpoint(
+    slow_queue_ms: u64,
+    fast_queue_ms: u64,
+    chosen: Option<usize>,
+) {
     let (mut candidates, task) = random_case(2, Factor::USUAL, false);
     let task = Task {
         prefix_hash: None,
@@ -147,8 +154,10 @@
         ..task
     };
     candidates.truncate(2);
-    (candidates[0].slowdown, candidates[0].wait) = (factor(1.7), Duration::ZERO);
-    (candidates[1].slowdown, candidates[1].wait) = (factor(0.7), Duration::from_millis(queue_ms));
+    let queues = [(1.7, slow_queue_ms), (0.7, fast_queue_ms)];
+    for (it, (slowdown, queue_ms)) in candidates.iter_mut().zip(queues) {
+        (it.slowdown, it.wait) = (factor(slowdown), Duration::from_millis(queue_ms));
+    }
     assert_eq!(placement::choose(&candidates, &task), chosen);
 }
 
