Send slowdowns between nodes in a short form

Cause: answers to questions have up to four figures; with a start time each they would exceed the 2 KB/s of additional datagrams per node (computed: 76 bytes a figure, 12 questions a second).

--- a/crates/curranthook_gateway/src/load/slowdowns.rs
+++ b/crates/curranthook_gateway/src/load/slowdowns.rs
@@ -5,14 +5,16 @@
 
 use std::time::{Duration, Instant};
 
-use curranthook_policy::slowdown::{Factor, Figure};
+use curranthook_policy::{
+    hash,
+    slowdown::{Factor, Figure},
+};
 use curranthook_types::endpoint;
 use parking_lot::Mutex;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::Value;
-use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{Gateway, directory::Directory};
+use crate::{Gateway, directory::Directory, job::millis};
 
 /// The maximum number of figures in a message. A node that has more to report sends them in its
 /// next messages.
@@ -23,46 +25,60 @@
 const MAX_AGE: Duration = Duration::from_secs(600);
 
 /// A figure that an endpoint reported, as sent between nodes.
-#[serde_as]
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
     /// The endpoint's id.
     pub endpoint: endpoint::Id,
-    /// When the endpoint started, in milliseconds since the Unix epoch; identifies its incarnation.
-    #[serde(default, rename = "born", skip_serializing_if = "Option::is_none")]
-    started_ms: Option<u64>,
-    /// How long work takes, relative to its usual time.
-    factor: f64,
+    /// How long work takes, in percent of its usual time.
+    percent: f64,
     /// The time since the endpoint reported the figure.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "age_ms")]
     age: Duration,
+    /// Identifies the endpoint's incarnation, see [`incarnation_tag`].
+    tag: Option<u8>,
+}
+
+/// A number that differs between most incarnations of an endpoint, and is shorter than the time at
+/// which the incarnation started.
+fn incarnation_tag(started_ms: Option<u64>) -> Option<u8> {
+    started_ms.map(|it| (hash::pair(it, 0) >> 56) as u8)
 }
 
 impl Entry {
     fn new(id: &endpoint::Id, started_ms: Option<u64>, figure: Figure, now: Instant) -> Self {
         let age = now.saturating_duration_since(figure.at);
-        Self { endpoint: id.clone(), started_ms, factor: figure.factor.value(), age }
+        let percent = (figure.factor.value() * 100.0).round();
+        Self { endpoint: id.clone(), percent, age, tag: incarnation_tag(started_ms) }
+    }
+
+    fn decode(id: &str, value: &Value) -> Option<Self> {
+        let values = value.as_array()?;
+        Some(Self {
+            endpoint: endpoint::Id::new(id),
+            percent: values.first()?.as_f64()?,
+            age: Duration::from_millis(values.get(1)?.as_u64()?),
+            tag: values.get(2).and_then(Value::as_u64).and_then(|it| it.try_into().ok()),
+        })
     }
 
     /// The figure, if it is valid and not too old.
     fn figure(&self, now: Instant) -> Option<Figure> {
         let at = now.checked_sub(self.age).filter(|_| self.age <= MAX_AGE)?;
-        Some(Figure { factor: Factor::new(self.factor)?, at })
+        Some(Figure { factor: Factor::new(self.percent / 100.0)?, at })
     }
 }
 
 /// The figures in a message, of bounded number. An entry that cannot be decoded is left out, so that
 /// the rest of the message is still valid.
 ///
+/// In a message, each endpoint's id has a list of the percentage, the age in milliseconds and the
+/// tag of its incarnation. Answers to questions contain several of them, so they are short.
+///
 /// ```
 /// # use curranthook_gateway::load::slowdowns::Entries;
-/// let json = r#"[{"endpoint": "e-1", "factor": 0.7, "age_ms": 20}, {"endpoint": 7}]"#;
-/// let entries: Entries = serde_json::from_str(json).unwrap();
-/// assert_eq!(entries.into_iter().count(), 1);
+/// let entries: Entries = serde_json::from_str(r#"{"e-1": [70, 20, 51], "e-2": "slow"}"#).unwrap();
+/// assert_eq!(serde_json::to_string(&entries).unwrap(), r#"{"e-1":[70,20,51]}"#);
 /// ```
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Entries(Vec<Entry>);
 
 impl Entries {
@@ -91,12 +107,14 @@
     pub fn record(&self, directory: &mut Directory, now: Instant) -> u64 {
         let mut n_recorded = 0;
         for it in &self.0 {
-            match it.figure(now) {
-                Some(figure) => {
-                    let is_known = directory.record_slowdown(&it.endpoint, it.started_ms, figure);
-                    n_recorded += u64::from(is_known);
-                }
-                None => log::debug!("ignoring a slowdown from another node: {it:?}"),
+            let Some(figure) = it.figure(now) else {
+                log::debug!("ignoring a slowdown from another node: {it:?}");
+                continue;
+            };
+            let started_ms = directory.get(&it.endpoint).map(|it| it.entry.started_ms);
+            if let Some(started_ms) = started_ms.filter(|known| incarnation_tag(*known) == it.tag) {
+                directory.record_slowdown(&it.endpoint, started_ms, figure);
+                n_recorded += 1;
             }
         }
         n_recorded
@@ -112,18 +130,31 @@
     }
 }
 
+impl Serialize for Entries {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_map(self.0.iter().map(|it| {
+            // Received percentages may be of any size, and the conversion limits them.
+            let (percent, age_ms) = (it.percent as u32, millis(it.age));
+            (&it.endpoint, (percent, age_ms, it.tag))
+        }))
+    }
+}
+
 impl<'de> Deserialize<'de> for Entries {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let value = Value::deserialize(deserializer)?;
-        let Value::Array(values) = value else {
+        let Value::Object(values) = value else {
             log::debug!("ignoring malformed slowdowns from another node: {value}");
             return Ok(Self::default());
         };
-        let decode = |it: Value| {
-            let entry = Entry::deserialize(&it);
-            entry.inspect_err(|e| log::debug!("ignoring a malformed slowdown {it}: {e}")).ok()
+        let decode = |(id, value): (&String, &Value)| {
+            let entry = Entry::decode(id, value);
+            if entry.is_none() {
+                log::debug!("ignoring a malformed slowdown of {id}: {value}");
+            }
+            entry
         };
-        Ok(Self(values.into_iter().filter_map(decode).take(MAX_ENTRIES).collect()))
+        Ok(Self(values.iter().filter_map(decode).take(MAX_ENTRIES).collect()))
     }
 }
 
--- a/crates/curranthook_gateway/tests/slowdowns.rs
+++ b/crates/curranthook_gateway/tests/slowdowns.rs
@@ -161,6 +161,17 @@
     assert_eq!(placement::choose(&candidates, &task), chosen);
 }
 
+/// Guards against an endpoint that attracts requests by a low figure while most requests fail there.
+#[test]
+fn failing_endpoint_is_avoided_whatever_it_reports() {
+    let (mut candidates, task) = random_case(2, factor(1.7), false);
+    let task = Task { prefix_hash: None, own_time: Duration::from_millis(500), ..task };
+    candidates.truncate(2);
+    candidates.iter_mut().for_each(|it| it.wait = Duration::ZERO);
+    (candidates[0].slowdown, candidates[0].failure_rate) = (factor(0.1), 0.9);
+    assert_eq!(placement::choose(&candidates, &task), Some(1));
+}
+
 /// The load owners are asked only about a few endpoints. Guards against asking only about fast ones,
 /// which leaves the slow ones idle when all fast ones are busy, and against asking about all alike,
 /// which wastes most questions on slow ones.
@@ -231,17 +242,18 @@
 /// Guards against losing a whole message because of one figure that another node encodes
 /// differently, and against figures that keep all requests away from an endpoint or attract all.
 #[parameterized(
-    not_a_list = { r#"{"e-1": 0.7}"# },
+    not_a_map = { r#"[70, 1]"# },
     null = { "null" },
-    text = { r#"[{"endpoint": "e-1", "factor": "0.7", "age_ms": 1}]"# },
-    missing_age = { r#"[{"endpoint": "e-1", "factor": 0.7}]"# },
-    negative = { r#"[{"endpoint": "e-1", "factor": -0.7, "age_ms": 1}]"# },
-    zero = { r#"[{"endpoint": "e-1", "factor": 0, "age_ms": 1}]"# },
-    absurd = { r#"[{"endpoint": "e-1", "factor": 1e300, "age_ms": 1}]"# },
-    negative_age = { r#"[{"endpoint": "e-1", "factor": 0.7, "age_ms": -1}]"# },
-    too_old = { r#"[{"endpoint": "e-1", "factor": 0.7, "age_ms": 700000}]"# },
-    age_overflow = { r#"[{"endpoint": "e-1", "factor": 0.7, "age_ms": 18446744073709551615}]"# },
-    unknown_endpoint = { r#"[{"endpoint": "e-2", "factor": 0.7, "age_ms": 1}]"# },
+    text = { r#"{"e-1": ["70", 1]}"# },
+    missing_age = { r#"{"e-1": [70]}"# },
+    negative = { r#"{"e-1": [-70, 1]}"# },
+    zero = { r#"{"e-1": [0, 1]}"# },
+    absurd = { r#"{"e-1": [1e300, 1]}"# },
+    negative_age = { r#"{"e-1": [70, -1]}"# },
+    too_old = { r#"{"e-1": [70, 700000]}"# },
+    age_overflow = { r#"{"e-1": [70, 18446744073709551615]}"# },
+    unknown_endpoint = { r#"{"e-2": [70, 1]}"# },
+    other_incarnation = { r#"{"e-1": [70, 1, 7]}"# },
 )]
 fn invalid_shared_figures_are_dropped(json: &str) {
     let (mut directory, now) = (Directory::default(), Instant::now() + Duration::from_secs(1_000));
@@ -264,7 +276,7 @@
     let mut reported = Vec::new();
     while !queue.is_empty() {
         let entries = queue.take(now);
-        assert!(serde_json::to_vec(&entries).unwrap().len() < 700);
+        assert!(serde_json::to_vec(&entries).unwrap().len() < 300);
         reported.extend(entries);
     }
     assert_eq!(reported.len(), 32);
