--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -89,6 +89,12 @@
         expected_ms: Option<u64>,
         #[serde(flatten)]
         contention: Option<Contention>,
+        /// The slowdown expected of the endpoint and the age of its newest figure, if it reported
+        /// one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowdown: Option<f64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowdown_age_ms: Option<u64>,
         resumed_after: Option<u64>,
         left_ms: u64,
         configuration: u64,
--- a/crates/curranthook_gateway/src/load.rs
+++ b/crates/curranthook_gateway/src/load.rs
@@ -4,6 +4,7 @@
 //!   filter in [`prefill`];
 //! - [`reports`] exchanges pending work with other nodes: in a small fleet with all of them, in a
 //!   large one with the endpoints' [`owners`];
+//! - [`slowdowns`] encodes the endpoints' slowdowns that nodes tell each other;
 //! - [`table`] contains the work that other nodes reported;
 //! - [`work`] is pending work by priority, and [`breakdown`] its form in messages.
 
@@ -12,5 +13,6 @@
 pub mod owners;
 pub mod prefill;
 pub mod reports;
+pub mod slowdowns;
 pub mod table;
 pub mod work;
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -20,6 +20,7 @@
 
 use async_channel::Sender;
 use async_io::{Async, Timer};
+use curranthook_policy::slowdown::Figure;
 use curranthook_types::endpoint;
 use futures_lite::future;
 use parking_lot::Mutex;
@@ -31,7 +32,7 @@
     affinity::Record,
     load::{
         breakdown::{self, Breakdown, PendingWork},
-        owners,
+        owners, slowdowns,
         work::Work,
     },
     rate_limit,
@@ -83,6 +84,9 @@
         /// The endpoints to which `node` could not open a connection since its previous report.
         #[serde(default)]
         unreachable: Vec<endpoint::Id>,
+        /// The slowdowns that endpoints reported to `node` since its previous report.
+        #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
+        slowdowns: slowdowns::Entries,
     },
     /// Rate limits reported by endpoints.
     Limits {
@@ -118,6 +122,9 @@
         /// Those of the endpoints in the question that are unreachable.
         #[serde(default)]
         unreachable: Vec<endpoint::Id>,
+        /// The newest slowdowns of the endpoints in the question.
+        #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
+        slowdowns: slowdowns::Entries,
     },
 }
 
@@ -153,6 +160,8 @@
     unreachable: Mutex<Vec<endpoint::Id>>,
     /// Rate limits that have not been reported yet.
     limits: limits::Queue,
+    /// Slowdowns of endpoints that have not been reported yet.
+    slowdowns: slowdowns::Queue,
 }
 
 impl Socket {
@@ -165,6 +174,7 @@
             prefills: Mutex::default(),
             unreachable: Mutex::default(),
             limits: limits::Queue::default(),
+            slowdowns: slowdowns::Queue::default(),
         }
     }
 
@@ -191,6 +201,11 @@
         self.limits.push(endpoint, notice);
     }
 
+    /// Queues an endpoint's slowdown, to be included in the next report.
+    pub fn queue_slowdown(&self, id: &endpoint::Id, started_ms: Option<u64>, figure: Figure) {
+        self.slowdowns.push(id, started_ms, figure);
+    }
+
     async fn send(&self, message: Message, addr: SocketAddr) {
         self.send_bytes(&datagram(message), addr).await;
     }
@@ -219,9 +234,9 @@
 /// [`REPORT_INTERVAL`] if the last reports contained pending work.
 async fn wait_for_changes(gateway: &Gateway, reports: &Socket, reported_to: &HashSet<SocketAddr>) {
     let changed = gateway.pending_work_changed.wait();
-    // This task misses a signal that arrives while it is sending reports, so limits that were
-    // queued meanwhile are checked here.
-    if !reports.limits.is_empty() {
+    // This task misses a signal that arrives while it is sending reports, so limits and slowdowns
+    // that were queued meanwhile are checked here.
+    if !reports.limits.is_empty() || !reports.slowdowns.is_empty() {
         return;
     }
     let repeat = async {
@@ -254,7 +269,8 @@
 async fn handle(gateway: &Gateway, reports: &Socket, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Report { node, waiting, by_priority, prefills, unreachable } => {
+        Message::Report { node, waiting, by_priority, prefills, unreachable, slowdowns } => {
+            slowdowns::receive(gateway, &slowdowns);
             let waiting = join(waiting, &by_priority, from);
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
@@ -267,13 +283,16 @@
             limits.iter().for_each(|it| limits::receive(gateway, reports, it));
         }
         Message::Question { id, node, endpoints, prefix_hash } => {
+            let slowdowns = slowdowns::Entries::known(&gateway.directory.lock(), &endpoints, now);
             let PeerState { waiting, holders, unreachable } =
                 local_state(gateway, endpoints, prefix_hash, &node);
             let (waiting, by_priority) = breakdown::split(&waiting);
-            let answer = Message::Answer { id, waiting, by_priority, holders, unreachable };
+            let answer =
+                Message::Answer { id, waiting, by_priority, holders, unreachable, slowdowns };
             reports.send(answer, from).await;
         }
-        Message::Answer { id, waiting, by_priority, holders, unreachable } => {
+        Message::Answer { id, waiting, by_priority, holders, unreachable, slowdowns } => {
+            slowdowns::receive(gateway, &slowdowns);
             let waiting = join(waiting, &by_priority, from);
             let query = reports.open_queries.lock().remove(&id);
             // The send fails if the query has already timed out.
@@ -337,18 +356,21 @@
     };
     let prefills = std::mem::take(&mut *reports.prefills.lock());
     let unreachable = std::mem::take(&mut *reports.unreachable.lock());
-    let mut reports_by_node = reports_by_node(gateway, Report { waiting, prefills, unreachable });
+    let slowdowns = reports.slowdowns.take(gateway.now());
+    let report = Report { waiting, prefills, unreachable, slowdowns };
+    let mut reports_by_node = reports_by_node(gateway, report);
     for addr in previous {
         reports_by_node.entry(addr).or_default();
     }
     let mut reported_to = HashSet::new();
-    for (addr, Report { waiting, prefills, unreachable }) in reports_by_node {
+    for (addr, Report { waiting, prefills, unreachable, slowdowns }) in reports_by_node {
         if !waiting.is_empty() {
             reported_to.insert(addr);
         }
         let node = gateway.settings.node.clone();
         let (waiting, by_priority) = breakdown::split(&waiting);
-        let report = Message::Report { node, waiting, by_priority, prefills, unreachable };
+        let report =
+            Message::Report { node, waiting, by_priority, prefills, unreachable, slowdowns };
         reports.send(report, addr).await;
     }
     reported_to
@@ -360,6 +382,7 @@
     waiting: PendingWork,
     prefills: Vec<Record>,
     unreachable: Vec<endpoint::Id>,
+    slowdowns: slowdowns::Entries,
 }
 
 /// Splits `report` into the reports to send to each node.
@@ -372,19 +395,23 @@
     }
     drop(peers);
     let (owners, now) = (gateway.load_owners.lock(), gateway.now());
+    let owner_of = |id: &endpoint::Id| owners.owner_of(id, now).filter(|it| Some(*it) != own_addr);
     let mut reports_by_node: HashMap<SocketAddr, Report> = HashMap::new();
     for (id, work) in report.waiting {
-        let owner = owners.owner_of(&id, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
+        if let Some(addr) = owner_of(&id) {
             reports_by_node.entry(addr).or_default().waiting.insert(id, work);
         }
     }
     for id in report.unreachable {
-        let owner = owners.owner_of(&id, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
+        if let Some(addr) = owner_of(&id) {
             reports_by_node.entry(addr).or_default().unreachable.push(id);
         }
     }
+    for slowdown in report.slowdowns {
+        if let Some(addr) = owner_of(&slowdown.endpoint) {
+            reports_by_node.entry(addr).or_default().slowdowns.push(slowdown);
+        }
+    }
     for record in report.prefills {
         let owner =
             owners.owner_of_hash(record.prefix_hash, now).filter(|it| Some(*it) != own_addr);
--- a/crates/curranthook_gateway/src/load/reports/datagram.rs
+++ b/crates/curranthook_gateway/src/load/reports/datagram.rs
@@ -1,9 +1,11 @@
 //! Encodes messages into datagrams.
 
 use super::{MAX_DATAGRAM, Message};
+use crate::load::slowdowns::Entries;
 
 /// The bytes of a message. From a report that exceeds [`MAX_DATAGRAM`], the priorities of the
-/// endpoints with the least waiting work are dropped first, and then prompts sent for prefill.
+/// endpoints with the least waiting work are dropped first, then prompts sent for prefill, and then
+/// slowdowns.
 /// Without its priorities, work counts as the most urgent until the next report, which only delays
 /// other requests; without its sum, the endpoint would seem idle.
 pub fn datagram(mut message: Message) -> Vec<u8> {
@@ -20,6 +22,12 @@
     {
         bytes = to_vec(&message);
     }
+    if MAX_DATAGRAM < bytes.len()
+        && let Message::Report { slowdowns, .. } | Message::Answer { slowdowns, .. } = &mut message
+    {
+        *slowdowns = Entries::default();
+        bytes = to_vec(&message);
+    }
     bytes
 }
 
--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! A request passes [`limit`] (is the account within its rate limit?), [`rollout`] and [`choice`]
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
-//! [`poison`]. [`rank`] orders requests that compete for the same engines. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
+//! [`poison`]. [`rank`] orders requests that compete for the same engines, and [`price`] says what
+//! the largest model costs them. [`slowdown`] estimates the speed of endpoints that report it.
+//! [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
 
 pub mod baseline;
@@ -19,4 +21,5 @@
 pub mod rank;
 pub mod retry;
 pub mod rollout;
+pub mod slowdown;
 pub mod verdict;
