Price of the largest model by urgency

One price for all requests lets a burst of the least urgent ones take the largest model from the most urgent ones. The price follows a request's level against the mean of recent levels. Not used yet.

--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hash;
 pub mod limit;
 pub mod poison;
+pub mod price;
 pub mod queue;
 pub mod retry;
 pub mod rollout;
