--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod hash;
 pub mod limit;
 pub mod poison;
+pub mod price;
 pub mod queue;
 pub mod rank;
 pub mod retry;
