The largest model's price depends on the request's level

Cause: one price for all requests let a burst of the least urgent ones take the largest model from the most urgent ones. The escalated event states it.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -110,7 +110,14 @@
         took_ms: u64,
     },
     /// A small model's answer was discarded in favour of a larger model's.
-    Escalated { request: &'a str, model: &'a str, confidence: u8, first_ms: u64, last_ms: u64 },
+    Escalated {
+        request: &'a str,
+        model: &'a str,
+        confidence: u8,
+        first_ms: u64,
+        last_ms: u64,
+        price: f64,
+    },
     /// A request was not retried.
     NotRepeated { request: &'a str, why: &'a str },
     /// A request ended.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, timeout};
-use curranthook_policy::poison::Register;
+use curranthook_policy::{poison::Register, price};
 use curranthook_types::Clock;
 use parking_lot::Mutex;
 
@@ -92,6 +92,8 @@
     pub affinity: Mutex<Affinity>,
     /// The observed speed of models.
     pub latency_estimator: Mutex<Estimator>,
+    /// The prices of the largest model, by service.
+    pub price_scales: Mutex<HashMap<String, price::Scale>>,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -169,6 +171,7 @@
             directory: Mutex::default(),
             retry_schedule: Mutex::default(),
             affinity: Mutex::default(),
+            price_scales: Mutex::default(),
             latency_estimator: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -107,7 +107,7 @@
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Started::No))?;
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
-        contention::record_level(gateway, priority);
+        contention::record_level(gateway, &service, &models, priority);
         Ok(Self {
             last_event_id: request.head.last_event_id,
             account,
--- a/crates/curranthook_gateway/src/job/contention.rs
+++ b/crates/curranthook_gateway/src/job/contention.rs
@@ -3,16 +3,26 @@
 use curranthook_policy::rank::Rank;
 
 use super::{Job, millis};
-use crate::{Gateway, cascade, event, lease::Lease, models::Candidate, settings::Contention};
+use crate::{
+    Gateway, cascade, event,
+    lease::Lease,
+    models::{Candidate, Models},
+    settings::Contention,
+};
 
 fn is_by_rank(gateway: &Gateway) -> bool {
     gateway.settings.contention == Contention::ByRank
 }
 
 /// Counts a request by the level of its rank, unless decisions ignore ranks.
-pub(super) fn record_level(gateway: &Gateway, rank: Rank) {
-    if is_by_rank(gateway) {
-        gateway.metrics.record_level(rank.level());
+pub(super) fn record_level(gateway: &Gateway, service: &str, models: &Models, rank: Rank) {
+    if !is_by_rank(gateway) {
+        return;
+    }
+    gateway.metrics.record_level(rank.level());
+    if models.larger().is_some() {
+        let mut scales = gateway.price_scales.lock();
+        scales.entry(service.to_owned()).or_default().record(rank.level());
     }
 }
 
@@ -28,6 +38,15 @@
         is_by_rank(&self.gateway).then(|| self.engine_priority(model))
     }
 
+    /// The price of an answer of the largest model, as a share of the answer's value.
+    pub(super) fn large_model_price(&self) -> f64 {
+        if !is_by_rank(&self.gateway) {
+            return cascade::LARGE_MODEL_COST;
+        }
+        let scales = self.gateway.price_scales.lock();
+        scales.get(&self.service).copied().unwrap_or_default().price(self.priority.level())
+    }
+
     /// What the log states about requests that compete with this one; `None` if decisions ignore
     /// ranks, and for services without models.
     pub(super) fn contention(&self, lease: &Lease) -> Option<event::Contention> {
--- a/crates/curranthook_gateway/src/job/escalation.rs
+++ b/crates/curranthook_gateway/src/job/escalation.rs
@@ -42,6 +42,7 @@
             confidence,
             first_ms: millis(expected.time_to_first_event),
             last_ms: millis(expected.time_to_last_event),
+            price: expected.cost,
         });
         self.models.switch_to_largest();
         self.peer_state = Some(peer_state);
@@ -69,7 +70,7 @@
             large,
             elapsed + large_time_to_first_event,
             large_slowdown,
-            cascade::LARGE_MODEL_COST,
+            self.large_model_price(),
         );
         cascade::should_escalate(confidence, &small, &large, &targets).then_some(large)
     }
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -10,13 +10,14 @@
         latency::{Estimate, Estimator},
         prefill::Prompt,
         reports::{self, MAX_DATAGRAM, MAX_REPORTED_ENDPOINTS, Message},
+        slowdowns::Entries,
         table::LoadTable,
         work::Work,
     },
     placement::{self, CacheHolders, Candidate, Locality, Task},
     settings::Contention,
 };
-use curranthook_policy::rank::Rank;
+use curranthook_policy::{rank::Rank, slowdown::Factor};
 use curranthook_types::endpoint;
 use serde_json::{Value, json};
 use yare::parameterized;
@@ -130,10 +131,17 @@
             failure_rate: 0.0,
             locality: Locality::SameDomain,
             has_prefix_cached: false,
+            slowdown: Factor::USUAL,
         };
         let candidates: Vec<_> = (0..).zip(&engines).map(candidate).collect();
         let holders = CacheHolders::Known;
-        let task = Task { prefix_hash: None, prefix_prefill: Duration::ZERO, holders, salt: 7 };
+        let task = Task {
+            prefix_hash: None,
+            prefix_prefill: Duration::ZERO,
+            own_time: Duration::ZERO,
+            holders,
+            salt: 7,
+        };
         placement::choose(&candidates, &task)
     };
     assert_eq!(choose(&|it| it.wait(priority(URGENT, LARGE_MODEL))), Some(0));
@@ -260,6 +268,7 @@
         by_priority,
         prefills: (0..n_prefills).map(|_| prefill()).collect(),
         unreachable: Vec::new(),
+        slowdowns: Entries::default(),
     }
 }
 
