--- /dev/null
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -0,0 +1,227 @@
+//! A node without sockets, before a store in memory.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use curranthook_gateway::{
+    Gateway, apply,
+    dialect::{Dialect, InvalidHeader, Outgoing, Reply},
+    document::{Document, Service},
+    entry::Entry,
+    event::Log,
+    fleet::{Key, Node},
+    gateway::{Configuration, Parts},
+    refusal::Refusal,
+    request::{Head, Request},
+    retry_budget,
+    settings::{Contention, Settings},
+    store::{
+        Answer, Batch, Commit, Committed, Decoder, Error, Operator, Rev, Row, Store, Table,
+        Undecodable,
+    },
+};
+use curranthook_http::runtime;
+use curranthook_types::{clock, domain, endpoint};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use parking_lot::Mutex;
+
+/// The store's fleet table, shared by the nodes of a test.
+#[derive(Debug, Default)]
+pub struct FleetTable {
+    rows: Mutex<(u64, BTreeMap<String, (u64, Vec<u8>)>)>,
+    /// Whether the store rejects all calls.
+    pub is_down: AtomicBool,
+    /// The number of calls.
+    pub n_calls: AtomicUsize,
+}
+
+impl FleetTable {
+    /// Writes a row, whatever its revision.
+    pub fn put(&self, key: &str, value: &[u8]) -> u64 {
+        let mut rows = self.rows.lock();
+        rows.0 += 1;
+        let rev = rows.0;
+        rows.1.insert(key.to_owned(), (rev, value.to_vec()));
+        rev
+    }
+
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        self.rows.lock().1.get(key).map(|(_, value)| value.clone())
+    }
+
+    pub fn rev(&self, key: &str) -> Option<u64> {
+        self.rows.lock().1.get(key).map(|(rev, _)| *rev)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        self.n_calls.fetch_add(1, Ordering::Relaxed);
+        let is_down = self.is_down.load(Ordering::Relaxed);
+        if is_down { Err(Error::Down("test".to_owned())) } else { Ok(()) }
+    }
+}
+
+impl Store for FleetTable {
+    fn all(&self, _: Table) -> Answer<'_, Batch> {
+        Box::pin(async {
+            self.check()?;
+            let rows = self.rows.lock();
+            let to_row = |(key, (rev, value)): (&String, &(u64, Vec<u8>))| Row {
+                key: key.clone(),
+                rev: Rev(*rev),
+                value: Some(value.clone()),
+            };
+            Ok(Batch { rows: rows.1.iter().map(to_row).collect(), rev: Rev(rows.0), now: None })
+        })
+    }
+
+    fn changes(&self, table: Table, _: Rev, _: Duration) -> Answer<'_, Batch> {
+        self.all(table)
+    }
+
+    fn commit<'a>(&'a self, commit: Commit<'a>) -> Answer<'a, Committed> {
+        Box::pin(async move {
+            self.check()?;
+            if commit.expected.is_some_and(|it| it.0 != self.rev(commit.key).unwrap_or(0)) {
+                return Ok(Committed::Conflict);
+            }
+            Ok(Committed::Done(Rev(self.put(commit.key, commit.value))))
+        })
+    }
+}
+
+/// A node of a test.
+pub struct TestNode {
+    pub gateway: Arc<Gateway>,
+    pub clock: Arc<clock::Manual>,
+    log: Buffer,
+}
+
+impl TestNode {
+    /// A node named `name` that has read nothing yet.
+    pub fn start(name: &str, contention: Contention, table: &Arc<FleetTable>) -> Self {
+        let (clock, log) = (Arc::new(clock::Manual::default()), Buffer::default());
+        let parts = Parts {
+            ex: runtime::start(1),
+            clock: Arc::clone(&clock) as _,
+            dialect: Arc::new(Unused),
+            decoder: Arc::new(Unused),
+            store: Arc::clone(table) as _,
+            log: Log::start(name, Arc::clone(&clock) as _, Box::new(log.clone())).unwrap(),
+        };
+        Self { gateway: Gateway::new(parts, settings(name, contention)), clock, log }
+    }
+
+    /// Sets a configuration with one service.
+    pub fn configure(&self, service: &str, models: &[(&str, f64)]) {
+        let models = models.iter().map(|(name, price)| ((*name).to_owned(), *price)).collect();
+        let service = (service.to_owned(), Service { models, ..Service::default() });
+        let document = Document::new(1, Vec::new(), [service].into());
+        self.gateway.configuration.store(Some(Arc::new(Configuration { document, rev: Rev(1) })));
+    }
+
+    /// Applies all rows of the fleet table, with the store's clock at `now`.
+    pub fn read(&self, table: &FleetTable, now: Option<Duration>) {
+        let batch = async_io::block_on(table.all(Table::Fleet)).unwrap();
+        apply::batch(&self.gateway, Table::Fleet, Batch { now, ..batch }, true, "store");
+    }
+
+    /// The lines logged so far whose event is `event`.
+    pub fn lines(&self, event: &str) -> Vec<serde_json::Value> {
+        // The log collects lines for 50 ms.
+        std::thread::sleep(Duration::from_millis(150));
+        let text = String::from_utf8(self.log.0.lock().clone()).unwrap();
+        let lines = text.lines().map(|it| serde_json::from_str(it).unwrap());
+        lines.filter(|it: &serde_json::Value| it["event"] == event).collect()
+    }
+}
+
+/// Writes the addresses of a node, as it does when it starts.
+pub fn announce(table: &FleetTable, name: &str) {
+    let peers = "127.0.0.1:9".parse().unwrap();
+    let node = Node { peers, reports: None, domain: None, capacity: 1.0 };
+    table.put(&Key::Node(name).to_string(), &serde_json::to_vec(&node).unwrap());
+}
+
+fn settings(name: &str, contention: Contention) -> Settings {
+    let any = "127.0.0.1:0".parse().unwrap();
+    Settings {
+        node: name.to_owned(),
+        domain: domain::Id::new("z-a"),
+        callers: any,
+        readiness: any,
+        peers: Some(any),
+        reports: None,
+        capacity: 1.0,
+        metrics: None,
+        seeds: Vec::new(),
+        contention,
+        retries: retry_budget::Limit { ratio: 0.1, slack: 1.0, window: Duration::from_secs(10) },
+        max_exposure: 0.1,
+        is_first_start: false,
+        grace: Duration::from_secs(10),
+    }
+}
+
+/// The written lines of a log.
+#[derive(Debug, Clone, Default)]
+struct Buffer(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Buffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Stands for interfaces that the tests do not use.
+#[derive(Debug)]
+struct Unused;
+
+impl Decoder for Unused {
+    fn operator(&self, _: &str, _: &[u8]) -> Result<Operator, Undecodable> {
+        Ok(Operator::Other)
+    }
+
+    fn evacuation(&self, _: &str) -> Option<domain::Id> {
+        None
+    }
+
+    fn endpoint(&self, id: &endpoint::Id, _: &[u8]) -> Result<Entry, Undecodable> {
+        Err(Undecodable { key: id.as_str().to_owned(), why: "not used".to_owned() })
+    }
+}
+
+impl Dialect for Unused {
+    fn parse_request_head(&self, _: &http::request::Parts) -> Result<Head, InvalidHeader> {
+        unreachable!("no request is received")
+    }
+
+    fn build_request(&self, _: &Request, _: &Outgoing<'_>) -> http::Request<bytes::Bytes> {
+        unreachable!("no request is sent")
+    }
+
+    fn parse_response_head(&self, _: &http::response::Parts) -> Reply {
+        unreachable!("no response is received")
+    }
+
+    fn unknown_headers<'a>(&self, _: &'a HeaderMap) -> Vec<(&'a HeaderName, &'a HeaderValue)> {
+        Vec::new()
+    }
+
+    fn response_headers(&self, _: &HeaderMap) -> HeaderMap {
+        HeaderMap::new()
+    }
+
+    fn add_refusal_headers(&self, _: &Refusal, _: &mut HeaderMap) {}
+}
