Let latency estimates start from what other nodes learned

Cause: a node that starts begins each model with the prior, which on a deployment can be off by 2.4 times, and needs some dozens of first events to correct it.

Change: the estimator keeps shared coefficients and event intervals beside its models. They replace the prior, with half of its standard deviation, of models that the node has not observed; a model that it has observed does not change.

--- a/crates/curranthook_gateway/src/load/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -2,24 +2,47 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::load::prefill::{self, Coefficients, Filter, Prompt};
 
 /// The weight of a new observation in the moving average of event intervals, from 0 to 1.
 const SMOOTHING_FACTOR: f64 = 0.1;
 
+/// The number of first events of a model after which its estimate may be shared with other nodes.
+/// After 10, an estimate may still be nearer to the prior than to the engines.
+const MIN_SHARED_EVENTS: u32 = 30;
+/// The maximum number of models whose shared estimates are kept.
+const MAX_SHARED_MODELS: usize = 512;
+
 /// The latency estimates of all models.
 #[derive(Debug, Default)]
 pub struct Estimator {
     models: HashMap<(String, String), Model>,
+    /// What other nodes learned, by service and model. It replaces the prior of models that this
+    /// node has not observed.
+    shared: HashMap<(String, String), Learned>,
 }
 
 #[derive(Debug)]
 struct Model {
     filter: Filter,
+    /// The number of observed first events.
+    n_first_events: u32,
     /// The moving average of the time between two events, in seconds.
     event_interval_s: Option<f64>,
 }
 
+/// What a node has learned of a model, in the form that it shares with others.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// The coefficients of the time to the first event.
+    pub coefficients: Coefficients,
+    /// The time between two events, in seconds; none if no stream has been observed.
+    #[serde(default)]
+    pub event_interval_s: Option<f64>,
+}
+
 /// The estimated latency of a model.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
@@ -78,9 +101,10 @@
     pub fn estimate(&self, service: &str, model: &str, relative_price: f64) -> Estimate {
         let key = (service.to_owned(), model.to_owned());
         let Some(it) = self.models.get(&key) else {
+            let new = self.new_model(&key, relative_price);
             return Estimate {
-                coefficients: Filter::new(relative_price).coefficients(),
-                event_interval_s: 0.0,
+                coefficients: new.filter.coefficients(),
+                event_interval_s: new.event_interval_s.unwrap_or(0.0),
             };
         };
         Estimate {
@@ -99,6 +123,7 @@
     ) {
         let it = self.model_mut(service, model, relative_price);
         it.filter.update(event.prompt, event.outstanding, event.queue_delay, event.elapsed);
+        it.n_first_events = it.n_first_events.saturating_add(1);
     }
 
     /// Records a stream of `n_events` that ended `elapsed` after its first event.
@@ -120,9 +145,68 @@
         }
     }
 
-    /// The state of `model`, created from the prior on first use.
+    /// What this node has learned of `model` itself; none if it has observed too few first events
+    /// to share an estimate.
+    pub fn learned(&self, service: &str, model: &str) -> Option<Learned> {
+        let it = self.models.get(&(service.to_owned(), model.to_owned()))?;
+        (MIN_SHARED_EVENTS <= it.n_first_events).then(|| Learned {
+            coefficients: it.filter.coefficients(),
+            event_interval_s: it.event_interval_s,
+        })
+    }
+
+    /// Sets what other nodes have learned of a service's models, in place of what was set before.
+    /// Estimates start from it instead of the prior; those of models that this node has observed
+    /// do not change. Returns the number of models that start from it.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use curranthook_gateway::load::{latency::{Estimator, Learned}, prefill::Prompt};
+    /// let mut estimator = Estimator::default();
+    /// let coefficients = [0.1, 0.2, 0.0, 0.0].into();
+    /// let learned = Learned { coefficients, event_interval_s: Some(0.02) };
+    /// assert_eq!(estimator.set_shared("engines", [("large", learned)]), 1);
+    /// let estimate = estimator.estimate("engines", "large", 1.0);
+    /// let expected = estimate.time_to_first_event(Prompt::new(10_000, 0), 0, Duration::ZERO);
+    /// assert_eq!(expected.as_millis(), 300);
+    /// ```
+    pub fn set_shared<'a>(
+        &mut self,
+        service: &str,
+        models: impl IntoIterator<Item = (&'a str, Learned)>,
+    ) -> usize {
+        self.shared.retain(|(of_service, _), _| of_service != service);
+        let mut n_used = 0;
+        for (model, learned) in models {
+            let key = (service.to_owned(), model.to_owned());
+            if MAX_SHARED_MODELS <= self.shared.len() || self.models.contains_key(&key) {
+                continue;
+            }
+            self.shared.insert(key, learned);
+            n_used += 1;
+        }
+        n_used
+    }
+
+    /// The state of `model`, created on first use.
     fn model_mut(&mut self, service: &str, model: &str, relative_price: f64) -> &mut Model {
-        let new = || Model { filter: Filter::new(relative_price), event_interval_s: None };
-        self.models.entry((service.to_owned(), model.to_owned())).or_insert_with(new)
+        let key = (service.to_owned(), model.to_owned());
+        if !self.models.contains_key(&key) {
+            let new = self.new_model(&key, relative_price);
+            self.models.insert(key.clone(), new);
+        }
+        self.models.get_mut(&key).expect("inserted above")
+    }
+
+    /// The state of a model that has not been observed: what other nodes have learned, or else the
+    /// prior.
+    fn new_model(&self, key: &(String, String), relative_price: f64) -> Model {
+        let shared = self.shared.get(key);
+        let filter = match shared {
+            Some(it) => Filter::from_shared(relative_price, it.coefficients),
+            None => Filter::new(relative_price),
+        };
+        let event_interval_s = shared.and_then(|it| it.event_interval_s);
+        Model { filter, n_first_events: 0, event_interval_s }
     }
 }
--- a/crates/curranthook_gateway/src/load/prefill.rs
+++ b/crates/curranthook_gateway/src/load/prefill.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nalgebra::{SMatrix, SVector};
+use serde::{Deserialize, Serialize};
 
 /// The number of terms of the estimate: a constant, tokens, token pairs, concurrent requests.
 const N_TERMS: usize = 4;
@@ -19,6 +20,9 @@
 const PRIOR_COEFFICIENTS: [f64; N_TERMS] = [0.05, 0.47, 0.0, 0.06];
 /// The standard deviation of each prior coefficient, in seconds per unit.
 const PRIOR_STD_DEV: [f64; N_TERMS] = [0.05, 0.3, 0.3, 0.06];
+/// The standard deviation of coefficients that other nodes learned, as a share of that of the prior.
+/// Some dozens of observations bring a filter below it.
+const SHARED_STD_DEV: f64 = 0.5;
 /// The share of the prior variance that is added back with each observation, since engines and load
 /// change.
 const VARIANCE_RECOVERY: f64 = 1e-3;
@@ -64,7 +68,8 @@
 }
 
 /// The coefficients that a [`Filter`] estimates, in seconds per unit of each term.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Coefficients([f64; N_TERMS]);
 
 impl Filter {
@@ -90,6 +95,22 @@
         Self { coefficients, covariance: SMatrix::from_diagonal(&prior_variance), prior_variance }
     }
 
+    /// Creates the filter of a model from coefficients that other nodes learned. Their variance is
+    /// less than the prior's, and more than that of a filter which learned from some dozens of
+    /// observations.
+    ///
+    /// ```
+    /// # use curranthook_gateway::load::prefill::{Coefficients, Filter};
+    /// let learned = Coefficients::from([0.1, 0.2, 0.0, 0.03]);
+    /// assert_eq!(Filter::from_shared(1.0, learned).coefficients(), learned);
+    /// ```
+    pub fn from_shared(relative_price: f64, coefficients: Coefficients) -> Self {
+        let it = Self::new(relative_price);
+        let variance = it.prior_variance * (SHARED_STD_DEV * SHARED_STD_DEV);
+        let coefficients = SVector::from(coefficients.0);
+        Self { coefficients, covariance: SMatrix::from_diagonal(&variance), ..it }
+    }
+
     /// The current estimate.
     pub fn coefficients(&self) -> Coefficients {
         Coefficients(self.coefficients.into())
@@ -129,7 +150,27 @@
     }
 }
 
+impl From<[f64; N_TERMS]> for Coefficients {
+    fn from(seconds: [f64; N_TERMS]) -> Self {
+        Self(seconds)
+    }
+}
+
 impl Coefficients {
+    /// Whether a filter can continue from the coefficients: all are finite and at most `max_s`
+    /// seconds per unit, and those that are rates are not negative.
+    ///
+    /// ```
+    /// # use curranthook_gateway::load::prefill::Coefficients;
+    /// assert!(Coefficients::from([-0.01, 0.2, 0.0, 0.03]).are_valid(60.0));
+    /// assert!(!Coefficients::from([0.1, -0.2, 0.0, 0.03]).are_valid(60.0));
+    /// assert!(!Coefficients::from([0.1, 0.2, f64::NAN, 0.03]).are_valid(60.0));
+    /// ```
+    pub fn are_valid(&self, max_s: f64) -> bool {
+        let [constant, rates @ ..] = self.0;
+        constant.abs() <= max_s && rates.iter().all(|it| (0.0..=max_s).contains(it))
+    }
+
     /// The time that an engine takes to prefill a prompt.
     pub fn prefill_time(&self, prompt: Prompt) -> Duration {
         let (uncached, pairs) = prompt.scaled_sizes();
