Keep latency estimates in the store for nodes that start

Rows come with the fleet's rows, so nothing more is read. All of it takes effect with Contention::ByRank or once an endpoint of the service has reported a slowdown.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -58,6 +58,8 @@
     advertised_cache: Cache,
     /// Failure domains whose endpoints get no new requests.
     evacuated: HashSet<domain::Id>,
+    /// The services of which some endpoint has reported a slowdown.
+    slowdown_services: HashSet<String>,
     /// When any endpoint last answered.
     last_answer: Option<Instant>,
     /// Until when endpoints whose entries were removed are kept, because the entries may have
@@ -291,11 +293,20 @@
         if let Some(it) = self.endpoints.get_mut(id) {
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
+                let service = &it.entry.service;
+                if load.slowdown.is_some() && !self.slowdown_services.contains(service) {
+                    self.slowdown_services.insert(service.clone());
+                }
                 it.load = Some((load, now, it.in_flight));
             }
         }
     }
 
+    /// Whether some endpoint of a service has reported a slowdown since the node started.
+    pub fn reports_slowdown(&self, service: &str) -> bool {
+        self.slowdown_services.contains(service)
+    }
+
     /// Records the end of a request. `work` is the part of its expected prefill time that was still
     /// pending.
     pub fn request_ended(
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -134,6 +134,15 @@
     },
     /// A request was blamed for the failure of an endpoint.
     PoisonCharged { request: &'a str, endpoint: &'a str },
+    /// A snapshot of latency estimates was written, taken or rejected.
+    Snapshot {
+        service: &'a str,
+        state: &'a str,
+        why: &'a str,
+        rev: Option<u64>,
+        age_ms: Option<u64>,
+        models: usize,
+    },
     /// Log lines were dropped since the last line that was written.
     LinesDropped { count: u64 },
 }
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -1,15 +1,16 @@
 //! The rows that nodes write for each other: addresses, steps of rollouts, evidence about new
-//! versions, and requests blamed for endpoint failures.
+//! versions, requests blamed for endpoint failures, and snapshots of latency estimates.
 
 use std::{net::SocketAddr, sync::Arc};
 
-use curranthook_policy::poison;
+use curranthook_policy::{hash, poison};
 use curranthook_types::domain;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     Gateway,
     event::Event,
+    load::snapshot_rows,
     steps::{Evidence, Step},
     store::{Rev, Row, Table},
 };
@@ -25,6 +26,9 @@
     Evidence(&'a str, &'a str),
     /// The requests that a node blames for endpoint failures.
     Poison(&'a str),
+    /// The latency estimates of a service's models. Builds that do not know this kind of row ignore
+    /// it.
+    Snapshot(&'a str),
 }
 
 impl<'a> Key<'a> {
@@ -42,6 +46,7 @@
             "node" => Some(Self::Node(rest)),
             "step" => Some(Self::Step(rest)),
             "poison" => Some(Self::Poison(rest)),
+            "snapshot" => Some(Self::Snapshot(rest)),
             "evidence" => {
                 rest.rsplit_once('/').map(|(service, node)| Self::Evidence(service, node))
             }
@@ -57,6 +62,7 @@
             Self::Step(service) => write!(f, "step/{service}"),
             Self::Evidence(service, node) => write!(f, "evidence/{service}/{node}"),
             Self::Poison(node) => write!(f, "poison/{node}"),
+            Self::Snapshot(service) => write!(f, "snapshot/{service}"),
         }
     }
 }
@@ -138,6 +144,7 @@
             let entries: Vec<poison::Entry> = serde_json::from_slice(value)?;
             gateway.poison.lock().merge(entries, gateway.now());
         }
+        Key::Snapshot(service) => snapshot_rows::apply(gateway, service, value, rev),
     }
     Ok(())
 }
@@ -157,6 +164,14 @@
     }
 }
 
+/// This node's rank among the nodes that may write a row of `service`; rank 0 writes first.
+pub fn rank(gateway: &Gateway, service: &str) -> usize {
+    let weight =
+        |node: &str| hash::pair(hash::bytes(service.as_bytes()), hash::bytes(node.as_bytes()));
+    let own = weight(&gateway.settings.node);
+    gateway.peers.lock().keys().filter(|it| weight(it) < own).count()
+}
+
 /// Logs the phase of a rollout and the evidence about its versions.
 pub fn log_rollout(gateway: &Gateway, it: &crate::rollouts::Rollout, outcome: &str) {
     let evidence = it.evidence();
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -9,12 +9,11 @@
 };
 
 use async_io::Timer;
-use curranthook_policy::hash;
 
 use crate::{
     Gateway,
     event::Event,
-    fleet::{Key, Node, Observation, log_rollout},
+    fleet::{self, Key, Node, Observation, log_rollout},
     rollouts::Rollout,
     settings::Settings,
     steps::{self, Evidence, Phase, Step},
@@ -262,10 +261,7 @@
 
     /// This node's rank among the nodes that may write a step of `service`; rank 0 writes first.
     fn rank(&self, service: &str) -> u32 {
-        let weight =
-            |node: &str| hash::pair(hash::bytes(service.as_bytes()), hash::bytes(node.as_bytes()));
-        let own = weight(&self.gateway.settings.node);
-        let n_before = self.gateway.peers.lock().keys().filter(|it| weight(it) < own).count();
+        let n_before = fleet::rank(&self.gateway, service);
         u32::try_from(n_before.min(MAX_RANK)).unwrap_or(u32::MAX)
     }
 }
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -22,7 +22,10 @@
     document::{Document, Service},
     event::Log,
     fleet,
-    load::{latency::Estimator, owners::Owners, reports::Socket, table::LoadTable},
+    load::{
+        latency::Estimator, owners::Owners, reports::Socket, snapshot_rows::Decided,
+        table::LoadTable,
+    },
     metrics::Metrics,
     mirror::Mirror,
     outage::Outage,
@@ -92,6 +95,8 @@
     pub affinity: Mutex<Affinity>,
     /// The observed speed of models.
     pub latency_estimator: Mutex<Estimator>,
+    /// Which snapshots of latency estimates were taken or rejected.
+    pub snapshots: Mutex<Decided>,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -170,6 +175,7 @@
             retry_schedule: Mutex::default(),
             affinity: Mutex::default(),
             latency_estimator: Mutex::default(),
+            snapshots: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -16,8 +16,8 @@
 //!   callers;
 //! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
 //!
-//! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`retry_budget`], [`permit`] and [`steps`]
-//! make decisions without I/O and without reading a clock. [`watch`] and [`apply`] turn rows of the
+//! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`load::snapshot`],
+//! [`retry_budget`], [`permit`] and [`steps`] make decisions without I/O and without reading a clock. [`watch`] and [`apply`] turn rows of the
 //! store into the node's state: [`document`], [`directory`] and [`rollouts`]; [`advertised`]
 //! contains what endpoints state about themselves in response headers. In a large fleet, changes
 //! reach most nodes through a tree of [`relays`]; through [`peers`], nodes query each other, which
--- a/crates/curranthook_gateway/src/load.rs
+++ b/crates/curranthook_gateway/src/load.rs
@@ -4,10 +4,14 @@
 //!   filter in [`prefill`];
 //! - [`reports`] exchanges pending work with other nodes: in a small fleet with all of them, in a
 //!   large one with the endpoints' [`owners`];
-//! - [`table`] contains the work that other nodes reported.
+//! - [`table`] contains the work that other nodes reported;
+//! - [`snapshot`] contains the latency estimates that nodes keep for those that start, and
+//!   [`snapshot_rows`] writes and reads it.
 
 pub mod latency;
 pub mod owners;
 pub mod prefill;
 pub mod reports;
+pub mod snapshot;
+pub mod snapshot_rows;
 pub mod table;
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -25,7 +25,10 @@
     event::Event,
     fleet_writer,
     frontend::Frontend,
-    load::reports::{self, Socket},
+    load::{
+        reports::{self, Socket},
+        snapshot_rows,
+    },
     peers,
     settings::Settings,
     store::Table,
@@ -189,6 +192,7 @@
         gateway.ex.spawn(task).detach();
     }
     gateway.ex.spawn(fleet_writer::run(Arc::clone(gateway))).detach();
+    gateway.ex.spawn(snapshot_rows::run(Arc::clone(gateway))).detach();
 }
 
 fn bind(addr: SocketAddr) -> Result<Server, Error> {
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -7,7 +7,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use curranthook_gateway::{
@@ -15,9 +15,13 @@
     dialect::{Dialect, InvalidHeader, Outgoing, Reply},
     document::{Document, Service},
     entry::Entry,
-    event::Log,
+    event::{Event, Log},
     fleet::{Key, Node},
     gateway::{Configuration, Parts},
+    load::{
+        latency::FirstEvent,
+        prefill::{Coefficients, Prompt},
+    },
     refusal::Refusal,
     request::{Head, Request},
     retry_budget,
@@ -31,11 +35,15 @@
 use curranthook_types::{clock, domain, endpoint};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use parking_lot::Mutex;
+use rand::{Rng, RngExt};
+
+/// The newest revision, and the revision and value of each row.
+type Rows = (u64, BTreeMap<String, (u64, Vec<u8>)>);
 
 /// The store's fleet table, shared by the nodes of a test.
 #[derive(Debug, Default)]
 pub struct FleetTable {
-    rows: Mutex<(u64, BTreeMap<String, (u64, Vec<u8>)>)>,
+    rows: Mutex<Rows>,
     /// Whether the store rejects all calls.
     pub is_down: AtomicBool,
     /// The number of calls.
@@ -96,6 +104,9 @@
     }
 }
 
+/// The request id of lines that a test writes itself.
+const MARKER: &str = "marker";
+
 /// A node of a test.
 pub struct TestNode {
     pub gateway: Arc<Gateway>,
@@ -108,7 +119,7 @@
     pub fn start(name: &str, contention: Contention, table: &Arc<FleetTable>) -> Self {
         let (clock, log) = (Arc::new(clock::Manual::default()), Buffer::default());
         let parts = Parts {
-            ex: runtime::start(1),
+            ex: runtime::Handle::default(),
             clock: Arc::clone(&clock) as _,
             dialect: Arc::new(Unused),
             decoder: Arc::new(Unused),
@@ -118,10 +129,10 @@
         Self { gateway: Gateway::new(parts, settings(name, contention)), clock, log }
     }
 
-    /// Sets a configuration with one service.
-    pub fn configure(&self, service: &str, models: &[(&str, f64)]) {
-        let models = models.iter().map(|(name, price)| ((*name).to_owned(), *price)).collect();
-        let service = (service.to_owned(), Service { models, ..Service::default() });
+    /// Sets a configuration with the service of the tests.
+    pub fn configure(&self) {
+        let models = MODELS.map(|(name, price)| (name.to_owned(), price)).into();
+        let service = ("engines".to_owned(), Service { models, ..Service::default() });
         let document = Document::new(1, Vec::new(), [service].into());
         self.gateway.configuration.store(Some(Arc::new(Configuration { document, rev: Rev(1) })));
     }
@@ -134,14 +145,30 @@
 
     /// The lines logged so far whose event is `event`.
     pub fn lines(&self, event: &str) -> Vec<serde_json::Value> {
-        // The log collects lines for 50 ms.
-        std::thread::sleep(Duration::from_millis(150));
-        let text = String::from_utf8(self.log.0.lock().clone()).unwrap();
+        // A thread writes the log; the last line shows that it has written all others.
+        let n_markers = self.marked_lines() + 1;
+        self.gateway.log.write(&Event::NotRepeated { request: MARKER, why: "" });
+        let until = Instant::now() + Duration::from_secs(10);
+        while self.marked_lines() < n_markers {
+            assert!(Instant::now() < until, "the log is not written");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let text = self.text();
         let lines = text.lines().map(|it| serde_json::from_str(it).unwrap());
         lines.filter(|it: &serde_json::Value| it["event"] == event).collect()
     }
 }
 
+impl TestNode {
+    fn text(&self) -> String {
+        String::from_utf8(self.log.0.lock().clone()).unwrap()
+    }
+
+    fn marked_lines(&self) -> usize {
+        self.text().matches(MARKER).count()
+    }
+}
+
 /// Writes the addresses of a node, as it does when it starts.
 pub fn announce(table: &FleetTable, name: &str) {
     let peers = "127.0.0.1:9".parse().unwrap();
@@ -225,3 +252,55 @@
 
     fn add_refusal_headers(&self, _: &Refusal, _: &mut HeaderMap) {}
 }
+
+/// The models of the tests' service and their prices relative to the largest.
+pub const MODELS: [(&str, f64); 3] = [("small", 0.1), ("middle", 0.3), ("large", 1.0)];
+
+/// How many times as long as the prior of the largest model says first events take.
+pub const PRIOR_ERROR: f64 = 2.4;
+
+/// The true coefficients of a model, which are [`PRIOR_ERROR`] times the prior's.
+pub fn true_coefficients(relative_price: f64) -> Coefficients {
+    let rate = 0.47 * relative_price;
+    Coefficients::from([0.05, rate, 0.0, 0.06].map(|it| it * PRIOR_ERROR))
+}
+
+/// Lets a node observe first events of all models, in which `factor` times the true time passes.
+/// A backlog of `n_queued` prompts of the middle size is ahead of each.
+pub fn observe(node: &TestNode, n_events: usize, n_queued: u32, factor: f64, rng: &mut impl Rng) {
+    let mut estimator = node.gateway.latency_estimator.lock();
+    for _ in 0..n_events {
+        for (model, price) in MODELS {
+            let (truth, backlog) = (true_coefficients(price), Prompt::new(9_190, 0));
+            let prompt = Prompt::new([1_460, 9_190, 17_020][rng.random_range(0..3)], 0);
+            let outstanding = rng.random_range(0..24);
+            let estimate = estimator.estimate("engines", model, price);
+            let queue_delay = estimate.coefficients.prefill_time(backlog) * n_queued;
+            let elapsed = (truth.time_to_first_event(prompt, outstanding)
+                + truth.prefill_time(backlog) * n_queued)
+                .mul_f64(factor * rng.random_range(0.9..1.1));
+            let event = FirstEvent { prompt, outstanding, queue_delay, elapsed };
+            estimator.record_first_event("engines", model, price, event);
+            estimator.record_stream("engines", model, price, 11, Duration::from_millis(300));
+        }
+    }
+}
+
+/// A node's forecasts for all models and prompt sizes, with `n_queued` prompts ahead, in seconds.
+pub fn forecasts(node: &TestNode, n_queued: u32) -> Vec<f64> {
+    let estimator = node.gateway.latency_estimator.lock();
+    let forecasts = MODELS.into_iter().flat_map(|(model, price)| {
+        let estimate = estimator.estimate("engines", model, price);
+        let queue_delay = estimate.coefficients.prefill_time(Prompt::new(9_190, 0)) * n_queued;
+        [1_460, 9_190, 17_020].map(|tokens| {
+            estimate.time_to_first_event(Prompt::new(tokens, 0), 8, queue_delay).as_secs_f64()
+        })
+    });
+    forecasts.collect()
+}
+
+/// The largest factor, up or down, between two sets of forecasts.
+pub fn largest_factor(ones: &[f64], others: &[f64]) -> f64 {
+    let factors = ones.iter().zip(others).map(|(one, other)| (one / other).max(other / one));
+    factors.fold(1.0, f64::max)
+}
