--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -22,7 +22,10 @@
     document::{Document, Service},
     event::Log,
     fleet,
-    load::{latency::Estimator, owners::Owners, reports::Socket, table::LoadTable},
+    load::{
+        latency::Estimator, owners::Owners, reports::Socket, snapshot_rows::Decided,
+        table::LoadTable,
+    },
     metrics::Metrics,
     mirror::Mirror,
     outage::Outage,
@@ -94,6 +97,8 @@
     pub latency_estimator: Mutex<Estimator>,
     /// The prices of the largest model, by service.
     pub price_scales: Mutex<HashMap<String, price::Scale>>,
+    /// Which snapshots of latency estimates were taken or rejected.
+    pub snapshots: Mutex<Decided>,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -173,6 +178,7 @@
             affinity: Mutex::default(),
             price_scales: Mutex::default(),
             latency_estimator: Mutex::default(),
+            snapshots: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
--- a/crates/curranthook_gateway/src/load.rs
+++ b/crates/curranthook_gateway/src/load.rs
@@ -6,7 +6,9 @@
 //!   large one with the endpoints' [`owners`];
 //! - [`slowdowns`] encodes the endpoints' slowdowns that nodes tell each other;
 //! - [`table`] contains the work that other nodes reported;
-//! - [`work`] is pending work by priority, and [`breakdown`] its form in messages.
+//! - [`work`] is pending work by priority, and [`breakdown`] its form in messages;
+//! - [`snapshot`] contains the latency estimates that nodes keep for those that start, and
+//!   [`snapshot_rows`] writes and reads it.
 
 pub mod breakdown;
 pub mod latency;
@@ -14,5 +16,7 @@
 pub mod prefill;
 pub mod reports;
 pub mod slowdowns;
+pub mod snapshot;
+pub mod snapshot_rows;
 pub mod table;
 pub mod work;
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -52,6 +52,7 @@
     queries: Family<Label, Counter>,
     slowdown_figures: Family<Label, Counter>,
     slowdown: Histogram,
+    snapshots: Family<Label, Counter>,
     first_byte_time: Histogram,
     estimate_error: Histogram,
     answer_time: Histogram,
@@ -80,6 +81,7 @@
             slowdown_figures: Family::default(),
             // From 0.25 to 11 times the usual time, two buckets for each doubling.
             slowdown: Histogram::new(exponential_buckets(0.25, std::f64::consts::SQRT_2, 12)),
+            snapshots: Family::default(),
             first_byte_time: buckets(),
             // From 2 % to 10 times the estimate, each bucket twice as large as the one before.
             estimate_error: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
@@ -113,6 +115,8 @@
         registry.register("slowdown_figures", help, self.slowdown_figures.clone());
         let help = "Slowdown expected of the endpoints that requests were sent to, 1 is usual";
         registry.register("slowdown", help, self.slowdown.clone());
+        let help = "Snapshots of latency estimates that were written or read, by result";
+        registry.register("snapshots", help, self.snapshots.clone());
         let unit = Unit::Seconds;
         let help = "Time to the first byte of an answer";
         registry.register_with_unit("first_byte", help, unit.clone(), self.first_byte_time.clone());
@@ -197,6 +201,11 @@
         self.slowdown.observe(expected.value());
     }
 
+    /// Counts a snapshot of latency estimates that was written or read.
+    pub fn record_snapshot(&self, result: &'static str) {
+        self.snapshots.get_or_create(&Label { name: result }).inc();
+    }
+
     /// All metrics in text format.
     ///
     /// ```
