Decide whether a request can be served before it is sent

Engines queue everything, so under lack of capacity they serve requests whose callers have left. The new module curranthook_policy::admission refuses a request if its first event is expected after the caller has given up, or its last one clearly after the deadline; the margin grows with the urgency. A refusal states when the caller may return, such that it is admitted then if the queue shrinks as expected. Nothing uses the module yet.

--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -6,9 +6,11 @@
 //!
 //! A request passes [`limit`] (is the account within its rate limit?), [`rollout`] and [`choice`]
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
-//! [`poison`]. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
+//! [`poison`]. On a platform whose callers compete for capacity, [`admission`] refuses requests that
+//! no endpoint can be expected to serve. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
 
+pub mod admission;
 pub mod baseline;
 pub mod choice;
 pub mod endpoint;
