--- a/crates/curranthook_gateway/src/document.rs
+++ b/crates/curranthook_gateway/src/document.rs
@@ -108,6 +108,9 @@
     /// The requests per second that an endpoint in slow start accepts from all nodes together; none
     /// for no limit.
     pub slow_start_rate: Option<f64>,
+    /// The number of prompt and output tokens that fit into the memory of each of its engines; none
+    /// if unknown.
+    pub memory_tokens: Option<u64>,
 }
 
 /// A client account, as found by one of its keys.
