Account for urgent work that arrives later, and for callers that return

The new module curranthook_policy::utilization extends queued work by the share of engines' time that more urgent requests take. The margin of a level is now half that of the next more urgent one, and a caller that returns has the largest margin, since it retries once.

--- a/crates/curranthook_policy/src/admission.rs
+++ b/crates/curranthook_policy/src/admission.rs
@@ -15,13 +15,15 @@
 /// The largest age at which a forecast is evidence. While all requests are refused nothing new is
 /// observed, so a forecast must expire.
 const MAX_AGE: Duration = Duration::from_secs(10);
-/// The least urgent level.
-const MAX_LEVEL: u8 = 4;
-/// How far a forecast of the least urgent level must exceed a limit, in percent of the limit, and
-/// how much further that of each more urgent level. First events usually take 0.8 to 1.1 times as
-/// long as expected, so a smaller margin would refuse requests that are served in time.
-const MIN_MARGIN_PERCENT: u32 = 125;
-const MARGIN_PERCENT_PER_LEVEL: u32 = 25;
+/// How far a forecast must exceed a limit, in percent of the limit. The margin of the most urgent
+/// level is halved with each less urgent one. First events usually take 0.8 to 1.1 times as long as
+/// expected, so with less than the smallest margin requests would be refused that are served in
+/// time.
+const MAX_MARGIN_PERCENT: u32 = 100;
+const MIN_MARGIN_PERCENT: u32 = 10;
+/// The part of the deadline after which a caller is taken to have returned. Requests whose body is
+/// received slowly have used some time on their first attempt too.
+const RETURNED_DIVISOR: u32 = 20;
 /// Callers wait for a `Retry-After` up to this part of their remaining time.
 const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
 
@@ -174,10 +176,13 @@
     }
 
     /// A limit extended by the margin of the request's level. Where capacity is short, forecasts
-    /// exceed the smallest margin first, so that the least urgent requests are refused first.
+    /// exceed the smallest margin first, so that the least urgent requests are refused first. A
+    /// caller that returns has the largest margin: it retries once, so a second refusal is final.
     fn with_margin(&self, limit: Duration) -> Duration {
-        let levels_above_least = MAX_LEVEL - self.level.min(MAX_LEVEL);
-        let percent = MIN_MARGIN_PERCENT + MARGIN_PERCENT_PER_LEVEL * u32::from(levels_above_least);
+        let has_returned = self.deadline / RETURNED_DIVISOR < self.elapsed;
+        let level = if has_returned { 0 } else { self.level };
+        let margin = MAX_MARGIN_PERCENT.checked_shr(level.into()).unwrap_or(0);
+        let percent = 100 + margin.max(MIN_MARGIN_PERCENT);
         limit.saturating_mul(percent) / 100
     }
 }
--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -7,7 +7,8 @@
 //! A request passes [`limit`] (is the account within its rate limit?), [`rollout`] and [`choice`]
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
 //! [`poison`]. On a platform whose callers compete for capacity, [`admission`] refuses requests that
-//! no endpoint can be expected to serve. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
+//! no endpoint can be expected to serve, given the [`utilization`] of engines by more urgent ones.
+//! [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
 
 pub mod admission;
@@ -20,4 +21,5 @@
 pub mod queue;
 pub mod retry;
 pub mod rollout;
+pub mod utilization;
 pub mod verdict;
--- a/crates/curranthook_policy/tests/admission.rs
+++ b/crates/curranthook_policy/tests/admission.rs
@@ -1,10 +1,13 @@
 //! Tests of admission: a request is refused only if no endpoint can be expected to serve it, and a
 //! caller that was refused and returns finds room.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use curranthook_policy::admission::{
-    Admission, Cause, Decision, Forecast, Refusal, Request, Window, decide, exceeds_memory,
+use curranthook_policy::{
+    admission::{
+        Admission, Cause, Decision, Forecast, Refusal, Request, Window, decide, exceeds_memory,
+    },
+    utilization::Utilization,
 };
 use proptest::prelude::*;
 use yare::parameterized;
@@ -120,6 +123,26 @@
     assert!(!exceeds_memory(0, 0, Some(0)));
 }
 
+/// Guards against a forecast without end, by which all less urgent requests would be refused, and
+/// against overflow.
+#[parameterized(
+    usual = { 1.0, s(10), s(50) },
+    no_engine = { 0.0, s(10), s(50) },
+    unknown_engines = { f64::NAN, s(10), s(10) },
+    endless_queue = { 1.0, Duration::MAX, Duration::MAX },
+)]
+fn urgent_work_delays_queued_work_to_a_limited_degree(
+    n_engines: f64,
+    queued: Duration,
+    expected: Duration,
+) {
+    let (mut utilization, now) = (Utilization::default(), Instant::now());
+    utilization.record(0, s(1_000), now);
+    assert_eq!(utilization.time_for(queued, u8::MAX, n_engines, now), expected);
+    let after_memory = utilization.time_for(s(10), 1, 1.0, now + s(100));
+    assert!(after_memory < s(11), "old work has no effect: {after_memory:?}");
+}
+
 prop_compose! {
     fn requests()(
         objective in 100..10_000_u64, gap in 0..2_000_u64, deadline in 500..60_000_u64, level in 0..6_u8,
