Refuse requests that no endpoint can be expected to serve

Where the settings list pressure, a job is refused before its first attempt as overloaded (503, not run) if admission says so for the smallest usable model at the best endpoint, or if it fits into the memory of no engine. In a large fleet, the owners of further endpoints are queried before a refusal. A model without a recent first event at this node, or an endpoint whose owner did not answer, means that the request is admitted. Retry-After times are slots within the time that the caller waits. Decisions are logged with their inputs and counted in curranthook_admissions.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -75,6 +75,35 @@
         configuration: Option<u64>,
         in_flight: usize,
     },
+    /// A request was refused, as no endpoint can be expected to serve it.
+    Overloaded {
+        request: &'a str,
+        route: &'a str,
+        endpoint: &'a str,
+        model: &'a str,
+        level: u8,
+        cause: &'a str,
+        first_ms: u64,
+        last_ms: u64,
+        queue_ms: u64,
+        /// The time since the model's last first event at this node.
+        age_ms: Option<u64>,
+        patience_ms: u64,
+        left_ms: u64,
+        used_ms: u64,
+        retry_after_ms: Option<u64>,
+        configuration: u64,
+    },
+    /// A request was refused, as it fits into the memory of no engine.
+    MemoryExceeded {
+        request: &'a str,
+        route: &'a str,
+        model: &'a str,
+        prompt_tokens: u64,
+        output_tokens: u64,
+        memory_tokens: u64,
+        configuration: u64,
+    },
     /// A request was sent to an endpoint.
     Sent {
         request: &'a str,
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, timeout};
-use curranthook_policy::poison::Register;
+use curranthook_policy::{poison::Register, utilization::Utilization};
 use curranthook_types::Clock;
 use parking_lot::Mutex;
 
@@ -22,7 +22,10 @@
     document::{Document, Service},
     event::Log,
     fleet,
-    load::{latency::Estimator, owners::Owners, reports::Socket, table::LoadTable},
+    load::{
+        latency::Estimator, observed::Observations, owners::Owners, reports::Socket,
+        table::LoadTable,
+    },
     metrics::Metrics,
     mirror::Mirror,
     outage::Outage,
@@ -92,6 +95,10 @@
     pub affinity: Mutex<Affinity>,
     /// The observed speed of models.
     pub latency_estimator: Mutex<Estimator>,
+    /// When the speed of models was last observed.
+    pub observations: Mutex<Observations>,
+    /// The share of engines' time that requests take, by service.
+    pub utilization: Mutex<HashMap<String, Utilization>>,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -170,6 +177,8 @@
             retry_schedule: Mutex::default(),
             affinity: Mutex::default(),
             latency_estimator: Mutex::default(),
+            observations: Mutex::default(),
+            utilization: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! Runs an admitted request: makes attempts until one yields a response for the caller.
 
+mod admission;
 mod escalation;
 mod retry;
 
@@ -180,10 +181,12 @@
         let rule = self.gateway.rollouts.lock().rule(&self.service, session_hash);
         let peer_state = self.peer_state.take();
         let criteria = self.criteria(&rule, self.models.current());
-        let peer_state = match peer_state {
+        self.check_memory()?;
+        let mut peer_state = match peer_state {
             Some(peer_state) => peer_state,
             None => self.query_peers(&criteria).await,
         };
+        self.check_capacity(&criteria, &mut peer_state).await?;
         let lease = Lease::acquire(&self.gateway, &criteria, &peer_state);
         lease.ok_or_else(|| self.no_endpoint_refusal(&criteria))
     }
@@ -267,6 +270,7 @@
         self.n_attempts += 1;
         let candidate = self.models.current();
         let model = candidate.map(|it| it.name.as_str());
+        self.record_engine_time(&lease);
         let id = lease.id.clone();
         let outgoing = Outgoing {
             endpoint: &id,
@@ -330,6 +334,9 @@
             };
             let mut estimator = self.gateway.latency_estimator.lock();
             estimator.record_first_event(&self.service, &it.name, it.relative_price, first_event);
+            drop(estimator);
+            let now = self.gateway.now();
+            self.gateway.observations.lock().record(&self.service, &it.name, now);
         }
         if exchange.reply.status.is_success() && self.try_escalate(exchange.reply.confidence).await
         {
--- /dev/null
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -0,0 +1,230 @@
+//! Refuses a request before its first attempt if no endpoint can be expected to serve it. Takes
+//! effect only where requests compete for capacity by rank.
+
+use std::time::Duration;
+
+use curranthook_policy::admission::{self, Cause, Decision, Forecast, Window};
+use curranthook_types::endpoint;
+
+use super::{Job, millis};
+use crate::{
+    cascade,
+    event::Event,
+    lease::Lease,
+    load::{
+        owners,
+        prefill::Prompt,
+        reports::{self, PeerState},
+    },
+    models::Candidate,
+    refusal::{Reason, Refusal},
+    selection::{self, Criteria},
+    settings::Contention,
+};
+
+/// The share of a service's capacity that callers who return may take. New requests need the rest.
+const RETURN_SHARE: f64 = 0.5;
+/// The shortest time that an engine is assumed to take for a request, so that the rate at which
+/// callers return is finite.
+const MIN_ENGINE_TIME: Duration = Duration::from_millis(10);
+
+/// A decision and what it is based on.
+struct Evaluation {
+    decision: Decision,
+    forecast: Forecast,
+    endpoint: endpoint::Id,
+}
+
+impl Evaluation {
+    fn is_refusal(&self) -> bool {
+        matches!(self.decision, Decision::Refuse(_))
+    }
+}
+
+impl Job {
+    /// Refuses a request whose prompt and output fit into the memory of no engine.
+    pub(super) fn check_memory(&self) -> Result<(), Refusal> {
+        let Some(model) = self.admission_model() else { return Ok(()) };
+        let (prompt, output) = (self.request.prompt_tokens(), self.request.output_tokens());
+        let memory = self.gateway.service(&self.service, |it| it.memory_tokens);
+        if !admission::exceeds_memory(prompt, output, memory) {
+            return Ok(());
+        }
+        self.gateway.metrics.record_admission(Cause::Memory.name());
+        self.gateway.log.write(&Event::MemoryExceeded {
+            request: &self.request.head.id,
+            route: &self.route.name,
+            model: &model.name,
+            prompt_tokens: prompt,
+            output_tokens: output,
+            memory_tokens: memory.unwrap_or_default(),
+            configuration: self.configuration_version,
+        });
+        Err(self.refusal(Reason::Overloaded))
+    }
+
+    /// Refuses a request that no endpoint can be expected to serve. In a large fleet, peers are
+    /// queried for further endpoints before; what they answer is added to `peer_state`.
+    pub(super) async fn check_capacity(
+        &self,
+        criteria: &Criteria<'_>,
+        peer_state: &mut PeerState,
+    ) -> Result<(), Refusal> {
+        let Some(model) = self.admission_model() else { return Ok(()) };
+        let Some(mut evaluation) = self.evaluate(model, criteria, peer_state) else {
+            return Ok(());
+        };
+        // The endpoint that has the prefix cached may be busy while another one is idle.
+        let any_holder = Criteria { prefix_hash: None, ..*criteria };
+        if evaluation.is_refusal()
+            && let Some(it) = self.evaluate(model, &any_holder, peer_state)
+        {
+            evaluation = it;
+        }
+        if evaluation.is_refusal() && owners::are_used(self.gateway.n_nodes()) {
+            let tried: Vec<_> = peer_state.waiting.keys().chain(criteria.tried).cloned().collect();
+            let others = Criteria { tried: &tried, ..any_holder };
+            let shortlist = selection::shortlist(&self.gateway, &others);
+            peer_state.extend(reports::query(&self.gateway, shortlist, None).await);
+            evaluation = self.evaluate(model, &any_holder, peer_state).unwrap_or(evaluation);
+        }
+        match evaluation.decision {
+            Decision::Admit(admission) => {
+                self.gateway.metrics.record_admission(admission.name());
+                Ok(())
+            }
+            Decision::Refuse(refusal) => Err(self.overload_refusal(model, &evaluation, &refusal)),
+        }
+    }
+
+    /// The model that admission is decided for: the smallest usable one. None if the request is not
+    /// subject to admission: there are no models, an attempt was made, or the caller resumes a
+    /// stream, of which it has a part already.
+    fn admission_model(&self) -> Option<&Candidate> {
+        let is_first = self.n_attempts == 0 && self.last_event_id.is_none();
+        let is_subject = is_first && self.gateway.settings.contention == Contention::ByRank;
+        self.models.current().filter(|_| is_subject)
+    }
+
+    /// Evaluates the request at the best endpoint; none if there is no endpoint.
+    fn evaluate(
+        &self,
+        model: &Candidate,
+        criteria: &Criteria<'_>,
+        peer_state: &PeerState,
+    ) -> Option<Evaluation> {
+        let (latency, now) = (criteria.model?.latency, self.gateway.now());
+        let mut directory = self.gateway.directory.lock();
+        selection::renew_permits(&self.gateway, &mut directory, criteria.service, now);
+        let choice = selection::best(&self.gateway, &directory, criteria, peer_state)?;
+        let endpoint = choice.endpoint.entry.id.clone();
+        let time_to_first_event = choice.time_to_first_event(&latency);
+        let queued = choice.queue_delay;
+        let is_idle = choice.outstanding == 0 && queued.is_zero();
+        drop(directory);
+        let queue_delay = self.time_for_queued(model, queued);
+        let time_to_first_event = time_to_first_event.saturating_sub(queued) + queue_delay;
+        // In a large fleet, a node does not know what is queued at an endpoint that no owner
+        // answered for.
+        let is_queue_known =
+            !owners::are_used(self.gateway.n_nodes()) || peer_state.waiting.contains_key(&endpoint);
+        let age = self.gateway.observations.lock().age(&self.service, &model.name, now);
+        let n_events = self.models.event_count(self.request.output_tokens());
+        let forecast = Forecast {
+            time_to_first_event,
+            time_to_last_event: time_to_first_event + latency.time_for_events(n_events),
+            queue_delay,
+            is_idle,
+            age: age.filter(|_| is_queue_known),
+        };
+        let decision = admission::decide(&self.admission_request(), &forecast);
+        Some(Evaluation { decision, forecast, endpoint })
+    }
+
+    fn admission_request(&self) -> admission::Request {
+        let route = &self.route;
+        admission::Request {
+            objective: route.latency_target,
+            max_event_gap: route.max_event_gap,
+            deadline: route.timeout,
+            elapsed: route.timeout.saturating_sub(self.time_left()),
+            level: self.priority,
+        }
+    }
+
+    fn overload_refusal(
+        &self,
+        model: &Candidate,
+        evaluation: &Evaluation,
+        refusal: &admission::Refusal,
+    ) -> Refusal {
+        let Evaluation { forecast, endpoint, .. } = evaluation;
+        let request = self.admission_request();
+        let retry_after = refusal.retry.and_then(|it| self.reserve_return(model, it));
+        self.gateway.metrics.record_admission(refusal.cause.name());
+        self.gateway.log.write(&Event::Overloaded {
+            request: &self.request.head.id,
+            route: &self.route.name,
+            endpoint: endpoint.as_str(),
+            model: &model.name,
+            level: request.level,
+            cause: refusal.cause.name(),
+            first_ms: millis(forecast.time_to_first_event),
+            last_ms: millis(forecast.time_to_last_event),
+            queue_ms: millis(forecast.queue_delay),
+            age_ms: forecast.age.map(millis),
+            patience_ms: millis(request.patience()),
+            left_ms: millis(self.time_left()),
+            used_ms: millis(request.elapsed),
+            retry_after_ms: retry_after.map(millis),
+            configuration: self.configuration_version,
+        });
+        let refusal = self.refusal(Reason::Overloaded);
+        match retry_after {
+            Some(it) => refusal.with_retry_after(it),
+            None => refusal,
+        }
+    }
+
+    /// How long queued work ahead of the request takes, as more urgent requests continue to arrive.
+    /// The load balancer sends each node about the same share of requests.
+    fn time_for_queued(&self, model: &Candidate, queued: Duration) -> Duration {
+        let gateway = &self.gateway;
+        let n_engines = gateway.directory.lock().ready(&self.service).count();
+        let n_engines = n_engines as f64 / gateway.n_nodes() as f64;
+        let priority = cascade::engine_priority(self.priority, model.relative_price);
+        let utilization = gateway.utilization.lock();
+        let utilization = utilization.get(&self.service);
+        utilization.map_or(queued, |it| it.time_for(queued, priority, n_engines, gateway.now()))
+    }
+
+    /// Records the engine time of an attempt.
+    pub(super) fn record_engine_time(&self, lease: &Lease) {
+        let is_subject = self.gateway.settings.contention == Contention::ByRank;
+        let Some(model) = self.models.current().filter(|_| is_subject) else { return };
+        let engine_time = self.latency(model).coefficients.prefill_time(lease.prompt);
+        // An engine stops when the deadline has passed. Callers may claim prompts of any length.
+        let engine_time = engine_time.min(self.time_left());
+        let priority = cascade::engine_priority(self.priority, model.relative_price);
+        let mut utilization = self.gateway.utilization.lock();
+        let utilization = utilization.entry(self.service.clone()).or_default();
+        utilization.record(priority, engine_time, self.gateway.now());
+    }
+
+    /// Reserves the time at which the caller of a refused request returns. Callers return at the
+    /// rate at which engines can take them; otherwise they would find the same queue, made of each
+    /// other. None if the caller does not wait long enough.
+    fn reserve_return(&self, model: &Candidate, window: Window) -> Option<Duration> {
+        let gateway = &self.gateway;
+        let prompt = Prompt::new(self.request.prompt_tokens(), 0);
+        let engine_time =
+            self.latency(model).coefficients.prefill_time(prompt).max(MIN_ENGINE_TIME);
+        let n_endpoints = gateway.directory.lock().ready(&self.service).count();
+        let fleet_rate = RETURN_SHARE * n_endpoints as f64 / engine_time.as_secs_f64();
+        let rate = fleet_rate / gateway.n_nodes() as f64;
+        // Levels return independently, as less urgent ones wait longer.
+        let key = format!("{}/{}", self.service, self.priority);
+        let mut schedule = gateway.retry_schedule.lock();
+        schedule.reserve_between(&key, rate, window.earliest..=window.latest, gateway.now())
+    }
+}
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`rollouts`], [`cascade`], [`selection`], [`placement`]: choose the version, the model and the
 //!   endpoint;
 //! - [`lease`], [`attempt`]: count the request as load of an endpoint, and make one attempt there;
+//!   where callers compete for capacity, a job is refused before if no endpoint can be expected to
+//!   serve it;
 //!   [`load`] contains what the node knows about the load of endpoints, from its own requests and
 //!   from other nodes;
 //! - [`permit`]: divides among the nodes the request rate of endpoints that are in [`slow_start`]
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -112,7 +112,8 @@
 }
 
 impl PeerState {
-    fn extend(&mut self, other: Self) {
+    /// Adds what `other` contains, which replaces what is known of the same endpoints.
+    pub fn extend(&mut self, other: Self) {
         self.waiting.extend(other.waiting);
         self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -41,6 +41,7 @@
     retries: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     queries: Family<Label, Counter>,
+    admissions: Family<Label, Counter>,
     first_byte_time: Histogram,
     estimate_error: Histogram,
     answer_time: Histogram,
@@ -65,6 +66,7 @@
             retries: Family::default(),
             store_calls: Family::default(),
             queries: Family::default(),
+            admissions: Family::default(),
             first_byte_time: buckets(),
             // From 2 % to 10 times the estimate, each bucket twice as large as the one before.
             estimate_error: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
@@ -92,6 +94,8 @@
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Questions about work waiting at endpoints, by result";
         registry.register("questions", help, self.queries.clone());
+        let help = "Decisions on requests before their first attempt, by reason";
+        registry.register("admissions", help, self.admissions.clone());
         let unit = Unit::Seconds;
         let help = "Time to the first byte of an answer";
         registry.register_with_unit("first_byte", help, unit.clone(), self.first_byte_time.clone());
@@ -161,6 +165,11 @@
         self.queries.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts the decision to admit or to refuse a request before its first attempt.
+    pub fn record_admission(&self, reason: &'static str) {
+        self.admissions.get_or_create(&Label { name: reason }).inc();
+    }
+
     /// All metrics in text format.
     ///
     /// ```
--- a/crates/curranthook_gateway/src/refusal.rs
+++ b/crates/curranthook_gateway/src/refusal.rs
@@ -23,6 +23,8 @@
     Throttled,
     /// All endpoints that were tried are full.
     Full,
+    /// No endpoint can be expected to serve the request in time, or its size exceeds their memory.
+    Overloaded,
     /// The node is shutting down.
     Stopping,
     /// The request has crashed several endpoints.
@@ -52,6 +54,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::Throttled => "throttled",
             Self::Full => "full",
+            Self::Overloaded => "overloaded",
             Self::Stopping => "stopping",
             Self::Poison => "poison",
             Self::Expired => "expired",
--- a/crates/curranthook_gateway/src/retry_schedule.rs
+++ b/crates/curranthook_gateway/src/retry_schedule.rs
@@ -1,8 +1,9 @@
 //! Spreads the `Retry-After` times of callers that were refused because the endpoints are
-//! throttled.
+//! throttled or overloaded.
 
 use std::{
     collections::HashMap,
+    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
@@ -10,7 +11,7 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// The last reserved time slot per service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Reservations {
     last_slots: HashMap<String, Instant>,
 }
@@ -37,4 +38,34 @@
         self.last_slots.insert(service.to_owned(), slot);
         slot - now
     }
+
+    /// Reserves the next time slot within `window`, which is relative to `now`; none if all its
+    /// slots are taken. `key` identifies the callers that share the `rate`.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::retry_schedule::Reservations;
+    /// let mut reservations = Reservations::default();
+    /// let (now, s) = (Instant::now(), Duration::from_secs(1));
+    /// let mut reserve = || reservations.reserve_between("engines", 0.5, 3 * s..=6 * s, now);
+    /// assert_eq!([reserve(), reserve(), reserve()], [Some(3 * s), Some(5 * s), None]);
+    /// ```
+    pub fn reserve_between(
+        &mut self,
+        key: &str,
+        rate: f64,
+        window: RangeInclusive<Duration>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let interval =
+            Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_RETRY_AFTER).min(MAX_RETRY_AFTER);
+        let next =
+            self.last_slots.get(key).map(|it| (*it + interval).saturating_duration_since(now));
+        let after = next.unwrap_or_default().max(*window.start());
+        if *window.end() < after {
+            return None;
+        }
+        self.last_slots.insert(key.to_owned(), now + after);
+        Some(after)
+    }
 }
