Refuse in a large fleet only if most of the queues asked about are known

If the owners of most endpoints are lost, the few that answer may own busy endpoints only, while others are idle. A request is now admitted unless the queues of five endpoints are known, of the eight that are asked about.

--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use curranthook_policy::admission::{self, Cause, Decision, Forecast, Window};
+use curranthook_policy::admission::{self, Admission, Cause, Decision, Forecast, Window};
 use curranthook_types::endpoint;
 
 use super::{Job, millis};
@@ -24,6 +24,9 @@
 
 /// The share of a service's capacity that callers who return may take. New requests need the rest.
 const RETURN_SHARE: f64 = 0.5;
+/// The number of endpoints whose queues must be known before a request is refused in a large fleet:
+/// more than half of those that are asked about in two rounds.
+const MIN_KNOWN_QUEUES: usize = 5;
 /// The shortest time that an engine is assumed to take for a request, so that the rate at which
 /// callers return is finite.
 const MIN_ENGINE_TIME: Duration = Duration::from_millis(10);
@@ -87,6 +90,12 @@
             let shortlist = selection::shortlist(&self.gateway, &others);
             peer_state.extend(reports::query(&self.gateway, shortlist, None).await);
             evaluation = self.evaluate(model, &any_holder, peer_state).unwrap_or(evaluation);
+            let n_endpoints = self.gateway.directory.lock().ready(&self.service).count();
+            if evaluation.is_refusal()
+                && peer_state.waiting.len() < MIN_KNOWN_QUEUES.min(n_endpoints)
+            {
+                evaluation.decision = Decision::Admit(Admission::Unknown);
+            }
         }
         match evaluation.decision {
             Decision::Admit(admission) => {
