--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, timeout};
-use curranthook_policy::{poison::Register, price};
+use curranthook_policy::{poison::Register, price, utilization::Utilization};
 use curranthook_types::Clock;
 use parking_lot::Mutex;
 
@@ -23,8 +23,8 @@
     event::Log,
     fleet,
     load::{
-        latency::Estimator, owners::Owners, reports::Socket, snapshot_rows::Decided,
-        table::LoadTable,
+        latency::Estimator, observed::Observations, owners::Owners, reports::Socket,
+        snapshot_rows::Decided, table::LoadTable,
     },
     metrics::Metrics,
     mirror::Mirror,
@@ -99,6 +99,10 @@
     pub price_scales: Mutex<HashMap<String, price::Scale>>,
     /// Which snapshots of latency estimates were taken or rejected.
     pub snapshots: Mutex<Decided>,
+    /// When the speed of models was last observed.
+    pub observations: Mutex<Observations>,
+    /// The share of engines' time that requests take, by service.
+    pub utilization: Mutex<HashMap<String, Utilization>>,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -179,6 +183,8 @@
             price_scales: Mutex::default(),
             latency_estimator: Mutex::default(),
             snapshots: Mutex::default(),
+            observations: Mutex::default(),
+            utilization: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -53,6 +53,7 @@
     slowdown_figures: Family<Label, Counter>,
     slowdown: Histogram,
     snapshots: Family<Label, Counter>,
+    admissions: Family<Label, Counter>,
     first_byte_time: Histogram,
     estimate_error: Histogram,
     answer_time: Histogram,
@@ -82,6 +83,7 @@
             // From 0.25 to 11 times the usual time, two buckets for each doubling.
             slowdown: Histogram::new(exponential_buckets(0.25, std::f64::consts::SQRT_2, 12)),
             snapshots: Family::default(),
+            admissions: Family::default(),
             first_byte_time: buckets(),
             // From 2 % to 10 times the estimate, each bucket twice as large as the one before.
             estimate_error: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
@@ -117,6 +119,8 @@
         registry.register("slowdown", help, self.slowdown.clone());
         let help = "Snapshots of latency estimates that were written or read, by result";
         registry.register("snapshots", help, self.snapshots.clone());
+        let help = "Decisions on requests before their first attempt, by reason";
+        registry.register("admissions", help, self.admissions.clone());
         let unit = Unit::Seconds;
         let help = "Time to the first byte of an answer";
         registry.register_with_unit("first_byte", help, unit.clone(), self.first_byte_time.clone());
@@ -206,6 +210,11 @@
         self.snapshots.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts the decision to admit or to refuse a request before its first attempt.
+    pub fn record_admission(&self, reason: &'static str) {
+        self.admissions.get_or_create(&Label { name: reason }).inc();
+    }
+
     /// All metrics in text format.
     ///
     /// ```
