--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -9,12 +9,14 @@
     time::{Duration, Instant},
 };
 
+use curranthook_policy::slowdown;
 use curranthook_types::{domain, endpoint};
 
 use crate::{
     advertised::{Advertised, Cache, Incarnation},
     dialect::Load,
     entry::Entry,
+    load::work::Work,
     rate_limit,
     store::Row,
 };
@@ -58,8 +60,8 @@
     advertised_cache: Cache,
     /// Failure domains whose endpoints get no new requests.
     evacuated: HashSet<domain::Id>,
-    /// The services of which an endpoint has reported a slowdown.
-    slowed_services: HashSet<String>,
+    /// The services of which some endpoint has reported a slowdown.
+    slowdown_services: HashSet<String>,
     /// When any endpoint last answered.
     last_answer: Option<Instant>,
     /// Until when endpoints whose entries were removed are kept, because the entries may have
@@ -244,6 +246,18 @@
         self.advertised(incarnation, now).is_some_and(|it| it.set_rate_limit(notice))
     }
 
+    /// Records how long work takes at an endpoint, as reported by the incarnation that started at
+    /// `started_ms`. Returns whether that is the known one.
+    pub fn record_slowdown(
+        &mut self,
+        id: &endpoint::Id,
+        started_ms: Option<u64>,
+        figure: slowdown::Figure,
+    ) -> bool {
+        let known = self.endpoints.get_mut(id).filter(|it| it.entry.started_ms == started_ms);
+        known.map(|it| it.slowdown.record(figure)).is_some()
+    }
+
     /// Marks an endpoint as leaving. Returns whether it was not marked before.
     pub fn set_leaving(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         let known = self.advertised(incarnation, now);
@@ -268,7 +282,7 @@
 
     /// Records that a request is being sent. `work` is its expected prefill time, which counts as
     /// pending until the first byte of the answer.
-    pub fn request_sent(&mut self, id: &endpoint::Id, work: Duration, now: Instant) {
+    pub fn request_sent(&mut self, id: &endpoint::Id, work: Work, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
             it.in_flight += 1;
             it.pending += work;
@@ -285,7 +299,7 @@
     pub fn first_byte_received(
         &mut self,
         id: &endpoint::Id,
-        work: Duration,
+        work: Work,
         load: Option<Load>,
         now: Instant,
     ) {
@@ -293,23 +307,23 @@
         if let Some(it) = self.endpoints.get_mut(id) {
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
-                if load.slowdown.is_some() && !self.slowed_services.contains(&it.entry.service) {
-                    self.slowed_services.insert(it.entry.service.clone());
+                let service = &it.entry.service;
+                if load.slowdown.is_some() && !self.slowdown_services.contains(service) {
+                    self.slowdown_services.insert(service.clone());
                 }
                 it.load = Some((load, now, it.in_flight));
             }
         }
     }
 
+    /// Whether some endpoint of a service has reported a slowdown since the node started.
+    pub fn reports_slowdown(&self, service: &str) -> bool {
+        self.slowdown_services.contains(service)
+    }
+
     /// Records the end of a request. `work` is the part of its expected prefill time that was still
     /// pending.
-    pub fn request_ended(
-        &mut self,
-        id: &endpoint::Id,
-        outcome: Outcome,
-        work: Duration,
-        now: Instant,
-    ) {
+    pub fn request_ended(&mut self, id: &endpoint::Id, outcome: Outcome, work: Work, now: Instant) {
         let Some(it) = self.endpoints.get_mut(id) else { return };
         it.in_flight = it.in_flight.saturating_sub(1);
         it.pending = it.pending.saturating_sub(work);
@@ -343,11 +357,6 @@
         it.failures += FAILURE_SMOOTHING * (failure - it.failures);
     }
 
-    /// Whether an endpoint of the service has reported a slowdown, which may be that of usual work.
-    pub fn reports_slowdown(&self, service: &str) -> bool {
-        self.slowed_services.contains(service)
-    }
-
     /// Whether any endpoint answered recently. If so, this node's own links work, and a failed
     /// connection is the endpoint's fault.
     pub fn has_recent_answer(&self, now: Instant) -> bool {
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, timeout};
-use curranthook_policy::poison::Register;
+use curranthook_policy::{poison::Register, price, utilization::Utilization};
 use curranthook_types::Clock;
 use parking_lot::Mutex;
 
@@ -22,7 +22,10 @@
     document::{Document, Service},
     event::Log,
     fleet,
-    load::{in_flight, latency::Estimator, owners::Owners, reports::Socket, table::LoadTable},
+    load::{
+        in_flight, latency::Estimator, observed::Observations, owners::Owners, reports::Socket,
+        snapshot_rows::Decided, table::LoadTable,
+    },
     metrics::Metrics,
     mirror::Mirror,
     outage::Outage,
@@ -92,6 +95,14 @@
     pub affinity: Mutex<Affinity>,
     /// The observed speed of models.
     pub latency_estimator: Mutex<Estimator>,
+    /// The prices of the largest model, by service.
+    pub price_scales: Mutex<HashMap<String, price::Scale>>,
+    /// Which snapshots of latency estimates were taken or rejected.
+    pub snapshots: Mutex<Decided>,
+    /// When the speed of models was last observed.
+    pub observations: Mutex<Observations>,
+    /// The share of engines' time that requests take, by service.
+    pub utilization: Mutex<HashMap<String, Utilization>>,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -171,7 +182,11 @@
             directory: Mutex::default(),
             retry_schedule: Mutex::default(),
             affinity: Mutex::default(),
+            price_scales: Mutex::default(),
             latency_estimator: Mutex::default(),
+            snapshots: Mutex::default(),
+            observations: Mutex::default(),
+            utilization: Mutex::default(),
             mirror: Mutex::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -1,43 +1,37 @@
 //! Runs an admitted request: makes attempts until one yields a response for the caller.
 
+mod acquisition;
+mod admission;
+mod contention;
 mod escalation;
 mod retry;
 
 use std::{sync::Arc, time::Duration};
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, rank::Rank};
 use curranthook_types::{account, endpoint};
 
 use crate::{
     Gateway,
     attempt::{self, Cause, Exchange, Failure},
-    cascade,
     dialect::{Execution, Outgoing},
     directory::Outcome,
-    document::{RetryPolicy, Route},
+    document::Route,
     event::Event,
     gateway::{Configuration, InFlight},
     lease::Lease,
     load::{
         latency::{Estimate, FirstEvent},
-        reports::{self, PeerState, Query},
+        reports::PeerState,
     },
     models::{Candidate, Models},
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
-    rollouts::{Kind, Rule},
-    selection::{self, Criteria, TargetModel, Unavailable},
+    rollouts::Kind,
 };
 
 use self::retry::Decision;
 
-/// The `Retry-After` while no endpoint is reachable: about the time until a reachable endpoint is
-/// discovered.
-const RETRY_AFTER_NO_ENDPOINT: Duration = Duration::from_millis(700);
-
-/// The number of times that peers are queried for a reachable endpoint before one is selected.
-const MAX_QUERY_ROUNDS: usize = 3;
-
 /// The outcome of a request whose response was received completely.
 pub const OUTCOME_WHOLE: &str = "whole";
 
@@ -70,8 +64,8 @@
     pub route: Arc<Route>,
     /// The client account of the caller.
     pub account: Option<account::Id>,
-    /// The rank of the request; 0 is served first.
-    pub priority: u8,
+    /// The priorities of the caller's account and of the route.
+    pub priority: Rank,
     /// The id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
     /// The number of attempts so far.
@@ -100,13 +94,14 @@
         request: Request,
         route: Arc<Route>,
         account: Option<account::Id>,
-        priority: u8,
+        priority: Rank,
     ) -> Result<Self, Refusal> {
         let split_point = hash::unit(hash::bytes(request.head.id.as_bytes()));
         let service = route.service(split_point).map(str::to_owned);
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Started::No))?;
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
+        contention::record_level(gateway, &service, &models, priority);
         Ok(Self {
             last_event_id: request.head.last_event_id,
             account,
@@ -175,116 +170,18 @@
         }
     }
 
-    async fn acquire_lease(&mut self) -> Result<Lease, Refusal> {
-        let session_hash = self.session_hash();
-        let rule = self.gateway.rollouts.lock().rule(&self.service, session_hash);
-        let peer_state = self.peer_state.take();
-        let criteria = self.criteria(&rule, self.models.current());
-        let peer_state = match peer_state {
-            Some(peer_state) => peer_state,
-            None => self.query_peers(&criteria).await,
-        };
-        Lease::acquire(&self.gateway, &criteria, &peer_state).map_err(|e| match e {
-            Unavailable::NoEndpoint => self.no_endpoint_refusal(&criteria),
-            Unavailable::Full => self.full_refusal(),
-        })
-    }
-
-    /// The refusal of a request that no endpoint can take.
-    fn no_endpoint_refusal(&self, criteria: &Criteria<'_>) -> Refusal {
-        let Some(throttled) = selection::throttled(&self.gateway, criteria) else {
-            return self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AFTER_NO_ENDPOINT);
-        };
-        let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
-        let after_pause = throttled.resumes_at.map(|it| it.saturating_duration_since(now));
-        let own_rate = Some(throttled.rate / n_nodes as f64).filter(|it| 0.0 < *it);
-        let after_interval =
-            own_rate.map(|it| self.gateway.retry_schedule.lock().reserve(&self.service, it, now));
-        let retry_after = after_pause.into_iter().chain(after_interval).min();
-        self.refusal(Reason::Throttled)
-            .with_retry_after(retry_after.unwrap_or(RETRY_AFTER_NO_ENDPOINT))
-    }
-
-    /// Queries peers about the load of the endpoints that may take the request. Returns an empty
-    /// state in a small fleet, where each node reports its load to all others without being
-    /// queried.
-    async fn query_peers(&self, criteria: &Criteria<'_>) -> PeerState {
-        let mut peer_state = PeerState::default();
-        for _ in 0..MAX_QUERY_ROUNDS {
-            let shortlist = selection::shortlist(&self.gateway, criteria);
-            if shortlist.is_empty() {
-                return PeerState::default();
-            }
-            peer_state = self.query_owners(shortlist, criteria).await;
-            if peer_state.unreachable.is_empty() {
-                break;
-            }
-            let now = self.gateway.now();
-            let mut directory = self.gateway.directory.lock();
-            peer_state.unreachable.iter().for_each(|it| directory.eject(it, now));
-            // One reachable endpoint is enough.
-            if peer_state.waiting.keys().any(|it| !peer_state.unreachable.contains(it)) {
-                break;
-            }
-        }
-        peer_state
-    }
-
-    async fn query_owners(
-        &self,
-        shortlist: Vec<endpoint::Id>,
-        criteria: &Criteria<'_>,
-    ) -> PeerState {
-        let query = Query {
-            endpoints: shortlist,
-            prefix_hash: criteria.prefix_hash,
-            in_flight: criteria.model.is_none(),
-        };
-        let mut peer_state = reports::query(&self.gateway, query).await;
-        let is_unreported = |it: &endpoint::Id| !peer_state.waiting.contains_key(it);
-        let holders = peer_state.holders.iter().flatten();
-        let unreported: Vec<_> = holders.filter(|it| is_unreported(it)).cloned().collect();
-        if !unreported.is_empty() {
-            let query = Query { endpoints: unreported, ..Query::default() };
-            let holder_reports = reports::query(&self.gateway, query).await;
-            peer_state.waiting.extend(holder_reports.waiting);
-            peer_state.unreachable.extend(holder_reports.unreachable);
-        }
-        peer_state
-    }
-
-    /// The selection criteria if `model` is to answer.
-    fn criteria<'a>(&'a self, rule: &'a Rule, model: Option<&Candidate>) -> Criteria<'a> {
-        let name = model.map_or("", |it| it.name.as_str());
-        Criteria {
-            service: &self.service,
-            rule,
-            tried: &self.tried_endpoints,
-            prefix_hash: selection::prefix_hash(self.request.prefix_hash(), name),
-            prefix_tokens: self.request.prefix_tokens(),
-            prompt_tokens: self.request.prompt_tokens(),
-            model: model.map(|it| TargetModel {
-                relative_price: it.relative_price,
-                latency: self.latency(it),
-            }),
-            at_most_once: matches!(self.route.retry_policy, RetryPolicy::AtMostOnce),
-            time_left: self.time_left(),
-            salt: hash::bytes(self.request.head.id.as_bytes()),
-        }
-    }
-
     async fn attempt(&mut self, lease: Lease) -> Result<Exchange, Failure> {
         self.n_attempts += 1;
         let candidate = self.models.current();
         let model = candidate.map(|it| it.name.as_str());
+        self.record_engine_time(&lease);
         let id = lease.id.clone();
         let outgoing = Outgoing {
             endpoint: &id,
             account: self.account.as_ref(),
             time_left: self.time_left(),
             model: model.filter(|_| self.request.head.model == Model::Any),
-            priority: candidate
-                .map(|it| cascade::engine_priority(self.priority, it.relative_price)),
+            priority: candidate.map(|it| self.engine_priority(it)),
             last_event_id: self.last_event_id,
         };
         self.gateway.log.write(&Event::Sent {
@@ -298,6 +195,9 @@
             others_in_flight: lease.occupancy.others,
             load_age_ms: lease.occupancy.observed.map(|it| millis(it.age)),
             expected_ms: lease.expected_time_to_first_event.map(millis),
+            contention: self.contention(&lease),
+            slowdown: lease.slowdown.age.map(|_| lease.slowdown.expected.value()),
+            slowdown_age_ms: lease.slowdown.age.map(millis),
             resumed_after: self.last_event_id,
             left_ms: millis(outgoing.time_left),
             configuration: self.configuration_version,
@@ -338,13 +238,16 @@
                 prompt: lease.prompt,
                 outstanding: lease.outstanding,
                 queue_delay: lease.queue_delay,
-                elapsed: exchange.time_to_first_byte,
+                elapsed: lease.first_event_slowdown().unscale(exchange.time_to_first_byte),
             };
             let mut estimator = self.gateway.latency_estimator.lock();
             estimator.record_first_event(&self.service, &it.name, it.relative_price, first_event);
+            drop(estimator);
+            let now = self.gateway.now();
+            self.gateway.observations.lock().record(&self.service, &it.name, now);
         }
-        if exchange.reply.status.is_success() && self.try_escalate(exchange.reply.confidence).await
-        {
+        let (confidence, slowdown) = (exchange.reply.confidence, exchange.lease.lasting_slowdown());
+        if exchange.reply.status.is_success() && self.try_escalate(confidence, slowdown).await {
             exchange.close(Outcome::Answered);
             return None;
         }
@@ -360,14 +263,15 @@
     }
 
     /// Records a stream of `n_events` that ended `elapsed` after its first event.
-    pub fn record_stream(&self, version: &str, n_events: u32, elapsed: Duration) {
+    pub fn record_stream(&self, lease: &Lease, n_events: u32, elapsed: Duration) {
         if let Some(it) = self.models.current() {
+            let usual = lease.lasting_slowdown().unscale(elapsed);
             let mut estimator = self.gateway.latency_estimator.lock();
-            estimator.record_stream(&self.service, &it.name, it.relative_price, n_events, elapsed);
+            estimator.record_stream(&self.service, &it.name, it.relative_price, n_events, usual);
         }
         if let Some(interval) = elapsed.checked_div(n_events.saturating_sub(1)) {
             let mut rollouts = self.gateway.rollouts.lock();
-            rollouts.record_stream_end(&self.service, version, self.kind(), interval);
+            rollouts.record_stream_end(&self.service, &lease.version, self.kind(), interval);
         }
     }
 
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use curranthook_policy::slowdown::{Factor, Figure, Outlook};
 use curranthook_types::endpoint;
 
 use crate::{
@@ -13,7 +14,7 @@
     directory::Outcome,
     entry::State,
     event::Event,
-    load::{in_flight, occupancy::Occupancy, prefill::Prompt, reports::PeerState},
+    load::{in_flight, occupancy::Occupancy, prefill::Prompt, reports::PeerState, work::Work},
     rate_limit,
     selection::{self, Choice, Criteria, Unavailable},
 };
@@ -35,6 +36,11 @@
     pub prompt: Prompt,
     /// The prefill time of the work that was queued ahead of the request.
     pub queue_delay: Duration,
+    /// All work that was queued at the endpoint, and the age of the oldest report of another node
+    /// that it is based on.
+    pub waiting: (Work, Option<Duration>),
+    /// How long work was expected to take at the endpoint when the lease was acquired.
+    pub slowdown: Outlook,
     /// What was known about the requests at the endpoint.
     pub occupancy: Occupancy,
     /// The expected time to the first event; `None` for a service without models.
@@ -43,7 +49,7 @@
     pub max_idle: usize,
     /// When the endpoint started, in milliseconds of the wall clock; identifies its incarnation.
     started_ms: Option<u64>,
-    pending_prefill: Duration,
+    pending_prefill: Work,
     /// Whether other nodes are informed when the lease ends.
     is_shared: bool,
     outcome: Outcome,
@@ -72,13 +78,18 @@
         directory.remove_lapsed(now);
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
-        let Choice { prompt, outstanding, queue_delay, occupancy, .. } = choice;
+        let Choice { prompt, outstanding, queue_delay, waiting, waiting_age, .. } = choice;
+        let Choice { slowdown, occupancy, .. } = choice;
         let is_shared =
             criteria.model.is_none() && in_flight::is_shared(gateway, &directory, criteria.service);
+        if slowdown.age.is_some() {
+            gateway.metrics.record_slowdown(slowdown.expected);
+        }
         let latency = criteria.model.map(|it| it.latency);
         let expected_time_to_first_event = latency.map(|it| choice.time_to_first_event(&it));
-        let pending_prefill =
-            latency.map_or(Duration::ZERO, |it| it.coefficients.prefill_time(prompt));
+        let prefill = latency.map_or(Duration::ZERO, |it| it.coefficients.prefill_time(prompt));
+        // Where priorities are ignored, all work is recorded as the most urgent.
+        let pending_prefill = Work::new(criteria.priority.unwrap_or_default(), prefill);
         let entry = choice.endpoint.entry.clone();
         directory.request_sent(&entry.id, pending_prefill, now);
         if let Some(prefix_hash) = criteria.prefix_hash {
@@ -102,6 +113,8 @@
             outstanding,
             prompt,
             queue_delay,
+            waiting: (waiting, waiting_age),
+            slowdown,
             occupancy,
             expected_time_to_first_event,
             max_idle: max_idle.unwrap_or(usize::MAX),
@@ -130,10 +143,44 @@
         // A failed response may lack headers that the endpoint sends in all others.
         let states_limit = completeness == Completeness::Whole || notice.rate.is_some();
         let is_changed = states_limit && directory.set_rate_limit(&incarnation, &notice, now);
+        // Only a response to this request is evidence of the endpoint's speed.
+        let figure = reply.load.and_then(|it| it.slowdown).and_then(Factor::new);
+        let figure = figure.filter(|_| completeness == Completeness::Whole);
+        let figure = figure.map(|factor| Figure { factor, at: now });
+        let figure = figure.filter(|it| directory.record_slowdown(&self.id, self.started_ms, *it));
         drop(directory);
         if is_changed {
             self.report_rate_limit(notice);
         }
+        if let Some(figure) = figure {
+            self.report_slowdown(figure);
+        }
+    }
+
+    fn report_slowdown(&self, figure: Figure) {
+        self.gateway.metrics.record_slowdown_figures("response", 1);
+        if let Some(reports) = self.gateway.load_reports.get() {
+            reports.queue_slowdown(&self.id, self.started_ms, figure);
+            self.gateway.pending_work_changed.wake();
+        }
+    }
+
+    /// The slowdown by which the time to the first event is divided to learn the usual time: the
+    /// one that was expected. If none was known, the response that reported the first one counts.
+    pub fn first_event_slowdown(&self) -> Factor {
+        let now = self.gateway.now();
+        let current = || {
+            let directory = self.gateway.directory.lock();
+            directory.get(&self.id).map(|it| it.slowdown.expected(now))
+        };
+        let known = self.slowdown.age.map(|_| self.slowdown.expected);
+        known.or_else(current).unwrap_or(Factor::USUAL)
+    }
+
+    /// The endpoint's lasting slowdown as known now.
+    pub fn lasting_slowdown(&self) -> Factor {
+        let directory = self.gateway.directory.lock();
+        directory.get(&self.id).map_or(self.slowdown.lasting, |it| it.slowdown.lasting())
     }
 
     fn report_rate_limit(&self, notice: rate_limit::Notice) {
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`rollouts`], [`cascade`], [`selection`], [`placement`]: choose the version, the model and the
 //!   endpoint;
 //! - [`lease`], [`attempt`]: count the request as load of an endpoint, and make one attempt there;
+//!   where callers compete for capacity, a job is refused before if no endpoint can be expected to
+//!   serve it;
 //!   [`load`] contains what the node knows about the load of endpoints, from its own requests and
 //!   from other nodes;
 //! - [`permit`]: divides among the nodes the request rate of endpoints that are in [`slow_start`]
@@ -16,8 +18,8 @@
 //!   callers;
 //! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
 //!
-//! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`retry_budget`], [`permit`] and [`steps`]
-//! make decisions without I/O and without reading a clock. [`watch`] and [`apply`] turn rows of the
+//! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`load::snapshot`],
+//! [`retry_budget`], [`permit`] and [`steps`] make decisions without I/O and without reading a clock. [`watch`] and [`apply`] turn rows of the
 //! store into the node's state: [`document`], [`directory`] and [`rollouts`]; [`advertised`]
 //! contains what endpoints state about themselves in response headers. In a large fleet, changes
 //! reach most nodes through a tree of [`relays`]; through [`peers`], nodes query each other, which
--- /dev/null
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -0,0 +1,102 @@
+//! The messages between nodes. Builds of different versions exchange them, so fields are only added,
+//! and a message without an added field stays valid.
+
+use std::{collections::HashMap, time::Duration};
+
+use curranthook_types::endpoint;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use super::limits::Limit;
+use crate::{
+    affinity::Record,
+    load::{
+        breakdown::Breakdown,
+        in_flight::{self, Counts, Observed},
+        slowdowns,
+    },
+};
+
+/// A message between nodes.
+#[serde_as]
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// The work that `node` has pending at endpoints; replaces its previous report.
+    #[serde(rename = "notice")]
+    Report {
+        /// The name of the node.
+        node: String,
+        /// The pending work.
+        #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
+        waiting: HashMap<endpoint::Id, Duration>,
+        /// The same by priority.
+        #[serde(default, skip_serializing_if = "Breakdown::is_empty")]
+        by_priority: Breakdown,
+        /// The prompts that `node` sent for prefill since its previous report.
+        #[serde(default, rename = "reads", skip_serializing_if = "Vec::is_empty")]
+        prefills: Vec<Record>,
+        /// The endpoints to which `node` could not open a connection since its previous report.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        unreachable: Vec<endpoint::Id>,
+        /// The number of requests that `node` has in flight at endpoints of services without models.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        in_flight: Counts,
+        /// When the report was sent, by the store's clock; none if that is unknown.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        at_ms: Option<u64>,
+        /// The slowdowns that endpoints reported to `node` since its previous report.
+        #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
+        slowdowns: slowdowns::Entries,
+    },
+    /// Rate limits reported by endpoints.
+    Limits {
+        /// The rate limits.
+        limits: Vec<Limit>,
+    },
+    /// Asks how much work all nodes except `node` have pending at these endpoints.
+    Question {
+        /// The id of the question, repeated in the answer.
+        id: u64,
+        /// The name of the requesting node.
+        node: String,
+        /// The endpoints.
+        endpoints: Vec<endpoint::Id>,
+        /// The prompt prefix whose holders are requested, if any: the hash of the model and the
+        /// shared prompt parts.
+        #[serde(default, rename = "subject", skip_serializing_if = "Option::is_none")]
+        prefix_hash: Option<u64>,
+        /// Whether the answer is to contain the requests in flight.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        in_flight: bool,
+    },
+    /// The answer to a question.
+    Answer {
+        /// The id of the question.
+        id: u64,
+        /// The pending work.
+        #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
+        waiting: HashMap<endpoint::Id, Duration>,
+        /// The same by priority.
+        #[serde(default, skip_serializing_if = "Breakdown::is_empty")]
+        by_priority: Breakdown,
+        /// The endpoints that have prefilled the prompt prefix, if the question contains one.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        holders: Option<Vec<endpoint::Id>>,
+        /// Those of the endpoints in the question that are unreachable.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        unreachable: Vec<endpoint::Id>,
+        /// The requests that all nodes except the one that asked have in flight.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        in_flight: Counts,
+        /// The numbers of requests in the answers that the owner itself got.
+        #[serde(default, deserialize_with = "in_flight::read_observed")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        loads: HashMap<endpoint::Id, Observed>,
+        /// The newest slowdowns of the endpoints in the question.
+        #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
+        slowdowns: slowdowns::Entries,
+    },
+}
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -85,7 +85,7 @@
             open.insert(id, addr);
             let node = gateway.settings.node.clone();
             let question = Message::Question { id, node, endpoints, prefix_hash, in_flight };
-            reports.send(&question, addr).await;
+            reports.send(question, addr).await;
         }
         Self { gateway, reports, open, in_flight, answers }
     }
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -8,15 +8,20 @@
     time::{Duration, Instant},
 };
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, slowdown::Outlook};
 use curranthook_types::endpoint;
 
 use crate::{
     Gateway, cascade,
     directory::{Directory, Permits, Tracked},
     load::{
-        in_flight, latency::Estimate, occupancy::Occupancy, owners, prefill::Prompt,
+        in_flight,
+        latency::Estimate,
+        occupancy::{self, Occupancy},
+        owners,
+        prefill::Prompt,
         reports::PeerState,
+        work::Work,
     },
     permit,
     placement::{self, CacheHolders, Candidate, Locality, Task},
@@ -52,6 +57,9 @@
     pub prompt_tokens: u64,
     /// The model; `None` for a service without models.
     pub model: Option<TargetModel>,
+    /// The priority that the request has at an engine with that model; `None` if decisions ignore
+    /// how requests compete for capacity.
+    pub priority: Option<u8>,
     /// Whether the request is a call that may run only once.
     pub at_most_once: bool,
     /// The time left until the deadline.
@@ -80,9 +88,15 @@
         self.model.map_or(Duration::ZERO, |it| it.latency.coefficients.prefill_time(prompt))
     }
 
-    fn task(&self, holders: CacheHolders) -> Task {
+    fn task(&self, holders: CacheHolders, peer_state: &PeerState) -> Task {
         let prefix_prefill = self.prefill(false).saturating_sub(self.prefill(true));
-        Task { prefix_hash: self.prefix_hash, prefix_prefill, holders, salt: self.salt }
+        // Must be on the same scale as the waits of the candidates, see `expected_wait`.
+        let plain_time = match peer_state.in_flight.counts.is_empty() {
+            true => DEFAULT_PROCESSING_TIME,
+            false => occupancy::CALL_TIME,
+        };
+        let own_time = self.model.map_or(plain_time, |_| self.prefill(true));
+        Task { prefix_hash: self.prefix_hash, prefix_prefill, own_time, holders, salt: self.salt }
     }
 }
 
@@ -95,8 +109,16 @@
     pub prompt: Prompt,
     /// The estimated number of queued and running requests at the endpoint.
     pub outstanding: u32,
-    /// The prefill time of the work that is queued at the endpoint ahead of the request.
+    /// The prefill time of the work that is queued at the endpoint ahead of the request, at usual
+    /// speed.
     pub queue_delay: Duration,
+    /// All work that is queued at the endpoint.
+    pub waiting: Work,
+    /// The age of the oldest report of another node that `waiting` is based on; `None` if it is
+    /// based on no report, or on an answer to this node's question.
+    pub waiting_age: Option<Duration>,
+    /// How long work takes at the endpoint, relative to its usual time.
+    pub slowdown: Outlook,
     /// What is known about the requests at the endpoint.
     pub occupancy: Occupancy,
 }
@@ -113,7 +135,8 @@
 impl Choice<'_> {
     /// The expected time to the first event, for a model with this `latency`.
     pub fn time_to_first_event(&self, latency: &Estimate) -> Duration {
-        latency.time_to_first_event(self.prompt, self.outstanding, self.queue_delay)
+        let usual = latency.time_to_first_event(self.prompt, self.outstanding, self.queue_delay);
+        self.slowdown.expected.scale(usual)
     }
 }
 
@@ -136,17 +159,20 @@
         endpoints = plain::with_room(covered, others, criteria, peer_state, now)?;
     }
     let (holders, candidates) = candidates(gateway, &endpoints, criteria, peer_state, now);
-    let index = placement::choose(&candidates, &criteria.task(holders));
+    let index = placement::choose(&candidates, &criteria.task(holders, peer_state));
     let index = index.ok_or(Unavailable::NoEndpoint)?;
     let endpoint = endpoints[index];
+    let id = &endpoint.entry.id;
+    let waiting = endpoint.pending + remote_queue(gateway, id, peer_state, now);
+    let is_answered = peer_state.waiting.contains_key(id);
+    let reported_age = || gateway.load_table.lock().age(id, &gateway.settings.node, now);
     Ok(Choice {
         prompt: criteria.prompt(candidates[index].has_prefix_cached),
         outstanding: endpoint.estimated_requests(now),
-        queue_delay: queue_delay(
-            endpoint,
-            criteria,
-            remote_queue(gateway, &endpoint.entry.id, peer_state, now),
-        ),
+        slowdown: endpoint.slowdown.outlook(now),
+        queue_delay: queue_delay(&waiting, criteria),
+        waiting,
+        waiting_age: if is_answered { None } else { reported_age() },
         occupancy: plain::occupancy(endpoint, peer_state, now),
         endpoint,
     })
@@ -169,9 +195,9 @@
     renew_permits(gateway, &mut directory, criteria.service, now);
     let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
     let endpoints = eligible(&ready, criteria, now);
-    let (holders, candidates) =
-        candidates(gateway, &endpoints, criteria, &PeerState::default(), now);
-    let indices = placement::best(&candidates, &criteria.task(holders), n);
+    let peer_state = PeerState::default();
+    let (holders, candidates) = candidates(gateway, &endpoints, criteria, &peer_state, now);
+    let indices = placement::best(&candidates, &criteria.task(holders, &peer_state), n);
     indices.into_iter().map(|it| endpoints[it].entry.id.clone()).collect()
 }
 
@@ -273,6 +299,7 @@
             peer_state,
             now,
         ),
+        slowdown: it.slowdown.expected(now),
         failure_rate: it.failures,
         locality: locality(gateway, it),
         has_prefix_cached: cached_at.contains(&it.entry.id),
@@ -286,7 +313,7 @@
     id: &endpoint::Id,
     peer_state: &PeerState,
     now: Instant,
-) -> Duration {
+) -> Work {
     let reported = peer_state.waiting.get(id).copied();
     reported.unwrap_or_else(|| gateway.load_table.lock().waiting(id, &gateway.settings.node, now))
 }
@@ -331,20 +358,21 @@
     }
 }
 
+/// The time that the work at the endpoint delays the request, at usual speed.
 fn expected_wait(
     endpoint: &Tracked,
     criteria: &Criteria<'_>,
-    remote_queue: Duration,
+    remote_queue: Work,
     peer_state: &PeerState,
     now: Instant,
 ) -> Duration {
     let outstanding = endpoint.estimated_requests(now);
     if let Some(model) = criteria.model {
-        return queue_delay(endpoint, criteria, remote_queue)
+        return queue_delay(&(endpoint.pending + remote_queue), criteria)
             + model.latency.coefficients.delay_per_concurrent_request() * outstanding;
     }
     if !peer_state.in_flight.counts.is_empty() {
-        return plain::occupancy(endpoint, peer_state, now).expected_time(endpoint.entry.slots);
+        return plain::occupancy(endpoint, peer_state, now).expected_wait(endpoint.entry.slots);
     }
     // One millisecond per outstanding request prefers the less loaded of endpoints with free slots.
     let slots = endpoint.entry.slots.max(1);
@@ -352,15 +380,15 @@
     DEFAULT_PROCESSING_TIME * waiting / slots + Duration::from_millis(1) * outstanding
 }
 
-/// The time that queued work delays the request.
-fn queue_delay(endpoint: &Tracked, criteria: &Criteria<'_>, remote_queue: Duration) -> Duration {
-    let waiting = endpoint.pending + remote_queue;
-    // Engines serve small models first, so requests to them only wait for the prefill that is in
-    // progress, which is taken to be an eighth of the queued work.
+/// The time that queued work delays the request, at usual speed.
+fn queue_delay(waiting: &Work, criteria: &Criteria<'_>) -> Duration {
+    if let Some(priority) = criteria.priority {
+        return waiting.wait(priority);
+    }
     let is_small_model = criteria
         .model
         .is_some_and(|it| it.relative_price < cascade::LARGE_MODEL_MIN_RELATIVE_PRICE);
-    if is_small_model { waiting / 8 } else { waiting }
+    waiting.wait_ignoring_priorities(is_small_model)
 }
 
 fn locality(gateway: &Gateway, endpoint: &Tracked) -> Locality {
--- a/crates/curranthook_gateway/src/selection/plain.rs
+++ b/crates/curranthook_gateway/src/selection/plain.rs
@@ -43,5 +43,6 @@
         estimated: endpoint.estimated_requests(now),
         observed: observed.min_by_key(|it| it.age),
         full_at: endpoint.full_at(now),
+        slowdown: endpoint.slowdown.expected(now),
     }
 }
--- a/crates/curranthook_gateway/tests/in_flight.rs
+++ b/crates/curranthook_gateway/tests/in_flight.rs
@@ -13,9 +13,11 @@
     load::{
         in_flight::{self, Counts, Observed, Table},
         occupancy::{self, Observation, Occupancy},
+        work::Work,
     },
     settings::Contention,
 };
+use curranthook_policy::slowdown::{Factor, Figure};
 use curranthook_types::endpoint;
 use serde::Deserialize;
 use yare::parameterized;
@@ -32,8 +34,8 @@
     Load { running, waiting, slots: SLOTS, slowdown }
 }
 
-fn observed(load: Load, age_ms: u64) -> Occupancy {
-    Occupancy { observed: Some(Observation { load, age: ms(age_ms) }), ..Occupancy::default() }
+fn observed(requests: u32, age_ms: u64) -> Occupancy {
+    Occupancy { observed: Some(Observation { requests, age: ms(age_ms) }), ..Occupancy::default() }
 }
 
 fn counts(n: u32) -> Counts {
@@ -70,7 +72,7 @@
 /// more, and must count. An older one must not, as its calls have ended.
 #[parameterized(recent = { 20, 9 }, old = { 1_000, 3 })]
 fn an_owner_that_knows_a_part_is_corrected_by_the_endpoint(age_ms: u64, expected: u32) {
-    let occupancy = Occupancy { own: 1, others: Some(2), ..observed(load(SLOTS, 3, None), age_ms) };
+    let occupancy = Occupancy { own: 1, others: Some(2), ..observed(SLOTS + 3, age_ms) };
     assert_eq!(occupancy.requests(), expected);
 }
 
@@ -99,8 +101,8 @@
     assert_eq!(occupancy.has_room(SLOTS, ms(1_000)), expected);
 }
 
-/// Of two idle endpoints, one reports that its work takes longer. Guards against sending it as many
-/// calls as the other, and against a figure that is too old or invalid.
+/// Of two idle endpoints, one reports that its work takes longer than it did before. Guards against
+/// sending it as many calls as the other, and against a figure that is too old or invalid.
 #[parameterized(
     recent = { Some(2.5), 300, true },
     expired = { Some(2.5), 900, false },
@@ -110,7 +112,16 @@
     out_of_range = { Some(1e9), 10, false },
 )]
 fn a_slowed_endpoint_takes_longer(slowdown: Option<f64>, age_ms: u64, expected: bool) {
-    let slowed = Occupancy { others: Some(0), ..observed(load(0, 0, slowdown), age_ms) };
+    let (entry, start) = (support::entry(1, Duration::ZERO), Instant::now());
+    let (mut directory, now) = (directory(&entry, start), start + Duration::from_secs(9));
+    let before = (Factor::new(1.0), start);
+    let reported = (slowdown.and_then(Factor::new), now - ms(age_ms));
+    for (factor, at) in [before, reported] {
+        let figure = factor.map(|factor| Figure { factor, at });
+        figure.map(|it| directory.record_slowdown(&entry.id, entry.started_ms, it));
+    }
+    let slowdown = directory.get(&entry.id).unwrap().slowdown.expected(now);
+    let slowed = Occupancy { others: Some(0), slowdown, ..Occupancy::default() };
     let usual = Occupancy { others: Some(0), ..Occupancy::default() };
     assert_eq!(usual.expected_time(SLOTS) < slowed.expected_time(SLOTS), expected);
 }
@@ -136,7 +147,7 @@
 fn directory(entry: &Entry, now: Instant) -> Directory {
     let mut directory = Directory::default();
     directory.upsert(entry.clone(), now);
-    directory.request_sent(&entry.id, Duration::ZERO, now);
+    directory.request_sent(&entry.id, Work::default(), now);
     directory
 }
 
@@ -146,10 +157,10 @@
 fn a_reported_slowdown_is_remembered_for_its_service() {
     let (entry, now) = (support::entry(1, Duration::ZERO), Instant::now());
     let mut directory = directory(&entry, now);
-    directory.first_byte_received(&entry.id, Duration::ZERO, Some(load(1, 0, None)), now);
+    directory.first_byte_received(&entry.id, Work::default(), Some(load(1, 0, None)), now);
     assert!(!directory.reports_slowdown(&entry.service));
-    directory.first_byte_received(&entry.id, Duration::ZERO, Some(load(1, 0, Some(1.0))), now);
-    directory.first_byte_received(&entry.id, Duration::ZERO, Some(load(1, 0, None)), now);
+    directory.first_byte_received(&entry.id, Work::default(), Some(load(1, 0, Some(1.0))), now);
+    directory.first_byte_received(&entry.id, Work::default(), Some(load(1, 0, None)), now);
     assert!(directory.reports_slowdown(&entry.service));
     assert!(!directory.reports_slowdown("other"));
 }
@@ -161,9 +172,9 @@
     let (entry, now) = (support::entry(1, Duration::ZERO), Instant::now());
     let mut directory = directory(&entry, now);
     let load = Some(load(SLOTS, 12, Some(2.5)));
-    directory.first_byte_received(&entry.id, Duration::ZERO, load, now);
-    directory.request_ended(&entry.id, Outcome::Full, Duration::ZERO, now);
-    directory.request_sent(&entry.id, Duration::ZERO, now);
+    directory.first_byte_received(&entry.id, Work::default(), load, now);
+    directory.request_ended(&entry.id, Outcome::Full, Work::default(), now);
+    directory.request_sent(&entry.id, Work::default(), now);
     let tracked = directory.get(&entry.id).unwrap();
     assert_eq!((tracked.in_flight, tracked.full_at(now)), (1, Some(18)));
     assert!(tracked.observation(now).is_some());
@@ -189,8 +200,8 @@
     let (entry, now) = (support::entry(1, Duration::ZERO), Instant::now());
     let mut directory = directory(&entry, now);
     let load = reported.map(|(running, waiting)| load(running, waiting, None));
-    directory.first_byte_received(&entry.id, Duration::ZERO, load, now);
-    directory.request_ended(&entry.id, Outcome::Full, Duration::ZERO, now + ms(1));
+    directory.first_byte_received(&entry.id, Work::default(), load, now);
+    directory.request_ended(&entry.id, Outcome::Full, Work::default(), now + ms(1));
     assert_eq!(directory.get(&entry.id).unwrap().full_at(now + ms(later_ms)), expected);
 }
 
@@ -220,14 +231,15 @@
 
 /// The same for the loads that an owner saw, of which one that is too old is dropped as well.
 #[parameterized(
-    valid = { r#"{"loads":{"e-1":[6,2,6,2.5,40]}}"#, Some(2.5) },
-    without_slowdown = { r#"{"loads":{"e-1":[6,2,6,null,40]}}"#, None },
-    too_old = { r#"{"loads":{"e-1":[6,2,6,2.5,3000]}}"#, None },
-    too_short = { r#"{"loads":{"e-1":[6,2]}}"#, None },
+    valid = { r#"{"loads":{"e-1":[8,40]}}"#, Some(8) },
+    beside_a_malformed_one = { r#"{"loads":{"e-2":"x","e-1":[8,40]}}"#, Some(8) },
+    out_of_range = { r#"{"loads":{"e-1":[4000000,40]}}"#, None },
+    too_old = { r#"{"loads":{"e-1":[8,3000]}}"#, None },
+    too_long = { r#"{"loads":{"e-1":[6,2,6,2.5,40]}}"#, None },
+    too_short = { r#"{"loads":{"e-1":[8]}}"#, None },
     not_a_list = { r#"{"loads":{"e-1":7}}"#, None },
 )]
-fn malformed_loads_are_dropped(message: &str, expected: Option<f64>) {
+fn malformed_loads_are_dropped(message: &str, expected: Option<u32>) {
     let fields: Fields = serde_json::from_str(message).unwrap();
-    let load = fields.loads.get("e-1").map(|it| it.0.load);
-    assert_eq!(load.and_then(|it| it.slowdown), expected);
+    assert_eq!(fields.loads.get("e-1").map(|it| it.0.requests), expected);
 }
--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -6,16 +6,25 @@
 //!
 //! A request passes [`limit`] (is the account within its rate limit?), [`rollout`] and [`choice`]
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
-//! [`poison`]. [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
+//! [`poison`]. [`rank`] orders requests that compete for the same engines, and [`price`] says what
+//! the largest model costs them; [`admission`] refuses those that no endpoint can be expected to
+//! serve, given the [`utilization`] of engines by more urgent ones. [`slowdown`] estimates the speed
+//! of endpoints that report it.
+//! [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
 
+pub mod admission;
 pub mod baseline;
 pub mod choice;
 pub mod endpoint;
 pub mod hash;
 pub mod limit;
 pub mod poison;
+pub mod price;
 pub mod queue;
+pub mod rank;
 pub mod retry;
 pub mod rollout;
+pub mod slowdown;
+pub mod utilization;
 pub mod verdict;
