--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use curranthook_policy::hash;
+use curranthook_policy::{hash, slowdown};
 
 use crate::{
     advertised::Advertised,
     dialect::Load,
     entry::{Entry, State},
-    load::occupancy::Observation,
+    load::{occupancy::Observation, work::Work},
     rate_limit,
     slow_start::SlowStart,
 };
@@ -40,7 +40,7 @@
     /// The number of this node's requests in flight at the endpoint.
     pub in_flight: u32,
     /// The expected prefill time of those requests that have no first byte yet.
-    pub pending: Duration,
+    pub pending: Work,
     /// The moving average of the share of requests that failed.
     pub failures: f64,
     /// The load that the endpoint last reported, when it did, and how many requests this node had
@@ -49,6 +49,8 @@
     /// The number of requests that the endpoint had when it refused one because it was full, and
     /// when that was.
     pub(super) full_at: Option<(u32, Instant)>,
+    /// How long work takes at the endpoint, according to its own reports.
+    pub slowdown: slowdown::Estimate,
     /// The length of its last ejection; zero after an answer.
     pub(super) ejection_time: Duration,
     pub(super) ejected_until: Option<Instant>,
@@ -72,10 +74,11 @@
             id_hash: hash::bytes(entry.id.as_str().as_bytes()),
             entry,
             in_flight: 0,
-            pending: Duration::ZERO,
+            pending: Work::default(),
             failures: 0.0,
             load: None,
             full_at: None,
+            slowdown: slowdown::Estimate::default(),
             ejection_time: Duration::ZERO,
             ejected_until: None,
             unreachable_since: None,
@@ -119,10 +122,11 @@
         }
     }
 
-    /// The load that the endpoint last reported to this node.
+    /// The number of requests that the endpoint last reported to this node.
     pub fn observation(&self, now: Instant) -> Option<Observation> {
         let (load, at, _) = self.load?;
-        Some(Observation { load, age: now.saturating_duration_since(at) })
+        let requests = load.running.saturating_add(load.waiting);
+        Some(Observation { requests, age: now.saturating_duration_since(at) })
     }
 
     /// The number of requests at which the endpoint refused one because it was full; none if it did
@@ -136,7 +140,7 @@
     /// none, does not tell how many requests it accepts.
     pub(super) fn refused_as_full(&mut self, now: Instant) {
         let observation = self.observation(now).filter(|it| it.age <= SAME_ANSWER);
-        let n_requests = observation.map(|it| it.load.running.saturating_add(it.load.waiting));
+        let n_requests = observation.map(|it| it.requests);
         let n_requests = n_requests.filter(|it| self.entry.slots.max(1) <= *it);
         self.full_at = n_requests.map(|it| (it, now)).or(self.full_at);
     }
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -18,6 +18,8 @@
 use curranthook_types::Clock;
 use serde::Serialize;
 
+use crate::load::work::N_PRIORITIES;
+
 /// The maximum number of queued lines. A busy node logs about that many in a second.
 const QUEUE_CAPACITY: usize = 2_048;
 
@@ -75,6 +77,35 @@
         configuration: Option<u64>,
         in_flight: usize,
     },
+    /// A request was refused, as no endpoint can be expected to serve it.
+    Overloaded {
+        request: &'a str,
+        route: &'a str,
+        endpoint: &'a str,
+        model: &'a str,
+        level: u8,
+        cause: &'a str,
+        first_ms: u64,
+        last_ms: u64,
+        queue_ms: u64,
+        /// The time since the model's last first event at this node.
+        age_ms: Option<u64>,
+        patience_ms: u64,
+        left_ms: u64,
+        used_ms: u64,
+        retry_after_ms: Option<u64>,
+        configuration: u64,
+    },
+    /// A request was refused, as it fits into the memory of no engine.
+    MemoryExceeded {
+        request: &'a str,
+        route: &'a str,
+        model: &'a str,
+        prompt_tokens: u64,
+        output_tokens: u64,
+        memory_tokens: u64,
+        configuration: u64,
+    },
     /// A request was sent to an endpoint.
     Sent {
         request: &'a str,
@@ -89,6 +120,14 @@
         others_in_flight: Option<u32>,
         load_age_ms: Option<u64>,
         expected_ms: Option<u64>,
+        #[serde(flatten)]
+        contention: Option<Contention>,
+        /// The slowdown expected of the endpoint and the age of its newest figure, if it reported
+        /// one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowdown: Option<f64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowdown_age_ms: Option<u64>,
         resumed_after: Option<u64>,
         left_ms: u64,
         configuration: u64,
@@ -104,7 +143,14 @@
         took_ms: u64,
     },
     /// A small model's answer was discarded in favour of a larger model's.
-    Escalated { request: &'a str, model: &'a str, confidence: u8, first_ms: u64, last_ms: u64 },
+    Escalated {
+        request: &'a str,
+        model: &'a str,
+        confidence: u8,
+        first_ms: u64,
+        last_ms: u64,
+        price: f64,
+    },
     /// A request was not retried.
     NotRepeated { request: &'a str, why: &'a str },
     /// A request ended.
@@ -138,10 +184,33 @@
     },
     /// A request was blamed for the failure of an endpoint.
     PoisonCharged { request: &'a str, endpoint: &'a str },
+    /// A snapshot of latency estimates was written, taken or rejected.
+    Snapshot {
+        service: &'a str,
+        state: &'a str,
+        why: &'a str,
+        rev: Option<u64>,
+        age_ms: Option<u64>,
+        models: usize,
+    },
     /// Log lines were dropped since the last line that was written.
     LinesDropped { count: u64 },
 }
 
+/// What is known of the requests that compete for an endpoint with the one that is sent.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Contention {
+    /// The level of the request's rank; 0 is the most urgent.
+    pub level: u8,
+    /// How long the waiting work is expected to delay the request.
+    pub wait_ms: u64,
+    /// The waiting work by the engine's priority.
+    pub waiting_ms: [u64; N_PRIORITIES],
+    /// The age of the oldest report of another node that the waiting work is based on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub waiting_age_ms: Option<u64>,
+}
+
 /// A queued line: the event serialized as JSON.
 #[derive(Debug)]
 struct Line(String);
--- /dev/null
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -0,0 +1,132 @@
+//! Acquires the lease of an attempt: asks peers about the load of endpoints, and selects one.
+
+use std::time::Duration;
+
+use curranthook_policy::hash;
+use curranthook_types::endpoint;
+
+use super::Job;
+use crate::{
+    document::RetryPolicy,
+    lease::Lease,
+    load::reports::{self, PeerState, Query},
+    models::Candidate,
+    refusal::{Reason, Refusal},
+    rollouts::Rule,
+    selection::{self, Criteria, TargetModel, Unavailable},
+};
+
+/// The `Retry-After` while no endpoint is reachable: about the time until a reachable endpoint is
+/// discovered.
+const RETRY_AFTER_NO_ENDPOINT: Duration = Duration::from_millis(700);
+
+/// The number of times that peers are queried for a reachable endpoint before one is selected.
+const MAX_QUERY_ROUNDS: usize = 3;
+
+impl Job {
+    /// Acquires a lease for the next attempt at the best endpoint.
+    pub(super) async fn acquire_lease(&mut self) -> Result<Lease, Refusal> {
+        let session_hash = self.session_hash();
+        let rule = self.gateway.rollouts.lock().rule(&self.service, session_hash);
+        let peer_state = self.peer_state.take();
+        let criteria = self.criteria(&rule, self.models.current());
+        self.check_memory()?;
+        let mut peer_state = match peer_state {
+            Some(peer_state) => peer_state,
+            None => self.query_peers(&criteria).await,
+        };
+        self.check_capacity(&criteria, &mut peer_state).await?;
+        Lease::acquire(&self.gateway, &criteria, &peer_state).map_err(|e| match e {
+            Unavailable::NoEndpoint => self.no_endpoint_refusal(&criteria),
+            Unavailable::Full => self.full_refusal(),
+        })
+    }
+
+    /// The refusal of a request that no endpoint can take.
+    fn no_endpoint_refusal(&self, criteria: &Criteria<'_>) -> Refusal {
+        let Some(throttled) = selection::throttled(&self.gateway, criteria) else {
+            return self.refusal(Reason::NoEndpoint).with_retry_after(RETRY_AFTER_NO_ENDPOINT);
+        };
+        let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
+        let after_pause = throttled.resumes_at.map(|it| it.saturating_duration_since(now));
+        let own_rate = Some(throttled.rate / n_nodes as f64).filter(|it| 0.0 < *it);
+        let after_interval =
+            own_rate.map(|it| self.gateway.retry_schedule.lock().reserve(&self.service, it, now));
+        let retry_after = after_pause.into_iter().chain(after_interval).min();
+        self.refusal(Reason::Throttled)
+            .with_retry_after(retry_after.unwrap_or(RETRY_AFTER_NO_ENDPOINT))
+    }
+
+    /// Queries peers about the load of the endpoints that may take the request. Returns an empty
+    /// state in a small fleet, where each node reports its load to all others without being
+    /// queried.
+    pub(super) async fn query_peers(&self, criteria: &Criteria<'_>) -> PeerState {
+        let mut peer_state = PeerState::default();
+        for _ in 0..MAX_QUERY_ROUNDS {
+            let shortlist = selection::shortlist(&self.gateway, criteria);
+            if shortlist.is_empty() {
+                return PeerState::default();
+            }
+            peer_state = self.query_owners(shortlist, criteria).await;
+            if peer_state.unreachable.is_empty() {
+                break;
+            }
+            let now = self.gateway.now();
+            let mut directory = self.gateway.directory.lock();
+            peer_state.unreachable.iter().for_each(|it| directory.eject(it, now));
+            // One reachable endpoint is enough.
+            if peer_state.waiting.keys().any(|it| !peer_state.unreachable.contains(it)) {
+                break;
+            }
+        }
+        peer_state
+    }
+
+    async fn query_owners(
+        &self,
+        shortlist: Vec<endpoint::Id>,
+        criteria: &Criteria<'_>,
+    ) -> PeerState {
+        let query = Query {
+            endpoints: shortlist,
+            prefix_hash: criteria.prefix_hash,
+            in_flight: criteria.model.is_none(),
+        };
+        let mut peer_state = reports::query(&self.gateway, query).await;
+        let is_unreported = |it: &endpoint::Id| !peer_state.waiting.contains_key(it);
+        let holders = peer_state.holders.iter().flatten();
+        let unreported: Vec<_> = holders.filter(|it| is_unreported(it)).cloned().collect();
+        if !unreported.is_empty() {
+            let query = Query { endpoints: unreported, ..Query::default() };
+            let holder_reports = reports::query(&self.gateway, query).await;
+            peer_state.waiting.extend(holder_reports.waiting);
+            peer_state.unreachable.extend(holder_reports.unreachable);
+        }
+        peer_state
+    }
+
+    /// The selection criteria if `model` is to answer.
+    pub(super) fn criteria<'a>(
+        &'a self,
+        rule: &'a Rule,
+        model: Option<&Candidate>,
+    ) -> Criteria<'a> {
+        let name = model.map_or("", |it| it.name.as_str());
+        Criteria {
+            service: &self.service,
+            rule,
+            tried: &self.tried_endpoints,
+            prefix_hash: selection::prefix_hash(self.request.prefix_hash(), name),
+            prefix_tokens: self.request.prefix_tokens(),
+            prompt_tokens: self.request.prompt_tokens(),
+            model: model.map(|it| TargetModel {
+                relative_price: it.relative_price,
+                latency: self.latency(it),
+            }),
+            priority: model.and_then(|it| self.contended_priority(it)),
+            at_most_once: matches!(self.route.retry_policy, RetryPolicy::AtMostOnce),
+            time_left: self.time_left(),
+            salt: hash::bytes(self.request.head.id.as_bytes()),
+        }
+    }
+}
--- a/crates/curranthook_gateway/src/load/in_flight.rs
+++ b/crates/curranthook_gateway/src/load/in_flight.rs
@@ -17,7 +17,7 @@
 use serde_json::Value;
 
 use super::occupancy::{self, Observation};
-use crate::{Gateway, dialect::Load, directory::Directory};
+use crate::{Gateway, directory::Directory};
 
 /// How long a report is valid. A node with requests in flight repeats its report every 300 ms.
 const EXPIRY: Duration = Duration::from_millis(800);
@@ -85,7 +85,7 @@
 pub struct Figures {
     /// The requests that all nodes except the requester have in flight.
     pub counts: Counts,
-    /// The load that the owner itself saw last.
+    /// The numbers of requests in the answers that the owner itself got.
     pub observed: HashMap<endpoint::Id, Observed>,
 }
 
@@ -132,19 +132,18 @@
     shared.map(|it| (it.entry.id.clone(), it.in_flight)).take(n).collect()
 }
 
-/// An [`Observation`] in a message: the running and waiting requests, the slots, the slowdown and
-/// the age in ms.
+/// An [`Observation`] in a message: the number of requests and the age in ms.
+/// Messages contain slowdowns in a field of their own, see [`slowdowns`](super::slowdowns).
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Observed(pub Observation);
 
-type ObservedFields = (u32, u32, u32, Option<f64>, u64);
+type ObservedFields = (u32, u64);
 
 impl Serialize for Observed {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let Observation { load, age } = self.0;
+        let Observation { requests, age } = self.0;
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-        let fields: ObservedFields =
-            (load.running, load.waiting, load.slots, load.slowdown, age_ms);
+        let fields: ObservedFields = (requests, age_ms);
         fields.serialize(serializer)
     }
 }
@@ -162,11 +161,9 @@
     deserializer: D,
 ) -> Result<HashMap<endpoint::Id, Observed>, D::Error> {
     read_map(deserializer, |it| {
-        let (running, waiting, slots, slowdown, age_ms) =
-            serde_json::from_value::<ObservedFields>(it.clone()).ok()?;
-        let load = Load { running, waiting, slots, slowdown };
-        let observation = Observation { load, age: Duration::from_millis(age_ms) };
-        let is_valid = running.max(waiting) <= MAX_COUNT && observation.is_usable();
+        let (requests, age_ms) = serde_json::from_value::<ObservedFields>(it.clone()).ok()?;
+        let observation = Observation { requests, age: Duration::from_millis(age_ms) };
+        let is_valid = requests <= MAX_COUNT && observation.is_usable();
         is_valid.then_some(Observed(observation))
     })
 }
--- a/crates/curranthook_gateway/src/load/occupancy.rs
+++ b/crates/curranthook_gateway/src/load/occupancy.rs
@@ -7,43 +7,34 @@
 
 use std::time::Duration;
 
-use crate::{dialect::Load, load::owners, settings::Contention};
+use curranthook_policy::slowdown::Factor;
+
+use crate::{load::owners, settings::Contention};
 
 /// The expected processing time of a call at an endpoint that is not slowed down.
-const CALL_TIME: Duration = Duration::from_millis(15);
+pub const CALL_TIME: Duration = Duration::from_millis(15);
 /// The maximum age of a reported number of requests. Nearly all calls that it counts have ended
 /// after that time.
 const MAX_COUNT_AGE: Duration = Duration::from_millis(100);
-/// The maximum age of a reported slowdown: about the time for which a slowdown lasts.
-const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(600);
-/// The largest slowdown that is used; a false figure above it would exclude an endpoint for good.
-const MAX_SLOWDOWN: f64 = 100.0;
 
-/// The load that an endpoint reported in an answer, with its age.
+/// The number of requests that an endpoint reported in an answer, with its age.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Observation {
-    /// The reported load.
-    pub load: Load,
+    /// The number of running and waiting requests.
+    pub requests: u32,
     /// The time since the answer arrived.
     pub age: Duration,
 }
 
 impl Observation {
-    /// Whether a part of the report is still valid.
+    /// Whether the report is recent enough to tell the number of requests at the endpoint.
     pub fn is_usable(&self) -> bool {
-        self.age <= MAX_SLOWDOWN_AGE
+        self.age <= MAX_COUNT_AGE
     }
 
     /// The number of requests at the endpoint, if the report is recent enough for it.
-    fn requests(&self) -> Option<u32> {
-        let requests = self.load.running.saturating_add(self.load.waiting);
-        (self.age <= MAX_COUNT_AGE).then_some(requests)
-    }
-
-    /// How long work takes at the endpoint, relative to its usual time.
-    fn slowdown(&self) -> Option<f64> {
-        let slowdown = self.load.slowdown.filter(|_| self.is_usable());
-        slowdown.filter(|it| 0.0 < *it && *it <= MAX_SLOWDOWN)
+    fn recent_requests(&self) -> Option<u32> {
+        self.is_usable().then_some(self.requests)
     }
 }
 
@@ -56,11 +47,13 @@
     pub others: Option<u32>,
     /// The number of requests at the endpoint as this node estimates it from its own answers.
     pub estimated: u32,
-    /// The newer of the loads that this node and the owner saw last.
+    /// The newer of the numbers that this node and the owner saw last.
     pub observed: Option<Observation>,
     /// The number of requests that the endpoint had when it last refused one because it was full;
     /// none if it did not do so recently.
     pub full_at: Option<u32>,
+    /// How long work is expected to take at the endpoint, relative to its usual time.
+    pub slowdown: Factor,
 }
 
 impl Occupancy {
@@ -71,25 +64,29 @@
     /// the endpoint itself may raise it.
     pub fn requests(&self) -> u32 {
         let counted = self.others.map(|it| it.saturating_add(self.own));
-        let observed = self.observed.and_then(|it| it.requests());
+        let observed = self.observed.and_then(|it| it.recent_requests());
         counted.map_or(self.estimated, |it| it.max(observed.unwrap_or(0)))
     }
 
-    /// The expected time until an endpoint with `slots` completes a call that is sent to it now; a
-    /// call waits for a slot first if none is free.
+    /// The expected time until an endpoint with `slots` starts a call that is sent to it now, at
+    /// usual speed; a call waits for a slot first if none is free.
     ///
     /// ```
     /// # use curranthook_gateway::load::occupancy::Occupancy;
     /// let occupied_by = |n| Occupancy { others: Some(n), ..Occupancy::default() };
-    /// assert!(occupied_by(2).expected_time(6) < occupied_by(12).expected_time(6));
+    /// assert!(occupied_by(2).expected_wait(6) < occupied_by(12).expected_wait(6));
     /// ```
-    pub fn expected_time(&self, slots: u32) -> Duration {
+    pub fn expected_wait(&self, slots: u32) -> Duration {
         let (requests, slots) = (f64::from(self.requests()), f64::from(slots.max(1)));
         let queued = (requests + 1.0 - slots).max(0.0);
         // Prefers the less occupied of several endpoints with free slots, but less than a wait.
         let preference = 0.5 * (requests / slots).min(1.0);
-        let slowdown = self.observed.and_then(|it| it.slowdown()).unwrap_or(1.0);
-        CALL_TIME.mul_f64((1.0 + queued / slots + preference) * slowdown)
+        CALL_TIME.mul_f64(queued / slots + preference)
+    }
+
+    /// The expected time until the endpoint completes the call, at the speed expected of it.
+    pub fn expected_time(&self, slots: u32) -> Duration {
+        self.slowdown.scale(CALL_TIME + self.expected_wait(slots))
     }
 
     /// Whether an endpoint with `slots` is likely to have a slot or a place in its queue for a call
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -7,7 +7,10 @@
 //!
 //! [`owners`]: crate::load::owners
 
+mod datagram;
 mod limits;
+mod message;
+mod outgoing;
 mod queries;
 
 use std::{
@@ -22,41 +25,38 @@
 
 use async_channel::Sender;
 use async_io::{Async, Timer};
+use curranthook_policy::slowdown::Figure;
 use curranthook_types::endpoint;
 use futures_lite::future;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
     Gateway,
     affinity::Record,
     load::{
-        in_flight::{self, Counts, Figures, Observed},
-        owners,
+        breakdown::{self, Breakdown, PendingWork},
+        in_flight::Figures,
+        slowdowns,
+        work::Work,
     },
     rate_limit,
 };
 
-use self::limits::Limit;
-pub use self::queries::{Query, query};
+pub use self::{
+    datagram::datagram,
+    message::Message,
+    queries::{Query, query},
+};
 
 /// How often a node repeats its report while it has work pending.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// The minimum interval between two rounds of reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
-/// The minimum pending work at an endpoint that is reported. Less work than this takes less time
-/// than the round trip to an engine.
-const MIN_REPORTED_WORK: Duration = Duration::from_millis(10);
 /// The maximum size of a datagram, in bytes; a longer one is truncated on receipt and rejected as
 /// malformed. The limits below bound the contents of a report. What exceeds them is not reported.
-const MAX_DATAGRAM: usize = 1_400;
+pub const MAX_DATAGRAM: usize = 1_400;
 /// The maximum number of endpoints in a report, so that it fits into a datagram.
-const MAX_REPORTED_ENDPOINTS: usize = 32;
-
-/// The maximum number of endpoints in a report that also contains requests in flight. These take a
-/// few more bytes.
-const MAX_REPORTED_WITH_IN_FLIGHT: usize = 28;
+pub const MAX_REPORTED_ENDPOINTS: usize = 32;
 
 /// The maximum number of prompts sent for prefill in a report, in addition to the endpoints with
 /// pending work.
@@ -66,73 +66,6 @@
 /// pending work.
 const MAX_REPORTED_UNREACHABLE: usize = 8;
 
-/// The work pending at each endpoint, as its expected prefill time.
-type PendingWork = HashMap<endpoint::Id, Duration>;
-
-/// A message between nodes.
-#[serde_as]
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Message {
-    /// The work that `node` has pending at endpoints; replaces its previous report.
-    #[serde(rename = "notice")]
-    Report {
-        node: String,
-        /// The pending work.
-        #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
-        waiting: PendingWork,
-        /// The prompts that `node` sent for prefill since its previous report.
-        #[serde(default, rename = "reads", skip_serializing_if = "Vec::is_empty")]
-        prefills: Vec<Record>,
-        /// The endpoints to which `node` could not open a connection since its previous report.
-        #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        unreachable: Vec<endpoint::Id>,
-        /// The number of requests that `node` has in flight at endpoints of services without models.
-        #[serde(default, deserialize_with = "in_flight::read_counts")]
-        #[serde(skip_serializing_if = "HashMap::is_empty")]
-        in_flight: Counts,
-        /// When the report was sent, by the store's clock; none if that is unknown.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        at_ms: Option<u64>,
-    },
-    /// Rate limits reported by endpoints.
-    Limits { limits: Vec<Limit> },
-    /// Asks how much work all nodes except `node` have pending at these endpoints.
-    Question {
-        id: u64,
-        node: String,
-        endpoints: Vec<endpoint::Id>,
-        /// The prompt prefix whose holders are requested, if any: the hash of the model and the
-        /// shared prompt parts.
-        #[serde(default, rename = "subject", skip_serializing_if = "Option::is_none")]
-        prefix_hash: Option<u64>,
-        /// Whether the answer is to contain the requests in flight.
-        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-        in_flight: bool,
-    },
-    /// The answer to a question.
-    Answer {
-        id: u64,
-        /// The pending work.
-        #[serde_as(as = "HashMap<_, DurationMilliSeconds<u64>>")]
-        waiting: PendingWork,
-        /// The endpoints that have prefilled the prompt prefix, if the question contains one.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
-        holders: Option<Vec<endpoint::Id>>,
-        /// Those of the endpoints in the question that are unreachable.
-        #[serde(default, skip_serializing_if = "Vec::is_empty")]
-        unreachable: Vec<endpoint::Id>,
-        /// The requests that all nodes except the one that asked have in flight.
-        #[serde(default, deserialize_with = "in_flight::read_counts")]
-        #[serde(skip_serializing_if = "HashMap::is_empty")]
-        in_flight: Counts,
-        /// The load that the owner itself saw last.
-        #[serde(default, deserialize_with = "in_flight::read_observed")]
-        #[serde(skip_serializing_if = "HashMap::is_empty")]
-        loads: HashMap<endpoint::Id, Observed>,
-    },
-}
-
 /// What other nodes know about the candidate endpoints of a request.
 #[derive(Debug, Clone, Default)]
 pub struct PeerState {
@@ -147,7 +80,8 @@
 }
 
 impl PeerState {
-    fn extend(&mut self, other: Self) {
+    /// Adds what `other` contains, which replaces what is known of the same endpoints.
+    pub fn extend(&mut self, other: Self) {
         self.waiting.extend(other.waiting);
         self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
@@ -170,6 +104,8 @@
     in_flight_changed: AtomicBool,
     /// Rate limits that have not been reported yet.
     limits: limits::Queue,
+    /// Slowdowns of endpoints that have not been reported yet.
+    slowdowns: slowdowns::Queue,
 }
 
 impl Socket {
@@ -184,6 +120,7 @@
             unreachable: Mutex::default(),
             in_flight_changed: AtomicBool::new(false),
             limits: limits::Queue::default(),
+            slowdowns: slowdowns::Queue::default(),
         }
     }
 
@@ -215,9 +152,17 @@
         self.in_flight_changed.store(true, Ordering::Relaxed);
     }
 
-    async fn send(&self, message: &Message, addr: SocketAddr) {
-        let bytes = serde_json::to_vec(message).expect("a message can be written as JSON");
-        if let Err(e) = self.socket.send_to(&bytes, addr).await {
+    /// Queues an endpoint's slowdown, to be included in the next report.
+    pub fn queue_slowdown(&self, id: &endpoint::Id, started_ms: Option<u64>, figure: Figure) {
+        self.slowdowns.push(id, started_ms, figure);
+    }
+
+    async fn send(&self, message: Message, addr: SocketAddr) {
+        self.send_bytes(&datagram(message), addr).await;
+    }
+
+    async fn send_bytes(&self, bytes: &[u8], addr: SocketAddr) {
+        if let Err(e) = self.socket.send_to(bytes, addr).await {
             log::debug!("cannot send to {addr}: {e}");
         }
     }
@@ -231,7 +176,7 @@
     loop {
         wait_for_changes(&gateway, &reports, &reported_to).await;
         reports.in_flight_changed.store(false, Ordering::Relaxed);
-        reported_to = send_reports(&gateway, &reports, reported_to).await;
+        reported_to = outgoing::send(&gateway, &reports, reported_to).await;
         limits::send(&gateway, &reports).await;
         Timer::after(MIN_REPORT_INTERVAL).await;
     }
@@ -241,9 +186,10 @@
 /// [`REPORT_INTERVAL`] if the last reports contained pending work.
 async fn wait_for_changes(gateway: &Gateway, reports: &Socket, reported_to: &HashSet<SocketAddr>) {
     let changed = gateway.pending_work_changed.wait();
-    // This task misses a signal that arrives while it is sending reports, so limits that were
-    // queued meanwhile are checked here, and whether calls began or ended.
-    if !reports.limits.is_empty() || reports.in_flight_changed.load(Ordering::Relaxed) {
+    // This task misses a signal that arrives while it is sending reports, so limits and slowdowns
+    // that were queued meanwhile are checked here, and whether calls began or ended.
+    let in_flight_changed = reports.in_flight_changed.load(Ordering::Relaxed);
+    if !reports.limits.is_empty() || !reports.slowdowns.is_empty() || in_flight_changed {
         return;
     }
     let repeat = async {
@@ -276,10 +222,21 @@
 async fn handle(gateway: &Gateway, reports: &Socket, message: Message, from: SocketAddr) {
     let now = gateway.now();
     match message {
-        Message::Report { node, waiting, prefills, unreachable, in_flight, at_ms } => {
+        Message::Report {
+            node,
+            waiting,
+            by_priority,
+            prefills,
+            unreachable,
+            in_flight,
+            at_ms,
+            slowdowns,
+        } => {
             let at = at_ms.map(Duration::from_millis).zip(gateway.store_time());
             let age = at.map(|(at, now)| now.saturating_sub(at));
             gateway.in_flight_table.lock().update(node.clone(), in_flight, age, now);
+            slowdowns::receive(gateway, &slowdowns);
+            let waiting = join(waiting, &by_priority, from);
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.report_unreachable(it, now));
@@ -291,14 +248,36 @@
             limits.iter().for_each(|it| limits::receive(gateway, reports, it));
         }
         Message::Question { id, node, endpoints, prefix_hash, in_flight } => {
+            let slowdowns = slowdowns::Entries::known(&gateway.directory.lock(), &endpoints, now);
             let query = Query { endpoints, prefix_hash, in_flight };
             let PeerState { waiting, holders, unreachable, in_flight } =
                 local_state(gateway, query, &node);
+            let (waiting, by_priority) = breakdown::split(&waiting);
             let Figures { counts: in_flight, observed: loads } = in_flight;
-            let answer = Message::Answer { id, waiting, holders, unreachable, in_flight, loads };
-            reports.send(&answer, from).await;
+            let answer = Message::Answer {
+                id,
+                waiting,
+                by_priority,
+                holders,
+                unreachable,
+                in_flight,
+                loads,
+                slowdowns,
+            };
+            reports.send(answer, from).await;
         }
-        Message::Answer { id, waiting, holders, unreachable, in_flight, loads } => {
+        Message::Answer {
+            id,
+            waiting,
+            by_priority,
+            holders,
+            unreachable,
+            in_flight,
+            loads,
+            slowdowns,
+        } => {
+            slowdowns::receive(gateway, &slowdowns);
+            let waiting = join(waiting, &by_priority, from);
             let query = reports.open_queries.lock().remove(&id);
             let in_flight = Figures { counts: in_flight, observed: loads };
             let state = PeerState { waiting, holders, unreachable, in_flight };
@@ -310,6 +289,19 @@
     }
 }
 
+/// Joins the sums and the breakdown of a message from `from`.
+fn join(
+    waiting: HashMap<endpoint::Id, Duration>,
+    by_priority: &Breakdown,
+    from: SocketAddr,
+) -> PendingWork {
+    let (pending, n_dropped) = breakdown::join(waiting, by_priority);
+    if 0 < n_dropped {
+        log::debug!("malformed work of {n_dropped} endpoints from {from}");
+    }
+    pending
+}
+
 /// What this node knows from its own requests and from received reports: the work that all nodes
 /// except `requester` have pending at `endpoints`, which of these are unreachable, and the
 /// endpoints that have prefilled the prompt prefix.
@@ -322,7 +314,7 @@
     let own_name = &gateway.settings.node;
     let pending_work = |id: &endpoint::Id| {
         let others_work = load_table.waiting(id, requester, now);
-        let own_work = directory.get(id).map_or(Duration::ZERO, |it| it.pending);
+        let own_work = directory.get(id).map_or(Work::default(), |it| it.pending);
         // A node does not send reports to itself, so only other requesters get its own work added.
         if own_name == requester { others_work } else { others_work + own_work }
     };
@@ -332,86 +324,3 @@
     let waiting = endpoints.into_iter().map(|id| (id.clone(), pending_work(&id))).collect();
     PeerState { waiting, holders, unreachable, in_flight: figures.unwrap_or_default() }
 }
-
-/// Reports this node's pending work: to all nodes, or to the owners of the endpoints. Returns the
-/// nodes whose report contained pending work. Nodes in `previous` for which there is nothing to
-/// report any more get an empty report, which replaces their last one.
-async fn send_reports(
-    gateway: &Gateway,
-    reports: &Socket,
-    previous: HashSet<SocketAddr>,
-) -> HashSet<SocketAddr> {
-    let waiting: PendingWork = {
-        let directory = gateway.directory.lock();
-        let busy = directory.all().filter(|it| MIN_REPORTED_WORK <= it.pending);
-        busy.map(|it| (it.entry.id.clone(), it.pending)).take(MAX_REPORTED_ENDPOINTS).collect()
-    };
-    let prefills = std::mem::take(&mut *reports.prefills.lock());
-    let unreachable = std::mem::take(&mut *reports.unreachable.lock());
-    let free = MAX_REPORTED_WITH_IN_FLIGHT.saturating_sub(waiting.len());
-    let in_flight = in_flight::own_counts(gateway, free);
-    let report = Report { waiting, prefills, unreachable, in_flight };
-    let mut reports_by_node = reports_by_node(gateway, report);
-    for addr in previous {
-        reports_by_node.entry(addr).or_default();
-    }
-    let at_ms = gateway.store_time().and_then(|it| u64::try_from(it.as_millis()).ok());
-    let mut reported_to = HashSet::new();
-    for (addr, report) in reports_by_node {
-        let Report { waiting, prefills, unreachable, in_flight } = report;
-        if !waiting.is_empty() || !in_flight.is_empty() {
-            reported_to.insert(addr);
-        }
-        let node = gateway.settings.node.clone();
-        let at_ms = at_ms.filter(|_| !in_flight.is_empty());
-        let report = Message::Report { node, waiting, prefills, unreachable, in_flight, at_ms };
-        reports.send(&report, addr).await;
-    }
-    reported_to
-}
-
-/// The contents of a report to one node.
-#[derive(Debug, Clone, Default)]
-struct Report {
-    waiting: PendingWork,
-    prefills: Vec<Record>,
-    unreachable: Vec<endpoint::Id>,
-    in_flight: Counts,
-}
-
-/// Splits `report` into the reports to send to each node.
-fn reports_by_node(gateway: &Gateway, report: Report) -> HashMap<SocketAddr, Report> {
-    let own_addr = gateway.settings.reports;
-    let peers = gateway.peers.lock();
-    if !owners::are_used(peers.len()) {
-        let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own_addr);
-        return others.map(|addr| (addr, report.clone())).collect();
-    }
-    drop(peers);
-    let (owners, now) = (gateway.load_owners.lock(), gateway.now());
-    let owner_of = |id: &endpoint::Id| owners.owner_of(id, now).filter(|it| Some(*it) != own_addr);
-    let mut reports_by_node: HashMap<SocketAddr, Report> = HashMap::new();
-    for (id, work) in report.waiting {
-        if let Some(addr) = owner_of(&id) {
-            reports_by_node.entry(addr).or_default().waiting.insert(id, work);
-        }
-    }
-    for (id, count) in report.in_flight {
-        if let Some(addr) = owner_of(&id) {
-            reports_by_node.entry(addr).or_default().in_flight.insert(id, count);
-        }
-    }
-    for id in report.unreachable {
-        if let Some(addr) = owner_of(&id) {
-            reports_by_node.entry(addr).or_default().unreachable.push(id);
-        }
-    }
-    for record in report.prefills {
-        let owner =
-            owners.owner_of_hash(record.prefix_hash, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
-            reports_by_node.entry(addr).or_default().prefills.push(record);
-        }
-    }
-    reports_by_node
-}
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
+use curranthook_policy::slowdown::Factor;
 use parking_lot::Mutex;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -23,6 +24,13 @@
     pub name: &'static str,
 }
 
+/// The label of a counter that is split by the level of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LevelLabel {
+    /// The level of the requests' rank; 0 is the most urgent.
+    pub level: u32,
+}
+
 /// The labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreLabels {
@@ -37,11 +45,16 @@
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<Label, Counter>,
+    levels: Family<LevelLabel, Counter>,
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     queries: Family<Label, Counter>,
     plain_queries: Family<Label, Counter>,
+    slowdown_figures: Family<Label, Counter>,
+    slowdown: Histogram,
+    snapshots: Family<Label, Counter>,
+    admissions: Family<Label, Counter>,
     first_byte_time: Histogram,
     estimate_error: Histogram,
     answer_time: Histogram,
@@ -62,11 +75,17 @@
         let it = Self {
             registry: Mutex::new(Registry::with_prefix("curranthook")),
             requests: Family::default(),
+            levels: Family::default(),
             refusals: Family::default(),
             retries: Family::default(),
             store_calls: Family::default(),
             queries: Family::default(),
             plain_queries: Family::default(),
+            slowdown_figures: Family::default(),
+            // From 0.25 to 11 times the usual time, two buckets for each doubling.
+            slowdown: Histogram::new(exponential_buckets(0.25, std::f64::consts::SQRT_2, 12)),
+            snapshots: Family::default(),
+            admissions: Family::default(),
             first_byte_time: buckets(),
             // From 2 % to 10 times the estimate, each bucket twice as large as the one before.
             estimate_error: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
@@ -85,6 +104,8 @@
     fn register(&self) {
         let mut registry = self.registry.lock();
         registry.register("requests", "Requests that ended, by outcome", self.requests.clone());
+        let help = "Requests by the level of their rank";
+        registry.register("requests_by_level", help, self.levels.clone());
         registry.register(
             "refusals",
             "Requests ended by the node, by reason",
@@ -96,6 +117,14 @@
         registry.register("questions", help, self.queries.clone());
         let help = "Questions about requests at endpoints of services without models, by result";
         registry.register("plain_questions", help, self.plain_queries.clone());
+        let help = "Figures of endpoints' slowdown that were received, by source";
+        registry.register("slowdown_figures", help, self.slowdown_figures.clone());
+        let help = "Slowdown expected of the endpoints that requests were sent to, 1 is usual";
+        registry.register("slowdown", help, self.slowdown.clone());
+        let help = "Snapshots of latency estimates that were written or read, by result";
+        registry.register("snapshots", help, self.snapshots.clone());
+        let help = "Decisions on requests before their first attempt, by reason";
+        registry.register("admissions", help, self.admissions.clone());
         let unit = Unit::Seconds;
         let help = "Time to the first byte of an answer";
         registry.register_with_unit("first_byte", help, unit.clone(), self.first_byte_time.clone());
@@ -121,6 +150,11 @@
         self.answer_time.observe(took.as_secs_f64());
     }
 
+    /// Counts an admitted request by the level of its rank.
+    pub fn record_level(&self, level: u8) {
+        self.levels.get_or_create(&LevelLabel { level: level.into() }).inc();
+    }
+
     /// Counts a request that the node refused.
     pub fn record_refusal(&self, reason: refusal::Reason) {
         self.refusals.get_or_create(&Label { name: reason.name() }).inc();
@@ -171,6 +205,26 @@
         self.plain_queries.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts figures of endpoints' slowdown that were received.
+    pub fn record_slowdown_figures(&self, source: &'static str, n: u64) {
+        self.slowdown_figures.get_or_create(&Label { name: source }).inc_by(n);
+    }
+
+    /// Records the slowdown expected of an endpoint that a request is sent to.
+    pub fn record_slowdown(&self, expected: Factor) {
+        self.slowdown.observe(expected.value());
+    }
+
+    /// Counts a snapshot of latency estimates that was written or read.
+    pub fn record_snapshot(&self, result: &'static str) {
+        self.snapshots.get_or_create(&Label { name: result }).inc();
+    }
+
+    /// Counts the decision to admit or to refuse a request before its first attempt.
+    pub fn record_admission(&self, reason: &'static str) {
+        self.admissions.get_or_create(&Label { name: reason }).inc();
+    }
+
     /// All metrics in text format.
     ///
     /// ```
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -19,7 +19,10 @@
     fleet,
     gateway::{Configuration, Parts},
     lease::Lease,
-    load::reports::{self, PeerState, Query, Socket},
+    load::{
+        reports::{self, PeerState, Query, Socket},
+        work::Work,
+    },
     refusal::Refusal,
     request::{Head, Request},
     retry_budget,
@@ -29,6 +32,7 @@
     store::{Answer, Batch, Commit, Committed, Decoder, Operator, Rev, Store, Table, Undecodable},
 };
 use curranthook_http::runtime;
+use curranthook_policy::slowdown::{Factor, Figure};
 use curranthook_types::{clock, domain, endpoint};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
@@ -166,6 +170,7 @@
         prefix_tokens: 0,
         prompt_tokens: 0,
         model: None,
+        priority: None,
         at_most_once,
         time_left: Duration::from_secs(1),
         salt: 7,
@@ -236,7 +241,7 @@
         assert_eq!(shortlist(&ignored), 0);
         let (load, now) =
             (Load { running: 0, waiting: 0, slots: 6, slowdown: Some(1.0) }, ignored.now());
-        ignored.directory.lock().first_byte_received(&id(1), Duration::ZERO, Some(load), now);
+        ignored.directory.lock().first_byte_received(&id(1), Work::default(), Some(load), now);
         assert_eq!(shortlist(&ignored), 2);
         by_rank.peers.lock().retain(|name, _| name.len() < "node-10".len());
         assert_eq!(shortlist(&by_rank), 0);
@@ -278,6 +283,33 @@
     });
 }
 
+fn record_slowdown(node: &Gateway, id: &endpoint::Id, figure: f64, at: Instant) {
+    let figure = Figure { factor: Factor::new(figure).unwrap(), at };
+    assert!(node.directory.lock().record_slowdown(id, None, figure));
+}
+
+/// One of two endpoints reports that its work takes longer, and the owner counts requests at the
+/// other one. Guards against a call time that ignores the slowdown, or multiplies it twice.
+#[parameterized(
+    usual = { 1.0, 5, 1 },
+    few_requests_are_faster = { 2.5, 5, 2 },
+    many_requests_are_slower = { 1.5, 9, 1 },
+)]
+fn a_slowdown_is_weighed_against_the_queue(figure: f64, others: u32, expected: u16) {
+    runtime::run(1, |ex| async move {
+        let (_socket, owner) = owner_socket();
+        let node = node(&ex, Contention::ByRank, owner).await;
+        record_slowdown(&node, &id(1), figure, node.now());
+        let mut state = PeerState::default();
+        for (id, count) in [(id(1), 0), (id(2), others)] {
+            state.waiting.insert(id.clone(), Work::default());
+            state.in_flight.counts.insert(id, count);
+        }
+        let lease = Lease::acquire(&node, &criteria(false, &[]), &state).unwrap();
+        assert_eq!(lease.id, id(expected));
+    });
+}
+
 /// The owner is dead, its datagrams are lost one way, or it runs an older build whose answer lacks
 /// the number. The call must be placed at once, by what the node itself sees, and never refused.
 #[parameterized(dead = { false, "unanswered" }, older_build = { true, "uncounted" })]
@@ -310,9 +342,9 @@
         let mut state = PeerState::default();
         for id in [id(1), id(2)] {
             let (mut directory, now) = (node.directory.lock(), node.now());
-            directory.first_byte_received(&id, Duration::ZERO, Some(load), now);
-            directory.request_ended(&id, Outcome::Full, Duration::ZERO, now);
-            state.waiting.insert(id.clone(), Duration::ZERO);
+            directory.first_byte_received(&id, Work::default(), Some(load), now);
+            directory.request_ended(&id, Outcome::Full, Work::default(), now);
+            state.waiting.insert(id.clone(), Work::default());
             state.in_flight.counts.insert(id, 8);
         }
         let acquire = |at_most_once, tried: &[endpoint::Id]| {
@@ -362,11 +394,14 @@
             "in_flight": true,
         }});
         let load = Load { running: 2, waiting: 0, slots: SLOTS, slowdown: Some(1.0) };
-        let now = node.now();
-        node.directory.lock().first_byte_received(&id(1), Duration::ZERO, Some(load), now);
+        // Just after now, so that the load stays recent while the host of the tests is busy.
+        let soon = node.now() + Duration::from_secs(1);
+        record_slowdown(&node, &id(1), 1.0, soon);
+        node.directory.lock().first_byte_received(&id(1), Work::default(), Some(load), soon);
         socket.send_to(&serde_json::to_vec(&question).unwrap(), from).await.unwrap();
         let (answered, answer_size, _) = receive(&socket, "answer").await;
-        assert_eq!(answered["loads"][id(1).as_str()][3], 1.0, "{answered}");
+        assert_eq!(answered["loads"][id(1).as_str()], json!([2, 0]), "{answered}");
+        assert_eq!(answered["slowdowns"][id(1).as_str()][0], 100, "{answered}");
         let sizes = [begun_size, ended_size, question_size, answer_size];
         let with_headers = |size: usize| (size + DATAGRAM_HEADERS) as f64;
         let reports = with_headers(begun_size) + with_headers(ended_size);
--- a/crates/curranthook_gateway/tests/shared_endpoints.rs
+++ b/crates/curranthook_gateway/tests/shared_endpoints.rs
@@ -1,12 +1,10 @@
 //! Simulates many nodes that send short calls to three endpoints with few slots, and compares ways
 //! to choose the endpoint by the 99th percentile of the call times.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use curranthook_gateway::{
-    dialect::Load,
-    load::occupancy::{Observation, Occupancy},
-};
+use curranthook_gateway::load::occupancy::{Observation, Occupancy};
+use curranthook_policy::slowdown::{Estimate, Factor, Figure};
 use rand::{RngExt, SeedableRng, seq::IteratorRandom};
 use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg64;
@@ -58,6 +56,8 @@
     node: usize,
     arrived_at: f64,
     ended_at: f64,
+    /// Whether the nodes that learn of it have recorded the slowdown in its answer.
+    is_recorded: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -65,6 +65,8 @@
     calls: Vec<Call>,
     slots_free_at: Vec<f64>,
     slow_periods: Vec<bool>,
+    /// The slowdown as each node estimates it.
+    slowdowns: Vec<Estimate>,
 }
 
 impl Endpoint {
@@ -100,11 +102,33 @@
         let answers = self.calls.iter().filter(|it| is_observer(it.node));
         let received = answers.map(|it| it.ended_at).filter(|it| it + NETWORK_DELAY <= at);
         let last = received.max_by(f64::total_cmp)?;
-        let running = self.n_requests(last).min(SLOTS);
-        let waiting = self.n_requests(last) - running;
-        let slowdown = Some(self.slowdown(last));
-        let load = Load { running, waiting, slots: SLOTS, slowdown };
-        Some(Observation { load, age: Duration::from_secs_f64(at - last) })
+        let requests = self.n_requests(last);
+        Some(Observation { requests, age: Duration::from_secs_f64(at - last) })
+    }
+
+    /// Records the slowdowns in the answers that arrived until `at`: at the nodes that got them, and
+    /// at `owner` if they report them.
+    fn record_slowdowns(&mut self, owner: usize, is_reported: bool, start: Instant, at: f64) {
+        let is_new = |it: &&mut Call| !it.is_recorded && it.ended_at + NETWORK_DELAY <= at;
+        let mut calls: Vec<_> = self.calls.iter_mut().filter(is_new).collect();
+        calls.iter_mut().for_each(|it| it.is_recorded = true);
+        let ended: Vec<_> = calls.into_iter().map(|it| (it.node, it.ended_at)).collect();
+        for (node, ended_at) in ended {
+            let factor = Factor::new(self.slowdown(ended_at)).unwrap();
+            let received_at = start + Duration::from_secs_f64(ended_at + NETWORK_DELAY);
+            let figure = Figure { factor, at: received_at };
+            self.slowdowns[node].record(figure);
+            if is_reported && node != owner {
+                self.slowdowns[owner].record(figure);
+            }
+        }
+    }
+
+    /// Records the newest slowdown that the owner knows at the node that asked it.
+    fn answer(&mut self, owner: usize, node: usize) {
+        if let Some(figure) = self.slowdowns[owner].newest() {
+            self.slowdowns[node].record(figure);
+        }
     }
 
     /// Runs a call that arrives at `now` and returns when it ends.
@@ -116,7 +140,7 @@
         let slowdown = if is_slow { SLOWDOWN } else { 1.0 };
         let end = start + work * slowdown;
         *slot = end;
-        self.calls.push(Call { node, arrived_at: now, ended_at: end });
+        self.calls.push(Call { node, arrived_at: now, ended_at: end, is_recorded: false });
         end
     }
 }
@@ -125,20 +149,37 @@
 fn own_estimate(endpoint: &Endpoint, node: usize, now: f64) -> u32 {
     let last = endpoint.observation(|it| it == node, now);
     let recent = last.filter(|it| it.age.as_secs_f64() < LOAD_EXPIRY);
-    recent.map_or(0, |it| it.load.running + it.load.waiting) + endpoint.n_own(node, now)
+    recent.map_or(0, |it| it.requests) + endpoint.n_own(node, now)
 }
 
-fn choose(method: Method, endpoints: &[Endpoint], node: usize, now: f64, rng: &mut Pcg64) -> usize {
+fn choose(
+    method: Method,
+    endpoints: &mut [Endpoint],
+    node: usize,
+    start: Instant,
+    now: f64,
+    rng: &mut Pcg64,
+) -> usize {
     let two = (0..endpoints.len()).sample(rng, 2);
     let random_order = (0..endpoints.len()).sample(rng, endpoints.len());
+    // The nodes 0 to 2 own the endpoints of the same index.
+    for (owner, it) in endpoints.iter_mut().enumerate() {
+        it.record_slowdowns(owner, method == Method::OwnersWithSlowdowns, start, now);
+        if two.contains(&owner) {
+            it.answer(owner, node);
+        }
+    }
+    let endpoints = &*endpoints;
     let by_owner = |index: &usize| {
         let endpoint = &endpoints[*index];
         let owner = *index;
-        let observers = |it| it == owner || it == node || method == Method::OwnersWithSlowdowns;
+        let observers = |it| it == owner || it == node;
+        let at = start + Duration::from_secs_f64(now);
         let occupancy = Occupancy {
             own: endpoint.n_own(node, now),
             others: Some(endpoint.n_reported(node, now)),
             observed: endpoint.observation(observers, now),
+            slowdown: endpoint.slowdowns[node].expected(at),
             ..Occupancy::default()
         };
         occupancy.expected_time(SLOTS)
@@ -163,16 +204,17 @@
         .map(|_| Endpoint {
             calls: Vec::new(),
             slots_free_at: vec![0.0; SLOTS as usize],
+            slowdowns: vec![Estimate::default(); N_NODES],
             slow_periods: (0..n_periods).map(|_| rng.random::<f64>() < demand.slow_share).collect(),
         })
         .collect();
     let work = LogNormal::new(0.011_f64.ln(), 0.8).unwrap();
-    let (mut now, mut times) = (0.0, Vec::new());
+    let (start, mut now, mut times) = (Instant::now(), 0.0, Vec::new());
     while now < SIMULATED_TIME {
         now -= (1.0 - rng.random::<f64>()).ln() / demand.calls_per_second;
         let node = rng.random_range(0..N_NODES);
         let work = work.sample(&mut rng).min(MAX_WORK);
-        let index = choose(method, &endpoints, node, now, &mut rng);
+        let index = choose(method, &mut endpoints, node, start, now, &mut rng);
         let asks = matches!(method, Method::Owners | Method::OwnersWithSlowdowns);
         let sent_at = if asks { now + 2.0 * NETWORK_DELAY } else { now };
         let ended_at = endpoints[index].run(node, sent_at + NETWORK_DELAY, work);
