Clamp sums of pending work that are out of range

Cause: a received sum above 1e6 s was dropped with its endpoint, so that a loaded endpoint seemed idle and attracted requests, also where contention is ignored. Change: such a sum is clamped to 1e6 s. It counts as the most urgent priority and is logged, as malformed priorities are. The test that expected the drop is replaced: the drop was the fault. What the test guards against, a sum over nodes that no message can state, is excluded by the clamped value as well, which the new test expects exactly, for reports and answers, with and without priorities, and at the limit.

--- a/crates/curranthook_gateway/src/load/breakdown.rs
+++ b/crates/curranthook_gateway/src/load/breakdown.rs
@@ -17,8 +17,8 @@
 
 use crate::load::work::{N_PRIORITIES, Work};
 
-/// The largest sum that is accepted. Sums over several nodes of larger ones would exceed what a
-/// message can state.
+/// The largest sum that is accepted; larger ones are clamped. Sums over several nodes of larger ones
+/// would exceed what a message can state.
 const MAX_SUM: Duration = Duration::from_secs(1_000_000);
 
 /// The work pending at each endpoint.
@@ -113,8 +113,9 @@
 }
 
 /// Joins the sums and the breakdown of a received message. If a breakdown is malformed or does not
-/// agree with the sum, all of the endpoint's work counts as the most urgent; if the sum is out of
-/// range, it is dropped too. Also returns the number of endpoints for which something was dropped.
+/// agree with the sum, all of the endpoint's work counts as the most urgent. So does a sum that is
+/// out of range, which is clamped: without it, a loaded endpoint would seem idle. Also returns the
+/// number of endpoints whose work differs from what the message states.
 pub fn join(
     waiting: HashMap<endpoint::Id, Duration>,
     by_priority: &Breakdown,
@@ -125,17 +126,14 @@
         Breakdown::Lists(_) | Breakdown::Malformed(_) => None,
     };
     let sorted: BTreeMap<_, _> = waiting.into_iter().collect();
-    let (mut pending, mut n_dropped) = (PendingWork::new(), 0);
+    let (mut pending, mut n_changed) = (PendingWork::new(), 0);
     for (index, (id, sum)) in sorted.into_iter().enumerate() {
         let list = lists.map(|it| it.map_or(&[][..], |it| it[index].as_slice()));
-        let work = list.and_then(|it| work(sum, it));
-        let is_in_range = sum <= MAX_SUM;
-        n_dropped += usize::from(work.is_none() || !is_in_range);
-        if is_in_range {
-            pending.insert(id, work.unwrap_or_else(|| sum.into()));
-        }
+        let work = list.filter(|_| sum <= MAX_SUM).and_then(|it| work(sum, it));
+        n_changed += usize::from(work.is_none());
+        pending.insert(id, work.unwrap_or_else(|| sum.min(MAX_SUM).into()));
     }
-    (pending, n_dropped)
+    (pending, n_changed)
 }
 
 /// The work of a list; `None` if the list is invalid or does not add up to `sum`.
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -309,9 +309,9 @@
     by_priority: &Breakdown,
     from: SocketAddr,
 ) -> PendingWork {
-    let (pending, n_dropped) = breakdown::join(waiting, by_priority);
-    if 0 < n_dropped {
-        log::debug!("malformed work of {n_dropped} endpoints from {from}");
+    let (pending, n_changed) = breakdown::join(waiting, by_priority);
+    if 0 < n_changed {
+        log::debug!("malformed or clamped work of {n_changed} endpoints from {from}");
     }
     pending
 }
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -32,6 +32,8 @@
 const PROMPT_TOKENS: u64 = 1_460;
 /// The prefill time of the least urgent prompts that wait at each engine.
 const BURST: Duration = Duration::from_secs(5);
+/// The largest sum that is accepted for an endpoint.
+const MAX_SUM: Duration = Duration::from_secs(1_000_000);
 const LARGE_MODEL: f64 = 1.0;
 const SMALL_MODEL: f64 = 0.1;
 
@@ -234,13 +236,24 @@
     assert_eq!(receive(json!({ "notice": fields })), (expected, n_dropped));
 }
 
-/// Guards against a sum that no message could state: the owner of the endpoint's load would crash
-/// when it adds the sums of two nodes and answers a question.
-#[test]
-fn sums_out_of_range_are_dropped() {
-    let waiting = json!({ "e-1": u64::MAX, "e-2": 30 });
-    let report = json!({ "notice": { "node": "n-1", "waiting": waiting } });
-    assert_eq!(receive(report), (pending(&[("e-2", ms(30).into())]), 1));
+/// Guards against an endpoint that seems idle because its sum is out of range, and against a sum
+/// that no message could state: the owner of the endpoint's load would crash when it adds the sums
+/// of two nodes and answers a question.
+#[parameterized(
+    without_priorities = { u64::MAX, json!([]), Work::new(0, MAX_SUM), 1 },
+    just_above = { 1_000_000_001, json!([]), Work::new(0, MAX_SUM), 1 },
+    with_priorities = { 1_000_000_001, json!([[[9, 1_000_000_001]], []]), Work::new(0, MAX_SUM), 1 },
+    with_malformed_priorities = { u64::MAX, json!([[[10, 400]], []]), Work::new(0, MAX_SUM), 1 },
+    largest = { 1_000_000_000, json!([[[9, 1_000_000_000]], []]), Work::new(9, MAX_SUM), 0 },
+)]
+fn sums_out_of_range_are_clamped(sum: u64, by_priority: Value, work: Work, n_changed: usize) {
+    let waiting = json!({ "e-1": sum, "e-2": 30 });
+    let report = json!({ "node": "n-1", "waiting": waiting, "by_priority": by_priority });
+    let answer = json!({ "id": 3, "waiting": waiting, "by_priority": by_priority });
+    for message in [json!({ "notice": report }), json!({ "answer": answer })] {
+        let expected = pending(&[("e-1", work), ("e-2", ms(30).into())]);
+        assert_eq!(receive(message), (expected, n_changed));
+    }
 }
 
 /// Guards against other bytes on the wire where no request has a priority: a node of an older build
