A slow endpoint counts as usual again when its figures are old

Cause: the lasting factor never aged. An endpoint that reported one figure of a slow period and then got no more requests stayed avoided for good. Change: a lasting factor above the usual one moves towards it while the newest figure is 30 to 60 s old. The outlook and the lease use the aged factor. Factors below the usual one do not age: fast endpoints attract requests, and so new figures. Result: avoided_endpoint_recovers_without_traffic failed in 3 of 5 cases before (the others are ages up to 30 s) and passes now.

--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -168,8 +168,10 @@
 
     /// The endpoint's lasting slowdown as known now.
     pub fn lasting_slowdown(&self) -> Factor {
+        let now = self.gateway.now();
         let directory = self.gateway.directory.lock();
-        directory.get(&self.id).map_or(self.slowdown.lasting, |it| it.slowdown.lasting())
+        let known = directory.get(&self.id);
+        known.map_or(self.slowdown.lasting, |it| it.slowdown.outlook(now).lasting)
     }
 
     fn report_rate_limit(&self, notice: rate_limit::Notice) {
--- a/crates/curranthook_policy/src/slowdown.rs
+++ b/crates/curranthook_policy/src/slowdown.rs
@@ -25,6 +25,11 @@
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of samples that determine the lasting figure.
 const N_SAMPLES: usize = 5;
+/// The age of the newest figure from which the lasting one of a slow endpoint is trusted less and
+/// less, and the age at which the endpoint counts as usual again. An endpoint that is avoided reports
+/// no new figure, so one of a slow period would otherwise keep requests away for good.
+const MAX_TRUSTED_AGE: Duration = Duration::from_secs(30);
+const MAX_FIGURE_AGE: Duration = Duration::from_secs(60);
 /// The rank of the lasting figure among the samples, as a divisor: the lowest of up to three, the
 /// second lowest of five. Slow periods only raise figures, so a low rank excludes them better than
 /// the median does, and four samples suffice to follow a change.
@@ -115,7 +120,8 @@
 pub struct Outlook {
     /// The factor expected for work that starts now.
     pub expected: Factor,
-    /// The lasting factor, which applies to work that takes longer than a slow period.
+    /// The lasting factor, which applies to work that takes longer than a slow period. That of a
+    /// slow endpoint moves towards [`Factor::USUAL`] as the newest figure ages.
     pub lasting: Factor,
     /// The age of the newest figure; none if there is no figure.
     pub age: Option<Duration>,
@@ -161,7 +167,8 @@
         self.newest
     }
 
-    /// The factor outside of slow periods; [`Factor::USUAL`] if there is no figure.
+    /// The factor outside of slow periods at the time of the newest figure; [`Factor::USUAL`] if
+    /// there is no figure. [`Self::outlook`] states what is left of it later.
     pub fn lasting(&self) -> Factor {
         self.lasting.unwrap_or(Factor::USUAL)
     }
@@ -186,13 +193,25 @@
     /// All that the estimate says about work that starts now.
     pub fn outlook(&self, now: Instant) -> Outlook {
         let Some(newest) = self.newest else { return Outlook::UNKNOWN };
-        let (lasting, age) = (self.lasting(), now.saturating_duration_since(newest.at));
+        let age = now.saturating_duration_since(newest.at);
+        let lasting = aged(self.lasting(), age);
         let passed = age.as_secs_f64() / PERIOD.as_secs_f64();
         let expected = if passed < 1.0 { newest.factor.towards(lasting, passed) } else { lasting };
         Outlook { expected, lasting, age: Some(age) }
     }
 }
 
+/// What is left of a lasting factor when the newest figure is of `age`. A factor below the usual one
+/// is kept: it attracts requests, and so new figures.
+fn aged(lasting: Factor, age: Duration) -> Factor {
+    if lasting <= Factor::USUAL {
+        return lasting;
+    }
+    let excess = age.saturating_sub(MAX_TRUSTED_AGE).as_secs_f64();
+    let share = excess / (MAX_FIGURE_AGE - MAX_TRUSTED_AGE).as_secs_f64();
+    lasting.towards(Factor::USUAL, share.min(1.0))
+}
+
 fn distance(a: Instant, b: Instant) -> Duration {
     a.saturating_duration_since(b).max(b.saturating_duration_since(a))
 }
--- a/crates/curranthook_policy/tests/slowdown.rs
+++ b/crates/curranthook_policy/tests/slowdown.rs
@@ -148,3 +148,32 @@
     let odd = Duration::new(u64::MAX / 3, 123_456_789);
     assert_eq!((Factor::USUAL.scale(odd), Factor::USUAL.unscale(odd)), (odd, odd));
 }
+
+/// Guards against an endpoint that is avoided for good: once no request is sent to it, no figure
+/// corrects one that was reported in a slow period.
+#[parameterized(
+    fresh = { 0, 1.75 }, trusted = { 30_000, 1.75 }, halfway = { 45_000, 1.375 },
+    usual = { 60_000, 1.0 }, much_later = { 600_000, 1.0 },
+)]
+fn avoided_endpoint_recovers_without_traffic(age_ms: u64, value: f64) {
+    let start = Instant::now();
+    let mut estimate = Estimate::default();
+    estimate.record(figure(1.75, start));
+    let age = Duration::from_millis(age_ms);
+    let outlook = estimate.outlook(start + age);
+    assert_eq!((outlook.expected.value(), outlook.lasting.value()), (value, value));
+    assert_eq!(outlook.age, Some(age));
+    // The next figure applies at once.
+    estimate.record(figure(0.7, start + age + Duration::from_secs(2)));
+    let outlook = estimate.outlook(start + age + Duration::from_secs(2));
+    assert_eq!((outlook.expected.value(), outlook.lasting.value()), (0.7, 0.7));
+}
+
+/// Guards against forgetting that an endpoint is fast, as its figures are rare in a large fleet.
+#[test]
+fn fast_endpoint_keeps_its_factor_without_traffic() {
+    let start = Instant::now();
+    let estimate = estimate(&[0.7], Duration::ZERO, start);
+    let outlook = estimate.outlook(start + Duration::from_secs(600));
+    assert_eq!((outlook.expected.value(), outlook.lasting.value()), (0.7, 0.7));
+}
