Only recorded slowdowns mark a service as reporting them

Cause: the mark was set by the load headers of any response, also of a misdirected or failed one, which is no evidence of the endpoint's speed. The mark decides whether stored learned state applies to the service. Change: Directory::record_slowdown sets it, after the incarnation was checked.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -60,7 +60,7 @@
     advertised_cache: Cache,
     /// Failure domains whose endpoints get no new requests.
     evacuated: HashSet<domain::Id>,
-    /// The services of which some endpoint has reported a slowdown.
+    /// The services of which a slowdown of some endpoint was recorded.
     slowdown_services: HashSet<String>,
     /// When any endpoint last answered.
     last_answer: Option<Instant>,
@@ -255,7 +255,12 @@
         figure: slowdown::Figure,
     ) -> bool {
         let known = self.endpoints.get_mut(id).filter(|it| it.entry.started_ms == started_ms);
-        known.map(|it| it.slowdown.record(figure)).is_some()
+        let Some(it) = known else { return false };
+        it.slowdown.record(figure);
+        if !self.slowdown_services.contains(&it.entry.service) {
+            self.slowdown_services.insert(it.entry.service.clone());
+        }
+        true
     }
 
     /// Marks an endpoint as leaving. Returns whether it was not marked before.
@@ -307,16 +312,12 @@
         if let Some(it) = self.endpoints.get_mut(id) {
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
-                let service = &it.entry.service;
-                if load.slowdown.is_some() && !self.slowdown_services.contains(service) {
-                    self.slowdown_services.insert(service.clone());
-                }
                 it.load = Some((load, now, it.in_flight));
             }
         }
     }
 
-    /// Whether some endpoint of a service has reported a slowdown since the node started.
+    /// Whether a slowdown of some endpoint of a service was recorded since the node started.
     pub fn reports_slowdown(&self, service: &str) -> bool {
         self.slowdown_services.contains(service)
     }
--- a/crates/curranthook_gateway/tests/slowdowns.rs
+++ b/crates/curranthook_gateway/tests/slowdowns.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use curranthook_gateway::{
+    dialect::Load,
     directory::Directory,
     entry::{Entry, State},
     load::{
@@ -300,3 +301,20 @@
     reported.dedup_by(|a, b| a.endpoint == b.endpoint);
     assert_eq!(reported.len(), 32);
 }
+
+/// Guards against learned state that counts as free of slowdowns, or as subject to them, because of
+/// a response that is no evidence of the endpoint's speed: a misdirected or failed one, or one of
+/// an earlier incarnation.
+#[test]
+fn only_recorded_figures_show_that_a_service_reports_slowdowns() {
+    let (mut directory, now, id) = (Directory::default(), Instant::now(), "e-1".into());
+    directory.upsert(entry("e-1", Some(2)), now);
+    let load = Load { running: 1, waiting: 0, slots: 8, slowdown: Some(1.7) };
+    directory.first_byte_received(&id, Work::default(), Some(load), now);
+    let figure = Figure { factor: factor(1.7), at: now };
+    assert!(!directory.record_slowdown(&id, Some(1), figure));
+    assert!(!directory.reports_slowdown("models"));
+    assert!(directory.record_slowdown(&id, Some(2), figure));
+    assert!(directory.reports_slowdown("models"));
+    assert!(!directory.reports_slowdown("others"));
+}
--- a/crates/curranthook_gateway/tests/snapshots.rs
+++ b/crates/curranthook_gateway/tests/snapshots.rs
@@ -17,6 +17,7 @@
     },
     settings::Contention,
 };
+use curranthook_policy::slowdown::{Factor, Figure};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use yare::parameterized;
@@ -265,8 +266,12 @@
     report_load(&node, None);
     update(&node);
     assert_eq!(table.rev(KEY), None);
+    // The load in a misdirected or failed response is no evidence of a slowdown.
     report_load(&node, Some(1.0));
     update(&node);
+    assert_eq!(table.rev(KEY), None);
+    record_slowdown(&node, 1.0);
+    update(&node);
     assert!(table.rev(KEY).is_some());
 
     let fresh = started(Contention::Ignored, &table);
@@ -292,3 +297,9 @@
     directory.upsert(entry, now);
     directory.first_byte_received(&"e-1".into(), Duration::ZERO.into(), Some(load), now);
 }
+
+/// Records a slowdown as a response to a request of this node does.
+fn record_slowdown(node: &TestNode, value: f64) {
+    let figure = Figure { factor: Factor::new(value).unwrap(), at: node.gateway.now() };
+    assert!(node.gateway.directory.lock().record_slowdown(&"e-1".into(), None, figure));
+}
