Remove expired reports from the load table

Cause: the table kept the last report of every node name ever received. Nodes that have left, or have another name now, stayed in it for good. Change: storing a report removes those that are no longer valid. Result: expired_reports_are_removed found 1,000 reports before and finds the 80 valid ones now.

--- a/crates/curranthook_gateway/src/load/table.rs
+++ b/crates/curranthook_gateway/src/load/table.rs
@@ -26,11 +26,17 @@
 }
 
 impl LoadTable {
-    /// Stores the report of `node`, in place of its previous one.
+    /// Stores the report of `node`, in place of its previous one, and removes expired reports.
     pub fn update(&mut self, node: String, pending: PendingWork, now: Instant) {
+        self.nodes.retain(|_, (at, _)| now.saturating_duration_since(*at) < EXPIRY);
         self.nodes.insert(node, (now, pending));
     }
 
+    /// The number of nodes of which a report is stored.
+    pub fn n_reports(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// The work pending at an endpoint, except that of `requester`, which knows its own.
     ///
     /// ```
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -360,3 +360,15 @@
     assert_eq!(table.waiting(&id, "n-3", later + ms(300)), Work::new(9, ms(300)));
     assert_eq!(table.age(&id, "n-3", later + ms(2_000)), None);
 }
+
+/// Guards against a table that grows with every name under which nodes were ever started.
+#[test]
+fn expired_reports_are_removed() {
+    let (mut table, now) = (LoadTable::default(), std::time::Instant::now());
+    for n in 0..1_000 {
+        let work = pending(&[("e-1", ms(100).into())]);
+        table.update(format!("n-{n}"), work, now + ms(10) * n);
+    }
+    // A report is valid for 800 ms.
+    assert_eq!(table.n_reports(), 80);
+}
