Shorten the priorities of answers, and log messages that are too long

Cause: the priorities were shortened only in reports. The receiver of an answer above 1,400 bytes rejects it as malformed, and the request is placed without knowing the load. The sender did not notice. Change: answers are shortened like reports. A message that still exceeds a datagram is logged at debug level.

--- a/crates/curranthook_gateway/src/load/reports/datagram.rs
+++ b/crates/curranthook_gateway/src/load/reports/datagram.rs
@@ -3,15 +3,16 @@
 use super::{MAX_DATAGRAM, Message};
 use crate::load::slowdowns::Entries;
 
-/// The bytes of a message. From a report that exceeds [`MAX_DATAGRAM`], the priorities of the
-/// endpoints with the least waiting work are dropped first, then prompts sent for prefill, and then
-/// slowdowns.
+/// The bytes of a message. From a report or an answer that exceeds [`MAX_DATAGRAM`], the priorities
+/// of the endpoints with the least waiting work are dropped first, then prompts sent for prefill,
+/// and then slowdowns.
 /// Without its priorities, work counts as the most urgent until the next report, which only delays
 /// other requests; without its sum, the endpoint would seem idle.
 pub fn datagram(mut message: Message) -> Vec<u8> {
     let mut bytes = to_vec(&message);
     if let Some(excess) = excess(&bytes)
-        && let Message::Report { waiting, by_priority, .. } = &mut message
+        && let Message::Report { waiting, by_priority, .. }
+        | Message::Answer { waiting, by_priority, .. } = &mut message
     {
         by_priority.shorten(waiting, excess);
         bytes = to_vec(&message);
@@ -28,6 +29,10 @@
         *slowdowns = Entries::default();
         bytes = to_vec(&message);
     }
+    if MAX_DATAGRAM < bytes.len() {
+        let n_bytes = bytes.len();
+        log::debug!("message of {n_bytes} bytes exceeds a datagram of {MAX_DATAGRAM} bytes");
+    }
     bytes
 }
 
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -19,6 +19,7 @@
 };
 use curranthook_policy::{rank::Rank, slowdown::Outlook};
 use curranthook_types::endpoint;
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -372,3 +373,63 @@
     // A report is valid for 800 ms.
     assert_eq!(table.n_reports(), 80);
 }
+
+/// The messages logged while the tests run.
+static LOGGED: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Capture;
+
+impl log::Log for Capture {
+    fn enabled(&self, _metadata: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LOGGED.lock().push(format!("{} {}", record.level(), record.args()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn answer(pending: &PendingWork) -> Message {
+    let (waiting, by_priority) = breakdown::split(pending);
+    Message::Answer {
+        id: u64::MAX,
+        waiting,
+        by_priority,
+        holders: Some(vec![endpoint::Id::new("i-7ceb459a0f"); 8]),
+        unreachable: Vec::new(),
+        slowdowns: Entries::default(),
+    }
+}
+
+/// Guards against an answer that exceeds the datagram by its priorities. The node that asked would
+/// reject it and place the request without knowing the load.
+#[test]
+fn priorities_of_an_answer_are_dropped_before_it_exceeds_a_datagram() {
+    let bytes = reports::datagram(answer(&busiest()));
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+    let Message::Answer { waiting, by_priority, holders, .. } =
+        serde_json::from_slice(&bytes).unwrap()
+    else {
+        panic!("an answer is sent")
+    };
+    let (work, n_changed) = breakdown::join(waiting, &by_priority);
+    assert_eq!((n_changed, holders.map(|it| it.len())), (0, Some(8)));
+    let n_kept = work.iter().filter(|(id, work)| **work == busiest()[*id]).count();
+    assert!((10..MAX_REPORTED_ENDPOINTS).contains(&n_kept), "{n_kept} kept");
+    assert!(work.iter().all(|(id, work)| work.total() == busiest()[id].total()));
+}
+
+/// Guards against messages that receivers reject for their length without a trace at the sender.
+#[test]
+fn message_that_exceeds_a_datagram_is_logged() {
+    log::set_logger(&Capture).expect("no other logger is set");
+    log::set_max_level(log::LevelFilter::Debug);
+    let id = |n: usize| endpoint::Id::new(format!("{n:02}-{}", "x".repeat(40)));
+    let work = (0..MAX_REPORTED_ENDPOINTS).map(|n| (id(n), ms(5_000).into())).collect();
+    let n_bytes = reports::datagram(answer(&work)).len();
+    assert!(MAX_DATAGRAM < n_bytes);
+    let expected = format!("DEBUG message of {n_bytes} bytes exceeds a datagram of 1400 bytes");
+    assert!(LOGGED.lock().contains(&expected), "{:?}", LOGGED.lock());
+}
