Test the price of the largest model by contention

Cause: no test failed if requests paid prices by rank where contention is ignored, or 0.45 where they compete by rank. no_level_is_priced_out compared prices with bounds and did not decide on an escalation. Change: the branch is a pure function, cascade::large_model_price. The test of bounds is named after what it checks; its assertion is unchanged. no_level_is_priced_out now asks cascade::should_escalate. Result: without either arm of the branch, the 3 cases of price_of_the_largest_model_follows_ranks_only_by_rank fail. With an upper bound of 1.0 on prices, all cases of no_level_is_priced_out and of the test of bounds fail. All pass on this code.

--- a/crates/curranthook_gateway/src/cascade.rs
+++ b/crates/curranthook_gateway/src/cascade.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
-use curranthook_policy::rank::{self, Rank};
+use curranthook_policy::{
+    price::Scale,
+    rank::{self, Rank},
+};
 
 use crate::settings::Contention;
 
@@ -94,6 +97,23 @@
     small_value < large.value(targets)
 }
 
+/// The price of an answer of the largest model for a request of `level`, as a share of the answer's
+/// value. `scale` has the prices of the service that the request is sent to.
+///
+/// ```
+/// # use curranthook_gateway::{cascade, settings::Contention};
+/// # use curranthook_policy::price::Scale;
+/// let price = |contention| cascade::large_model_price(contention, &Scale::default(), 2);
+/// assert_eq!(price(Contention::Ignored), 0.45);
+/// assert_eq!(price(Contention::ByRank), 0.4);
+/// ```
+pub fn large_model_price(contention: Contention, scale: &Scale, level: u8) -> f64 {
+    match contention {
+        Contention::Ignored => LARGE_MODEL_COST,
+        Contention::ByRank => scale.price(level),
+    }
+}
+
 /// The number of priority ranks of routes and accounts if contention is ignored. Requests to large
 /// models rank this far behind those to small models.
 const N_RANKS: u8 = 4;
--- a/crates/curranthook_gateway/src/job/contention.rs
+++ b/crates/curranthook_gateway/src/job/contention.rs
@@ -40,11 +40,9 @@
 
     /// The price of an answer of the largest model, as a share of the answer's value.
     pub(super) fn large_model_price(&self) -> f64 {
-        if !is_by_rank(&self.gateway) {
-            return cascade::LARGE_MODEL_COST;
-        }
-        let scales = self.gateway.price_scales.lock();
-        scales.get(&self.service).copied().unwrap_or_default().price(self.priority.level())
+        let scale = self.gateway.price_scales.lock().get(&self.service).copied();
+        let contention = self.gateway.settings.contention;
+        cascade::large_model_price(contention, &scale.unwrap_or_default(), self.priority.level())
     }
 
     /// What the log states about requests that compete with this one; `None` if decisions ignore
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -17,7 +17,7 @@
     placement::{self, CacheHolders, Candidate, Locality, Task},
     settings::Contention,
 };
-use curranthook_policy::{rank::Rank, slowdown::Outlook};
+use curranthook_policy::{price::Scale, rank::Rank, slowdown::Outlook};
 use curranthook_types::endpoint;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -374,6 +374,43 @@
     assert_eq!(table.n_reports(), 80);
 }
 
+fn price_scale(levels: &[u8]) -> Scale {
+    let mut scale = Scale::default();
+    levels.iter().cycle().take(1_000).for_each(|level| scale.record(*level));
+    scale
+}
+
+/// Guards against a price that follows ranks where contention is ignored, and against one that does
+/// not where requests compete by rank.
+#[parameterized(
+    urgent = { 2, 0.4 - 0.1 },
+    usual = { 3, 0.4 },
+    least_urgent = { 4, 0.4 + 0.1 },
+)]
+fn price_of_the_largest_model_follows_ranks_only_by_rank(level: u8, by_rank: f64) {
+    let scale = price_scale(&[3]);
+    assert_eq!(cascade::large_model_price(Contention::Ignored, &scale, level), 0.45);
+    let price = cascade::large_model_price(Contention::ByRank, &scale, level);
+    assert!((price - by_rank).abs() < 1e-9, "{price}");
+}
+
+/// Guards against a level that is starved of the largest model: an answer that is certainly bad is
+/// escalated to an idle engine at the price of any level.
+#[parameterized(
+    mixed = { &[0, 1, 2, 3, 4] },
+    urgent = { &[0] },
+    patient = { &[4] },
+)]
+fn no_level_is_priced_out(levels: &[u8]) {
+    let scale = price_scale(levels);
+    let small = forecast(SMALL_MODEL, Duration::ZERO, 0.0);
+    for level in 0..=u8::MAX {
+        let price = cascade::large_model_price(Contention::ByRank, &scale, level);
+        let large = forecast(LARGE_MODEL, Duration::ZERO, price);
+        assert!(cascade::should_escalate(0, &small, &large, &TARGETS), "level {level}: {price}");
+    }
+}
+
 /// The messages logged while the tests run.
 static LOGGED: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
--- a/crates/curranthook_policy/tests/price.rs
+++ b/crates/curranthook_policy/tests/price.rs
@@ -18,14 +18,14 @@
     assert!(burst.price(2) < burst.price(4), "{burst:?}");
 }
 
-/// Guards against a level that is starved of the largest model: an answer that is certainly bad is
-/// worth escalating at any price below one.
+/// Guards against prices out of bounds: at one of 1, no answer would be worth escalating, and at 0
+/// every one would.
 #[parameterized(
     mixed = { &[0, 1, 2, 3, 4] },
     urgent = { &[0] },
     patient = { &[4] },
 )]
-fn no_level_is_priced_out(levels: &[u8]) {
+fn price_of_any_level_is_within_bounds(levels: &[u8]) {
     let scale = scale(levels, 1_000);
     for level in 0..=u8::MAX {
         let price = scale.price(level);
