--- a/crates/curranthook_gateway/src/load/reports/datagram.rs
+++ b/crates/curranthook_gateway/src/load/reports/datagram.rs
@@ -3,16 +3,17 @@
 use super::{MAX_DATAGRAM, Message};
 use crate::load::slowdowns::Entries;
 
-/// The bytes of a message. From a report that exceeds [`MAX_DATAGRAM`], the priorities of the
-/// endpoints with the least waiting work are dropped first, then prompts sent for prefill, then
-/// slowdowns, and then the smallest numbers of requests in flight. From an answer, slowdowns are
-/// dropped first, and then the numbers of requests that the owner saw.
+/// The bytes of a message. From a report or an answer that exceeds [`MAX_DATAGRAM`], the priorities
+/// of the endpoints with the least waiting work are dropped first, then prompts sent for prefill,
+/// then slowdowns, and then the smallest numbers of requests in flight, or the numbers of requests
+/// that an owner saw.
 /// Without its priorities, work counts as the most urgent until the next report, which only delays
 /// other requests; without its sum, the endpoint would seem idle.
 pub fn datagram(mut message: Message) -> Vec<u8> {
     let mut bytes = to_vec(&message);
     if let Some(excess) = excess(&bytes)
-        && let Message::Report { waiting, by_priority, .. } = &mut message
+        && let Message::Report { waiting, by_priority, .. }
+        | Message::Answer { waiting, by_priority, .. } = &mut message
     {
         by_priority.shorten(waiting, excess);
         bytes = to_vec(&message);
@@ -43,6 +44,10 @@
         loads.clear();
         bytes = to_vec(&message);
     }
+    if MAX_DATAGRAM < bytes.len() {
+        let n_bytes = bytes.len();
+        log::debug!("message of {n_bytes} bytes exceeds a datagram of {MAX_DATAGRAM} bytes");
+    }
     bytes
 }
 
--- a/crates/curranthook_gateway/src/load/snapshot_rows.rs
+++ b/crates/curranthook_gateway/src/load/snapshot_rows.rs
@@ -1,4 +1,4 @@
-//! Writes and takes the rows with the [`snapshot`](super::snapshot) of latency estimates.
+//! Writes and takes the rows with the [`snapshot`] of latency estimates.
 //!
 //! Nodes receive the rows with the other rows of the fleet table. They use them only for services
 //! where that is called for: with [`Contention::ByRank`], or after an endpoint has reported a
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -17,8 +17,9 @@
     placement::{self, CacheHolders, Candidate, Locality, Task},
     settings::Contention,
 };
-use curranthook_policy::{rank::Rank, slowdown::Factor};
+use curranthook_policy::{price::Scale, rank::Rank, slowdown::Outlook};
 use curranthook_types::endpoint;
+use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -34,6 +35,8 @@
 const PROMPT_TOKENS: u64 = 1_460;
 /// The prefill time of the least urgent prompts that wait at each engine.
 const BURST: Duration = Duration::from_secs(5);
+/// The largest sum that is accepted for an endpoint.
+const MAX_SUM: Duration = Duration::from_secs(1_000_000);
 const LARGE_MODEL: f64 = 1.0;
 const SMALL_MODEL: f64 = 0.1;
 
@@ -133,7 +136,7 @@
             failure_rate: 0.0,
             locality: Locality::SameDomain,
             has_prefix_cached: false,
-            slowdown: Factor::USUAL,
+            slowdown: Outlook::UNKNOWN,
         };
         let candidates: Vec<_> = (0..).zip(&engines).map(candidate).collect();
         let holders = CacheHolders::Known;
@@ -236,13 +239,24 @@
     assert_eq!(receive(json!({ "notice": fields })), (expected, n_dropped));
 }
 
-/// Guards against a sum that no message could state: the owner of the endpoint's load would crash
-/// when it adds the sums of two nodes and answers a question.
-#[test]
-fn sums_out_of_range_are_dropped() {
-    let waiting = json!({ "e-1": u64::MAX, "e-2": 30 });
-    let report = json!({ "notice": { "node": "n-1", "waiting": waiting } });
-    assert_eq!(receive(report), (pending(&[("e-2", ms(30).into())]), 1));
+/// Guards against an endpoint that seems idle because its sum is out of range, and against a sum
+/// that no message could state: the owner of the endpoint's load would crash when it adds the sums
+/// of two nodes and answers a question.
+#[parameterized(
+    without_priorities = { u64::MAX, json!([]), Work::new(0, MAX_SUM), 1 },
+    just_above = { 1_000_000_001, json!([]), Work::new(0, MAX_SUM), 1 },
+    with_priorities = { 1_000_000_001, json!([[[9, 1_000_000_001]], []]), Work::new(0, MAX_SUM), 1 },
+    with_malformed_priorities = { u64::MAX, json!([[[10, 400]], []]), Work::new(0, MAX_SUM), 1 },
+    largest = { 1_000_000_000, json!([[[9, 1_000_000_000]], []]), Work::new(9, MAX_SUM), 0 },
+)]
+fn sums_out_of_range_are_clamped(sum: u64, by_priority: Value, work: Work, n_changed: usize) {
+    let waiting = json!({ "e-1": sum, "e-2": 30 });
+    let report = json!({ "node": "n-1", "waiting": waiting, "by_priority": by_priority });
+    let answer = json!({ "id": 3, "waiting": waiting, "by_priority": by_priority });
+    for message in [json!({ "notice": report }), json!({ "answer": answer })] {
+        let expected = pending(&[("e-1", work), ("e-2", ms(30).into())]);
+        assert_eq!(receive(message), (expected, n_changed));
+    }
 }
 
 /// A report as builds without priorities, slowdowns and requests in flight decode it.
@@ -400,3 +414,114 @@
     assert_eq!(table.waiting(&id, "n-3", later + ms(300)), Work::new(9, ms(300)));
     assert_eq!(table.age(&id, "n-3", later + ms(2_000)), None);
 }
+
+/// Guards against a table that grows with every name under which nodes were ever started.
+#[test]
+fn expired_reports_are_removed() {
+    let (mut table, now) = (LoadTable::default(), std::time::Instant::now());
+    for n in 0..1_000 {
+        let work = pending(&[("e-1", ms(100).into())]);
+        table.update(format!("n-{n}"), work, now + ms(10) * n);
+    }
+    // A report is valid for 800 ms.
+    assert_eq!(table.n_reports(), 80);
+}
+
+fn price_scale(levels: &[u8]) -> Scale {
+    let mut scale = Scale::default();
+    levels.iter().cycle().take(1_000).for_each(|level| scale.record(*level));
+    scale
+}
+
+/// Guards against a price that follows ranks where contention is ignored, and against one that does
+/// not where requests compete by rank.
+#[parameterized(
+    urgent = { 2, 0.4 - 0.1 },
+    usual = { 3, 0.4 },
+    least_urgent = { 4, 0.4 + 0.1 },
+)]
+fn price_of_the_largest_model_follows_ranks_only_by_rank(level: u8, by_rank: f64) {
+    let scale = price_scale(&[3]);
+    assert_eq!(cascade::large_model_price(Contention::Ignored, &scale, level), 0.45);
+    let price = cascade::large_model_price(Contention::ByRank, &scale, level);
+    assert!((price - by_rank).abs() < 1e-9, "{price}");
+}
+
+/// Guards against a level that is starved of the largest model: an answer that is certainly bad is
+/// escalated to an idle engine at the price of any level.
+#[parameterized(
+    mixed = { &[0, 1, 2, 3, 4] },
+    urgent = { &[0] },
+    patient = { &[4] },
+)]
+fn no_level_is_priced_out(levels: &[u8]) {
+    let scale = price_scale(levels);
+    let small = forecast(SMALL_MODEL, Duration::ZERO, 0.0);
+    for level in 0..=u8::MAX {
+        let price = cascade::large_model_price(Contention::ByRank, &scale, level);
+        let large = forecast(LARGE_MODEL, Duration::ZERO, price);
+        assert!(cascade::should_escalate(0, &small, &large, &TARGETS), "level {level}: {price}");
+    }
+}
+
+/// The messages logged while the tests run.
+static LOGGED: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Capture;
+
+impl log::Log for Capture {
+    fn enabled(&self, _metadata: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LOGGED.lock().push(format!("{} {}", record.level(), record.args()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn answer(pending: &PendingWork) -> Message {
+    let (waiting, by_priority) = breakdown::split(pending);
+    Message::Answer {
+        id: u64::MAX,
+        waiting,
+        by_priority,
+        holders: Some(vec![endpoint::Id::new("i-7ceb459a0f"); 8]),
+        unreachable: Vec::new(),
+        slowdowns: Entries::default(),
+        in_flight: HashMap::new(),
+        loads: HashMap::new(),
+    }
+}
+
+/// Guards against an answer that exceeds the datagram by its priorities. The node that asked would
+/// reject it and place the request without knowing the load.
+#[test]
+fn priorities_of_an_answer_are_dropped_before_it_exceeds_a_datagram() {
+    let bytes = reports::datagram(answer(&busiest()));
+    assert!(bytes.len() <= MAX_DATAGRAM, "{} bytes", bytes.len());
+    let Message::Answer { waiting, by_priority, holders, .. } =
+        serde_json::from_slice(&bytes).unwrap()
+    else {
+        panic!("an answer is sent")
+    };
+    let (work, n_changed) = breakdown::join(waiting, &by_priority);
+    assert_eq!((n_changed, holders.map(|it| it.len())), (0, Some(8)));
+    let n_kept = work.iter().filter(|(id, work)| **work == busiest()[*id]).count();
+    assert!((10..MAX_REPORTED_ENDPOINTS).contains(&n_kept), "{n_kept} kept");
+    assert!(work.iter().all(|(id, work)| work.total() == busiest()[id].total()));
+}
+
+/// Guards against messages that receivers reject for their length without a trace at the sender.
+#[test]
+fn message_that_exceeds_a_datagram_is_logged() {
+    log::set_logger(&Capture).expect("no other logger is set");
+    log::set_max_level(log::LevelFilter::Debug);
+    let id = |n: usize| endpoint::Id::new(format!("{n:02}-{}", "x".repeat(40)));
+    let work = (0..MAX_REPORTED_ENDPOINTS).map(|n| (id(n), ms(5_000).into())).collect();
+    let n_bytes = reports::datagram(answer(&work)).len();
+    assert!(MAX_DATAGRAM < n_bytes);
+    let expected = format!("DEBUG message of {n_bytes} bytes exceeds a datagram of 1400 bytes");
+    assert!(LOGGED.lock().contains(&expected), "{:?}", LOGGED.lock());
+}
