--- a/crates/curranthook_gateway/src/load/observed.rs
+++ b/crates/curranthook_gateway/src/load/observed.rs
@@ -6,7 +6,7 @@
 };
 
 /// The maximum number of models. Callers may name any model; those that exceed the limit count as
-/// never observed.
+/// never observed, and their estimates are not shared with other nodes.
 const MAX_MODELS: usize = 256;
 
 /// The times of the last observations.
--- a/crates/curranthook_gateway/src/load/snapshot.rs
+++ b/crates/curranthook_gateway/src/load/snapshot.rs
@@ -65,8 +65,8 @@
 /// The latency estimate of a model.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 struct Model {
-    /// When a node that observed the model wrote it, by the store's clock. A writer passes on the
-    /// estimates of models that it has not observed, with their time.
+    /// When the node that learned the estimate last observed the model, by the store's clock. A
+    /// writer passes on newer estimates of other nodes, with their time.
     at_ms: u64,
     #[serde(flatten)]
     learned: Learned,
@@ -128,8 +128,9 @@
 }
 
 impl Snapshot {
-    /// The snapshot that a node writes at `now`: what it has learned itself, and of all other
-    /// models what `stored` contains and is not too old.
+    /// The snapshot that a node writes at `now`: what it has learned itself, with the time since
+    /// its last observation of each model, and what `stored` contains of models that were observed
+    /// later or only by other nodes. Estimates that are too old are left out.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -137,23 +138,29 @@
     /// let coefficients = [0.1, 0.2, 0.0, 0.0].into();
     /// let learned = Learned { coefficients, event_interval_s: None };
     /// let (early, late) = (Duration::from_secs(100), Duration::from_secs(130));
-    /// let stored = Snapshot::merge(None, [("large".to_owned(), learned)], false, early);
-    /// let merged = Snapshot::merge(Some(&stored), [("small".to_owned(), learned)], false, late);
+    /// let large = [("large".to_owned(), learned, Duration::ZERO)];
+    /// let stored = Snapshot::merge(None, large, false, early);
+    /// let small = [("small".to_owned(), learned, Duration::ZERO)];
+    /// let merged = Snapshot::merge(Some(&stored), small, false, late);
     /// assert_eq!(merged.models(late).count(), 2);
     /// assert_eq!(Snapshot::decode(&merged.encode().unwrap(), late).unwrap(), merged);
     /// ```
     pub fn merge(
         stored: Option<&Self>,
-        own: impl IntoIterator<Item = (String, Learned)>,
+        own: impl IntoIterator<Item = (String, Learned, Duration)>,
         reports_slowdown: bool,
         now: Duration,
     ) -> Self {
         let at_ms = to_millis(now);
         let mut models: BTreeMap<_, _> =
             stored.map(|it| it.models.clone()).unwrap_or_default().into_iter().collect();
+        for (name, learned, age) in own.into_iter().filter(|(name, it, _)| is_valid(name, it)) {
+            let own = Model { at_ms: to_millis(now.saturating_sub(age)), learned };
+            if models.get(&name).is_none_or(|it| it.at_ms <= own.at_ms) {
+                models.insert(name, own);
+            }
+        }
         models.retain(|_, it| !is_too_old(it.at_ms, now));
-        let own = own.into_iter().filter(|(name, it)| is_valid(name, it));
-        models.extend(own.map(|(name, learned)| (name, Model { at_ms, learned })));
         while MAX_MODELS < models.len()
             && let Some(oldest) = models.iter().min_by_key(|(_, it)| it.at_ms)
         {
@@ -232,7 +239,8 @@
     /// let with_rate = |rate: f64| {
     ///     let coefficients = [0.1, rate, 0.0, 0.0].into();
     ///     let learned = Learned { coefficients, event_interval_s: Some(0.02) };
-    ///     Snapshot::merge(None, [("large".to_owned(), learned)], false, Duration::ZERO)
+    ///     let large = [("large".to_owned(), learned, Duration::ZERO)];
+    ///     Snapshot::merge(None, large, false, Duration::ZERO)
     /// };
     /// assert!(!with_rate(0.40).differs_noticeably(&with_rate(0.42)));
     /// assert!(with_rate(0.40).differs_noticeably(&with_rate(0.80)));
@@ -267,7 +275,7 @@
 /// # use curranthook_gateway::load::latency::Learned;
 /// let (s, coefficients) = (Duration::from_secs, [0.1, 0.2, 0.0, 0.0].into());
 /// let learned = Learned { coefficients, event_interval_s: None };
-/// let next = Snapshot::merge(None, [("large".to_owned(), learned)], false, s(50));
+/// let next = Snapshot::merge(None, [("large".to_owned(), learned, s(0))], false, s(50));
 /// assert_eq!(snapshot::reason_to_write(None, &next, 0, s(0), s(50)), Some(Reason::Missing));
 /// assert_eq!(snapshot::reason_to_write(None, &next, 1, s(0), s(50)), None);
 /// assert_eq!(snapshot::reason_to_write(Some(&next), &next, 0, s(0), s(90)), None);
--- a/crates/curranthook_gateway/src/load/snapshot_rows.rs
+++ b/crates/curranthook_gateway/src/load/snapshot_rows.rs
@@ -149,7 +149,7 @@
         if attempted.is_some_and(|it| at.saturating_duration_since(*it) < snapshot::MIN_INTERVAL) {
             return;
         }
-        let own = self.learned(service, models);
+        let own = self.learned(service, models, at);
         if own.is_empty() {
             return;
         }
@@ -224,10 +224,20 @@
         at.saturating_duration_since(known.1)
     }
 
-    /// What this node has learned itself of a service's models.
-    fn learned(&self, service: &str, models: &[String]) -> Vec<(String, Learned)> {
+    /// What this node has learned itself of a service's models, with the time since its last
+    /// observation of each.
+    fn learned(
+        &self,
+        service: &str,
+        models: &[String],
+        at: Instant,
+    ) -> Vec<(String, Learned, Duration)> {
         let estimator = self.gateway.latency_estimator.lock();
-        let learned = |name: &String| Some((name.clone(), estimator.learned(service, name)?));
+        let observations = self.gateway.observations.lock();
+        let learned = |name: &String| {
+            let learned = estimator.learned(service, name)?;
+            Some((name.clone(), learned, observations.age(service, name, at)?))
+        };
         models.iter().filter_map(learned).collect()
     }
 
