Further nodes write changed and missing estimates

Change: a further rank writes these too, once the stored row is older than 8 s and 20 s for each node before it.

Result: with the first node gone, the next one writes a change or a missing model 28 s after the row was written, once (a_change_is_written_without_the_first_node, a_missing_model_is_written_without_the_first_node; both fail before).

--- a/crates/curranthook_gateway/src/load/snapshot.rs
+++ b/crates/curranthook_gateway/src/load/snapshot.rs
@@ -267,7 +267,8 @@
 /// in the store, and why. `waited` is the time for which the node has known that there is no usable
 /// snapshot.
 ///
-/// Rank 0 writes; further ranks write only if the nodes before them fail to do so.
+/// Rank 0 writes; each further rank writes later by [`TAKEOVER_DELAY`], so that it does so only if
+/// the nodes before it fail to, or if its estimates differ noticeably from theirs.
 ///
 /// ```
 /// # use std::time::Duration;
@@ -300,7 +301,8 @@
     if stored.is_renewed_by(next, REFRESH_AGE + takeover_delay, now) {
         return Some(Reason::Aging);
     }
-    (rank == 0 && stored.differs_noticeably(next)).then_some(Reason::Changed)
+    let is_due = MIN_INTERVAL + takeover_delay <= stored.age(now);
+    (is_due && stored.differs_noticeably(next)).then_some(Reason::Changed)
 }
 
 /// Whether an estimate may be shared under this name.
--- a/crates/curranthook_gateway/tests/snapshot_writers.rs
+++ b/crates/curranthook_gateway/tests/snapshot_writers.rs
@@ -179,6 +179,42 @@
     assert!(nodes.iter().skip(1).all(|it| it.count("written") == 0));
 }
 
+/// The writer is lost, then engines change. Guards against a snapshot that stays wrong for minutes:
+/// the next node writes the change, once.
+#[test]
+fn a_change_is_written_without_the_first_node() {
+    let table = Arc::new(FleetTable::default());
+    let mut nodes = fleet(&table, 6);
+    nodes[0].tick(&table);
+    let (first_rev, mut nodes) = (table.rev(KEY), nodes.split_off(1));
+    for second in 1..=100 {
+        for it in &mut nodes {
+            observe(&it.node, 20, 0, 3.0, &mut Pcg64::seed_from_u64(second));
+            it.tick(&table);
+        }
+        assert_eq!(table.rev(KEY) != first_rev, 29 <= second, "at {second} s");
+    }
+    let written: Vec<_> = nodes.iter().map(|it| it.count("written")).collect();
+    assert_eq!(written, [1, 0, 0, 0, 0]);
+}
+
+/// The writer is lost before any node has observed a further model. Guards against models that are
+/// missing in the snapshot until the other models become old, minutes later.
+#[test]
+fn a_missing_model_is_written_without_the_first_node() {
+    let table = Arc::new(FleetTable::default());
+    let coefficients = true_coefficients(1.0);
+    let learned = Learned { coefficients, event_interval_s: Some(0.03) };
+    let large = Snapshot::merge(None, [("large".to_owned(), learned, s(0))], false, s(100));
+    table.put(KEY, &large.encode().unwrap());
+    let mut nodes = fleet(&table, 6).split_off(1);
+    for second in 1..=60 {
+        nodes.iter_mut().for_each(|it| it.tick(&table));
+        let n_models = stored(&table, nodes[0].now).models(nodes[0].now).count();
+        assert_eq!(n_models, if second < 28 { 1 } else { 3 }, "at {second} s");
+    }
+}
+
 /// The rows of nodes that are gone stay in the store. Guards against a snapshot that nobody writes
 /// because many such nodes precede those that run, and against nodes that wait too long.
 #[test]
