Only used first events and successes count as observations

Cause: a prompt of over 1,000,000 tokens, which the filter ignores, raised the number of first events after which an estimate is shared, so that the prior could be shared as learned. Such prompts, and answers such as a quick 4xx, also counted as observations that make an estimate sure.

Change: the filter tells whether it used an event. Only used events count towards a shared estimate, and only successes that were used are observations. What the filter learns is as before.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -21,6 +21,7 @@
     lease::Lease,
     load::{
         latency::{Estimate, FirstEvent},
+        observed,
         reports::{self, PeerState},
     },
     models::{Candidate, Models},
@@ -336,11 +337,13 @@
                 queue_delay: lease.queue_delay,
                 elapsed: lease.first_event_slowdown().unscale(exchange.time_to_first_byte),
             };
-            let mut estimator = self.gateway.latency_estimator.lock();
-            estimator.record_first_event(&self.service, &it.name, it.relative_price, first_event);
-            drop(estimator);
-            let now = self.gateway.now();
-            self.gateway.observations.lock().record(&self.service, &it.name, now);
+            observed::record_first_event(
+                &self.gateway,
+                &self.service,
+                (&it.name, it.relative_price),
+                first_event,
+                exchange.reply.status.is_success(),
+            );
         }
         let (confidence, slowdown) = (exchange.reply.confidence, exchange.lease.lasting_slowdown());
         if exchange.reply.status.is_success() && self.try_escalate(confidence, slowdown).await {
--- a/crates/curranthook_gateway/src/load/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct Model {
     filter: Filter,
-    /// The number of observed first events.
+    /// The number of first events that updated the filter.
     n_first_events: u32,
     /// The moving average of the time between two events, in seconds.
     event_interval_s: Option<f64>,
@@ -93,7 +93,9 @@
     /// let queue_delay = Duration::from_millis(500);
     /// let elapsed = Duration::from_secs(1);
     /// let first = FirstEvent { prompt, outstanding: 3, queue_delay, elapsed };
-    /// (0..50).for_each(|_| estimator.record_first_event("engines", "large", 1.0, first));
+    /// for _ in 0..50 {
+    ///     assert!(estimator.record_first_event("engines", "large", 1.0, first));
+    /// }
     /// let idle = estimator
     ///     .estimate("engines", "large", 1.0)
     ///     .time_to_first_event(prompt, 3, Duration::ZERO);
@@ -114,17 +116,20 @@
         }
     }
 
-    /// Updates the estimate for `model` with the time to a first event.
+    /// Updates the estimate for `model` with the time to a first event. Returns whether the event
+    /// was used.
     pub fn record_first_event(
         &mut self,
         service: &str,
         model: &str,
         relative_price: f64,
         event: FirstEvent,
-    ) {
+    ) -> bool {
         let it = self.model_mut(service, model, relative_price);
-        it.filter.update(event.prompt, event.outstanding, event.queue_delay, event.elapsed);
-        it.n_first_events = it.n_first_events.saturating_add(1);
+        let FirstEvent { prompt, outstanding, queue_delay, elapsed } = event;
+        let is_used = it.filter.update(prompt, outstanding, queue_delay, elapsed);
+        it.n_first_events = it.n_first_events.saturating_add(u32::from(is_used));
+        is_used
     }
 
     /// Records a stream of `n_events` that ended `elapsed` after its first event. `elapsed` is
--- a/crates/curranthook_gateway/src/load/observed.rs
+++ b/crates/curranthook_gateway/src/load/observed.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use crate::{Gateway, load::latency::FirstEvent};
+
 /// The maximum number of models. Callers may name any model; those that exceed the limit count as
 /// never observed, and their estimates are not shared with other nodes.
 const MAX_MODELS: usize = 256;
@@ -15,6 +17,23 @@
     models: HashMap<(String, String), Instant>,
 }
 
+/// Updates the latency estimate of `model` with a first event. Counts it as an observation if the
+/// estimate used it and the answer is a success: an endpoint answers a request that it rejects
+/// sooner than one that it serves.
+pub fn record_first_event(
+    gateway: &Gateway,
+    service: &str,
+    (model, relative_price): (&str, f64),
+    event: FirstEvent,
+    is_success: bool,
+) {
+    let is_used =
+        gateway.latency_estimator.lock().record_first_event(service, model, relative_price, event);
+    if is_used && is_success {
+        gateway.observations.lock().record(service, model, gateway.now());
+    }
+}
+
 impl Observations {
     /// Records that a first event of `model` was observed.
     pub fn record(&mut self, service: &str, model: &str, now: Instant) {
--- a/crates/curranthook_gateway/src/load/prefill.rs
+++ b/crates/curranthook_gateway/src/load/prefill.rs
@@ -82,7 +82,7 @@
     /// let mut filter = Filter::new(1.0);
     /// let prompt = Prompt::new(10_000, 0);
     /// let elapsed = Duration::from_millis(300);
-    /// (0..50).for_each(|_| filter.update(prompt, 0, Duration::ZERO, elapsed));
+    /// (0..50).for_each(|_| assert!(filter.update(prompt, 0, Duration::ZERO, elapsed)));
     /// let expected = filter.coefficients().time_to_first_event(prompt, 0);
     /// assert!(expected.abs_diff(elapsed) < Duration::from_millis(10), "{expected:?}");
     /// ```
@@ -118,15 +118,16 @@
 
     /// Updates the estimate with a first event that arrived after `elapsed`, with `outstanding`
     /// concurrent requests. `queue_delay` of that time was spent on the prompts of other requests.
+    /// Returns whether the event was used; prompts over [`MAX_PROMPT_TOKENS`] are ignored.
     pub fn update(
         &mut self,
         prompt: Prompt,
         outstanding: u32,
         queue_delay: Duration,
         elapsed: Duration,
-    ) {
+    ) -> bool {
         if MAX_PROMPT_TOKENS < prompt.uncached.saturating_add(prompt.cached) {
-            return;
+            return false;
         }
         let terms = terms(prompt, outstanding);
         let expected = self.coefficients.dot(&terms);
@@ -147,6 +148,7 @@
             self.covariance[(index, index)] =
                 (self.covariance[(index, index)] + recovery).min(self.prior_variance[index]);
         }
+        true
     }
 }
 
--- a/crates/curranthook_gateway/tests/estimates.rs
+++ b/crates/curranthook_gateway/tests/estimates.rs
@@ -128,10 +128,11 @@
 fn implausible_prompt_sizes_are_ignored() {
     let mut filter = Filter::new(1.0);
     let (plausible, elapsed) = (Prompt::new(20_000, 0), Duration::from_secs(1));
-    (0..50).for_each(|_| filter.update(plausible, 0, Duration::ZERO, elapsed));
+    (0..50).for_each(|_| assert!(filter.update(plausible, 0, Duration::ZERO, elapsed)));
     let before = filter.coefficients();
     let implausible = Prompt::new(1_000_000_000, 0);
-    (0..50).for_each(|_| filter.update(implausible, 0, Duration::ZERO, Duration::from_millis(50)));
+    let elapsed = Duration::from_millis(50);
+    (0..50).for_each(|_| assert!(!filter.update(implausible, 0, Duration::ZERO, elapsed)));
     assert_eq!(filter.coefficients(), before);
 }
 
--- a/crates/curranthook_gateway/tests/snapshot_writers.rs
+++ b/crates/curranthook_gateway/tests/snapshot_writers.rs
@@ -12,7 +12,9 @@
 use curranthook_gateway::{
     apply,
     load::{
-        latency::Learned,
+        latency::{FirstEvent, Learned},
+        observed::record_first_event,
+        prefill::Prompt,
         snapshot::{Rejection, Snapshot},
         snapshot_rows::Writer,
     },
@@ -21,6 +23,7 @@
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use yare::parameterized;
 
 use self::node::{FleetTable, TestNode, announce, forecasts, observe, true_coefficients};
 
@@ -320,6 +323,39 @@
     assert!(table.get(KEY).is_some());
 }
 
+/// Guards against a snapshot made of claims that the estimate ignores, which would share the prior,
+/// and against rejected requests, which are answered soon, as observations of a model's speed.
+#[parameterized(
+    used = { 10_000, true, Some(Duration::ZERO), true },
+    ignored = { 1_000_001, true, None, false },
+    rejected = { 10_000, false, None, false },
+)]
+fn only_used_successes_are_observations(
+    tokens: u64,
+    is_success: bool,
+    age: Option<Duration>,
+    is_written: bool,
+) {
+    let table = Arc::new(FleetTable::default());
+    let mut node = Active::start("n-1", &table, 0);
+    let gateway = Arc::clone(&node.node.gateway);
+    let event = FirstEvent {
+        prompt: Prompt::new(tokens, 0),
+        outstanding: 0,
+        queue_delay: Duration::ZERO,
+        elapsed: s(1),
+    };
+    for _ in 0..30 {
+        record_first_event(&gateway, "engines", ("large", 1.0), event, is_success);
+    }
+    let now = gateway.now();
+    assert_eq!(gateway.observations.lock().age("engines", "large", now), age);
+    let is_learned = gateway.latency_estimator.lock().learned("engines", "large").is_some();
+    assert_eq!(is_learned, tokens < 1_000_000);
+    node.tick(&table);
+    assert_eq!(table.get(KEY).is_some(), is_written);
+}
+
 /// Guards against writers that pass on estimates which no node has confirmed, so that they would
 /// never become too old.
 #[test]
--- a/crates/curranthook_gateway/tests/snapshots.rs
+++ b/crates/curranthook_gateway/tests/snapshots.rs
@@ -101,7 +101,7 @@
 fn shared_estimates_are_less_certain_than_learned_ones() {
     let (prompt, elapsed) = (Prompt::new(10_000, 0), Duration::from_millis(500));
     let mut learned = Filter::new(1.0);
-    (0..60).for_each(|_| learned.update(prompt, 0, Duration::ZERO, elapsed));
+    (0..60).for_each(|_| assert!(learned.update(prompt, 0, Duration::ZERO, elapsed)));
     let shared = Filter::from_shared(1.0, learned.coefficients());
     let change = |mut filter: Filter| {
         let forecast = |it: &Filter| it.coefficients().time_to_first_event(prompt, 0);
