Shared estimates expire at the nodes that took them

Cause: an estimate of another node was kept without its age. A node used it for a model that it had not observed, however long ago it was made.

Change: it is kept with the time at which it becomes too old, and dropped then.

Result: forecasts are those of the prior again 600 s after the last observation by the node that learned the estimate (a_shared_estimate_expires; both cases fail if nothing is dropped).

--- a/crates/curranthook_gateway/src/load/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -1,6 +1,9 @@
 //! Estimates the recent latency of each model of a service, over all of its engines.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -21,7 +24,15 @@
     models: HashMap<(String, String), Model>,
     /// What other nodes learned, by service and model. It replaces the prior of models that this
     /// node has not observed.
-    shared: HashMap<(String, String), Learned>,
+    shared: HashMap<(String, String), Shared>,
+}
+
+/// What another node learned of a model.
+#[derive(Debug, Clone, Copy)]
+struct Shared {
+    learned: Learned,
+    /// When it becomes too old, given when that node last observed the model.
+    expires_at: Instant,
 }
 
 #[derive(Debug)]
@@ -162,17 +173,18 @@
         })
     }
 
-    /// Sets what other nodes have learned of a service's models, in place of what was set before.
-    /// Estimates start from it instead of the prior; those of models that this node has observed
-    /// do not change. Returns the number of models that start from it.
+    /// Sets what other nodes have learned of a service's models and when that becomes too old, in
+    /// place of what was set before. Estimates start from it instead of the prior; those of models
+    /// that this node has observed do not change. Returns the number of models that start from it.
     ///
     /// ```
-    /// # use std::time::Duration;
+    /// # use std::time::{Duration, Instant};
     /// # use curranthook_gateway::load::{latency::{Estimator, Learned}, prefill::Prompt};
     /// let mut estimator = Estimator::default();
     /// let coefficients = [0.1, 0.2, 0.0, 0.0].into();
     /// let learned = Learned { coefficients, event_interval_s: Some(0.02) };
-    /// assert_eq!(estimator.set_shared("engines", [("large", learned)]), 1);
+    /// let expires_at = Instant::now() + Duration::from_secs(600);
+    /// assert_eq!(estimator.set_shared("engines", [("large", learned, expires_at)]), 1);
     /// let estimate = estimator.estimate("engines", "large", 1.0);
     /// let expected = estimate.time_to_first_event(Prompt::new(10_000, 0), 0, Duration::ZERO);
     /// assert_eq!(expected.as_millis(), 300);
@@ -180,21 +192,27 @@
     pub fn set_shared<'a>(
         &mut self,
         service: &str,
-        models: impl IntoIterator<Item = (&'a str, Learned)>,
+        models: impl IntoIterator<Item = (&'a str, Learned, Instant)>,
     ) -> usize {
         self.shared.retain(|(of_service, _), _| of_service != service);
         let mut n_used = 0;
-        for (model, learned) in models {
+        for (model, learned, expires_at) in models {
             let key = (service.to_owned(), model.to_owned());
             if MAX_SHARED_MODELS <= self.shared.len() || self.models.contains_key(&key) {
                 continue;
             }
-            self.shared.insert(key, learned);
+            self.shared.insert(key, Shared { learned, expires_at });
             n_used += 1;
         }
         n_used
     }
 
+    /// Drops what other nodes have learned and is too old. Models that this node has not observed
+    /// start from the prior again.
+    pub fn drop_expired(&mut self, now: Instant) {
+        self.shared.retain(|_, it| now < it.expires_at);
+    }
+
     /// The state of `model`, created on first use.
     fn model_mut(&mut self, service: &str, model: &str, relative_price: f64) -> &mut Model {
         let key = (service.to_owned(), model.to_owned());
@@ -208,7 +226,7 @@
     /// The state of a model that has not been observed: what other nodes have learned, or else the
     /// prior.
     fn new_model(&self, key: &(String, String), relative_price: f64) -> Model {
-        let shared = self.shared.get(key);
+        let shared = self.shared.get(key).map(|it| it.learned);
         let filter = match shared {
             Some(it) => Filter::from_shared(relative_price, it.coefficients),
             None => Filter::new(relative_price),
--- a/crates/curranthook_gateway/src/load/snapshot.rs
+++ b/crates/curranthook_gateway/src/load/snapshot.rs
@@ -225,10 +225,13 @@
         now.saturating_sub(Duration::from_millis(self.at_ms))
     }
 
-    /// The estimates that are not too old.
-    pub fn models(&self, now: Duration) -> impl Iterator<Item = (&str, Learned)> {
+    /// The estimates that are not too old, with the time until they are.
+    pub fn models(&self, now: Duration) -> impl Iterator<Item = (&str, Learned, Duration)> {
         let recent = self.models.iter().filter(move |(_, it)| !is_too_old(it.at_ms, now));
-        recent.map(|(name, it)| (name.as_str(), it.learned))
+        recent.map(move |(name, it)| {
+            let age = now.saturating_sub(Duration::from_millis(it.at_ms));
+            (name.as_str(), it.learned, MAX_AGE.saturating_sub(age))
+        })
     }
 
     /// Whether `next` has other models, or some forecast differs noticeably.
--- a/crates/curranthook_gateway/src/load/snapshot_rows.rs
+++ b/crates/curranthook_gateway/src/load/snapshot_rows.rs
@@ -82,7 +82,9 @@
 }
 
 fn take(gateway: &Gateway, service: &str, it: &Snapshot, rev: Rev, now: Duration) {
-    let models = gateway.latency_estimator.lock().set_shared(service, it.models(now));
+    let at = gateway.now();
+    let models = it.models(now).map(|(name, learned, time_left)| (name, learned, at + time_left));
+    let models = gateway.latency_estimator.lock().set_shared(service, models);
     // A node that has observed all models itself would log each write of the snapshot.
     if models == 0 {
         gateway.metrics.record_snapshot("ignored");
@@ -116,8 +118,11 @@
         Self { gateway, attempted: HashMap::new(), unusable: HashMap::new() }
     }
 
-    /// Takes the snapshots that have become due to be taken, and writes those that are due.
+    /// Drops shared estimates that have become too old, takes the snapshots that have become due to
+    /// be taken, and writes those that are due.
     pub async fn update(&mut self) {
+        let now = self.gateway.now();
+        self.gateway.latency_estimator.lock().drop_expired(now);
         let services: Vec<(String, Vec<String>)> = {
             let configuration = self.gateway.configuration.load();
             let Some(it) = configuration.as_ref() else { return };
--- a/crates/curranthook_gateway/tests/snapshots.rs
+++ b/crates/curranthook_gateway/tests/snapshots.rs
@@ -214,6 +214,25 @@
     assert!(node.gateway.metrics.text().contains("curranthook_snapshots_total{name=\"taken\"} 1"));
 }
 
+/// Guards against a node that keeps a shared estimate for ever: of a model that nobody observes, it
+/// starts from the prior again when the estimate is too old, also if it took it late.
+#[parameterized(taken_soon = { 110 }, taken_late = { 690 })]
+fn a_shared_estimate_expires(taken_at: u64) {
+    let table = Arc::new(FleetTable::default());
+    table.put(KEY, &row(false));
+    let node = started(Contention::ByRank, &table);
+    let priors = forecasts(&node, 0);
+    node.read(&table, Some(s(taken_at)));
+    let shared = forecasts(&node, 0);
+    assert_ne!(shared, priors);
+    for now in taken_at + 1..=705 {
+        node.clock.advance(s(1));
+        node.read(&table, Some(s(now)));
+        update(&node);
+        assert_eq!(forecasts(&node, 0), if now < 700 { &shared } else { &priors }.clone());
+    }
+}
+
 /// Guards against a snapshot that replaces what a node has learned itself, for instance when
 /// another node writes one in steady state. Models that it has not observed start from the newest.
 #[test]
