--- a/crates/curranthook_gateway/src/load/snapshot_rows.rs
+++ b/crates/curranthook_gateway/src/load/snapshot_rows.rs
@@ -82,7 +82,9 @@
 }
 
 fn take(gateway: &Gateway, service: &str, it: &Snapshot, rev: Rev, now: Duration) {
-    let models = gateway.latency_estimator.lock().set_shared(service, it.models(now));
+    let at = gateway.now();
+    let models = it.models(now).map(|(name, learned, time_left)| (name, learned, at + time_left));
+    let models = gateway.latency_estimator.lock().set_shared(service, models);
     // A node that has observed all models itself would log each write of the snapshot.
     if models == 0 {
         gateway.metrics.record_snapshot("ignored");
@@ -116,8 +118,11 @@
         Self { gateway, attempted: HashMap::new(), unusable: HashMap::new() }
     }
 
-    /// Takes the snapshots that have become due to be taken, and writes those that are due.
+    /// Drops shared estimates that have become too old, takes the snapshots that have become due to
+    /// be taken, and writes those that are due.
     pub async fn update(&mut self) {
+        let now = self.gateway.now();
+        self.gateway.latency_estimator.lock().drop_expired(now);
         let services: Vec<(String, Vec<String>)> = {
             let configuration = self.gateway.configuration.load();
             let Some(it) = configuration.as_ref() else { return };
@@ -149,7 +154,7 @@
         if attempted.is_some_and(|it| at.saturating_duration_since(*it) < snapshot::MIN_INTERVAL) {
             return;
         }
-        let own = self.learned(service, models);
+        let own = self.learned(service, models, at);
         if own.is_empty() {
             return;
         }
@@ -224,10 +229,20 @@
         at.saturating_duration_since(known.1)
     }
 
-    /// What this node has learned itself of a service's models.
-    fn learned(&self, service: &str, models: &[String]) -> Vec<(String, Learned)> {
+    /// What this node has learned itself of a service's models, with the time since its last
+    /// observation of each.
+    fn learned(
+        &self,
+        service: &str,
+        models: &[String],
+        at: Instant,
+    ) -> Vec<(String, Learned, Duration)> {
         let estimator = self.gateway.latency_estimator.lock();
-        let learned = |name: &String| Some((name.clone(), estimator.learned(service, name)?));
+        let observations = self.gateway.observations.lock();
+        let learned = |name: &String| {
+            let learned = estimator.learned(service, name)?;
+            Some((name.clone(), learned, observations.age(service, name, at)?))
+        };
         models.iter().filter_map(learned).collect()
     }
 
--- a/crates/curranthook_gateway/tests/snapshots.rs
+++ b/crates/curranthook_gateway/tests/snapshots.rs
@@ -33,10 +33,10 @@
     Duration::from_secs(seconds)
 }
 
-fn learned() -> impl Iterator<Item = (String, Learned)> {
+fn learned() -> impl Iterator<Item = (String, Learned, Duration)> {
     MODELS.into_iter().map(|(name, price)| {
         let coefficients = true_coefficients(price);
-        (name.to_owned(), Learned { coefficients, event_interval_s: Some(0.03) })
+        (name.to_owned(), Learned { coefficients, event_interval_s: Some(0.03) }, s(0))
     })
 }
 
@@ -102,7 +102,7 @@
 fn shared_estimates_are_less_certain_than_learned_ones() {
     let (prompt, elapsed) = (Prompt::new(10_000, 0), Duration::from_millis(500));
     let mut learned = Filter::new(1.0);
-    (0..60).for_each(|_| learned.update(prompt, 0, Duration::ZERO, elapsed));
+    (0..60).for_each(|_| assert!(learned.update(prompt, 0, Duration::ZERO, elapsed)));
     let shared = Filter::from_shared(1.0, learned.coefficients());
     let change = |mut filter: Filter| {
         let forecast = |it: &Filter| it.coefficients().time_to_first_event(prompt, 0);
@@ -119,9 +119,9 @@
 #[test]
 fn a_wrong_snapshot_is_corrected() {
     let (table, mut rng) = (Arc::new(FleetTable::default()), Pcg64::seed_from_u64(4));
-    let wrong = learned().map(|(name, it)| {
+    let wrong = learned().map(|(name, it, age)| {
         let coefficients = Filter::new(0.2).coefficients();
-        (name, Learned { coefficients, ..it })
+        (name, Learned { coefficients, ..it }, age)
     });
     table.put(KEY, &Snapshot::merge(None, wrong, false, s(100)).encode().unwrap());
     let node = started(Contention::ByRank, &table);
@@ -215,6 +215,25 @@
     assert!(node.gateway.metrics.text().contains("curranthook_snapshots_total{name=\"taken\"} 1"));
 }
 
+/// Guards against a node that keeps a shared estimate for ever: of a model that nobody observes, it
+/// starts from the prior again when the estimate is too old, also if it took it late.
+#[parameterized(taken_soon = { 110 }, taken_late = { 690 })]
+fn a_shared_estimate_expires(taken_at: u64) {
+    let table = Arc::new(FleetTable::default());
+    table.put(KEY, &row(false));
+    let node = started(Contention::ByRank, &table);
+    let priors = forecasts(&node, 0);
+    node.read(&table, Some(s(taken_at)));
+    let shared = forecasts(&node, 0);
+    assert_ne!(shared, priors);
+    for now in taken_at + 1..=705 {
+        node.clock.advance(s(1));
+        node.read(&table, Some(s(now)));
+        update(&node);
+        assert_eq!(forecasts(&node, 0), if now < 700 { &shared } else { &priors }.clone());
+    }
+}
+
 /// Guards against a snapshot that replaces what a node has learned itself, for instance when
 /// another node writes one in steady state. Models that it has not observed start from the newest.
 #[test]
@@ -223,7 +242,7 @@
     let node = started(Contention::ByRank, &table);
     observe(&node, 1, 0, 0.3, &mut Pcg64::seed_from_u64(5));
     let before = forecasts(&node, 0);
-    let other = [("other".to_owned(), learned().next().unwrap().1)];
+    let other = [("other".to_owned(), learned().next().unwrap().1, s(0))];
     let snapshot = Snapshot::merge(None, learned().chain(other), false, s(100));
     table.put(KEY, &snapshot.encode().unwrap());
     node.read(&table, Some(s(110)));
