--- a/crates/curranthook_gateway/tests/in_flight.rs
+++ b/crates/curranthook_gateway/tests/in_flight.rs
@@ -159,7 +159,11 @@
     let mut directory = directory(&entry, now);
     directory.first_byte_received(&entry.id, Work::default(), Some(load(1, 0, None)), now);
     assert!(!directory.reports_slowdown(&entry.service));
+    // A response that is no evidence about the endpoint has its load, but is not recorded.
     directory.first_byte_received(&entry.id, Work::default(), Some(load(1, 0, Some(1.0))), now);
+    assert!(!directory.reports_slowdown(&entry.service));
+    let figure = Figure { factor: Factor::USUAL, at: now };
+    assert!(directory.record_slowdown(&entry.id, entry.started_ms, figure));
     directory.first_byte_received(&entry.id, Work::default(), Some(load(1, 0, None)), now);
     assert!(directory.reports_slowdown(&entry.service));
     assert!(!directory.reports_slowdown("other"));
