Refuse a request only if the work ahead of it is the cause

Cause: the whole time to the first event, with the prefill of the request itself, was compared with the caller's patience, so a long prompt was refused wherever an engine was not completely idle.

A limit now counts only if the queue delay is not zero and the prefill of the request alone is within it. A caller is not told to return for a limit that its own prompt exceeds.

--- a/crates/curranthook_policy/src/admission.rs
+++ b/crates/curranthook_policy/src/admission.rs
@@ -188,6 +188,11 @@
 }
 
 impl Forecast {
+    /// The time that the request's own prompt takes until the first event.
+    fn own_time(&self) -> Duration {
+        self.time_to_first_event.saturating_sub(self.queue_delay)
+    }
+
     /// The forecast without the time for the output, if that alone exceeds `time_left`. Callers
     /// state the largest length of an answer, which is rarely reached.
     fn within(self, time_left: Duration) -> Self {
@@ -240,9 +245,16 @@
     }
     let forecast = forecast.within(request.time_left());
     let max_last_event = request.with_margin(request.time_left_before_retry());
-    let cause = if request.with_margin(request.patience()) < forecast.time_to_first_event {
+    // A prompt that alone takes longer than a limit is not served sooner anywhere or at any time.
+    let is_due_to_queue =
+        |limit: Duration| !forecast.queue_delay.is_zero() && forecast.own_time() <= limit;
+    let cause = if is_due_to_queue(request.patience())
+        && request.with_margin(request.patience()) < forecast.time_to_first_event
+    {
         Cause::FirstEvent
-    } else if max_last_event < forecast.time_to_last_event {
+    } else if is_due_to_queue(request.time_left_before_retry())
+        && max_last_event < forecast.time_to_last_event
+    {
         Cause::LastEvent
     } else {
         return Decision::Admit(Admission::Expected);
@@ -254,10 +266,12 @@
 /// it can wait for the rest.
 fn retry(request: &Request, forecast: &Forecast) -> Option<Window> {
     let time_left = request.time_left();
-    let excess = forecast
-        .time_to_first_event
-        .saturating_sub(request.patience())
-        .max(forecast.time_to_last_event.saturating_sub(time_left));
+    let first_event_excess = if forecast.own_time() <= request.patience() {
+        forecast.time_to_first_event.saturating_sub(request.patience())
+    } else {
+        Duration::ZERO
+    };
+    let excess = first_event_excess.max(forecast.time_to_last_event.saturating_sub(time_left));
     let window = Window { earliest: excess, latest: time_left / MAX_RETRY_AFTER_DIVISOR };
     (excess <= forecast.queue_delay && window.earliest <= window.latest).then_some(window)
 }
