Treat a request as returned only if this node refused it before

Cause: a request whose deadline left less than 95 % of the route's timeout counted as returned. Callers that state less time than the route grants got the largest margin, and their time left was stretched.

policy::refused::Refused keeps up to 1,024 fingerprints of requests that were refused with a Retry-After, from the time to return to the deadline. Only such a request counts as returned; it keeps the time that its caller stated first. Other requests are decided by their own stated deadline, elapsed since they were received. The same request sent again before its time to return is decided like a new one. The event overloaded states returned. A caller that returns through another node counts as new there.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -93,6 +93,8 @@
         patience_ms: u64,
         left_ms: u64,
         used_ms: u64,
+        /// Whether this node refused the request before.
+        returned: bool,
         retry_after_ms: Option<u64>,
         configuration: u64,
     },
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, timeout};
-use curranthook_policy::{poison::Register, price, utilization::Utilization};
+use curranthook_policy::{poison::Register, price, refused::Refused, utilization::Utilization};
 use curranthook_types::Clock;
 use parking_lot::Mutex;
 
@@ -42,6 +42,9 @@
 
 /// The maximum number of requests in the register of poison requests.
 const POISON_CAPACITY: usize = 4_096;
+/// The maximum number of refused requests whose return is recognized. A node refuses tens of
+/// requests per second at most, and callers return within some seconds.
+const REFUSED_CAPACITY: usize = 1_024;
 /// How long sent bytes may stay unacknowledged before a connection is closed. This detects an
 /// endpoint, peer or store that has lost power; a busy one still acknowledges.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -107,6 +110,8 @@
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
     pub retry_schedule: Mutex<Reservations>,
+    /// Requests that were refused as overloaded and may return.
+    pub refused: Mutex<Refused>,
     /// Requests that are blamed for endpoint failures.
     pub poison: Mutex<Register>,
     /// The rollouts of all services.
@@ -167,6 +172,7 @@
             pool,
             rollouts: Mutex::new(Rollouts::new(Schedule::new(settings.max_exposure))),
             retry_budget: Mutex::new(Budget::new(settings.retries)),
+            refused: Mutex::new(Refused::new(REFUSED_CAPACITY)),
             poison: Mutex::new(Register::new(POISON_CAPACITY)),
             ex,
             clock,
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -77,6 +77,9 @@
     pub last_event_id: Option<u64>,
     /// The number of attempts so far.
     pub n_attempts: u32,
+    /// If this node has refused the request as overloaded before: the time that the caller had
+    /// stated then.
+    refused_deadline: Option<Duration>,
     service: String,
     models: Models,
     tried_endpoints: Vec<endpoint::Id>,
@@ -109,7 +112,9 @@
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
         contention::record_level(gateway, &service, &models, priority);
+        let refused_deadline = gateway.refused.lock().take(&request.fingerprint, gateway.now());
         Ok(Self {
+            refused_deadline,
             last_event_id: request.head.last_event_id,
             account,
             priority,
--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -26,6 +26,8 @@
 /// The number of endpoints whose queues must be known before a request is refused in a large fleet:
 /// more than half of those that are asked about in two rounds.
 const MIN_KNOWN_QUEUES: usize = 5;
+/// How much earlier than asked a caller may return: `Retry-After` is rounded to milliseconds.
+const RETURN_TOLERANCE: Duration = Duration::from_millis(1);
 /// The shortest time that an engine is assumed to take for a request, so that the rate at which
 /// callers return is finite.
 const MIN_ENGINE_TIME: Duration = Duration::from_millis(10);
@@ -152,12 +154,15 @@
     }
 
     fn admission_request(&self) -> admission::Request {
-        let route = &self.route;
+        let (route, request) = (&self.route, &self.request);
+        let stated = request.deadline.saturating_duration_since(request.received_at);
+        let deadline = self.refused_deadline.map_or(stated, |it| it.max(stated));
         admission::Request {
             objective: route.latency_target,
             max_event_gap: route.max_event_gap,
-            deadline: route.timeout,
-            elapsed: route.timeout.saturating_sub(self.time_left()),
+            deadline,
+            elapsed: deadline.saturating_sub(self.time_left()),
+            has_returned: self.refused_deadline.is_some(),
             level: self.priority.level(),
         }
     }
@@ -186,12 +191,21 @@
             patience_ms: millis(request.patience()),
             left_ms: millis(self.time_left()),
             used_ms: millis(request.elapsed),
+            returned: request.has_returned,
             retry_after_ms: retry_after.map(millis),
             configuration: self.configuration_version,
         });
         let refusal = self.refusal(Reason::Overloaded);
         match retry_after {
-            Some(it) => refusal.with_retry_after(it),
+            Some(it) => {
+                let now = self.gateway.now();
+                let returns_at = now + it.saturating_sub(RETURN_TOLERANCE);
+                let returns_within = returns_at..self.request.deadline;
+                let mut refused = self.gateway.refused.lock();
+                let fingerprint = self.request.fingerprint;
+                refused.record(fingerprint, request.deadline, returns_within, now);
+                refusal.with_retry_after(it)
+            }
             None => refusal,
         }
     }
--- a/crates/curranthook_gateway/tests/admission.rs
+++ b/crates/curranthook_gateway/tests/admission.rs
@@ -276,6 +276,7 @@
             max_event_gap: None,
             deadline: seconds(kind.deadline),
             elapsed: seconds(now - job.created_at),
+            has_returned: 0 < job.n_refusals,
             level,
         };
         let forecast = Forecast {
--- a/crates/curranthook_policy/src/admission.rs
+++ b/crates/curranthook_policy/src/admission.rs
@@ -21,9 +21,6 @@
 /// time.
 const MAX_MARGIN_PERCENT: u32 = 100;
 const MIN_MARGIN_PERCENT: u32 = 10;
-/// The part of the deadline after which a caller is taken to have returned. Requests whose body is
-/// received slowly have used some time on their first attempt too.
-const RETURNED_DIVISOR: u32 = 20;
 /// Callers wait for a `Retry-After` up to this part of their remaining time.
 const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
 
@@ -34,11 +31,14 @@
     pub objective: Duration,
     /// The route's maximum gap between two events; none if it has no such target.
     pub max_event_gap: Option<Duration>,
-    /// The longest time until the last event that the route grants a caller.
+    /// The time until the last event that the caller stated, on its first attempt if it has
+    /// returned.
     pub deadline: Duration,
     /// The part of `deadline` that has passed. Includes the time of an earlier attempt that was
     /// refused, as the caller states a shorter time when it returns.
     pub elapsed: Duration,
+    /// Whether the request is known to have been refused before, with a time to return.
+    pub has_returned: bool,
     /// The level of urgency; 0 is the most urgent one.
     pub level: u8,
 }
@@ -153,6 +153,7 @@
     ///     max_event_gap: Some(s(1)),
     ///     deadline: s(30),
     ///     elapsed: s(0),
+    ///     has_returned: false,
     ///     level: 1,
     /// };
     /// assert_eq!(request.patience(), s(12));
@@ -172,6 +173,9 @@
     /// it is not refused again because its time is now shorter.
     fn time_left_before_retry(&self) -> Duration {
         let time_left = self.time_left();
+        if !self.has_returned {
+            return time_left;
+        }
         time_left.saturating_add(time_left / (MAX_RETRY_AFTER_DIVISOR - 1)).min(self.deadline)
     }
 
@@ -179,8 +183,7 @@
     /// exceed the smallest margin first, so that the least urgent requests are refused first. A
     /// caller that returns has the largest margin: it retries once, so a second refusal is final.
     fn with_margin(&self, limit: Duration) -> Duration {
-        let has_returned = self.deadline / RETURNED_DIVISOR < self.elapsed;
-        let level = if has_returned { 0 } else { self.level };
+        let level = if self.has_returned { 0 } else { self.level };
         let margin = MAX_MARGIN_PERCENT.checked_shr(level.into()).unwrap_or(0);
         let percent = 100 + margin.max(MIN_MARGIN_PERCENT);
         limit.saturating_mul(percent) / 100
@@ -217,6 +220,7 @@
 ///     max_event_gap: None,
 ///     deadline: s(15),
 ///     elapsed: s(0),
+///     has_returned: false,
 ///     level: 2,
 /// };
 /// let busy = Forecast {
--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -8,7 +8,8 @@
 //! (which version?), [`queue`] (when?), [`endpoint`] (where?) and, on failure, [`retry`] and
 //! [`poison`]. [`rank`] orders requests that compete for the same engines, and [`price`] says what
 //! the largest model costs them; [`admission`] refuses those that no endpoint can be expected to
-//! serve, given the [`utilization`] of engines by more urgent ones. [`slowdown`] estimates the speed
+//! serve, given the [`utilization`] of engines by more urgent ones, and [`refused`] says which of
+//! them return. [`slowdown`] estimates the speed
 //! of endpoints that report it.
 //! [`verdict`] tests the answers of each version for a drop in quality. [`baseline`]
 //! has simple strategies to compare with.
@@ -23,6 +24,7 @@
 pub mod price;
 pub mod queue;
 pub mod rank;
+pub mod refused;
 pub mod retry;
 pub mod rollout;
 pub mod slowdown;
--- a/crates/curranthook_policy/tests/admission.rs
+++ b/crates/curranthook_policy/tests/admission.rs
@@ -21,8 +21,14 @@
 }
 
 /// Callers give up on it after 12 s.
-const REQUEST: Request =
-    Request { objective: s(3), max_event_gap: None, deadline: s(30), elapsed: s(0), level: 2 };
+const REQUEST: Request = Request {
+    objective: s(3),
+    max_event_gap: None,
+    deadline: s(30),
+    elapsed: s(0),
+    has_returned: false,
+    level: 2,
+};
 
 /// A forecast whose first event comes `first` from now, all but 200 ms of it for queued work.
 fn forecast(first: Duration, tail: Duration) -> Forecast {
@@ -108,6 +114,22 @@
     assert!(refused.is_sorted() && !refused[0] && refused[4], "{refused:?}");
 }
 
+/// Guards against callers that state less time than the route grants, or whose body arrives slowly,
+/// and get the margin and the longer time of callers that were refused before.
+#[parameterized(
+    first_event = { s(30), s(12), forecast(s(14), s(1)), Cause::FirstEvent },
+    last_event = { s(10), s(2), forecast(s(9), s(1)), Cause::LastEvent },
+)]
+fn time_that_has_passed_is_no_evidence_of_an_earlier_refusal(
+    deadline: Duration,
+    elapsed: Duration,
+    forecast: Forecast,
+    cause: Cause,
+) {
+    let request = Request { deadline, elapsed, level: 4, ..REQUEST };
+    assert_eq!(refusal(&request, &forecast).map(|it| it.cause), Some(cause));
+}
+
 /// The length of an answer is the caller's bound and mostly not reached. Guards against refusing
 /// short answers because of it.
 #[test]
@@ -144,8 +166,12 @@
         pairs().flat_map(|a| pairs().map(move |b| (a, b)))
     {
         let max_event_gap = Some(objective);
-        let request = Request { objective, max_event_gap, deadline, elapsed, level: u8::MAX };
-        let _no_panic = decide(&request, &forecast(first, first));
+        let level = u8::MAX;
+        for has_returned in [false, true] {
+            let request =
+                Request { objective, max_event_gap, deadline, elapsed, has_returned, level };
+            let _no_panic = decide(&request, &forecast(first, first));
+        }
     }
     assert!(exceeds_memory(u64::MAX, u64::MAX, Some(u64::MAX - 1)));
     assert!(!exceeds_memory(0, 0, Some(0)));
@@ -180,6 +206,7 @@
             max_event_gap: (0 < gap).then_some(ms(gap)),
             deadline: ms(deadline),
             elapsed: s(0),
+            has_returned: false,
             level,
         }
     }
@@ -214,7 +241,7 @@
             queue_delay: forecast.queue_delay.saturating_sub(after),
             ..forecast
         };
-        let returned = Request { elapsed: after, ..request };
+        let returned = Request { elapsed: after, has_returned: true, ..request };
         prop_assert_eq!(refusal(&returned, &expected), None);
     }
 
@@ -223,7 +250,8 @@
     fn forecast_that_admits_a_request_admits_it_on_return(
         request in requests(), forecast in forecasts(), share in 0.0..=1.0_f64,
     ) {
-        let returned = Request { elapsed: (request.deadline / 3).mul_f64(share), ..request };
+        let elapsed = (request.deadline / 3).mul_f64(share);
+        let returned = Request { elapsed, has_returned: true, ..request };
         if refusal(&request, &forecast).is_none() {
             prop_assert_eq!(refusal(&returned, &forecast), None);
         }
