Eject unreachable endpoints that the second round of questions names

Cause: before a refusal, load owners are asked about further endpoints. Those that owners reported as unreachable were not ejected. Without work they seemed idle, so the request was admitted to one of them, and their queues counted as known.

PeerState::eject_unreachable ejects them and removes their work. The known queues are compared with the number of endpoints that are not ejected.

That admission calls the method is not tested.

--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -86,14 +86,16 @@
             evaluation = it;
         }
         if evaluation.is_refusal() && owners::are_used(self.gateway.n_nodes()) {
-            let tried: Vec<_> = peer_state.waiting.keys().chain(criteria.tried).cloned().collect();
+            let asked = peer_state.waiting.keys().chain(&peer_state.unreachable);
+            let tried: Vec<_> = asked.chain(criteria.tried).cloned().collect();
             let others = Criteria { tried: &tried, ..any_holder };
             let shortlist = selection::shortlist(&self.gateway, &others);
             peer_state.extend(reports::query(&self.gateway, shortlist, None).await);
+            let now = self.gateway.now();
+            peer_state.eject_unreachable(&mut self.gateway.directory.lock(), now);
             evaluation = self.evaluate(model, &any_holder, peer_state).unwrap_or(evaluation);
-            let n_endpoints = self.gateway.directory.lock().ready(&self.service).count();
             if evaluation.is_refusal()
-                && peer_state.waiting.len() < MIN_KNOWN_QUEUES.min(n_endpoints)
+                && peer_state.waiting.len() < MIN_KNOWN_QUEUES.min(self.n_engines())
             {
                 evaluation.decision = Decision::Admit(Admission::Unknown);
             }
@@ -153,6 +155,12 @@
         Some(Evaluation { decision, forecast, endpoint })
     }
 
+    /// The number of the service's endpoints that can take requests.
+    fn n_engines(&self) -> usize {
+        let (directory, now) = (self.gateway.directory.lock(), self.gateway.now());
+        directory.ready(&self.service).filter(|it| !it.is_ejected(now)).count()
+    }
+
     fn admission_request(&self) -> admission::Request {
         let (route, request) = (&self.route, &self.request);
         let stated = request.deadline.saturating_duration_since(request.received_at);
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -15,7 +15,7 @@
     collections::{HashMap, HashSet},
     net::{SocketAddr, UdpSocket},
     sync::{Arc, atomic::AtomicU64},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::Sender;
@@ -30,6 +30,7 @@
 use crate::{
     Gateway,
     affinity::Record,
+    directory::Directory,
     load::{
         breakdown::{self, Breakdown, PendingWork},
         owners, slowdowns,
@@ -140,6 +141,15 @@
 }
 
 impl PeerState {
+    /// Ejects the unreachable endpoints, and removes their work: it is no queue in which a request
+    /// could wait, and as they have none, they would seem idle.
+    pub fn eject_unreachable(&mut self, directory: &mut Directory, now: Instant) {
+        for it in &self.unreachable {
+            directory.eject(it, now);
+            self.waiting.remove(it);
+        }
+    }
+
     /// Adds what `other` contains, which replaces what is known of the same endpoints.
     pub fn extend(&mut self, other: Self) {
         self.waiting.extend(other.waiting);
