Record engine time only of attempts that were answered

Cause: the engine time of an attempt was recorded before it was made, so attempts that endpoints rejected or never received counted as utilization, and less urgent requests were refused for it. Ejected endpoints counted as engines.

The time is recorded with the first byte of a response that is not a rejection, up to the time that this took. The rates of utilization and of returns count endpoints that are not ejected.

The count of endpoints has no test of its own.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -153,6 +153,7 @@
                 Ok(exchange) => {
                     self.n_runs += 1;
                     self.started = Started::Maybe;
+                    self.record_engine_time(&exchange);
                     if let Some(exchange) = self.accept_or_retry(exchange, &version).await {
                         return Ok(exchange);
                     }
@@ -277,7 +278,6 @@
         self.n_attempts += 1;
         let candidate = self.models.current();
         let model = candidate.map(|it| it.name.as_str());
-        self.record_engine_time(&lease);
         let id = lease.id.clone();
         let outgoing = Outgoing {
             endpoint: &id,
--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -8,8 +8,8 @@
 
 use super::{Job, millis};
 use crate::{
+    attempt::Exchange,
     event::Event,
-    lease::Lease,
     load::{
         owners,
         prefill::Prompt,
@@ -222,21 +222,21 @@
     /// The load balancer sends each node about the same share of requests.
     fn time_for_queued(&self, model: &Candidate, queued: Duration) -> Duration {
         let gateway = &self.gateway;
-        let n_engines = gateway.directory.lock().ready(&self.service).count();
-        let n_engines = n_engines as f64 / gateway.n_nodes() as f64;
+        let n_engines = self.n_engines() as f64 / gateway.n_nodes() as f64;
         let priority = self.engine_priority(model);
         let utilization = gateway.utilization.lock();
         let utilization = utilization.get(&self.service);
         utilization.map_or(queued, |it| it.time_for(queued, priority, n_engines, gateway.now()))
     }
 
-    /// Records the engine time of an attempt.
-    pub(super) fn record_engine_time(&self, lease: &Lease) {
+    /// Records the engine time of an attempt that was answered. Attempts that endpoints rejected or
+    /// never received take none.
+    pub(super) fn record_engine_time(&self, exchange: &Exchange) {
         let is_subject = self.gateway.settings.contention == Contention::ByRank;
         let Some(model) = self.models.current().filter(|_| is_subject) else { return };
-        let engine_time = self.latency(model).coefficients.prefill_time(lease.prompt);
-        // An engine stops when the deadline has passed. Callers may claim prompts of any length.
-        let engine_time = engine_time.min(self.time_left());
+        let engine_time = self.latency(model).coefficients.prefill_time(exchange.lease.prompt);
+        // Callers may claim prompts of any length.
+        let engine_time = engine_time.min(exchange.time_to_first_byte);
         let priority = self.engine_priority(model);
         let mut utilization = self.gateway.utilization.lock();
         let utilization = utilization.entry(self.service.clone()).or_default();
@@ -251,8 +251,7 @@
         let prompt = Prompt::new(self.request.prompt_tokens(), 0);
         let engine_time =
             self.latency(model).coefficients.prefill_time(prompt).max(MIN_ENGINE_TIME);
-        let n_endpoints = gateway.directory.lock().ready(&self.service).count();
-        let fleet_rate = RETURN_SHARE * n_endpoints as f64 / engine_time.as_secs_f64();
+        let fleet_rate = RETURN_SHARE * self.n_engines() as f64 / engine_time.as_secs_f64();
         let rate = fleet_rate / gateway.n_nodes() as f64;
         // Levels return independently, as less urgent ones wait longer.
         let key = format!("{}/{}", self.service, self.priority.level());
