--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -71,6 +71,9 @@
     pub last_event_id: Option<u64>,
     /// The number of attempts so far.
     pub n_attempts: u32,
+    /// If this node has refused the request as overloaded before: the time that the caller had
+    /// stated then.
+    refused_deadline: Option<Duration>,
     service: String,
     models: Models,
     tried_endpoints: Vec<endpoint::Id>,
@@ -103,7 +106,9 @@
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
         contention::record_level(gateway, &service, &models, priority);
+        let refused_deadline = gateway.refused.lock().take(&request.fingerprint, gateway.now());
         Ok(Self {
+            refused_deadline,
             last_event_id: request.head.last_event_id,
             account,
             priority,
@@ -142,6 +147,7 @@
                 Ok(exchange) => {
                     self.n_runs += 1;
                     self.started = Started::Maybe;
+                    self.record_engine_time(&exchange);
                     if let Some(exchange) = self.accept_or_retry(exchange, &version).await {
                         return Ok(exchange);
                     }
@@ -175,7 +181,6 @@
         self.n_attempts += 1;
         let candidate = self.models.current();
         let model = candidate.map(|it| it.name.as_str());
-        self.record_engine_time(&lease);
         let id = lease.id.clone();
         let outgoing = Outgoing {
             endpoint: &id,
--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -8,8 +8,8 @@
 
 use super::{Job, millis};
 use crate::{
+    attempt::Exchange,
     event::Event,
-    lease::Lease,
     load::{
         owners,
         prefill::Prompt,
@@ -26,6 +26,8 @@
 /// The number of endpoints whose queues must be known before a request is refused in a large fleet:
 /// more than half of those that are asked about in two rounds.
 const MIN_KNOWN_QUEUES: usize = 5;
+/// How much earlier than asked a caller may return: `Retry-After` is rounded to milliseconds.
+const RETURN_TOLERANCE: Duration = Duration::from_millis(1);
 /// The shortest time that an engine is assumed to take for a request, so that the rate at which
 /// callers return is finite.
 const MIN_ENGINE_TIME: Duration = Duration::from_millis(10);
@@ -84,15 +86,17 @@
             evaluation = it;
         }
         if evaluation.is_refusal() && owners::are_used(self.gateway.n_nodes()) {
-            let tried: Vec<_> = peer_state.waiting.keys().chain(criteria.tried).cloned().collect();
+            let asked = peer_state.waiting.keys().chain(&peer_state.unreachable);
+            let tried: Vec<_> = asked.chain(criteria.tried).cloned().collect();
             let others = Criteria { tried: &tried, ..any_holder };
             let shortlist = selection::shortlist(&self.gateway, &others);
             let query = Query { endpoints: shortlist, ..Query::default() };
             peer_state.extend(reports::query(&self.gateway, query).await);
+            let now = self.gateway.now();
+            peer_state.eject_unreachable(&mut self.gateway.directory.lock(), now);
             evaluation = self.evaluate(model, &any_holder, peer_state).unwrap_or(evaluation);
-            let n_endpoints = self.gateway.directory.lock().ready(&self.service).count();
             if evaluation.is_refusal()
-                && peer_state.waiting.len() < MIN_KNOWN_QUEUES.min(n_endpoints)
+                && peer_state.waiting.len() < MIN_KNOWN_QUEUES.min(self.n_engines())
             {
                 evaluation.decision = Decision::Admit(Admission::Unknown);
             }
@@ -152,13 +156,22 @@
         Some(Evaluation { decision, forecast, endpoint })
     }
 
+    /// The number of the service's endpoints that can take requests.
+    fn n_engines(&self) -> usize {
+        let (directory, now) = (self.gateway.directory.lock(), self.gateway.now());
+        directory.ready(&self.service).filter(|it| !it.is_ejected(now)).count()
+    }
+
     fn admission_request(&self) -> admission::Request {
-        let route = &self.route;
+        let (route, request) = (&self.route, &self.request);
+        let stated = request.deadline.saturating_duration_since(request.received_at);
+        let deadline = self.refused_deadline.map_or(stated, |it| it.max(stated));
         admission::Request {
             objective: route.latency_target,
             max_event_gap: route.max_event_gap,
-            deadline: route.timeout,
-            elapsed: route.timeout.saturating_sub(self.time_left()),
+            deadline,
+            elapsed: deadline.saturating_sub(self.time_left()),
+            has_returned: self.refused_deadline.is_some(),
             level: self.priority.level(),
         }
     }
@@ -187,12 +200,21 @@
             patience_ms: millis(request.patience()),
             left_ms: millis(self.time_left()),
             used_ms: millis(request.elapsed),
+            returned: request.has_returned,
             retry_after_ms: retry_after.map(millis),
             configuration: self.configuration_version,
         });
         let refusal = self.refusal(Reason::Overloaded);
         match retry_after {
-            Some(it) => refusal.with_retry_after(it),
+            Some(it) => {
+                let now = self.gateway.now();
+                let returns_at = now + it.saturating_sub(RETURN_TOLERANCE);
+                let returns_within = returns_at..self.request.deadline;
+                let mut refused = self.gateway.refused.lock();
+                let fingerprint = self.request.fingerprint;
+                refused.record(fingerprint, request.deadline, returns_within, now);
+                refusal.with_retry_after(it)
+            }
             None => refusal,
         }
     }
@@ -201,21 +223,21 @@
     /// The load balancer sends each node about the same share of requests.
     fn time_for_queued(&self, model: &Candidate, queued: Duration) -> Duration {
         let gateway = &self.gateway;
-        let n_engines = gateway.directory.lock().ready(&self.service).count();
-        let n_engines = n_engines as f64 / gateway.n_nodes() as f64;
+        let n_engines = self.n_engines() as f64 / gateway.n_nodes() as f64;
         let priority = self.engine_priority(model);
         let utilization = gateway.utilization.lock();
         let utilization = utilization.get(&self.service);
         utilization.map_or(queued, |it| it.time_for(queued, priority, n_engines, gateway.now()))
     }
 
-    /// Records the engine time of an attempt.
-    pub(super) fn record_engine_time(&self, lease: &Lease) {
+    /// Records the engine time of an attempt that was answered. Attempts that endpoints rejected or
+    /// never received take none.
+    pub(super) fn record_engine_time(&self, exchange: &Exchange) {
         let is_subject = self.gateway.settings.contention == Contention::ByRank;
         let Some(model) = self.models.current().filter(|_| is_subject) else { return };
-        let engine_time = self.latency(model).coefficients.prefill_time(lease.prompt);
-        // An engine stops when the deadline has passed. Callers may claim prompts of any length.
-        let engine_time = engine_time.min(self.time_left());
+        let engine_time = self.latency(model).coefficients.prefill_time(exchange.lease.prompt);
+        // Callers may claim prompts of any length.
+        let engine_time = engine_time.min(exchange.time_to_first_byte);
         let priority = self.engine_priority(model);
         let mut utilization = self.gateway.utilization.lock();
         let utilization = utilization.entry(self.service.clone()).or_default();
@@ -230,8 +252,7 @@
         let prompt = Prompt::new(self.request.prompt_tokens(), 0);
         let engine_time =
             self.latency(model).coefficients.prefill_time(prompt).max(MIN_ENGINE_TIME);
-        let n_endpoints = gateway.directory.lock().ready(&self.service).count();
-        let fleet_rate = RETURN_SHARE * n_endpoints as f64 / engine_time.as_secs_f64();
+        let fleet_rate = RETURN_SHARE * self.n_engines() as f64 / engine_time.as_secs_f64();
         let rate = fleet_rate / gateway.n_nodes() as f64;
         // Levels return independently, as less urgent ones wait longer.
         let key = format!("{}/{}", self.service, self.priority.level());
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -20,7 +20,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::Sender;
@@ -33,6 +33,7 @@
 use crate::{
     Gateway,
     affinity::Record,
+    directory::Directory,
     load::{
         breakdown::{self, Breakdown, PendingWork},
         in_flight::Figures,
@@ -80,6 +81,15 @@
 }
 
 impl PeerState {
+    /// Ejects the unreachable endpoints, and removes their work: it is no queue in which a request
+    /// could wait, and as they have none, they would seem idle.
+    pub fn eject_unreachable(&mut self, directory: &mut Directory, now: Instant) {
+        for it in &self.unreachable {
+            directory.eject(it, now);
+            self.waiting.remove(it);
+        }
+    }
+
     /// Adds what `other` contains, which replaces what is known of the same endpoints.
     pub fn extend(&mut self, other: Self) {
         self.waiting.extend(other.waiting);
--- a/crates/curranthook_policy/tests/admission.rs
+++ b/crates/curranthook_policy/tests/admission.rs
@@ -21,8 +21,14 @@
 }
 
 /// Callers give up on it after 12 s.
-const REQUEST: Request =
-    Request { objective: s(3), max_event_gap: None, deadline: s(30), elapsed: s(0), level: 2 };
+const REQUEST: Request = Request {
+    objective: s(3),
+    max_event_gap: None,
+    deadline: s(30),
+    elapsed: s(0),
+    has_returned: false,
+    level: 2,
+};
 
 /// A forecast whose first event comes `first` from now, all but 200 ms of it for queued work.
 fn forecast(first: Duration, tail: Duration) -> Forecast {
@@ -75,6 +81,31 @@
     assert_eq!(decide(&REQUEST, &forecast), Decision::Admit(Admission::Idle));
 }
 
+/// Guards against long prompts that are refused wherever an engine has any work, although no engine
+/// could serve them sooner.
+#[parameterized(
+    empty_queue = { s(40), s(0), s(1) },
+    short_queue = { s(40), s(1), s(1) },
+    long_prefill_after_deadline = { s(100), s(1), s(0) },
+)]
+fn request_is_admitted_if_its_own_work_alone_exceeds_a_limit(
+    own: Duration,
+    queue_delay: Duration,
+    tail: Duration,
+) {
+    let request = Request { deadline: s(50), ..REQUEST };
+    let forecast = Forecast { queue_delay, ..forecast(own + queue_delay, tail) };
+    assert_eq!(decide(&request, &forecast), Decision::Admit(Admission::Expected));
+}
+
+/// Guards against engines that serve a long prompt which the queue makes too late for the deadline.
+#[test]
+fn long_prompt_is_refused_if_the_queue_delays_it_past_the_deadline() {
+    let request = Request { deadline: s(50), ..REQUEST };
+    let forecast = Forecast { queue_delay: s(60), ..forecast(s(100), s(1)) };
+    assert_eq!(refusal(&request, &forecast).map(|it| it.cause), Some(Cause::LastEvent));
+}
+
 /// Guards against urgent requests that are refused while less urgent ones are admitted.
 #[test]
 fn less_urgent_requests_are_refused_first() {
@@ -83,6 +114,22 @@
     assert!(refused.is_sorted() && !refused[0] && refused[4], "{refused:?}");
 }
 
+/// Guards against callers that state less time than the route grants, or whose body arrives slowly,
+/// and get the margin and the longer time of callers that were refused before.
+#[parameterized(
+    first_event = { s(30), s(12), forecast(s(14), s(1)), Cause::FirstEvent },
+    last_event = { s(10), s(2), forecast(s(9), s(1)), Cause::LastEvent },
+)]
+fn time_that_has_passed_is_no_evidence_of_an_earlier_refusal(
+    deadline: Duration,
+    elapsed: Duration,
+    forecast: Forecast,
+    cause: Cause,
+) {
+    let request = Request { deadline, elapsed, level: 4, ..REQUEST };
+    assert_eq!(refusal(&request, &forecast).map(|it| it.cause), Some(cause));
+}
+
 /// The length of an answer is the caller's bound and mostly not reached. Guards against refusing
 /// short answers because of it.
 #[test]
@@ -100,15 +147,18 @@
         "ten seconds before the end of the queue the caller can wait for the rest"
     );
     assert_eq!(retry(forecast(s(23), s(1))), None, "11 s is more than a third of its time");
-    let own_prefill = Forecast { queue_delay: s(5), ..forecast(s(22), s(1)) };
-    assert_eq!(retry(own_prefill), None, "its own prompt takes longer than the caller waits");
+    let request = Request { deadline: s(10), ..REQUEST };
+    let long_answer = Forecast { queue_delay: s(8), ..forecast(s(10), s(9)) };
+    let refusal = refusal(&request, &long_answer).expect("the last event is at 19 s");
+    assert_eq!(refusal.retry, None, "after the queue its own work exceeds the time left");
 }
 
 /// Guards against overflow and division by zero for limits at the ends of their ranges.
 #[test]
 fn extreme_durations_are_decided_without_overflow() {
     let zero = Request { deadline: s(0), objective: s(0), ..REQUEST };
-    let refusal_of_zero = refusal(&zero, &forecast(s(1), s(1))).expect("no time is left");
+    let queue_only = Forecast { queue_delay: s(1), ..forecast(s(1), s(1)) };
+    let refusal_of_zero = refusal(&zero, &queue_only).expect("no time is left");
     assert_eq!(refusal_of_zero.retry, None);
     let extreme = [s(0), ms(1), s(1_000_000), Duration::MAX];
     let pairs = || extreme.iter().flat_map(|a| extreme.iter().map(move |b| (*a, *b)));
@@ -116,8 +166,12 @@
         pairs().flat_map(|a| pairs().map(move |b| (a, b)))
     {
         let max_event_gap = Some(objective);
-        let request = Request { objective, max_event_gap, deadline, elapsed, level: u8::MAX };
-        let _no_panic = decide(&request, &forecast(first, first));
+        let level = u8::MAX;
+        for has_returned in [false, true] {
+            let request =
+                Request { objective, max_event_gap, deadline, elapsed, has_returned, level };
+            let _no_panic = decide(&request, &forecast(first, first));
+        }
     }
     assert!(exceeds_memory(u64::MAX, u64::MAX, Some(u64::MAX - 1)));
     assert!(!exceeds_memory(0, 0, Some(0)));
@@ -152,6 +206,7 @@
             max_event_gap: (0 < gap).then_some(ms(gap)),
             deadline: ms(deadline),
             elapsed: s(0),
+            has_returned: false,
             level,
         }
     }
@@ -186,7 +241,7 @@
             queue_delay: forecast.queue_delay.saturating_sub(after),
             ..forecast
         };
-        let returned = Request { elapsed: after, ..request };
+        let returned = Request { elapsed: after, has_returned: true, ..request };
         prop_assert_eq!(refusal(&returned, &expected), None);
     }
 
@@ -195,7 +250,8 @@
     fn forecast_that_admits_a_request_admits_it_on_return(
         request in requests(), forecast in forecasts(), share in 0.0..=1.0_f64,
     ) {
-        let returned = Request { elapsed: (request.deadline / 3).mul_f64(share), ..request };
+        let elapsed = (request.deadline / 3).mul_f64(share);
+        let returned = Request { elapsed, has_returned: true, ..request };
         if refusal(&request, &forecast).is_none() {
             prop_assert_eq!(refusal(&returned, &forecast), None);
         }
