--- a/crates/curranthook_gateway/src/load/prefill.rs
+++ b/crates/curranthook_gateway/src/load/prefill.rs
@@ -118,7 +118,7 @@
 
     /// Updates the estimate with a first event that arrived after `elapsed`, with `outstanding`
     /// concurrent requests. `queue_delay` of that time was spent on the prompts of other requests.
-    /// Returns whether the event was used; prompts over [`MAX_PROMPT_TOKENS`] are ignored.
+    /// Returns whether the event was used; prompts over `MAX_PROMPT_TOKENS` are ignored.
     pub fn update(
         &mut self,
         prompt: Prompt,
--- a/crates/curranthook_gateway/src/load/snapshot.rs
+++ b/crates/curranthook_gateway/src/load/snapshot.rs
@@ -270,7 +270,7 @@
 /// in the store, and why. `waited` is the time for which the node has known that there is no usable
 /// snapshot.
 ///
-/// Rank 0 writes; each further rank writes later by [`TAKEOVER_DELAY`], so that it does so only if
+/// Rank 0 writes; each further rank writes later by `TAKEOVER_DELAY`, so that it does so only if
 /// the nodes before it fail to, or if its estimates differ noticeably from theirs.
 ///
 /// ```
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -239,9 +239,11 @@
         assert_eq!(shortlist(&by_rank), 2);
         let ignored = node(&ex, Contention::Ignored, owner).await;
         assert_eq!(shortlist(&ignored), 0);
-        let (load, now) =
-            (Load { running: 0, waiting: 0, slots: 6, slowdown: Some(1.0) }, ignored.now());
-        ignored.directory.lock().first_byte_received(&id(1), Work::default(), Some(load), now);
+        let mut directory = ignored.directory.lock();
+        let started_ms = directory.get(&id(1)).unwrap().entry.started_ms;
+        let figure = Figure { factor: Factor::USUAL, at: ignored.now() };
+        assert!(directory.record_slowdown(&id(1), started_ms, figure));
+        drop(directory);
         assert_eq!(shortlist(&ignored), 2);
         by_rank.peers.lock().retain(|name, _| name.len() < "node-10".len());
         assert_eq!(shortlist(&by_rank), 0);
--- a/crates/curranthook_gateway/tests/peer_state.rs
+++ b/crates/curranthook_gateway/tests/peer_state.rs
@@ -12,6 +12,7 @@
     entry::Entry,
     load::{reports::PeerState, work::Work},
 };
+use curranthook_types::endpoint;
 
 use self::support::entry;
 
@@ -33,7 +34,7 @@
         ..PeerState::default()
     };
     peer_state.eject_unreachable(&mut directory, now);
-    assert_eq!(peer_state.waiting.keys().map(|it| it.as_str()).collect::<Vec<_>>(), ["busy"]);
+    assert_eq!(peer_state.waiting.keys().map(endpoint::Id::as_str).collect::<Vec<_>>(), ["busy"]);
     let is_ejected = |id: &str| directory.get(&id.into()).unwrap().is_ejected(now);
     assert!(is_ejected("lost") && !is_ejected("busy"));
 }
