Rename Job.rank and the misreporting engine, and complete docs of ranks

Cause: Job.priority holds a rank, which is not an engine's priority; two names and a doc comment were figurative; the docs did not say where LARGE_MODEL_COST applies, nor that the routes of accounts of the least urgent priority share a level. Change: names and doc comments only, and a test case for that level.

--- a/crates/curranthook_gateway/src/cascade.rs
+++ b/crates/curranthook_gateway/src/cascade.rs
@@ -22,7 +22,8 @@
 const CONFIDENCE_MIDPOINT: f64 = 50.0;
 const CONFIDENCE_SCALE: f64 = 10.0;
 /// The cost of an answer of the largest model as a share of the answer's value: engine time, and
-/// the delay it causes to other requests.
+/// the delay it causes to other requests. Applies where contention is ignored; otherwise the price
+/// depends on the request's rank.
 pub const LARGE_MODEL_COST: f64 = 0.45;
 /// The spread of the logistic curve that models a forecast's uncertainty, as a share of the time
 /// limit that the forecast is compared with.
--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -104,12 +104,12 @@
         let (route, account) = admit(&configuration, &head)?;
         let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let account_priority = account.as_ref().and_then(|it| it.priority);
-        let priority = Rank { account: account_priority, route: route.priority };
+        let rank = Rank { account: account_priority, route: route.priority };
         let request = request::Request::new(head, body, received_at, timeout);
         if gateway.poison.lock().is_poison(request.fingerprint, received_at) {
             return Err(refusal(Reason::Poison));
         }
-        Job::new(gateway, &configuration, request, route, account.map(|it| it.id), priority)
+        Job::new(gateway, &configuration, request, route, account.map(|it| it.id), rank)
     }
 }
 
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -72,7 +72,7 @@
     /// The client account of the caller.
     pub account: Option<account::Id>,
     /// The priorities of the caller's account and of the route.
-    pub priority: Rank,
+    pub rank: Rank,
     /// The id of the last event that the caller has received.
     pub last_event_id: Option<u64>,
     /// The number of attempts so far.
@@ -101,18 +101,18 @@
         request: Request,
         route: Arc<Route>,
         account: Option<account::Id>,
-        priority: Rank,
+        rank: Rank,
     ) -> Result<Self, Refusal> {
         let split_point = hash::unit(hash::bytes(request.head.id.as_bytes()));
         let service = route.service(split_point).map(str::to_owned);
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Started::No))?;
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
-        contention::record_level(gateway, &service, &models, priority);
+        contention::record_level(gateway, &service, &models, rank);
         Ok(Self {
             last_event_id: request.head.last_event_id,
             account,
-            priority,
+            rank,
             n_attempts: 0,
             service,
             models,
--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -158,7 +158,7 @@
             max_event_gap: route.max_event_gap,
             deadline: route.timeout,
             elapsed: route.timeout.saturating_sub(self.time_left()),
-            level: self.priority.level(),
+            level: self.rank.level(),
         }
     }
 
@@ -233,7 +233,7 @@
         let fleet_rate = RETURN_SHARE * n_endpoints as f64 / engine_time.as_secs_f64();
         let rate = fleet_rate / gateway.n_nodes() as f64;
         // Levels return independently, as less urgent ones wait longer.
-        let key = format!("{}/{}", self.service, self.priority.level());
+        let key = format!("{}/{}", self.service, self.rank.level());
         let mut schedule = gateway.retry_schedule.lock();
         schedule.reserve_between(&key, rate, window.earliest..=window.latest, gateway.now())
     }
--- a/crates/curranthook_gateway/src/job/contention.rs
+++ b/crates/curranthook_gateway/src/job/contention.rs
@@ -30,7 +30,7 @@
     /// The priority at an engine if `model` is to answer.
     pub(super) fn engine_priority(&self, model: &Candidate) -> u8 {
         let contention = self.gateway.settings.contention;
-        cascade::engine_priority(self.priority, contention, model.relative_price)
+        cascade::engine_priority(self.rank, contention, model.relative_price)
     }
 
     /// The same; `None` if decisions ignore ranks.
@@ -42,7 +42,7 @@
     pub(super) fn large_model_price(&self) -> f64 {
         let scale = self.gateway.price_scales.lock().get(&self.service).copied();
         let contention = self.gateway.settings.contention;
-        cascade::large_model_price(contention, &scale.unwrap_or_default(), self.priority.level())
+        cascade::large_model_price(contention, &scale.unwrap_or_default(), self.rank.level())
     }
 
     /// What the log states about requests that compete with this one; `None` if decisions ignore
@@ -51,7 +51,7 @@
         self.models.current().filter(|_| is_by_rank(&self.gateway))?;
         let (work, age) = lease.waiting;
         Some(event::Contention {
-            level: self.priority.level(),
+            level: self.rank.level(),
             wait_ms: millis(lease.queue_delay),
             waiting_ms: work.by_priority().map(millis),
             waiting_age_ms: age.map(millis),
--- a/crates/curranthook_gateway/tests/uneven_engines.rs
+++ b/crates/curranthook_gateway/tests/uneven_engines.rs
@@ -33,7 +33,7 @@
 /// The time after which requests are counted: by then the nodes have some figures.
 const WARM_UP: Duration = Duration::from_secs(5);
 /// The index of the engine that reports a false figure, if one does.
-const LIAR: usize = 0;
+const MISREPORTING_ENGINE: usize = 0;
 
 /// How the engines differ and what they report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,13 +45,13 @@
     /// They differ and report it.
     Honest,
     /// As [`Engines::Honest`], but one that works at usual speed reports a tenth of the time.
-    OneLies,
+    OneMisreports,
 }
 
 impl Engines {
     /// The true factor of an engine at `time`.
     fn factor(self, engine: usize, time: Duration) -> f64 {
-        if self == Self::Even || (self == Self::OneLies && engine == LIAR) {
+        if self == Self::Even || (self == Self::OneMisreports && engine == MISREPORTING_ENGINE) {
             return 1.0;
         }
         let lasting = if engine < N_SLOW_ENGINES { LASTING.0 } else { LASTING.1 };
@@ -62,8 +62,8 @@
     fn reported(self, engine: usize, time: Duration) -> Option<Factor> {
         match self {
             Self::Even | Self::Silent => None,
-            Self::OneLies if engine == LIAR => Factor::new(0.1),
-            Self::Honest | Self::OneLies => Factor::new(self.factor(engine, time)),
+            Self::OneMisreports if engine == MISREPORTING_ENGINE => Factor::new(0.1),
+            Self::Honest | Self::OneMisreports => Factor::new(self.factor(engine, time)),
         }
     }
 
@@ -115,8 +115,8 @@
     late_share: f64,
     /// The share of work that the slow engines did.
     slow_share: f64,
-    /// The work that the lying engine did, relative to the mean of all engines.
-    liar_work: f64,
+    /// The work that the misreporting engine did, relative to the mean of all engines.
+    misreporting_engine_work: f64,
     /// The mean time to the first event.
     mean: Duration,
 }
@@ -193,7 +193,7 @@
     Outcome {
         late_share: f64::from(n_late) / f64::from(n),
         slow_share: work[..N_SLOW_ENGINES].iter().sum::<f64>() / all_work,
-        liar_work: work[LIAR] * N_ENGINES as f64 / all_work,
+        misreporting_engine_work: work[MISREPORTING_ENGINE] * N_ENGINES as f64 / all_work,
         mean: total / n,
     }
 }
@@ -229,9 +229,12 @@
 /// nodes choose others.
 #[parameterized(moderate = { 0.5, 1 }, busy = { 0.7, 2 })]
 fn queue_corrects_a_false_figure(utilization: f64, seed: u64) {
-    let [honest, lying] =
-        [Engines::Honest, Engines::OneLies].map(|it| simulate(it, utilization, seed));
-    println!("{utilization}: honest {honest:?}\n lying {lying:?}");
-    assert!(lying.liar_work < 3.0, "{lying:?}");
-    assert!(lying.late_share < honest.late_share + 0.02, "{lying:?}, honest: {honest:?}");
+    let [honest, misreported] =
+        [Engines::Honest, Engines::OneMisreports].map(|it| simulate(it, utilization, seed));
+    println!("{utilization}: honest {honest:?}\n misreported {misreported:?}");
+    assert!(misreported.misreporting_engine_work < 3.0, "{misreported:?}");
+    assert!(
+        misreported.late_share < honest.late_share + 0.02,
+        "{misreported:?}, honest: {honest:?}"
+    );
 }
--- a/crates/curranthook_policy/src/rank.rs
+++ b/crates/curranthook_policy/src/rank.rs
@@ -22,7 +22,8 @@
     /// The rank as a number below [`N_LEVELS`]; 0 is the most urgent.
     ///
     /// A route never raises a request above those of an account with a more urgent priority.
-    /// Without an account's priority, the route's is used in its place.
+    /// Without an account's priority, the route's is used in its place. Routes of accounts of the
+    /// least urgent priority are not told apart: all of their requests have the last level.
     ///
     /// ```
     /// # use curranthook_policy::rank::Rank;
--- a/crates/curranthook_policy/src/slowdown.rs
+++ b/crates/curranthook_policy/src/slowdown.rs
@@ -1,6 +1,6 @@
 //! How long work takes at an endpoint, relative to its usual time.
 //!
-//! Answers uneven endpoints: some are lastingly slower than others of the same service, and each of
+//! Addresses uneven endpoints: some are lastingly slower than others of the same service, and each of
 //! them is slowed further for short periods. Endpoints report a figure with their responses, but a
 //! node receives only a few of them. [`Estimate`] separates the lasting figure, which rarely
 //! changes, from the newest one, which is valid for a fraction of a second.
--- a/crates/curranthook_policy/tests/rank.rs
+++ b/crates/curranthook_policy/tests/rank.rs
@@ -33,6 +33,15 @@
     assert!(level(account, 1) < level(account, 2));
 }
 
+/// Guards against a route that makes requests of an account of the least urgent priority as urgent
+/// as those of another account.
+#[parameterized(least_urgent_account = { 2 }, out_of_range = { 3 })]
+fn routes_of_the_least_urgent_accounts_are_not_told_apart(account: u8) {
+    for route in PRIORITIES {
+        assert_eq!(level(Some(account), route), N_LEVELS - 1, "{route}");
+    }
+}
+
 /// Guards against a priority out of range, from which the level would overflow or exceed the
 /// engine's range.
 #[test]
