--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -172,7 +172,7 @@
             deadline,
             elapsed: deadline.saturating_sub(self.time_left()),
             has_returned: self.refused_deadline.is_some(),
-            level: self.priority.level(),
+            level: self.rank.level(),
         }
     }
 
@@ -255,7 +255,7 @@
         let fleet_rate = RETURN_SHARE * self.n_engines() as f64 / engine_time.as_secs_f64();
         let rate = fleet_rate / gateway.n_nodes() as f64;
         // Levels return independently, as less urgent ones wait longer.
-        let key = format!("{}/{}", self.service, self.priority.level());
+        let key = format!("{}/{}", self.service, self.rank.level());
         let mut schedule = gateway.retry_schedule.lock();
         schedule.reserve_between(&key, rate, window.earliest..=window.latest, gateway.now())
     }
