Count the output up to half of the time that the prompt leaves

Cause: an output just under the time left was held against a request in full, and a longer one not at all, so a longer output could admit it.

The output now counts up to half of the time left after the prefill of the request. The bound does not depend on the queue, and a request never exceeds the deadline by its counted output alone.

--- a/crates/curranthook_policy/src/admission.rs
+++ b/crates/curranthook_policy/src/admission.rs
@@ -196,16 +196,14 @@
         self.time_to_first_event.saturating_sub(self.queue_delay)
     }
 
-    /// The forecast without the time for the output, if that alone exceeds `time_left`. Callers
-    /// state the largest length of an answer, which is rarely reached.
+    /// The forecast with the output counted up to half of the time that the prompt leaves of
+    /// `time_left`. Callers state the largest length of an answer, which is rarely reached. With
+    /// this bound, a longer output never makes a request more likely to be admitted.
     fn within(self, time_left: Duration) -> Self {
         let output_time = self.time_to_last_event.saturating_sub(self.time_to_first_event);
-        let time_to_last_event = if time_left < output_time {
-            self.time_to_first_event
-        } else {
-            self.time_to_last_event
-        };
-        Self { time_to_last_event, ..self }
+        let max_output_time = time_left.saturating_sub(self.own_time()) / 2;
+        let output_time = output_time.min(max_output_time);
+        Self { time_to_last_event: self.time_to_first_event.saturating_add(output_time), ..self }
     }
 }
 
