Simulate admission at the levels of accounts with priority 1 too

Cause: margins were checked at levels 0, 1 and 2. Accounts that all have priority 1 have levels 2, 3 and 4, whose margins are smaller.

--- a/crates/curranthook_gateway/tests/admission.rs
+++ b/crates/curranthook_gateway/tests/admission.rs
@@ -36,7 +36,7 @@
 /// The value of a late answer relative to one on time.
 const LATE_VALUE: f64 = 0.2;
 
-/// A kind of requests. Its index is its level.
+/// A kind of requests. Its index is its level, relative to the most urgent kind.
 struct Kind {
     rate: f64,
     prompt: f64,
@@ -50,6 +50,10 @@
     Kind { rate: 70.0, prompt: 17.02, objective: 8.0, deadline: 20.0 },
 ];
 
+/// The level of the most urgent kind: 0 if accounts have the most urgent priority, 2 if they all
+/// have priority 1.
+const BASE_LEVELS: [u8; 2] = [0, 2];
+
 /// What a node does with a request that arrives.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Policy {
@@ -146,6 +150,7 @@
 /// A whole day: the state of the site and the requests so far.
 struct Day {
     policy: Policy,
+    base_level: u8,
     engines: Vec<Engine>,
     jobs: Vec<Job>,
     /// Refused callers and when they return, in milliseconds.
@@ -158,9 +163,10 @@
 
 impl Day {
     /// Simulates a day with or without the loss and the burst.
-    fn run(policy: Policy, is_calm: bool, seed: u64) -> Vec<Job> {
+    fn run(policy: Policy, base_level: u8, is_calm: bool, seed: u64) -> Vec<Job> {
         let mut day = Self {
             policy,
+            base_level,
             engines: (0..N_ENGINES).map(|_| Engine::default()).collect(),
             jobs: Vec::new(),
             returns: BinaryHeap::new(),
@@ -232,6 +238,7 @@
 
     fn arrive(&mut self, index: usize, now: f64) {
         let level = self.jobs[index].level;
+        let priority = self.priority(level);
         let engine = self.best_engine(level, now);
         let refusal = match self.policy {
             Policy::None => None,
@@ -246,7 +253,7 @@
                 let at = self.started + Duration::from_secs_f64(now);
                 let work = Duration::from_secs_f64(self.jobs[index].work);
                 let node = &mut self.nodes[index % N_NODES];
-                node.utilization.record(u8::try_from(level).unwrap(), work, at);
+                node.utilization.record(priority, work, at);
             }
             Some(retry_after) => {
                 let job = &mut self.jobs[index];
@@ -261,15 +268,19 @@
         }
     }
 
+    fn priority(&self, level: usize) -> u8 {
+        self.base_level + u8::try_from(level).unwrap()
+    }
+
     /// The `Retry-After` if the request is refused, as a node with a forecast that errs decides.
     fn decide(&mut self, index: usize, engine: usize, now: f64) -> Option<Option<Duration>> {
         let seconds = |it: f64| Duration::from_secs_f64(it.max(0.0));
         let error = self.errors.random_range(0.8..1.2);
+        let level = self.priority(self.jobs[index].level);
         let (job, kind) = (&self.jobs[index], &KINDS[self.jobs[index].level]);
         let (node, at) = (&mut self.nodes[index % N_NODES], self.started + seconds(now));
         let n_engines = self.engines.len() as f64 / N_NODES as f64;
         let queued = seconds(self.engines[engine].queue_delay(&self.jobs, job.level, now));
-        let level = u8::try_from(job.level).unwrap();
         let delay = node.utilization.time_for(queued, level, n_engines, at).as_secs_f64();
         let request = Request {
             objective: seconds(kind.objective),
@@ -334,11 +345,23 @@
 
 /// Guards against engines that serve requests too late for their callers, and against refusals
 /// regardless of urgency, which a bound on the queue makes.
-#[parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
-fn callers_get_more_than_without_admission_and_with_a_bound_on_the_queue(seed: u64) {
+#[parameterized(
+    one = { 1, BASE_LEVELS[0] },
+    two = { 2, BASE_LEVELS[0] },
+    three = { 3, BASE_LEVELS[0] },
+    one_usual = { 1, BASE_LEVELS[1] },
+    two_usual = { 2, BASE_LEVELS[1] },
+    three_usual = { 3, BASE_LEVELS[1] },
+)]
+fn callers_get_more_than_without_admission_and_with_a_bound_on_the_queue(
+    seed: u64,
+    base_level: u8,
+) {
     let value = |jobs: &[Job]| Shares::new(jobs, is_in_shortage).value();
-    let (queued, admitted) =
-        (Day::run(Policy::None, false, seed), Day::run(Policy::Admission, false, seed));
+    let (queued, admitted) = (
+        Day::run(Policy::None, base_level, false, seed),
+        Day::run(Policy::Admission, base_level, false, seed),
+    );
     println!("queued: {:.3?}", by_level(&queued));
     println!("admission: {:.3?}", by_level(&admitted));
     assert!(value(&queued) + 0.01 < value(&admitted));
@@ -347,23 +370,30 @@
         assert!(after.failed <= before.failed && before.value() <= after.value());
     }
     for max in [4, 16] {
-        let bounded = Day::run(Policy::QueueBound(max), false, seed);
+        let bounded = Day::run(Policy::QueueBound(max), base_level, false, seed);
         println!("bound of {max}: {:.3?}", by_level(&bounded));
         assert!(value(&bounded) + 0.1 < value(&admitted));
     }
 }
 
 /// Guards against refusals by errors of the forecast while there is enough capacity.
-#[test]
-fn nothing_is_refused_on_a_calm_day() {
-    let jobs = Day::run(Policy::Admission, true, 1);
+#[parameterized(most_urgent = { BASE_LEVELS[0] }, usual = { BASE_LEVELS[1] })]
+fn nothing_is_refused_on_a_calm_day(base_level: u8) {
+    let jobs = Day::run(Policy::Admission, base_level, true, 1);
     assert!(jobs.iter().all(|it| it.n_refusals == 0 && it.outcome != Outcome::Failed));
 }
 
 /// Guards against callers that are asked to return when there is no room for them either.
-#[parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
-fn refused_callers_find_room_when_they_return(seed: u64) {
-    let jobs = Day::run(Policy::Admission, false, seed);
+#[parameterized(
+    one = { 1, BASE_LEVELS[0] },
+    two = { 2, BASE_LEVELS[0] },
+    three = { 3, BASE_LEVELS[0] },
+    one_usual = { 1, BASE_LEVELS[1] },
+    two_usual = { 2, BASE_LEVELS[1] },
+    three_usual = { 3, BASE_LEVELS[1] },
+)]
+fn refused_callers_find_room_when_they_return(seed: u64, base_level: u8) {
+    let jobs = Day::run(Policy::Admission, base_level, false, seed);
     let is_returned = |it: &&Job| it.created_at < it.sent_at;
     let n_returned = jobs.iter().filter(is_returned).count();
     let n_refused_twice = jobs.iter().filter(|it| 1 < it.n_refusals).count();
@@ -379,9 +409,16 @@
 }
 
 /// Guards against starvation of the least urgent requests and of long prompts.
-#[parameterized(one = { 1 }, two = { 2 }, three = { 3 })]
-fn each_level_and_a_large_account_get_a_quarter_of_the_mean_share(seed: u64) {
-    let jobs = Day::run(Policy::Admission, false, seed);
+#[parameterized(
+    one = { 1, BASE_LEVELS[0] },
+    two = { 2, BASE_LEVELS[0] },
+    three = { 3, BASE_LEVELS[0] },
+    one_usual = { 1, BASE_LEVELS[1] },
+    two_usual = { 2, BASE_LEVELS[1] },
+    three_usual = { 3, BASE_LEVELS[1] },
+)]
+fn each_level_and_a_large_account_get_a_quarter_of_the_mean_share(seed: u64, base_level: u8) {
+    let jobs = Day::run(Policy::Admission, base_level, false, seed);
     let all = Shares::new(&jobs, is_in_shortage);
     let large = Shares::new(&jobs, |it| is_in_shortage(it) && it.is_large);
     let large_of_least_urgent =
