--- a/crates/curranthook_policy/src/admission.rs
+++ b/crates/curranthook_policy/src/admission.rs
@@ -18,7 +18,9 @@
 /// How far a forecast must exceed a limit, in percent of the limit. The margin of the most urgent
 /// level is halved with each less urgent one. First events usually take 0.8 to 1.1 times as long as
 /// expected, so with less than the smallest margin requests would be refused that are served in
-/// time.
+/// time. In the simulation of the gateway's tests, at the levels 0 to 2 and 2 to 4, a maximum of 50
+/// refuses a quarter of the callers that return, and with 150 no caller of the levels 0 to 2 is
+/// asked to return. A minimum of 20 or more is worse for callers at the levels 2 to 4.
 const MAX_MARGIN_PERCENT: u32 = 100;
 const MIN_MARGIN_PERCENT: u32 = 10;
 /// Callers wait for a `Retry-After` up to this part of their remaining time.
@@ -196,16 +198,14 @@
         self.time_to_first_event.saturating_sub(self.queue_delay)
     }
 
-    /// The forecast without the time for the output, if that alone exceeds `time_left`. Callers
-    /// state the largest length of an answer, which is rarely reached.
+    /// The forecast with the output counted up to half of the time that the prompt leaves of
+    /// `time_left`. Callers state the largest length of an answer, which is rarely reached. With
+    /// this bound, a longer output never makes a request more likely to be admitted.
     fn within(self, time_left: Duration) -> Self {
         let output_time = self.time_to_last_event.saturating_sub(self.time_to_first_event);
-        let time_to_last_event = if time_left < output_time {
-            self.time_to_first_event
-        } else {
-            self.time_to_last_event
-        };
-        Self { time_to_last_event, ..self }
+        let max_output_time = time_left.saturating_sub(self.own_time()) / 2;
+        let output_time = output_time.min(max_output_time);
+        Self { time_to_last_event: self.time_to_first_event.saturating_add(output_time), ..self }
     }
 }
 
