--- a/crates/curranthook_gateway/src/load/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -15,6 +15,9 @@
 /// The number of first events of a model after which its estimate may be shared with other nodes.
 /// After 10, an estimate may still be nearer to the prior than to the engines.
 const MIN_SHARED_EVENTS: u32 = 30;
+/// The number of first events of a model from which a node keeps its own estimate instead of a
+/// shared one. With fewer, an estimate is still near the prior.
+const MIN_OWN_EVENTS: u32 = 5;
 /// The maximum number of models whose shared estimates are kept.
 const MAX_SHARED_MODELS: usize = 512;
 
@@ -22,8 +25,8 @@
 #[derive(Debug, Default)]
 pub struct Estimator {
     models: HashMap<(String, String), Model>,
-    /// What other nodes learned, by service and model. It replaces the prior of models that this
-    /// node has not observed.
+    /// What other nodes learned, by service and model. It replaces the prior of models of which
+    /// this node has observed fewer than [`MIN_OWN_EVENTS`] first events.
     shared: HashMap<(String, String), Shared>,
 }
 
@@ -174,8 +177,9 @@
     }
 
     /// Sets what other nodes have learned of a service's models and when that becomes too old, in
-    /// place of what was set before. Estimates start from it instead of the prior; those of models
-    /// that this node has observed do not change. Returns the number of models that start from it.
+    /// place of what was set before. Estimates start from it instead of the prior, also those of
+    /// models of which this node has observed fewer than [`MIN_OWN_EVENTS`] first events; others do
+    /// not change. Returns the number of models that start from it.
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
@@ -198,9 +202,16 @@
         let mut n_used = 0;
         for (model, learned, expires_at) in models {
             let key = (service.to_owned(), model.to_owned());
-            if MAX_SHARED_MODELS <= self.shared.len() || self.models.contains_key(&key) {
+            let own = self.models.get_mut(&key);
+            if MAX_SHARED_MODELS <= self.shared.len()
+                || own.as_ref().is_some_and(|it| MIN_OWN_EVENTS <= it.n_first_events)
+            {
                 continue;
             }
+            if let Some(own) = own {
+                own.filter = own.filter.restarted_from(learned.coefficients);
+                own.event_interval_s = learned.event_interval_s.or(own.event_interval_s);
+            }
             self.shared.insert(key, Shared { learned, expires_at });
             n_used += 1;
         }
--- a/crates/curranthook_gateway/src/load/prefill.rs
+++ b/crates/curranthook_gateway/src/load/prefill.rs
@@ -105,10 +105,18 @@
     /// assert_eq!(Filter::from_shared(1.0, learned).coefficients(), learned);
     /// ```
     pub fn from_shared(relative_price: f64, coefficients: Coefficients) -> Self {
-        let it = Self::new(relative_price);
-        let variance = it.prior_variance * (SHARED_STD_DEV * SHARED_STD_DEV);
-        let coefficients = SVector::from(coefficients.0);
-        Self { coefficients, covariance: SMatrix::from_diagonal(&variance), ..it }
+        Self::new(relative_price).restarted_from(coefficients)
+    }
+
+    /// A filter of the same model that starts from coefficients that other nodes learned, without
+    /// what this one has learned.
+    pub fn restarted_from(&self, coefficients: Coefficients) -> Self {
+        let variance = self.prior_variance * (SHARED_STD_DEV * SHARED_STD_DEV);
+        Self {
+            coefficients: SVector::from(coefficients.0),
+            covariance: SMatrix::from_diagonal(&variance),
+            prior_variance: self.prior_variance,
+        }
     }
 
     /// The current estimate.
