--- a/crates/curranthook_gateway/src/load/latency.rs
+++ b/crates/curranthook_gateway/src/load/latency.rs
@@ -178,7 +178,7 @@
 
     /// Sets what other nodes have learned of a service's models and when that becomes too old, in
     /// place of what was set before. Estimates start from it instead of the prior, also those of
-    /// models of which this node has observed fewer than [`MIN_OWN_EVENTS`] first events; others do
+    /// models of which this node has observed fewer than `MIN_OWN_EVENTS` first events; others do
     /// not change. Returns the number of models that start from it.
     ///
     /// ```
