Place a request by the criteria by which it was admitted

Cause: a request that was admitted because of an endpoint without its prefix in the cache was then placed with regard to the prefix, and could wait at the busy holder of the prefix.

check_capacity returns the criteria that decided, and the lease is acquired by them. The prefix is recorded at the endpoint that was chosen in either case.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -193,8 +193,11 @@
             Some(peer_state) => peer_state,
             None => self.query_peers(&criteria).await,
         };
-        self.check_capacity(&criteria, &mut peer_state).await?;
-        let lease = Lease::acquire(&self.gateway, &criteria, &peer_state);
+        let decided = self.check_capacity(&criteria, &mut peer_state).await?;
+        let lease = Lease::acquire(&self.gateway, &decided, &peer_state);
+        if let (Some(lease), Some(prefix_hash)) = (&lease, criteria.prefix_hash) {
+            lease.record_prefix(prefix_hash);
+        }
         lease.ok_or_else(|| self.no_endpoint_refusal(&criteria))
     }
 
--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -69,21 +69,24 @@
 
     /// Refuses a request that no endpoint can be expected to serve. In a large fleet, peers are
     /// queried for further endpoints before; what they answer is added to `peer_state`.
-    pub(super) async fn check_capacity(
+    /// Returns the criteria by which the request was admitted, by which it is to be placed too.
+    pub(super) async fn check_capacity<'a>(
         &self,
-        criteria: &Criteria<'_>,
+        criteria: &Criteria<'a>,
         peer_state: &mut PeerState,
-    ) -> Result<(), Refusal> {
-        let Some(model) = self.admission_model() else { return Ok(()) };
+    ) -> Result<Criteria<'a>, Refusal> {
+        let Some(model) = self.admission_model() else { return Ok(*criteria) };
         let Some(mut evaluation) = self.evaluate(model, criteria, peer_state) else {
-            return Ok(());
+            return Ok(*criteria);
         };
+        let mut decided = *criteria;
         // The endpoint that has the prefix cached may be busy while another one is idle.
         let any_holder = Criteria { prefix_hash: None, ..*criteria };
         if evaluation.is_refusal()
             && let Some(it) = self.evaluate(model, &any_holder, peer_state)
         {
             evaluation = it;
+            decided = any_holder;
         }
         if evaluation.is_refusal() && owners::are_used(self.gateway.n_nodes()) {
             let asked = peer_state.waiting.keys().chain(&peer_state.unreachable);
@@ -103,7 +106,7 @@
         match evaluation.decision {
             Decision::Admit(admission) => {
                 self.gateway.metrics.record_admission(admission.name());
-                Ok(())
+                Ok(decided)
             }
             Decision::Refuse(refusal) => Err(self.overload_refusal(model, &evaluation, &refusal)),
         }
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -86,12 +86,6 @@
         let pending_prefill = Work::new(criteria.priority.unwrap_or_default(), prefill);
         let entry = choice.endpoint.entry.clone();
         directory.request_sent(&entry.id, pending_prefill, now);
-        if let Some(prefix_hash) = criteria.prefix_hash {
-            gateway.affinity.lock().record(prefix_hash, &entry.id, now);
-            if let Some(reports) = gateway.load_reports.get() {
-                reports.queue_prefill(Record { prefix_hash, endpoint: entry.id.clone() });
-            }
-        }
         gateway.pending_work_changed.wake();
         let max_connections = gateway.service(criteria.service, |it| it.max_connections);
         let max_idle = max_connections.map(|it| connections::max_idle(it, gateway.n_nodes()));
@@ -113,6 +107,16 @@
         })
     }
 
+    /// Records that the endpoint prefills the prompt prefix with this hash.
+    pub fn record_prefix(&self, prefix_hash: u64) {
+        let (gateway, endpoint) = (&self.gateway, &self.id);
+        gateway.affinity.lock().record(prefix_hash, endpoint, gateway.now());
+        if let Some(reports) = gateway.load_reports.get() {
+            reports.queue_prefill(Record { prefix_hash, endpoint: endpoint.clone() });
+            gateway.pending_work_changed.wake();
+        }
+    }
+
     /// Applies the state and the limits that the endpoint announces in a response.
     pub fn record_advertised(&self, reply: &Reply, completeness: Completeness) {
         let incarnation =
