--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -35,11 +35,15 @@
             Some(peer_state) => peer_state,
             None => self.query_peers(&criteria).await,
         };
-        self.check_capacity(&criteria, &mut peer_state).await?;
-        Lease::acquire(&self.gateway, &criteria, &peer_state).map_err(|e| match e {
+        let decided = self.check_capacity(&criteria, &mut peer_state).await?;
+        let lease = Lease::acquire(&self.gateway, &decided, &peer_state).map_err(|e| match e {
             Unavailable::NoEndpoint => self.no_endpoint_refusal(&criteria),
             Unavailable::Full => self.full_refusal(),
-        })
+        })?;
+        if let Some(prefix_hash) = criteria.prefix_hash {
+            lease.record_prefix(prefix_hash);
+        }
+        Ok(lease)
     }
 
     /// The refusal of a request that no endpoint can take.
