--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -68,8 +68,8 @@
     }
 
     /// Refuses a request that no endpoint can be expected to serve. In a large fleet, peers are
-    /// queried for further endpoints before; what they answer is added to `peer_state`.
-    /// Returns the criteria by which the request was admitted, by which it is to be placed too.
+    /// queried for further endpoints before; what they answer is added to `peer_state`. Returns the
+    /// criteria by which the request was admitted, and by which it is to be placed too.
     pub(super) async fn check_capacity<'a>(
         &self,
         criteria: &Criteria<'a>,
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -1,6 +1,7 @@
 //! Selects the endpoint for a request, based on the load, failures and cached prefixes that the
 //! node knows of each endpoint.
 
+mod eligible;
 mod plain;
 
 use std::{
@@ -30,6 +31,8 @@
     slow_start,
 };
 
+use self::eligible::eligible;
+
 /// The assumed processing time of a request to a service without models.
 const DEFAULT_PROCESSING_TIME: Duration = Duration::from_millis(50);
 
@@ -323,46 +326,6 @@
     reported.unwrap_or_else(|| gateway.load_table.lock().waiting(id, &gateway.settings.node, now))
 }
 
-/// The endpoints to choose from, among those that admit a request now. Endpoints that were tried
-/// before, are ejected, or run a version that the request should not go to are considered only if
-/// there are no others.
-fn eligible<'a>(ready: &[&'a Tracked], criteria: &Criteria<'_>, now: Instant) -> Vec<&'a Tracked> {
-    let is_allowed = |it: &Tracked| criteria.rule.allows(&it.entry.version);
-    let is_untried = |it: &Tracked| !criteria.tried.contains(&it.entry.id);
-    let select = |predicate: &dyn Fn(&Tracked) -> bool| -> Vec<&'a Tracked> {
-        ready.iter().copied().filter(|it| it.admits(now) && predicate(it)).collect()
-    };
-    // A new version gets no requests as long as its rollout order may still be on the way, unless
-    // the rule already follows from an order.
-    let is_order_known =
-        |it: &Tracked| *criteria.rule != Rule::Any || it.is_established_version(now);
-    // A version whose endpoints are throttled still exists: no other version replaces it.
-    let is_throttled = |it: &Tracked| !it.admits(now) && is_allowed(it) && is_order_known(it);
-    let has_throttled = ready.iter().any(|it| is_throttled(it));
-    let is_usable = |it: &Tracked| is_allowed(it) && (is_order_known(it) || !has_throttled);
-    let preferences: [&dyn Fn(&Tracked) -> bool; 4] = [
-        &|it| is_allowed(it) && is_order_known(it) && is_untried(it) && !it.is_ejected(now),
-        &|it| is_usable(it) && is_untried(it) && !it.is_ejected(now),
-        &|it| is_usable(it) && is_untried(it),
-        &|it| is_usable(it),
-    ];
-    for predicate in preferences {
-        let matching = select(predicate);
-        if !matching.is_empty() {
-            return matching;
-        }
-    }
-    // No endpoint runs an allowed version. Once the rollout has begun to move requests to the
-    // target version or away from it, any other version is better than a refusal.
-    match criteria.rule {
-        Rule::Only(_) => select(&|it| is_untried(it)),
-        // No other version is left, so the rollout is over, even if this node has not received that
-        // state yet.
-        Rule::Not(_) if !has_throttled => select(&|it| is_untried(it) && !it.is_ejected(now)),
-        Rule::Not(_) | Rule::Any => Vec::new(),
-    }
-}
-
 /// The time that the work at the endpoint delays the request, at usual speed.
 fn expected_wait(
     endpoint: &Tracked,
