Find changed rows by revision, and merge whole tables in one pass

Cause: the node's copy of a table knew its rows by key only. An answer to a child walked all rows of the table for each poll (endpoints x children x polls), and a read of the whole table searched it for each known row (endpoints squared: 10^8 comparisons at 10,000 endpoints). Removed rows were kept for ever, so memory grew with every endpoint that had left. Ruled out: Directory::retain, which has the same search, was called from nowhere; it is removed. Change: replication::index keeps rows by key and by revision; a change costs the logarithm, a read of a whole table one pass. At most as many removals are kept as there are rows (1,024 at least); peers that missed older ones read the whole table. Values of rows are shared, not copied. The modules that bring rows to nodes are in a folder, replication.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -10,8 +10,8 @@
     event::Event,
     fleet,
     gateway::Configuration,
+    replication::watch::table_name,
     store::{Batch, Operator, Row, Table},
-    watch::table_name,
 };
 
 /// Applies rows of a table. If `is_snapshot` is set, rows that are not in the batch do not exist.
@@ -85,7 +85,7 @@
 }
 
 fn apply_endpoint_row(gateway: &Arc<Gateway>, row: &Row) {
-    let id = endpoint::Id::new(&row.key);
+    let id = endpoint::Id::new(&*row.key);
     let now = gateway.now();
     let Some(value) = &row.value else {
         gateway.directory.lock().remove(&id, now);
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -18,7 +18,6 @@
     entry::Entry,
     load::work::Work,
     rate_limit,
-    store::Row,
 };
 
 pub use self::tracked::Tracked;
@@ -152,19 +151,6 @@
         }
     }
 
-    /// Removes all endpoints that are not among `rows`.
-    pub fn retain(&mut self, rows: &[Row], now: Instant) {
-        let gone: Vec<_> = self
-            .endpoints
-            .keys()
-            .filter(|id| !rows.iter().any(|row| row.value.is_some() && row.key == id.as_str()))
-            .cloned()
-            .collect();
-        for id in gone {
-            self.remove(&id, now);
-        }
-    }
-
     /// Called when the store is available again after an outage. Entries of live endpoints may have
     /// lapsed during it. Removing these endpoints at once could leave none to send requests to, so
     /// they are kept until `until`.
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -19,12 +19,10 @@
 //! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
 //!
 //! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`load::snapshot`],
-//! [`retry_budget`], [`permit`] and [`steps`] make decisions without I/O and without reading a clock. [`watch`] and [`apply`] turn rows of the
-//! store into the node's state: [`document`], [`directory`] and [`rollouts`]; [`advertised`]
-//! contains what endpoints state about themselves in response headers. In a large fleet, changes
-//! reach most nodes through a tree of [`relays`]; through [`peers`], nodes query each other, which
-//! replaces the store while it is unavailable; [`outage`] detects whether the store is unavailable
-//! to all nodes. [`fleet_writer`] writes the [`fleet`] rows that nodes publish for each other.
+//! [`retry_budget`], [`permit`] and [`steps`] make decisions without I/O and without reading a clock. [`replication`]
+//! and [`apply`] turn rows of the store into the node's state: [`document`], [`directory`] and
+//! [`rollouts`]; [`advertised`] contains what endpoints state about themselves in response headers.
+//! [`fleet_writer`] writes the [`fleet`] rows that nodes publish for each other.
 //! [`gateway`] contains the state that all modules share, [`serve`] starts and stops the node.
 //!
 //! Deployments implement the interfaces at the edges: [`dialect::Dialect`] for callers and
@@ -49,15 +47,12 @@
 pub mod lease;
 pub mod load;
 pub mod metrics;
-pub mod mirror;
 pub mod models;
-pub mod outage;
-pub mod peers;
 pub mod permit;
 pub mod placement;
 pub mod rate_limit;
 pub mod refusal;
-pub mod relays;
+pub mod replication;
 pub mod request;
 pub mod retry_budget;
 pub mod retry_schedule;
@@ -74,6 +69,5 @@
 pub mod stream;
 pub mod unary;
 pub mod unknown_headers;
-pub mod watch;
 
 pub use gateway::Gateway;
--- a/crates/curranthook_gateway/src/load/snapshot_rows.rs
+++ b/crates/curranthook_gateway/src/load/snapshot_rows.rs
@@ -248,7 +248,7 @@
 
     fn row(&self, service: &str) -> Option<Row> {
         let key = Key::Snapshot(service).to_string();
-        self.gateway.mirror.lock().row(Table::Fleet, &key).cloned()
+        self.gateway.mirror.lock().row(Table::Fleet, &key)
     }
 }
 
--- a/crates/curranthook_gateway/src/mirror.rs
+++ b/crates/curranthook_gateway/src/replication/mirror.rs
@@ -2,12 +2,20 @@
 //! the store.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{HashMap, VecDeque},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+
+use super::index::Index;
 use crate::store::{Batch, Rev, Row, Table};
 
+/// The number of removed rows that are kept, so that their removal can be reported to peers, if a
+/// table has fewer rows than that; otherwise as many as it has rows.
+const MIN_KEPT_REMOVALS: usize = 1_024;
+
 /// A node's local copy of the store's tables.
 #[derive(Debug, Default)]
 pub struct Mirror {
@@ -20,8 +28,10 @@
 
 #[derive(Debug, Default)]
 struct Rows {
-    /// Removed rows stay as rows without a value, so that the removal can be reported to peers.
-    rows: BTreeMap<String, Row>,
+    /// Rows without a value were removed.
+    index: Index<Arc<str>, Option<Bytes>>,
+    /// The removed rows, those removed first at the front.
+    removals: VecDeque<(Rev, Arc<str>)>,
     rev: Rev,
     /// The revision since which all changes are known.
     complete_since: Option<Rev>,
@@ -29,6 +39,30 @@
     is_interrupted: bool,
 }
 
+impl Rows {
+    fn insert(&mut self, row: &Row) {
+        if row.value.is_none() {
+            self.removals.push_back((row.rev, Arc::clone(&row.key)));
+        }
+        self.index.insert(Arc::clone(&row.key), row.rev, row.value.clone());
+    }
+
+    /// Forgets the oldest removals if there are too many. Peers that missed them read the whole
+    /// table.
+    fn forget_removals(&mut self) {
+        let n_rows = self.index.len().saturating_sub(self.removals.len());
+        let n_kept = n_rows.max(MIN_KEPT_REMOVALS);
+        let n_forgotten = self.removals.len().saturating_sub(n_kept);
+        for (rev, key) in self.removals.drain(..n_forgotten) {
+            // The row may have been added again since.
+            if self.index.get(&key) == Some((rev, &None)) {
+                self.index.remove(&key);
+                self.complete_since = self.complete_since.max(Some(rev));
+            }
+        }
+    }
+}
+
 /// Why a mirror cannot return the changes of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChangesError {
@@ -42,35 +76,41 @@
     /// Applies changed rows. Returns those that are newer than the mirror's.
     pub fn merge(&mut self, table: Table, batch: Batch) -> Vec<Row> {
         let table_rows = self.tables.entry(table).or_default();
-        let is_newer = |row: &Row| table_rows.rows.get(&row.key).is_none_or(|it| it.rev < row.rev);
-        let changed: Vec<_> = batch.rows.into_iter().filter(is_newer).collect();
-        for row in &changed {
-            table_rows.rows.insert(row.key.clone(), row.clone());
-        }
+        let mut changed = batch.rows;
+        changed.retain(|row| {
+            let is_newer = table_rows.index.get(&row.key).is_none_or(|(rev, _)| rev < row.rev);
+            if is_newer {
+                table_rows.insert(row);
+            }
+            is_newer
+        });
         table_rows.rev = table_rows.rev.max(batch.rev);
         table_rows.complete_since.get_or_insert(batch.rev);
         table_rows.is_interrupted = false;
+        table_rows.forget_removals();
         changed
     }
 
     /// Applies a read of a whole table. Returns the rows that are newer than the known ones, and
     /// the removed rows without a value. A read older than the known state changes nothing.
-    pub fn replace(&mut self, table: Table, batch: Batch) -> Vec<Row> {
+    pub fn replace(&mut self, table: Table, mut batch: Batch) -> Vec<Row> {
         let table_rows = self.tables.entry(table).or_default();
         if batch.rev < table_rows.rev {
             return Vec::new();
         }
-        let mut removed: Vec<_> = table_rows
-            .rows
-            .values()
-            .filter(|it| it.value.is_some() && !batch.rows.iter().any(|row| row.key == it.key))
-            .map(|it| Row { key: it.key.clone(), rev: batch.rev, value: None })
-            .collect();
-        for row in &removed {
-            table_rows.rows.insert(row.key.clone(), row.clone());
+        if !batch.rows.is_sorted_by_key(|it| &it.key) {
+            batch.rows.sort_by(|a, b| a.key.cmp(&b.key));
         }
-        removed.extend(self.merge(table, batch));
-        removed
+        let absent = table_rows.index.keys_not_in(batch.rows.iter().map(|it| &it.key));
+        let is_listed = |key: &&Arc<str>| {
+            table_rows.index.get(&***key).is_some_and(|(_, value)| value.is_some())
+        };
+        let removed = absent.into_iter().filter(is_listed);
+        let removed = removed.map(|key| Row { key: Arc::clone(key), rev: batch.rev, value: None });
+        let mut changed: Vec<_> = removed.collect();
+        changed.iter().for_each(|it| table_rows.insert(it));
+        changed.extend(self.merge(table, batch));
+        changed
     }
 
     /// Records that the store answered at `at`, to this node or to a peer that reported it.
@@ -112,7 +152,7 @@
         if table_rows.complete_since.is_none_or(|from| since < from) {
             return Err(ChangesError::HistoryMissing);
         }
-        let rows = table_rows.rows.values().filter(|it| since < it.rev).cloned().collect();
+        let rows = table_rows.index.changed_since(since).map(to_row).collect();
         Ok(Batch { rows, rev: table_rows.rev, now: None })
     }
 
@@ -131,15 +171,26 @@
         self.tables.get(&table).map_or(Rev(0), |it| it.rev)
     }
 
+    /// The revision since which all changes of a table are known; none before it has been read.
+    pub fn history_start(&self, table: Table) -> Option<Rev> {
+        self.tables.get(&table)?.complete_since
+    }
+
     /// All rows of a table.
     pub fn batch(&self, table: Table) -> Batch {
         let Some(table_rows) = self.tables.get(&table) else { return Batch::default() };
-        let rows = table_rows.rows.values().filter(|it| it.value.is_some()).cloned().collect();
-        Batch { rows, rev: table_rows.rev, now: None }
+        let rows = table_rows.index.iter().filter(|(_, _, value)| value.is_some());
+        Batch { rows: rows.map(to_row).collect(), rev: table_rows.rev, now: None }
     }
 
     /// The row of a table with this key.
-    pub fn row(&self, table: Table, key: &str) -> Option<&Row> {
-        self.tables.get(&table)?.rows.get(key).filter(|it| it.value.is_some())
+    pub fn row(&self, table: Table, key: &str) -> Option<Row> {
+        let (rev, value) = self.tables.get(&table)?.index.get(key)?;
+        let value = value.clone()?;
+        Some(Row { key: key.into(), rev, value: Some(value) })
     }
 }
+
+fn to_row((key, rev, value): (&Arc<str>, Rev, &Option<Bytes>)) -> Row {
+    Row { key: Arc::clone(key), rev, value: value.clone() }
+}
--- a/crates/curranthook_gateway/src/outage.rs
+++ b/crates/curranthook_gateway/src/replication/outage.rs
@@ -49,7 +49,7 @@
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
-    /// # use curranthook_gateway::outage::Outage;
+    /// # use curranthook_gateway::replication::outage::Outage;
     /// let (mut outage, start, s) = (Outage::default(), Instant::now(), Duration::from_secs);
     /// outage.record_failure(start);
     /// (1..8).for_each(|it| outage.record_peer_answer(start + s(it)));
--- a/crates/curranthook_gateway/src/peers.rs
+++ b/crates/curranthook_gateway/src/replication/peers.rs
@@ -19,10 +19,11 @@
 
 use crate::{
     Gateway, apply,
-    mirror::ChangesError,
     store::{Batch, Error, Rev, Table},
 };
 
+use super::mirror::ChangesError;
+
 /// The path at which a node answers queries for rows.
 const PATH: &str = "/rows";
 /// The number of random peers that are queried in one poll while the store is unavailable.
--- a/crates/curranthook_gateway/src/relays.rs
+++ b/crates/curranthook_gateway/src/replication/relays.rs
@@ -56,7 +56,7 @@
 /// others.
 ///
 /// ```
-/// # use curranthook_gateway::relays::{self, Node};
+/// # use curranthook_gateway::replication::relays::{self, Node};
 /// let names: Vec<_> = (0..80).map(|it| format!("node-{it}")).collect();
 /// let nodes = names.iter().enumerate().map(|(index, name)| Node {
 ///     name,
--- a/crates/curranthook_gateway/src/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -16,10 +16,11 @@
 use crate::{
     Gateway, apply,
     event::Event,
-    peers, relays,
     store::{Batch, Error, Rev, Table},
 };
 
+use super::{peers, relays};
+
 pub use self::parents::Shared;
 use self::parents::{Parent, Role, are_relays_stale, role_and_parents, role_changed};
 
--- a/crates/curranthook_gateway/src/watch/parents.rs
+++ b/crates/curranthook_gateway/src/replication/watch/parents.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 
-use crate::{Gateway, event::Event, fleet, relays, signal::Signal, store::Error};
+use crate::{Gateway, event::Event, fleet, replication::relays, signal::Signal, store::Error};
 
 /// How long a parent is not queried after it failed.
 const PARENT_COOLDOWN: Duration = Duration::from_secs(4);
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -29,10 +29,9 @@
         reports::{self, Socket},
         snapshot_rows,
     },
-    peers,
+    replication::{peers, watch},
     settings::Settings,
     store::Table,
-    watch,
 };
 
 /// How long a node keeps accepting requests after the signal to stop. The load balancer checks
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -1,7 +1,8 @@
 //! The platform's store as seen by a node: rows that change, and conditional writes.
 
-use std::{fmt::Debug, net::SocketAddr, time::Duration};
+use std::{fmt::Debug, net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use curranthook_types::{domain, endpoint};
 use serde::{Deserialize, Serialize};
 
@@ -60,12 +61,12 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// The key within the table.
-    pub key: String,
+    pub key: Arc<str>,
     /// The revision at which it was last written.
     pub rev: Rev,
     /// The value; none if the row was removed.
     #[serde_as(as = "Option<serde_with::base64::Base64>")]
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Bytes>,
 }
 
 /// A set of rows, and the revision up to which it is complete.
--- /dev/null
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -0,0 +1,9 @@
+//! How the work of a step grows with the fleet; README.md lists the laws.
+//!
+//! Each test does the same work at several sizes, counts comparisons, bytes or messages, and
+//! compares the counts with a law. None uses a network or reads a clock.
+
+mod counted;
+mod law;
+mod rows;
+mod storms;
--- a/crates/curranthook_gateway/tests/node_state.rs
+++ b/crates/curranthook_gateway/tests/node_state.rs
@@ -6,13 +6,13 @@
     directory::{Directory, Outcome},
     entry::{Entry, State},
     load::work::Work,
-    mirror::{ChangesError, Mirror},
+    replication::mirror::{ChangesError, Mirror},
     store::{Batch, Rev, Row, Table},
 };
 use yare::parameterized;
 
 fn row(key: &str, rev: u64, value: Option<&str>) -> Row {
-    Row { key: key.to_owned(), rev: Rev(rev), value: value.map(|it| it.as_bytes().to_vec()) }
+    Row { key: key.into(), rev: Rev(rev), value: value.map(|it| it.as_bytes().to_vec().into()) }
 }
 
 fn batch(rev: u64, rows: Vec<Row>) -> Batch {
--- a/crates/curranthook_gateway/tests/relays.rs
+++ b/crates/curranthook_gateway/tests/relays.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use curranthook_gateway::{
-    mirror::Mirror,
-    relays::{self, Node},
+    replication::{
+        mirror::Mirror,
+        relays::{self, Node},
+    },
     store::{Batch, Rev, Row, Table},
 };
 use curranthook_types::domain;
@@ -196,7 +199,7 @@
     let ModelNode { mirror, reaches_store, .. } = &mut nodes[node];
     if *reaches_store {
         let rev = Rev(write_times.len() as u64);
-        let row = Row { key: "config".to_owned(), rev, value: Some(Vec::new()) };
+        let row = Row { key: "config".into(), rev, value: Some(Bytes::new()) };
         mirror.merge(Table::Operator, Batch { rows: vec![row], rev, now: None });
         mirror.record_answer(now);
     } else {
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -81,9 +81,9 @@
             self.check()?;
             let rows = self.rows.lock();
             let to_row = |(key, (rev, value)): (&String, &(u64, Vec<u8>))| Row {
-                key: key.clone(),
+                key: key.as_str().into(),
                 rev: Rev(*rev),
-                value: Some(value.clone()),
+                value: Some(value.clone().into()),
             };
             Ok(Batch { rows: rows.1.iter().map(to_row).collect(), rev: Rev(rows.0), now: None })
         })
