Write only crashes that a node observed itself

Cause: a node's row of blamed requests also held what it had read in the rows of others. So one crash was written by every node, and each of these rows was told to every node: n writes and n^2 messages. Change: the register knows which records are a node's own (also those that its earlier process wrote, and those that it cleared); fleet_writer::charges decides what is written, and when.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -139,10 +139,13 @@
                 observation.evidence,
             );
         }
-        Key::Poison(node) if *node == gateway.settings.node => {}
-        Key::Poison(_) => {
+        Key::Poison(node) => {
             let entries: Vec<poison::Entry> = serde_json::from_slice(value)?;
-            gateway.poison.lock().merge(entries, gateway.now());
+            let (mut poison, now) = (gateway.poison.lock(), gateway.now());
+            match *node == gateway.settings.node {
+                true => poison.restore(entries, now),
+                false => poison.merge(entries, now),
+            }
         }
         Key::Snapshot(service) => snapshot_rows::apply(gateway, service, value, rev),
     }
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -1,15 +1,13 @@
 //! Writes the rows that other nodes read from this one: its addresses, rollout steps that are due,
 //! its evidence about a new version, and the requests that it blames for endpoint failures.
 
-use std::{
-    cmp::Reverse,
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+pub mod charges;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use async_io::Timer;
 
+use self::charges::Charges;
 use crate::{
     Gateway,
     event::Event,
@@ -38,9 +36,6 @@
 /// endpoints must be known to all connected nodes within three seconds, the time for which a node
 /// counts as connected after its last contact.
 const POISON_INTERVAL: Duration = Duration::from_millis(500);
-/// The maximum number of blamed requests in a row. At 150 bytes each, they take a sixth of the
-/// maximum row size.
-const MAX_POISON_ENTRIES: usize = 64;
 /// The maximum number of nodes that write evidence which contains only good answers. A few nodes
 /// receive enough of these; evidence with bad answers is written by all nodes.
 const MAX_GOOD_EVIDENCE_WRITERS: u32 = 6;
@@ -58,7 +53,7 @@
         gateway,
         due_since: HashMap::new(),
         written_evidence: HashMap::new(),
-        written_poison: (0, None),
+        charges: Charges::default(),
     };
     writer.announce().await;
     loop {
@@ -74,9 +69,7 @@
     due_since: HashMap<String, (Phase, Duration)>,
     /// The evidence last written for each service, and when.
     written_evidence: HashMap<String, (Evidence, Duration)>,
-    /// The number of endpoint failures in the last written row of blamed requests, and when it was
-    /// written.
-    written_poison: (usize, Option<Instant>),
+    charges: Charges,
 }
 
 impl Writer {
@@ -95,7 +88,7 @@
         }
         loop {
             // No write is needed if an earlier process of this node wrote the same row.
-            let known = self.gateway.mirror.lock().row(Table::Fleet, &key).cloned();
+            let known = self.gateway.mirror.lock().row(Table::Fleet, &key);
             if known.is_some_and(|it| it.value.as_deref() == Some(&value[..])) {
                 return;
             }
@@ -213,26 +206,13 @@
     async fn write_poison(&mut self) {
         let now = self.gateway.now();
         let interval = self.write_interval(POISON_INTERVAL);
-        let (known, at) = self.written_poison;
-        if at.is_some_and(|at| now.saturating_duration_since(at) < interval) {
-            return;
-        }
-        let mut entries = self.gateway.poison.lock().export(now);
-        let n_failures: usize = entries.iter().map(|it| it.endpoints.len()).sum();
-        if n_failures <= known {
-            return;
-        }
-        // When many endpoints fail at once, each request in flight there is blamed. A request that
-        // really brings down endpoints is sent again, so it is among those with the most failures
-        // or the newest.
-        entries.sort_by_key(|it| (Reverse(it.endpoints.len()), it.age));
-        entries.truncate(MAX_POISON_ENTRIES);
+        let due = self.charges.due(&self.gateway.poison.lock(), interval, now);
+        let Some(row) = due else { return };
         let key = Key::Poison(&self.gateway.settings.node).to_string();
-        let written = self.write(&key, None, &encode(&entries), None).await;
-        // A failed write is not repeated at once: the store may be unavailable, or reject the row
-        // permanently.
-        let n_failures = if written.is_ok() { n_failures } else { known };
-        self.written_poison = (n_failures, Some(now));
+        match self.write(&key, None, &encode(&row.entries), None).await {
+            Ok(_) => self.charges.record_written(&row, now),
+            Err(_logged) => self.charges.record_failed(now),
+        }
     }
 
     /// The minimum interval between two writes of a row that every node writes: `min`, or longer in
--- a/crates/curranthook_policy/src/poison.rs
+++ b/crates/curranthook_policy/src/poison.rs
@@ -67,6 +67,16 @@
     endpoints: BTreeSet<endpoint::Id>,
     state: State,
     since: Instant,
+    origin: Origin,
+}
+
+/// Whose observation a record is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Origin {
+    /// Only other nodes observed the request.
+    Others,
+    /// This node observed a crash, or the answer that clears the request.
+    Own,
 }
 
 impl Register {
@@ -84,7 +94,10 @@
     ) {
         self.expire(now);
         let endpoints = BTreeSet::from([endpoint.clone()]);
-        self.merge_record(fingerprint, Record { endpoints, state: State::Active, since: now });
+        self.merge_record(
+            fingerprint,
+            Record { endpoints, state: State::Active, since: now, origin: Origin::Own },
+        );
     }
 
     /// Whether this request must be refused.
@@ -98,14 +111,37 @@
 
     /// Records that an endpoint answered this request, so that it is no longer refused.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if let Some(it) = self.records.get_mut(&fingerprint) {
+        if let Some(it) = self.records.get_mut(&fingerprint).filter(|it| it.state == State::Active)
+        {
             it.state = State::Cleared;
+            it.origin = Origin::Own;
         }
     }
 
-    /// All valid records, for sending to other nodes.
+    /// All valid records, for nodes that pass on what they hear from each other.
     pub fn export(&self, now: Instant) -> Vec<Entry> {
-        let entries = self.records.iter().map(|(fingerprint, it)| Entry {
+        self.entries(now, |_| true)
+    }
+
+    /// The valid records of what this node has observed itself, for nodes that hear from each other
+    /// directly. If these passed on each other's records, every crash would be sent by every node.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use curranthook_policy::poison::Register;
+    /// let now = Instant::now();
+    /// let (mut ours, mut theirs) = (Register::new(1_000), Register::new(1_000));
+    /// ours.record_crash([7; 16], &"engine-1".into(), now);
+    /// theirs.merge(ours.export_own(now), now);
+    /// assert_eq!((ours.export_own(now).len(), theirs.export_own(now).len()), (1, 0));
+    /// ```
+    pub fn export_own(&self, now: Instant) -> Vec<Entry> {
+        self.entries(now, |it| it.origin == Origin::Own)
+    }
+
+    fn entries(&self, now: Instant, is_exported: impl Fn(&Record) -> bool) -> Vec<Entry> {
+        let records = self.records.iter().filter(|(_, it)| is_exported(it));
+        let entries = records.map(|(fingerprint, it)| Entry {
             fingerprint: *fingerprint,
             endpoints: it.endpoints.clone(),
             state: it.state,
@@ -116,10 +152,24 @@
 
     /// Merges the records of another node. Order and repetition have no effect.
     pub fn merge(&mut self, entries: impl IntoIterator<Item = Entry>, now: Instant) {
+        self.merge_entries(entries, Origin::Others, now);
+    }
+
+    /// Merges records that an earlier process of this node exported.
+    pub fn restore(&mut self, entries: impl IntoIterator<Item = Entry>, now: Instant) {
+        self.merge_entries(entries, Origin::Own, now);
+    }
+
+    fn merge_entries(
+        &mut self,
+        entries: impl IntoIterator<Item = Entry>,
+        origin: Origin,
+        now: Instant,
+    ) {
         self.expire(now);
         for it in entries.into_iter().filter(|it| it.age < RECORD_TTL) {
             let since = now.checked_sub(it.age).unwrap_or(now);
-            let record = Record { endpoints: it.endpoints, state: it.state, since };
+            let record = Record { endpoints: it.endpoints, state: it.state, since, origin };
             self.merge_record(it.fingerprint, record);
         }
     }
@@ -137,6 +187,7 @@
                 // The earlier time: with the later one, an entry that nodes exchange back and forth
                 // would be refreshed by its transit time on each exchange and never expire.
                 since: existing.since.min(record.since),
+                origin: existing.origin.max(record.origin),
             },
         };
         while MIN_CRASHED_ENDPOINTS < merged.endpoints.len() {
