--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -14,19 +14,29 @@
     store::{Batch, Operator, Row, Table},
 };
 
+/// The maximum number of endpoints that have a line each in the log when a node first reads them.
+/// Lines of thousands of endpoints would take a small node longer than their rows.
+const MAX_FIRST_LINES: usize = 250;
+
 /// Applies rows of a table. If `is_snapshot` is set, rows that are not in the batch do not exist.
 pub fn batch(gateway: &Arc<Gateway>, table: Table, batch: Batch, is_snapshot: bool, from: &str) {
     if let Some(now) = batch.now {
         gateway.mirror.lock().set_clock(now, gateway.now());
     }
-    let changed = {
+    let rev = batch.rev;
+    let (is_first, changed) = {
         let mut mirror = gateway.mirror.lock();
-        if is_snapshot { mirror.replace(table, batch) } else { mirror.merge(table, batch) }
+        let is_first = !mirror.has_read(table);
+        let changed =
+            if is_snapshot { mirror.replace(table, batch) } else { mirror.merge(table, batch) };
+        (is_first, changed)
     };
+    let is_summarized = is_snapshot && is_first && MAX_FIRST_LINES < changed.len();
+    let detail = if is_summarized { Detail::Summary } else { Detail::Lines };
     for row in &changed {
         match table {
             Table::Operator => apply_operator_row(gateway, row, from),
-            Table::Endpoints => apply_endpoint_row(gateway, row),
+            Table::Endpoints => apply_endpoint_row(gateway, row, detail),
             Table::Fleet => fleet::apply_row(gateway, row),
         }
     }
@@ -34,6 +44,10 @@
         let n = gateway.directory.lock().len();
         gateway.metrics.endpoints.set(i64::try_from(n).unwrap_or(i64::MAX));
     }
+    if is_snapshot {
+        let (table, rows) = (table_name(table), changed.len());
+        gateway.log.write(&Event::TableRead { table, rows, rev: rev.0, from });
+    }
     // Signalled last, because the woken tasks read the state changed above. A snapshot is signalled
     // even if it changes nothing: requests may be waiting for the first read of an empty table.
     if !changed.is_empty() || is_snapshot {
@@ -84,7 +98,16 @@
     }
 }
 
-fn apply_endpoint_row(gateway: &Arc<Gateway>, row: &Row) {
+/// How much the log states about changed endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Detail {
+    /// A line for each.
+    Lines,
+    /// Nothing about each.
+    Summary,
+}
+
+fn apply_endpoint_row(gateway: &Arc<Gateway>, row: &Row, detail: Detail) {
     let id = endpoint::Id::new(&*row.key);
     let now = gateway.now();
     let Some(value) = &row.value else {
@@ -95,7 +118,9 @@
     match gateway.decoder.endpoint(&id, value) {
         Ok(entry) => {
             let state = if entry.state == State::Ready { "ready" } else { "leaving" };
-            log_endpoint(gateway, &id, Some(&entry), state, row);
+            if detail == Detail::Lines {
+                log_endpoint(gateway, &id, Some(&entry), state, row);
+            }
             gateway.directory.lock().upsert(entry, now);
         }
         Err(e) => {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -48,6 +48,8 @@
     RowRejected { table: &'a str, why: &'a str },
     /// The store, or a parent that relays its rows, failed or is available again.
     Dependency { name: &'a str, state: &'a str, why: &'a str },
+    /// All rows of a table were read; `rows` of them were new to this node.
+    TableRead { table: &'a str, rows: usize, rev: u64, from: &'a str },
     /// An endpoint's entry was added, changed or removed.
     Endpoint {
         endpoint: &'a str,
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -18,6 +18,10 @@
 /// The key of a row in the fleet table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Key<'a> {
+    /// The tree of relays, which the root stores. The key precedes all others, so that a starting
+    /// node finds it in the first rows of the table. Builds that do not know this kind of row
+    /// ignore it.
+    Tree,
     /// The addresses of a node.
     Node(&'a str),
     /// The current step of a service's rollout.
@@ -43,6 +47,7 @@
     pub fn parse(key: &'a str) -> Option<Self> {
         let (kind, rest) = key.split_once('/')?;
         match kind {
+            "0" if rest == "tree" => Some(Self::Tree),
             "node" => Some(Self::Node(rest)),
             "step" => Some(Self::Step(rest)),
             "poison" => Some(Self::Poison(rest)),
@@ -58,6 +63,7 @@
 impl std::fmt::Display for Key<'_> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
+            Self::Tree => f.write_str("0/tree"),
             Self::Node(node) => write!(f, "node/{node}"),
             Self::Step(service) => write!(f, "step/{service}"),
             Self::Evidence(service, node) => write!(f, "evidence/{service}/{node}"),
@@ -99,6 +105,7 @@
         if let Key::Node(name) = key {
             gateway.peers.lock().remove(name);
             gateway.load_owners.lock().set_node(name, None);
+            gateway.topology.lock().invalidate();
         }
         return;
     };
@@ -115,10 +122,12 @@
     rev: Rev,
 ) -> Result<(), serde_json::Error> {
     match key {
+        Key::Tree => gateway.topology.lock().receive(serde_json::from_slice(value)?),
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
             gateway.load_owners.lock().set_node(name, node.reports);
             gateway.peers.lock().insert((*name).to_owned(), node);
+            gateway.topology.lock().invalidate();
         }
         Key::Step(service) => {
             let step: Step = serde_json::from_slice(value)?;
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -3,17 +3,23 @@
 
 pub mod charges;
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_io::Timer;
+use curranthook_policy::hash;
 
 use self::charges::Charges;
 use crate::{
     Gateway,
     event::Event,
     fleet::{self, Key, Node, Observation, log_rollout},
+    replication::joins::{self, Join},
     rollouts::Rollout,
-    settings::Settings,
     steps::{self, Evidence, Phase, Step},
     store::{Commit, Committed, Error, Progress, Report, Rev, Table},
 };
@@ -40,10 +46,13 @@
 /// receive enough of these; evidence with bad answers is written by all nodes.
 const MAX_GOOD_EVIDENCE_WRITERS: u32 = 6;
 /// How long a starting node waits for the fleet rows, which may already contain its addresses.
-const MEMBERS_TIMEOUT: Duration = Duration::from_millis(500);
+const MEMBERS_TIMEOUT: Duration = Duration::from_secs(5);
 /// The span over which the nodes of a fleet that starts for the first time spread the writes of
-/// their addresses. The store rejects more than a few hundred writes per second.
-const ANNOUNCE_SPREAD: Duration = Duration::from_millis(900);
+/// their addresses.
+const ANNOUNCE_SPREAD: Duration = Duration::from_millis(700);
+/// The minimum interval between two writes of the tree of relays, which changes with every node that
+/// joins.
+const TREE_INTERVAL: Duration = Duration::from_secs(2);
 /// The delay before a failed write of the node's own addresses is retried.
 const ANNOUNCE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -54,10 +63,12 @@
         due_since: HashMap::new(),
         written_evidence: HashMap::new(),
         charges: Charges::default(),
+        tree_written_at: None,
     };
     writer.announce().await;
     loop {
         Timer::after(POLL_INTERVAL).await;
+        writer.update_tree().await;
         writer.update_rollouts().await;
         writer.write_poison().await;
     }
@@ -70,35 +81,101 @@
     /// The evidence last written for each service, and when.
     written_evidence: HashMap<String, (Evidence, Duration)>,
     charges: Charges,
+    /// When the tree of relays was last written.
+    tree_written_at: Option<Instant>,
 }
 
 impl Writer {
+    /// Writes this node's addresses, unless an earlier process of it has written the same ones.
     async fn announce(&self) {
-        let Some(peers) = self.gateway.settings.peers else { return };
-        let value = {
-            let Settings { reports, capacity, domain, .. } = self.gateway.settings.clone();
-            encode(&Node { peers, reports, domain: Some(domain), capacity })
+        let settings = &self.gateway.settings;
+        let Some(peers) = settings.peers else { return };
+        let node = Node {
+            peers,
+            reports: settings.reports,
+            domain: Some(settings.domain.clone()),
+            capacity: settings.capacity,
         };
-        let name = self.gateway.settings.node.clone();
-        let key = Key::Node(&name).to_string();
-        if self.gateway.settings.is_first_start {
+        let join = Join { name: settings.node.clone(), node };
+        if settings.is_first_start {
             Timer::after(ANNOUNCE_SPREAD.mul_f64(rand::random())).await;
         } else {
             self.gateway.wait_for_members(MEMBERS_TIMEOUT).await;
         }
+        let (key, value) = (Key::Node(&join.name).to_string(), encode(&join.node));
         loop {
-            // No write is needed if an earlier process of this node wrote the same row.
             let known = self.gateway.mirror.lock().row(Table::Fleet, &key);
             if known.is_some_and(|it| it.value.as_deref() == Some(&value[..])) {
                 return;
             }
-            if self.write(&key, None, &value, None).await.is_ok() {
+            if self.join(&join).await || self.write(&key, None, &value, None).await.is_ok() {
                 return;
             }
             Timer::after(ANNOUNCE_RETRY_DELAY).await;
         }
     }
 
+    /// Hands this node's addresses to a node that writes those of many. Returns whether they were
+    /// written.
+    async fn join(&self, join: &Join) -> bool {
+        let gateway = &self.gateway;
+        if gateway.settings.is_first_start && joins::is_writer(gateway) {
+            return joins::join_self(gateway, join.clone()).await.is_ok();
+        }
+        for addr in self.writers(join) {
+            match joins::join(gateway, addr, join).await {
+                Ok(tree) => {
+                    tree.into_iter().for_each(|it| gateway.receive_tree(it));
+                    return true;
+                }
+                Err(e) => {
+                    let (name, state, why) = (&addr.to_string(), "join_failed", &e.to_string());
+                    gateway.log.write(&Event::Dependency { name, state, why });
+                }
+            }
+        }
+        false
+    }
+
+    /// The nodes that may write the addresses of this one: its parents, or at the first start of the
+    /// fleet, when nobody knows the tree, those in the settings.
+    fn writers(&self, join: &Join) -> Vec<SocketAddr> {
+        let settings = &self.gateway.settings;
+        if !settings.is_first_start {
+            let Some(tree) = self.gateway.tree() else { return Vec::new() };
+            let parents = tree.parents(&settings.node, Some(&settings.domain));
+            return parents.into_iter().map(|it| it.addr).collect();
+        }
+        let mut writers = settings.seeds.clone();
+        // The nodes spread over the writers.
+        let n_writers = writers.len().max(1);
+        writers.rotate_left(hash::bytes(join.name.as_bytes()) as usize % n_writers);
+        writers
+    }
+
+    /// Stores the tree of relays if this node is its root, for nodes that start.
+    async fn update_tree(&mut self) {
+        let gateway = Arc::clone(&self.gateway);
+        let Some(tree) = gateway.tree().filter(|it| it.is_root(&gateway.settings.node)) else {
+            return;
+        };
+        let key = Key::Tree.to_string();
+        let (has_read, stored) = {
+            let mirror = gateway.mirror.lock();
+            (mirror.has_read(Table::Fleet), mirror.row(Table::Fleet, &key))
+        };
+        let (value, now) = (encode(&*tree), gateway.now());
+        let is_stored = stored.as_ref().and_then(|it| it.value.as_deref()) == Some(&value[..]);
+        let is_recent = |at| now.saturating_duration_since(at) < TREE_INTERVAL;
+        if !has_read || is_stored || self.tree_written_at.is_some_and(is_recent) {
+            return;
+        }
+        self.tree_written_at = Some(now);
+        let expected = stored.map_or(Rev(0), |it| it.rev);
+        // A failed write was logged, and is repeated after the interval.
+        let _failed = self.write(&key, Some(expected), &value, None).await;
+    }
+
     async fn update_rollouts(&mut self) {
         let now = self.gateway.store_time();
         let Some(now) = now else { return };
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -27,7 +27,14 @@
         snapshot_rows::Decided, table::LoadTable,
     },
     metrics::Metrics,
-    replication::{mirror::Mirror, outage::Outage},
+    replication::{
+        joins,
+        mirror::Mirror,
+        outage::Outage,
+        relays::{self, Tree},
+        sections::Sections,
+        topology::Topology,
+    },
     retry_budget::Budget,
     retry_schedule::Reservations,
     rollouts::Rollouts,
@@ -117,6 +124,12 @@
     pub rollouts: Mutex<Rollouts>,
     /// A copy of the store's rows.
     pub mirror: Mutex<Mirror>,
+    /// Rows that were encoded for other nodes.
+    pub sections: Mutex<Sections>,
+    /// What is known of the tree of relays.
+    pub topology: Mutex<Topology>,
+    /// Rows of other nodes that this node writes.
+    pub joins: joins::Queue,
     /// Tracks whether a store outage affects all nodes or only this one.
     pub outage: Mutex<Outage>,
     /// Work that other nodes have pending at endpoints.
@@ -193,6 +206,9 @@
             observations: Mutex::default(),
             utilization: Mutex::default(),
             mirror: Mutex::default(),
+            sections: Mutex::default(),
+            topology: Mutex::default(),
+            joins: joins::Queue::default(),
             outage: Mutex::default(),
             load_table: Mutex::default(),
             in_flight_table: Mutex::default(),
@@ -229,18 +245,50 @@
         read(self.configuration.load().as_ref()?.document.services.get(name)?)
     }
 
+    /// The tree of relays; none if it is not known yet.
+    pub fn tree(&self) -> Option<Arc<Tree>> {
+        let mut topology = self.topology.lock();
+        if topology.is_outdated() && self.mirror.lock().has_read(Table::Fleet) {
+            let peers = self.peers.lock();
+            let nodes = peers.iter().map(|(name, it)| relays::Node {
+                name,
+                addr: it.peers,
+                capacity: it.capacity,
+                domain: it.domain.as_ref(),
+            });
+            topology.set_derived(Tree::new(&nodes.collect::<Vec<_>>()));
+        }
+        topology.tree()
+    }
+
+    /// Uses a tree that another node derived, until this node has read the rows of all nodes.
+    pub fn receive_tree(&self, tree: Tree) {
+        self.topology.lock().receive(tree);
+        self.rows_changed.wake();
+    }
+
     /// Waits until the fleet table has been read, but at most for `limit`.
     pub async fn wait_for_members(&self, limit: Duration) {
-        let members_read = async {
-            loop {
-                let changed = self.rows_changed.wait();
-                if self.mirror.lock().has_read(Table::Fleet) {
-                    return;
-                }
-                changed.await;
+        let are_known = || self.mirror.lock().has_read(Table::Fleet);
+        // The caller goes on without the rows after the limit.
+        let _elapsed = timeout::run(limit, self.wait_until(are_known)).await;
+    }
+
+    /// Waits until the tree of relays is known, but at most for `limit`.
+    pub async fn wait_for_topology(&self, limit: Duration) {
+        // The caller goes on without the tree after the limit.
+        let _elapsed = timeout::run(limit, self.wait_until(|| self.tree().is_some())).await;
+    }
+
+    /// Waits until rows were applied that make `condition` true.
+    pub async fn wait_until(&self, condition: impl Fn() -> bool) {
+        loop {
+            let changed = self.rows_changed.wait();
+            if condition() {
+                return;
             }
-        };
-        let _elapsed = timeout::run(limit, members_read).await;
+            changed.await;
+        }
     }
 
     /// Whether the node accepts new callers.
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -49,6 +49,7 @@
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
+    sections: Family<Label, Counter>,
     queries: Family<Label, Counter>,
     plain_queries: Family<Label, Counter>,
     slowdown_figures: Family<Label, Counter>,
@@ -79,6 +80,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             store_calls: Family::default(),
+            sections: Family::default(),
             queries: Family::default(),
             plain_queries: Family::default(),
             slowdown_figures: Family::default(),
@@ -113,6 +115,8 @@
         );
         registry.register("retries", "Further attempts, by reason", self.retries.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        let help = "Replies with rows to other nodes, by whether they had to be encoded";
+        registry.register("row_replies", help, self.sections.clone());
         let help = "Questions about work waiting at endpoints, by result";
         registry.register("questions", help, self.queries.clone());
         let help = "Questions about requests at endpoints of services without models, by result";
@@ -194,6 +198,11 @@
         self.store_calls.get_or_create(&StoreLabels { table, result }).inc();
     }
 
+    /// Counts a reply with rows to another node.
+    pub fn record_section(&self, result: &'static str) {
+        self.sections.get_or_create(&Label { name: result }).inc();
+    }
+
     /// Counts a query to a load owner as answered in time or not.
     pub fn record_query(&self, result: &'static str) {
         self.queries.get_or_create(&Label { name: result }).inc();
--- a/crates/curranthook_gateway/src/replication.rs
+++ b/crates/curranthook_gateway/src/replication.rs
@@ -2,13 +2,19 @@
 //!
 //! - [`mirror`] is the node's copy of the rows, and [`index`] how it finds those that changed;
 //! - [`watch`] keeps the copy up to date: from the store, or from a parent in the tree of
-//!   [`relays`];
-//! - [`peers`] answers the queries of other nodes, which are children or cannot reach the store;
+//!   [`relays`], of which the node knows what [`topology`] contains;
+//! - [`peers`] answers the queries of other nodes, which are children or cannot reach the store, in
+//!   the form of [`codec`]; [`sections`] are encoded once for all of them;
+//! - [`joins`] writes the rows of nodes that are new;
 //! - [`outage`] detects whether the store is unavailable to all nodes.
 
+pub mod codec;
 pub mod index;
+pub mod joins;
 pub mod mirror;
 pub mod outage;
 pub mod peers;
 pub mod relays;
+pub mod sections;
+pub mod topology;
 pub mod watch;
--- a/crates/curranthook_gateway/src/replication/mirror.rs
+++ b/crates/curranthook_gateway/src/replication/mirror.rs
@@ -113,6 +113,14 @@
         changed
     }
 
+    /// Records that the last read of the whole table contained all changes after `since`, including
+    /// removed rows.
+    pub fn extend_history(&mut self, table: Table, since: Rev) {
+        if let Some(from) = self.tables.get_mut(&table).and_then(|it| it.complete_since.as_mut()) {
+            *from = since.min(*from);
+        }
+    }
+
     /// Records that the store answered at `at`, to this node or to a peer that reported it.
     pub fn record_answer(&mut self, at: Instant) {
         self.last_answer = self.last_answer.max(Some(at));
@@ -156,6 +164,19 @@
         Ok(Batch { rows, rev: table_rows.rev, now: None })
     }
 
+    /// The number of rows of a table that changed after `since`, or `max` if there are more; none if
+    /// the mirror's history begins after `since`.
+    pub fn n_changes(&self, table: Table, since: Rev, max: usize) -> Option<usize> {
+        let table_rows = self.tables.get(&table)?;
+        table_rows.complete_since.filter(|from| *from <= since)?;
+        Some(table_rows.index.changed_since(since).take(max).count())
+    }
+
+    /// The number of rows of a table, including removed ones.
+    pub fn n_rows(&self, table: Table) -> usize {
+        self.tables.get(&table).map_or(0, |it| it.index.len())
+    }
+
     /// Records a reading of the store's clock.
     pub fn set_clock(&mut self, store_time: Duration, now: Instant) {
         self.clock = Some((store_time, now));
--- a/crates/curranthook_gateway/src/replication/peers.rs
+++ b/crates/curranthook_gateway/src/replication/peers.rs
@@ -1,35 +1,49 @@
 //! Queries between nodes for rows of the store. In a large fleet, nodes query their parents. In any
 //! fleet, a node queries its peers while it gets no answer from the store.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, task::Poll, time::Duration};
 
 use async_io::Timer;
-use curranthook_http::{Body, Exchange, body, server::Handler, timeout};
+use bytes::Bytes;
+use curranthook_http::{Body, Exchange, body, client::Freshness, server::Handler, timeout};
 use futures_lite::future::{self, Boxed};
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use super::{
+    codec::{self, Header, Section},
+    joins,
+    mirror::ChangesError,
+    relays::Tree,
+};
 use crate::{
     Gateway, apply,
     store::{Batch, Error, Rev, Table},
 };
 
-use super::mirror::ChangesError;
-
 /// The path at which a node answers queries for rows.
 const PATH: &str = "/rows";
+/// The path at which a node returns the tree of relays.
+const TREE_PATH: &str = "/tree";
+/// The maximum size of a query, in bytes.
+const MAX_QUERY_BYTES: usize = 4_096;
 /// The number of random peers that are queried in one poll while the store is unavailable.
 const PEERS_PER_POLL: usize = 2;
 /// The timeout for a peer's reply, in addition to the wait in the query.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The timeout for opening a connection to a peer: many round trips between failure domains. Packets
+/// to a VM that is starting are lost, and the next one is sent after this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+/// The interval between the beginnings of attempts to connect to one of several peers.
+const CONNECT_STAGGER: Duration = Duration::from_millis(30);
+/// How long a connection to a peer may have been idle to be used again.
+const MAX_IDLE: Duration = Duration::from_secs(5);
+/// How long a reply may make no progress. The whole of it takes as long as its bytes need on the
+/// slowest link.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A query for rows.
 #[serde_as]
@@ -45,9 +59,24 @@
     /// none. Only children set this.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     max_age: Option<Duration>,
+    /// The highest version of the compact form that the sender reads; none if only JSON.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    compact: Option<u8>,
+}
+
+impl Query {
+    /// A query for changes after `since`, or for all rows.
+    fn new(table: Table, since: Option<Rev>) -> Self {
+        let compact = Some(codec::VERSION);
+        Self { table, since, wait: Duration::ZERO, max_age: None, compact }
+    }
+
+    fn is_compact(&self) -> bool {
+        self.compact.is_some_and(|it| codec::VERSION <= it)
+    }
 }
 
-/// A peer's reply.
+/// A peer's reply in JSON, the only form that earlier builds read.
 #[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Reply {
@@ -70,33 +99,41 @@
 impl Handler for Server {
     fn handle(self: Arc<Self>, req: Request<Incoming>) -> Boxed<Response<Body>> {
         Box::pin(async move {
-            /// The maximum size of a query, in bytes.
-            const MAX_QUERY_BYTES: usize = 4_096;
-            if req.uri().path() != PATH {
-                return body::json(404, &serde_json::json!({ "error": "no such path" }));
-            }
-            let query = match body::read(req.into_body(), MAX_QUERY_BYTES).await {
-                Ok(bytes) => serde_json::from_slice::<Query>(&bytes),
-                Err(e) => return body::json(400, &serde_json::json!({ "error": e.to_string() })),
-            };
-            let query = match query {
-                Ok(query) => query,
+            let path = req.uri().path().to_owned();
+            let bytes = match body::read(req.into_body(), MAX_QUERY_BYTES).await {
+                Ok(bytes) => bytes,
                 Err(e) => return body::json(400, &serde_json::json!({ "error": e.to_string() })),
             };
-            match self.answer(&query).await {
-                Ok(reply) => body::json(200, &reply),
-                Err(ChangesError::HistoryMissing) => body::json(410, &serde_json::json!({})),
-                Err(ChangesError::Stale) => body::json(503, &serde_json::json!({})),
+            match path.as_str() {
+                PATH => self.answer_query(&bytes).await,
+                TREE_PATH => match self.gateway.tree() {
+                    Some(tree) => body::json(200, &*tree),
+                    None => body::json(503, &serde_json::json!({})),
+                },
+                joins::PATH => joins::answer(&self.gateway, &bytes).await,
+                _ => body::json(404, &serde_json::json!({ "error": "no such path" })),
             }
         })
     }
 }
 
 impl Server {
+    async fn answer_query(&self, bytes: &[u8]) -> Response<Body> {
+        let query = match serde_json::from_slice::<Query>(bytes) {
+            Ok(query) => query,
+            Err(e) => return body::json(400, &serde_json::json!({ "error": e.to_string() })),
+        };
+        match self.answer(&query).await {
+            Ok(response) => response,
+            Err(ChangesError::HistoryMissing) => body::json(410, &serde_json::json!({})),
+            Err(ChangesError::Stale) => body::json(503, &serde_json::json!({})),
+        }
+    }
+
     /// Waits until there are changes to return, the wait is over, or this node's own rows are older
     /// than the query's `max_age`. In the last case, the sender queries another node. Otherwise, a
     /// relay that lost its connections would delay changes for its children.
-    async fn answer(&self, query: &Query) -> Result<Reply, ChangesError> {
+    async fn answer(&self, query: &Query) -> Result<Response<Body>, ChangesError> {
         let end = self.gateway.now() + query.wait;
         loop {
             let changed = self.gateway.rows_changed.wait();
@@ -105,14 +142,12 @@
                 let _elapsed = timeout::run(end - now, changed).await;
                 continue;
             }
-            let reply = self.reply(query)?;
-            let has_changes =
-                query.since.is_none_or(|since| reply.batch.rows.iter().any(|it| since < it.rev));
-            if has_changes || end <= now {
-                return Ok(reply);
+            let age = self.age(query)?;
+            if self.has_changes(query)? || end <= now {
+                return self.reply(query);
             }
-            let age = reply.age.unwrap_or_default();
-            let fresh_for = query.max_age.map_or(query.wait, |it| it.saturating_sub(age));
+            let fresh_for =
+                query.max_age.map_or(query.wait, |it| it.saturating_sub(age.unwrap_or_default()));
             let pause = fresh_for.min(end - now) + Duration::from_millis(1);
             future::or(changed, async {
                 Timer::after(pause).await;
@@ -128,18 +163,79 @@
         is_child && query.since.is_none() && !self.gateway.mirror.lock().has_read(query.table)
     }
 
-    fn reply(&self, query: &Query) -> Result<Reply, ChangesError> {
-        let (table, now) = (query.table, self.gateway.now());
+    /// The age of this node's rows, unless they are too old for the query.
+    fn age(&self, query: &Query) -> Result<Option<Duration>, ChangesError> {
+        let now = self.gateway.now();
         let mirror = self.gateway.mirror.lock();
-        let age = mirror.age(now);
-        if query.max_age.is_some_and(|max| !mirror.is_fresh(table, max, now)) {
-            return Err(ChangesError::Stale);
+        let is_stale = |max| !mirror.is_fresh(query.table, max, now);
+        if query.max_age.is_some_and(is_stale) {
+            Err(ChangesError::Stale)
+        } else {
+            Ok(mirror.age(now))
         }
-        let batch = match query.since {
-            Some(since) => mirror.changes(table, since)?,
-            None => mirror.batch(table),
+    }
+
+    fn has_changes(&self, query: &Query) -> Result<bool, ChangesError> {
+        let Some(since) = query.since else { return Ok(true) };
+        let n_changes = self.gateway.mirror.lock().n_changes(query.table, since, 1);
+        n_changes.map(|it| 0 < it).ok_or(ChangesError::HistoryMissing)
+    }
+
+    fn reply(&self, query: &Query) -> Result<Response<Body>, ChangesError> {
+        let (table, gateway) = (query.table, &self.gateway);
+        let now = gateway.now();
+        let mirror = gateway.mirror.lock();
+        let (age, store_time, rev) = (mirror.age(now), mirror.store_time(now), mirror.rev(table));
+        if !query.is_compact() {
+            let batch = match query.since {
+                Some(since) => mirror.changes(table, since)?,
+                None => mirror.batch(table),
+            };
+            return Ok(body::json(200, &Reply { batch, age, now: store_time }));
+        }
+        let mut sections = gateway.sections.lock();
+        let n_encoded = sections.n_encoded();
+        let parts = match query.since {
+            Some(since) => vec![sections.changes(&mirror, table, since)?],
+            None => sections.whole(&mirror, table),
         };
-        Ok(Reply { batch, age, now: mirror.store_time(now) })
+        let is_encoded = n_encoded < sections.n_encoded();
+        gateway.metrics.record_section(if is_encoded { "encoded" } else { "shared" });
+        let header = Header { rev, age, now: store_time };
+        let parts = parts.into_iter().map(|it| it.bytes);
+        let body = body::chunks(std::iter::once(header.encode()).chain(parts));
+        let mut response = Response::new(body);
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(codec::CONTENT_TYPE));
+        Ok(response)
+    }
+}
+
+/// Rows received from another node.
+#[derive(Debug)]
+pub struct Received {
+    /// The rows.
+    pub batch: Batch,
+    /// All rows of the table as encoded by the node that read them from the store; none if the
+    /// reply contains only changes, or is not compact.
+    whole: Option<Section>,
+}
+
+impl Received {
+    /// Applies the rows. If `is_snapshot` is set, these are all rows of the table, and their encoded
+    /// form is kept for this node's own children.
+    pub fn apply(self, gateway: &Arc<Gateway>, table: Table, is_snapshot: bool, from: &str) {
+        apply::batch(gateway, table, self.batch, is_snapshot, from);
+        let Some(whole) = self.whole else { return };
+        if gateway.tree().is_some_and(|it| it.has_member(&gateway.settings.node)) {
+            gateway.mirror.lock().extend_history(table, whole.rev);
+            gateway.sections.lock().keep_whole(table, whole);
+        }
+    }
+}
+
+impl From<Batch> for Received {
+    fn from(batch: Batch) -> Self {
+        Self { batch, whole: None }
     }
 }
 
@@ -151,10 +247,11 @@
     since: Rev,
     wait: Duration,
     max_age: Duration,
-) -> Result<Batch, Error> {
-    let query = Query { table, since: Some(since), wait, max_age: Some(max_age) };
-    let batch = query_parent(gateway, parent, &query).await?;
-    Ok(Batch { rev: batch.rev.max(since), ..batch })
+) -> Result<Received, Error> {
+    let query = Query { wait, max_age: Some(max_age), ..Query::new(table, Some(since)) };
+    let mut received = query_parent(gateway, parent, &query).await?;
+    received.batch.rev = received.batch.rev.max(since);
+    Ok(received)
 }
 
 /// Reads all rows of a table from a parent, which may take up to `wait` to read them itself.
@@ -164,12 +261,12 @@
     table: Table,
     wait: Duration,
     max_age: Duration,
-) -> Result<Batch, Error> {
-    let query = Query { table, since: None, wait, max_age: Some(max_age) };
-    let batch = query_parent(gateway, parent, &query).await?;
-    match batch.rev {
+) -> Result<Received, Error> {
+    let query = Query { wait, max_age: Some(max_age), ..Query::new(table, None) };
+    let received = query_parent(gateway, parent, &query).await?;
+    match received.batch.rev {
         Rev(0) => Err(Error::Down(format!("peer {parent} has not read the table yet"))),
-        _ => Ok(batch),
+        _ => Ok(received),
     }
 }
 
@@ -177,24 +274,68 @@
     gateway: &Gateway,
     parent: SocketAddr,
     query: &Query,
-) -> Result<Batch, Error> {
-    let reply = fetch(gateway, parent, query).await?;
-    if let Some(at) = reply.age.and_then(|age| gateway.now().checked_sub(age)) {
+) -> Result<Received, Error> {
+    let (received, age) = fetch(gateway, parent, query).await?;
+    if let Some(at) = age.and_then(|age| gateway.now().checked_sub(age)) {
         gateway.mirror.lock().record_answer(at);
     }
-    Ok(Batch { now: reply.now, ..reply.batch })
+    Ok(received)
+}
+
+/// The index of the node in `addrs` to which a connection could be opened first. Attempts begin at
+/// short intervals, in the order of preference. None if no connection can be opened.
+pub async fn first_reachable(gateway: &Gateway, addrs: &[SocketAddr]) -> Option<usize> {
+    let attempt = |(index, addr): (usize, &SocketAddr)| {
+        let (addr, delay) = (*addr, CONNECT_STAGGER * index as u32);
+        async move {
+            Timer::after(delay).await;
+            let conn =
+                gateway.pool.take_within(addr, Freshness::Within(MAX_IDLE), CONNECT_TIMEOUT).await;
+            // The query that follows uses the connection.
+            conn.map(|it| gateway.pool.put(it)).ok().map(|()| index)
+        }
+    };
+    let mut attempts: Vec<_> = addrs.iter().enumerate().map(attempt).map(Box::pin).collect();
+    future::poll_fn(|cx| {
+        let mut reached = None;
+        attempts.retain_mut(|it| match it.as_mut().poll(cx) {
+            Poll::Ready(result) => {
+                reached = reached.or(result);
+                false
+            }
+            Poll::Pending => true,
+        });
+        match reached {
+            None if !attempts.is_empty() => Poll::Pending,
+            result => Poll::Ready(result),
+        }
+    })
+    .await
+}
+
+/// Asks the nodes in the settings for the tree, while the store cannot be reached.
+pub async fn query_tree(gateway: &Gateway) -> Option<Tree> {
+    for addr in &gateway.settings.seeds {
+        if Some(*addr) == gateway.settings.peers {
+            continue;
+        }
+        let call = Exchange::get(*addr, TREE_PATH).with_timeout(PEER_TIMEOUT);
+        let call = call.with_connect_timeout(CONNECT_TIMEOUT);
+        let tree =
+            call.run(&gateway.pool).await.map_err(|e| e.to_string()).and_then(|res| {
+                serde_json::from_slice::<Tree>(res.body()).map_err(|e| e.to_string())
+            });
+        match tree {
+            Ok(tree) => return Some(tree),
+            Err(e) => log::debug!("peer {addr} returns no tree: {e}"),
+        }
+    }
+    None
 }
 
 /// Applies the rows of some random peers, after a call to the store failed.
 pub async fn poll_peers(gateway: &Arc<Gateway>) {
-    let own = gateway.settings.peers;
-    let addrs: Vec<SocketAddr> = {
-        let known: HashMap<_, _> = gateway.peers.lock().clone();
-        let seeds = gateway.settings.seeds.iter().copied();
-        let all: BTreeSet<_> = known.into_values().map(|it| it.peers).chain(seeds).collect();
-        all.into_iter().filter(|it| Some(*it) != own).sample(&mut rand::rng(), PEERS_PER_POLL)
-    };
-    for addr in addrs {
+    for addr in random_peers(gateway) {
         for table in Table::ALL {
             if let Err(e) = poll_peer(gateway, addr, table).await {
                 log::debug!("peer {addr}: {e}");
@@ -204,38 +345,75 @@
     }
 }
 
+/// Some random nodes, or parents if no other nodes are known yet.
+fn random_peers(gateway: &Gateway) -> Vec<SocketAddr> {
+    let own = gateway.settings.peers;
+    let mut known: BTreeSet<_> = gateway.peers.lock().values().map(|it| it.peers).collect();
+    if known.is_empty()
+        && let Some(tree) = gateway.tree()
+    {
+        let parents = tree.parents(&gateway.settings.node, Some(&gateway.settings.domain));
+        known.extend(parents.into_iter().map(|it| it.addr));
+    }
+    known.extend(&gateway.settings.seeds);
+    known.into_iter().filter(|it| Some(*it) != own).sample(&mut rand::rng(), PEERS_PER_POLL)
+}
+
 async fn poll_peer(gateway: &Arc<Gateway>, addr: SocketAddr, table: Table) -> Result<(), Error> {
     let known = gateway.mirror.lock().rev(table);
     let since = Some(known).filter(|it| *it != Rev(0));
-    let query = Query { table, since, wait: Duration::ZERO, max_age: None };
-    let (reply, is_snapshot) = match fetch(gateway, addr, &query).await {
+    let query = Query::new(table, since);
+    let ((received, age), is_snapshot) = match fetch(gateway, addr, &query).await {
         Err(Error::Compacted) => {
             (fetch(gateway, addr, &Query { since: None, ..query }).await?, true)
         }
         other => (other?, since.is_none()),
     };
-    let answered = reply.age.and_then(|age| gateway.now().checked_sub(age));
+    let answered = age.and_then(|age| gateway.now().checked_sub(age));
     if let Some(at) = answered {
         gateway.outage.lock().record_peer_answer(at);
     }
     // Rows from a peer that is behind must not replace newer ones.
-    if known < reply.batch.rev {
-        let batch = Batch { now: reply.now, ..reply.batch };
-        apply::batch(gateway, table, batch, is_snapshot, "peer");
+    if known < received.batch.rev {
+        apply::batch(gateway, table, received.batch, is_snapshot, "peer");
     }
     Ok(())
 }
 
-async fn fetch(gateway: &Gateway, addr: SocketAddr, query: &Query) -> Result<Reply, Error> {
+/// Queries a node. Returns the rows, and their age.
+async fn fetch(
+    gateway: &Gateway,
+    addr: SocketAddr,
+    query: &Query,
+) -> Result<(Received, Option<Duration>), Error> {
     let call = Exchange::post(addr, PATH).with_json(query);
-    let call = call.with_timeout(query.wait + PEER_TIMEOUT);
+    let call = call
+        .with_timeout(query.wait + PEER_TIMEOUT)
+        .with_stall_timeout(STALL_TIMEOUT)
+        .with_connect_timeout(CONNECT_TIMEOUT);
     let res = call.run(&gateway.pool).await.map_err(|e| Error::Down(e.to_string()))?;
     match res.status() {
-        StatusCode::OK => {
-            serde_json::from_slice(res.body()).map_err(|e| Error::Garbled(e.to_string()))
-        }
+        StatusCode::OK => decode(&res, query),
         StatusCode::GONE => Err(Error::Compacted),
         StatusCode::SERVICE_UNAVAILABLE => Err(Error::Stale(addr)),
         other => Err(Error::Down(format!("peer {addr}: {other}"))),
     }
 }
+
+fn decode(res: &Response<Bytes>, query: &Query) -> Result<(Received, Option<Duration>), Error> {
+    let is_compact = res.headers().get(CONTENT_TYPE).is_some_and(|it| it == codec::CONTENT_TYPE);
+    if !is_compact {
+        let reply: Reply =
+            serde_json::from_slice(res.body()).map_err(|e| Error::Garbled(e.to_string()))?;
+        let batch = Batch { now: reply.now, ..reply.batch };
+        return Ok((Received { batch, whole: None }, reply.age));
+    }
+    let garbled = |e: codec::Error| Error::Garbled(e.to_string());
+    let (header, rows) = codec::decode(res.body()).map_err(garbled)?;
+    let whole = match query.since {
+        Some(_) => None,
+        None => Some(Section::first(res.body()).map_err(garbled)?),
+    };
+    let batch = Batch { rows, rev: header.rev, now: header.now };
+    Ok((Received { batch, whole }, header.age))
+}
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -14,15 +14,22 @@
 use rand::RngExt;
 
 use crate::{
-    Gateway, apply,
+    Gateway,
     event::Event,
+    fleet,
     store::{Batch, Error, Rev, Table},
 };
 
-use super::{peers, relays};
+use super::{
+    joins,
+    peers::{self, Received},
+    relays,
+};
 
 pub use self::parents::Shared;
-use self::parents::{Parent, Role, are_relays_stale, role_and_parents, role_changed};
+use self::parents::{
+    Parent, Role, n_siblings, n_siblings_of_stale, role_and_parents, role_changed,
+};
 
 /// How long a long poll of the operators' rows waits for a change in a fleet without relays. The
 /// call also detects that the store is unavailable, so the wait is short. A lost answer delays a
@@ -41,12 +48,22 @@
 /// then, each has written its address ([`crate::fleet_writer`]), and most find a parent instead of
 /// reading the store.
 const FIRST_START_PAUSE: Duration = Duration::from_secs(1);
-/// How long a starting node waits for the rows of the other nodes, from which it determines its
-/// parents.
-const MEMBERS_TIMEOUT: Duration = Duration::from_millis(100);
-/// The timeout for a parent's reply with all rows of a table to a starting node, which otherwise
-/// reads them from the store.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a node that starts with the whole fleet waits after that for the tree, which it receives
+/// from the node that writes its address.
+const FIRST_TREE_WAIT: Duration = Duration::from_secs(3);
+/// How long a starting node waits for the tree, from which it determines its parents, before it reads
+/// the configuration from the store.
+const TREE_WAIT: Duration = Duration::from_millis(100);
+/// How long a parent may take to begin a reply with all rows of a table. A parent that starts at the
+/// same time reads them first.
+const SNAPSHOT_WAIT: Duration = Duration::from_secs(1);
+/// The maximum number of parents that are queried before the store is called itself.
+const MAX_PARENTS_QUERIED: usize = 2;
+/// How long after its own start a node assumes that parents which do not answer are starting, too.
+const PARENT_START_TIME: Duration = Duration::from_secs(2);
+/// The number of rows of the fleet table that a starting node reads from the store. They include the
+/// tree, and all rows of a fleet that has none.
+const FIRST_FLEET_ROWS: usize = 40;
 /// The pause after a change of endpoint or fleet rows, per node of a fleet without relays. Such
 /// rows change in quick succession: when many endpoints start, each waiting call would be answered
 /// once per endpoint. With the pause, all nodes together make at most 80 calls per second for a
@@ -74,9 +91,9 @@
 /// While its parents have failed and the store is unavailable, a node with parents calls the store
 /// in one of this many attempts.
 const STORE_CALL_PERIOD: u32 = 4;
-/// The average number of leaves that call the store in an attempt, while all relays are out of
-/// date.
-const MAX_LEAVES_AT_STORE: f64 = 8.0;
+/// The average number of siblings, leaves or relays, that call the store in an attempt while their
+/// parents are out of date.
+const MAX_SIBLINGS_AT_STORE: f64 = 8.0;
 /// The maximum pause between calls to an unavailable store.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// The maximum pause for a node without a configuration, which cannot serve any requests.
@@ -88,12 +105,7 @@
 
 /// Keeps one table up to date for the lifetime of the process.
 pub async fn run(gateway: Arc<Gateway>, table: Table, shared: Arc<Shared>) {
-    if gateway.settings.is_first_start {
-        Timer::after(FIRST_START_PAUSE).await;
-    }
-    if table != Table::Fleet {
-        gateway.wait_for_members(MEMBERS_TIMEOUT).await;
-    }
+    wait_for_start(&gateway, table).await;
     let mut watch = Watch {
         gateway,
         table,
@@ -108,6 +120,23 @@
     }
 }
 
+/// Waits until the first read of a table can be useful.
+async fn wait_for_start(gateway: &Gateway, table: Table) {
+    let is_first_start = gateway.settings.is_first_start;
+    if is_first_start {
+        Timer::after(FIRST_START_PAUSE).await;
+    }
+    let has_writer = is_first_start && !joins::is_writer(gateway);
+    match table {
+        Table::Fleet if has_writer => gateway.wait_for_topology(FIRST_TREE_WAIT).await,
+        Table::Fleet => {}
+        Table::Operator if has_writer => gateway.wait_for_topology(FIRST_TREE_WAIT).await,
+        Table::Operator => gateway.wait_for_topology(TREE_WAIT).await,
+        // The endpoints alone do not suffice to serve, and are most of all rows.
+        Table::Endpoints => gateway.wait_until(|| gateway.tree().is_some()).await,
+    }
+}
+
 struct Watch {
     gateway: Arc<Gateway>,
     table: Table,
@@ -131,7 +160,7 @@
 
 /// Rows received from the store or a parent.
 struct Update {
-    batch: Batch,
+    rows: Received,
     origin: Origin,
     /// Whether these are all rows of the table.
     is_snapshot: bool,
@@ -151,10 +180,28 @@
     /// Calls a parent or the store. None if the call was cancelled, because an outage of the store
     /// ended or the parent failed meanwhile.
     async fn call(&mut self) -> Option<Result<Update, Error>> {
-        let (role, parents) = role_and_parents(&self.gateway, &self.shared);
+        if self.table == Table::Fleet && self.gateway.tree().is_none() {
+            match self.read_first_rows().await? {
+                Ok(Some(update)) => return Some(Ok(update)),
+                Ok(None) => {}
+                Err(e) => return Some(Err(e)),
+            }
+        }
+        let (role, mut parents) = role_and_parents(&self.gateway, &self.shared);
+        if self.is_starting() {
+            let addrs: Vec<_> = parents.iter().map(|it| it.addr).collect();
+            match peers::first_reachable(&self.gateway, &addrs).await {
+                Some(index) => parents.swap(0, index),
+                None => parents.clear(),
+            }
+        }
+        parents.truncate(MAX_PARENTS_QUERIED);
         for parent in parents {
             match self.call_parent(&parent).await? {
-                Ok(update) => return Some(Ok(update)),
+                Ok(update) => {
+                    self.shared.record_answer(&parent.name);
+                    return Some(Ok(update));
+                }
                 Err(e) => self.shared.record_failure(&self.gateway, parent.name, &e),
             }
         }
@@ -167,18 +214,64 @@
             None => (true, self.read_all().await?),
             Some(since) => (false, self.read_changes(since, role).await?),
         };
-        Some(result.map(|batch| Update { batch, origin: Origin::Store, is_snapshot }))
+        Some(result.map(|batch| {
+            let rows = Received::from(batch);
+            Update { rows, origin: Origin::Store, is_snapshot }
+        }))
+    }
+
+    /// Reads the first rows of the fleet table from the store, or the tree from another node if the
+    /// store cannot be reached. Returns the rows if they are all of the table. None if an outage of
+    /// the store ended meanwhile.
+    async fn read_first_rows(&mut self) -> Option<Result<Option<Update>, Error>> {
+        let store = Arc::clone(&self.gateway.store);
+        let call = unless_store_recovered(&self.shared, store.first(self.table, FIRST_FLEET_ROWS));
+        let result = call.await?;
+        self.gateway.metrics.record_store_call(self.table, &result);
+        let page = match result {
+            Ok(page) => page,
+            Err(e) => {
+                if let Some(tree) = peers::query_tree(&self.gateway).await {
+                    self.gateway.receive_tree(tree);
+                }
+                return Some(Err(e));
+            }
+        };
+        if !page.has_more {
+            let rows = Received::from(page.batch);
+            return Some(Ok(Some(Update { rows, origin: Origin::Store, is_snapshot: true })));
+        }
+        let key = fleet::Key::Tree.to_string();
+        let tree = page.batch.rows.iter().find(|it| *it.key == *key);
+        if let Some(row) = tree {
+            fleet::apply_row(&self.gateway, row);
+            self.gateway.rows_changed.wake();
+        }
+        Some(Ok(None))
     }
 
     /// Whether a node with parents calls the store itself now. When all leaves find their relays
-    /// out of date at the same time, only some of them do. The others learn from their relays that
-    /// the store is available again.
+    /// out of date at the same time, or all relays their root, only some of them do. The others learn
+    /// from their parents that the store is available again. The same holds for a node that starts:
+    /// its parents may be starting, too.
     fn should_call_store(&self) -> bool {
-        if !self.failures.is_multiple_of(STORE_CALL_PERIOD) {
+        let is_starting = self.is_starting();
+        if !is_starting && !self.failures.is_multiple_of(STORE_CALL_PERIOD) {
             return false;
         }
-        let share = MAX_LEAVES_AT_STORE / self.gateway.n_nodes() as f64;
-        !are_relays_stale(&self.gateway, &self.shared) || rand::random::<f64>() < share
+        let n_siblings = match is_starting {
+            true => n_siblings(&self.gateway),
+            false => n_siblings_of_stale(&self.gateway, &self.shared),
+        };
+        let Some(n_siblings) = n_siblings else { return true };
+        rand::random::<f64>() < MAX_SIBLINGS_AT_STORE / n_siblings as f64
+    }
+
+    /// Whether this node has parents that may be starting together with it.
+    fn is_starting(&self) -> bool {
+        let age = self.gateway.now().saturating_duration_since(self.gateway.started);
+        let is_recent = self.known_rev.is_none() && age < PARENT_START_TIME;
+        is_recent && self.gateway.tree().is_some_and(|it| it.is_used())
     }
 
     /// Queries a parent. None if a call for another table found meanwhile that the parent has
@@ -188,14 +281,14 @@
         let (addr, max_age) = (parent.addr, parent.max_age);
         let wait =
             if table == Table::Operator { RELAYED_OPERATOR_POLL_WAIT } else { RELAYED_POLL_WAIT };
-        let update = |batch, is_snapshot| Update { batch, origin: Origin::Parent, is_snapshot };
+        let update = |rows, is_snapshot| Update { rows, origin: Origin::Parent, is_snapshot };
         let snapshot = async {
-            let call = peers::snapshot(gateway, addr, table, SNAPSHOT_TIMEOUT, max_age);
-            let batch = timeout::run(SNAPSHOT_TIMEOUT, call).await;
-            batch.unwrap_or_else(|e| Err(Error::Lost(e.to_string()))).map(|it| update(it, true))
+            let call = peers::snapshot(gateway, addr, table, SNAPSHOT_WAIT, max_age);
+            call.await.map(|it| update(it, true))
         };
-        let Some(since) = self.known_rev else { return Some(snapshot.await) };
+        let known_rev = self.known_rev;
         let call = async {
+            let Some(since) = known_rev else { return Some(snapshot.await) };
             match peers::changes(gateway, addr, table, since, wait, max_age).await {
                 // The parent's history of the table begins after `since`.
                 Err(Error::Compacted) => Some(snapshot.await),
@@ -253,7 +346,7 @@
     }
 
     async fn apply(&mut self, update: Update) {
-        let Update { batch, origin, is_snapshot } = update;
+        let Update { rows, origin, is_snapshot } = update;
         if self.is_store_lost {
             self.is_store_lost = false;
             self.gateway.log.write(&Event::Dependency {
@@ -265,14 +358,23 @@
             self.gateway.directory.lock().keep_missing_until(until);
         }
         // Signalled even after a single failure, because calls for other tables may have failed
-        // more often and be waiting.
-        if self.table == Table::Operator && 0 < self.failures {
+        // more often and be waiting. The same holds for the first read: calls for other tables were
+        // made before it, and hang if the store did not answer then.
+        let is_first_read = self.known_rev.is_none() && origin == Origin::Store;
+        if self.table == Table::Operator && (0 < self.failures || is_first_read) {
             self.shared.store_recovered.wake();
         }
         self.failures = 0;
-        self.known_rev = Some(batch.rev);
-        let is_empty = batch.rows.is_empty();
-        apply::batch(&self.gateway, self.table, batch, is_snapshot, "store");
+        let rev = rows.batch.rev;
+        if !is_snapshot && self.known_rev.is_some_and(|known| rev < known) {
+            // The known revision is of another history of the store, or was received malformed.
+            self.known_rev = None;
+            return;
+        }
+        self.known_rev = Some(rev);
+        let is_empty = rows.batch.rows.is_empty();
+        let from = if origin == Origin::Store { "store" } else { "parent" };
+        rows.apply(&self.gateway, self.table, is_snapshot, from);
         if self.table != Table::Operator && !is_empty {
             Timer::after(self.pause_after_change(origin)).await;
         }
@@ -305,7 +407,10 @@
             self.gateway.log.write(&Event::Dependency { name: "store", state, why: &why });
         }
         if self.table == Table::Operator {
-            peers::poll_peers(&self.gateway).await;
+            // If all nodes start at once, the peers are no further than the parents.
+            if !self.is_starting() {
+                peers::poll_peers(&self.gateway).await;
+            }
         } else if self.gateway.configuration.load().is_none() {
             // Any rows that are applied may contain the configuration, so a change ends the pause.
             let applied = self.gateway.rows_changed.wait();
@@ -326,10 +431,10 @@
 
 /// Runs a call to the store. None if an outage of the store ended meanwhile: a call made during the
 /// outage may hang.
-async fn unless_store_recovered(
+async fn unless_store_recovered<T>(
     shared: &Shared,
-    call: impl Future<Output = Result<Batch, Error>>,
-) -> Option<Result<Batch, Error>> {
+    call: impl Future<Output = Result<T, Error>>,
+) -> Option<Result<T, Error>> {
     let recovered = shared.store_recovered.wait();
     future::or(async { Some(call.await) }, async {
         recovered.await;
--- a/crates/curranthook_gateway/src/replication/watch/parents.rs
+++ b/crates/curranthook_gateway/src/replication/watch/parents.rs
@@ -8,15 +8,17 @@
 
 use parking_lot::Mutex;
 
-use crate::{Gateway, event::Event, fleet, replication::relays, signal::Signal, store::Error};
+use super::MAX_PARENTS_QUERIED;
+use crate::{Gateway, event::Event, signal::Signal, store::Error};
 
-/// How long a parent is not queried after it failed.
-const PARENT_COOLDOWN: Duration = Duration::from_secs(4);
+/// How long a parent is not queried after its first failure, and at most; doubles with each further
+/// one. A parent that starts is available soon; one that is gone for good costs a failed call each
+/// time.
+const PARENT_COOLDOWN_RANGE: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_secs(4));
 /// How long a parent is not queried after it replied that it is out of date. It may have missed
 /// just one answer of the store.
 const STALE_COOLDOWN: Duration = Duration::from_millis(600);
-/// The maximum number of parents that are queried before the store is called itself.
-const MAX_PARENTS_QUERIED: usize = 2;
 
 /// State shared by the watches of a node's tables.
 #[derive(Debug, Default)]
@@ -35,6 +37,8 @@
 struct Failure {
     /// Until when the parent is not queried.
     until: Instant,
+    /// How long it is not queried.
+    cooldown: Duration,
     /// Whether the parent replied that it is out of date.
     is_stale: bool,
 }
@@ -53,12 +57,31 @@
     pub(super) fn record_failure(&self, gateway: &Gateway, parent: String, error: &Error) {
         let why = error.to_string();
         let is_stale = matches!(error, Error::Stale(_));
-        let pause = if is_stale { STALE_COOLDOWN } else { PARENT_COOLDOWN };
         gateway.log.write(&Event::Dependency { name: &parent, state: "failed", why: &why });
-        let failure = Failure { until: gateway.now() + pause, is_stale };
-        self.failed_parents.lock().insert(parent, failure);
+        let now = gateway.now();
+        {
+            let mut failed_parents = self.failed_parents.lock();
+            let known = failed_parents.get(&parent);
+            // The calls for all tables fail at the same time.
+            if !is_stale && known.is_some_and(|it| !it.is_stale && now <= it.until) {
+                return;
+            }
+            let cooldown = match (is_stale, known) {
+                (true, _) => STALE_COOLDOWN,
+                (false, Some(it)) if !it.is_stale => it.cooldown * 2,
+                (false, _) => PARENT_COOLDOWN_RANGE.0,
+            };
+            let cooldown = cooldown.min(PARENT_COOLDOWN_RANGE.1);
+            let failure = Failure { until: now + cooldown, cooldown, is_stale };
+            failed_parents.insert(parent, failure);
+        }
         self.parent_failed.wake();
     }
+
+    /// Records that a parent answered.
+    pub(super) fn record_answer(&self, parent: &str) {
+        self.failed_parents.lock().remove(parent);
+    }
 }
 
 /// A parent that can be queried.
@@ -82,19 +105,14 @@
 /// The node's role, and the parents that it can query now, in order of preference.
 pub(super) fn role_and_parents(gateway: &Gateway, shared: &Shared) -> (Role, Vec<Parent>) {
     let now = gateway.now();
-    let peers = gateway.peers.lock();
-    let nodes = relay_nodes(&peers);
-    if !relays::are_used(nodes.len()) {
+    let Some(tree) = gateway.tree().filter(|it| it.is_used()) else {
         return (Role::Single, Vec::new());
-    }
-    let all = relays::parents(&gateway.settings.node, &nodes);
+    };
+    let all = tree.parents(&gateway.settings.node, Some(&gateway.settings.domain));
     let role = if all.is_empty() { Role::Root } else { Role::Child };
     let available = all.iter().filter(|it| !shared.is_failed(it.name, now));
-    let available = available.take(MAX_PARENTS_QUERIED).map(|it| Parent {
-        name: it.name.to_owned(),
-        addr: peers[it.name].peers,
-        max_age: it.max_age,
-    });
+    let available =
+        available.map(|it| Parent { name: it.name.to_owned(), addr: it.addr, max_age: it.max_age });
     (role, available.collect())
 }
 
@@ -111,20 +129,19 @@
     }
 }
 
-/// Whether all relays that a leaf queries reply that they are out of date. As they call the store
-/// themselves, it is probably unavailable or slow for all nodes.
-pub(super) fn are_relays_stale(gateway: &Gateway, shared: &Shared) -> bool {
-    let now = gateway.now();
-    let peers = gateway.peers.lock();
-    let nodes = relay_nodes(&peers);
-    let parents = relays::parents(&gateway.settings.node, &nodes);
-    let is_leaf = parents.iter().all(|it| it.max_age == relays::RELAY_MAX_AGE);
-    is_leaf && parents.iter().take(MAX_PARENTS_QUERIED).all(|it| shared.is_stale(it.name, now))
+/// The number of nodes on this node's level of the tree; none in a tree without relays.
+pub(super) fn n_siblings(gateway: &Gateway) -> Option<usize> {
+    gateway.tree()?.n_siblings(&gateway.settings.node)
 }
 
-fn relay_nodes(peers: &HashMap<String, fleet::Node>) -> Vec<relays::Node<'_>> {
-    peers
-        .iter()
-        .map(|(name, it)| relays::Node { name, capacity: it.capacity, domain: it.domain.as_ref() })
-        .collect()
+/// The number of nodes that query the same parents, if all of these reply that they are out of date.
+/// As they call the store themselves, it is probably unavailable or slow for all nodes. None in
+/// a tree without relays, and for the node that replaces the root.
+pub(super) fn n_siblings_of_stale(gateway: &Gateway, shared: &Shared) -> Option<usize> {
+    let (now, node) = (gateway.now(), &gateway.settings.node);
+    let tree = gateway.tree()?;
+    let parents = tree.parents(node, Some(&gateway.settings.domain));
+    let queried: Vec<_> = parents.iter().take(MAX_PARENTS_QUERIED).collect();
+    let are_stale = queried.iter().all(|it| shared.is_stale(it.name, now));
+    if are_stale && queried.len() == MAX_PARENTS_QUERIED { tree.n_siblings(node) } else { None }
 }
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -29,7 +29,7 @@
         reports::{self, Socket},
         snapshot_rows,
     },
-    replication::{peers, watch},
+    replication::{joins, peers, watch},
     settings::Settings,
     store::Table,
 };
@@ -190,6 +190,7 @@
         let task = watch::run(Arc::clone(gateway), table, Arc::clone(&shared));
         gateway.ex.spawn(task).detach();
     }
+    gateway.ex.spawn(joins::run(Arc::clone(gateway))).detach();
     gateway.ex.spawn(fleet_writer::run(Arc::clone(gateway))).detach();
     gateway.ex.spawn(snapshot_rows::run(Arc::clone(gateway))).detach();
 }
--- a/crates/curranthook_gateway/src/signal.rs
+++ b/crates/curranthook_gateway/src/signal.rs
@@ -1,9 +1,9 @@
 //! A signal that wakes all waiting tasks.
 
-use async_channel::Sender;
-use parking_lot::Mutex;
+use event_listener::Event;
 
-/// Wakes all waiting tasks.
+/// Wakes all waiting tasks. Beginning to wait takes a time that does not depend on the number of
+/// other tasks that wait.
 ///
 /// ```
 /// # use curranthook_gateway::signal::Signal;
@@ -15,25 +15,17 @@
 /// # });
 /// ```
 #[derive(Debug, Default)]
-pub struct Signal(Mutex<Vec<Sender<()>>>);
+pub struct Signal(Event);
 
 impl Signal {
     /// Wakes every task that waits now.
     pub fn wake(&self) {
-        // A receiver wakes when its sender is dropped.
-        self.0.lock().clear();
+        self.0.notify(usize::MAX);
     }
 
     /// Waits for the next [`Self::wake`]. A wake between this call and the first poll is not
     /// missed.
     pub fn wait(&self) -> impl Future<Output = ()> + use<> {
-        let (tx, rx) = async_channel::bounded::<()>(1);
-        let mut waiting = self.0.lock();
-        // Futures that were dropped left their senders behind.
-        waiting.retain(|it| !it.is_closed());
-        waiting.push(tx);
-        async move {
-            let _closed = rx.recv().await;
-        }
+        self.0.listen()
     }
 }
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -80,6 +80,15 @@
     pub now: Option<Duration>,
 }
 
+/// The first rows of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The rows.
+    pub batch: Batch,
+    /// Whether the table has more rows.
+    pub has_more: bool,
+}
+
 /// A write to one row of [`Table::Fleet`], with an optional condition.
 #[derive(Debug, Clone, Copy)]
 pub struct Commit<'a> {
@@ -129,10 +138,15 @@
 pub trait Store: Debug + Send + Sync {
     /// Reads all rows of a table.
     fn all(&self, table: Table) -> Answer<'_, Batch>;
+    /// Reads the first `n_rows` rows of a table, by their keys.
+    fn first(&self, table: Table, n_rows: usize) -> Answer<'_, Page>;
     /// Reads the rows that changed after `since`; waits up to `wait` for the first change.
     fn changes(&self, table: Table, since: Rev, wait: Duration) -> Answer<'_, Batch>;
     /// Writes a row.
     fn commit<'a>(&'a self, commit: Commit<'a>) -> Answer<'a, Committed>;
+    /// Writes rows of [`Table::Fleet`] in one transaction, whatever their revisions. Each is a key
+    /// and a value.
+    fn write<'a>(&'a self, rows: &'a [(String, Vec<u8>)]) -> Answer<'a, Rev>;
 }
 
 /// A decoded row of [`Table::Operator`].
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -29,7 +29,9 @@
     rollouts::Rule,
     selection::{self, Criteria, Unavailable},
     settings::{Contention, Settings},
-    store::{Answer, Batch, Commit, Committed, Decoder, Operator, Rev, Store, Table, Undecodable},
+    store::{
+        Answer, Batch, Commit, Committed, Decoder, Operator, Page, Rev, Store, Table, Undecodable,
+    },
 };
 use curranthook_http::runtime;
 use curranthook_policy::slowdown::{Factor, Figure};
@@ -82,9 +84,15 @@
     fn changes(&self, _: Table, _: Rev, _: Duration) -> Answer<'_, Batch> {
         unreachable!()
     }
+    fn first(&self, _: Table, _: usize) -> Answer<'_, Page> {
+        unreachable!()
+    }
     fn commit<'a>(&'a self, _: Commit<'a>) -> Answer<'a, Committed> {
         unreachable!()
     }
+    fn write<'a>(&'a self, _: &'a [(String, Vec<u8>)]) -> Answer<'a, Rev> {
+        unreachable!()
+    }
 }
 
 impl Decoder for Unused {
--- a/crates/curranthook_gateway/tests/relays.rs
+++ b/crates/curranthook_gateway/tests/relays.rs
@@ -9,7 +9,7 @@
 use curranthook_gateway::{
     replication::{
         mirror::Mirror,
-        relays::{self, Node},
+        relays::{Node, Tree},
     },
     store::{Batch, Rev, Row, Table},
 };
@@ -17,6 +17,9 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use yare::parameterized;
 
+/// The address of all nodes; no test connects to one.
+const ADDR: &str = "127.0.0.1:9";
+
 /// A fleet of nodes with different capacities, assigned to the failure domains in turn.
 struct Fleet {
     names: Vec<String>,
@@ -37,6 +40,7 @@
     fn nodes(&self) -> Vec<Node<'_>> {
         let node = |n: usize| Node {
             name: &self.names[n],
+            addr: ADDR.parse().unwrap(),
             capacity: self.capacities[n],
             domain: Some(&self.domains[n]),
         };
@@ -45,13 +49,13 @@
 
     /// The parents of each node, by the node's index.
     fn parents(&self) -> Vec<Vec<(usize, Duration)>> {
-        let nodes = self.nodes();
+        let tree = Tree::new(&self.nodes());
         let index = |name: &str| self.names.iter().position(|it| it == name).unwrap();
-        let parents = |it: &String| relays::parents(it, &nodes);
-        let indexed = |it: Vec<relays::Parent<'_>>| -> Vec<_> {
-            it.into_iter().map(|it| (index(it.name), it.max_age)).collect()
+        let parents = |(name, n): (&String, usize)| {
+            let parents = tree.parents(name, Some(&self.domains[n]));
+            parents.into_iter().map(|it| (index(it.name), it.max_age)).collect()
         };
-        self.names.iter().map(|it| indexed(parents(it))).collect()
+        self.names.iter().zip(0..).map(parents).collect()
     }
 }
 
@@ -121,7 +125,7 @@
 #[parameterized(flat = { 18, 5 }, large = { 295, 5 })]
 fn a_node_that_is_not_listed_yet_has_parents(n_nodes: usize, n_domains: usize) {
     let fleet = Fleet::new(n_nodes, n_domains);
-    assert!(!relays::parents("node-new", &fleet.nodes()).is_empty());
+    assert!(!Tree::new(&fleet.nodes()).parents("node-new", None).is_empty());
 }
 
 /// A node of the simulation: its copy of the rows, and which of its connections work.
@@ -218,11 +222,13 @@
         .enumerate()
         .map(|(index, name)| Node {
             name,
+            addr: ADDR.parse().unwrap(),
             capacity: if index < 6 { 200.0 } else { 10.0 },
             domain: Some(&domains[index % domains.len()]),
         })
         .collect();
-    let parents = names.iter().flat_map(|it| relays::parents(it, &nodes));
+    let tree = Tree::new(&nodes);
+    let parents = names.iter().flat_map(|it| tree.parents(it, None));
     let weak: Vec<_> =
         parents.filter(|it| !names[..6].iter().any(|name| name == it.name)).collect();
     assert_eq!(weak, []);
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -27,7 +27,7 @@
     retry_budget,
     settings::{Contention, Settings},
     store::{
-        Answer, Batch, Commit, Committed, Decoder, Error, Operator, Rev, Row, Store, Table,
+        Answer, Batch, Commit, Committed, Decoder, Error, Operator, Page, Rev, Row, Store, Table,
         Undecodable,
     },
 };
@@ -89,10 +89,21 @@
         })
     }
 
+    fn first(&self, table: Table, _: usize) -> Answer<'_, Page> {
+        Box::pin(async move { Ok(Page { batch: self.all(table).await?, has_more: false }) })
+    }
+
     fn changes(&self, table: Table, _: Rev, _: Duration) -> Answer<'_, Batch> {
         self.all(table)
     }
 
+    fn write<'a>(&'a self, rows: &'a [(String, Vec<u8>)]) -> Answer<'a, Rev> {
+        Box::pin(async {
+            self.check()?;
+            Ok(Rev(rows.iter().map(|(key, value)| self.put(key, value)).max().unwrap_or(0)))
+        })
+    }
+
     fn commit<'a>(&'a self, commit: Commit<'a>) -> Answer<'a, Committed> {
         Box::pin(async move {
             self.check()?;
--- a/crates/curranthook_http/src/body.rs
+++ b/crates/curranthook_http/src/body.rs
@@ -1,8 +1,12 @@
 //! Helpers to build and read the bodies of HTTP messages.
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
-use hyper::body::Incoming;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::{Frame, Incoming};
+
+use crate::timeout;
 
 /// Any error that a body can end with.
 pub type Error = Box<dyn std::error::Error + Send + Sync>;
@@ -15,6 +19,24 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// A body that consists of `chunks`, which may share their memory with other bodies.
+///
+/// ```
+/// # use bytes::Bytes;
+/// use http_body_util::BodyExt;
+/// # async_io::block_on(async {
+/// let body = curranthook_http::body::chunks([Bytes::from("one "), Bytes::from("two")]);
+/// assert_eq!(body.collect().await.unwrap().to_bytes(), "one two");
+/// # });
+/// ```
+pub fn chunks<I>(chunks: I) -> Body
+where
+    I: IntoIterator<Item = Bytes, IntoIter: Send + 'static>,
+{
+    let frames = chunks.into_iter().map(|it| Ok(Frame::data(it)));
+    StreamBody::new(futures_lite::stream::iter(frames)).boxed_unsync()
+}
+
 /// A response with a JSON body.
 ///
 /// # Panics
@@ -53,6 +75,28 @@
     read_mut(&mut body, limit).await
 }
 
+/// Reads a whole body of at most `limit` bytes, which may take any time as long as no pause is longer
+/// than `max_pause`.
+pub async fn read_steadily(
+    mut body: Incoming,
+    limit: usize,
+    max_pause: Duration,
+) -> Result<Result<Bytes, ReadError>, timeout::Elapsed> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = timeout::run(max_pause, body.frame()).await? {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(e) => return Ok(Err(ReadError::Incomplete(e.into()))),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if limit < bytes.len() + data.len() {
+            return Ok(Err(ReadError::TooLarge { limit }));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(Ok(bytes.freeze()))
+}
+
 /// Reads the rest of a body, at most `limit` bytes, without consuming the body.
 pub async fn read_mut(body: &mut Incoming, limit: usize) -> Result<Bytes, ReadError> {
     match Limited::new(body, limit).collect().await {
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -201,6 +201,17 @@
 
     /// Checks out a connection to `addr`.
     pub async fn take(&self, addr: SocketAddr, freshness: Freshness) -> Result<Connection, Error> {
+        self.take_within(addr, freshness, self.connect_timeout).await
+    }
+
+    /// Checks out a connection to `addr`. Opening a new one may take up to `connect_timeout`, in place
+    /// of the pool's limit.
+    pub async fn take_within(
+        &self,
+        addr: SocketAddr,
+        freshness: Freshness,
+        connect_timeout: Duration,
+    ) -> Result<Connection, Error> {
         while let Some(mut sender) = self.take_idle(addr, freshness) {
             // The task that drives the connection may still be finishing the previous exchange. If
             // it cannot finish because the peer stopped reading, waiting for it without a limit
@@ -209,7 +220,7 @@
                 return Ok(Connection { addr, sender, opened: Opened::Earlier });
             }
         }
-        self.connect(addr).await
+        self.connect(addr, connect_timeout).await
     }
 
     /// Returns a connection whose last response was read to its end without any error.
@@ -292,11 +303,14 @@
         Ok(())
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<Connection, Error> {
+    async fn connect(
+        &self,
+        addr: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, Error> {
         let opened = self.clock.now();
         let connect_error = |kind, message: String| Error::Connect { addr, kind, message };
-        let connecting =
-            timeout::run(self.connect_timeout, Async::<std::net::TcpStream>::connect(addr));
+        let connecting = timeout::run(connect_timeout, Async::<std::net::TcpStream>::connect(addr));
         let connected =
             connecting.await.map_err(|e| connect_error(io::ErrorKind::TimedOut, e.to_string()))?;
         let stream = connected.map_err(|e| connect_error(e.kind(), e.to_string()))?;
--- a/crates/curranthook_http/src/exchange.rs
+++ b/crates/curranthook_http/src/exchange.rs
@@ -3,10 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use hyper::body::Incoming;
 
 use crate::{
     body,
-    client::{self, Freshness, Pool},
+    client::{self, Connection, Freshness, Pool},
     timeout,
 };
 
@@ -25,6 +26,9 @@
     /// The response did not arrive within the time limit.
     #[error("no answer within {0:?}")]
     Timeout(Duration),
+    /// The response body stopped arriving for this long.
+    #[error("nothing more of the answer for {0:?}")]
+    Stalled(Duration),
     /// The method, path or headers do not form a valid HTTP request.
     #[error("not a valid request: {0}")]
     Invalid(#[from] http::Error),
@@ -36,7 +40,7 @@
         match self {
             Self::Client(e) => e.is_unsent(),
             Self::Invalid(_) => true,
-            Self::Body(_) | Self::Timeout(_) => false,
+            Self::Body(_) | Self::Timeout(_) | Self::Stalled(_) => false,
         }
     }
 }
@@ -63,10 +67,16 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body, empty for none.
     pub body: Bytes,
-    /// The time limit on the whole exchange, including reading the response body.
+    /// The time limit on the whole exchange, including reading the response body unless
+    /// `stall_timeout` is set.
     pub timeout: Duration,
+    /// The time limit on each pause while the response body is read; none if `timeout` includes the
+    /// body.
+    pub stall_timeout: Option<Duration>,
     /// Which pooled connections may be used.
     pub freshness: Freshness,
+    /// The time limit on opening a connection; none for the pool's.
+    pub connect_timeout: Option<Duration>,
 }
 
 impl Exchange {
@@ -80,7 +90,9 @@
             headers: Vec::new(),
             body: Bytes::new(),
             timeout: DEFAULT_TIMEOUT,
+            stall_timeout: None,
             freshness: Freshness::Within(Duration::from_secs(5)),
+            connect_timeout: None,
         }
     }
 
@@ -125,25 +137,59 @@
         Self { timeout, ..self }
     }
 
+    /// Lets the response body take any time as long as it arrives without a pause of this length.
+    /// For bodies whose size depends on the size of the fleet, and that also travel on slow links.
+    pub fn with_stall_timeout(self, stall_timeout: Duration) -> Self {
+        Self { stall_timeout: Some(stall_timeout), ..self }
+    }
+
     /// Sets which pooled connections may be used; the default is up to five seconds idle.
     pub fn with_freshness(self, freshness: Freshness) -> Self {
         Self { freshness, ..self }
     }
 
+    /// Sets the time limit on opening a connection, in place of the pool's.
+    pub fn with_connect_timeout(self, connect_timeout: Duration) -> Self {
+        Self { connect_timeout: Some(connect_timeout), ..self }
+    }
+
     /// Sends the request and reads the whole response.
     pub async fn run(self, pool: &Pool) -> Result<http::Response<Bytes>, Error> {
-        let (time_limit, addr) = (self.timeout, self.addr);
-        let result = timeout::run(time_limit, self.send(pool)).await;
-        result.unwrap_or_else(|timeout::Elapsed| {
+        let (time_limit, stall_timeout, addr) = (self.timeout, self.stall_timeout, self.addr);
+        let head = async {
+            let (conn, response) = self.send(pool).await?;
+            let (head, incoming) = response.into_parts();
+            if stall_timeout.is_some() {
+                return Ok((conn, head, Content::Pending(incoming)));
+            }
+            let bytes = body::read(incoming, MAX_RESPONSE_BYTES).await?;
+            Ok((conn, head, Content::Read(bytes)))
+        };
+        let result = timeout::run(time_limit, head).await;
+        let result = result.unwrap_or(Err(Error::Timeout(time_limit)));
+        let result = match result {
+            Ok((conn, head, Content::Pending(incoming))) => {
+                let max_pause = stall_timeout.unwrap_or(time_limit);
+                match body::read_steadily(incoming, MAX_RESPONSE_BYTES, max_pause).await {
+                    Ok(bytes) => bytes.map(|it| (conn, head, it)).map_err(Error::from),
+                    Err(timeout::Elapsed) => Err(Error::Stalled(max_pause)),
+                }
+            }
+            Ok((conn, head, Content::Read(bytes))) => Ok((conn, head, bytes)),
+            Err(e) => Err(e),
+        };
+        if matches!(result, Err(Error::Timeout(_) | Error::Stalled(_))) {
             // The idle connections to the same address may be unresponsive for the same reason. If
             // they stayed in the pool, each could make a later request wait for its whole time
             // limit.
             pool.close_idle(addr);
-            Err(Error::Timeout(time_limit))
-        })
+        }
+        let (conn, head, bytes) = result?;
+        pool.put(conn);
+        Ok(http::Response::from_parts(head, bytes))
     }
 
-    async fn send(self, pool: &Pool) -> Result<http::Response<Bytes>, Error> {
+    async fn send(self, pool: &Pool) -> Result<(Connection, http::Response<Incoming>), Error> {
         let mut req = http::Request::builder()
             .method(self.method)
             .uri(&self.path)
@@ -152,10 +198,19 @@
             req = req.header(*name, value);
         }
         let req = req.body(self.body)?;
-        let mut conn = pool.take(self.addr, self.freshness).await?;
-        let (head, incoming) = conn.send(req).await?.into_parts();
-        let bytes = body::read(incoming, MAX_RESPONSE_BYTES).await?;
-        pool.put(conn);
-        Ok(http::Response::from_parts(head, bytes))
+        let mut conn = match self.connect_timeout {
+            Some(limit) => pool.take_within(self.addr, self.freshness, limit).await?,
+            None => pool.take(self.addr, self.freshness).await?,
+        };
+        let response = conn.send(req).await?;
+        Ok((conn, response))
     }
 }
+
+/// The body of a response.
+enum Content {
+    /// Still to be read.
+    Pending(Incoming),
+    /// Read whole.
+    Read(Bytes),
+}
