Log why the version of an attempt was allowed

Change: during a rollout `sent` has rule, phase, step_rev, new_answers, new_bad, evidence_age_ms and last_resort; attempts at a version that the rule doesn't allow are counted in curranthook_last_resorts. No decision changes.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -18,7 +18,7 @@
 use curranthook_types::Clock;
 use serde::Serialize;
 
-use crate::load::work::N_PRIORITIES;
+use crate::{load::work::N_PRIORITIES, rollouts::Basis};
 
 /// The maximum number of queued lines. A busy node logs about that many in a second.
 const QUEUE_CAPACITY: usize = 2_048;
@@ -116,6 +116,8 @@
         route: &'a str,
         endpoint: &'a str,
         version: &'a str,
+        #[serde(flatten)]
+        basis: Option<Basis>,
         model: &'a str,
         attempt: u32,
         busy: u32,
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -141,12 +141,10 @@
         Key::Evidence(_, node) if *node == gateway.settings.node => {}
         Key::Evidence(service, node) => {
             let observation: Observation = serde_json::from_slice(value)?;
-            gateway.rollouts.lock().apply_evidence(
-                service,
-                observation.order,
-                node,
-                observation.evidence,
-            );
+            let Observation { order, evidence } = observation;
+            let received_at = gateway.store_time();
+            let mut rollouts = gateway.rollouts.lock();
+            rollouts.apply_evidence(service, order, (node, evidence), received_at);
         }
         Key::Poison(node) => {
             let entries: Vec<poison::Entry> = serde_json::from_slice(value)?;
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -28,7 +28,7 @@
     models::{Candidate, Models},
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
-    rollouts::Kind,
+    rollouts::{Basis, Kind},
 };
 
 use self::retry::Decision;
@@ -87,6 +87,8 @@
     configuration_version: u64,
     /// Peer state that was queried to decide on escalation, and that the next attempt uses.
     peer_state: Option<PeerState>,
+    /// What the choice of the version for the next attempt is based on, during a rollout.
+    version_basis: Option<Basis>,
     _in_flight: InFlight,
 }
 
@@ -122,6 +124,7 @@
             has_errored: false,
             configuration_version: configuration.document.version,
             peer_state: None,
+            version_basis: None,
             _in_flight: gateway.track_request(),
             gateway: Arc::clone(gateway),
             request,
@@ -195,6 +198,7 @@
             route: &self.route.name,
             endpoint: id.as_str(),
             version: &lease.version,
+            basis: self.version_basis.take(),
             model: model.unwrap_or_default(),
             attempt: self.n_attempts,
             busy: lease.outstanding,
--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -43,6 +43,14 @@
         if let Some(prefix_hash) = criteria.prefix_hash {
             lease.record_prefix(prefix_hash);
         }
+        let now = self.gateway.store_time();
+        let rollouts = self.gateway.rollouts.lock();
+        let basis = rollouts.basis(&self.service, &rule, &lease.version, now);
+        drop(rollouts);
+        if let Some(it) = basis.as_ref().filter(|it| it.last_resort) {
+            self.gateway.metrics.record_last_resort(it.rule);
+        }
+        self.version_basis = basis;
         Ok(lease)
     }
 
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     levels: Family<LevelLabel, Counter>,
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
+    last_resorts: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     sections: Family<Label, Counter>,
     queries: Family<Label, Counter>,
@@ -79,6 +80,7 @@
             levels: Family::default(),
             refusals: Family::default(),
             retries: Family::default(),
+            last_resorts: Family::default(),
             store_calls: Family::default(),
             sections: Family::default(),
             queries: Family::default(),
@@ -114,6 +116,8 @@
             self.refusals.clone(),
         );
         registry.register("retries", "Further attempts, by reason", self.retries.clone());
+        let help = "Attempts at a version that the rule did not allow, by rule";
+        registry.register("last_resorts", help, self.last_resorts.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Replies with rows to other nodes, by whether they had to be encoded";
         registry.register("row_replies", help, self.sections.clone());
@@ -169,6 +173,11 @@
         self.retries.get_or_create(&Label { name: reason }).inc();
     }
 
+    /// Counts an attempt at a version that the rollout's rule does not allow.
+    pub fn record_last_resort(&self, rule: &'static str) {
+        self.last_resorts.get_or_create(&Label { name: rule }).inc();
+    }
+
     /// Records the time to the first byte of an answer.
     pub fn record_first_byte(&self, took: Duration) {
         self.first_byte_time.observe(took.as_secs_f64());
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -1,5 +1,7 @@
 //! The rollouts, according to the rows that a node has read and the answers that it has seen.
 
+mod rule;
+
 use std::{collections::HashMap, time::Duration};
 
 use curranthook_policy::hash;
@@ -9,6 +11,8 @@
     store::{Order, Rev},
 };
 
+pub use self::rule::{Basis, Rule};
+
 /// Added to all times, in milliseconds, so that differences of a few milliseconds have little
 /// weight.
 const TIME_OFFSET_MS: f64 = 5.0;
@@ -55,28 +59,8 @@
     pub own: Evidence,
     /// The evidence of each other node.
     pub others: HashMap<String, Evidence>,
-}
-
-/// Which versions a request may be sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Rule {
-    /// Any version.
-    Any,
-    /// Only this version.
-    Only(String),
-    /// Any version but this one.
-    Not(String),
-}
-
-impl Rule {
-    /// Whether requests may be sent to `version`.
-    pub fn allows(&self, version: &str) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(it) => it == version,
-            Self::Not(it) => it != version,
-        }
-    }
+    /// When evidence of another node last arrived, by the store's clock.
+    pub evidence_received_at: Option<Duration>,
 }
 
 impl Rollout {
@@ -117,6 +101,7 @@
             step,
             own: Evidence::default(),
             others: HashMap::new(),
+            evidence_received_at: None,
         };
         self.services.insert(service, rollout);
     }
@@ -132,12 +117,20 @@
         is_newer && is_for_order
     }
 
-    /// Applies the evidence of another node.
-    pub fn apply_evidence(&mut self, service: &str, order: Rev, node: &str, evidence: Evidence) {
+    /// Applies the evidence of another node, which arrived when the store's clock read
+    /// `received_at`.
+    pub fn apply_evidence(
+        &mut self,
+        service: &str,
+        order: Rev,
+        (node, evidence): (&str, Evidence),
+        received_at: Option<Duration>,
+    ) {
         if let Some(it) = self.services.get_mut(service)
             && it.order_rev == order
         {
             it.others.insert(node.to_owned(), evidence);
+            it.evidence_received_at = received_at;
         }
     }
 
@@ -168,6 +161,29 @@
         }
     }
 
+    /// What is known of a service's rollout when `rule` decides on a request that is sent to
+    /// `version`; none if there is no rollout. `now` is the store's clock.
+    pub fn basis(
+        &self,
+        service: &str,
+        rule: &Rule,
+        version: &str,
+        now: Option<Duration>,
+    ) -> Option<Basis> {
+        let it = self.services.get(service)?;
+        let evidence = it.evidence().new;
+        let received_at = it.evidence_received_at;
+        Some(Basis {
+            rule: rule.name(),
+            phase: it.phase(),
+            step_rev: it.step.as_ref().map(|(_, rev)| *rev),
+            new_answers: evidence.answers,
+            new_bad: evidence.bad,
+            evidence_age: now.zip(received_at).map(|(now, at)| now.saturating_sub(at)),
+            last_resort: !rule.allows(version),
+        })
+    }
+
     /// Records an answer with the time to its first byte; `took` is none for a failure.
     pub fn record_answer(
         &mut self,
--- /dev/null
+++ b/crates/curranthook_gateway/src/rollouts/rule.rs
@@ -0,0 +1,66 @@
+//! Which versions a request may be sent to, and the knowledge that this is based on.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::{steps::Phase, store::Rev};
+
+/// Which versions a request may be sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rule {
+    /// Any version.
+    Any,
+    /// Only this version.
+    Only(String),
+    /// Any version but this one.
+    Not(String),
+}
+
+impl Rule {
+    /// Whether requests may be sent to `version`.
+    ///
+    /// ```
+    /// # use curranthook_gateway::rollouts::Rule;
+    /// assert!(Rule::Not("v2".to_owned()).allows("v1"));
+    /// assert!(!Rule::Not("v2".to_owned()).allows("v2"));
+    /// ```
+    pub fn allows(&self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(it) => it == version,
+            Self::Not(it) => it != version,
+        }
+    }
+
+    /// The name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Any => "any",
+            Self::Only(_) => "only",
+            Self::Not(_) => "not",
+        }
+    }
+}
+
+/// What a node knew of a rollout when it chose the version for a request, as logged.
+#[serde_with::serde_as]
+#[derive(Debug, Clone, Serialize)]
+pub struct Basis {
+    /// The name of the rule.
+    pub rule: &'static str,
+    /// The phase of the rollout.
+    pub phase: Phase,
+    /// The revision of the step; none before the first one.
+    pub step_rev: Option<Rev>,
+    /// The new version's answers and bad answers, of all nodes.
+    pub new_answers: u64,
+    /// See `new_answers`.
+    pub new_bad: u64,
+    /// The time since evidence of another node last arrived; none if there was none.
+    #[serde(rename = "evidence_age_ms")]
+    #[serde_as(as = "Option<serde_with::DurationMilliSeconds<u64>>")]
+    pub evidence_age: Option<Duration>,
+    /// Whether the request went to a version that the rule does not allow, as there was no other.
+    pub last_resort: bool,
+}
