Refuse rather than give a lost version's requests to one under test

Callers saw: requests answered by a bad version, also seconds after it was known to be bad and rolled back (EXPOSURE).

Cause: the rule "any version but the target" fell back to the target whenever no other version had a ready endpoint, on the ground that the rollout must be over. The absence of endpoints was taken for knowledge of the rollout. Class: a fallback that serves rather than refuses, and so passes over a bound that protects callers.

Change: the rule says itself whether the target is a last resort: only if the rollout may be completed without this node knowing (a step that can't be decoded; the time of completion reached and the steps stale, or the evidence sufficient; the time limit over), and never if it was rolled back or the evidence is against it.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -130,8 +130,12 @@
             gateway.topology.lock().invalidate();
         }
         Key::Step(service) => {
-            let step: Step = serde_json::from_slice(value)?;
+            let step = serde_json::from_slice::<Step>(value);
             let mut rollouts = gateway.rollouts.lock();
+            if step.is_err() {
+                rollouts.record_unreadable_step(service);
+            }
+            let step = step?;
             if rollouts.apply_step(service, step, rev)
                 && let Some(it) = rollouts.get(service)
             {
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -30,14 +30,14 @@
     replication::{
         joins,
         mirror::Mirror,
-        outage::Outage,
+        outage::{MAX_ANSWER_GAP, Outage},
         relays::{self, Tree},
         sections::Sections,
         topology::Topology,
     },
     retry_budget::Budget,
     retry_schedule::Reservations,
-    rollouts::Rollouts,
+    rollouts::{Knowledge, Rollouts},
     settings::Settings,
     signal::Signal,
     startup::Waiters,
@@ -235,6 +235,13 @@
         self.mirror.lock().store_time(self.now())
     }
 
+    /// How much this node can know of the progress of rollouts.
+    pub fn rollout_knowledge(&self) -> Knowledge {
+        let (mirror, now) = (self.mirror.lock(), self.now());
+        let is_current = mirror.is_fresh(Table::Fleet, MAX_ANSWER_GAP, now);
+        Knowledge { now: mirror.store_time(now), is_current }
+    }
+
     /// The number of nodes in the fleet, including this one.
     pub fn n_nodes(&self) -> usize {
         self.peers.lock().len().max(1)
--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -26,8 +26,7 @@
 impl Job {
     /// Acquires a lease for the next attempt at the best endpoint.
     pub(super) async fn acquire_lease(&mut self) -> Result<Lease, Refusal> {
-        let session_hash = self.session_hash();
-        let rule = self.gateway.rollouts.lock().rule(&self.service, session_hash);
+        let rule = self.version_rule();
         let peer_state = self.peer_state.take();
         let criteria = self.criteria(&rule, self.models.current());
         self.check_memory()?;
@@ -54,6 +53,13 @@
         Ok(lease)
     }
 
+    /// The versions that the request may be sent to now.
+    pub(super) fn version_rule(&self) -> Rule {
+        let knowledge = self.gateway.rollout_knowledge();
+        let rollouts = self.gateway.rollouts.lock();
+        rollouts.rule(&self.service, self.session_hash(), knowledge)
+    }
+
     /// The refusal of a request that no endpoint can take.
     fn no_endpoint_refusal(&self, criteria: &Criteria<'_>) -> Refusal {
         let Some(throttled) = selection::throttled(&self.gateway, criteria) else {
--- a/crates/curranthook_gateway/src/job/escalation.rs
+++ b/crates/curranthook_gateway/src/job/escalation.rs
@@ -22,7 +22,7 @@
         let can_retry = self.route.retry_policy.is_retryable() && self.last_event_id.is_none();
         let Some(confidence) = confidence.filter(|_| can_retry) else { return false };
         let Some(large) = self.models.larger() else { return false };
-        let rule = self.gateway.rollouts.lock().rule(&self.service, self.session_hash());
+        let rule = self.version_rule();
         // Load from other nodes can only delay the larger model. So if its forecast is no better
         // even without that load, the response is kept and no peer is queried.
         if self.improvement(confidence, slowdown, &rule, &PeerState::default()).is_none() {
--- a/crates/curranthook_gateway/src/replication/outage.rs
+++ b/crates/curranthook_gateway/src/replication/outage.rs
@@ -12,9 +12,9 @@
 /// How long after an outage entries that lapsed in it may still be used. Live endpoints are listed
 /// again within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-/// The maximum time between two store answers at a peer that the store serves. The peer's calls for
+/// The maximum time between two store answers at a node that the store serves. The node's calls for
 /// the configuration wait for up to 3 s, and it is polled every half second.
-const MAX_ANSWER_GAP: Duration = Duration::from_millis(3_800);
+pub const MAX_ANSWER_GAP: Duration = Duration::from_millis(3_800);
 
 /// What is known about the store while this node cannot reach it.
 #[derive(Debug, Default)]
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -11,7 +11,7 @@
     store::{Order, Rev},
 };
 
-pub use self::rule::{Basis, Rule};
+pub use self::rule::{Basis, Knowledge, Rule};
 
 /// Added to all times, in milliseconds, so that differences of a few milliseconds have little
 /// weight.
@@ -55,6 +55,8 @@
     pub received_at: Option<Duration>,
     /// The newest step and its revision; none before the first step.
     pub step: Option<(Step, Rev)>,
+    /// Whether a step was received that this build cannot decode.
+    pub has_unreadable_step: bool,
     /// The evidence of this node.
     pub own: Evidence,
     /// The evidence of each other node.
@@ -73,6 +75,26 @@
     pub fn evidence(&self) -> Evidence {
         self.others.values().fold(self.own, |sum, it| sum.plus(*it))
     }
+
+    /// Whether the rollout may have been completed, so that the old version's endpoints may have
+    /// been stopped, although this node knows of no such step. The lack of endpoints itself tells
+    /// nothing: a version under test must not get all requests because the old one is lost.
+    fn may_be_completed(&self, schedule: &Schedule, knowledge: Knowledge) -> bool {
+        let evidence = self.evidence();
+        if self.phase() == Phase::RolledBack || evidence.is_bad() {
+            return false;
+        }
+        if self.has_unreadable_step {
+            return true;
+        }
+        let began = self.step.as_ref().map(|(step, _)| step.began).or(self.received_at);
+        let Some((now, began)) = knowledge.now.zip(began) else { return !knowledge.is_current };
+        let elapsed = now.saturating_sub(began);
+        // The bound on the version's requests applies up to the time limit.
+        let is_over = self.order.time_limit <= elapsed;
+        let is_unconfirmed = !knowledge.is_current || evidence.allows_completion();
+        is_over || (is_unconfirmed && schedule.completion(&self.order) <= elapsed)
+    }
 }
 
 impl Rollouts {
@@ -99,6 +121,7 @@
             order_rev: rev,
             received_at,
             step,
+            has_unreadable_step: false,
             own: Evidence::default(),
             others: HashMap::new(),
             evidence_received_at: None,
@@ -113,10 +136,18 @@
         let is_for_order = step.order == it.order_rev;
         if is_newer && is_for_order {
             it.step = Some((step, rev));
+            it.has_unreadable_step = false;
         }
         is_newer && is_for_order
     }
 
+    /// Records that the newest step of a service cannot be decoded.
+    pub fn record_unreadable_step(&mut self, service: &str) {
+        if let Some(it) = self.services.get_mut(service) {
+            it.has_unreadable_step = true;
+        }
+    }
+
     /// Applies the evidence of another node, which arrived when the store's clock read
     /// `received_at`.
     pub fn apply_evidence(
@@ -146,7 +177,7 @@
 
     /// The versions that a request may be sent to. All requests of a session have the same
     /// `session`, so that they stay on one version as the new version's share grows.
-    pub fn rule(&self, service: &str, session: u64) -> Rule {
+    pub fn rule(&self, service: &str, session: u64, knowledge: Knowledge) -> Rule {
         let Some(it) = self.services.get(service) else { return Rule::Any };
         let target = &it.order.target;
         let position = hash::unit(hash::pair(hash::bytes(target.as_bytes()), session));
@@ -156,6 +187,8 @@
         let is_suspect = !it.phase().is_final() && it.evidence().is_bad();
         if !is_suspect && position < self.schedule.share(it.phase()) {
             Rule::Only(target.clone())
+        } else if it.may_be_completed(&self.schedule, knowledge) {
+            Rule::Avoid(target.clone())
         } else {
             Rule::Not(target.clone())
         }
--- a/crates/curranthook_gateway/src/rollouts/rule.rs
+++ b/crates/curranthook_gateway/src/rollouts/rule.rs
@@ -13,8 +13,10 @@
     Any,
     /// Only this version.
     Only(String),
-    /// Any version but this one.
+    /// Any version but this one, even if no other has an endpoint.
     Not(String),
+    /// Any version but this one, or this one if no other has an endpoint.
+    Avoid(String),
 }
 
 impl Rule {
@@ -29,7 +31,7 @@
         match self {
             Self::Any => true,
             Self::Only(it) => it == version,
-            Self::Not(it) => it != version,
+            Self::Not(it) | Self::Avoid(it) => it != version,
         }
     }
 
@@ -39,10 +41,20 @@
             Self::Any => "any",
             Self::Only(_) => "only",
             Self::Not(_) => "not",
+            Self::Avoid(_) => "avoid",
         }
     }
 }
 
+/// How much a node can know of the progress of rollouts.
+#[derive(Debug, Clone, Copy)]
+pub struct Knowledge {
+    /// The current time of the store's clock; none if it is unknown.
+    pub now: Option<Duration>,
+    /// Whether the steps that this node knows are the newest ones.
+    pub is_current: bool,
+}
+
 /// What a node knew of a rollout when it chose the version for a request, as logged.
 #[serde_with::serde_as]
 #[derive(Debug, Clone, Serialize)]
--- a/crates/curranthook_gateway/src/selection/eligible.rs
+++ b/crates/curranthook_gateway/src/selection/eligible.rs
@@ -42,9 +42,8 @@
     // target version or away from it, any other version is better than a refusal.
     match criteria.rule {
         Rule::Only(_) => select(&|it| is_untried(it)),
-        // No other version is left, so the rollout is over, even if this node has not received that
-        // state yet.
-        Rule::Not(_) if !has_throttled => select(&|it| is_untried(it) && !it.is_ejected(now)),
-        Rule::Not(_) | Rule::Any => Vec::new(),
+        // The rollout may be over, even if this node has not received that step.
+        Rule::Avoid(_) if !has_throttled => select(&|it| is_untried(it) && !it.is_ejected(now)),
+        Rule::Avoid(_) | Rule::Not(_) | Rule::Any => Vec::new(),
     }
 }
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -72,6 +72,11 @@
                 + FINAL_SPAN)
     }
 
+    /// The time after which a rollout may be completed.
+    pub fn completion(&self, order: &Order) -> Duration {
+        order.time_limit.mul_f64(self.start_of(Phase::Completed).max(0.0))
+    }
+
     /// When a phase starts, as a part of the time limit.
     fn start_of(&self, phase: Phase) -> f64 {
         let completed = 1.0 - FINAL_SPAN * self.max_exposure;
@@ -282,6 +287,11 @@
         min_answers <= self.new.answers && seems_reliable && !self.seems_slow()
     }
 
+    /// Whether the evidence suffices for [`Phase::Completed`].
+    pub fn allows_completion(self) -> bool {
+        self.seems_good(MIN_ANSWERS.1)
+    }
+
     /// Whether the new version seems slower, even if not significantly so. Times with fewer than
     /// `MIN_SAMPLES` answers of either version are not compared.
     fn seems_slow(self) -> bool {
@@ -355,7 +365,7 @@
     let elapsed = now.saturating_sub(step.began).as_secs_f64() / order.time_limit.as_secs_f64();
     let is_supported = match next {
         Phase::Partial => evidence.seems_good(MIN_ANSWERS.0),
-        Phase::Full | Phase::Completed => evidence.seems_good(MIN_ANSWERS.1),
+        Phase::Full | Phase::Completed => evidence.allows_completion(),
         _ => true,
     };
     (schedule.start_of(next) <= elapsed && is_supported).then_some(next)
--- /dev/null
+++ b/crates/curranthook_gateway/tests/lost_versions.rs
@@ -0,0 +1,82 @@
+//! Which version gets a request if the old version of a rollout has no endpoints left.
+
+use std::time::Duration;
+
+use curranthook_gateway::{
+    rollouts::{Knowledge, Rollouts, Rule},
+    steps::{Counts, Evidence, Phase, Schedule, Step},
+    store::{Order, Rev},
+};
+use yare::parameterized;
+
+const ORDER: Rev = Rev(1);
+const TIME_LIMIT: Duration = Duration::from_secs(100);
+/// A session outside the shares of the phases before the full one.
+const SESSION: u64 = 7;
+
+/// The rollouts of a node that knows `phase` of the one of the service `models`.
+fn rollouts(phase: Phase, new: Counts) -> Rollouts {
+    let mut it = Rollouts::new(Schedule::new(0.15));
+    let (service, target) = ("models".to_owned(), "v2".to_owned());
+    let order = Order { service, target: target.clone(), time_limit: TIME_LIMIT };
+    it.apply_order(order, ORDER, Some(Duration::ZERO));
+    let (began, since) = (Duration::ZERO, Duration::ZERO);
+    it.apply_step("models", Step { order: ORDER, target, phase, began, since }, Rev(2));
+    let evidence = Evidence { new, old: counts(200, 0) };
+    it.apply_evidence("models", ORDER, ("node-2", evidence), None);
+    it
+}
+
+fn counts(answers: u64, bad: u64) -> Counts {
+    Counts { answers, bad, ..Counts::default() }
+}
+
+fn rule(rollouts: &Rollouts, at_s: u64, is_current: bool) -> Rule {
+    let now = Some(Duration::from_secs(at_s));
+    rollouts.rule("models", SESSION, Knowledge { now, is_current })
+}
+
+/// Guards against sending all requests to a version under test, or to one that was rolled back, as
+/// the endpoints of the old version are lost.
+#[parameterized(
+    before_the_first_requests = { Phase::Waiting, counts(0, 0), 10, true },
+    canary = { Phase::Canary, counts(20, 0), 70, true },
+    canary_without_the_store = { Phase::Canary, counts(20, 0), 70, false },
+    late_without_enough_evidence = { Phase::Canary, counts(1, 0), 97, true },
+    failing = { Phase::Full, counts(20, 10), 97, false },
+    failing_after_the_time_limit = { Phase::Partial, counts(20, 10), 200, false },
+    rolled_back = { Phase::RolledBack, counts(0, 0), 97, false },
+    rolled_back_long_ago = { Phase::RolledBack, counts(0, 0), 900, false },
+)]
+fn version_that_may_be_bad_does_not_replace_a_lost_one(
+    phase: Phase,
+    new: Counts,
+    at_s: u64,
+    is_current: bool,
+) {
+    assert_eq!(rule(&rollouts(phase, new), at_s, is_current), Rule::Not("v2".to_owned()));
+}
+
+/// Guards against refusing all requests after a completed rollout, as the step with which the old
+/// version's endpoints were stopped has not arrived.
+#[parameterized(
+    without_the_store = { Phase::Canary, counts(1, 0), 97, false },
+    step_on_its_way = { Phase::Partial, counts(20, 0), 97, true },
+    after_the_time_limit = { Phase::Canary, counts(0, 0), 101, true },
+)]
+fn version_that_may_be_completed_replaces_a_lost_one(
+    phase: Phase,
+    new: Counts,
+    at_s: u64,
+    is_current: bool,
+) {
+    assert_eq!(rule(&rollouts(phase, new), at_s, is_current), Rule::Avoid("v2".to_owned()));
+}
+
+/// Guards against refusing all requests because a step of another build cannot be decoded.
+#[test]
+fn version_of_an_unreadable_step_replaces_a_lost_one() {
+    let mut rollouts = rollouts(Phase::Waiting, counts(0, 0));
+    rollouts.record_unreadable_step("models");
+    assert_eq!(rule(&rollouts, 10, true), Rule::Avoid("v2".to_owned()));
+}
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use curranthook_gateway::{
-    rollouts::{Kind, Rollouts, Rule},
+    rollouts::{Kind, Knowledge, Rollouts, Rule},
     steps::{self, Counts, Delay, Evidence, Phase, Schedule, Step},
     store::{Order, Rev},
 };
 use yare::parameterized;
 
+const CURRENT: Knowledge = Knowledge { now: Some(Duration::ZERO), is_current: true };
+
 fn order(time_limit: Duration) -> Order {
     Order { service: "models".to_owned(), target: "v2".to_owned(), time_limit }
 }
@@ -155,7 +157,7 @@
     let mut rollouts = Rollouts::new(Schedule::new(0.15));
     rollouts.apply_order(order(Duration::from_secs(24)), Rev(1), None);
     assert!(rollouts.apply_step("models", step(Phase::Full, Duration::ZERO), Rev(2)));
-    assert_eq!(rollouts.rule("models", 7), Rule::Only("v2".to_owned()));
+    assert_eq!(rollouts.rule("models", 7, CURRENT), Rule::Only("v2".to_owned()));
     let kind = Kind { route: "r", model: 0 };
     for n in 0..8 {
         let took = (n % 2 == 0).then_some(Duration::from_millis(50));
@@ -165,7 +167,7 @@
     for _ in 0..20 {
         rollouts.record_answer("models", "v1", kind, Some(Duration::from_millis(50)));
     }
-    assert_eq!(rollouts.rule("models", 7), Rule::Not("v2".to_owned()));
+    assert_eq!(rollouts.rule("models", 7, CURRENT), Rule::Not("v2".to_owned()));
 }
 
 /// A version fails for one kind of request only, so few of its answers are failures, while the old
