Compare a version under test with earlier answers if the old one gives few

Cause: a version's failures were compared with the old version's answers since the first step. With none of these the standard error counted as if there were one, so that 6 failures in 12 answers were no evidence, and 8 in 65 weren't against 1 in 30. A version that fails stays, and grows, just when the old one is lost. Class: a comparison that takes no data for no difference.

Change: the old version's answers between the order and the first step are kept and shared in the evidence rows (an optional field; older builds leave it out). They count where the old version has given fewer answers since than the new one. Without any, a version is expected to have no failures. Evidence is kept in each phase that isn't final.

Before and after: the three new tests failed and pass; existing tests of steps have the new field in their literals.

--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -257,7 +257,7 @@
     /// Writes this node's evidence about a rollout, if it has changed.
     async fn write_evidence(&mut self, it: &Rollout, now: Duration) {
         let service = &it.order.service;
-        if matches!(it.phase(), Phase::Waiting | Phase::Completed | Phase::RolledBack) {
+        if it.phase().is_final() {
             return;
         }
         let (known, at) = self.written_evidence.get(service).copied().unwrap_or_default();
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -272,12 +272,15 @@
         (log_ms - baseline).exp()
     }
 
-    /// The counters of this node for a version; none if the rollout is waiting or finished.
+    /// The counters of this node for a version; none if the rollout is finished.
     fn counts(&mut self, service: &str, version: &str) -> Option<&mut Counts> {
         let it = self.services.get_mut(service)?;
-        if it.phase().is_final() || it.phase() == Phase::Waiting {
-            return None;
-        }
-        Some(if it.order.target == version { &mut it.own.new } else { &mut it.own.old })
+        let own = match it.phase() {
+            phase if phase.is_final() => return None,
+            _ if it.order.target == version => &mut it.own.new,
+            Phase::Waiting => &mut it.own.before,
+            _ => &mut it.own.old,
+        };
+        Some(own)
     }
 }
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -245,25 +245,44 @@
         }
     }
 
+    /// Whether there are no answers.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
     /// The share of bad answers.
     pub fn bad_share(self) -> f64 {
         if self.answers == 0 { 0.0 } else { self.bad as f64 / self.answers as f64 }
     }
 }
 
-/// The evidence of all nodes about both versions since the rollout began.
+/// The evidence of all nodes about both versions since the rollout's order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Answers of the new version.
     pub new: Counts,
-    /// Answers of other versions.
+    /// Answers of other versions since the new version gets requests.
     pub old: Counts,
+    /// Answers of other versions before that.
+    #[serde(default, skip_serializing_if = "Counts::is_empty")]
+    pub before: Counts,
 }
 
 impl Evidence {
     /// The sum of both.
     pub fn plus(self, other: Self) -> Self {
-        Self { new: self.new.plus(other.new), old: self.old.plus(other.old) }
+        Self {
+            new: self.new.plus(other.new),
+            old: self.old.plus(other.old),
+            before: self.before.plus(other.before),
+        }
+    }
+
+    /// The answers that those of the new version are compared with. The ones of the same time are
+    /// preferred, since a disturbance affects both versions. Earlier ones count, too, if the old
+    /// version has given few answers since, because its endpoints are lost or limited.
+    fn reference(self) -> Counts {
+        if self.new.answers <= self.old.answers { self.old } else { self.old.plus(self.before) }
     }
 
     /// Whether the new version is bad.
@@ -271,9 +290,9 @@
     /// ```
     /// # use curranthook_gateway::steps::{Counts, Evidence};
     /// let counts = |answers, bad| Counts { answers, bad, ..Counts::default() };
-    /// let old = counts(100, 5);
-    /// assert!(Evidence { new: counts(10, 5), old }.is_bad());
-    /// assert!(!Evidence { new: counts(100, 6), old }.is_bad());
+    /// let evidence = |new| Evidence { new, old: counts(100, 5), ..Evidence::default() };
+    /// assert!(evidence(counts(10, 5)).is_bad());
+    /// assert!(!evidence(counts(100, 6)).is_bad());
     /// ```
     pub fn is_bad(self) -> bool {
         self.fails_more() || self.is_slow()
@@ -296,20 +315,21 @@
     /// `MIN_SAMPLES` answers of either version are not compared.
     fn seems_slow(self) -> bool {
         let is_comparable = |new: Delay, old: Delay| MIN_SAMPLES <= new.n && MIN_SAMPLES <= old.n;
-        (is_comparable(self.new.first, self.old.first)
+        let reference = self.reference();
+        (is_comparable(self.new.first, reference.first)
             && DOUBTFUL_SLOWDOWNS.0 < self.first_event_slowdown())
-            || (is_comparable(self.new.rest, self.old.rest)
+            || (is_comparable(self.new.rest, reference.rest)
                 && DOUBTFUL_SLOWDOWNS.1 < self.event_gap_slowdown())
     }
 
     /// The ratio of the new version's time to the first event to the old version's.
     pub fn first_event_slowdown(self) -> f64 {
-        (self.new.first.mean() - self.old.first.mean()).exp()
+        (self.new.first.mean() - self.reference().first.mean()).exp()
     }
 
     /// The ratio of the new version's time between events to the old version's.
     pub fn event_gap_slowdown(self) -> f64 {
-        (self.new.rest.mean() - self.old.rest.mean()).exp()
+        (self.new.rest.mean() - self.reference().rest.mean()).exp()
     }
 
     /// Whether there is any evidence against the new version, even if not significant.
@@ -320,8 +340,9 @@
     }
 
     fn is_slow(self) -> bool {
-        self.new.first.is_significantly_longer(self.old.first, MAX_FIRST_SLOWDOWN)
-            || self.new.rest.is_significantly_longer(self.old.rest, MAX_GAP_SLOWDOWN)
+        let reference = self.reference();
+        self.new.first.is_significantly_longer(reference.first, MAX_FIRST_SLOWDOWN)
+            || self.new.rest.is_significantly_longer(reference.rest, MAX_GAP_SLOWDOWN)
     }
 
     fn fails_more(self) -> bool {
@@ -330,12 +351,14 @@
     }
 
     /// By how much the new version's share of bad answers exceeds the old version's, and the
-    /// standard error of that difference.
+    /// standard error of that difference. Without any answer of the old version, a version is
+    /// expected to have no bad ones.
     fn bad_share_excess(self) -> (f64, f64) {
-        let excess = self.new.bad_share() - self.old.bad_share();
-        let overall = self.new.plus(self.old).bad_share();
-        let answers = |it: Counts| (it.answers as f64).max(1.0);
-        let per_answer = 1.0 / answers(self.new) + 1.0 / answers(self.old);
+        let reference = self.reference();
+        let excess = self.new.bad_share() - reference.bad_share();
+        let overall = self.new.plus(reference).bad_share();
+        let inverse = |n: u64| if n == 0 { 0.0 } else { 1.0 / n as f64 };
+        let per_answer = inverse(self.new.answers.max(1)) + inverse(reference.answers);
         (excess, (overall * (1.0 - overall) * per_answer).sqrt())
     }
 }
--- a/crates/curranthook_gateway/tests/lost_versions.rs
+++ b/crates/curranthook_gateway/tests/lost_versions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use curranthook_gateway::{
-    rollouts::{Knowledge, Rollouts, Rule},
+    rollouts::{Kind, Knowledge, Rollouts, Rule},
     steps::{Counts, Evidence, Phase, Schedule, Step},
     store::{Order, Rev},
 };
@@ -18,15 +18,20 @@
 fn rollouts(phase: Phase, new: Counts) -> Rollouts {
     let mut it = Rollouts::new(Schedule::new(0.15));
     let (service, target) = ("models".to_owned(), "v2".to_owned());
-    let order = Order { service, target: target.clone(), time_limit: TIME_LIMIT };
+    let order = Order { service, target, time_limit: TIME_LIMIT };
     it.apply_order(order, ORDER, Some(Duration::ZERO));
-    let (began, since) = (Duration::ZERO, Duration::ZERO);
-    it.apply_step("models", Step { order: ORDER, target, phase, began, since }, Rev(2));
-    let evidence = Evidence { new, old: counts(200, 0) };
+    apply_step(&mut it, phase, Rev(2));
+    let evidence = Evidence { new, old: counts(10 * new.answers, 0), ..Evidence::default() };
     it.apply_evidence("models", ORDER, ("node-2", evidence), None);
     it
 }
 
+fn apply_step(rollouts: &mut Rollouts, phase: Phase, rev: Rev) {
+    let (began, since) = (Duration::ZERO, Duration::ZERO);
+    let step = Step { order: ORDER, target: "v2".to_owned(), phase, began, since };
+    assert!(rollouts.apply_step("models", step, rev), "a new step");
+}
+
 fn counts(answers: u64, bad: u64) -> Counts {
     Counts { answers, bad, ..Counts::default() }
 }
@@ -80,3 +85,32 @@
     rollouts.record_unreadable_step("models");
     assert_eq!(rule(&rollouts, 10, true), Rule::Avoid("v2".to_owned()));
 }
+
+/// Guards against keeping a failing version because the old one, which it is compared with, has
+/// been lost since the first requests went to the new one.
+#[parameterized(
+    since_the_first_request = { (0, 0), (12, 6) },
+    for_some_time = { (30, 1), (65, 8) },
+)]
+fn failures_are_evidence_although_the_old_version_is_lost(old: (u64, u64), new: (u64, u64)) {
+    let mut rollouts = rollouts(Phase::Waiting, counts(0, 0));
+    let kind = Kind { route: "r", model: 0 };
+    let record = |rollouts: &mut Rollouts, version: &str, (answers, bad)| {
+        for n in 0..answers {
+            let took = (bad <= n).then_some(Duration::from_millis(50));
+            rollouts.record_answer("models", version, kind, took);
+        }
+    };
+    record(&mut rollouts, "v1", (375, 2));
+    apply_step(&mut rollouts, Phase::Full, Rev(3));
+    record(&mut rollouts, "v1", old);
+    record(&mut rollouts, "v2", new);
+    assert_eq!(rule(&rollouts, 90, true), Rule::Not("v2".to_owned()));
+}
+
+/// Guards against keeping a failing version of a service whose old version never answered.
+#[test]
+fn failures_are_evidence_without_any_answer_of_the_old_version() {
+    assert!(Evidence { new: counts(12, 6), ..Evidence::default() }.is_bad());
+    assert!(!Evidence { new: counts(12, 1), ..Evidence::default() }.is_bad());
+}
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -45,7 +45,7 @@
     max_exposure: f64,
 ) {
     let (schedule, order) = (Schedule::new(max_exposure), order(Duration::from_secs(seconds)));
-    let evidence = Evidence { new: counts(100, 0), old: counts(1_000, 0) };
+    let evidence = Evidence { new: counts(100, 0), old: counts(1_000, 0), ..Evidence::default() };
     let mut current = step(Phase::Waiting, Duration::ZERO);
     let (mut share_received, mut early_share) = (0.0, 0.0);
     let slices = 10_000;
@@ -74,9 +74,9 @@
         (0..24).map(|it| [0.4, 0.7, 1.0, 1.5, 2.5][it % 5] * if it % 2 == 0 { 8.0 } else { 1.0 });
     let old = Counts { rest: delay_of(baseline_ratios()), ..counts(200, 0) };
     let new = Counts { rest: delay_of(slow), ..counts(24, 0) };
-    assert!(Evidence { new, old }.is_bad());
+    assert!(Evidence { new, old, ..Evidence::default() }.is_bad());
     let same = Counts { rest: delay_of(baseline_ratios().take(24)), ..counts(24, 0) };
-    assert!(!Evidence { new: same, old }.is_bad());
+    assert!(!Evidence { new: same, old, ..Evidence::default() }.is_bad());
 }
 
 /// A new version's engines start without the cached prompts of the old ones, so its first events
@@ -87,7 +87,7 @@
         Counts { first: delay_of((0..200).map(|it| [0.5, 1.0, 2.0][it % 3])), ..counts(200, 0) };
     let new =
         Counts { first: delay_of((0..40).map(|it| [1.0, 2.0, 4.0][it % 3])), ..counts(40, 0) };
-    assert!(!Evidence { new, old }.is_bad());
+    assert!(!Evidence { new, old, ..Evidence::default() }.is_bad());
 }
 
 /// Nodes are killed during a rollout, so the answers of both versions are late. The slowdown of
@@ -97,7 +97,7 @@
     let late = || delay_of((0..100).map(|_| 9.0));
     let old = Counts { first: late(), rest: late(), ..counts(280, 0) };
     let new = Counts { first: late(), rest: late(), ..counts(14, 6) };
-    assert!(Evidence { new, old }.is_bad());
+    assert!(Evidence { new, old, ..Evidence::default() }.is_bad());
 }
 
 /// A service without models fails one lookup in seven, whichever version runs it. Guards against a
@@ -105,16 +105,16 @@
 #[test]
 fn failures_of_both_versions_are_not_evidence() {
     let old = counts(97, 10);
-    assert!(!Evidence { new: counts(24, 5), old }.is_bad());
-    assert!(!Evidence { new: counts(9, 4), old: counts(20, 4) }.is_bad());
-    assert!(Evidence { new: counts(22, 14), old: counts(52, 7) }.is_bad());
+    assert!(!Evidence { new: counts(24, 5), old, ..Evidence::default() }.is_bad());
+    assert!(!Evidence { new: counts(9, 4), old: counts(20, 4), ..Evidence::default() }.is_bad());
+    assert!(Evidence { new: counts(22, 14), old: counts(52, 7), ..Evidence::default() }.is_bad());
 }
 
 /// A node that was suspended resumes with an old step. No step follows a final phase.
 #[parameterized(completed = { Phase::Completed }, rolled_back = { Phase::RolledBack })]
 fn no_step_follows_a_final_phase(phase: Phase) {
     let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(24)));
-    let bad = Evidence { new: counts(100, 90), old: counts(100, 0) };
+    let bad = Evidence { new: counts(100, 90), old: counts(100, 0), ..Evidence::default() };
     let late = Duration::from_secs(1_000);
     assert_eq!(steps::due(&schedule, &order, &step(phase, Duration::ZERO), bad, late), None);
 }
@@ -125,14 +125,14 @@
 #[test]
 fn a_doubtful_version_does_not_advance() {
     let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(24)));
-    let doubtful = Evidence { new: counts(6, 2), old: counts(96, 0) };
-    let worse = Evidence { new: counts(6, 3), old: counts(96, 0) };
+    let doubtful = Evidence { new: counts(6, 2), old: counts(96, 0), ..Evidence::default() };
+    let worse = Evidence { new: counts(6, 3), old: counts(96, 0), ..Evidence::default() };
     for phase in [Phase::Canary, Phase::Partial] {
         let (late, current) = (Duration::from_secs(23), step(phase, Duration::ZERO));
         assert_eq!(steps::due(&schedule, &order, &current, doubtful, late), None);
         assert_eq!(steps::due(&schedule, &order, &current, worse, late), Some(Phase::RolledBack));
     }
-    let few = Evidence { new: counts(7, 0), old: counts(96, 0) };
+    let few = Evidence { new: counts(7, 0), old: counts(96, 0), ..Evidence::default() };
     let partial = step(Phase::Partial, Duration::ZERO);
     assert_eq!(steps::due(&schedule, &order, &partial, few, Duration::from_secs(23)), None);
 }
@@ -143,7 +143,7 @@
 #[test]
 fn a_version_of_a_service_with_few_requests_advances_in_time() {
     let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(24)));
-    let evidence = Evidence { new: counts(3, 0), old: counts(90, 5) };
+    let evidence = Evidence { new: counts(3, 0), old: counts(90, 5), ..Evidence::default() };
     let canary = step(Phase::Canary, Duration::ZERO);
     let at = order.time_limit.mul_f64(0.85);
     assert_eq!(steps::due(&schedule, &order, &canary, evidence, at), Some(Phase::Partial));
@@ -177,14 +177,14 @@
 fn failures_of_one_kind_of_request_are_detected() {
     let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(24)));
     let late = Duration::from_secs(23);
-    let one = Evidence { new: counts(33, 3), old: counts(333, 0) };
+    let one = Evidence { new: counts(33, 3), old: counts(333, 0), ..Evidence::default() };
     assert!(one.is_bad());
     let canary = step(Phase::Canary, Duration::ZERO);
-    let doubtful = Evidence { new: counts(11, 1), old: counts(120, 0) };
+    let doubtful = Evidence { new: counts(11, 1), old: counts(120, 0), ..Evidence::default() };
     assert!(!doubtful.is_bad());
     assert_eq!(steps::due(&schedule, &order, &canary, doubtful, late), None);
     // One failure among very many answers must not delay the rollout.
-    let fine = Evidence { new: counts(90, 1), old: counts(900, 2) };
+    let fine = Evidence { new: counts(90, 1), old: counts(900, 2), ..Evidence::default() };
     assert_eq!(steps::due(&schedule, &order, &canary, fine, late), Some(Phase::Partial));
 }
 
@@ -204,7 +204,13 @@
     let due = |factor: f64| {
         let times = || delay_of(baseline_ratios(28).map(|it| it * factor));
         let new = Counts { first: times(), rest: times(), ..counts(28, 0) };
-        steps::due(&schedule, &order, &partial, Evidence { new, old }, Duration::from_secs(16))
+        steps::due(
+            &schedule,
+            &order,
+            &partial,
+            Evidence { new, old, ..Evidence::default() },
+            Duration::from_secs(16),
+        )
     };
     assert_eq!(due(1.5), None);
     assert_eq!(due(0.8), Some(Phase::Full));
