Count the requests that a version received before it gets all of them

Callers saw: a bad version that shows no fault got more of a service's requests than it may (127 of 590, 118 allowed), as the old one had been lost for 8 s of 28 s and its requests didn't reach the service.

Cause: the bound was kept by a schedule of shares alone, which holds only if requests arrive evenly. Nothing compared what the version got with what it may get. Ruled out: evidence; the version failed no more than the old one (4 of 17 against 15 of 101 on the same route, 0 of others).

Change: nodes count the requests of a service since the order in their evidence. The full phase begins only if what the version got, and all that is to come until the time limit, stays within the share and the slack that the settings name (a new setting; no count without it). The cost is one addition a request; evidence rows are as many as before.

--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -192,6 +192,8 @@
             None => Some(Phase::Waiting),
             Some((step, _)) => {
                 let schedule = *self.gateway.rollouts.lock().schedule();
+                let share = it.n_reporting() as f64 / self.gateway.n_nodes() as f64;
+                let schedule = schedule.for_share_of_nodes(share.min(1.0));
                 steps::due(&schedule, &it.order, step, it.evidence(), now)
             }
         };
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -180,11 +180,13 @@
     pub fn new(parts: Parts, settings: Settings) -> Arc<Self> {
         let Parts { ex, clock, dialect, decoder, store, log } = parts;
         let started = clock.now();
+        let schedule = Schedule::new(settings.max_exposure);
+        let schedule = settings.exposure_slack.map_or(schedule, |it| schedule.with_slack(it));
         let pool = Pool::new(Arc::clone(&ex), Arc::clone(&clock));
         let pool = pool.with_connect_timeout(CONNECT_TIMEOUT).with_liveness(UNACKED_TIMEOUT);
         Arc::new(Self {
             pool,
-            rollouts: Mutex::new(Rollouts::new(Schedule::new(settings.max_exposure))),
+            rollouts: Mutex::new(Rollouts::new(schedule)),
             retry_budget: Mutex::new(Budget::new(settings.retries)),
             refused: Mutex::new(Refused::new(REFUSED_CAPACITY)),
             poison: Mutex::new(Register::new(POISON_CAPACITY)),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -107,6 +107,7 @@
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Started::No))?;
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
         gateway.retry_budget.lock().record_request(&service, gateway.now());
+        gateway.rollouts.lock().record_request(&service);
         contention::record_level(gateway, &service, &models, rank);
         let refused_deadline = gateway.refused.lock().take(&request.fingerprint, gateway.now());
         Ok(Self {
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -76,6 +76,11 @@
         self.others.values().fold(self.own, |sum, it| sum.plus(*it))
     }
 
+    /// The number of nodes whose evidence is known, including this one.
+    pub fn n_reporting(&self) -> usize {
+        1 + self.others.len()
+    }
+
     /// Whether the rollout may have been completed, so that the old version's endpoints may have
     /// been stopped, although this node knows of no such step. The lack of endpoints itself tells
     /// nothing: a version under test must not get all requests because the old one is lost.
@@ -217,6 +222,13 @@
         })
     }
 
+    /// Counts a request for a service.
+    pub fn record_request(&mut self, service: &str) {
+        if let Some(it) = self.services.get_mut(service).filter(|it| !it.phase().is_final()) {
+            it.own.requests += 1;
+        }
+    }
+
     /// Records an answer with the time to its first byte; `took` is none for a failure.
     pub fn record_answer(
         &mut self,
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub retries: retry_budget::Limit,
     /// The maximum share of a service's requests that a bad version may receive during its rollout.
     pub max_exposure: f64,
+    /// The number of requests that it may receive beyond that share; none if unknown.
+    pub exposure_slack: Option<f64>,
     /// Whether the whole fleet starts for the first time, so that no node has written its address
     /// yet.
     pub is_first_start: bool,
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -22,6 +22,8 @@
 pub struct Schedule {
     /// The maximum share of a service's requests that a bad version may receive in total.
     max_exposure: f64,
+    /// The requests that it may receive beyond that share; none if requests are not counted.
+    slack: Option<f64>,
 }
 
 /// The part of the time limit that remains when the rollout is completed, as a multiple of
@@ -49,7 +51,50 @@
     /// assert!(schedule.share(Phase::Canary) < schedule.share(Phase::Partial));
     /// ```
     pub fn new(max_exposure: f64) -> Self {
-        Self { max_exposure }
+        Self { max_exposure, slack: None }
+    }
+
+    /// Counts the requests that a version has received against those that it may receive: the
+    /// share, and `slack` more. Without counts the schedule stays within the share only if requests
+    /// arrive evenly, and not if many of them are lost before the version gets all others.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use curranthook_gateway::{steps::{Counts, Evidence, Schedule}, store::Order};
+    /// let (service, target) = ("models".to_owned(), "v2".to_owned());
+    /// let order = Order { service, target, time_limit: Duration::from_secs(100) };
+    /// let counts = |answers| Counts { answers, ..Counts::default() };
+    /// let (new, old, before) = (counts(20), counts(30), counts(500));
+    /// let lost = Evidence { new, old, before, requests: 900 };
+    /// let schedule = Schedule::new(0.15).with_slack(10.0);
+    /// assert!(!schedule.is_within_bound(&order, lost, Duration::from_secs(85)));
+    /// assert!(schedule.is_within_bound(&order, lost, Duration::from_secs(95)));
+    /// ```
+    pub fn with_slack(self, slack: f64) -> Self {
+        Self { slack: Some(slack), ..self }
+    }
+
+    /// The schedule for the counts of a `share` of the nodes.
+    pub fn for_share_of_nodes(self, share: f64) -> Self {
+        Self { slack: self.slack.map(|it| it * share), ..self }
+    }
+
+    /// Whether the new version may receive all requests from now on, given those that were
+    /// answered until `elapsed` after the order.
+    pub fn is_within_bound(&self, order: &Order, evidence: Evidence, elapsed: Duration) -> bool {
+        let Some(slack) = self.slack else { return true };
+        let Evidence { new, old, before, requests } = evidence;
+        let answers = |it: Counts| it.answers as f64;
+        let so_far = answers(new) + answers(old) + answers(before);
+        let to_come = match elapsed.as_secs_f64() {
+            0.0 => 0.0,
+            // Requests that are lost now may be served in the last phases.
+            elapsed_s => {
+                let rate = so_far.max(requests as f64) / elapsed_s;
+                rate * order.time_limit.saturating_sub(elapsed).as_secs_f64()
+            }
+        };
+        answers(new) + to_come <= self.max_exposure * (so_far + to_come) + slack
     }
 
     /// The share of sessions whose requests go to the new version in `phase`.
@@ -266,6 +311,9 @@
     /// Answers of other versions before that.
     #[serde(default, skip_serializing_if = "Counts::is_empty")]
     pub before: Counts,
+    /// Requests for the service, whether answered or not.
+    #[serde(default)]
+    pub requests: u64,
 }
 
 impl Evidence {
@@ -275,6 +323,7 @@
             new: self.new.plus(other.new),
             old: self.old.plus(other.old),
             before: self.before.plus(other.before),
+            requests: self.requests + other.requests,
         }
     }
 
@@ -385,11 +434,15 @@
         Phase::Full => Phase::Completed,
         Phase::Completed | Phase::RolledBack => return None,
     };
-    let elapsed = now.saturating_sub(step.began).as_secs_f64() / order.time_limit.as_secs_f64();
+    let elapsed = now.saturating_sub(step.began);
     let is_supported = match next {
         Phase::Partial => evidence.seems_good(MIN_ANSWERS.0),
-        Phase::Full | Phase::Completed => evidence.allows_completion(),
+        Phase::Full => {
+            evidence.allows_completion() && schedule.is_within_bound(order, evidence, elapsed)
+        }
+        Phase::Completed => evidence.allows_completion(),
         _ => true,
     };
-    (schedule.start_of(next) <= elapsed && is_supported).then_some(next)
+    let part = elapsed.as_secs_f64() / order.time_limit.as_secs_f64();
+    (schedule.start_of(next) <= part && is_supported).then_some(next)
 }
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -122,6 +122,7 @@
         contention,
         retries: retry_budget::Limit { ratio: 1.0, slack: 1.0, window: Duration::from_secs(10) },
         max_exposure: 0.1,
+        exposure_slack: None,
         is_first_start: false,
         grace: Duration::from_secs(1),
     }
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -202,6 +202,7 @@
         contention,
         retries: retry_budget::Limit { ratio: 0.1, slack: 1.0, window: Duration::from_secs(10) },
         max_exposure: 0.1,
+        exposure_slack: None,
         is_first_start: false,
         grace: Duration::from_secs(10),
     }
