Never send requests to a version whose order may be on its way

Cause: a version known for less than four seconds, without an order, was taken as a replacement if all endpoints of the established one were tried or ejected. A node whose connections to the old version fail for 400 ms thus gave all requests to a version about whose order it can't know yet.

Change: the preferences are over ejection and earlier attempts only. The version counts once it's established, some seconds later, as before.

Before and after: failing_old_version_moves_no_requests_to_one_without_an_order got 200 from the new version, now the old version's failure; that a replacement without an order is used in the end has a test too. The node's tests pass (171).

--- a/crates/curranthook_gateway/src/selection/eligible.rs
+++ b/crates/curranthook_gateway/src/selection/eligible.rs
@@ -22,12 +22,8 @@
     // the rule already follows from an order.
     let is_order_known =
         |it: &Tracked| *criteria.rule != Rule::Any || it.is_established_version(now);
-    // A version whose endpoints are throttled still exists: no other version replaces it.
-    let is_throttled = |it: &Tracked| !it.admits(now) && is_allowed(it) && is_order_known(it);
-    let has_throttled = ready.iter().any(|it| is_throttled(it));
-    let is_usable = |it: &Tracked| is_allowed(it) && (is_order_known(it) || !has_throttled);
-    let preferences: [&dyn Fn(&Tracked) -> bool; 4] = [
-        &|it| is_allowed(it) && is_order_known(it) && is_untried(it) && !it.is_ejected(now),
+    let is_usable = |it: &Tracked| is_allowed(it) && is_order_known(it);
+    let preferences: [&dyn Fn(&Tracked) -> bool; 3] = [
         &|it| is_usable(it) && is_untried(it) && !it.is_ejected(now),
         &|it| is_usable(it) && is_untried(it),
         &|it| is_usable(it),
@@ -43,7 +39,9 @@
     match criteria.rule {
         Rule::Only(_) => select(&|it| is_untried(it)),
         // The rollout may be over, even if this node has not received that step.
-        Rule::Avoid(_) if !has_throttled => select(&|it| is_untried(it) && !it.is_ejected(now)),
+        Rule::Avoid(_) if !ready.iter().any(|it| is_usable(it)) => {
+            select(&|it| is_untried(it) && !it.is_ejected(now))
+        }
         Rule::Avoid(_) | Rule::Not(_) | Rule::Any => Vec::new(),
     }
 }
