Keep a node's evidence about a version when its process restarts

Callers saw: nothing reported; found by looking for evidence that is lost.

Cause: a process ignored the evidence row that an earlier one of its node had written, began with none, and overwrote the row. The failures that only this node had seen were forgotten by all nodes, so that a version known to be bad got requests again.

Change: the row of an earlier process is added to the own counts once, before this process writes its own.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -142,10 +142,12 @@
                 log_rollout(gateway, it, "seen");
             }
         }
-        Key::Evidence(_, node) if *node == gateway.settings.node => {}
         Key::Evidence(service, node) => {
-            let observation: Observation = serde_json::from_slice(value)?;
-            let Observation { order, evidence } = observation;
+            let Observation { order, evidence } = serde_json::from_slice(value)?;
+            if *node == gateway.settings.node {
+                gateway.rollouts.lock().restore_evidence(service, order, evidence);
+                return Ok(());
+            }
             let received_at = gateway.store_time();
             let mut rollouts = gateway.rollouts.lock();
             rollouts.apply_evidence(service, order, (node, evidence), received_at);
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -272,6 +272,7 @@
         if !is_due || now < at + interval {
             return;
         }
+        self.gateway.rollouts.lock().record_evidence_written(service);
         let key = Key::Evidence(service, &self.gateway.settings.node).to_string();
         let value = encode(&Observation { order: it.order_rev, evidence: it.own });
         let is_written = self.write(&key, None, &value, None).await.is_ok();
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -59,6 +59,8 @@
     pub has_unreadable_step: bool,
     /// The evidence of this node.
     pub own: Evidence,
+    /// Whether the row with this node's evidence is this process's own, and not an earlier one's.
+    pub owns_row: bool,
     /// The evidence of each other node.
     pub others: HashMap<String, Evidence>,
     /// When evidence of another node last arrived, by the store's clock.
@@ -128,6 +130,7 @@
             step,
             has_unreadable_step: false,
             own: Evidence::default(),
+            owns_row: false,
             others: HashMap::new(),
             evidence_received_at: None,
         };
@@ -170,6 +173,25 @@
         }
     }
 
+    /// Applies the evidence that an earlier process of this node wrote. Rows of this process have
+    /// no effect.
+    pub fn restore_evidence(&mut self, service: &str, order: Rev, evidence: Evidence) {
+        if let Some(it) = self.services.get_mut(service)
+            && it.order_rev == order
+            && !it.owns_row
+        {
+            it.owns_row = true;
+            it.own = it.own.plus(evidence);
+        }
+    }
+
+    /// Records that this process writes the row with this node's evidence.
+    pub fn record_evidence_written(&mut self, service: &str) {
+        if let Some(it) = self.services.get_mut(service) {
+            it.owns_row = true;
+        }
+    }
+
     /// The rollouts that are not finished.
     pub fn running(&self) -> impl Iterator<Item = &Rollout> {
         self.services.values().filter(|it| !it.phase().is_final())
--- a/crates/curranthook_gateway/tests/lost_versions.rs
+++ b/crates/curranthook_gateway/tests/lost_versions.rs
@@ -114,3 +114,16 @@
     assert!(Evidence { new: counts(12, 6), ..Evidence::default() }.is_bad());
     assert!(!Evidence { new: counts(12, 1), ..Evidence::default() }.is_bad());
 }
+
+/// Guards against forgetting a node's evidence against a version when its process restarts: its row
+/// would be overwritten by the new process.
+#[test]
+fn evidence_outlives_a_restart_of_its_node() {
+    let mut rollouts = rollouts(Phase::Canary, counts(0, 0));
+    let evidence = Evidence { new: counts(20, 10), old: counts(200, 0), ..Evidence::default() };
+    rollouts.restore_evidence("models", ORDER, evidence);
+    assert_eq!(rule(&rollouts, 70, true), Rule::Not("v2".to_owned()));
+    rollouts.restore_evidence("models", ORDER, evidence);
+    let own = rollouts.get("models").map(|it| it.own.new.answers);
+    assert_eq!(own, Some(20), "the second row is this process's own");
+}
