Log which services a node is cut off from

Change: if connections to two endpoints of a service fail and none succeeds, up to three others are probed; `reach` says suspected, cut_off or reached, and curranthook_reach counts them. A node that isn't cut off probes nothing. No request is decided by it yet.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -153,6 +153,9 @@
         return Err(failure);
     }
     gateway.pool.record_response(&conn);
+    if !conn.is_reused() {
+        lease.record_connection();
+    }
     let time_to_first_byte = elapsed(sent_at, gateway.now());
     Ok(Exchange { lease, conn, reply, head, body, time_to_first_byte })
 }
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -117,7 +117,7 @@
         endpoint: &'a str,
         version: &'a str,
         #[serde(flatten)]
-        basis: Option<Basis>,
+        basis: Option<&'a Basis>,
         model: &'a str,
         attempt: u32,
         busy: u32,
@@ -173,6 +173,8 @@
         last_event_ms: u64,
         took_ms: u64,
     },
+    /// This node was cut off from the endpoints of a service, or reaches them again.
+    Reach { service: &'a str, state: &'a str },
     /// A rollout reached a new phase.
     RollOut {
         service: &'a str,
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -22,6 +22,7 @@
     document::{Document, Service},
     event::Log,
     fleet,
+    forwarding::Forwarding,
     load::{
         in_flight, latency::Estimator, observed::Observations, owners::Owners, reports::Socket,
         snapshot_rows::Decided, table::LoadTable,
@@ -112,6 +113,8 @@
     pub observations: Mutex<Observations>,
     /// The share of engines' time that requests take, by service.
     pub utilization: Mutex<HashMap<String, Utilization>>,
+    /// Which services this node is cut off from.
+    pub forwarding: Forwarding,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
     /// The retry times that were given to refused callers.
@@ -200,6 +203,7 @@
             metrics: Metrics::default(),
             configuration: ArcSwapOption::empty(),
             directory: Mutex::default(),
+            forwarding: Forwarding::default(),
             retry_schedule: Mutex::default(),
             affinity: Mutex::default(),
             price_scales: Mutex::default(),
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -183,6 +183,7 @@
 
     async fn attempt(&mut self, lease: Lease) -> Result<Exchange, Failure> {
         self.n_attempts += 1;
+        let basis = self.version_basis.take();
         let candidate = self.models.current();
         let model = candidate.map(|it| it.name.as_str());
         let id = lease.id.clone();
@@ -199,7 +200,7 @@
             route: &self.route.name,
             endpoint: id.as_str(),
             version: &lease.version,
-            basis: self.version_basis.take(),
+            basis: basis.as_ref(),
             model: model.unwrap_or_default(),
             attempt: self.n_attempts,
             busy: lease.outstanding,
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -14,6 +14,7 @@
     directory::Outcome,
     entry::State,
     event::Event,
+    forwarding::probe,
     load::{in_flight, occupancy::Occupancy, prefill::Prompt, reports::PeerState, work::Work},
     rate_limit,
     selection::{self, Choice, Criteria, Unavailable},
@@ -29,6 +30,8 @@
     pub addr: SocketAddr,
     /// The version of the endpoint's software.
     pub version: String,
+    /// The endpoint's service.
+    service: String,
     /// The estimated number of queued and running requests at the endpoint when the lease was
     /// acquired.
     pub outstanding: u32,
@@ -103,6 +106,7 @@
             id: entry.id,
             addr: entry.addr,
             version: entry.version,
+            service: entry.service,
             started_ms: entry.started_ms,
             outstanding,
             prompt,
@@ -198,6 +202,11 @@
         }
     }
 
+    /// Records that a connection that was opened for this request works.
+    pub fn record_connection(&self) {
+        probe::record_connection(&self.gateway, &self.service);
+    }
+
     /// Records that the first byte of the response arrived.
     pub fn record_first_byte(&mut self, load: Option<Load>) {
         let now = self.gateway.now();
@@ -223,6 +232,11 @@
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.lock();
         directory.request_ended(&self.id, self.outcome, self.pending_prefill, now);
+        if matches!(self.outcome, Outcome::ConnectFailed | Outcome::ConnectionLost) {
+            drop(directory);
+            probe::record_failure(&self.gateway, &self.service, &self.id);
+            directory = self.gateway.directory.lock();
+        }
         if self.is_shared {
             report_in_flight(&self.gateway);
             self.gateway.pending_work_changed.wake();
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod event;
 pub mod fleet;
 pub mod fleet_writer;
+pub mod forwarding;
 pub mod frontend;
 pub mod gateway;
 pub mod job;
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -49,6 +49,7 @@
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
     last_resorts: Family<Label, Counter>,
+    reach: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     sections: Family<Label, Counter>,
     queries: Family<Label, Counter>,
@@ -81,6 +82,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             last_resorts: Family::default(),
+            reach: Family::default(),
             store_calls: Family::default(),
             sections: Family::default(),
             queries: Family::default(),
@@ -118,6 +120,8 @@
         registry.register("retries", "Further attempts, by reason", self.retries.clone());
         let help = "Attempts at a version that the rule did not allow, by rule";
         registry.register("last_resorts", help, self.last_resorts.clone());
+        let help = "Changes in whether the node reaches the endpoints of a service, by state";
+        registry.register("reach", help, self.reach.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Replies with rows to other nodes, by whether they had to be encoded";
         registry.register("row_replies", help, self.sections.clone());
@@ -173,6 +177,11 @@
         self.retries.get_or_create(&Label { name: reason }).inc();
     }
 
+    /// Counts a change in whether the node reaches the endpoints of a service.
+    pub fn record_reach(&self, state: &'static str) {
+        self.reach.get_or_create(&Label { name: state }).inc();
+    }
+
     /// Counts an attempt at a version that the rollout's rule does not allow.
     pub fn record_last_resort(&self, rule: &'static str) {
         self.last_resorts.get_or_create(&Label { name: rule }).inc();
