Forward requests to other nodes while cut off from a service

Cause: a node without endpoints had no other way to serve. It tried five endpoints, one after the other, for each request, and refused. Class: a node's own view taken for the state of the service.

Change: a node that is cut off passes the request, as its caller sent it, to one of a few other nodes that it has drawn at random, preferably of other failure domains, over the nodes' own interface. The other node admits it by its own configuration, which must not be older, and serves it as one of its callers', but never forwards it. What it can't serve and hasn't sent to an endpoint is tried at up to two more nodes. If all have refused, the endpoints are down: for a second requests go to endpoints as before. Nodes recognize each other by a key in the store that one of them writes. The deadline left, the runs so far and the last event go along; requests are counted once, by the node that received them from the caller.

Ruled out: readiness alone.

--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -21,6 +21,13 @@
     fn parse_request_head(&self, head: &http::request::Parts) -> Result<Head, InvalidHeader>;
     /// Builds the request that is sent to an endpoint.
     fn build_request(&self, request: &Request, outgoing: &Outgoing<'_>) -> http::Request<Bytes>;
+    /// Builds the request as its caller sent it, to be forwarded to another node.
+    fn build_forwarded_request(
+        &self,
+        request: &Request,
+        time_left: Duration,
+        last_event_id: Option<u64>,
+    ) -> http::Request<Bytes>;
     /// Parses the head of an endpoint's response.
     fn parse_response_head(&self, head: &http::response::Parts) -> Reply;
     /// The headers of an endpoint's response that no decoder reads.
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -173,6 +173,17 @@
         last_event_ms: u64,
         took_ms: u64,
     },
+    /// A request was forwarded to another node, as this one is cut off from the service.
+    Forwarded {
+        request: &'a str,
+        node_asked: &'a str,
+        attempt: u32,
+        result: &'a str,
+        left_ms: u64,
+        took_ms: u64,
+    },
+    /// A request that claims to be forwarded did not come from a node of the fleet.
+    ForwardRejected { path: &'a str },
     /// This node was cut off from the endpoints of a service, or reaches them again.
     Reach { service: &'a str, state: &'a str },
     /// A rollout reached a new phase.
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -22,6 +22,9 @@
     /// node finds it in the first rows of the table. Builds that do not know this kind of row
     /// ignore it.
     Tree,
+    /// The key with which nodes recognize each other's requests. It precedes the rows of nodes.
+    /// Builds that do not know this kind of row ignore it.
+    ForwardingKey,
     /// The addresses of a node.
     Node(&'a str),
     /// The current step of a service's rollout.
@@ -48,6 +51,7 @@
         let (kind, rest) = key.split_once('/')?;
         match kind {
             "0" if rest == "tree" => Some(Self::Tree),
+            "0" if rest == "forwarding" => Some(Self::ForwardingKey),
             "node" => Some(Self::Node(rest)),
             "step" => Some(Self::Step(rest)),
             "poison" => Some(Self::Poison(rest)),
@@ -64,6 +68,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Tree => f.write_str("0/tree"),
+            Self::ForwardingKey => f.write_str("0/forwarding"),
             Self::Node(node) => write!(f, "node/{node}"),
             Self::Step(service) => write!(f, "step/{service}"),
             Self::Evidence(service, node) => write!(f, "evidence/{service}/{node}"),
@@ -123,6 +128,7 @@
 ) -> Result<(), serde_json::Error> {
     match key {
         Key::Tree => gateway.topology.lock().receive(serde_json::from_slice(value)?),
+        Key::ForwardingKey => gateway.forwarding.set_key(&serde_json::from_slice::<String>(value)?),
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
             gateway.load_owners.lock().set_node(name, node.reports);
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -64,11 +64,13 @@
         written_evidence: HashMap::new(),
         charges: Charges::default(),
         tree_written_at: None,
+        key_written_at: None,
     };
     writer.announce().await;
     loop {
         Timer::after(POLL_INTERVAL).await;
         writer.update_tree().await;
+        writer.write_forwarding_key().await;
         writer.update_rollouts().await;
         writer.write_poison().await;
     }
@@ -83,6 +85,8 @@
     charges: Charges,
     /// When the tree of relays was last written.
     tree_written_at: Option<Instant>,
+    /// When a key for forwarded requests was last written.
+    key_written_at: Option<Instant>,
 }
 
 impl Writer {
@@ -176,6 +180,33 @@
         let _failed = self.write(&key, Some(expected), &value, None).await;
     }
 
+    /// Creates the key with which nodes recognize each other's requests if there is none. One node
+    /// does so: the root, or in a fleet without a tree, the one of the lowest rank.
+    async fn write_forwarding_key(&mut self) {
+        let (gateway, now) = (Arc::clone(&self.gateway), self.gateway.now());
+        let is_recent = |at| now.saturating_duration_since(at) < TREE_INTERVAL;
+        let is_needed = gateway.forwarding.key().is_none() && 1 < gateway.n_nodes();
+        if !is_needed || self.key_written_at.is_some_and(is_recent) {
+            return;
+        }
+        let key = Key::ForwardingKey.to_string();
+        let is_writer = match gateway.tree().filter(|it| it.is_used()) {
+            Some(tree) => tree.is_root(&gateway.settings.node),
+            None => fleet::rank(&gateway, &key) == 0,
+        };
+        let has_row = {
+            let mirror = gateway.mirror.lock();
+            !mirror.has_read(Table::Fleet) || mirror.row(Table::Fleet, &key).is_some()
+        };
+        if !is_writer || has_row {
+            return;
+        }
+        self.key_written_at = Some(now);
+        let value = format!("{:032x}", rand::random::<u128>());
+        // A failed write was logged, and is repeated after the interval.
+        let _failed = self.write(&key, Some(Rev(0)), &encode(&value), None).await;
+    }
+
     async fn update_rollouts(&mut self) {
         let now = self.gateway.store_time();
         let Some(now) = now else { return };
--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -13,7 +13,7 @@
     document::Denied,
     event::Event,
     gateway::Configuration,
-    job::{Job, Summary, millis},
+    job::{Job, Origin, Summary, millis},
     refusal::{Reason, Refusal, Started},
     request, startup, stream, unary,
 };
@@ -41,14 +41,8 @@
         Box::pin(async move {
             let gateway = &self.gateway;
             let (head, body) = req.into_parts();
-            let result = match self.admit(&head, body).await {
-                Ok(job) => run_job(job).await,
-                Err(refusal) => {
-                    self.log_refusal(&head, &refusal);
-                    Err(refusal)
-                }
-            };
-            let mut res = result.unwrap_or_else(|refusal| refusal_response(gateway, &refusal));
+            let result = self.respond(&head, body, Origin::Caller).await;
+            let mut res = result.unwrap_or_else(|refusal| self.refuse(&refusal));
             if gateway.is_stopping() {
                 gateway.dialect.add_closing_headers(res.headers_mut());
             }
@@ -58,6 +52,31 @@
 }
 
 impl Frontend {
+    /// Admits and runs a request.
+    pub async fn respond(
+        &self,
+        head: &Parts,
+        body: Incoming,
+        origin: Origin,
+    ) -> Result<Response<Body>, Refusal> {
+        match self.admit(head, body, origin).await {
+            Ok(job) => run_job(job).await,
+            Err(refusal) => {
+                self.log_refusal(head, &refusal);
+                Err(refusal)
+            }
+        }
+    }
+
+    /// The response to a refused request, which states the reason.
+    pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
+        self.gateway.metrics.record_refusal(refusal.reason);
+        let text = serde_json::json!({ "error": refusal.reason.name() });
+        let mut res = body::json(refusal.status.as_u16(), &text);
+        self.gateway.dialect.add_refusal_headers(refusal, res.headers_mut());
+        res
+    }
+
     fn log_refusal(&self, head: &Parts, refusal: &Refusal) {
         let gateway = &self.gateway;
         let parsed = gateway.dialect.parse_request_head(head).ok();
@@ -73,7 +92,7 @@
     }
 
     /// Parses and admits a request, and reads its body.
-    async fn admit(&self, head: &Parts, body: Incoming) -> Result<Job, Refusal> {
+    async fn admit(&self, head: &Parts, body: Incoming, origin: Origin) -> Result<Job, Refusal> {
         let gateway = &self.gateway;
         let refusal = |reason| Refusal::new(reason, Started::No);
         if self.closed.load(std::sync::atomic::Ordering::Relaxed) {
@@ -109,7 +128,7 @@
         if gateway.poison.lock().is_poison(request.fingerprint, received_at) {
             return Err(refusal(Reason::Poison));
         }
-        Job::new(gateway, &configuration, request, route, account.map(|it| it.id), rank)
+        Job::new(gateway, &configuration, request, route, account.map(|it| it.id), rank, origin)
     }
 }
 
@@ -142,6 +161,10 @@
             Err(refusal) => Err((job, refusal)),
         }
     };
+    let result = match result {
+        Err((job, refusal)) if job.is_forwarded(refusal.reason) => job.forward().await,
+        other => other,
+    };
     result.map_err(|(job, refusal)| {
         let (status, outcome) = (refusal.status.as_u16(), refusal.reason.name());
         job.record_end(&Summary { status, outcome, ..Summary::default() });
@@ -169,12 +192,3 @@
     *res.headers_mut() = headers;
     res
 }
-
-/// The response to a refused request, which states the reason.
-fn refusal_response(gateway: &Gateway, refusal: &Refusal) -> Response<Body> {
-    gateway.metrics.record_refusal(refusal.reason);
-    let text = serde_json::json!({ "error": refusal.reason.name() });
-    let mut res = body::json(refusal.status.as_u16(), &text);
-    gateway.dialect.add_refusal_headers(refusal, res.headers_mut());
-    res
-}
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod contention;
 mod escalation;
+mod forward;
 mod retry;
 
 use std::{sync::Arc, time::Duration};
@@ -18,6 +19,7 @@
     directory::Outcome,
     document::Route,
     event::Event,
+    forwarding::{self, server::Slot},
     gateway::{Configuration, InFlight},
     lease::Lease,
     load::{
@@ -54,6 +56,20 @@
     pub last_event_after: Duration,
 }
 
+/// Where a request comes from.
+#[derive(Debug)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another node, which has counted the request and may have run it before.
+    Node {
+        /// The number of times that the request may have run.
+        n_runs: u32,
+        /// The place of the request among the forwarded ones.
+        _slot: Slot,
+    },
+}
+
 /// An admitted request and the state of its attempts.
 #[derive(Debug)]
 pub struct Job {
@@ -89,6 +105,7 @@
     peer_state: Option<PeerState>,
     /// What the choice of the version for the next attempt is based on, during a rollout.
     version_basis: Option<Basis>,
+    origin: Origin,
     _in_flight: InFlight,
 }
 
@@ -101,14 +118,21 @@
         route: Arc<Route>,
         account: Option<account::Id>,
         rank: Rank,
+        origin: Origin,
     ) -> Result<Self, Refusal> {
         let split_point = hash::unit(hash::bytes(request.head.id.as_bytes()));
         let service = route.service(split_point).map(str::to_owned);
         let service = service.ok_or_else(|| Refusal::new(Reason::NoEndpoint, Started::No))?;
         let models = Models::new(&configuration.document, &service, &route, &request.head.model);
-        gateway.retry_budget.lock().record_request(&service, gateway.now());
-        gateway.rollouts.lock().record_request(&service);
-        contention::record_level(gateway, &service, &models, rank);
+        let n_runs = match origin {
+            Origin::Node { n_runs, .. } => n_runs,
+            Origin::Caller => {
+                gateway.retry_budget.lock().record_request(&service, gateway.now());
+                gateway.rollouts.lock().record_request(&service);
+                contention::record_level(gateway, &service, &models, rank);
+                0
+            }
+        };
         let refused_deadline = gateway.refused.lock().take(&request.fingerprint, gateway.now());
         Ok(Self {
             refused_deadline,
@@ -119,13 +143,14 @@
             service,
             models,
             tried_endpoints: Vec::new(),
-            n_runs: 0,
+            n_runs,
             n_rejections: 0,
-            started: Started::No,
+            started: if n_runs == 0 { Started::No } else { Started::Maybe },
             has_errored: false,
             configuration_version: configuration.document.version,
             peer_state: None,
             version_basis: None,
+            origin,
             _in_flight: gateway.track_request(),
             gateway: Arc::clone(gateway),
             request,
@@ -144,6 +169,9 @@
             if self.time_left().is_zero() {
                 return Err(self.refusal(Reason::Timeout));
             }
+            if self.is_cut_off() {
+                return Err(self.refusal(Reason::Unreachable));
+            }
             let lease = self.acquire_lease().await?;
             let (id, version) = (lease.id.clone(), lease.version.clone());
             let sent_at = self.gateway.now();
@@ -167,6 +195,20 @@
         }
     }
 
+    /// Whether the request is not to be sent to endpoints, as this node is cut off from them. For a
+    /// caller's request, another node may take it.
+    fn is_cut_off(&self) -> bool {
+        match self.origin {
+            Origin::Caller => forwarding::is_used(&self.gateway, &self.service),
+            Origin::Node { .. } => forwarding::is_cut_off(&self.gateway, &self.service),
+        }
+    }
+
+    /// Whether another node is asked for the request that was refused for `reason`.
+    pub fn is_forwarded(&self, reason: Reason) -> bool {
+        reason == Reason::Unreachable && matches!(self.origin, Origin::Caller)
+    }
+
     /// Handles an attempt that failed after its response had begun; another attempt may follow.
     pub async fn on_response_failed(
         &mut self,
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     retries: Family<Label, Counter>,
     last_resorts: Family<Label, Counter>,
     reach: Family<Label, Counter>,
+    forwarded: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     sections: Family<Label, Counter>,
     queries: Family<Label, Counter>,
@@ -83,6 +84,7 @@
             retries: Family::default(),
             last_resorts: Family::default(),
             reach: Family::default(),
+            forwarded: Family::default(),
             store_calls: Family::default(),
             sections: Family::default(),
             queries: Family::default(),
@@ -122,6 +124,8 @@
         registry.register("last_resorts", help, self.last_resorts.clone());
         let help = "Changes in whether the node reaches the endpoints of a service, by state";
         registry.register("reach", help, self.reach.clone());
+        let help = "Requests forwarded to other nodes, by result, and received from them";
+        registry.register("forwarded", help, self.forwarded.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Replies with rows to other nodes, by whether they had to be encoded";
         registry.register("row_replies", help, self.sections.clone());
@@ -177,6 +181,11 @@
         self.retries.get_or_create(&Label { name: reason }).inc();
     }
 
+    /// Counts a request that was forwarded to another node, or received from one.
+    pub fn record_forwarded(&self, result: &'static str) {
+        self.forwarded.get_or_create(&Label { name: result }).inc();
+    }
+
     /// Counts a change in whether the node reaches the endpoints of a service.
     pub fn record_reach(&self, state: &'static str) {
         self.reach.get_or_create(&Label { name: state }).inc();
--- a/crates/curranthook_gateway/src/refusal.rs
+++ b/crates/curranthook_gateway/src/refusal.rs
@@ -19,6 +19,8 @@
     TooLarge,
     /// No endpoint is available.
     NoEndpoint,
+    /// This node is cut off from all endpoints of the service, and no other node takes the request.
+    Unreachable,
     /// The endpoints that match the request admit no more for now.
     Throttled,
     /// All endpoints that were tried are full.
@@ -52,6 +54,7 @@
             Self::Invalid => "invalid",
             Self::TooLarge => "too_large",
             Self::NoEndpoint => "no_endpoint",
+            Self::Unreachable => "unreachable",
             Self::Throttled => "throttled",
             Self::Full => "full",
             Self::Overloaded => "overloaded",
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -24,6 +24,7 @@
     Gateway,
     event::Event,
     fleet_writer,
+    forwarding::server as forwarding,
     frontend::Frontend,
     load::{
         reports::{self, Socket},
@@ -117,7 +118,8 @@
     };
     serve_detached(&gateway, listeners.readiness, Arc::new(ReadinessHandler(Arc::clone(&gateway))));
     if let Some(server) = listeners.peers {
-        let handler = Arc::new(peers::Server { gateway: Arc::clone(&gateway) });
+        let peers = Arc::new(peers::Server { gateway: Arc::clone(&gateway) });
+        let handler = Arc::new(forwarding::Server { frontend: Arc::clone(&frontend), peers });
         serve_detached(&gateway, server, handler);
     }
     if let Some(server) = listeners.metrics {
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -63,6 +63,15 @@
     fn build_request(&self, _: &Request, _: &Outgoing<'_>) -> http::Request<Bytes> {
         unreachable!()
     }
+    fn build_forwarded_request(
+        &self,
+        _: &Request,
+        _: Duration,
+        _: Option<u64>,
+    ) -> http::Request<Bytes> {
+        unreachable!("no request is forwarded")
+    }
+
     fn parse_response_head(&self, _: &http::response::Parts) -> Reply {
         unreachable!()
     }
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -250,6 +250,15 @@
         unreachable!("no request is sent")
     }
 
+    fn build_forwarded_request(
+        &self,
+        _: &Request,
+        _: Duration,
+        _: Option<u64>,
+    ) -> http::Request<bytes::Bytes> {
+        unreachable!("no request is forwarded")
+    }
+
     fn parse_response_head(&self, _: &http::response::Parts) -> Reply {
         unreachable!("no response is received")
     }
