--- a/crates/curranthook_gateway/src/forwarding/candidates.rs
+++ b/crates/curranthook_gateway/src/forwarding/candidates.rs
@@ -39,6 +39,8 @@
     backoff_until: Option<Instant>,
     /// The number of requests that it has been forwarded and has not answered.
     in_flight: usize,
+    /// The number of requests that it has been forwarded.
+    n_sent: usize,
 }
 
 impl Candidate {
@@ -77,16 +79,20 @@
                     addr: node.peers,
                     backoff_until: None,
                     in_flight: 0,
+                    n_sent: 0,
                 },
             });
         }
     }
 
-    /// The name and address of the node with the fewest requests, other than the `tried` ones.
+    /// The name and address of the node with the fewest requests in flight, other than the `tried`
+    /// ones. Among several, that with the fewest requests so far is chosen.
     pub fn choose(&mut self, tried: &[String], now: Instant) -> Option<(String, SocketAddr)> {
         let usable = |it: &&mut Candidate| it.is_available(now) && !tried.contains(&it.name);
-        let chosen = self.members.iter_mut().filter(usable).min_by_key(|it| it.in_flight)?;
+        let chosen =
+            self.members.iter_mut().filter(usable).min_by_key(|it| (it.in_flight, it.n_sent))?;
         chosen.in_flight += 1;
+        chosen.n_sent += 1;
         Some((chosen.name.clone(), chosen.addr))
     }
 
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`permit`]: divides among the nodes the request rate of endpoints that are in [`slow_start`]
 //!   or announce a [`rate_limit`]; [`retry_schedule`] spreads the `Retry-After` times of refused
 //!   callers;
+//! - [`forwarding`]: passes the request to another node if this one is cut off from the service;
 //! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
 //!
 //! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`load::snapshot`],
