Spare endpoints that fail if they have to reject many requests

Callers see: nothing yet; endpoints that say how many rejections a second they bear (a new header) fell over by what the nodes sent to their full queues.

Cause: nothing read the header. After a rejection, a node sent the next request to the same endpoint at once if its others were no better.

Change: a node that gets a rejection from such an endpoint sends it nothing until its part of half the bearable rejections is due again (nodes / (rate / 2)), or until the endpoint reports free slots. What is kept out goes elsewhere or is refused as throttled, with the end of that time.

What remains: at the first rejections each node may cause one at the same time, so that fleets of more nodes than the rate can exceed it once.

--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -90,6 +90,9 @@
     /// The requests per second that the endpoint accepts from all nodes together; `None` if it
     /// states no limit.
     pub rate_limit: Option<f64>,
+    /// The requests per second that the endpoint can reject for want of capacity, from all nodes
+    /// together, before it fails; `None` if it states no such number.
+    pub max_rejections: Option<f64>,
     /// The time for which the endpoint accepts no more requests from this node, if it rejected the
     /// request.
     pub pause: Option<Duration>,
@@ -99,6 +102,13 @@
     pub connection: Connection,
 }
 
+impl Reply {
+    /// Whether the endpoint rejected the request for want of capacity.
+    pub fn is_rejection(&self) -> bool {
+        self.execution == Execution::NotRun && self.status != StatusCode::MISDIRECTED_REQUEST
+    }
+}
+
 /// Whether a request ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Execution {
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -262,6 +262,20 @@
         }
     }
 
+    /// Stops requests from this node to an endpoint that rejected one for want of capacity (see
+    /// [`Advertised::spare`]).
+    pub fn spare(
+        &mut self,
+        incarnation: &Incarnation,
+        max_rejections: f64,
+        n_nodes: usize,
+        now: Instant,
+    ) {
+        if let Some(it) = self.advertised(incarnation, now) {
+            it.spare(max_rejections, n_nodes, now);
+        }
+    }
+
     /// The reported state of this incarnation; none if another incarnation is known under its id.
     fn advertised(&mut self, incarnation: &Incarnation, now: Instant) -> Option<&mut Advertised> {
         match self.endpoints.get_mut(&incarnation.id) {
@@ -299,6 +313,9 @@
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
                 it.load = Some((load, now, it.in_flight));
+                if load.running < load.slots && load.waiting == 0 {
+                    it.advertised.end_sparing();
+                }
             }
         }
     }
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -67,6 +67,8 @@
     Leaving { endpoint: &'a str, from: &'a str },
     /// An endpoint refused a request and asked this node to send it none for some time.
     Paused { endpoint: &'a str, length_ms: u64 },
+    /// An endpoint that can bear only some rejections per second rejected a request.
+    Spared { endpoint: &'a str, max_rejections: f64 },
     /// The evacuation of a failure domain was ordered or ended.
     Evacuation { domain: &'a str, state: &'a str, rev: u64, from: &'a str },
     /// A request was refused.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -148,6 +148,11 @@
             let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
             self.gateway.log.write(&Event::Paused { endpoint, length_ms });
         }
+        if let Some(max_rejections) = reply.max_rejections.filter(|_| reply.is_rejection()) {
+            let n_nodes = self.gateway.n_nodes();
+            directory.spare(&incarnation, max_rejections, n_nodes, now);
+            self.gateway.log.write(&Event::Spared { endpoint, max_rejections });
+        }
         // A failed response may lack headers that the endpoint sends in all others.
         let states_limit = completeness == Completeness::Whole || notice.rate.is_some();
         let is_changed = states_limit && directory.set_rate_limit(&incarnation, &notice, now);
