Leave requests to endpoints that are silent for a second

Callers saw: 502 for calls that may run once, at a sound endpoint that was silent when they were sent.

Cause: a connection was closed once sent bytes were unacknowledged for 1.2 s. A silence of 1.3 s cut the request after 1.7 s, and whether it ran was unknown.

Change: two seconds. Also a note on which limit ends a silent connection: where TCP_USER_TIMEOUT is set it decides for keep-alive probes, too, whatever their count.

Before and after: silent_endpoints.rs drops all packets at the endpoint by a socket filter. Of short_silence_cuts_no_request the case before_request failed, now both pass; an endpoint that stays silent is noticed in under 3.5 s in both cases, before and after.

--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -53,8 +53,9 @@
 /// requests per second at most, and callers return within some seconds.
 const REFUSED_CAPACITY: usize = 1_024;
 /// How long sent bytes may stay unacknowledged before a connection is closed. This detects an
-/// endpoint, peer or store that has lost power; a busy one still acknowledges.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// endpoint, peer or store that has lost power. A sound one may be silent for a second or so, and
+/// bytes that were lost meanwhile are sent again up to half a second later.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
 /// The timeout for opening a connection: many round trips between failure domains, but less than
 /// the second after which the operating system retransmits its first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -38,7 +38,9 @@
 /// probe may stay unanswered. The kernel accepts only whole seconds: it ignores a shorter interval,
 /// and sends the first probe after its default of two hours.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// How many keep-alive probes in a row may stay unanswered.
+/// How many keep-alive probes in a row may stay unanswered. The kernel ignores this number where a
+/// time limit for unacknowledged bytes is set: it then closes the connection at the first probe that
+/// is due after that limit, counted from the last packet received.
 const MAX_UNANSWERED_PROBES: u32 = 1;
 
 /// Which connections may be used for a request.
