Leave streams of endpoints that are silent for a second

Callers saw: a stream that can't be resumed broke off at a sound endpoint that was silent for 1.3 s between two events.

Cause: a stream counted as stalled after 1.5 s without an event, which a silence of a second or so and the usual gap between events exceed together.

Change: two seconds, the gap after which callers leave at the earliest.

Before and after: short_silence_ends_no_stream got 3 of 4 events, now all. Tests of the node: 194 passed.

--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -23,9 +23,9 @@
 /// The time without an event after which an endpoint counts as stalled, as a multiple of the
 /// route's `max_event_gap`. By then the stream is late already, and callers cancel soon after.
 const IDLE_TIMEOUT_GAP_FACTOR: u32 = 2;
-/// The shortest time after which an endpoint counts as stalled, since it may prefill other prompts
-/// between two events.
-const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The shortest time after which an endpoint counts as stalled. It may prefill other prompts between
+/// two events, and a sound one may be silent for a second or so in addition.
+const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a stream is aborted.
 #[derive(Debug, thiserror::Error)]
