Keep a version under test from requests that its rollout does not give it

Cause: versions that no endpoint serves were removed before the rollout chose, so that with the old version's endpoints gone the new one got every session, whatever the stage. A suspect new version kept its share, though the old one was there: suspects were removed after the rollout had removed the old version.

Change: the rollout chooses first, and gives a new version that is suspect or not served no session while it's under way; what isn't served is removed after that, and refused as no_endpoint if nothing is left.

--- a/crates/curranthook_router/src/chat.rs
+++ b/crates/curranthook_router/src/chat.rs
@@ -81,10 +81,9 @@
             pinned => return pinned.map(|plan| (plan, Some(session.clone()))),
         }
     }
-    let versions = selection::allowed(snapshot, chat)?;
-    let versions =
-        selection::apply_rollouts(snapshot, versions, selection::rollout_key(chat, &pin));
-    let versions = selection::without_suspects(versions, |it| router.node.suspects().contains(it));
+    let rollout_key = selection::rollout_key(chat, &pin);
+    let is_suspect = |it: &version::Id| router.node.suspects().contains(it);
+    let versions = selection::eligible(snapshot, chat, rollout_key, is_suspect)?;
     let inputs = StrategyInputs::new(snapshot, chat, &versions);
     let time_left = chat.metadata.time_left(router.clock.now());
     let rater = router.rater.state(snapshot.config().rater);
--- a/crates/curranthook_router/src/selection.rs
+++ b/crates/curranthook_router/src/selection.rs
@@ -17,9 +17,36 @@
 /// The approximate number of bytes of a prompt per token.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// The versions that may respond to `chat` and that an endpoint serves, without those to which a
+/// rollout does not route the request with this `rollout_key`, and without suspect ones unless all
+/// are suspect.
+pub fn eligible<'a>(
+    snapshot: &'a Snapshot,
+    chat: &Chat,
+    rollout_key: u64,
+    is_suspect: impl Fn(&version::Id) -> bool,
+) -> Result<Vec<&'a version::Id>, Refusal> {
+    let is_served = |it: &version::Id| is_served(snapshot, it);
+    let versions = allowed(snapshot, chat)?;
+    // Applied before versions without endpoints are removed: a version under test must not get all
+    // requests because the old one is lost.
+    let is_usable = |it: &version::Id| is_served(it) && !is_suspect(it);
+    let mut versions = apply_rollouts(snapshot, versions, rollout_key, is_usable);
+    versions.retain(|it| is_served(it));
+    if versions.is_empty() {
+        let message = "no endpoint serves an allowed version";
+        return Err(Refusal::not_run(Reason::NoEndpoint, message));
+    }
+    Ok(without_suspects(versions, is_suspect))
+}
+
+fn is_served(snapshot: &Snapshot, id: &version::Id) -> bool {
+    snapshot.config().endpoints.values().any(|it| it.versions.contains(id))
+}
+
 /// The versions that may respond to `chat`: those of the requested model or version that the
-/// account may use, without withdrawn versions and those that no endpoint serves.
-pub fn allowed<'a>(snapshot: &'a Snapshot, chat: &Chat) -> Result<Vec<&'a version::Id>, Refusal> {
+/// account may use, without withdrawn versions.
+fn allowed<'a>(snapshot: &'a Snapshot, chat: &Chat) -> Result<Vec<&'a version::Id>, Refusal> {
     let refused = |code, message: &str| Err(Refusal::not_run(code, message));
     let config = snapshot.config();
     let is_requested = |id: &version::Id| {
@@ -40,27 +67,25 @@
     if live.is_empty() {
         return refused(Reason::Withdrawn, "the version was withdrawn");
     }
-    let is_served = |id: &version::Id| config.endpoints.values().any(|it| it.versions.contains(id));
-    let served: Vec<_> = live.into_iter().filter(|it| is_served(it)).collect();
-    if served.is_empty() {
-        return refused(Reason::NoEndpoint, "no endpoint serves an allowed version");
-    }
-    Ok(served)
+    Ok(live)
 }
 
 /// For each model with a rollout in progress, removes the version to which the rollout does not
-/// route the request with this `rollout_key`.
-pub fn apply_rollouts<'a>(
+/// route the request with this `rollout_key`. While a rollout is under way, it routes no request to a
+/// new version that is not usable.
+fn apply_rollouts<'a>(
     snapshot: &Snapshot,
     mut versions: Vec<&'a version::Id>,
     rollout_key: u64,
+    is_usable: impl Fn(&version::Id) -> bool,
 ) -> Vec<&'a version::Id> {
     for it in snapshot.document.rollouts.values() {
         let has_both = versions.contains(&&it.from) && versions.contains(&&it.to);
         if !has_both {
             continue;
         }
-        let chosen = rollout::route(it, rollout_key);
+        let is_open = !it.is_active() || is_usable(&it.to);
+        let chosen = if is_open { rollout::route(it, rollout_key) } else { &it.from };
         let excluded = if *chosen == it.to { &it.from } else { &it.to };
         versions.retain(|id| *id != excluded);
     }
@@ -68,7 +93,7 @@
 }
 
 /// Removes suspect versions, unless all are suspect.
-pub fn without_suspects(
+fn without_suspects(
     versions: Vec<&version::Id>,
     is_suspect: impl Fn(&version::Id) -> bool,
 ) -> Vec<&version::Id> {
