Move the evidence about versions into a module of its own

Pairs of values in one constant had no names, and a comment told how one was measured.

Change: steps::evidence; a constant for each value. The names that others use stay. Before and after: all tests of the gateway pass.

--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -5,12 +5,16 @@
 //! replaces the row on condition that it is unchanged. So each step is written once, and a node
 //! that was suspended or had lost its connections cannot undo one.
 
+mod evidence;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::store::{Order, Rev};
 
+pub use self::evidence::{Counts, Delay, Evidence};
+
 /// The schedule of a rollout within the time limit of its order.
 ///
 /// Some versions fail only under the load of all requests, and show no fault under less. So the
@@ -136,19 +140,6 @@
     }
 }
 
-/// The minimum number of the new version's answers before [`Phase::Partial`], and before the later
-/// phases. A service without models at 16 requests per second gets four answers in the canary
-/// phase. If five were required, good versions of it would be completed too late.
-const MIN_ANSWERS: (u64, u64) = (3, 8);
-/// The minimum number of bad answers that count as evidence against a version; fewer may be chance.
-const MIN_BAD: u64 = 3;
-/// By how much the new version's share of bad answers must exceed the old version's to count as
-/// worse.
-const MIN_BAD_EXCESS: f64 = 0.03;
-/// By how many standard errors the new version's share of bad answers may exceed the old version's
-/// while its share of requests still grows.
-const MAX_DOUBTFUL_SIGMAS: f64 = 1.5;
-
 /// The phase of a rollout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -192,226 +183,6 @@
     pub since: Duration,
 }
 
-/// Statistics of how long answers took compared to the baseline: the count, the sum and the sum of
-/// squares of the natural logarithms of the ratios.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Delay {
-    n: f64,
-    sum: f64,
-    squares: f64,
-}
-
-impl Delay {
-    /// Adds an answer that took `ratio` times as long as the baseline.
-    pub fn add(&mut self, ratio: f64) {
-        let log = ratio.max(MIN_RATIO).ln();
-        self.n += 1.0;
-        self.sum += log;
-        self.squares += log * log;
-    }
-
-    fn plus(self, other: Self) -> Self {
-        Self {
-            n: self.n + other.n,
-            sum: self.sum + other.sum,
-            squares: self.squares + other.squares,
-        }
-    }
-
-    fn mean(self) -> f64 {
-        self.sum / self.n.max(1.0)
-    }
-
-    /// The square of the standard error of the mean.
-    fn squared_error(self) -> f64 {
-        let variance = self.squares / self.n.max(1.0) - self.mean().powi(2);
-        variance.max(MIN_VARIANCE) / self.n.max(1.0)
-    }
-
-    /// Whether these answers took significantly longer than `others`, by `factor` or more.
-    fn is_significantly_longer(self, others: Self, factor: f64) -> bool {
-        if self.n < MIN_SAMPLES || others.n < MIN_SAMPLES {
-            return false;
-        }
-        let difference = self.mean() - others.mean();
-        let error = (self.squared_error() + others.squared_error()).sqrt();
-        factor.ln() < difference && SIGNIFICANT_SIGMAS * error < difference
-    }
-}
-
-/// The minimum ratio that is recorded. Smaller ones are raised to it: an answer that is even faster
-/// does not count as better.
-const MIN_RATIO: f64 = 0.1;
-/// The minimum variance assumed for the logarithms of a version's ratios, so that a few equal
-/// ratios do not count as significant.
-const MIN_VARIANCE: f64 = 0.25;
-/// The minimum number of answers of each version for a comparison.
-const MIN_SAMPLES: f64 = 8.0;
-/// By how many standard errors two versions must differ; by chance, this happens once in a few
-/// thousand checks.
-const SIGNIFICANT_SIGMAS: f64 = 3.3;
-/// The maximum ratio of a new version's time to the first event to the old version's. Its engines
-/// start without the cached prompts of the old ones and have to prefill all of them again.
-const MAX_FIRST_SLOWDOWN: f64 = 3.0;
-/// The maximum ratio of a new version's time between events to the old version's. It is smaller
-/// because a recent start does not affect this time.
-const MAX_GAP_SLOWDOWN: f64 = 1.3;
-
-/// The ratios of a version's times to the first event, and between events, above which its share of
-/// requests does not grow, even if the difference is not significant. Just before the full phase,
-/// good versions were measured at ratios of 0.4 to 1.2 and 0.4 to 1.0, because their engines have
-/// less to do. A version whose answers take a few times as long was at 1.6 to 1.8 and 1.3 to 1.5.
-const DOUBTFUL_SLOWDOWNS: (f64, f64) = (1.5, 1.25);
-
-/// Counters of a version's answers.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Counts {
-    /// The number of answers, including bad ones.
-    pub answers: u64,
-    /// The number of failures. Slow answers are not included: under a disturbance that slows both
-    /// versions, the old version's slow answers would hide the new version's failures.
-    pub bad: u64,
-    /// The time to the first byte, compared to the baseline.
-    #[serde(default)]
-    pub first: Delay,
-    /// The time between stream events, compared to the baseline.
-    #[serde(default)]
-    pub rest: Delay,
-}
-
-impl Counts {
-    /// The sum of both.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            answers: self.answers + other.answers,
-            bad: self.bad + other.bad,
-            first: self.first.plus(other.first),
-            rest: self.rest.plus(other.rest),
-        }
-    }
-
-    /// Whether there are no answers.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
-    }
-
-    /// The share of bad answers.
-    pub fn bad_share(self) -> f64 {
-        if self.answers == 0 { 0.0 } else { self.bad as f64 / self.answers as f64 }
-    }
-}
-
-/// The evidence of all nodes about both versions since the rollout's order.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct Evidence {
-    /// Answers of the new version.
-    pub new: Counts,
-    /// Answers of other versions since the new version gets requests.
-    pub old: Counts,
-    /// Answers of other versions before that.
-    #[serde(default, skip_serializing_if = "Counts::is_empty")]
-    pub before: Counts,
-    /// Requests for the service, whether answered or not.
-    #[serde(default)]
-    pub requests: u64,
-}
-
-impl Evidence {
-    /// The sum of both.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            new: self.new.plus(other.new),
-            old: self.old.plus(other.old),
-            before: self.before.plus(other.before),
-            requests: self.requests + other.requests,
-        }
-    }
-
-    /// The answers that those of the new version are compared with. The ones of the same time are
-    /// preferred, since a disturbance affects both versions. Earlier ones count, too, if the old
-    /// version has given few answers since, because its endpoints are lost or limited.
-    fn reference(self) -> Counts {
-        if self.new.answers <= self.old.answers { self.old } else { self.old.plus(self.before) }
-    }
-
-    /// Whether the new version is bad.
-    ///
-    /// ```
-    /// # use curranthook_gateway::steps::{Counts, Evidence};
-    /// let counts = |answers, bad| Counts { answers, bad, ..Counts::default() };
-    /// let evidence = |new| Evidence { new, old: counts(100, 5), ..Evidence::default() };
-    /// assert!(evidence(counts(10, 5)).is_bad());
-    /// assert!(!evidence(counts(100, 6)).is_bad());
-    /// ```
-    pub fn is_bad(self) -> bool {
-        self.fails_more() || self.is_slow()
-    }
-
-    /// Whether there are enough answers, and the new version's share of bad ones is not clearly
-    /// above the old version's. A version with little evidence is neither good nor bad.
-    fn seems_good(self, min_answers: u64) -> bool {
-        let (excess, error) = self.bad_share_excess();
-        let seems_reliable = excess < MIN_BAD_EXCESS || excess < MAX_DOUBTFUL_SIGMAS * error;
-        min_answers <= self.new.answers && seems_reliable && !self.seems_slow()
-    }
-
-    /// Whether the evidence suffices for [`Phase::Completed`].
-    pub fn allows_completion(self) -> bool {
-        self.seems_good(MIN_ANSWERS.1)
-    }
-
-    /// Whether the new version seems slower, even if not significantly so. Times with fewer than
-    /// `MIN_SAMPLES` answers of either version are not compared.
-    fn seems_slow(self) -> bool {
-        let is_comparable = |new: Delay, old: Delay| MIN_SAMPLES <= new.n && MIN_SAMPLES <= old.n;
-        let reference = self.reference();
-        (is_comparable(self.new.first, reference.first)
-            && DOUBTFUL_SLOWDOWNS.0 < self.first_event_slowdown())
-            || (is_comparable(self.new.rest, reference.rest)
-                && DOUBTFUL_SLOWDOWNS.1 < self.event_gap_slowdown())
-    }
-
-    /// The ratio of the new version's time to the first event to the old version's.
-    pub fn first_event_slowdown(self) -> f64 {
-        (self.new.first.mean() - self.reference().first.mean()).exp()
-    }
-
-    /// The ratio of the new version's time between events to the old version's.
-    pub fn event_gap_slowdown(self) -> f64 {
-        (self.new.rest.mean() - self.reference().rest.mean()).exp()
-    }
-
-    /// Whether there is any evidence against the new version, even if not significant.
-    pub fn is_suspicious(self) -> bool {
-        0 < self.new.bad
-            || MAX_FIRST_SLOWDOWN < self.first_event_slowdown()
-            || MAX_GAP_SLOWDOWN < self.event_gap_slowdown()
-    }
-
-    fn is_slow(self) -> bool {
-        let reference = self.reference();
-        self.new.first.is_significantly_longer(reference.first, MAX_FIRST_SLOWDOWN)
-            || self.new.rest.is_significantly_longer(reference.rest, MAX_GAP_SLOWDOWN)
-    }
-
-    fn fails_more(self) -> bool {
-        let (excess, error) = self.bad_share_excess();
-        MIN_BAD <= self.new.bad && MIN_BAD_EXCESS < excess && SIGNIFICANT_SIGMAS * error < excess
-    }
-
-    /// By how much the new version's share of bad answers exceeds the old version's, and the
-    /// standard error of that difference. Without any answer of the old version, a version is
-    /// expected to have no bad ones.
-    fn bad_share_excess(self) -> (f64, f64) {
-        let reference = self.reference();
-        let excess = self.new.bad_share() - reference.bad_share();
-        let overall = self.new.plus(reference).bad_share();
-        let inverse = |n: u64| if n == 0 { 0.0 } else { 1.0 / n as f64 };
-        let per_answer = inverse(self.new.answers.max(1)) + inverse(reference.answers);
-        (excess, (overall * (1.0 - overall) * per_answer).sqrt())
-    }
-}
-
 /// The next phase if it is due; none if the rollout stays in the current one. `now` is the store's
 /// clock.
 pub fn due(
@@ -436,7 +207,7 @@
     };
     let elapsed = now.saturating_sub(step.began);
     let is_supported = match next {
-        Phase::Partial => evidence.seems_good(MIN_ANSWERS.0),
+        Phase::Partial => evidence.allows_partial(),
         Phase::Full => {
             evidence.allows_completion() && schedule.is_within_bound(order, evidence, elapsed)
         }
