Count a forwarded request as in flight until it ends

Cause: the count of requests at a node was taken back when it answered, so that a caller who left before left the count for good, and a stream wasn't counted after its head. The node with the fewest is asked, so one that lost many callers was asked less and less.

Change: the count is held by a value that goes with the request.

--- a/crates/curranthook_gateway/src/forwarding/candidates.rs
+++ b/crates/curranthook_gateway/src/forwarding/candidates.rs
@@ -7,6 +7,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -22,6 +26,23 @@
 /// How long the drawn nodes are used.
 const LIFETIME: Duration = Duration::from_secs(5);
 
+/// A node that a request is forwarded to. The request counts as in flight there until this is
+/// dropped.
+#[derive(Debug)]
+pub struct Chosen {
+    /// The node's name.
+    pub name: String,
+    /// Its address for other nodes.
+    pub addr: SocketAddr,
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl Drop for Chosen {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The drawn nodes.
 #[derive(Debug, Default)]
 pub struct Candidates {
@@ -37,9 +58,9 @@
     addr: SocketAddr,
     /// Until when the node is not asked.
     backoff_until: Option<Instant>,
-    /// The number of requests that it has been forwarded and has not answered.
-    in_flight: usize,
-    /// The number of requests that it has been forwarded.
+    /// The number of requests that have been forwarded to it and have not ended.
+    in_flight: Arc<AtomicUsize>,
+    /// The number of requests that have been forwarded to it.
     n_sent: usize,
 }
 
@@ -78,29 +99,23 @@
                     name: name.clone(),
                     addr: node.peers,
                     backoff_until: None,
-                    in_flight: 0,
+                    in_flight: Arc::default(),
                     n_sent: 0,
                 },
             });
         }
     }
 
-    /// The name and address of the node with the fewest requests in flight, other than the `tried`
+    /// The node with the fewest requests in flight, other than the `tried`
     /// ones. Among several, that with the fewest requests so far is chosen.
-    pub fn choose(&mut self, tried: &[String], now: Instant) -> Option<(String, SocketAddr)> {
+    pub fn choose(&mut self, tried: &[String], now: Instant) -> Option<Chosen> {
         let usable = |it: &&mut Candidate| it.is_available(now) && !tried.contains(&it.name);
-        let chosen =
-            self.members.iter_mut().filter(usable).min_by_key(|it| (it.in_flight, it.n_sent))?;
-        chosen.in_flight += 1;
+        let load = |it: &&mut Candidate| (it.in_flight.load(Ordering::Relaxed), it.n_sent);
+        let chosen = self.members.iter_mut().filter(usable).min_by_key(load)?;
         chosen.n_sent += 1;
-        Some((chosen.name.clone(), chosen.addr))
-    }
-
-    /// Records that the node has answered a request, or failed to.
-    pub fn record_answer(&mut self, name: &str) {
-        if let Some(it) = self.members.iter_mut().find(|it| it.name == name) {
-            it.in_flight = it.in_flight.saturating_sub(1);
-        }
+        chosen.in_flight.fetch_add(1, Ordering::Relaxed);
+        let (name, in_flight) = (chosen.name.clone(), Arc::clone(&chosen.in_flight));
+        Some(Chosen { name, addr: chosen.addr, in_flight })
     }
 
     /// Records that the node cannot take requests for now.
--- a/crates/curranthook_gateway/src/job/forward.rs
+++ b/crates/curranthook_gateway/src/job/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards a request to another node, as this one is cut off from the service.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use curranthook_http::{
@@ -16,7 +16,10 @@
 use super::{Job, Summary, millis};
 use crate::{
     event::Event,
-    forwarding::head::{Forward, Source},
+    forwarding::{
+        candidates::Chosen,
+        head::{Forward, Source},
+    },
     refusal::{Reason, Refusal, Started},
 };
 
@@ -33,6 +36,7 @@
 
 /// A node that a request was forwarded to, and the response that has begun.
 struct Hop {
+    node: Chosen,
     conn: Connection,
     source: Source,
     status: http::StatusCode,
@@ -67,9 +71,10 @@
         while tried.len() < MAX_NODES {
             let now = self.gateway.now();
             let chosen = self.gateway.forwarding.candidates.lock().choose(&tried, now);
-            let Some((name, addr)) = chosen else { break };
+            let Some(chosen) = chosen else { break };
+            let name = chosen.name.clone();
             tried.push(name.clone());
-            let result = self.send_to(addr).await;
+            let result = self.send_to(chosen).await;
             let result = match result {
                 Ok(hop) if hop.source == Source::Elsewhere => {
                     hop.conn.close();
@@ -113,7 +118,7 @@
         Err((self, refusal))
     }
 
-    async fn send_to(&mut self, addr: SocketAddr) -> Result<Hop, Failure> {
+    async fn send_to(&mut self, node: Chosen) -> Result<Hop, Failure> {
         let Some(key) = self.gateway.forwarding.key() else {
             return Err(Failure::NotRun("no_key"));
         };
@@ -125,7 +130,7 @@
             true => Freshness::Within(MAX_IDLE_AGE),
             false => Freshness::New,
         };
-        let conn = self.gateway.pool.take(addr, freshness).await;
+        let conn = self.gateway.pool.take(node.addr, freshness).await;
         let mut conn = conn.map_err(|_unsent| Failure::NotRun("connect"))?;
         let (time_left, last_event_id) = (self.time_left(), self.last_event_id);
         let dialect = &self.gateway.dialect;
@@ -142,11 +147,10 @@
         let mut headers = dialect.response_headers(&head.headers);
         // Only a node that does not forward requests leaves the header out; it has not run this one.
         let source = Source::take(&mut headers).ok_or(Failure::NotRun("unsupported"))?;
-        Ok(Hop { conn, source, status: head.status, headers, body })
+        Ok(Hop { node, conn, source, status: head.status, headers, body })
     }
 
     fn record_hop(&self, name: &str, result: &'static str, sent_at: std::time::Instant) {
-        self.gateway.forwarding.candidates.lock().record_answer(name);
         self.gateway.metrics.record_forwarded(result);
         let elapsed = self.gateway.now().saturating_duration_since(sent_at);
         self.gateway.log.write(&Event::Forwarded {
@@ -179,7 +183,8 @@
     fn stream_response(self, mut hop: Hop) -> Response<Body> {
         hop.headers.remove(header::CONTENT_LENGTH);
         let (status, headers) = (hop.status, hop.headers);
-        let pipe = Pipe { body: hop.body, conn: Some(hop.conn), status, job: self };
+        let pipe =
+            Pipe { body: hop.body, conn: Some(hop.conn), status, job: self, _node: hop.node };
         let frames = stream::unfold(pipe, |mut pipe| async move {
             let frame = pipe.next().await?;
             if frame.is_err() {
@@ -204,6 +209,7 @@
     conn: Option<Connection>,
     status: http::StatusCode,
     job: Job,
+    _node: Chosen,
 }
 
 impl Pipe {
--- a/crates/curranthook_gateway/tests/laws/forwarding.rs
+++ b/crates/curranthook_gateway/tests/laws/forwarding.rs
@@ -68,9 +68,9 @@
             cost.n_requests += 1;
             let mut tried = Vec::new();
             let is_taken = loop {
-                let Some((asked, _)) = candidates.choose(&tried, now) else { break false };
+                let Some(chosen) = candidates.choose(&tried, now) else { break false };
+                let asked = chosen.name.clone();
                 cost.n_asked += 1;
-                candidates.record_answer(&asked);
                 if !cut_names.contains(&asked) {
                     *taken.entry(asked).or_default() += 1;
                     break true;
@@ -120,9 +120,23 @@
     let now = Instant::now();
     candidates.refresh(&peers, ("node-0", &domain_of(0)), now, &mut rng);
     let mut asked = Vec::new();
-    while let Some((name, _)) = candidates.choose(&asked, now) {
-        asked.push(name);
+    while let Some(chosen) = candidates.choose(&asked, now) {
+        asked.push(chosen.name.clone());
     }
     assert_eq!(asked.len(), MAX_CANDIDATES);
     assert!(asked.iter().all(|it| peers[it].domain != Some(domain_of(0))), "{asked:?}");
 }
+
+/// Guards against a node that seems busy for good, as callers left while their requests were
+/// forwarded to it.
+#[test]
+fn request_of_a_caller_who_left_is_not_in_flight() {
+    let peers = fleet(3);
+    let (mut candidates, mut rng) = (Candidates::default(), Pcg64Mcg::seed_from_u64(1));
+    let now = Instant::now();
+    candidates.refresh(&peers, ("node-0", &domain_of(0)), now, &mut rng);
+    let first = candidates.choose(&[], now).unwrap();
+    let (left, second) = (first.name.clone(), candidates.choose(&[], now).unwrap());
+    drop(first);
+    assert_eq!(candidates.choose(&[], now).unwrap().name, left, "{} is busy", second.name);
+}
