Let each node state only what it sent to endpoints itself

Callers would see: 502 for a retried request whose first attempt was cut with its node's links, if the first node that it was forwarded to reached no endpoint either.

Cause: the runs at other nodes counted as possible runs of the node that was asked, so that it couldn't say that it had not run the request, and no third node was asked.

Change: a node states what it has sent itself; the one that holds the caller's request turns a refusal into a failure if it sent the request to an endpoint before.

Before and after: retry_that_a_node_cannot_serve_is_left_to_others got `refusal`, now `elsewhere`; 20 tests of partitions pass.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -145,7 +145,8 @@
             tried_endpoints: Vec::new(),
             n_runs,
             n_rejections: 0,
-            started: if n_runs == 0 { Started::No } else { Started::Maybe },
+            // What another node sent to endpoints is for that node to state.
+            started: Started::No,
             has_errored: false,
             configuration_version: configuration.document.version,
             peer_state: None,
--- a/crates/curranthook_gateway/src/job/forward.rs
+++ b/crates/curranthook_gateway/src/job/forward.rs
@@ -88,6 +88,12 @@
                 now,
             );
             match result {
+                // The other node states only that the request has not run there.
+                Ok(hop) if hop.source == Source::Refusal && self.started == Started::Maybe => {
+                    hop.conn.close();
+                    let refusal = self.refusal(Reason::EndpointFailed);
+                    return Err((self, refusal));
+                }
                 Ok(hop) if self.route.retry_policy.is_stream() => {
                     return Ok(self.stream_response(hop));
                 }
