Log answers with a server error, with the load that the endpoint reported

Cause: an attempt that ended with an error and was repeated left no line of its own, only the next 'sent'. Which version fails, and at which load, had to be put together from pairs of lines.

Change: 'attempt_failed' is written for such answers too, with the running and waiting requests that the endpoint reported in the same answer.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -142,13 +142,18 @@
     },
     /// An endpoint sent a header that is not recognized.
     HeaderUnknown { endpoint: &'a str, name: &'a str, value: &'a str },
-    /// An attempt failed.
+    /// An attempt failed, or the endpoint answered with a server error.
     AttemptFailed {
         request: &'a str,
         endpoint: &'a str,
         why: &'a str,
         execution: &'a str,
         took_ms: u64,
+        /// The running and the waiting requests that the endpoint reported in the answer, if any.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        running: Option<u32>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        waiting: Option<u32>,
     },
     /// A small model's answer was discarded in favour of a larger model's.
     Escalated {
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -15,7 +15,7 @@
 use crate::{
     Gateway,
     attempt::{self, Cause, Exchange, Failure},
-    dialect::{Execution, Outgoing},
+    dialect::{Execution, Load, Outgoing},
     directory::Outcome,
     document::Route,
     event::Event,
@@ -277,6 +277,7 @@
         }
         self.has_errored |= is_error;
         if is_error {
+            self.log_error(&exchange);
             if self.route.retry_policy.is_retryable() && self.try_rerun("error") {
                 self.tried_endpoints.push(exchange.lease.id.clone());
                 exchange.close(Outcome::Failed);
@@ -349,6 +350,23 @@
     }
 
     fn log_failure(&self, endpoint: &endpoint::Id, failure: &Failure, elapsed: Duration) {
+        self.write_failure(endpoint, failure, elapsed, None);
+    }
+
+    /// Logs an answer with a server error. It may go to the caller, so it is no [`Failure`].
+    fn log_error(&self, exchange: &Exchange) {
+        let failure = Failure { cause: Cause::Error, execution: Execution::MayHaveRun };
+        let load = exchange.reply.load;
+        self.write_failure(&exchange.lease.id, &failure, exchange.time_to_first_byte, load);
+    }
+
+    fn write_failure(
+        &self,
+        endpoint: &endpoint::Id,
+        failure: &Failure,
+        elapsed: Duration,
+        load: Option<Load>,
+    ) {
         self.gateway.log.write(&Event::AttemptFailed {
             request: &self.request.head.id,
             endpoint: endpoint.as_str(),
@@ -358,6 +376,8 @@
                 Execution::MayHaveRun => "may_have_run",
             },
             took_ms: millis(elapsed),
+            running: load.map(|it| it.running),
+            waiting: load.map(|it| it.waiting),
         });
     }
 
