Cut answers under way too in the peers' tests

What was seen: document::a_node_started_during_an_outage_takes_the_newest_epoch_of_its_peers failed now and then, as node 0 had epoch 9 instead of 3.

Cause, named from runs: node 0 learned it rightly, in two ways that the test left open. Ruled out: a fault of the product.

Change: the link from node 0 to the late node is cut, and a cut drops the answers of calls under way. All assertions stay.

--- a/crates/curranthook_peers/tests/peers/document.rs
+++ b/crates/curranthook_peers/tests/peers/document.rs
@@ -134,6 +134,8 @@
         }
         fleet.platform.table_down.store(true, Ordering::SeqCst);
         nodes[1].offer(document(9));
+        // Node 0 would otherwise learn the newest epoch from the late node.
+        fleet.network.cut_by_index(0, 2);
         let late_node = fleet.node(2, 1);
         let document = late_node.next_document(Epoch(0)).await;
         assert_eq!(document.epoch, Epoch(9));
--- a/crates/curranthook_peers/tests/peers/support.rs
+++ b/crates/curranthook_peers/tests/peers/support.rs
@@ -150,7 +150,7 @@
 }
 
 impl Network {
-    /// Calls from `a` to `b` get no answer; those from `b` to `a` still do.
+    /// Calls from `a` to `b` get no answer, not even those under way; those from `b` to `a` still do.
     pub fn cut(&self, a: &Node, b: &Node) {
         self.cuts.lock().insert((node_address(a), node_address(b)));
     }
@@ -176,13 +176,17 @@
 impl Transport for InMemoryTransport {
     fn call(&self, call: Call) -> transport::ReplyFuture<'_> {
         Box::pin(async move {
-            let is_cut = self.network.cuts.lock().contains(&(self.from, call.addr));
+            let is_cut = || self.network.cuts.lock().contains(&(self.from, call.addr));
             let node = self.network.nodes.lock().get(&call.addr).cloned();
-            let (false, Some(node)) = (is_cut, node) else {
+            let (false, Some(node)) = (is_cut(), node) else {
                 Timer::after(call.timeout).await;
                 return Err(transport::Error("timed out".to_owned()));
             };
             let res = post(&node, &call.time, &call.mac, call.body).await;
+            if is_cut() {
+                Timer::after(call.timeout).await;
+                return Err(transport::Error("timed out".to_owned()));
+            }
             let mac = res.headers().get("x-curranthook-mac").and_then(|it| it.to_str().ok());
             let Some(mac) = mac.map(str::to_owned) else {
                 return Err(transport::Error(res.status().to_string()));
