Keep entries whose removal arrives by a call from before an outage

Callers saw: 503 (no endpoint) after an outage of the store, though all endpoints ran: their entries had lapsed while they couldn't renew them.

A long poll that began before the outage isn't rejected and brings the removal while only the other tables' calls fail.

Change: the tasks share how many of them have lost the store. While one has, a removal that the store itself sends leaves the endpoint in use until the outage ends, for a minute at most, unless the store is known to serve another node.

--- a/crates/curranthook_gateway/src/replication/outage.rs
+++ b/crates/curranthook_gateway/src/replication/outage.rs
@@ -44,6 +44,23 @@
         }
     }
 
+    /// Whether no peer is known to be served by the store at `now`, so that an entry that is removed
+    /// now may have lapsed.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::replication::outage::Outage;
+    /// let (mut outage, start, s) = (Outage::default(), Instant::now(), Duration::from_secs);
+    /// outage.record_failure(start);
+    /// assert!(outage.affects_all(start + s(1)));
+    /// outage.record_peer_answer(start + s(2));
+    /// assert!(!outage.affects_all(start + s(3)));
+    /// assert!(outage.affects_all(start + s(9)));
+    /// ```
+    pub fn affects_all(&self, now: Instant) -> bool {
+        self.current_span(now).is_none()
+    }
+
     /// Records that a call of this node succeeded again. Returns until when entries that lapsed in
     /// the outage may not have been added again.
     ///
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -3,7 +3,11 @@
 
 mod parents;
 
-use std::{sync::Arc, task::Poll, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    task::Poll,
+    time::Duration,
+};
 
 use async_io::Timer;
 use curranthook_http::timeout;
@@ -81,6 +85,8 @@
 /// answered its children more often while many endpoints are replaced would have no capacity left
 /// for its own callers.
 const CHILD_CHANGE_PAUSE: Duration = Duration::from_millis(400);
+/// How long entries that lapse in an outage of the store are used at most while it lasts.
+const MAX_LAPSE_TIME: Duration = Duration::from_secs(60);
 /// The pause after the first failure; doubles with each further one.
 const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// How long calls for rows other than the operators' are delayed while the store is unavailable. An
@@ -349,6 +355,7 @@
         let Update { rows, origin, is_snapshot } = update;
         if self.is_store_lost {
             self.is_store_lost = false;
+            self.shared.n_lost.fetch_sub(1, Ordering::Relaxed);
             self.gateway.log.write(&Event::Dependency {
                 name: "store",
                 state: "back",
@@ -373,6 +380,16 @@
         }
         self.known_rev = Some(rev);
         let is_empty = rows.batch.rows.is_empty();
+        if self.table == Table::Endpoints
+            && origin == Origin::Store
+            && 0 < self.shared.n_lost.load(Ordering::Relaxed)
+        {
+            // The answer to a call from before the outage.
+            let now = self.gateway.now();
+            if self.gateway.outage.lock().affects_all(now) {
+                self.gateway.directory.lock().keep_missing_until(now + MAX_LAPSE_TIME);
+            }
+        }
         let from = if origin == Origin::Store { "store" } else { "parent" };
         rows.apply(&self.gateway, self.table, is_snapshot, from);
         if self.table != Table::Operator && !is_empty {
@@ -402,6 +419,7 @@
         // A single lost answer is not an outage; the next call shows whether there is one.
         if self.failures == 2 && !self.is_store_lost {
             self.is_store_lost = true;
+            self.shared.n_lost.fetch_add(1, Ordering::Relaxed);
             let why = error.to_string();
             let state = "lost";
             self.gateway.log.write(&Event::Dependency { name: "store", state, why: &why });
--- a/crates/curranthook_gateway/src/replication/watch/parents.rs
+++ b/crates/curranthook_gateway/src/replication/watch/parents.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
+    sync::atomic::AtomicUsize,
     time::{Duration, Instant},
 };
 
@@ -26,6 +27,8 @@
     /// Wakes tasks when an outage of the store ends. Answers to calls made during the outage may
     /// never arrive.
     pub(super) store_recovered: Signal,
+    /// The number of tables for which the last calls failed.
+    pub(super) n_lost: AtomicUsize,
     /// Parents that failed, by name.
     failed_parents: Mutex<HashMap<String, Failure>>,
     /// Wakes tasks that wait for a parent's reply when a parent has failed.
