Concentrate a part of the first requests to a new version

Ruled out: failures that were known and counted as chance.

Change: half of the first phases' sessions, or up to 0.8 if one endpoint needs them, go to so few endpoints that each gets the load of the old version's busiest one. Their times don't count, as these endpoints have no cached prompts. Requests that may run only once or that have failed are spread. A service with less than half of that load in the phase is tested as before.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -30,7 +30,7 @@
     models::{Candidate, Models},
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
-    rollouts::{Basis, Kind},
+    rollouts::{self, Basis, Kind},
 };
 
 use self::retry::Decision;
@@ -267,13 +267,15 @@
         // A request that itself causes errors fails in each attempt. After its first error, its
         // responses no longer count as evidence about versions.
         if !self.has_errored {
-            let time_to_first_byte = (!is_error).then_some(exchange.time_to_first_byte);
-            self.gateway.rollouts.lock().record_answer(
-                &self.service,
-                version,
-                self.kind(),
-                time_to_first_byte,
-            );
+            let mut rollouts = self.gateway.rollouts.lock();
+            if exchange.lease.is_concentrated {
+                let outcome =
+                    if is_error { rollouts::Outcome::Failed } else { rollouts::Outcome::Answered };
+                rollouts.record_concentrated_answer(&self.service, version, outcome);
+            } else {
+                let time_to_first_byte = (!is_error).then_some(exchange.time_to_first_byte);
+                rollouts.record_answer(&self.service, version, self.kind(), time_to_first_byte);
+            }
         }
         self.has_errored |= is_error;
         if is_error {
@@ -327,6 +329,9 @@
             let mut estimator = self.gateway.latency_estimator.lock();
             estimator.record_stream(&self.service, &it.name, it.relative_price, n_events, usual);
         }
+        if lease.is_concentrated {
+            return;
+        }
         if let Some(interval) = elapsed.checked_div(n_events.saturating_sub(1)) {
             let mut rollouts = self.gateway.rollouts.lock();
             rollouts.record_stream_end(&self.service, &lease.version, self.kind(), interval);
--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -12,7 +12,7 @@
     load::reports::{self, PeerState, Query},
     models::Candidate,
     refusal::{Reason, Refusal},
-    rollouts::Rule,
+    rollouts::{Basis, Rule},
     selection::{self, Criteria, TargetModel, Unavailable},
 };
 
@@ -49,7 +49,8 @@
         if let Some(it) = basis.as_ref().filter(|it| it.last_resort) {
             self.gateway.metrics.record_last_resort(it.rule);
         }
-        self.version_basis = basis;
+        let concentrated = lease.is_concentrated;
+        self.version_basis = basis.map(|it| Basis { concentrated, ..it });
         Ok(lease)
     }
 
@@ -57,7 +58,11 @@
     pub(super) fn version_rule(&self) -> Rule {
         let knowledge = self.gateway.rollout_knowledge();
         let rollouts = self.gateway.rollouts.lock();
-        rollouts.rule(&self.service, self.session_hash(), knowledge)
+        let rule = rollouts.rule(&self.service, self.session_hash(), knowledge);
+        // A loaded endpoint is more likely to reject a request, or to fail it once more.
+        let is_at_most_once = matches!(self.route.retry_policy, RetryPolicy::AtMostOnce);
+        let has_failed = !self.tried_endpoints.is_empty();
+        if is_at_most_once || has_failed { rule.spread() } else { rule }
     }
 
     /// The refusal of a request that no endpoint can take.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -32,6 +32,8 @@
     pub version: String,
     /// The endpoint's service.
     service: String,
+    /// Whether the endpoint gets the load of a busy one, as its version is under test.
+    pub is_concentrated: bool,
     /// The estimated number of queued and running requests at the endpoint when the lease was
     /// acquired.
     pub outstanding: u32,
@@ -82,7 +84,7 @@
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
         let Choice { prompt, outstanding, queue_delay, waiting, waiting_age, .. } = choice;
-        let Choice { slowdown, occupancy, .. } = choice;
+        let Choice { slowdown, occupancy, is_concentrated, .. } = choice;
         let is_shared =
             criteria.model.is_none() && in_flight::is_shared(gateway, &directory, criteria.service);
         if slowdown.age.is_some() {
@@ -108,6 +110,7 @@
             version: entry.version,
             service: entry.service,
             started_ms: entry.started_ms,
+            is_concentrated,
             outstanding,
             prompt,
             queue_delay,
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -1,6 +1,7 @@
 //! The rollouts, according to the rows that a node has read and the answers that it has seen.
 
 mod rule;
+pub mod trial;
 
 use std::{collections::HashMap, time::Duration};
 
@@ -12,6 +13,7 @@
 };
 
 pub use self::rule::{Basis, Knowledge, Rule};
+use self::trial::Trial;
 
 /// Added to all times, in milliseconds, so that differences of a few milliseconds have little
 /// weight.
@@ -37,6 +39,15 @@
     pub model: usize,
 }
 
+/// Whether an answer counts as a failure of its version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The endpoint answered, and not with a server error.
+    Answered,
+    /// The endpoint answered with a server error.
+    Failed,
+}
+
 /// A part of an answer that is timed separately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Part {
@@ -268,8 +279,12 @@
         // store is unavailable. A node with evidence of a bad version stops using it without
         // waiting for that step.
         let is_suspect = !it.phase().is_final() && it.evidence().is_bad();
-        if !is_suspect && position < self.schedule.share(it.phase()) {
-            Rule::Only(target.clone())
+        let share = self.schedule.share(it.phase());
+        if !is_suspect && position < share {
+            match it.phase() {
+                Phase::Canary | Phase::Partial => Rule::Trial(Trial::new(target, position, share)),
+                _ => Rule::Only(target.clone()),
+            }
         } else if it.may_be_completed(&self.schedule, knowledge) {
             Rule::Avoid(target.clone())
         } else {
@@ -297,6 +312,7 @@
             new_bad: evidence.bad,
             evidence_age: now.zip(received_at).map(|(now, at)| now.saturating_sub(at)),
             last_resort: !rule.allows(version),
+            concentrated: false,
         })
     }
 
@@ -307,6 +323,14 @@
         }
     }
 
+    /// Records an answer to a request of a trial that was concentrated on a few endpoints, whose
+    /// time says nothing.
+    pub fn record_concentrated_answer(&mut self, service: &str, version: &str, outcome: Outcome) {
+        let Some(counts) = self.counts(service, version) else { return };
+        counts.answers += 1;
+        counts.bad += u64::from(outcome == Outcome::Failed);
+    }
+
     /// Records an answer with the time to its first byte; `took` is none for a failure.
     pub fn record_answer(
         &mut self,
--- a/crates/curranthook_gateway/src/rollouts/rule.rs
+++ b/crates/curranthook_gateway/src/rollouts/rule.rs
@@ -4,15 +4,18 @@
 
 use serde::Serialize;
 
+use super::trial::Trial;
 use crate::{steps::Phase, store::Rev};
 
 /// Which versions a request may be sent to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Rule {
     /// Any version.
     Any,
     /// Only this version.
     Only(String),
+    /// Only the version of this trial, at some of its endpoints.
+    Trial(Trial),
     /// Any version but this one, even if no other has an endpoint.
     Not(String),
     /// Any version but this one, or this one if no other has an endpoint.
@@ -31,15 +34,25 @@
         match self {
             Self::Any => true,
             Self::Only(it) => it == version,
+            Self::Trial(it) => it.version == version,
             Self::Not(it) | Self::Avoid(it) => it != version,
         }
     }
 
+    /// The rule for a request that must not be sent to a loaded endpoint of a version under test.
+    pub fn spread(self) -> Self {
+        match self {
+            Self::Trial(it) => Self::Trial(it.spread()),
+            other => other,
+        }
+    }
+
     /// The name in logs.
     pub fn name(&self) -> &'static str {
         match self {
             Self::Any => "any",
             Self::Only(_) => "only",
+            Self::Trial(_) => "trial",
             Self::Not(_) => "not",
             Self::Avoid(_) => "avoid",
         }
@@ -75,4 +88,6 @@
     pub evidence_age: Option<Duration>,
     /// Whether the request went to a version that the rule does not allow, as there was no other.
     pub last_resort: bool,
+    /// Whether the endpoint gets the load of a busy one, as its version is under test.
+    pub concentrated: bool,
 }
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -1,6 +1,7 @@
 //! Selects the endpoint for a request, based on the load, failures and cached prefixes that the
 //! node knows of each endpoint.
 
+mod concentration;
 mod eligible;
 mod plain;
 
@@ -31,7 +32,7 @@
     slow_start,
 };
 
-use self::eligible::eligible;
+use self::{concentration::Concentration, eligible::eligible};
 
 /// The assumed processing time of a request to a service without models.
 const DEFAULT_PROCESSING_TIME: Duration = Duration::from_millis(50);
@@ -124,6 +125,8 @@
     pub slowdown: Outlook,
     /// What is known about the requests at the endpoint.
     pub occupancy: Occupancy,
+    /// Whether the endpoint gets the load of a busy one, as its version is under test.
+    pub is_concentrated: bool,
 }
 
 /// Why no endpoint can take a request.
@@ -159,7 +162,8 @@
 ) -> Result<Choice<'a>, Unavailable> {
     let now = gateway.now();
     let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
-    let mut endpoints = eligible(&ready, criteria, now);
+    let concentration = Concentration::new(&ready, criteria.rule, now);
+    let mut endpoints = eligible(&ready, criteria, concentration.as_ref(), now);
     if endpoints.iter().any(|it| peer_state.waiting.contains_key(&it.entry.id)) {
         // The load of endpoints that are not covered is unknown, so they would seem idle.
         let is_covered = |it: &&Tracked| peer_state.waiting.contains_key(&it.entry.id);
@@ -182,6 +186,7 @@
         waiting,
         waiting_age: if is_answered { None } else { reported_age() },
         occupancy: plain::occupancy(endpoint, peer_state, now),
+        is_concentrated: concentration.is_some_and(|it| it.contains(endpoint)),
         endpoint,
     })
 }
@@ -202,7 +207,8 @@
     let n = if is_plain { PLAIN_SHORTLIST_LEN } else { SHORTLIST_LEN };
     renew_permits(gateway, &mut directory, criteria.service, now);
     let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
-    let endpoints = eligible(&ready, criteria, now);
+    let concentration = Concentration::new(&ready, criteria.rule, now);
+    let endpoints = eligible(&ready, criteria, concentration.as_ref(), now);
     let peer_state = PeerState::default();
     let (holders, candidates) = candidates(gateway, &endpoints, criteria, &peer_state, now);
     let indices = placement::best(&candidates, &criteria.task(holders, &peer_state), n);
--- a/crates/curranthook_gateway/src/selection/eligible.rs
+++ b/crates/curranthook_gateway/src/selection/eligible.rs
@@ -2,15 +2,16 @@
 
 use std::time::Instant;
 
-use super::Criteria;
+use super::{Criteria, concentration::Concentration};
 use crate::{directory::Tracked, rollouts::Rule};
 
 /// The endpoints to choose from, among those that admit a request now. Endpoints that were tried
-/// before, are ejected, or run a version that the request should not go to are considered only if
-/// there are no others.
+/// before, are ejected, run a version that the request should not go to, or are not intended for it
+/// by `concentration` are considered only if there are no others.
 pub(super) fn eligible<'a>(
     ready: &[&'a Tracked],
     criteria: &Criteria<'_>,
+    concentration: Option<&Concentration>,
     now: Instant,
 ) -> Vec<&'a Tracked> {
     let is_allowed = |it: &Tracked| criteria.rule.allows(&it.entry.version);
@@ -23,7 +24,9 @@
     let is_order_known =
         |it: &Tracked| *criteria.rule != Rule::Any || it.is_established_version(now);
     let is_usable = |it: &Tracked| is_allowed(it) && is_order_known(it);
-    let preferences: [&dyn Fn(&Tracked) -> bool; 3] = [
+    let is_intended = |it: &Tracked| concentration.is_none_or(|c| c.is_intended(it));
+    let preferences: [&dyn Fn(&Tracked) -> bool; 4] = [
+        &|it| is_usable(it) && is_untried(it) && !it.is_ejected(now) && is_intended(it),
         &|it| is_usable(it) && is_untried(it) && !it.is_ejected(now),
         &|it| is_usable(it) && is_untried(it),
         &|it| is_usable(it),
@@ -37,7 +40,7 @@
     // No endpoint runs an allowed version. Once the rollout has begun to move requests to the
     // target version or away from it, any other version is better than a refusal.
     match criteria.rule {
-        Rule::Only(_) => select(&|it| is_untried(it)),
+        Rule::Only(_) | Rule::Trial(_) => select(&|it| is_untried(it)),
         // The rollout may be over, even if this node has not received that step.
         Rule::Avoid(_) if !ready.iter().any(|it| is_usable(it)) => {
             select(&|it| is_untried(it) && !it.is_ejected(now))
--- a/crates/curranthook_gateway/tests/slowdowns.rs
+++ b/crates/curranthook_gateway/tests/slowdowns.rs
@@ -138,6 +138,7 @@
             waiting_age: None,
             slowdown,
             occupancy: Occupancy::default(),
+            is_concentrated: false,
         };
         let usual = latency.time_to_first_event(prompt, outstanding, queue_delay);
         assert_eq!(choice.time_to_first_event(&latency), usual);
@@ -263,6 +264,7 @@
         waiting_age: None,
         slowdown,
         occupancy: Occupancy::default(),
+        is_concentrated: false,
     };
     let usual = latency.time_to_first_event(prompt, 3, ms(300));
     let steady = choice(steady(4.0), ms(300));
