Retry rejected reads soon if the store answers others

Callers saw: a node that starts and isn't ready for up to 1.4 s after the store takes its calls again.

Ruled out: a slow node on a busy machine; a store that accepts calls right after a rejected one shows the pause every time it is long.

Change: they wait for the signal only while the operators' table is lost too.

--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -3,11 +3,7 @@
 
 mod parents;
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    task::Poll,
-    time::Duration,
-};
+use std::{sync::Arc, task::Poll, time::Duration};
 
 use async_io::Timer;
 use curranthook_http::timeout;
@@ -355,7 +351,7 @@
         let Update { rows, origin, is_snapshot } = update;
         if self.is_store_lost {
             self.is_store_lost = false;
-            self.shared.n_lost.fetch_sub(1, Ordering::Relaxed);
+            self.shared.record_recovered(self.table);
             self.gateway.log.write(&Event::Dependency {
                 name: "store",
                 state: "back",
@@ -382,7 +378,7 @@
         let is_empty = rows.batch.rows.is_empty();
         if self.table == Table::Endpoints
             && origin == Origin::Store
-            && 0 < self.shared.n_lost.load(Ordering::Relaxed)
+            && self.shared.is_any_lost()
         {
             // The answer to a call from before the outage.
             let now = self.gateway.now();
@@ -419,7 +415,7 @@
         // A single lost answer is not an outage; the next call shows whether there is one.
         if self.failures == 2 && !self.is_store_lost {
             self.is_store_lost = true;
-            self.shared.n_lost.fetch_add(1, Ordering::Relaxed);
+            self.shared.record_lost(self.table);
             let why = error.to_string();
             let state = "lost";
             self.gateway.log.write(&Event::Dependency { name: "store", state, why: &why });
@@ -435,7 +431,7 @@
             if self.gateway.configuration.load().is_none() {
                 return pause_or(applied, NO_CONFIGURATION_BACKOFF).await;
             }
-        } else if self.is_store_lost {
+        } else if self.is_store_lost && self.shared.is_lost(Table::Operator) {
             // The task for the operators' table detects the end of the outage; the others wait for
             // its signal.
             return pause_or(self.shared.store_recovered.wait(), OUTAGE_BACKOFF).await;
--- a/crates/curranthook_gateway/src/replication/watch/parents.rs
+++ b/crates/curranthook_gateway/src/replication/watch/parents.rs
@@ -3,14 +3,18 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::atomic::AtomicUsize,
     time::{Duration, Instant},
 };
 
 use parking_lot::Mutex;
 
 use super::MAX_PARENTS_QUERIED;
-use crate::{Gateway, event::Event, signal::Signal, store::Error};
+use crate::{
+    Gateway,
+    event::Event,
+    signal::Signal,
+    store::{Error, Table},
+};
 
 /// How long a parent is not queried after its first failure, and at most; doubles with each further
 /// one. A parent that starts is available soon; one that is gone for good costs a failed call each
@@ -27,8 +31,8 @@
     /// Wakes tasks when an outage of the store ends. Answers to calls made during the outage may
     /// never arrive.
     pub(super) store_recovered: Signal,
-    /// The number of tables for which the last calls failed.
-    pub(super) n_lost: AtomicUsize,
+    /// The tables for which the last calls failed.
+    lost_tables: Mutex<Vec<Table>>,
     /// Parents that failed, by name.
     failed_parents: Mutex<HashMap<String, Failure>>,
     /// Wakes tasks that wait for a parent's reply when a parent has failed.
@@ -47,6 +51,24 @@
 }
 
 impl Shared {
+    pub(super) fn record_lost(&self, table: Table) {
+        self.lost_tables.lock().push(table);
+    }
+
+    pub(super) fn record_recovered(&self, table: Table) {
+        self.lost_tables.lock().retain(|it| *it != table);
+    }
+
+    /// Whether the last calls for this table failed.
+    pub(super) fn is_lost(&self, table: Table) -> bool {
+        self.lost_tables.lock().contains(&table)
+    }
+
+    /// Whether the last calls for any table failed.
+    pub(super) fn is_any_lost(&self) -> bool {
+        !self.lost_tables.lock().is_empty()
+    }
+
     pub(super) fn is_failed(&self, parent: &str, now: Instant) -> bool {
         self.failed_parents.lock().get(parent).is_some_and(|it| now <= it.until)
     }
