Judge a new version's answers under load by themselves

Change: answers of endpoints with concentrated requests are counted apart, too; the version is bad, or doubtful from two bad answers on, if they are clearly worse than the old version's, whatever the others are.

Before: 3 bad of 120 answers are no evidence (asserted in the test), though all came from 30 under load. After: they are.

--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -376,10 +376,7 @@
         }
         self.known_rev = Some(rev);
         let is_empty = rows.batch.rows.is_empty();
-        if self.table == Table::Endpoints
-            && origin == Origin::Store
-            && self.shared.is_any_lost()
-        {
+        if self.table == Table::Endpoints && origin == Origin::Store && self.shared.is_any_lost() {
             // The answer to a call from before the outage.
             let now = self.gateway.now();
             if self.gateway.outage.lock().affects_all(now) {
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -326,9 +326,14 @@
     /// Records an answer to a request of a trial that was concentrated on a few endpoints, whose
     /// time says nothing.
     pub fn record_concentrated_answer(&mut self, service: &str, version: &str, outcome: Outcome) {
-        let Some(counts) = self.counts(service, version) else { return };
-        counts.answers += 1;
-        counts.bad += u64::from(outcome == Outcome::Failed);
+        let Some(it) = self.services.get_mut(service) else { return };
+        if it.phase().is_final() || it.order.target != version {
+            return;
+        }
+        for counts in [&mut it.own.new, &mut it.own.concentrated] {
+            counts.answers += 1;
+            counts.bad += u64::from(outcome == Outcome::Failed);
+        }
     }
 
     /// Records an answer with the time to its first byte; `took` is none for a failure.
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -69,7 +69,7 @@
     /// let order = Order { service, target, time_limit: Duration::from_secs(100) };
     /// let counts = |answers| Counts { answers, ..Counts::default() };
     /// let (new, old, before) = (counts(20), counts(30), counts(500));
-    /// let lost = Evidence { new, old, before, requests: 900 };
+    /// let lost = Evidence { new, old, before, requests: 900, ..Evidence::default() };
     /// let schedule = Schedule::new(0.15).with_slack(10.0);
     /// assert!(!schedule.is_within_bound(&order, lost, Duration::from_secs(85)));
     /// assert!(schedule.is_within_bound(&order, lost, Duration::from_secs(95)));
@@ -87,7 +87,7 @@
     /// answered until `elapsed` after the order.
     pub fn is_within_bound(&self, order: &Order, evidence: Evidence, elapsed: Duration) -> bool {
         let Some(slack) = self.slack else { return true };
-        let Evidence { new, old, before, requests } = evidence;
+        let Evidence { new, old, before, requests, .. } = evidence;
         let answers = |it: Counts| it.answers as f64;
         let so_far = answers(new) + answers(old) + answers(before);
         let to_come = match elapsed.as_secs_f64() {
--- a/crates/curranthook_gateway/src/steps/evidence.rs
+++ b/crates/curranthook_gateway/src/steps/evidence.rs
@@ -150,6 +150,9 @@
 pub struct Evidence {
     /// Answers of the new version.
     pub new: Counts,
+    /// Those among them from endpoints that get the load of a busy one, without their times.
+    #[serde(default, skip_serializing_if = "Counts::is_empty")]
+    pub concentrated: Counts,
     /// Answers of other versions since the new version gets requests.
     pub old: Counts,
     /// Answers of other versions before that.
@@ -170,6 +173,7 @@
     pub fn plus(self, other: Self) -> Self {
         Self {
             new: self.new.plus(other.new),
+            concentrated: self.concentrated.plus(other.concentrated),
             old: self.old.plus(other.old),
             before: self.before.plus(other.before),
             requests: self.requests + other.requests,
@@ -186,6 +190,7 @@
     pub fn minus(self, other: Self) -> Self {
         Self {
             new: self.new.minus(other.new),
+            concentrated: self.concentrated.minus(other.concentrated),
             old: self.old.minus(other.old),
             before: self.before.minus(other.before),
             requests: self.requests.saturating_sub(other.requests),
@@ -213,11 +218,18 @@
     }
 
     /// Whether there are enough answers, and the new version's share of bad ones is not clearly
-    /// above the old version's. A version with little evidence is neither good nor bad.
+    /// above the old version's, also under load. A version with little evidence is neither good nor
+    /// bad.
     fn seems_good(self, min_answers: u64) -> bool {
-        let (excess, error) = self.bad_share_excess();
-        let seems_reliable = excess < MIN_BAD_EXCESS || excess < MAX_DOUBTFUL_SIGMAS * error;
-        min_answers <= self.new.answers && seems_reliable && !self.seems_slow()
+        let is_doubtful = |counts: Counts| {
+            let (excess, error) = self.bad_share_excess(counts);
+            MIN_BAD_EXCESS <= excess && MAX_DOUBTFUL_SIGMAS * error <= excess
+        };
+        let fails_under_load = 1 < self.concentrated.bad && is_doubtful(self.concentrated);
+        min_answers <= self.new.answers
+            && !is_doubtful(self.new)
+            && !fails_under_load
+            && !self.seems_slow()
     }
 
     /// Whether the evidence suffices for [`Phase::Partial`](super::Phase::Partial).
@@ -264,20 +276,23 @@
             || self.new.rest.is_significantly_longer(reference.rest, MAX_GAP_SLOWDOWN)
     }
 
+    /// Whether clearly more of the new version's answers are bad, of all or of those under load.
     fn fails_more(self) -> bool {
-        let (excess, error) = self.bad_share_excess();
-        MIN_BAD <= self.new.bad && MIN_BAD_EXCESS < excess && SIGNIFICANT_SIGMAS * error < excess
+        [self.new, self.concentrated].into_iter().any(|counts| {
+            let (excess, error) = self.bad_share_excess(counts);
+            MIN_BAD <= counts.bad && MIN_BAD_EXCESS < excess && SIGNIFICANT_SIGMAS * error < excess
+        })
     }
 
-    /// By how much the new version's share of bad answers exceeds the old version's, and the
-    /// standard error of that difference. Without any answer of the old version, a version is
-    /// expected to have no bad ones.
-    fn bad_share_excess(self) -> (f64, f64) {
+    /// By how much the share of bad answers in `counts`, of the new version, exceeds the old
+    /// version's, and the standard error of that difference. Without any answer of the old version,
+    /// a version is expected to have no bad ones.
+    fn bad_share_excess(self, counts: Counts) -> (f64, f64) {
         let reference = self.reference();
-        let excess = self.new.bad_share() - reference.bad_share();
-        let overall = self.new.plus(reference).bad_share();
+        let excess = counts.bad_share() - reference.bad_share();
+        let overall = counts.plus(reference).bad_share();
         let inverse = |n: u64| if n == 0 { 0.0 } else { 1.0 / n as f64 };
-        let per_answer = inverse(self.new.answers.max(1)) + inverse(reference.answers);
+        let per_answer = inverse(counts.answers.max(1)) + inverse(reference.answers);
         (excess, (overall * (1.0 - overall) * per_answer).sqrt())
     }
 }
--- a/crates/curranthook_gateway/tests/exposure.rs
+++ b/crates/curranthook_gateway/tests/exposure.rs
@@ -47,7 +47,8 @@
         }
         let counts = |n: f64| Counts { answers: n as u64, ..Counts::default() };
         let (new, old, before) = (counts(new), counts(old), counts(before));
-        let evidence = Evidence { new, old, before, requests: requests as u64 };
+        let requests = requests as u64;
+        let evidence = Evidence { new, old, before, requests, ..Evidence::default() };
         let now = Duration::from_secs_f64(at);
         if let Some(phase) = steps::due(&schedule, &order, &step, evidence, now) {
             step.phase = phase;
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -110,6 +110,23 @@
     assert!(Evidence { new: counts(22, 14), old: counts(52, 7), ..Evidence::default() }.is_bad());
 }
 
+/// A version fails only at the few endpoints that are loaded. Guards against completing it, as its
+/// other answers are many and good.
+#[test]
+fn failures_under_load_are_not_hidden_by_other_answers() {
+    let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(24)));
+    let (new, old) = (counts(120, 3), counts(2_000, 2));
+    let spread = Evidence { new, old, ..Evidence::default() };
+    assert!(!spread.is_bad());
+    let loaded = |n, bad| Evidence { concentrated: counts(n, bad), ..spread };
+    assert!(loaded(30, 3).is_bad());
+    assert!(!loaded(30, 1).is_bad());
+    let (canary, late) = (step(Phase::Canary, Duration::ZERO), Duration::from_secs(23));
+    let next = |evidence| steps::due(&schedule, &order, &canary, evidence, late);
+    assert_eq!(next(loaded(30, 2)), None);
+    assert_eq!(next(loaded(30, 1)), Some(Phase::Partial));
+}
+
 /// A node that was suspended resumes with an old step. No step follows a final phase.
 #[parameterized(completed = { Phase::Completed }, rolled_back = { Phase::RolledBack })]
 fn no_step_follows_a_final_phase(phase: Phase) {
