Keep the verdicts of earlier orders under the next one

Callers saw: sessions that went back from a completed version to the one before, and (by a test) requests at a version that an earlier order had rolled back.

Change: completed and rolled-back versions are remembered, in the step's row too. Under the next order requests go to the completed version, to others only if that has no endpoint, and not to one that was rolled back until an order names it.

Before: both cases of the new test fail ([true, true, false] is allowed). After: they pass.

--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -280,7 +280,8 @@
             None => (it.received_at.unwrap_or(now), self.step_row_rev(service)),
         };
         let target = it.order.target.clone();
-        let step = Step { order: it.order_rev, target, phase, began, since: now };
+        let history = it.history.clone();
+        let step = Step { order: it.order_rev, target, phase, began, since: now, history };
         let state = match phase {
             Phase::Completed => Progress::Completed,
             Phase::RolledBack => Progress::RolledBack,
--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -49,8 +49,11 @@
         if let Some(it) = basis.as_ref().filter(|it| it.last_resort) {
             self.gateway.metrics.record_last_resort(it.rule);
         }
-        let concentrated = lease.is_concentrated;
-        self.version_basis = basis.map(|it| Basis { concentrated, ..it });
+        self.version_basis = basis.map(|it| Basis {
+            concentrated: lease.is_concentrated,
+            session: format!("{:016x}", self.session_hash()),
+            ..it
+        });
         Ok(lease)
     }
 
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -1,5 +1,6 @@
 //! The rollouts, according to the rows that a node has read and the answers that it has seen.
 
+pub mod history;
 mod rule;
 pub mod trial;
 
@@ -13,7 +14,7 @@
 };
 
 pub use self::rule::{Basis, Knowledge, Rule};
-use self::trial::Trial;
+use self::{history::History, trial::Trial};
 
 /// Added to all times, in milliseconds, so that differences of a few milliseconds have little
 /// weight.
@@ -62,6 +63,8 @@
     pub order: Order,
     /// The revision of the order, which identifies it.
     pub order_rev: Rev,
+    /// The verdicts of the orders before.
+    pub history: History,
     /// When this node received the order, by the store's clock; none if unknown.
     pub received_at: Option<Duration>,
     /// The newest step and its revision; none before the first step.
@@ -155,9 +158,16 @@
         }
         let service = order.service.clone();
         let step = known.and_then(|it| it.step.clone()).filter(|(step, _)| step.order == rev);
+        let mut history = known.map(|it| it.history.clone()).unwrap_or_default();
+        if let Some(it) = known {
+            history.record(&it.order.target, it.phase());
+        }
+        // The operator gives the version another chance.
+        history.rolled_back.retain(|it| *it != order.target);
         let rollout = Rollout {
             order,
             order_rev: rev,
+            history,
             received_at,
             step,
             has_unreadable_step: false,
@@ -179,6 +189,9 @@
         let is_newer = it.step.as_ref().is_none_or(|(_, known)| *known < rev);
         let is_for_order = step.order == it.order_rev;
         if is_newer && is_for_order {
+            if it.history.is_empty() {
+                it.history = step.history.clone();
+            }
             it.step = Some((step, rev));
             it.has_unreadable_step = false;
         }
@@ -287,8 +300,10 @@
             }
         } else if it.may_be_completed(&self.schedule, knowledge) {
             Rule::Avoid(target.clone())
-        } else {
+        } else if it.history.is_empty() {
             Rule::Not(target.clone())
+        } else {
+            Rule::Keep { history: it.history.clone(), target: target.clone() }
         }
     }
 
@@ -313,6 +328,7 @@
             evidence_age: now.zip(received_at).map(|(now, at)| now.saturating_sub(at)),
             last_resort: !rule.allows(version),
             concentrated: false,
+            session: String::new(),
         })
     }
 
--- a/crates/curranthook_gateway/src/rollouts/rule.rs
+++ b/crates/curranthook_gateway/src/rollouts/rule.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::trial::Trial;
+use super::{history::History, trial::Trial};
 use crate::{steps::Phase, store::Rev};
 
 /// Which versions a request may be sent to.
@@ -18,6 +18,14 @@
     Trial(Trial),
     /// Any version but this one, even if no other has an endpoint.
     Not(String),
+    /// The version that an earlier order has completed, or any but the target and those that were
+    /// rolled back.
+    Keep {
+        /// The verdicts of earlier orders.
+        history: History,
+        /// The version that gets no requests yet.
+        target: String,
+    },
     /// Any version but this one, or this one if no other has an endpoint.
     Avoid(String),
 }
@@ -35,6 +43,7 @@
             Self::Any => true,
             Self::Only(it) => it == version,
             Self::Trial(it) => it.version == version,
+            Self::Keep { history, target } => version != target && history.prefers(version),
             Self::Not(it) | Self::Avoid(it) => it != version,
         }
     }
@@ -53,6 +62,7 @@
             Self::Any => "any",
             Self::Only(_) => "only",
             Self::Trial(_) => "trial",
+            Self::Keep { .. } => "keep",
             Self::Not(_) => "not",
             Self::Avoid(_) => "avoid",
         }
@@ -90,4 +100,6 @@
     pub last_resort: bool,
     /// Whether the endpoint gets the load of a busy one, as its version is under test.
     pub concentrated: bool,
+    /// The hash of the request's session, in hexadecimal.
+    pub session: String,
 }
--- a/crates/curranthook_gateway/src/selection/eligible.rs
+++ b/crates/curranthook_gateway/src/selection/eligible.rs
@@ -41,6 +41,11 @@
     // target version or away from it, any other version is better than a refusal.
     match criteria.rule {
         Rule::Only(_) | Rule::Trial(_) => select(&|it| is_untried(it)),
+        // The endpoints of the completed version may be lost.
+        Rule::Keep { history, target } => select(&|it| {
+            let version = &it.entry.version;
+            is_untried(it) && version != target && !history.rejects(version)
+        }),
         // The rollout may be over, even if this node has not received that step.
         Rule::Avoid(_) if !ready.iter().any(|it| is_usable(it)) => {
             select(&|it| is_untried(it) && !it.is_ejected(now))
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -11,7 +11,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::store::{Order, Rev};
+use crate::{
+    rollouts::history::History,
+    store::{Order, Rev},
+};
 
 pub use self::evidence::{Counts, Delay, Evidence};
 
@@ -181,6 +184,9 @@
     /// When this phase began, by the store's clock.
     #[serde_as(as = "serde_with::DurationMilliSeconds<u64>")]
     pub since: Duration,
+    /// The verdicts of the orders before, for nodes that did not see them.
+    #[serde(default, skip_serializing_if = "History::is_empty")]
+    pub history: History,
 }
 
 /// The next phase if it is due; none if the rollout stays in the current one. `now` is the store's
--- a/crates/curranthook_gateway/tests/exposure.rs
+++ b/crates/curranthook_gateway/tests/exposure.rs
@@ -30,7 +30,14 @@
     let time_limit = Duration::from_secs_f64(time_limit_s);
     let order = Order { service, target: target.clone(), time_limit };
     let (began, since) = (Duration::ZERO, Duration::ZERO);
-    let mut step = Step { order: Rev(1), target, phase: Phase::Waiting, began, since };
+    let mut step = Step {
+        order: Rev(1),
+        target,
+        phase: Phase::Waiting,
+        began,
+        since,
+        history: Default::default(),
+    };
     let (mut new, mut old, mut before, mut requests) = (0.0, 0.0, 0.0, 0.0);
     let mut outcome = Outcome { new: 0.0, all: 0.0, completed_at: f64::INFINITY };
     for tick in 0..(2.0 * time_limit_s / TICK) as u32 {
--- a/crates/curranthook_gateway/tests/lost_versions.rs
+++ b/crates/curranthook_gateway/tests/lost_versions.rs
@@ -28,7 +28,14 @@
 
 fn apply_step(rollouts: &mut Rollouts, phase: Phase, rev: Rev) {
     let (began, since) = (Duration::ZERO, Duration::ZERO);
-    let step = Step { order: ORDER, target: "v2".to_owned(), phase, began, since };
+    let step = Step {
+        order: ORDER,
+        target: "v2".to_owned(),
+        phase,
+        began,
+        since,
+        history: Default::default(),
+    };
     assert!(rollouts.apply_step("models", step, rev), "a new step");
 }
 
@@ -127,3 +134,37 @@
     let own = rollouts.get("models").map(|it| it.own.new.answers);
     assert_eq!(own, Some(20), "the second row is this process's own");
 }
+
+/// Guards against forgetting what an earlier order has shown once the operator gives another one: a
+/// session would go back from a completed version, and a version that was rolled back would get
+/// requests again.
+#[parameterized(
+    completed = { Phase::Completed, [false, true, false] },
+    rolled_back = { Phase::RolledBack, [true, false, false] },
+)]
+fn verdicts_of_earlier_orders_hold_under_the_next(phase: Phase, allowed: [bool; 3]) {
+    let mut rollouts = rollouts(phase, counts(0, 0));
+    let (service, target) = ("models".to_owned(), "v3".to_owned());
+    let order = Order { service, target, time_limit: TIME_LIMIT };
+    rollouts.apply_order(order, Rev(9), Some(Duration::from_secs(100)));
+    let rule = rule(&rollouts, 101, true);
+    assert_eq!(["v1", "v2", "v3"].map(|it| rule.allows(it)), allowed);
+}
+
+/// Guards against a version that gets no requests although the operator has ordered it again.
+#[test]
+fn version_that_was_rolled_back_gets_another_chance_by_an_order() {
+    let mut rollouts = rollouts(Phase::RolledBack, counts(0, 0));
+    let (service, target) = ("models".to_owned(), "v2".to_owned());
+    rollouts.apply_order(Order { service, target, time_limit: TIME_LIMIT }, Rev(9), None);
+    let step = Step {
+        order: Rev(9),
+        target: "v2".to_owned(),
+        phase: Phase::Full,
+        began: Duration::ZERO,
+        since: Duration::ZERO,
+        history: Default::default(),
+    };
+    assert!(rollouts.apply_step("models", step, Rev(10)));
+    assert!(rule(&rollouts, 90, true).allows("v2"));
+}
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -18,7 +18,7 @@
 
 fn step(phase: Phase, since: Duration) -> Step {
     let target = "v2".to_owned();
-    Step { order: Rev(1), target, phase, began: Duration::ZERO, since }
+    Step { order: Rev(1), target, phase, began: Duration::ZERO, since, history: Default::default() }
 }
 
 fn counts(answers: u64, bad: u64) -> Counts {
--- a/crates/curranthook_gateway/tests/versions_under_load.rs
+++ b/crates/curranthook_gateway/tests/versions_under_load.rs
@@ -111,7 +111,14 @@
             if let Some(phase) = self.due() {
                 rev = Rev(rev.0 + 1);
                 let (target, began) = (NEW.to_owned(), Duration::ZERO);
-                let step = Step { order: ORDER, target, phase, began, since: self.elapsed };
+                let step = Step {
+                    order: ORDER,
+                    target,
+                    phase,
+                    began,
+                    since: self.elapsed,
+                    history: Default::default(),
+                };
                 assert!(self.node.gateway.rollouts.lock().apply_step(SERVICE, step, rev));
                 if phase.is_final() {
                     return (phase, self.elapsed, self.n_bad);
