Drop reports of evidence that aren't repeated

Cause, read in the code: when nodes join or leave the fleet, some report to another collector, and the one before went on adding what it had. The answers of these nodes counted twice, which makes a difference seem surer than it is.

Change: reports are repeated twice a second and dropped after four seconds.

--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -233,7 +233,11 @@
     async fn update_rollouts(&mut self) {
         let now = self.gateway.store_time();
         let Some(now) = now else { return };
-        let running: Vec<Rollout> = self.gateway.rollouts.lock().running().cloned().collect();
+        let running: Vec<Rollout> = {
+            let mut rollouts = self.gateway.rollouts.lock();
+            rollouts.expire_reports(self.gateway.now());
+            rollouts.running().cloned().collect()
+        };
         for it in running {
             self.write_evidence(&it, now).await;
             self.advance(&it, now).await;
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -4,7 +4,10 @@
 mod rule;
 pub mod trial;
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use curranthook_policy::hash;
 
@@ -22,6 +25,9 @@
 /// The weight of a new answer in the moving average of the baseline.
 const BASELINE_SMOOTHING: f64 = 0.1;
 
+/// The age at which a report of evidence is dropped. Nodes repeat theirs twice a second.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(4);
+
 /// The rollouts by service.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -81,8 +87,8 @@
     pub others: HashMap<String, Evidence>,
     /// The evidence that each collector wrote for the nodes that report to it, and their number.
     pub collected: HashMap<String, (Evidence, u64)>,
-    /// The evidence that other nodes reported to this one as their collector.
-    pub reported: HashMap<String, Evidence>,
+    /// The evidence that other nodes reported to this one as their collector, and when they did.
+    pub reported: HashMap<String, (Evidence, Instant)>,
     /// The sum of all of these. Every request needs it, and a fleet has many rows.
     sum_of_others: Evidence,
     /// When evidence of another node last arrived, by the store's clock.
@@ -102,7 +108,8 @@
 
     /// The evidence that was reported to this node, and the number of nodes that it comes from.
     pub fn reported_sum(&self) -> (Evidence, u64) {
-        let sum = self.reported.values().fold(Evidence::default(), |sum, it| sum.plus(*it));
+        let reports = self.reported.values().map(|(evidence, _)| *evidence);
+        let sum = reports.fold(Evidence::default(), Evidence::plus);
         (sum, self.reported.len() as u64)
     }
 
@@ -236,10 +243,28 @@
     }
 
     /// Applies the evidence that another node reported to this one.
-    pub fn apply_report(&mut self, service: &str, order: Rev, node: &str, evidence: Evidence) {
+    pub fn apply_report(
+        &mut self,
+        service: &str,
+        order: Rev,
+        (node, evidence): (&str, Evidence),
+        now: Instant,
+    ) {
         if let Some(it) = self.of_order(service, order) {
-            let before = it.reported.insert(node.to_owned(), evidence);
-            it.replace(before, evidence);
+            let before = it.reported.insert(node.to_owned(), (evidence, now));
+            it.replace(before.map(|(evidence, _)| evidence), evidence);
+        }
+    }
+
+    /// Drops the reports of nodes that have not repeated them: those report to another collector
+    /// now, which adds the same evidence.
+    pub fn expire_reports(&mut self, now: Instant) {
+        for it in self.services.values_mut() {
+            let is_expired = |at: Instant| MAX_REPORT_AGE <= now.saturating_duration_since(at);
+            let expired: Vec<_> = it.reported.extract_if(|_, (_, at)| is_expired(*at)).collect();
+            for (_, (evidence, _)) in expired {
+                it.replace(Some(evidence), Evidence::default());
+            }
         }
     }
 
--- a/crates/curranthook_gateway/tests/laws/evidence.rs
+++ b/crates/curranthook_gateway/tests/laws/evidence.rs
@@ -1,6 +1,9 @@
 //! The evidence about a new version that all nodes receive.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use curranthook_gateway::{
     fleet_writer::collectors::Collectors,
@@ -36,7 +39,7 @@
 fn each_answer_is_counted_once() {
     let names = names(985);
     let collectors = Collectors::new(SERVICE, names.iter().map(String::as_str));
-    let mut reader = rollouts();
+    let (mut reader, now) = (rollouts(), Instant::now());
     let mut collecting: HashMap<&str, Rollouts> = HashMap::new();
     for (n, node) in names.iter().enumerate() {
         let (own, written) = (evidence(10, 2), evidence(4, 1));
@@ -46,11 +49,11 @@
         }
         let collector = collecting.entry(collectors.of(node).unwrap()).or_insert_with(rollouts);
         // A report replaces the one before.
-        collector.apply_report(SERVICE, ORDER, node, evidence(1, 0));
-        collector.apply_report(SERVICE, ORDER, node, own);
+        collector.apply_report(SERVICE, ORDER, (node, evidence(1, 0)), now);
+        collector.apply_report(SERVICE, ORDER, (node, own), now);
         if n % 10 == 0 {
             reader.apply_evidence(SERVICE, ORDER, (node, written), None);
-            collector.apply_report(SERVICE, ORDER, node, own.minus(written));
+            collector.apply_report(SERVICE, ORDER, (node, own.minus(written)), now);
         }
     }
     for (name, it) in &collecting {
@@ -63,6 +66,25 @@
     assert!(985 <= known.n_reporting());
 }
 
+/// Guards against counting the answers of a node twice that reports to another collector, as nodes
+/// have joined the fleet or left it.
+#[test]
+fn report_that_is_not_repeated_is_dropped() {
+    let (mut collector, start, s) = (rollouts(), Instant::now(), Duration::from_secs);
+    for (node, at) in [("node-1", 0), ("node-2", 0), ("node-2", 3)] {
+        collector.apply_report(SERVICE, ORDER, (node, evidence(10, 1)), start + s(at));
+    }
+    let mut known = |at| {
+        collector.expire_reports(start + s(at));
+        let rollout = collector.get(SERVICE).unwrap();
+        assert_eq!(rollout.evidence(), rollout.reported_sum().0);
+        rollout.evidence()
+    };
+    assert_eq!(known(3), evidence(20, 2));
+    assert_eq!(known(5), evidence(10, 1));
+    assert_eq!(known(8), evidence(0, 0));
+}
+
 /// Guards against rows of evidence from each node, which the store takes only now and then.
 #[test]
 fn few_nodes_write_the_evidence_of_all() {
