Ask peers once more before keeping entries after an outage

Callers saw: requests to an endpoint that had left, cut off, for up to two seconds after their node had lost the store for itself.

Ruled out: the phase of the nodes' polls (eight phases passed).

Change: the node asks its peers once more, for 0.2 s at most, when its calls succeed again.

--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -81,6 +81,8 @@
 /// answered its children more often while many endpoints are replaced would have no capacity left
 /// for its own callers.
 const CHILD_CHANGE_PAUSE: Duration = Duration::from_millis(400);
+/// How long a node waits for its peers before it decides whether an outage affected all nodes.
+const RECOVERY_POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long entries that lapse in an outage of the store are used at most while it lasts.
 const MAX_LAPSE_TIME: Duration = Duration::from_secs(60);
 /// The pause after the first failure; doubles with each further one.
@@ -357,6 +359,10 @@
                 state: "back",
                 why: table_name(self.table),
             });
+            // Only their newest answers tell whether the store has served other nodes meanwhile. The
+            // ones known are as old as this node's last failed call.
+            let poll = peers::poll_peers(&self.gateway);
+            let _unanswered = timeout::run(RECOVERY_POLL_TIMEOUT, poll).await;
             let until = self.gateway.outage.lock().record_recovery(self.gateway.now());
             self.gateway.directory.lock().keep_missing_until(until);
         }
