--- a/crates/curranthook_http/tests/resets.rs
+++ b/crates/curranthook_http/tests/resets.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use curranthook_http::{
     client::{Error, Freshness, Pool},
-    runtime,
+    runtime, timeout,
 };
 use curranthook_types::clock;
 
@@ -35,7 +35,8 @@
             let addr = listener.local_addr().unwrap();
             let mut conn = pool.take(addr, Freshness::New).await.unwrap();
             reset(listener.accept().unwrap().0);
-            let error = conn.send(request()).await.unwrap_err();
+            let sent = timeout::run(Duration::from_secs(5), conn.send(request())).await;
+            let error = sent.expect("an answer or an error").unwrap_err();
             assert!(error.is_unsent(), "{error}");
         });
     }
