Know whether a byte of a request was written

Callers saw: 502 ('may have run') for requests that weren't written, as their connection was reset first, and requests that ended only at their deadline.

Change: the stream counts the bytes that the system has taken, and its end is a signal. An error after which the connection has ended and nothing was written is 'not sent'; an ended connection without an answer is an error after 20 ms. At a new connection 'not sent' counts as a failure to connect.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -176,6 +176,10 @@
     error: &client::Error,
     elapsed_time: Duration,
 ) -> Failure {
+    if error.is_unsent() && !conn.is_reused() {
+        lease.close(Outcome::ConnectionLost);
+        return not_run(Cause::Connect);
+    }
     if error.is_unsent() {
         lease.close(Outcome::Abandoned);
         return not_run(Cause::StaleConnection);
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -5,6 +5,8 @@
 //! connection on which anything failed is closed and never reused, and callers can require a
 //! connection that is new or was recently used.
 
+mod progress;
+
 use std::{
     collections::HashMap,
     io,
@@ -16,6 +18,7 @@
 use async_io::{Async, Timer};
 use bytes::Bytes;
 use curranthook_types::Clock;
+use futures_lite::future;
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -24,6 +27,7 @@
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 
+use self::progress::Progress;
 use crate::{runtime, timeout};
 
 /// The maximum number of idle connections in a pool per address.
@@ -32,6 +36,8 @@
 const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
 /// How long an idle connection may take to become ready for another request.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long after the end of its connection a request's result may still arrive.
+const END_GRACE: Duration = Duration::from_millis(20);
 /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a connection may receive nothing before a keep-alive probe is sent, and how long the
@@ -80,6 +86,9 @@
     /// The connection failed after the request was sent, before a response head arrived.
     #[error("the connection closed before an answer: {0}")]
     Closed(hyper::Error),
+    /// The same, and nothing states why.
+    #[error("the connection ended before an answer")]
+    Ended,
 }
 
 impl Error {
@@ -87,7 +96,7 @@
     pub fn is_unsent(&self) -> bool {
         match self {
             Self::Connect { .. } | Self::NotSent => true,
-            Self::Closed(_) => false,
+            Self::Closed(_) | Self::Ended => false,
         }
     }
 
@@ -102,6 +111,7 @@
 pub struct Connection {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
     opened: Opened,
 }
 
@@ -130,12 +140,28 @@
         &mut self,
         req: http::Request<Bytes>,
     ) -> Result<http::Response<Incoming>, Error> {
+        let n_before = self.progress.n_written();
         let sent = self.sender.try_send_request(req.map(Full::new));
-        sent.await.map_err(|mut e| match e.take_message() {
-            // hyper returns the request only if it never reached the connection.
-            Some(_) => Error::NotSent,
-            None => Error::Closed(e.into_error()),
-        })
+        // A request that is handed over while the connection ends may be dropped without a word.
+        let ended = async {
+            self.progress.ended().await;
+            Timer::after(END_GRACE).await;
+            None
+        };
+        let result = future::or(async { Some(sent.await) }, ended).await;
+        let error = match result {
+            Some(Ok(response)) => return Ok(response),
+            Some(Err(mut e)) => match e.take_message() {
+                // hyper returns the request only if it never reached the connection.
+                Some(_) => Error::NotSent,
+                None => Error::Closed(e.into_error()),
+            },
+            None => Error::Ended,
+        };
+        // Once the connection has ended, nothing more is written.
+        let has_ended = timeout::run(END_GRACE, self.progress.ended()).await.is_ok();
+        let is_unwritten = has_ended && self.progress.n_written() == n_before;
+        Err(if is_unwritten { Error::NotSent } else { error })
     }
 
     /// Waits for `wait` to see whether the peer closes the connection immediately, as an endpoint
@@ -155,6 +181,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
     since: Instant,
 }
 
@@ -214,12 +241,12 @@
         freshness: Freshness,
         connect_timeout: Duration,
     ) -> Result<Connection, Error> {
-        while let Some(mut sender) = self.take_idle(addr, freshness) {
+        while let Some(Idle { mut sender, progress, .. }) = self.take_idle(addr, freshness) {
             // The task that drives the connection may still be finishing the previous exchange. If
             // it cannot finish because the peer stopped reading, waiting for it without a limit
             // would block forever.
             if let Ok(Ok(())) = timeout::run(READY_TIMEOUT, sender.ready()).await {
-                return Ok(Connection { addr, sender, opened: Opened::Earlier });
+                return Ok(Connection { addr, sender, progress, opened: Opened::Earlier });
             }
         }
         self.connect(addr, connect_timeout).await
@@ -236,9 +263,10 @@
         if conn.sender.is_closed() {
             return;
         }
-        let idle = Idle { sender: conn.sender, since: self.clock.now() };
+        let Connection { addr, sender, progress, .. } = conn;
+        let idle = Idle { sender, progress, since: self.clock.now() };
         let mut idle_by_address = self.idle.lock();
-        let connections = idle_by_address.entry(conn.addr).or_default();
+        let connections = idle_by_address.entry(addr).or_default();
         connections.retain(|it| !it.sender.is_closed());
         connections.push(idle);
         let n_excess = connections.len().saturating_sub(max_idle.min(MAX_IDLE_PER_ADDRESS));
@@ -264,11 +292,7 @@
         self.last_responsive_opened_at.lock().get(&addr).is_some_and(|opened| since < *opened)
     }
 
-    fn take_idle(
-        &self,
-        addr: SocketAddr,
-        freshness: Freshness,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, addr: SocketAddr, freshness: Freshness) -> Option<Idle> {
         let max_age = match freshness {
             Freshness::Any => MAX_IDLE_AGE,
             Freshness::Within(age) => age.min(MAX_IDLE_AGE),
@@ -285,7 +309,7 @@
                 return None;
             }
             if !idle.sender.is_closed() {
-                return Some(idle.sender);
+                return Some(idle);
             }
         }
         None
@@ -320,6 +344,7 @@
             // Requests still work, but an unreachable host is detected later.
             log::warn!("cannot set socket options on the connection to {addr}: {e}");
         }
+        let (progress, stream) = Progress::track(stream);
         let (sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|e| connect_error(io::ErrorKind::Other, e.to_string()))?;
@@ -329,6 +354,6 @@
                 let _failed = conn.await;
             })
             .detach();
-        Ok(Connection { addr, sender, opened: Opened::Now(opened) })
+        Ok(Connection { addr, sender, progress, opened: Opened::Now(opened) })
     }
 }
