Know how fast a stream is before it ends

Cause: the time between events counted as evidence when a stream ended whole.

Change: a stream's time between events is recorded at the first event that comes 1 s or more after the stream's start, or at its end if that is sooner.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -329,12 +329,13 @@
             let mut estimator = self.gateway.latency_estimator.lock();
             estimator.record_stream(&self.service, &it.name, it.relative_price, n_events, usual);
         }
-        if lease.is_concentrated {
-            return;
-        }
-        if let Some(interval) = elapsed.checked_div(n_events.saturating_sub(1)) {
+    }
+
+    /// Records the average time between the events of a stream.
+    pub fn record_pace(&self, lease: &Lease, gap: Duration) {
+        if !lease.is_concentrated {
             let mut rollouts = self.gateway.rollouts.lock();
-            rollouts.record_stream_end(&self.service, &lease.version, self.kind(), interval);
+            rollouts.record_pace(&self.service, &lease.version, self.kind(), gap);
         }
     }
 
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -394,14 +394,8 @@
         }
     }
 
-    /// Records the end of a stream, with the average gap between events.
-    pub fn record_stream_end(
-        &mut self,
-        service: &str,
-        version: &str,
-        kind: Kind<'_>,
-        gap: Duration,
-    ) {
+    /// Records the average time between the events of a stream.
+    pub fn record_pace(&mut self, service: &str, version: &str, kind: Kind<'_>, gap: Duration) {
         let ratio = self.ratio(service, version, kind, Part::EventGap, gap);
         if let Some(counts) = self.counts(service, version) {
             counts.rest.add(ratio);
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -27,6 +27,10 @@
 /// two events, and a sound one may be silent for a second or so in addition.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The time for which a stream is observed before its time between events counts as known. Streams
+/// of a slow version may end only after the decision on that version.
+const PACE_TIME: Duration = Duration::from_secs(1);
+
 /// Why a stream is aborted.
 #[derive(Debug, thiserror::Error)]
 #[error("stream aborted: {}", .0.reason.name())]
@@ -44,6 +48,8 @@
     /// The number of events received from the current endpoint, and when its response began.
     n_events: u32,
     started_at: Instant,
+    /// Whether the time between its events has been recorded.
+    is_pace_recorded: bool,
     /// When the last event arrived that was new to the caller.
     last_progress_at: Instant,
     /// The number of events forwarded to the caller in total, and the time from the request's
@@ -61,6 +67,7 @@
         first_byte_after: job.gateway.now().saturating_duration_since(job.request.received_at),
         n_events: 0,
         started_at: job.gateway.now(),
+        is_pace_recorded: false,
         last_progress_at: job.gateway.now(),
         job,
         exchange: Some(exchange),
@@ -94,6 +101,7 @@
                 self.exchange = Some(self.resume().await?);
                 let now = self.job.gateway.now();
                 (self.n_events, self.started_at, self.last_progress_at) = (0, now, now);
+                self.is_pace_recorded = false;
             }
             let cause = match self.read_events().await {
                 Progress::Events(bytes) => return Ok(Some(bytes)),
@@ -103,6 +111,7 @@
                     if let Some(exchange) = &self.exchange {
                         self.job.record_stream(&exchange.lease, self.n_events, elapsed);
                     }
+                    self.record_pace(elapsed);
                     self.end(job::OUTCOME_WHOLE, Outcome::Answered);
                     return Ok(None);
                 }
@@ -134,6 +143,10 @@
                             self.last_progress_at = now;
                         }
                         self.job.last_event_id = events.last_id.or(self.job.last_event_id);
+                        let elapsed = now.saturating_duration_since(self.started_at);
+                        if PACE_TIME <= elapsed {
+                            self.record_pace(elapsed);
+                        }
                         Progress::Events(events.bytes)
                     }
                     None => Progress::Partial,
@@ -145,6 +158,16 @@
         }
     }
 
+    /// Records the average time between the events of the current endpoint, of which the last came
+    /// after `elapsed`, unless that has been done or there are fewer than two.
+    fn record_pace(&mut self, elapsed: Duration) {
+        let gap = elapsed.checked_div(self.n_events.saturating_sub(1));
+        if let (false, Some(exchange), Some(gap)) = (self.is_pace_recorded, &self.exchange, gap) {
+            self.job.record_pace(&exchange.lease, gap);
+            self.is_pace_recorded = true;
+        }
+    }
+
     /// Closes the exchange with the failed endpoint, and aborts the stream if no other endpoint may
     /// continue it.
     async fn on_endpoint_failure(&mut self, cause: Cause) -> Result<(), Aborted> {
