Compare the times of a version under test at equal load

Cause: a version's first requests leave its endpoints nearly idle, where the time between events is a quarter to a half of that at the old version's loaded ones; a version that is four times as slow seems as fast.

Change: the baseline keeps the usual load beside the usual time, and how the time grows with it as a power, from the old version's streams alone; both versions are compared with the usual time at their own load.

--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -30,7 +30,7 @@
     models::{Candidate, Models},
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
-    rollouts::{self, Basis, Kind},
+    rollouts::{self, Basis, Kind, Pace},
 };
 
 use self::retry::Decision;
@@ -331,11 +331,12 @@
         }
     }
 
-    /// Records the average time between the events of a stream.
-    pub fn record_pace(&self, lease: &Lease, gap: Duration) {
+    /// Records how fast a stream is. Streams that are concentrated on a few endpoints tell nothing:
+    /// these prefill their first prompts all at once, between the tokens of other requests.
+    pub fn record_pace(&self, lease: &Lease, pace: Pace) {
         if !lease.is_concentrated {
             let mut rollouts = self.gateway.rollouts.lock();
-            rollouts.record_pace(&self.service, &lease.version, self.kind(), gap);
+            rollouts.record_pace(&self.service, &lease.version, self.kind(), pace);
         }
     }
 
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -1,5 +1,6 @@
 //! The rollouts, according to the rows that a node has read and the answers that it has seen.
 
+mod baseline;
 pub mod history;
 mod rule;
 pub mod trial;
@@ -17,13 +18,11 @@
 };
 
 pub use self::rule::{Basis, Knowledge, Rule};
-use self::{history::History, trial::Trial};
-
-/// Added to all times, in milliseconds, so that differences of a few milliseconds have little
-/// weight.
-const TIME_OFFSET_MS: f64 = 5.0;
-/// The weight of a new answer in the moving average of the baseline.
-const BASELINE_SMOOTHING: f64 = 0.1;
+use self::{
+    baseline::{Baseline, Part, Timing},
+    history::History,
+    trial::Trial,
+};
 
 /// The age at which a report of evidence is dropped. Nodes repeat theirs twice a second.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(4);
@@ -33,8 +32,8 @@
 pub struct Rollouts {
     schedule: Schedule,
     services: HashMap<String, Rollout>,
-    /// The logarithm of the baseline time in milliseconds, by route, model and part of the answer.
-    baseline: HashMap<(String, usize, Part), f64>,
+    /// The usual times of the old versions' answers.
+    baseline: Baseline,
 }
 
 /// A class of answers whose times can be compared: those of one route and model.
@@ -55,11 +54,13 @@
     Failed,
 }
 
-/// A part of an answer that is timed separately.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Part {
-    FirstEvent,
-    EventGap,
+/// How fast a stream is.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// The average time between its events.
+    pub gap: Duration,
+    /// The number of requests that its endpoint ran; none if it reports no load.
+    pub n_running: Option<u32>,
 }
 
 /// The rollout of one service.
@@ -149,7 +150,7 @@
 impl Rollouts {
     /// Creates an empty set of rollouts, all of which will follow `schedule`.
     pub fn new(schedule: Schedule) -> Self {
-        Self { schedule, services: HashMap::new(), baseline: HashMap::new() }
+        Self { schedule, services: HashMap::new(), baseline: Baseline::default() }
     }
 
     /// The schedule of all rollouts.
@@ -385,7 +386,8 @@
         kind: Kind<'_>,
         took: Option<Duration>,
     ) {
-        let ratio = took.map(|it| self.ratio(service, version, kind, Part::FirstEvent, it));
+        let timing = |time| Timing { time, n_running: None };
+        let ratio = took.map(|it| self.ratio(service, version, kind, Part::FirstEvent, timing(it)));
         let Some(counts) = self.counts(service, version) else { return };
         counts.answers += 1;
         counts.bad += u64::from(ratio.is_none());
@@ -394,36 +396,29 @@
         }
     }
 
-    /// Records the average time between the events of a stream.
-    pub fn record_pace(&mut self, service: &str, version: &str, kind: Kind<'_>, gap: Duration) {
-        let ratio = self.ratio(service, version, kind, Part::EventGap, gap);
+    /// Records how fast a stream is.
+    pub fn record_pace(&mut self, service: &str, version: &str, kind: Kind<'_>, pace: Pace) {
+        let timing = Timing { time: pace.gap, n_running: pace.n_running };
+        let ratio = self.ratio(service, version, kind, Part::EventGap, timing);
         if let Some(counts) = self.counts(service, version) {
             counts.rest.add(ratio);
         }
     }
 
-    /// The ratio of `took` to the baseline, which is the moving average of the old version.
+    /// The ratio of a time to the baseline. Times of the old version become part of it.
     fn ratio(
         &mut self,
         service: &str,
         version: &str,
         kind: Kind<'_>,
         part: Part,
-        took: Duration,
+        timing: Timing,
     ) -> f64 {
-        let log_ms = (took.as_secs_f64() * 1e3 + TIME_OFFSET_MS).ln();
-        let is_target = self.services.get(service).is_some_and(|it| it.order.target == version);
-        let key = (kind.route.to_owned(), kind.model, part);
-        let baseline = match is_target {
-            true => self.baseline.get(&key).copied().unwrap_or(log_ms),
-            false => {
-                let it = self.baseline.entry(key).or_insert(log_ms);
-                let before = *it;
-                *it += BASELINE_SMOOTHING * (log_ms - before);
-                before
-            }
-        };
-        (log_ms - baseline).exp()
+        let ratio = self.baseline.ratio(service, kind, part, timing);
+        if self.services.get(service).is_none_or(|it| it.order.target != version) {
+            self.baseline.add(service, kind, part, timing);
+        }
+        ratio
     }
 
     /// The counters of this node for a version; none if the rollout is finished.
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -17,6 +17,7 @@
     directory::Outcome,
     job::{self, Job, Summary},
     refusal::Refusal,
+    rollouts::Pace,
     splitter::Splitter,
 };
 
@@ -163,7 +164,8 @@
     fn record_pace(&mut self, elapsed: Duration) {
         let gap = elapsed.checked_div(self.n_events.saturating_sub(1));
         if let (false, Some(exchange), Some(gap)) = (self.is_pace_recorded, &self.exchange, gap) {
-            self.job.record_pace(&exchange.lease, gap);
+            let n_running = exchange.reply.load.map(|it| it.running);
+            self.job.record_pace(&exchange.lease, Pace { gap, n_running });
             self.is_pace_recorded = true;
         }
     }
