Let a few clearly slower streams hold a version back

Cause: times with fewer than 8 streams were not compared at all.

Change: the share of a version doesn't grow while 3 or more streams take 1.25 times as long by 1.5 standard errors; before, 8 or more by no error. A rollback needs 8 streams and 3.3 errors as before.

Test: few_slow_streams_hold_a_version_back failed before (Full instead of none).

--- a/crates/curranthook_gateway/src/steps/evidence.rs
+++ b/crates/curranthook_gateway/src/steps/evidence.rs
@@ -62,40 +62,49 @@
         variance.max(MIN_VARIANCE) / self.n.max(1.0)
     }
 
-    /// Whether these answers took significantly longer than `others`, by `factor` or more.
-    fn is_significantly_longer(self, others: Self, factor: f64) -> bool {
-        if self.n < MIN_SAMPLES || others.n < MIN_SAMPLES {
+    /// Whether these answers took longer than `others`, according to `bar`.
+    fn is_longer(self, others: Self, bar: Bar) -> bool {
+        if self.n < bar.min_samples || others.n < bar.min_samples {
             return false;
         }
         let difference = self.mean() - others.mean();
         let error = (self.squared_error() + others.squared_error()).sqrt();
-        factor.ln() < difference && SIGNIFICANT_SIGMAS * error < difference
+        bar.ratio.ln() < difference && bar.sigmas * error < difference
     }
 }
 
+/// What a difference between the times of two versions must exceed to count.
+#[derive(Debug, Clone, Copy)]
+struct Bar {
+    /// The ratio of the averages.
+    ratio: f64,
+    /// The standard errors of their difference.
+    sigmas: f64,
+    /// The number of answers of each version.
+    min_samples: f64,
+}
+
 /// The minimum ratio that is recorded. Smaller ones are raised to it: an answer that is even faster
 /// does not count as better.
 const MIN_RATIO: f64 = 0.1;
 /// The minimum variance assumed for the logarithms of a version's ratios, so that a few equal
 /// ratios do not count as significant.
 const MIN_VARIANCE: f64 = 0.25;
-/// The minimum number of answers of each version for a comparison.
-const MIN_SAMPLES: f64 = 8.0;
 /// By how many standard errors two versions must differ; by chance, this happens once in a few
 /// thousand checks.
 const SIGNIFICANT_SIGMAS: f64 = 3.3;
-/// The maximum ratio of a new version's time to the first event to the old version's. Its engines
-/// start without the cached prompts of the old ones and have to prefill all of them again.
-const MAX_FIRST_SLOWDOWN: f64 = 3.0;
-/// The maximum ratio of a new version's time between events to the old version's. It is smaller
-/// because a recent start does not affect this time.
-const MAX_GAP_SLOWDOWN: f64 = 1.3;
-
-/// The ratio of a version's time to the first event to the old version's above which its share of
-/// requests does not grow, even if the difference is not significant.
-const DOUBTFUL_FIRST_SLOWDOWN: f64 = 1.5;
-/// The same for the time between events.
-const DOUBTFUL_GAP_SLOWDOWN: f64 = 1.25;
+/// The time to the first event of a version that is slow. Its engines start without the cached
+/// prompts of the old ones and have to prefill all of them again.
+const SLOW_FIRST: Bar = Bar { ratio: 3.0, sigmas: SIGNIFICANT_SIGMAS, min_samples: 8.0 };
+/// The time between events of a version that is slow. The ratio is smaller because a recent start
+/// does not affect this time.
+const SLOW_GAP: Bar = Bar { ratio: 1.3, sigmas: SIGNIFICANT_SIGMAS, min_samples: 8.0 };
+/// The time to the first event above which a version's share of requests does not grow, even if the
+/// difference is not significant.
+const DOUBTFUL_FIRST: Bar = Bar { ratio: 1.5, sigmas: 0.0, min_samples: 8.0 };
+/// The same for the time between events. Few streams suffice if they are clearly slower: a small
+/// service has no more of them when the version could get all requests.
+const DOUBTFUL_GAP: Bar = Bar { ratio: 1.25, sigmas: 1.5, min_samples: 3.0 };
 
 /// Counters of a version's answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -242,15 +251,9 @@
         self.seems_good(MIN_ANSWERS_FOR_FULL)
     }
 
-    /// Whether the new version seems slower, even if not significantly so. Times with fewer than
-    /// `MIN_SAMPLES` answers of either version are not compared.
+    /// Whether the new version seems slower, even if not significantly so.
     fn seems_slow(self) -> bool {
-        let is_comparable = |new: Delay, old: Delay| MIN_SAMPLES <= new.n && MIN_SAMPLES <= old.n;
-        let reference = self.reference();
-        (is_comparable(self.new.first, reference.first)
-            && DOUBTFUL_FIRST_SLOWDOWN < self.first_event_slowdown())
-            || (is_comparable(self.new.rest, reference.rest)
-                && DOUBTFUL_GAP_SLOWDOWN < self.event_gap_slowdown())
+        self.is_slower(DOUBTFUL_FIRST, DOUBTFUL_GAP)
     }
 
     /// The ratio of the new version's time to the first event to the old version's.
@@ -266,14 +269,18 @@
     /// Whether there is any evidence against the new version, even if not significant.
     pub fn is_suspicious(self) -> bool {
         0 < self.new.bad
-            || MAX_FIRST_SLOWDOWN < self.first_event_slowdown()
-            || MAX_GAP_SLOWDOWN < self.event_gap_slowdown()
+            || SLOW_FIRST.ratio < self.first_event_slowdown()
+            || SLOW_GAP.ratio < self.event_gap_slowdown()
     }
 
     fn is_slow(self) -> bool {
+        self.is_slower(SLOW_FIRST, SLOW_GAP)
+    }
+
+    fn is_slower(self, first: Bar, gap: Bar) -> bool {
         let reference = self.reference();
-        self.new.first.is_significantly_longer(reference.first, MAX_FIRST_SLOWDOWN)
-            || self.new.rest.is_significantly_longer(reference.rest, MAX_GAP_SLOWDOWN)
+        self.new.first.is_longer(reference.first, first)
+            || self.new.rest.is_longer(reference.rest, gap)
     }
 
     /// Whether clearly more of the new version's answers are bad, of all or of those under load.
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -187,6 +187,26 @@
     assert_eq!(rollouts.rule("models", 7, CURRENT), Rule::Not("v2".to_owned()));
 }
 
+/// Guards against completing a slow version of a small service, of which few streams are known.
+#[test]
+fn few_slow_streams_hold_a_version_back() {
+    let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(20)));
+    let baseline_ratios = |n: usize| (0..n).map(|it| [0.7, 0.9, 1.0, 1.1, 1.4][it % 5]);
+    let old = Counts { rest: delay_of(baseline_ratios(60)), ..counts(120, 0) };
+    let partial = step(Phase::Partial, Duration::ZERO);
+    let due = |n: usize, factor: f64| {
+        let rest = delay_of(baseline_ratios(n).map(|it| it * factor));
+        let new = Counts { rest, ..counts(36, 0) };
+        let evidence = Evidence { new, old, ..Evidence::default() };
+        steps::due(&schedule, &order, &partial, evidence, Duration::from_secs(19))
+    };
+    assert_eq!(due(4, 3.0), None);
+    assert_eq!(due(7, 2.0), None);
+    assert_eq!(due(20, 3.0), Some(Phase::RolledBack));
+    // Few streams that are somewhat slower may be chance.
+    assert_eq!(due(4, 1.3), Some(Phase::Full));
+}
+
 /// A version fails for one kind of request only, so few of its answers are failures, while the old
 /// version has none. Guards against completing its rollout: the version would fail that kind of
 /// request for all callers.
