--- a/crates/curranthook_gateway/src/rollouts/trial.rs
+++ b/crates/curranthook_gateway/src/rollouts/trial.rs
@@ -4,7 +4,7 @@
 //! version. The first phases send it few requests, which would leave each of its endpoints nearly
 //! idle if they were spread over all of them. So many of these requests are concentrated on so few
 //! endpoints that each gets the load of the busiest one of the old version. The other requests are
-//! spread over the rest; their times can be compared with those of the old version.
+//! spread over the rest; their times can be compared with those of the old version, at equal load.
 
 use curranthook_policy::hash;
 
