Check endpoints that said they leave before refusing for want of another

Cause: an endpoint that says it leaves is marked, and checked every 2 s by each router. Ruled out: a check that gets no answer.

Test: an_endpoint_that_is_back_is_used_at_once_if_no_other_is_left failed before (503).

--- a/crates/curranthook_router/src/call.rs
+++ b/crates/curranthook_router/src/call.rs
@@ -22,7 +22,7 @@
     attempt::{self, Disconnect, Execution, Failure, Primary, Started, Upstream},
     dispatch::{Lease, Params, Target},
     events::{self, Events},
-    hedge,
+    hedge, leaving,
     parse::Chat,
     selection,
     snapshot::Snapshot,
@@ -182,6 +182,9 @@
         // wait for an endpoint.
         self.check_allowed(version)?;
         let mut lease = self.lease_endpoint(version).await;
+        if is_no_endpoint(&lease) && self.recheck_leaving(version).await {
+            lease = self.lease_endpoint(version).await;
+        }
         let may_retry_excluded = self.execution == Run::Unknown && self.n_attempts < MAX_ATTEMPTS;
         if may_retry_excluded && !self.excluded.is_empty() && is_no_endpoint(&lease) {
             // Every endpoint was tried. A closed connection does not mean that the endpoint is
@@ -209,6 +212,14 @@
         dispatcher.acquire(params).await
     }
 
+    /// Whether an endpoint that seemed to be leaving may be used again.
+    async fn recheck_leaving(&self, version: &version::Id) -> bool {
+        match self.router.dispatchers.get(&Target::Version(version.clone())) {
+            Ok(dispatcher) => leaving::recheck(&self.router, &dispatcher).await,
+            Err(_) => false,
+        }
+    }
+
     fn check_allowed(&self, version: &version::Id) -> Result<(), Refusal> {
         let snapshot = self.router.snapshot()?;
         if snapshot.document.withdrawn.contains(version) {
--- a/crates/curranthook_router/src/dispatch.rs
+++ b/crates/curranthook_router/src/dispatch.rs
@@ -49,6 +49,8 @@
     vm: vm::Id,
     balancer_name: &'static str,
     leaving: Mutex<HashSet<SocketAddr>>,
+    /// Those among them that the platform's list shows as leaving.
+    listed_as_leaving: Mutex<HashSet<SocketAddr>>,
     dispatchers: RwLock<HashMap<Target, Arc<Dispatcher>>>,
 }
 
@@ -67,6 +69,7 @@
             vm,
             balancer_name,
             leaving: Mutex::default(),
+            listed_as_leaving: Mutex::default(),
             dispatchers: RwLock::default(),
         }
     }
@@ -113,15 +116,24 @@
         self.dispatchers.read().values().for_each(|dispatcher| dispatcher.set_leaving(leaving));
     }
 
+    /// Marks the endpoints that the platform's list shows as leaving. Those that it showed before
+    /// stay marked until they report themselves that they are not leaving.
+    pub fn set_listed_as_leaving(&self, leaving: HashSet<SocketAddr>) {
+        self.mark_leaving(&leaving);
+        *self.listed_as_leaving.lock() = leaving;
+    }
+
     /// Clears the mark of an endpoint that reported itself that it is not leaving.
     pub fn clear_leaving(&self, addr: SocketAddr) {
         self.leaving.lock().remove(&addr);
         self.dispatchers.read().values().for_each(|dispatcher| dispatcher.clear_leaving(addr));
     }
 
-    /// The addresses of the endpoints that are marked as leaving.
+    /// The addresses of the endpoints that are marked as leaving, except for those that the
+    /// platform's list shows as leaving.
     pub fn leaving(&self) -> HashSet<SocketAddr> {
-        self.leaving.lock().clone()
+        let listed = self.listed_as_leaving.lock();
+        self.leaving.lock().iter().filter(|it| !listed.contains(*it)).copied().collect()
     }
 }
 
@@ -130,6 +142,9 @@
 pub struct Dispatcher {
     clock: Arc<dyn Clock>,
     inner: Mutex<Inner>,
+    /// When the endpoints that are marked as leaving were last checked because a request found no
+    /// other. Held during such a check.
+    pub(crate) rechecked_at: async_lock::Mutex<Option<Instant>>,
 }
 
 #[derive(Debug)]
@@ -157,7 +172,12 @@
     fn new(clock: Arc<dyn Clock>, balancer: Box<dyn Balancer>) -> Self {
         let inner =
             Inner { balancer, addresses: HashMap::new(), queue: Fair::new(DEFAULT_QUEUE_CAPACITY) };
-        Self { clock, inner: Mutex::new(inner) }
+        Self { clock, inner: Mutex::new(inner), rechecked_at: async_lock::Mutex::new(None) }
+    }
+
+    /// Whether one of its endpoints has this address.
+    pub fn contains(&self, addr: SocketAddr) -> bool {
+        self.inner.lock().addresses.values().any(|it| *it == addr)
     }
 
     fn set_members(&self, members: Vec<(Member, SocketAddr)>, capacity: usize) {
--- a/crates/curranthook_router/src/service.rs
+++ b/crates/curranthook_router/src/service.rs
@@ -23,7 +23,7 @@
     attempt::{self, Disconnect, Execution, Failure, Primary, Started},
     claim::{self, Claim, State},
     dispatch::{Lease, Params, Target},
-    hedge, parse,
+    hedge, leaving, parse,
     router::InFlight,
     snapshot::Snapshot,
 };
@@ -314,7 +314,12 @@
     let weight = account.map_or(1.0, |it| it.limit.weight);
     let params =
         Params { metadata: &call.metadata, weight, affinity: None, excluded: &attempts.excluded };
-    let lease = dispatcher.acquire(params).await.map_err(with_execution)?;
+    let mut lease = dispatcher.acquire(params).await;
+    let is_unserved = lease.as_ref().is_err_and(|it| it.code == Reason::NoEndpoint);
+    if is_unserved && leaving::recheck(router, &dispatcher).await {
+        lease = dispatcher.acquire(params).await;
+    }
+    let lease = lease.map_err(with_execution)?;
     // A router that was paused in the meantime must not send a call whose caller has given up, nor
     // one for an account that has lost access.
     check_allowed(&*router.snapshot()?, call).map_err(with_execution)?;
--- a/crates/curranthook_tests/tests/leaving_endpoint.rs
+++ b/crates/curranthook_tests/tests/leaving_endpoint.rs
@@ -236,6 +236,20 @@
     })
 }
 
+/// Guards against refusals while each endpoint is marked as leaving and one of them is back.
+#[test]
+fn an_endpoint_that_is_back_is_used_at_once_if_no_other_is_left() -> anyhow::Result<()> {
+    run(async {
+        let site = site(&["e1", "e2"]).await?;
+        for (leaves, stays) in [("e1", "e2"), ("e2", "e1"), ("e1", "e2")] {
+            site.engine(stays).set(&faults::Faults::default()).await?;
+            site.engine(leaves).set(&leaving()).await?;
+            ask_many(&site, "finding out").await?;
+        }
+        Ok(())
+    })
+}
+
 #[test]
 fn an_endpoint_that_refuses_connections_costs_no_request() -> anyhow::Result<()> {
     // A VM is gone before the list says so. Its port refuses connections; requests go elsewhere.
