Log what was known of a brittle endpoint that rejected a request

The load in the rejection, this node's requests there and the number of nodes tell whether rejections come once a node, from endpoints that look idle, or from repeats.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -68,7 +68,15 @@
     /// An endpoint refused a request and asked this node to send it none for some time.
     Paused { endpoint: &'a str, length_ms: u64 },
     /// An endpoint that can bear only some rejections per second rejected a request.
-    Spared { endpoint: &'a str, max_rejections: f64 },
+    Spared {
+        endpoint: &'a str,
+        max_rejections: f64,
+        running: Option<u32>,
+        waiting: Option<u32>,
+        /// This node's requests there, the rejected one included.
+        own_in_flight: u32,
+        nodes: usize,
+    },
     /// The evacuation of a failure domain was ordered or ended.
     Evacuation { domain: &'a str, state: &'a str, rev: u64, from: &'a str },
     /// A request was refused.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -154,7 +154,14 @@
         if let Some(max_rejections) = reply.max_rejections.filter(|_| reply.is_rejection()) {
             let n_nodes = self.gateway.n_nodes();
             directory.spare(&incarnation, max_rejections, n_nodes, now);
-            self.gateway.log.write(&Event::Spared { endpoint, max_rejections });
+            self.gateway.log.write(&Event::Spared {
+                endpoint,
+                max_rejections,
+                running: reply.load.map(|it| it.running),
+                waiting: reply.load.map(|it| it.waiting),
+                own_in_flight: directory.get(&self.id).map_or(0, |it| it.in_flight),
+                nodes: n_nodes,
+            });
         }
         // A failed response may lack headers that the endpoint sends in all others.
         let states_limit = completeness == Completeness::Whole || notice.rate.is_some();
