--- a/crates/curranthook_gateway/src/advertised.rs
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -27,13 +27,6 @@
 /// The upper limit applied to a pause that an endpoint asks for.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
-/// The share of the rejections that an endpoint can bear which the nodes cause. The rest covers
-/// requests that were sent before the first rejection arrived, and nodes that do not know of each
-/// other yet.
-const REJECTION_SHARE: f64 = 0.5;
-/// The smallest number of rejections per second that an endpoint is taken to bear.
-const MIN_REJECTIONS: f64 = 0.01;
-
 /// What an endpoint has reported about itself.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Advertised {
@@ -46,18 +39,12 @@
     pub is_leaving: bool,
     /// When the pause ends that the endpoint last asked this node for.
     paused_until: Option<Instant>,
-    /// Until when this node sends no requests, as the endpoint rejected one for want of capacity and
-    /// would fail if it had to reject many.
-    spared_until: Option<Instant>,
 }
 
 impl Advertised {
     /// Whether the endpoint has reported nothing.
     fn is_empty(&self) -> bool {
-        self.rate_limit.is_none()
-            && !self.is_leaving
-            && self.paused_until.is_none()
-            && self.spared_until.is_none()
+        self.rate_limit.is_none() && !self.is_leaving && self.paused_until.is_none()
     }
 
     /// Whether this node may send the endpoint a request now.
@@ -67,31 +54,7 @@
 
     /// When the current pause ends; none if there is no pause.
     pub fn paused_until(&self, now: Instant) -> Option<Instant> {
-        self.paused_until.max(self.spared_until).filter(|until| now < *until)
-    }
-
-    /// Stops requests from this node to an endpoint that rejected one and can reject
-    /// `max_rejections` per second of all `n_nodes`: each of them may cause one in that time.
-    ///
-    /// ```
-    /// # use std::time::{Duration, Instant};
-    /// # use curranthook_gateway::advertised::Advertised;
-    /// let (mut it, now, s) = (Advertised::default(), Instant::now(), Duration::from_secs(1));
-    /// it.spare(4.0, 6, now);
-    /// assert!(!it.admits(now + 2 * s) && it.admits(now + 3 * s));
-    /// it.spare(4.0, 6, now);
-    /// it.end_sparing();
-    /// assert!(it.admits(now));
-    /// ```
-    pub fn spare(&mut self, max_rejections: f64, n_nodes: usize, now: Instant) {
-        let length = n_nodes as f64 / (REJECTION_SHARE * max_rejections.max(MIN_REJECTIONS));
-        let length = Duration::from_secs_f64(length).min(MAX_PAUSE);
-        self.spared_until = self.spared_until.max(Some(now + length));
-    }
-
-    /// Allows requests again, as the endpoint has free capacity.
-    pub fn end_sparing(&mut self) {
-        self.spared_until = None;
+        self.paused_until.filter(|until| now < *until)
     }
 
     /// Stops requests from this node for `length`, capped at `MAX_PAUSE`. A shorter pause
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     advertised::{Advertised, Cache, Incarnation},
+    brittle::{self, Statement, Statements},
     dialect::Load,
     entry::Entry,
     load::work::Work,
@@ -42,6 +43,8 @@
     /// The minimum interval between two requests to an endpoint that limits all nodes to `rate`
     /// requests per second, in the current rotation.
     fn rate_limited(&self, endpoint: u64, rate: f64) -> Option<Duration>;
+    /// This node's rank among the nodes that divide the room at an endpoint, and their number.
+    fn rank(&self, endpoint: u64) -> (u32, u32);
     /// The number of the current rotation (see [`rate_limit::rotation`]).
     fn rotation(&self) -> u64;
 }
@@ -61,6 +64,8 @@
     evacuated: HashSet<domain::Id>,
     /// The services of which a slowdown of some endpoint was recorded.
     slowdown_services: HashSet<String>,
+    /// What the endpoints of each service state of the rejections that they can bear.
+    statements: Statements,
     /// When any endpoint last answered.
     last_answer: Option<Instant>,
     /// Until when endpoints whose entries were removed are kept, because the entries may have
@@ -204,11 +209,13 @@
     /// Recomputes this node's outdated permits for those endpoints of a service that bound the rate
     /// of all nodes together.
     pub fn renew_permits(&mut self, service: &str, permits: &impl Permits, now: Instant) {
+        let attempt_rate = self.statements.max_rejections(service, now).map(brittle::attempt_rate);
         for it in self.endpoints.values_mut().filter(|it| it.entry.service == service) {
             let slow_start = it.slow_start.as_mut();
             if let Some(slow_start) = slow_start.filter(|it| it.is_outdated(now)) {
                 slow_start.share.set_interval(permits.slow_start(it.id_hash), now);
             }
+            it.renew_share(attempt_rate, permits, now);
             let (limit, rotation) = (it.advertised.rate_limit.as_mut(), permits.rotation());
             if let Some(limit) = limit.filter(|it| it.is_outdated(rotation, now)) {
                 limit.set_interval(permits.rate_limited(it.id_hash, limit.rate), rotation, now);
@@ -262,17 +269,46 @@
         }
     }
 
-    /// Stops requests from this node to an endpoint that rejected one for want of capacity (see
-    /// [`Advertised::spare`]).
-    pub fn spare(
-        &mut self,
-        incarnation: &Incarnation,
-        max_rejections: f64,
-        n_nodes: usize,
-        now: Instant,
-    ) {
-        if let Some(it) = self.advertised(incarnation, now) {
-            it.spare(max_rejections, n_nodes, now);
+    /// Records what an endpoint of `service` stated. Returns whether other nodes are to be told.
+    pub fn record_statement(&mut self, service: &str, statement: Statement) -> bool {
+        self.statements.record(service, statement)
+    }
+
+    /// The valid statements of brittle endpoints, by service.
+    pub fn statements(&self, now: Instant) -> impl Iterator<Item = (&str, Statement)> {
+        self.statements.valid(now)
+    }
+
+    /// Whether the endpoints of a service state that they are brittle.
+    pub fn is_brittle(&self, service: &str, now: Instant) -> bool {
+        self.statements.max_rejections(service, now).is_some()
+    }
+
+    /// Whether some nodes may not know yet that the endpoints of a service are brittle.
+    pub fn is_brittleness_spreading(&self, service: &str, now: Instant) -> bool {
+        self.statements.is_spreading(service, now)
+    }
+
+    /// Records that a brittle endpoint rejected a request while it had `n_requests`.
+    pub fn record_rejection(&mut self, id: &endpoint::Id, n_requests: u32, now: Instant) {
+        if let Some(it) = self.endpoints.get_mut(id) {
+            let stated = self.statements.max_rejections(&it.entry.service, now);
+            let limit =
+                brittle::Limit::after_rejection(n_requests, stated.unwrap_or_default(), now);
+            it.rejected = Some(limit.lower(it.rejected, now));
+        }
+    }
+
+    /// The number of requests that an endpoint is known to take; none if it is not brittle.
+    pub fn brittle_limit(&self, id: &endpoint::Id, now: Instant) -> Option<u32> {
+        let it = self.endpoints.get(id).filter(|it| self.is_brittle(&it.entry.service, now))?;
+        Some(brittle::Limit::requests(it.entry.slots, it.rejected, now))
+    }
+
+    /// Records that an attempt without known room is being made at a brittle endpoint.
+    pub fn attempt_sent(&mut self, id: &endpoint::Id, now: Instant) {
+        if let Some(it) = self.endpoints.get_mut(id).and_then(|it| it.brittle.as_mut()) {
+            it.attempts.sent(now);
         }
     }
 
@@ -297,6 +333,9 @@
             if let Some(limit) = &mut it.advertised.rate_limit {
                 limit.sent(now);
             }
+            if let Some(share) = &mut it.brittle {
+                share.sent(now);
+            }
         }
     }
 
@@ -313,9 +352,6 @@
             it.pending = it.pending.saturating_sub(work);
             if let Some(load) = load {
                 it.load = Some((load, now, it.in_flight));
-                if load.running < load.slots && load.waiting == 0 {
-                    it.advertised.end_sparing();
-                }
             }
         }
     }
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     advertised::Advertised,
+    brittle,
     dialect::Load,
+    directory::Permits,
     entry::{Entry, State},
     load::{occupancy::Observation, work::Work},
     rate_limit,
@@ -58,6 +60,10 @@
     pub(super) unreachable_since: Option<Instant>,
     /// The slow start, if the endpoint is in one.
     pub(super) slow_start: Option<SlowStart>,
+    /// This node's part in the requests to the endpoint, if its service is brittle.
+    pub brittle: Option<brittle::Share>,
+    /// What the endpoint takes according to its last rejection, if its service is brittle.
+    pub rejected: Option<brittle::Limit>,
     /// The state that the endpoint reports about itself.
     pub(super) advertised: Advertised,
     /// Whether the entry was removed, and the endpoint is kept only because the entry may have
@@ -83,6 +89,8 @@
             ejected_until: None,
             unreachable_since: None,
             slow_start: None,
+            brittle: None,
+            rejected: None,
             advertised,
             is_missing: false,
         }
@@ -169,6 +177,30 @@
         self.advertised.paused_until(now)
     }
 
+    /// Recomputes this node's part in the `attempt_rate` of a brittle endpoint, if it is outdated;
+    /// none if the endpoint is not brittle.
+    pub(super) fn renew_share(
+        &mut self,
+        attempt_rate: Option<f64>,
+        permits: &impl Permits,
+        now: Instant,
+    ) {
+        let Some(rate) = attempt_rate else {
+            self.brittle = None;
+            return;
+        };
+        let share = self.brittle.get_or_insert_with(|| brittle::Share::new(rate));
+        if share.attempts.rate != rate {
+            share.attempts = share.attempts.with_rate(rate);
+        }
+        let rotation = permits.rotation();
+        if share.attempts.is_outdated(rotation, now) {
+            let interval = permits.rate_limited(self.id_hash, rate);
+            share.attempts.set_interval(interval, rotation, now);
+            share.rank = permits.rank(self.id_hash);
+        }
+    }
+
     /// Applies the remaining slow start time from the entry; zero ends the slow start.
     pub(super) fn set_slow_start(&mut self, remaining: Duration, now: Instant) {
         let end = now + remaining.min(MAX_SLOW_START);
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -67,13 +67,17 @@
     Leaving { endpoint: &'a str, from: &'a str },
     /// An endpoint refused a request and asked this node to send it none for some time.
     Paused { endpoint: &'a str, length_ms: u64 },
-    /// An endpoint that can bear only some rejections per second rejected a request.
-    Spared {
+    /// The endpoints of a service state how many rejections per second each of them can bear.
+    Brittle { service: &'a str, max_rejections: f64, from: &'a str },
+    /// A brittle endpoint rejected a request.
+    BrittleRejected {
         endpoint: &'a str,
-        max_rejections: f64,
+        room: Option<&'a str>,
         running: Option<u32>,
         waiting: Option<u32>,
-        /// This node's requests there, the rejected one included.
+        /// The requests that all nodes were known to have there, and those of this node, the
+        /// rejected one included.
+        known_requests: u32,
         own_in_flight: u32,
         nodes: usize,
     },
@@ -135,6 +139,9 @@
         /// last seen to report, if known.
         others_in_flight: Option<u32>,
         load_age_ms: Option<u64>,
+        /// Why a brittle endpoint is expected to accept the request.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        room: Option<&'a str>,
         expected_ms: Option<u64>,
         #[serde(flatten)]
         contention: Option<Contention>,
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -1,11 +1,12 @@
 //! The rows that nodes write for each other: addresses, steps of rollouts, evidence about new
 //! versions, requests blamed for endpoint failures, and snapshots of latency estimates.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_policy::{hash, poison};
 use curranthook_types::domain;
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::{
     Gateway,
@@ -79,7 +80,8 @@
 }
 
 /// The addresses and properties of a node.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Node {
     /// The address for requests from peers.
     pub peers: SocketAddr,
@@ -92,6 +94,17 @@
     /// The capacity for relaying rows to other nodes, in Mbit/s.
     #[serde(default)]
     pub capacity: f64,
+    /// When the row was first written, by the store's clock; none if that is unknown.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub joined: Option<Duration>,
+}
+
+impl Node {
+    /// Whether the addresses and properties are the same, whenever the row was written.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Self { joined: None, ..self.clone() } == Self { joined: None, ..other.clone() }
+    }
 }
 
 /// A node's evidence about a rollout, as stored in its row.
@@ -141,7 +154,10 @@
         Key::ForwardingKey => gateway.forwarding.set_key(&serde_json::from_slice::<String>(value)?),
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
-            gateway.load_owners.lock().set_node(name, node.reports);
+            let mut owners = gateway.load_owners.lock();
+            owners.set_node(name, node.reports);
+            owners.set_joined(name, node.joined);
+            drop(owners);
             gateway.peers.lock().insert((*name).to_owned(), node);
             gateway.topology.lock().invalidate();
         }
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -117,22 +117,28 @@
     async fn announce(&self) {
         let settings = &self.gateway.settings;
         let Some(peers) = settings.peers else { return };
+        if settings.is_first_start {
+            Timer::after(ANNOUNCE_SPREAD.mul_f64(rand::random())).await;
+        } else {
+            self.gateway.wait_for_members(MEMBERS_TIMEOUT).await;
+        }
         let node = Node {
             peers,
             reports: settings.reports,
             domain: Some(settings.domain.clone()),
             capacity: settings.capacity,
+            joined: self.gateway.store_time(),
         };
         let join = Join { name: settings.node.clone(), node };
-        if settings.is_first_start {
-            Timer::after(ANNOUNCE_SPREAD.mul_f64(rand::random())).await;
-        } else {
-            self.gateway.wait_for_members(MEMBERS_TIMEOUT).await;
-        }
         let (key, value) = (Key::Node(&join.name).to_string(), encode(&join.node));
         loop {
             let known = self.gateway.mirror.lock().row(Table::Fleet, &key);
-            if known.is_some_and(|it| it.value.as_deref() == Some(&value[..])) {
+            let known: Option<Node> = known.and_then(|it| {
+                let value = it.value?;
+                // A row that cannot be read is written again.
+                serde_json::from_slice(&value).ok()
+            });
+            if known.is_some_and(|it| it.is_same(&join.node)) {
                 return;
             }
             if self.join(&join).await || self.write(&key, None, &value, None).await.is_ok() {
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -60,6 +60,9 @@
 /// the second after which the operating system retransmits its first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The time in which a node that started is known to the others and receives their reports.
+const REPORT_TIME: Duration = Duration::from_millis(1_500);
+
 /// The dependencies of a node.
 #[derive(Debug)]
 pub struct Parts {
@@ -254,6 +257,11 @@
         self.peers.lock().len().max(1)
     }
 
+    /// Whether the node has run long enough to have received what others report of their requests.
+    pub fn knows_requests(&self) -> bool {
+        REPORT_TIME <= self.now().saturating_duration_since(self.started)
+    }
+
     /// Reads a property of a service from the configuration in force; none if it is not set.
     pub fn service<T>(&self, name: &str, read: impl FnOnce(&Service) -> Option<T>) -> Option<T> {
         read(self.configuration.load().as_ref()?.document.services.get(name)?)
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -249,6 +249,7 @@
             busy: lease.outstanding,
             others_in_flight: lease.occupancy.others,
             load_age_ms: lease.occupancy.observed.map(|it| millis(it.age)),
+            room: lease.room.name(),
             expected_ms: lease.expected_time_to_first_event.map(millis),
             contention: self.contention(&lease),
             slowdown: lease.slowdown.age.map(|_| lease.slowdown.expected.value()),
--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -9,7 +9,10 @@
 use crate::{
     document::RetryPolicy,
     lease::Lease,
-    load::reports::{self, PeerState, Query},
+    load::{
+        in_flight,
+        reports::{self, PeerState, Query},
+    },
     models::Candidate,
     refusal::{Reason, Refusal},
     rollouts::{Basis, Rule},
@@ -35,7 +38,17 @@
             None => self.query_peers(&criteria).await,
         };
         let decided = self.check_capacity(&criteria, &mut peer_state).await?;
-        let lease = Lease::acquire(&self.gateway, &decided, &peer_state).map_err(|e| match e {
+        let mut lease = Lease::acquire(&self.gateway, &decided, &peer_state);
+        for _ in 1..MAX_QUERY_ROUNDS {
+            if !matches!(lease, Err(Unavailable::Full))
+                || !self.query_others(&criteria, &mut peer_state).await
+            {
+                break;
+            }
+            lease = Lease::acquire(&self.gateway, &decided, &peer_state);
+        }
+        peer_state.settle(&self.gateway);
+        let lease = lease.map_err(|e| match e {
             Unavailable::NoEndpoint => self.no_endpoint_refusal(&criteria),
             Unavailable::Full => self.full_refusal(),
         })?;
@@ -108,6 +121,31 @@
         peer_state
     }
 
+    /// Queries the owners of endpoints that `peer_state` does not cover, as those that it covers have
+    /// no room, and adds what they answer. Returns whether there are any.
+    async fn query_others(&self, criteria: &Criteria<'_>, peer_state: &mut PeerState) -> bool {
+        let asked = peer_state.waiting.keys().chain(&peer_state.unreachable);
+        let tried: Vec<_> = asked.chain(criteria.tried).cloned().collect();
+        let others = Criteria { tried: &tried, prefix_hash: None, ..*criteria };
+        let mut endpoints = selection::shortlist(&self.gateway, &others);
+        endpoints.retain(|it| !tried.contains(it));
+        if endpoints.is_empty() {
+            return false;
+        }
+        let in_flight = self.counts_requests();
+        let asked = peer_state.asked.clone();
+        let query = Query { endpoints, in_flight, asked, ..Query::default() };
+        peer_state.extend(reports::query(&self.gateway, query).await);
+        let now = self.gateway.now();
+        peer_state.eject_unreachable(&mut self.gateway.directory.lock(), now);
+        true
+    }
+
+    /// Whether load owners are asked for the number of requests at endpoints.
+    pub(super) fn counts_requests(&self) -> bool {
+        in_flight::is_shared(&self.gateway, &self.gateway.directory.lock(), &self.service)
+    }
+
     async fn query_owners(
         &self,
         shortlist: Vec<endpoint::Id>,
@@ -116,17 +154,20 @@
         let query = Query {
             endpoints: shortlist,
             prefix_hash: criteria.prefix_hash,
-            in_flight: criteria.model.is_none(),
+            in_flight: self.counts_requests(),
+            asked: Vec::new(),
         };
         let mut peer_state = reports::query(&self.gateway, query).await;
         let is_unreported = |it: &endpoint::Id| !peer_state.waiting.contains_key(it);
         let holders = peer_state.holders.iter().flatten();
         let unreported: Vec<_> = holders.filter(|it| is_unreported(it)).cloned().collect();
         if !unreported.is_empty() {
-            let query = Query { endpoints: unreported, ..Query::default() };
+            let in_flight = self.counts_requests();
+            let query = Query { endpoints: unreported, in_flight, ..Query::default() };
             let holder_reports = reports::query(&self.gateway, query).await;
             peer_state.waiting.extend(holder_reports.waiting);
             peer_state.unreachable.extend(holder_reports.unreachable);
+            peer_state.in_flight.extend(holder_reports.in_flight);
         }
         peer_state
     }
--- a/crates/curranthook_gateway/src/job/admission.rs
+++ b/crates/curranthook_gateway/src/job/admission.rs
@@ -93,7 +93,8 @@
             let tried: Vec<_> = asked.chain(criteria.tried).cloned().collect();
             let others = Criteria { tried: &tried, ..any_holder };
             let shortlist = selection::shortlist(&self.gateway, &others);
-            let query = Query { endpoints: shortlist, ..Query::default() };
+            let in_flight = self.counts_requests();
+            let query = Query { endpoints: shortlist, in_flight, ..Query::default() };
             peer_state.extend(reports::query(&self.gateway, query).await);
             let now = self.gateway.now();
             peer_state.eject_unreachable(&mut self.gateway.directory.lock(), now);
--- a/crates/curranthook_gateway/src/job/escalation.rs
+++ b/crates/curranthook_gateway/src/job/escalation.rs
@@ -11,7 +11,7 @@
     load::reports::PeerState,
     models::Candidate,
     rollouts::Rule,
-    selection,
+    selection::{self, Room},
 };
 
 impl Job {
@@ -25,11 +25,12 @@
         let rule = self.version_rule();
         // Load from other nodes can only delay the larger model. So if its forecast is no better
         // even without that load, the response is kept and no peer is queried.
-        if self.improvement(confidence, slowdown, &rule, &PeerState::default()).is_none() {
+        if self.improvement(confidence, slowdown, &rule, None).is_none() {
             return false;
         }
         let peer_state = self.query_peers(&self.criteria(&rule, Some(large))).await;
-        let Some(expected) = self.improvement(confidence, slowdown, &rule, &peer_state) else {
+        let Some(expected) = self.improvement(confidence, slowdown, &rule, Some(&peer_state))
+        else {
             return false;
         };
         let model = large.name.clone();
@@ -50,12 +51,13 @@
     }
 
     /// The forecast for the largest model, if it is better than the response that has begun.
+    /// Without `peer_state`, no load of other nodes is considered.
     fn improvement(
         &self,
         confidence: u8,
         slowdown: Factor,
         rule: &Rule,
-        peer_state: &PeerState,
+        peer_state: Option<&PeerState>,
     ) -> Option<Forecast> {
         let (small, large) = (self.models.current()?, self.models.larger()?);
         let elapsed = self.gateway.now().saturating_duration_since(self.request.received_at);
@@ -81,11 +83,19 @@
         &self,
         rule: &Rule,
         model: &Candidate,
-        peer_state: &PeerState,
+        peer_state: Option<&PeerState>,
     ) -> Option<(Duration, Factor)> {
         let criteria = self.criteria(rule, Some(model));
         let directory = self.gateway.directory.lock();
-        let choice = selection::best(&self.gateway, &directory, &criteria, peer_state).ok()?;
+        let choice = match peer_state {
+            Some(it) => selection::best(&self.gateway, &directory, &criteria, it),
+            None => {
+                let none = PeerState::default();
+                selection::best_with_any_room(&self.gateway, &directory, &criteria, &none)
+            }
+        };
+        // The response that has begun is not given up for one that may be rejected.
+        let choice = choice.ok().filter(|it| it.room != Room::Permitted)?;
         Some((choice.time_to_first_event(&criteria.model?.latency), choice.slowdown.lasting))
     }
 
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -9,15 +9,21 @@
     Gateway,
     advertised::Incarnation,
     affinity::Record,
-    connections,
+    brittle, connections,
     dialect::{Load, Reply},
     directory::Outcome,
     entry::State,
     event::Event,
     forwarding::probe,
-    load::{in_flight, occupancy::Occupancy, prefill::Prompt, reports::PeerState, work::Work},
+    load::{
+        in_flight,
+        occupancy::Occupancy,
+        prefill::Prompt,
+        reports::{PeerState, statements},
+        work::Work,
+    },
     rate_limit,
-    selection::{self, Choice, Criteria, Unavailable},
+    selection::{self, Choice, Criteria, Room, Unavailable},
 };
 
 /// A request slot at an endpoint. Dropping the lease releases the slot.
@@ -48,6 +54,8 @@
     pub slowdown: Outlook,
     /// What was known about the requests at the endpoint.
     pub occupancy: Occupancy,
+    /// Why the endpoint was expected to accept the request.
+    pub room: Room,
     /// The expected time to the first event; `None` for a service without models.
     pub expected_time_to_first_event: Option<Duration>,
     /// How many idle connections this node may keep to the endpoint.
@@ -84,9 +92,8 @@
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
         let Choice { prompt, outstanding, queue_delay, waiting, waiting_age, .. } = choice;
-        let Choice { slowdown, occupancy, is_concentrated, .. } = choice;
-        let is_shared =
-            criteria.model.is_none() && in_flight::is_shared(gateway, &directory, criteria.service);
+        let Choice { slowdown, occupancy, is_concentrated, room, .. } = choice;
+        let is_shared = in_flight::is_shared(gateway, &directory, criteria.service);
         if slowdown.age.is_some() {
             gateway.metrics.record_slowdown(slowdown.expected);
         }
@@ -97,6 +104,12 @@
         let pending_prefill = Work::new(criteria.priority.unwrap_or_default(), prefill);
         let entry = choice.endpoint.entry.clone();
         directory.request_sent(&entry.id, pending_prefill, now);
+        if room == Room::Permitted {
+            directory.attempt_sent(&entry.id, now);
+        }
+        if let Some(room) = room.name() {
+            gateway.metrics.record_brittle_attempt(room);
+        }
         if is_shared {
             report_in_flight(gateway);
         }
@@ -117,6 +130,7 @@
             waiting: (waiting, waiting_age),
             slowdown,
             occupancy,
+            room,
             expected_time_to_first_event,
             max_idle: max_idle.unwrap_or(usize::MAX),
             pending_prefill,
@@ -142,6 +156,13 @@
         let (endpoint, now) = (self.id.as_str(), self.gateway.now());
         let at = self.gateway.store_time().unwrap_or_default();
         let notice = rate_limit::Notice { rate: reply.rate_limit, at };
+        if let Some(max_rejections) = reply.max_rejections {
+            let statement = brittle::Statement { max_rejections, at: now, since: now };
+            statements::record(&self.gateway, &self.service, statement, "answer");
+        }
+        if reply.is_rejection() {
+            self.record_rejection(reply.load);
+        }
         let mut directory = self.gateway.directory.lock();
         if reply.state == State::Leaving && directory.set_leaving(&incarnation, now) {
             self.gateway.log.write(&Event::Leaving { endpoint, from: "answer" });
@@ -151,18 +172,6 @@
             let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
             self.gateway.log.write(&Event::Paused { endpoint, length_ms });
         }
-        if let Some(max_rejections) = reply.max_rejections.filter(|_| reply.is_rejection()) {
-            let n_nodes = self.gateway.n_nodes();
-            directory.spare(&incarnation, max_rejections, n_nodes, now);
-            self.gateway.log.write(&Event::Spared {
-                endpoint,
-                max_rejections,
-                running: reply.load.map(|it| it.running),
-                waiting: reply.load.map(|it| it.waiting),
-                own_in_flight: directory.get(&self.id).map_or(0, |it| it.in_flight),
-                nodes: n_nodes,
-            });
-        }
         // A failed response may lack headers that the endpoint sends in all others.
         let states_limit = completeness == Completeness::Whole || notice.rate.is_some();
         let is_changed = states_limit && directory.set_rate_limit(&incarnation, &notice, now);
@@ -180,6 +189,35 @@
         }
     }
 
+    /// Records a rejection for want of capacity, if the endpoint is brittle.
+    fn record_rejection(&self, load: Option<Load>) {
+        let (gateway, now) = (&self.gateway, self.gateway.now());
+        let mut directory = gateway.directory.lock();
+        if !directory.is_brittle(&self.service, now) {
+            return;
+        }
+        let known_requests = self.occupancy.requests();
+        let stated = load.map(|it| it.running.saturating_add(it.waiting));
+        let n_requests = stated.unwrap_or(known_requests);
+        directory.record_rejection(&self.id, n_requests, now);
+        let own_in_flight = directory.get(&self.id).map_or(0, |it| it.in_flight);
+        drop(directory);
+        gateway.metrics.record_brittle_attempt("rejected");
+        gateway.log.write(&Event::BrittleRejected {
+            endpoint: self.id.as_str(),
+            room: self.room.name(),
+            running: load.map(|it| it.running),
+            waiting: load.map(|it| it.waiting),
+            known_requests,
+            own_in_flight,
+            nodes: gateway.n_nodes(),
+        });
+        if let Some(reports) = gateway.load_reports.get() {
+            reports.queue_rejection(&self.id, n_requests);
+            gateway.pending_work_changed.wake();
+        }
+    }
+
     fn report_slowdown(&self, figure: Figure) {
         self.gateway.metrics.record_slowdown_figures("response", 1);
         if let Some(reports) = self.gateway.load_reports.get() {
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -13,8 +13,8 @@
 //!   serve it;
 //!   [`load`] contains what the node knows about the load of endpoints, from its own requests and
 //!   from other nodes;
-//! - [`permit`]: divides among the nodes the request rate of endpoints that are in [`slow_start`]
-//!   or announce a [`rate_limit`]; [`retry_schedule`] spreads the `Retry-After` times of refused
+//! - [`permit`]: divides among the nodes the request rate of endpoints that are in [`slow_start`],
+//!   announce a [`rate_limit`] or are [`brittle`]; [`retry_schedule`] spreads the `Retry-After` times of refused
 //!   callers;
 //! - [`forwarding`]: passes the request to another node if this one is cut off from the service;
 //! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
@@ -33,6 +33,7 @@
 pub mod affinity;
 pub mod apply;
 pub mod attempt;
+pub mod brittle;
 pub mod cascade;
 pub mod connections;
 pub mod dialect;
--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -8,6 +8,7 @@
 //! observed themselves; nothing else depends on the owner.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -25,6 +26,18 @@
 /// How long an owner is skipped after too many unanswered queries; about the time of a restart.
 const SKIP_TIME: Duration = Duration::from_secs(4);
 
+/// The time from when a node joins until its requests are reported to it, as all nodes know it by
+/// then, and until other nodes ask it. A node that is asked at once would know a part of the
+/// requests only, as some nodes still report to the owner before it.
+const REPORTED_AFTER: Duration = Duration::from_millis(1_500);
+/// See [`REPORTED_AFTER`].
+const ASKED_AFTER: Duration = Duration::from_millis(3_000);
+/// The time after which the owner before it gets no more reports: nodes' clocks differ a little.
+const ALONE_AFTER: Duration = Duration::from_millis(3_500);
+/// The number of nodes that get the reports of a brittle endpoint's requests, so that another one
+/// knows them if the owner is lost.
+const N_REPORTED_TO: usize = 2;
+
 /// Whether a fleet of `n_nodes` uses load owners.
 ///
 /// ```
@@ -48,6 +61,15 @@
 struct Owner {
     node_hash: u64,
     addr: SocketAddr,
+    /// When the node joined, by the store's clock; none if it joined long ago.
+    joined: Option<Duration>,
+}
+
+impl Owner {
+    fn has_joined_before(&self, age: Duration, store_time: Option<Duration>) -> bool {
+        let age_now = store_time.zip(self.joined).map(|(now, it)| now.saturating_sub(it));
+        age_now.is_none_or(|it| age <= it)
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -61,7 +83,78 @@
     pub fn set_node(&mut self, node: &str, addr: Option<SocketAddr>) {
         let node_hash = hash::bytes(node.as_bytes());
         self.nodes.retain(|it| it.node_hash != node_hash);
-        self.nodes.extend(addr.map(|addr| Owner { node_hash, addr }));
+        self.nodes.extend(addr.map(|addr| Owner { node_hash, addr, joined: None }));
+    }
+
+    /// Sets when a node joined, by the store's clock; none if it joined long ago.
+    pub fn set_joined(&mut self, node: &str, joined: Option<Duration>) {
+        let node_hash = hash::bytes(node.as_bytes());
+        let known = self.nodes.iter_mut().find(|it| it.node_hash == node_hash);
+        if let Some(it) = known {
+            it.joined = joined;
+        }
+    }
+
+    /// The node that knows all requests at a brittle endpoint: like [`Owners::owner_of`], but no
+    /// node that has just joined; none if the nodes that all report to do not answer. The nodes are
+    /// asked in turn, by the number of questions that were not answered.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::load::owners::Owners;
+    /// let (mut owners, s) = (Owners::default(), Duration::from_secs);
+    /// for port in 1..=20 {
+    ///     owners.set_node(&format!("node-{port}"), Some(([127, 0, 0, 1], port).into()));
+    /// }
+    /// let (endpoint, now) = ("engine-1".into(), Instant::now());
+    /// let owner = owners.owner_of(&endpoint, now).unwrap();
+    /// owners.set_joined(&format!("node-{}", owner.port()), Some(s(100)));
+    /// let settled = |at| owners.settled_owner_of(&endpoint, 0, Some(s(at)), now);
+    /// assert_ne!(settled(101), Some(owner));
+    /// assert_eq!(settled(104), Some(owner));
+    /// assert!(owners.reported_to(&endpoint, Some(s(102)), now).contains(&owner));
+    /// ```
+    pub fn settled_owner_of(
+        &self,
+        endpoint: &endpoint::Id,
+        n_unanswered: usize,
+        store_time: Option<Duration>,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let hash = hash::bytes(endpoint.as_str().as_bytes());
+        let settled = |it: &&Owner| it.has_joined_before(ASKED_AFTER, store_time);
+        // If all nodes have just joined, none of them knows more than another.
+        let is_any_settled = self.nodes.iter().any(|it| settled(&it));
+        let mut nodes: Vec<_> =
+            self.nodes.iter().filter(|it| !is_any_settled || settled(it)).collect();
+        nodes.sort_unstable_by_key(|it| Reverse(hash::pair(hash, it.node_hash)));
+        nodes.truncate(N_REPORTED_TO);
+        nodes.retain(|it| !self.is_skipped(it.addr, now));
+        let index = n_unanswered.checked_rem(nodes.len())?;
+        Some(nodes[index].addr)
+    }
+
+    /// The nodes that get the reports of requests at a brittle endpoint: those that any node may ask
+    /// for them now.
+    pub fn reported_to(
+        &self,
+        endpoint: &endpoint::Id,
+        store_time: Option<Duration>,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let hash = hash::bytes(endpoint.as_str().as_bytes());
+        let mut nodes: Vec<_> = self.nodes.iter().collect();
+        nodes.sort_unstable_by_key(|it| Reverse(hash::pair(hash, it.node_hash)));
+        let joined_before = |age| {
+            let nodes = nodes.iter().filter(move |it| it.has_joined_before(age, store_time));
+            nodes.take(N_REPORTED_TO).map(|it| it.addr)
+        };
+        let asked = self.settled_owner_of(endpoint, 0, store_time, now);
+        let mut addrs: Vec<_> =
+            joined_before(REPORTED_AFTER).chain(joined_before(ALONE_AFTER)).chain(asked).collect();
+        addrs.sort_unstable();
+        addrs.dedup();
+        addrs
     }
 
     /// The address of the node that owns `endpoint`.
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -12,6 +12,7 @@
 mod message;
 mod outgoing;
 mod queries;
+pub mod statements;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -36,7 +37,7 @@
     directory::Directory,
     load::{
         breakdown::{self, Breakdown, PendingWork},
-        in_flight::Figures,
+        in_flight::{Counts, Figures},
         slowdowns,
         work::Work,
     },
@@ -55,6 +56,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// The minimum interval between two rounds of reports.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+/// The same while endpoints are brittle: what an owner has not heard yet, it counts as room taken.
+const MIN_BRITTLE_REPORT_INTERVAL: Duration = Duration::from_millis(5);
 /// The maximum size of a datagram, in bytes; a longer one is truncated on receipt and rejected as
 /// malformed. The limits below bound the contents of a report. What exceeds them is not reported.
 pub const MAX_DATAGRAM: usize = 1_400;
@@ -69,6 +72,9 @@
 /// pending work.
 const MAX_REPORTED_UNREACHABLE: usize = 8;
 
+/// The maximum number of endpoints that rejected a request in a report.
+const MAX_REPORTED_REJECTIONS: usize = 8;
+
 /// What other nodes know about the candidate endpoints of a request.
 #[derive(Debug, Clone, Default)]
 pub struct PeerState {
@@ -80,6 +86,8 @@
     pub unreachable: Vec<endpoint::Id>,
     /// The requests at each of the given endpoints, for a service without models.
     pub in_flight: Figures,
+    /// The endpoints that owners were asked about.
+    pub asked: Vec<endpoint::Id>,
 }
 
 impl PeerState {
@@ -92,12 +100,28 @@
         }
     }
 
+    /// Records that a request was sent, or not, upon what owners stated of room at endpoints.
+    pub fn settle(&self, gateway: &Gateway) {
+        let Figures { counts, limits, .. } = &self.in_flight;
+        let told = limits.iter().filter(|(id, limit)| counts.get(*id) < Some(*limit));
+        for (id, _) in told {
+            gateway.in_flight_table.lock().settle(&gateway.settings.node, id, 1);
+            if let Some(reports) = gateway.load_reports.get() {
+                reports.queue_settled(id);
+            }
+        }
+        if !limits.is_empty() {
+            gateway.pending_work_changed.wake();
+        }
+    }
+
     /// Adds what `other` contains, which replaces what is known of the same endpoints.
     pub fn extend(&mut self, other: Self) {
         self.waiting.extend(other.waiting);
         self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
         self.in_flight.extend(other.in_flight);
+        self.asked.extend(other.asked);
     }
 }
 
@@ -118,6 +142,12 @@
     limits: limits::Queue,
     /// Slowdowns of endpoints that have not been reported yet.
     slowdowns: slowdowns::Queue,
+    /// Statements of brittle endpoints that have not been sent yet.
+    statements: statements::Queue,
+    /// The brittle endpoints that rejected a request, with the number of requests that they had.
+    rejected: Mutex<Counts>,
+    /// The numbers of answers about room at brittle endpoints that have been used and not reported.
+    settled: Mutex<Counts>,
 }
 
 impl Socket {
@@ -133,6 +163,9 @@
             in_flight_changed: AtomicBool::new(false),
             limits: limits::Queue::default(),
             slowdowns: slowdowns::Queue::default(),
+            statements: statements::Queue::default(),
+            rejected: Mutex::default(),
+            settled: Mutex::default(),
         }
     }
 
@@ -159,6 +192,25 @@
         self.limits.push(endpoint, notice);
     }
 
+    /// Queues the rejection of a request by a brittle endpoint that had `n_requests`, to be included
+    /// in the next report.
+    pub fn queue_rejection(&self, endpoint: &endpoint::Id, n_requests: u32) {
+        let mut rejected = self.rejected.lock();
+        let known = rejected.get(endpoint).copied();
+        if known.is_some() || rejected.len() < MAX_REPORTED_REJECTIONS {
+            rejected.insert(endpoint.clone(), known.unwrap_or(u32::MAX).min(n_requests));
+        }
+    }
+
+    /// Queues that an answer about room at an endpoint has been used, to be included in the next
+    /// report.
+    fn queue_settled(&self, endpoint: &endpoint::Id) {
+        let mut settled = self.settled.lock();
+        if settled.contains_key(endpoint) || settled.len() < MAX_REPORTED_ENDPOINTS {
+            *settled.entry(endpoint.clone()).or_default() += 1;
+        }
+    }
+
     /// Records that the reported requests in flight changed, for the next report.
     pub fn in_flight_changed(&self) {
         self.in_flight_changed.store(true, Ordering::Relaxed);
@@ -196,13 +248,17 @@
 pub async fn run(gateway: Arc<Gateway>, reports: Arc<Socket>) {
     let receiver = receive(Arc::clone(&gateway), Arc::clone(&reports));
     gateway.ex.spawn(receiver).detach();
+    gateway.ex.spawn(statements::ask(Arc::clone(&gateway), Arc::clone(&reports))).detach();
     let mut reported_to = HashSet::new();
     loop {
         wait_for_changes(&gateway, &reports, &reported_to).await;
         reports.in_flight_changed.store(false, Ordering::Relaxed);
         reported_to = outgoing::send(&gateway, &reports, reported_to).await;
         limits::send(&gateway, &reports).await;
-        Timer::after(MIN_REPORT_INTERVAL).await;
+        statements::send(&gateway, &reports).await;
+        let is_brittle = gateway.directory.lock().statements(gateway.now()).next().is_some();
+        let interval = if is_brittle { MIN_BRITTLE_REPORT_INTERVAL } else { MIN_REPORT_INTERVAL };
+        Timer::after(interval).await;
     }
 }
 
@@ -213,7 +269,12 @@
     // This task misses a signal that arrives while it is sending reports, so limits and slowdowns
     // that were queued meanwhile are checked here, and whether calls began or ended.
     let in_flight_changed = reports.in_flight_changed.load(Ordering::Relaxed);
-    if !reports.limits.is_empty() || !reports.slowdowns.is_empty() || in_flight_changed {
+    let is_queued = !reports.limits.is_empty()
+        || !reports.slowdowns.is_empty()
+        || !reports.statements.is_empty()
+        || !reports.rejected.lock().is_empty()
+        || !reports.settled.lock().is_empty();
+    if is_queued || in_flight_changed {
         return;
     }
     let repeat = async {
@@ -255,15 +316,21 @@
             in_flight,
             at_ms,
             slowdowns,
+            rejected,
+            settled,
         } => {
             let at = at_ms.map(Duration::from_millis).zip(gateway.store_time());
             let age = at.map(|(at, now)| now.saturating_sub(at));
-            gateway.in_flight_table.lock().update(node.clone(), in_flight, age, now);
+            let mut table = gateway.in_flight_table.lock();
+            settled.iter().for_each(|(id, n)| table.settle(&node, id, *n));
+            table.update(node.clone(), in_flight, age, now);
+            drop(table);
             slowdowns::receive(gateway, &slowdowns);
             let waiting = join(waiting, &by_priority, from);
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.report_unreachable(it, now));
+            rejected.iter().for_each(|(id, n)| directory.record_rejection(id, *n, now));
             drop(directory);
             let mut affinity = gateway.affinity.lock();
             prefills.iter().for_each(|it| affinity.record(it.prefix_hash, &it.endpoint, now));
@@ -274,13 +341,17 @@
         Message::Limits { limits } => {
             limits.iter().for_each(|it| limits::receive(gateway, reports, it));
         }
+        Message::BrittleQuestion => statements::answer(gateway, reports, from).await,
+        Message::Brittle { statements } => {
+            statements.iter().for_each(|it| statements::receive(gateway, it));
+        }
         Message::Question { id, node, endpoints, prefix_hash, in_flight } => {
             let slowdowns = slowdowns::Entries::known(&gateway.directory.lock(), &endpoints, now);
-            let query = Query { endpoints, prefix_hash, in_flight };
-            let PeerState { waiting, holders, unreachable, in_flight } =
+            let query = Query { endpoints, prefix_hash, in_flight, asked: Vec::new() };
+            let PeerState { waiting, holders, unreachable, in_flight, .. } =
                 local_state(gateway, query, &node);
             let (waiting, by_priority) = breakdown::split(&waiting);
-            let Figures { counts: in_flight, observed: loads } = in_flight;
+            let Figures { counts: in_flight, observed: loads, limits } = in_flight;
             let answer = Message::Answer {
                 id,
                 waiting,
@@ -289,6 +360,7 @@
                 unreachable,
                 in_flight,
                 loads,
+                limits,
                 slowdowns,
             };
             reports.send(answer, from).await;
@@ -301,13 +373,14 @@
             unreachable,
             in_flight,
             loads,
+            limits,
             slowdowns,
         } => {
             slowdowns::receive(gateway, &slowdowns);
             let waiting = join(waiting, &by_priority, from);
             let query = reports.open_queries.lock().remove(&id);
-            let in_flight = Figures { counts: in_flight, observed: loads };
-            let state = PeerState { waiting, holders, unreachable, in_flight };
+            let in_flight = Figures { counts: in_flight, observed: loads, limits };
+            let state = PeerState { waiting, holders, unreachable, in_flight, asked: Vec::new() };
             if let Some(it) = query {
                 // The send fails if the query has already timed out.
                 let _ignored = it.try_send((id, state));
@@ -333,7 +406,7 @@
 /// except `requester` have pending at `endpoints`, which of these are unreachable, and the
 /// endpoints that have prefilled the prompt prefix.
 fn local_state(gateway: &Gateway, query: Query, requester: &str) -> PeerState {
-    let Query { endpoints, prefix_hash, in_flight } = query;
+    let Query { endpoints, prefix_hash, in_flight, .. } = query;
     let figures = in_flight.then(|| Figures::of(gateway, &endpoints, requester));
     let holders = prefix_hash.map(|it| gateway.affinity.lock().holders(it, gateway.now()));
     let (directory, load_table, now) =
@@ -349,5 +422,11 @@
         |id: &&endpoint::Id| directory.get(id).is_some_and(|it| it.is_unreachable(now));
     let unreachable = endpoints.iter().filter(is_unreachable).cloned().collect();
     let waiting = endpoints.into_iter().map(|id| (id.clone(), pending_work(&id))).collect();
-    PeerState { waiting, holders, unreachable, in_flight: figures.unwrap_or_default() }
+    PeerState {
+        waiting,
+        holders,
+        unreachable,
+        in_flight: figures.unwrap_or_default(),
+        asked: Vec::new(),
+    }
 }
--- a/crates/curranthook_gateway/src/load/reports/limits.rs
+++ b/crates/curranthook_gateway/src/load/reports/limits.rs
@@ -83,17 +83,20 @@
     if limits.is_empty() {
         return;
     }
-    let own_addr = gateway.settings.reports;
-    let others: Vec<SocketAddr> = {
-        let peers = gateway.peers.lock();
-        let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own_addr);
-        match owners::are_used(peers.len()) {
-            true => others.sample(&mut rand::rng(), GOSSIP_FANOUT),
-            false => others.collect(),
-        }
-    };
     let bytes = datagram(Message::Limits { limits });
-    for addr in others {
+    for addr in gossip_targets(gateway) {
         reports.send_bytes(&bytes, addr).await;
     }
 }
+
+/// The nodes to which this node sends what all are to know: all others in a small fleet, and a few
+/// random ones in a large fleet.
+pub(super) fn gossip_targets(gateway: &Gateway) -> Vec<SocketAddr> {
+    let own_addr = gateway.settings.reports;
+    let peers = gateway.peers.lock();
+    let others = peers.values().filter_map(|it| it.reports).filter(|it| Some(*it) != own_addr);
+    match owners::are_used(peers.len()) {
+        true => others.sample(&mut rand::rng(), GOSSIP_FANOUT),
+        false => others.collect(),
+    }
+}
--- a/crates/curranthook_gateway/src/load/reports/message.rs
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::limits::Limit;
+use super::{limits::Limit, statements::Statement};
 use crate::{
     affinity::Record,
     load::{
@@ -51,6 +51,16 @@
         /// The slowdowns that endpoints reported to `node` since its previous report.
         #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
         slowdowns: slowdowns::Entries,
+        /// The brittle endpoints that rejected a request since the previous report, with the number
+        /// of requests that they had.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        rejected: Counts,
+        /// The numbers of answers about room at brittle endpoints upon which `node` has sent a
+        /// request, or decided not to, since its previous report.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        settled: Counts,
     },
     /// The evidence of `node` about a rollout that its row does not contain; replaces its previous
     /// report.
@@ -69,6 +79,13 @@
         /// The rate limits.
         limits: Vec<Limit>,
     },
+    /// Statements of endpoints that they are brittle.
+    Brittle {
+        /// The statements.
+        statements: Vec<Statement>,
+    },
+    /// Asks for the valid statements of endpoints that they are brittle.
+    BrittleQuestion,
     /// Asks how much work all nodes except `node` have pending at these endpoints.
     Question {
         /// The id of the question, repeated in the answer.
@@ -109,6 +126,10 @@
         #[serde(default, deserialize_with = "in_flight::read_observed")]
         #[serde(skip_serializing_if = "HashMap::is_empty")]
         loads: HashMap<endpoint::Id, Observed>,
+        /// The numbers of requests that brittle endpoints take.
+        #[serde(default, deserialize_with = "in_flight::read_counts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        limits: Counts,
         /// The newest slowdowns of the endpoints in the question.
         #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
         slowdowns: slowdowns::Entries,
--- a/crates/curranthook_gateway/src/load/reports/outgoing.rs
+++ b/crates/curranthook_gateway/src/load/reports/outgoing.rs
@@ -34,6 +34,8 @@
     reports: &Socket,
     previous: HashSet<SocketAddr>,
 ) -> HashSet<SocketAddr> {
+    // Taken before the requests in flight are counted, which thus include those that it settles.
+    let settled = std::mem::take(&mut *reports.settled.lock());
     let waiting: PendingWork = {
         let directory = gateway.directory.lock();
         let busy = directory.all().filter(|it| MIN_REPORTED_WORK <= it.pending.total());
@@ -44,7 +46,8 @@
     let free = MAX_REPORTED_WITH_IN_FLIGHT.saturating_sub(waiting.len());
     let in_flight = in_flight::own_counts(gateway, free);
     let slowdowns = reports.slowdowns.take(gateway.now());
-    let report = Report { waiting, prefills, unreachable, in_flight, slowdowns };
+    let rejected = std::mem::take(&mut *reports.rejected.lock());
+    let report = Report { waiting, prefills, unreachable, in_flight, slowdowns, rejected, settled };
     let mut reports_by_node = reports_by_node(gateway, report);
     for addr in previous {
         reports_by_node.entry(addr).or_default();
@@ -52,7 +55,8 @@
     let at_ms = gateway.store_time().and_then(|it| u64::try_from(it.as_millis()).ok());
     let mut reported_to = HashSet::new();
     for (addr, report) in reports_by_node {
-        let Report { waiting, prefills, unreachable, in_flight, slowdowns } = report;
+        let Report { waiting, prefills, unreachable, in_flight, slowdowns, rejected, settled } =
+            report;
         if !waiting.is_empty() || !in_flight.is_empty() {
             reported_to.insert(addr);
         }
@@ -68,6 +72,8 @@
             in_flight,
             at_ms,
             slowdowns,
+            rejected,
+            settled,
         };
         reports.send(report, addr).await;
     }
@@ -82,6 +88,8 @@
     unreachable: Vec<endpoint::Id>,
     in_flight: Counts,
     slowdowns: slowdowns::Entries,
+    rejected: Counts,
+    settled: Counts,
 }
 
 /// Splits `report` into the reports to send to each node.
@@ -93,17 +101,36 @@
         return others.map(|addr| (addr, report.clone())).collect();
     }
     drop(peers);
-    let (owners, now) = (gateway.load_owners.lock(), gateway.now());
+    let (store_time, now) = (gateway.store_time(), gateway.now());
+    let (directory, owners) = (gateway.directory.lock(), gateway.load_owners.lock());
     let owner_of = |id: &endpoint::Id| owners.owner_of(id, now).filter(|it| Some(*it) != own_addr);
+    let owners_of = |id: &endpoint::Id| -> Vec<SocketAddr> {
+        if directory.brittle_limit(id, now).is_none() {
+            return owner_of(id).into_iter().collect();
+        }
+        let mut addrs = owners.reported_to(id, store_time, now);
+        addrs.retain(|it| Some(*it) != own_addr);
+        addrs
+    };
     let mut reports_by_node: HashMap<SocketAddr, Report> = HashMap::new();
     for (id, work) in report.waiting {
-        if let Some(addr) = owner_of(&id) {
-            reports_by_node.entry(addr).or_default().waiting.insert(id, work);
+        for addr in owners_of(&id) {
+            reports_by_node.entry(addr).or_default().waiting.insert(id.clone(), work);
         }
     }
     for (id, count) in report.in_flight {
-        if let Some(addr) = owner_of(&id) {
-            reports_by_node.entry(addr).or_default().in_flight.insert(id, count);
+        for addr in owners_of(&id) {
+            reports_by_node.entry(addr).or_default().in_flight.insert(id.clone(), count);
+        }
+    }
+    for (id, n_requests) in report.rejected {
+        for addr in owners_of(&id) {
+            reports_by_node.entry(addr).or_default().rejected.insert(id.clone(), n_requests);
+        }
+    }
+    for (id, n) in report.settled {
+        for addr in owners_of(&id) {
+            reports_by_node.entry(addr).or_default().settled.insert(id.clone(), n);
         }
     }
     for id in report.unreachable {
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -14,6 +14,9 @@
 /// compared to the second that callers wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(15);
 
+/// The same if a request must not be placed without an answer.
+const REQUIRED_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What load owners are asked.
 #[derive(Debug, Default)]
 pub struct Query {
@@ -24,29 +27,44 @@
     pub prefix_hash: Option<u64>,
     /// Whether the requests in flight at the endpoints are requested too.
     pub in_flight: bool,
+    /// The endpoints that were asked about before, for the same request.
+    pub asked: Vec<endpoint::Id>,
 }
 
-/// Queries the owners of the endpoints and of the prefix. Returns the answers that arrive within
-/// `ANSWER_TIMEOUT`.
+/// Queries the owners of the endpoints and of the prefix. Returns the answers that arrive in time.
 pub async fn query(gateway: &Gateway, query: Query) -> PeerState {
     let Some(reports) = gateway.load_reports.get() else { return PeerState::default() };
     let settings = &gateway.settings;
     let in_flight = query.in_flight;
+    let is_required = {
+        let (directory, now) = (gateway.directory.lock(), gateway.now());
+        query.endpoints.iter().any(|it| directory.brittle_limit(it, now).is_some())
+    };
+    let time_limit = if is_required { REQUIRED_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT };
+    let asked = query.endpoints.clone();
     let mut by_owner = by_owner(gateway, query);
     let own_query = settings.reports.and_then(|addr| by_owner.remove(&addr)).unwrap_or_default();
     let mut state = local_state(gateway, own_query, &settings.node);
     let queries = Queries::send(gateway, reports, by_owner, in_flight).await;
-    state.extend(queries.answers().await);
+    state.extend(queries.answers(time_limit).await);
+    state.asked = asked;
     state
 }
 
 /// Splits a query into the queries to each owner.
 fn by_owner(gateway: &Gateway, query: Query) -> HashMap<SocketAddr, Query> {
-    let Query { endpoints, prefix_hash, in_flight } = query;
-    let (owners, now) = (gateway.load_owners.lock(), gateway.now());
+    let Query { endpoints, prefix_hash, in_flight, asked } = query;
+    let (store_time, now) = (gateway.store_time(), gateway.now());
+    let (directory, owners) = (gateway.directory.lock(), gateway.load_owners.lock());
     let mut queries: HashMap<SocketAddr, Query> = HashMap::new();
     for id in endpoints {
-        if let Some(addr) = owners.owner_of(&id, now) {
+        let owner = match directory.brittle_limit(&id, now) {
+            // The owner asked before did not answer.
+            Some(_limit) if asked.contains(&id) => owners.settled_owner_of(&id, 1, store_time, now),
+            Some(_limit) => owners.settled_owner_of(&id, 0, store_time, now),
+            None => owners.owner_of(&id, now),
+        };
+        if let Some(addr) = owner {
             let query = queries.entry(addr).or_default();
             query.endpoints.push(id);
             query.in_flight = in_flight;
@@ -90,8 +108,8 @@
         Self { gateway, reports, open, in_flight, answers }
     }
 
-    /// Collects the answers that arrive within `ANSWER_TIMEOUT`.
-    async fn answers(mut self) -> PeerState {
+    /// Collects the answers that arrive within `time_limit`.
+    async fn answers(mut self, time_limit: Duration) -> PeerState {
         let mut state = PeerState::default();
         let gather = async {
             while !self.open.is_empty() {
@@ -105,7 +123,7 @@
             }
         };
         // The answers that arrived before a timeout count as well.
-        let _elapsed = timeout::run(ANSWER_TIMEOUT, gather).await;
+        let _elapsed = timeout::run(time_limit, gather).await;
         self.record_timeouts();
         state
     }
--- /dev/null
+++ b/crates/curranthook_gateway/src/load/reports/statements.rs
@@ -0,0 +1,130 @@
+//! Tells all nodes that the endpoints of a service are brittle (see [`brittle`](crate::brittle)),
+//! by gossip in a large fleet.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use super::{Message, Socket, datagram, limits};
+use crate::{Gateway, brittle, event::Event, store::Table};
+
+/// The maximum number of services in a datagram.
+const MAX_STATEMENTS: usize = 8;
+
+/// What the endpoints of a service state, as sent between nodes.
+#[serde_as]
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Statement {
+    service: String,
+    /// The rejections per second that each endpoint can bear.
+    max_rejections: f64,
+    /// The time since an endpoint stated it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    age: Duration,
+    /// The time since the first endpoint stated it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    since_age: Duration,
+}
+
+impl Statement {
+    fn new(service: String, statement: brittle::Statement, now: Instant) -> Self {
+        let age = now.saturating_duration_since(statement.at);
+        let since_age = now.saturating_duration_since(statement.since);
+        Self { service, max_rejections: statement.max_rejections, age, since_age }
+    }
+}
+
+/// The services whose statement has not been sent yet.
+#[derive(Debug, Default)]
+pub(super) struct Queue(Mutex<Vec<(String, brittle::Statement)>>);
+
+impl Queue {
+    /// Adds a statement, in place of an earlier one of the service.
+    pub(super) fn push(&self, service: &str, statement: brittle::Statement) {
+        let mut statements = self.0.lock();
+        statements.retain(|(it, _)| it != service);
+        if statements.len() < MAX_STATEMENTS {
+            statements.push((service.to_owned(), statement));
+        }
+    }
+
+    /// Whether the queue is empty.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.lock().is_empty()
+    }
+}
+
+/// Records what an endpoint of `service` stated, and queues it for other nodes if they may not know
+/// it.
+pub fn record(gateway: &Gateway, service: &str, statement: brittle::Statement, from: &'static str) {
+    let is_known = gateway.directory.lock().is_brittle(service, statement.at);
+    if !gateway.directory.lock().record_statement(service, statement) {
+        return;
+    }
+    if !is_known {
+        let max_rejections = statement.max_rejections;
+        gateway.log.write(&Event::Brittle { service, max_rejections, from });
+    }
+    if let Some(reports) = gateway.load_reports.get() {
+        reports.statements.push(service, statement);
+        gateway.pending_work_changed.wake();
+    }
+}
+
+/// Records a statement that another node sent.
+pub(super) fn receive(gateway: &Gateway, received: &Statement) {
+    let is_valid = received.max_rejections.is_finite() && 0.0 < received.max_rejections;
+    let now = gateway.now();
+    let times = now.checked_sub(received.age).zip(now.checked_sub(received.since_age));
+    let Some((at, since)) = times.filter(|_| is_valid) else {
+        log::debug!("ignoring a malformed statement about {}", received.service);
+        return;
+    };
+    let statement = brittle::Statement { max_rejections: received.max_rejections, at, since };
+    record(gateway, &received.service, statement, "peer");
+}
+
+/// Asks other nodes for the statements that they know, once the nodes of the fleet are known. Without
+/// this, a node that joins would cause rejections until an endpoint answers it.
+pub(super) async fn ask(gateway: Arc<Gateway>, reports: Arc<Socket>) {
+    gateway.wait_until(|| gateway.mirror.lock().has_read(Table::Fleet)).await;
+    let question = datagram(Message::BrittleQuestion);
+    for addr in limits::gossip_targets(&gateway) {
+        reports.send_bytes(&question, addr).await;
+    }
+}
+
+/// Sends the valid statements to a node that asked for them.
+pub(super) async fn answer(gateway: &Gateway, reports: &Socket, from: SocketAddr) {
+    let now = gateway.now();
+    let statements: Vec<_> = {
+        let directory = gateway.directory.lock();
+        let valid = directory.statements(now).take(MAX_STATEMENTS);
+        valid.map(|(service, it)| Statement::new(service.to_owned(), it, now)).collect()
+    };
+    if !statements.is_empty() {
+        reports.send(Message::Brittle { statements }, from).await;
+    }
+}
+
+/// Sends the queued statements: to all other nodes in a small fleet, and to a few random ones, which
+/// do the same, in a large fleet.
+pub(super) async fn send(gateway: &Gateway, reports: &Socket) {
+    let statements = std::mem::take(&mut *reports.statements.0.lock());
+    if statements.is_empty() {
+        return;
+    }
+    let now = gateway.now();
+    let statements = statements.into_iter().map(|(service, it)| Statement::new(service, it, now));
+    let statements = statements.collect();
+    let bytes = datagram(Message::Brittle { statements });
+    for addr in limits::gossip_targets(gateway) {
+        reports.send_bytes(&bytes, addr).await;
+    }
+}
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -49,6 +49,7 @@
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
     last_resorts: Family<Label, Counter>,
+    brittle_attempts: Family<Label, Counter>,
     reach: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
@@ -83,6 +84,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             last_resorts: Family::default(),
+            brittle_attempts: Family::default(),
             reach: Family::default(),
             forwarded: Family::default(),
             store_calls: Family::default(),
@@ -122,6 +124,9 @@
         registry.register("retries", "Further attempts, by reason", self.retries.clone());
         let help = "Attempts at a version that the rule did not allow, by rule";
         registry.register("last_resorts", help, self.last_resorts.clone());
+        let help =
+            "Attempts at brittle endpoints, by why they were expected to succeed, and rejected";
+        registry.register("brittle_attempts", help, self.brittle_attempts.clone());
         let help = "Changes in whether the node reaches the endpoints of a service, by state";
         registry.register("reach", help, self.reach.clone());
         let help = "Requests forwarded to other nodes, by result, and received from them";
@@ -131,7 +136,7 @@
         registry.register("row_replies", help, self.sections.clone());
         let help = "Questions about work waiting at endpoints, by result";
         registry.register("questions", help, self.queries.clone());
-        let help = "Questions about requests at endpoints of services without models, by result";
+        let help = "Questions that include the requests at endpoints, by result";
         registry.register("plain_questions", help, self.plain_queries.clone());
         let help = "Figures of endpoints' slowdown that were received, by source";
         registry.register("slowdown_figures", help, self.slowdown_figures.clone());
@@ -186,6 +191,11 @@
         self.forwarded.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts an attempt at a brittle endpoint, or its rejection.
+    pub fn record_brittle_attempt(&self, name: &'static str) {
+        self.brittle_attempts.get_or_create(&Label { name }).inc();
+    }
+
     /// Counts a change in whether the node reaches the endpoints of a service.
     pub fn record_reach(&self, state: &'static str) {
         self.reach.get_or_create(&Label { name: state }).inc();
--- a/crates/curranthook_gateway/src/rate_limit.rs
+++ b/crates/curranthook_gateway/src/rate_limit.rs
@@ -101,6 +101,11 @@
         Self { rate, share: Share::default().with_burst(MAX_BURST), rotation: None }
     }
 
+    /// A limit under which no request is sent before it is due.
+    pub fn without_burst(rate: f64) -> Self {
+        Self { share: Share::default(), ..Self::new(rate) }
+    }
+
     /// The same limit at another rate; its permit has to be recomputed.
     pub fn with_rate(self, rate: f64) -> Self {
         Self { rate, rotation: None, ..self }
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -4,6 +4,7 @@
 mod concentration;
 mod eligible;
 mod plain;
+mod room;
 
 use std::{
     cell::LazyCell,
@@ -32,6 +33,7 @@
     slow_start,
 };
 
+pub use self::room::Room;
 use self::{concentration::Concentration, eligible::eligible};
 
 /// The assumed processing time of a request to a service without models.
@@ -127,6 +129,8 @@
     pub occupancy: Occupancy,
     /// Whether the endpoint gets the load of a busy one, as its version is under test.
     pub is_concentrated: bool,
+    /// Why the endpoint is expected to accept the request.
+    pub room: Room,
 }
 
 /// Why no endpoint can take a request.
@@ -153,24 +157,63 @@
 
 /// The best endpoint for a request. `peer_state` contains the load that other
 /// nodes put on some endpoints; if it covers any eligible endpoint, only covered ones are
-/// considered.
+/// considered. If the endpoints are brittle, one that is not known to have room is only chosen if
+/// this node may make an attempt there.
 pub fn best<'a>(
     gateway: &Gateway,
     directory: &'a Directory,
     criteria: &Criteria<'_>,
     peer_state: &PeerState,
 ) -> Result<Choice<'a>, Unavailable> {
+    let endpoints = covered(gateway, directory, criteria, peer_state)?;
+    let now = gateway.now();
+    let (endpoints, room) =
+        room::with_room(gateway, directory, endpoints, criteria, peer_state, now)?;
+    choose(gateway, directory, criteria, peer_state, (&endpoints, room))
+}
+
+/// The best endpoint for a request, whether or not it has room for it.
+pub fn best_with_any_room<'a>(
+    gateway: &Gateway,
+    directory: &'a Directory,
+    criteria: &Criteria<'_>,
+    peer_state: &PeerState,
+) -> Result<Choice<'a>, Unavailable> {
+    let endpoints = covered(gateway, directory, criteria, peer_state)?;
+    choose(gateway, directory, criteria, peer_state, (&endpoints, Room::Any))
+}
+
+/// The eligible endpoints whose load `peer_state` covers; all of them if it covers none.
+fn covered<'a>(
+    gateway: &Gateway,
+    directory: &'a Directory,
+    criteria: &Criteria<'_>,
+    peer_state: &PeerState,
+) -> Result<Vec<&'a Tracked>, Unavailable> {
     let now = gateway.now();
     let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
     let concentration = Concentration::new(&ready, criteria.rule, now);
-    let mut endpoints = eligible(&ready, criteria, concentration.as_ref(), now);
+    let endpoints = eligible(&ready, criteria, concentration.as_ref(), now);
     if endpoints.iter().any(|it| peer_state.waiting.contains_key(&it.entry.id)) {
         // The load of endpoints that are not covered is unknown, so they would seem idle.
         let is_covered = |it: &&Tracked| peer_state.waiting.contains_key(&it.entry.id);
         let (covered, others) = endpoints.into_iter().partition(is_covered);
-        endpoints = plain::with_room(covered, others, criteria, peer_state, now)?;
+        return plain::with_room(covered, others, criteria, peer_state, now);
     }
-    let (holders, candidates) = candidates(gateway, &endpoints, criteria, peer_state, now);
+    Ok(endpoints)
+}
+
+fn choose<'a>(
+    gateway: &Gateway,
+    directory: &'a Directory,
+    criteria: &Criteria<'_>,
+    peer_state: &PeerState,
+    (endpoints, room): (&[&'a Tracked], Room),
+) -> Result<Choice<'a>, Unavailable> {
+    let now = gateway.now();
+    let ready: Vec<&Tracked> = directory.ready(criteria.service).collect();
+    let concentration = Concentration::new(&ready, criteria.rule, now);
+    let (holders, candidates) = candidates(gateway, endpoints, criteria, peer_state, now);
     let index = placement::choose(&candidates, &criteria.task(holders, peer_state));
     let index = index.ok_or(Unavailable::NoEndpoint)?;
     let endpoint = endpoints[index];
@@ -187,6 +230,7 @@
         waiting_age: if is_answered { None } else { reported_age() },
         occupancy: plain::occupancy(endpoint, peer_state, now),
         is_concentrated: concentration.is_some_and(|it| it.contains(endpoint)),
+        room,
         endpoint,
     })
 }
@@ -251,6 +295,7 @@
     let permits = FleetPermits {
         slow_start_rate: gateway.service(service, |it| it.slow_start_rate),
         rotation: rate_limit::rotation(gateway.store_time().unwrap_or_default()),
+        is_large: owners::are_used(gateway.n_nodes()),
         node_hash: hash::bytes(gateway.settings.node.as_bytes()),
         node_hashes,
     };
@@ -261,6 +306,8 @@
 struct FleetPermits<F> {
     slow_start_rate: Option<f64>,
     rotation: u64,
+    /// Whether load owners count the requests at endpoints.
+    is_large: bool,
     /// The hash of this node's name.
     node_hash: u64,
     /// The hashes of all nodes' names.
@@ -284,6 +331,17 @@
         rate_limit::interval(rate, endpoint, self.rotation, self.node_hash, &self.node_hashes)
     }
 
+    fn rank(&self, endpoint: u64) -> (u32, u32) {
+        if self.is_large {
+            return (0, 1);
+        }
+        let weight = |node: u64| hash::pair(hash::pair(endpoint, self.rotation), node);
+        let own = weight(self.node_hash);
+        let rank = self.node_hashes.iter().filter(|it| own < weight(**it)).count();
+        let n_nodes = self.node_hashes.len().max(1);
+        (u32::try_from(rank).unwrap_or(u32::MAX), u32::try_from(n_nodes).unwrap_or(u32::MAX))
+    }
+
     fn rotation(&self) -> u64 {
         self.rotation
     }
--- a/crates/curranthook_gateway/tests/laws/forwarding.rs
+++ b/crates/curranthook_gateway/tests/laws/forwarding.rs
@@ -35,6 +35,7 @@
         reports: None,
         domain: Some(domain_of(n)),
         capacity: 1.0,
+        joined: None,
     };
     (0..n_nodes).map(|n| (name(n), node(n))).collect()
 }
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -3,6 +3,7 @@
 //! Each test does the same work at several sizes, counts comparisons, bytes or messages, and
 //! compares the counts with a law. None uses a network or reads a clock.
 
+mod brittle;
 mod counted;
 mod evidence;
 mod forwarding;
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -148,7 +148,8 @@
     let document = Document::new(1, Vec::new(), services);
     gateway.configuration.store(Some(Arc::new(Configuration { document, rev: Rev(1) })));
     for n in 0..N_NODES {
-        let node = fleet::Node { peers: owner, reports: None, domain: None, capacity: 1.0 };
+        let node =
+            fleet::Node { peers: owner, reports: None, domain: None, capacity: 1.0, joined: None };
         gateway.peers.lock().insert(format!("node-{n}"), node);
     }
     gateway.load_owners.lock().set_node("node-0", Some(owner));
@@ -196,7 +197,7 @@
 }
 
 fn query(endpoints: Vec<endpoint::Id>) -> Query {
-    Query { endpoints, prefix_hash: None, in_flight: true }
+    Query { endpoints, prefix_hash: None, in_flight: true, asked: Vec::new() }
 }
 
 /// Receives datagrams until one contains `kind`; returns its contents, its size, and its sender.
--- a/crates/curranthook_gateway/tests/rate_limits.rs
+++ b/crates/curranthook_gateway/tests/rate_limits.rs
@@ -165,6 +165,10 @@
 struct UnlimitedPermits;
 
 impl Permits for UnlimitedPermits {
+    fn rank(&self, _: u64) -> (u32, u32) {
+        (0, 1)
+    }
+
     fn slow_start(&self, _endpoint: u64) -> Option<Duration> {
         Some(Duration::ZERO)
     }
--- a/crates/curranthook_gateway/tests/slow_start.rs
+++ b/crates/curranthook_gateway/tests/slow_start.rs
@@ -83,6 +83,10 @@
 struct NoPermits;
 
 impl Permits for NoPermits {
+    fn rank(&self, _: u64) -> (u32, u32) {
+        (0, 1)
+    }
+
     fn slow_start(&self, _endpoint: u64) -> Option<Duration> {
         None
     }
--- a/crates/curranthook_gateway/tests/slowdowns.rs
+++ b/crates/curranthook_gateway/tests/slowdowns.rs
@@ -14,7 +14,7 @@
         work::Work,
     },
     placement::{self, CacheHolders, Candidate, Locality, Task},
-    selection::Choice,
+    selection::{Choice, Room},
 };
 use curranthook_policy::{
     hash,
@@ -139,6 +139,7 @@
             slowdown,
             occupancy: Occupancy::default(),
             is_concentrated: false,
+            room: Room::Any,
         };
         let usual = latency.time_to_first_event(prompt, outstanding, queue_delay);
         assert_eq!(choice.time_to_first_event(&latency), usual);
@@ -265,6 +266,7 @@
         slowdown,
         occupancy: Occupancy::default(),
         is_concentrated: false,
+        room: Room::Any,
     };
     let usual = latency.time_to_first_event(prompt, 3, ms(300));
     let steady = choice(steady(4.0), ms(300));
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -183,7 +183,7 @@
 /// Writes the addresses of a node, as it does when it starts.
 pub fn announce(table: &FleetTable, name: &str) {
     let peers = "127.0.0.1:9".parse().unwrap();
-    let node = Node { peers, reports: None, domain: None, capacity: 1.0 };
+    let node = Node { peers, reports: None, domain: None, capacity: 1.0, joined: None };
     table.put(&Key::Node(name).to_string(), &serde_json::to_vec(&node).unwrap());
 }
 
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -177,9 +177,7 @@
     match serde_json::from_value(message).expect("the message is decoded") {
         Message::Report { waiting, by_priority, .. }
         | Message::Answer { waiting, by_priority, .. } => breakdown::join(waiting, &by_priority),
-        Message::Evidence { .. } | Message::Limits { .. } | Message::Question { .. } => {
-            panic!("no pending work")
-        }
+        other => panic!("no pending work: {other:?}"),
     }
 }
 
@@ -311,6 +309,8 @@
         in_flight: HashMap::new(),
         at_ms: None,
         slowdowns: Entries::default(),
+        rejected: HashMap::new(),
+        settled: HashMap::new(),
     }
 }
 
@@ -494,6 +494,7 @@
         slowdowns: Entries::default(),
         in_flight: HashMap::new(),
         loads: HashMap::new(),
+        limits: HashMap::new(),
     }
 }
 
