Refuse parts of prompts under which endpoints crash

What callers saw: requests of one kind ended 100 to 118 endpoints, one after the other, and with each all requests that ran there.

Cause: a crash was charged to the request (path, caller, body). No two of these requests are alike, they share a part of their prompts.

Change: a crash counts against the shared parts of requests whose answer had just begun; three nodes that follow from the part add up the reports of all. After four crashes under three requests a verdict goes to all nodes and into a row; nodes that know of an answer on the part object before it takes effect, and a later answer ends it. Parts that always came together are refused together only. Two requests test a verdict. Requests that have been answered for over a second aren't blamed for a crash any more, and an endpoint whose entry has gone is still looked at.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -223,8 +223,36 @@
         slower_rest: f64,
         outcome: &'a str,
     },
-    /// A request was blamed for the failure of an endpoint.
-    PoisonCharged { request: &'a str, endpoint: &'a str },
+    /// A connection was lost under a request, which is blamed if the endpoint crashed.
+    PoisonCharged {
+        request: &'a str,
+        endpoint: &'a str,
+        /// The time since the response began, if it did.
+        begun_ms: Option<u64>,
+        outcome: &'a str,
+    },
+    /// Endpoints were found to crash under a part of prompts, by this node or another.
+    PartVerdict {
+        #[serde(serialize_with = "hex")]
+        part: u64,
+        n_crashes: usize,
+        /// The number of parts that the crashes do not tell apart.
+        together: usize,
+        first_crash_ms: u64,
+        from: &'a str,
+    },
+    /// An answer showed that endpoints do not crash under a part.
+    PartCleared {
+        #[serde(serialize_with = "hex")]
+        part: u64,
+    },
+    /// A request with a part under which endpoints crash was refused, or let through as a test.
+    PartSuspected {
+        request: &'a str,
+        #[serde(serialize_with = "hex")]
+        part: u64,
+        state: &'a str,
+    },
     /// A snapshot of latency estimates was written, taken or rejected.
     Snapshot {
         service: &'a str,
@@ -238,6 +266,10 @@
     LinesDropped { count: u64 },
 }
 
+fn hex<S: serde::Serializer>(hash: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&format_args!("{hash:016x}"))
+}
+
 /// What is known of the requests that compete for an endpoint with the one that is sent.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct Contention {
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -14,6 +14,7 @@
     load::snapshot_rows,
     steps::{Evidence, Step},
     store::{Rev, Row, Table},
+    suspects,
 };
 
 /// The key of a row in the fleet table.
@@ -34,6 +35,9 @@
     Evidence(&'a str, &'a str),
     /// The requests that a node blames for endpoint failures.
     Poison(&'a str),
+    /// The parts of prompts under which a node found that endpoints crash. Builds that do not know
+    /// this kind of row ignore it.
+    Parts(&'a str),
     /// The latency estimates of a service's models. Builds that do not know this kind of row ignore
     /// it.
     Snapshot(&'a str),
@@ -56,6 +60,7 @@
             "node" => Some(Self::Node(rest)),
             "step" => Some(Self::Step(rest)),
             "poison" => Some(Self::Poison(rest)),
+            "parts" => Some(Self::Parts(rest)),
             "snapshot" => Some(Self::Snapshot(rest)),
             "evidence" => {
                 rest.rsplit_once('/').map(|(service, node)| Self::Evidence(service, node))
@@ -74,6 +79,7 @@
             Self::Step(service) => write!(f, "step/{service}"),
             Self::Evidence(service, node) => write!(f, "evidence/{service}/{node}"),
             Self::Poison(node) => write!(f, "poison/{node}"),
+            Self::Parts(node) => write!(f, "parts/{node}"),
             Self::Snapshot(service) => write!(f, "snapshot/{service}"),
         }
     }
@@ -194,6 +200,10 @@
                 false => poison.merge(entries, now),
             }
         }
+        Key::Parts(_) => {
+            let findings: Vec<suspects::Finding> = serde_json::from_slice(value)?;
+            findings.iter().for_each(|it| suspects::receive_finding(gateway, it, "store"));
+        }
         Key::Snapshot(service) => snapshot_rows::apply(gateway, service, value, rev),
     }
     Ok(())
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -23,6 +23,7 @@
     rollouts::Rollout,
     steps::{self, Counts, Phase, Step},
     store::{Commit, Committed, Error, Progress, Report, Rev, Table},
+    suspects,
 };
 
 /// How often the node checks which rows have to be written.
@@ -43,6 +44,10 @@
 /// endpoints must be known to all connected nodes within three seconds, the time for which a node
 /// counts as connected after its last contact.
 const POISON_INTERVAL: Duration = Duration::from_millis(500);
+/// The minimum interval between two writes of verdicts on prompt parts.
+const VERDICTS_INTERVAL: Duration = Duration::from_secs(1);
+/// The maximum number of verdicts in a row.
+const MAX_VERDICTS: usize = 64;
 /// The minimum interval between two reports of evidence to a collector.
 const EVIDENCE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a starting node waits for the fleet rows, which may already contain its addresses.
@@ -63,6 +68,8 @@
         due_since: HashMap::new(),
         written_evidence: HashMap::new(),
         charges: Charges::default(),
+        written_verdicts: Vec::new(),
+        verdicts_written_at: None,
         tree_written_at: None,
         key_written_at: None,
     };
@@ -73,6 +80,7 @@
         writer.write_forwarding_key().await;
         writer.update_rollouts().await;
         writer.write_poison().await;
+        writer.write_verdicts().await;
     }
 }
 
@@ -83,6 +91,9 @@
     /// What was last written and reported of each service's evidence.
     written_evidence: HashMap<String, WrittenEvidence>,
     charges: Charges,
+    /// The parts in this node's row of verdicts, and when it was last written.
+    written_verdicts: Vec<u64>,
+    verdicts_written_at: Option<Instant>,
     /// When the tree of relays was last written.
     tree_written_at: Option<Instant>,
     /// When a key for forwarded requests was last written.
@@ -407,6 +418,25 @@
         }
     }
 
+    /// Writes the verdicts on prompt parts that this node is the first to judge, if they changed.
+    async fn write_verdicts(&mut self) {
+        let (gateway, now) = (&self.gateway, self.gateway.now());
+        let due_at = self.verdicts_written_at.map(|it| it + VERDICTS_INTERVAL);
+        let own_addr = gateway.settings.reports;
+        let mut findings = suspects::findings(gateway);
+        findings.retain(|it| suspects::judges(gateway, it.part()).first() == own_addr.as_ref());
+        findings.truncate(MAX_VERDICTS);
+        let parts: Vec<_> = findings.iter().map(suspects::Finding::part).collect();
+        if parts == self.written_verdicts || due_at.is_some_and(|it| now < it) {
+            return;
+        }
+        self.verdicts_written_at = Some(now);
+        let key = Key::Parts(&gateway.settings.node).to_string();
+        if self.write(&key, None, &encode(&findings), None).await.is_ok() {
+            self.written_verdicts = parts;
+        }
+    }
+
     /// The minimum interval between two writes of a row that every node writes: `min`, or longer in
     /// a large fleet.
     fn write_interval(&self, min: Duration) -> Duration {
--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -128,7 +128,10 @@
         if gateway.poison.lock().is_poison(request.fingerprint, received_at) {
             return Err(refusal(Reason::Poison));
         }
-        Job::new(gateway, &configuration, request, route, account.map(|it| it.id), rank, origin)
+        let account = account.map(|it| it.id);
+        let job = Job::new(gateway, &configuration, request, route, account, rank, origin)?;
+        job.check_parts()?;
+        Ok(job)
     }
 }
 
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -11,7 +11,9 @@
 
 use arc_swap::ArcSwapOption;
 use curranthook_http::{client::Pool, runtime, timeout};
-use curranthook_policy::{poison::Register, price, refused::Refused, utilization::Utilization};
+use curranthook_policy::{
+    poison::Register, price, refused::Refused, suspects::Suspects, utilization::Utilization,
+};
 use curranthook_types::Clock;
 use parking_lot::Mutex;
 
@@ -49,6 +51,8 @@
 
 /// The maximum number of requests in the register of poison requests.
 const POISON_CAPACITY: usize = 4_096;
+/// The maximum number of prompt parts of which crashes, answers or verdicts are kept.
+const SUSPECTS_CAPACITY: usize = 4_096;
 /// The maximum number of refused requests whose return is recognized. A node refuses tens of
 /// requests per second at most, and callers return within some seconds.
 const REFUSED_CAPACITY: usize = 1_024;
@@ -127,6 +131,8 @@
     pub refused: Mutex<Refused>,
     /// Requests that are blamed for endpoint failures.
     pub poison: Mutex<Register>,
+    /// Parts of prompts that are suspected to crash endpoints.
+    pub suspects: Mutex<Suspects>,
     /// The rollouts of all services.
     pub rollouts: Mutex<Rollouts>,
     /// A copy of the store's rows.
@@ -197,6 +203,7 @@
             retry_budget: Mutex::new(Budget::new(settings.retries)),
             refused: Mutex::new(Refused::new(REFUSED_CAPACITY)),
             poison: Mutex::new(Register::new(POISON_CAPACITY)),
+            suspects: Mutex::new(Suspects::new(SUSPECTS_CAPACITY)),
             ex,
             clock,
             dialect,
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -7,13 +7,17 @@
 mod forward;
 mod retry;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use curranthook_policy::{hash, rank::Rank};
 use curranthook_types::{account, endpoint};
 
 use crate::{
     Gateway,
+    advertised::Incarnation,
     attempt::{self, Cause, Exchange, Failure},
     dialect::{Execution, Load, Outgoing},
     directory::Outcome,
@@ -31,6 +35,7 @@
     refusal::{Reason, Refusal, Started},
     request::{Model, Request},
     rollouts::{self, Basis, Kind, Pace},
+    suspects,
 };
 
 use self::retry::Decision;
@@ -174,7 +179,7 @@
                 return Err(self.refusal(Reason::Unreachable));
             }
             let lease = self.acquire_lease().await?;
-            let (id, version) = (lease.id.clone(), lease.version.clone());
+            let (endpoint, version) = (lease.incarnation(), lease.version.clone());
             let sent_at = self.gateway.now();
             match self.attempt(lease).await {
                 Ok(exchange) => {
@@ -187,8 +192,8 @@
                 }
                 Err(failure) => {
                     let elapsed = self.gateway.now().saturating_duration_since(sent_at);
-                    self.log_failure(&id, &failure, elapsed);
-                    if let Decision::Respond(refusal) = self.on_failure(&id, &failure).await {
+                    self.log_failure(&endpoint.id, &failure, elapsed);
+                    if let Decision::Respond(refusal) = self.on_failure(&endpoint, &failure).await {
                         return Err(refusal);
                     }
                 }
@@ -205,20 +210,35 @@
         }
     }
 
+    /// Refuses a request with a part under which endpoints crash.
+    pub fn check_parts(&self) -> Result<(), Refusal> {
+        match suspects::decide(&self.gateway, &self.request, &self.service) {
+            suspects::Decision::Refuse(_) => Err(self.refusal(Reason::Poison)),
+            suspects::Decision::Admit | suspects::Decision::Test(_) => Ok(()),
+        }
+    }
+
+    /// Records that the response that began at `begun_at` goes on, or has ended whole.
+    pub fn record_answered_parts(&self, begun_at: Instant) {
+        suspects::record_answer(&self.gateway, &self.request, &self.service, begun_at);
+    }
+
     /// Whether another node is asked for the request that was refused for `reason`.
     pub fn is_forwarded(&self, reason: Reason) -> bool {
         reason == Reason::Unreachable && matches!(self.origin, Origin::Caller)
     }
 
-    /// Handles an attempt that failed after its response had begun; another attempt may follow.
+    /// Handles an attempt that failed `begun_for` after its response had begun; another attempt may
+    /// follow.
     pub async fn on_response_failed(
         &mut self,
-        endpoint: &endpoint::Id,
+        endpoint: &Incarnation,
         cause: Cause,
+        begun_for: Duration,
     ) -> Result<(), Refusal> {
         let failure = Failure { cause, execution: Execution::MayHaveRun };
-        self.log_failure(endpoint, &failure, Duration::ZERO);
-        match self.on_ambiguous_failure(endpoint, &failure).await {
+        self.log_failure(&endpoint.id, &failure, begun_for);
+        match self.on_ambiguous_failure(endpoint, &failure, Some(begun_for)).await {
             Decision::Retry => Ok(()),
             Decision::Respond(refusal) => Err(refusal),
         }
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -3,16 +3,16 @@
 
 use std::time::Duration;
 
-use curranthook_http::{client::Freshness, timeout};
-use curranthook_types::endpoint;
-
-use super::Job;
+use super::{Job, millis};
 use crate::{
+    advertised::Incarnation,
     attempt::{Cause, Failure},
     dialect::Execution,
     event::Event,
     refusal::{Reason, Refusal, Started},
+    suspects,
 };
+use curranthook_http::{client::Freshness, timeout};
 
 /// The number of attempts that end without running the request, after which the request is refused.
 const MAX_REJECTIONS: u32 = 5;
@@ -35,17 +35,17 @@
     /// Decides what follows a failed attempt at `endpoint`.
     pub(super) async fn on_failure(
         &mut self,
-        endpoint: &endpoint::Id,
+        endpoint: &Incarnation,
         failure: &Failure,
     ) -> Decision {
         if failure.execution == Execution::MayHaveRun {
             self.n_runs += 1;
             self.started = Started::Maybe;
-            return self.on_ambiguous_failure(endpoint, failure).await;
+            return self.on_ambiguous_failure(endpoint, failure, None).await;
         }
         self.n_rejections += 1;
         if failure.cause != Cause::StaleConnection {
-            self.tried_endpoints.push(endpoint.clone());
+            self.tried_endpoints.push(endpoint.id.clone());
         }
         let reason = match failure.cause {
             Cause::Full => Reason::Full,
@@ -65,17 +65,19 @@
         self.refusal(Reason::Full).with_retry_after(RETRY_AFTER_FULL)
     }
 
-    /// Decides what follows a failed attempt at `endpoint` that may have run the request.
+    /// Decides what follows a failed attempt at `endpoint` that may have run the request, and whose
+    /// response had begun `begun_for` before, if at all.
     pub(super) async fn on_ambiguous_failure(
         &mut self,
-        endpoint: &endpoint::Id,
+        endpoint: &Incarnation,
         failure: &Failure,
+        begun_for: Option<Duration>,
     ) -> Decision {
         if failure.cause == Cause::Disconnected {
-            self.attribute_crash(endpoint).await;
+            self.attribute_crash(endpoint, begun_for).await;
         }
         if failure.cause != Cause::StaleConnection {
-            self.tried_endpoints.push(endpoint.clone());
+            self.tried_endpoints.push(endpoint.id.clone());
         }
         if failure.cause == Cause::Timeout {
             return Decision::Respond(self.refusal(Reason::Timeout));
@@ -84,6 +86,9 @@
         if self.gateway.poison.lock().is_poison(self.request.fingerprint, now) {
             return Decision::Respond(self.refusal(Reason::Poison));
         }
+        if let Err(refusal) = self.check_parts() {
+            return Decision::Respond(refusal);
+        }
         if !self.route.retry_policy.is_retryable() || !self.try_rerun(failure.cause.name()) {
             return Decision::Respond(self.refusal(Reason::EndpointFailed));
         }
@@ -110,22 +115,35 @@
         true
     }
 
-    /// Attributes the crash of `endpoint` to the request, if the endpoint no longer accepts
-    /// connections.
-    async fn attribute_crash(&self, endpoint: &endpoint::Id) {
-        let addr = self.gateway.directory.lock().get(endpoint).map(|it| it.entry.addr);
-        let Some(addr) = addr else { return };
-        let connect = self.gateway.pool.take(addr, Freshness::New);
+    /// Attributes the crash of `endpoint` to the request and to the parts of its prompt, if the
+    /// endpoint no longer accepts connections. What crashes an endpoint does so when it begins, so a
+    /// request whose response went on for a while is not blamed.
+    async fn attribute_crash(&self, endpoint: &Incarnation, begun_for: Option<Duration>) {
+        let crashed_at = self.gateway.now();
+        let begun_ms = begun_for.map(millis);
+        let log = |outcome| {
+            self.gateway.log.write(&Event::PoisonCharged {
+                request: &self.request.head.id,
+                endpoint: endpoint.id.as_str(),
+                begun_ms,
+                outcome,
+            });
+        };
+        if begun_for.is_some_and(|it| suspects::BEGINNING < it) {
+            return log("under_way");
+        }
+        let connect = self.gateway.pool.take(endpoint.addr, Freshness::New);
         if let Ok(Ok(conn)) = timeout::run(PROBE_TIMEOUT, connect).await {
             self.gateway.pool.put(conn);
-            return;
+            return log("not_crashed");
         }
         let now = self.gateway.now();
-        self.gateway.poison.lock().record_crash(self.request.fingerprint, endpoint, now);
-        self.gateway.log.write(&Event::PoisonCharged {
-            request: &self.request.head.id,
-            endpoint: endpoint.as_str(),
-        });
+        self.gateway.poison.lock().record_crash(self.request.fingerprint, &endpoint.id, now);
+        if begun_for.is_some() {
+            let service = &self.service;
+            suspects::record_crash(&self.gateway, &self.request, service, endpoint, crashed_at);
+        }
+        log("charged");
     }
 
     fn log_not_repeated(&self, why: &str) {
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -139,6 +139,11 @@
         })
     }
 
+    /// The endpoint's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), addr: self.addr, started_ms: self.started_ms }
+    }
+
     /// Records that the endpoint prefills the prompt prefix with this hash.
     pub fn record_prefix(&self, prefix_hash: u64) {
         let (gateway, endpoint) = (&self.gateway, &self.id);
@@ -151,8 +156,7 @@
 
     /// Applies the state and the limits that the endpoint announces in a response.
     pub fn record_advertised(&self, reply: &Reply, completeness: Completeness) {
-        let incarnation =
-            Incarnation { id: self.id.clone(), addr: self.addr, started_ms: self.started_ms };
+        let incarnation = self.incarnation();
         let (endpoint, now) = (self.id.as_str(), self.gateway.now());
         let at = self.gateway.store_time().unwrap_or_default();
         let notice = rate_limit::Notice { rate: reply.rate_limit, at };
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod steps;
 pub mod store;
 pub mod stream;
+pub mod suspects;
 pub mod unary;
 pub mod unknown_headers;
 
--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -175,6 +175,13 @@
         self.owner_of_hash(hash::bytes(endpoint.as_str().as_bytes()), now)
     }
 
+    /// The addresses of the `n` nodes that come first for `hash`, the first one first.
+    pub fn nearest(&self, hash: u64, n: usize) -> Vec<SocketAddr> {
+        let mut nodes: Vec<_> = self.nodes.iter().collect();
+        nodes.sort_unstable_by_key(|it| Reverse(hash::pair(hash, it.node_hash)));
+        nodes.into_iter().take(n).map(|it| it.addr).collect()
+    }
+
     /// The address of the node that owns `hash`, the hash of an endpoint's id or of a prompt prefix
     /// (the model and the shared prompt parts). The owner of a prefix knows which endpoints have
     /// prefilled it.
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -44,6 +44,7 @@
     rate_limit,
     steps::Evidence,
     store::Rev,
+    suspects,
 };
 
 pub use self::{
@@ -148,6 +149,8 @@
     rejected: Mutex<Counts>,
     /// The numbers of answers about room at brittle endpoints that have been used and not reported.
     settled: Mutex<Counts>,
+    /// What has been found out about parts of prompts and has not been sent yet.
+    pub suspects: suspects::Queue,
 }
 
 impl Socket {
@@ -166,6 +169,7 @@
             statements: statements::Queue::default(),
             rejected: Mutex::default(),
             settled: Mutex::default(),
+            suspects: suspects::Queue::default(),
         }
     }
 
@@ -256,12 +260,29 @@
         reported_to = outgoing::send(&gateway, &reports, reported_to).await;
         limits::send(&gateway, &reports).await;
         statements::send(&gateway, &reports).await;
+        send_suspects(&gateway, &reports).await;
         let is_brittle = gateway.directory.lock().statements(gateway.now()).next().is_some();
         let interval = if is_brittle { MIN_BRITTLE_REPORT_INTERVAL } else { MIN_REPORT_INTERVAL };
         Timer::after(interval).await;
     }
 }
 
+/// Sends what has been found out about parts of prompts: crashes to the nodes that add them up,
+/// verdicts and objections to all.
+async fn send_suspects(gateway: &Gateway, socket: &Socket) {
+    for (addr, reports) in socket.suspects.take_reports() {
+        socket.send(Message::Crashes { reports }, addr).await;
+    }
+    let (findings, objections) = socket.suspects.take_findings();
+    if findings.is_empty() && objections.is_empty() {
+        return;
+    }
+    let bytes = datagram(Message::Verdicts { findings, objections });
+    for addr in limits::gossip_targets(gateway) {
+        socket.send_bytes(&bytes, addr).await;
+    }
+}
+
 /// Waits until this node's pending work changes or limits are queued, but at most for
 /// [`REPORT_INTERVAL`] if the last reports contained pending work.
 async fn wait_for_changes(gateway: &Gateway, reports: &Socket, reported_to: &HashSet<SocketAddr>) {
@@ -273,7 +294,8 @@
         || !reports.slowdowns.is_empty()
         || !reports.statements.is_empty()
         || !reports.rejected.lock().is_empty()
-        || !reports.settled.lock().is_empty();
+        || !reports.settled.lock().is_empty()
+        || !reports.suspects.is_empty();
     if is_queued || in_flight_changed {
         return;
     }
@@ -341,6 +363,10 @@
         Message::Limits { limits } => {
             limits.iter().for_each(|it| limits::receive(gateway, reports, it));
         }
+        Message::Crashes { reports } => suspects::receive_reports(gateway, &reports),
+        Message::Verdicts { findings, objections } => {
+            suspects::receive_findings(gateway, &findings, &objections);
+        }
         Message::BrittleQuestion => statements::answer(gateway, reports, from).await,
         Message::Brittle { statements } => {
             statements.iter().for_each(|it| statements::receive(gateway, it));
--- a/crates/curranthook_gateway/src/load/reports/message.rs
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -17,6 +17,7 @@
     },
     steps::Evidence,
     store::Rev,
+    suspects,
 };
 
 /// A message between nodes.
@@ -84,6 +85,18 @@
         /// The statements.
         statements: Vec<Statement>,
     },
+    /// Crashes of endpoints under parts of prompts.
+    Crashes {
+        /// The crashes.
+        reports: Vec<suspects::Report>,
+    },
+    /// Verdicts on parts of prompts, and answers that disprove some.
+    Verdicts {
+        /// The verdicts.
+        findings: Vec<suspects::Finding>,
+        /// The answers.
+        objections: Vec<suspects::Objection>,
+    },
     /// Asks for the valid statements of endpoints that they are brittle.
     BrittleQuestion,
     /// Asks how much work all nodes except `node` have pending at these endpoints.
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -19,6 +19,7 @@
     refusal::Refusal,
     rollouts::Pace,
     splitter::Splitter,
+    suspects,
 };
 
 /// The time without an event after which an endpoint counts as stalled, as a multiple of the
@@ -51,6 +52,8 @@
     started_at: Instant,
     /// Whether the time between its events has been recorded.
     is_pace_recorded: bool,
+    /// Whether it has been recorded that the response goes on.
+    is_answer_recorded: bool,
     /// When the last event arrived that was new to the caller.
     last_progress_at: Instant,
     /// The number of events forwarded to the caller in total, and the time from the request's
@@ -69,6 +72,7 @@
         n_events: 0,
         started_at: job.gateway.now(),
         is_pace_recorded: false,
+        is_answer_recorded: false,
         last_progress_at: job.gateway.now(),
         job,
         exchange: Some(exchange),
@@ -102,7 +106,7 @@
                 self.exchange = Some(self.resume().await?);
                 let now = self.job.gateway.now();
                 (self.n_events, self.started_at, self.last_progress_at) = (0, now, now);
-                self.is_pace_recorded = false;
+                (self.is_pace_recorded, self.is_answer_recorded) = (false, false);
             }
             let cause = match self.read_events().await {
                 Progress::Events(bytes) => return Ok(Some(bytes)),
@@ -113,6 +117,7 @@
                         self.job.record_stream(&exchange.lease, self.n_events, elapsed);
                     }
                     self.record_pace(elapsed);
+                    self.record_answered();
                     self.end(job::OUTCOME_WHOLE, Outcome::Answered);
                     return Ok(None);
                 }
@@ -148,6 +153,9 @@
                         if PACE_TIME <= elapsed {
                             self.record_pace(elapsed);
                         }
+                        if suspects::BEGINNING <= elapsed {
+                            self.record_answered();
+                        }
                         Progress::Events(events.bytes)
                     }
                     None => Progress::Partial,
@@ -170,18 +178,26 @@
         }
     }
 
+    /// Records once that the response of the current endpoint goes on.
+    fn record_answered(&mut self) {
+        if !std::mem::replace(&mut self.is_answer_recorded, true) {
+            self.job.record_answered_parts(self.started_at);
+        }
+    }
+
     /// Closes the exchange with the failed endpoint, and aborts the stream if no other endpoint may
     /// continue it.
     async fn on_endpoint_failure(&mut self, cause: Cause) -> Result<(), Aborted> {
         let Some(exchange) = self.exchange.take() else { return Ok(()) };
-        let id = exchange.lease.id.clone();
+        let endpoint = exchange.lease.incarnation();
+        let begun_for = self.job.gateway.now().saturating_duration_since(self.started_at);
         exchange.close(Outcome::ConnectionLost);
         // A stall before the deadline is a failure of the endpoint, not a timeout of the request.
         let cause = match cause {
             Cause::Timeout if !self.job.time_left().is_zero() => Cause::Disconnected,
             other => other,
         };
-        if let Err(refusal) = self.job.on_response_failed(&id, cause).await {
+        if let Err(refusal) = self.job.on_response_failed(&endpoint, cause, begun_for).await {
             return Err(self.abort(refusal));
         }
         Ok(())
--- a/crates/curranthook_gateway/src/unary.rs
+++ b/crates/curranthook_gateway/src/unary.rs
@@ -21,7 +21,7 @@
 pub async fn read(job: &mut Job) -> Result<(Parts, Bytes), Refusal> {
     loop {
         let mut exchange = job.execute().await?;
-        let id = exchange.lease.id.clone();
+        let (endpoint, begun_at) = (exchange.lease.incarnation(), job.gateway.now());
         let first_byte_after = job.gateway.now().saturating_duration_since(job.request.received_at);
         let time_left = job.time_left();
         let cause =
@@ -32,11 +32,14 @@
                     let status = head.status;
                     let is_error = status.is_server_error();
                     let outcome = if is_error { Outcome::Failed } else { Outcome::Answered };
+                    if !is_error {
+                        job.record_answered_parts(begun_at);
+                    }
                     exchange.finish(&job.gateway, job.route.retry_policy, outcome);
                     job.record_end(&Summary {
                         status: status.as_u16(),
                         outcome: OUTCOME_WHOLE,
-                        endpoint: id.as_str(),
+                        endpoint: endpoint.id.as_str(),
                         first_byte_after,
                         ..Summary::default()
                     });
@@ -55,6 +58,7 @@
                     Cause::Timeout
                 }
             };
-        job.on_response_failed(&id, cause).await?;
+        let begun_for = job.gateway.now().saturating_duration_since(begun_at);
+        job.on_response_failed(&endpoint, cause, begun_for).await?;
     }
 }
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -10,3 +10,4 @@
 mod law;
 mod rows;
 mod storms;
+mod suspects;
--- a/crates/curranthook_policy/src/lib.rs
+++ b/crates/curranthook_policy/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod retry;
 pub mod rollout;
 pub mod slowdown;
+pub mod suspects;
 pub mod utilization;
 pub mod verdict;
--- /dev/null
+++ b/crates/curranthook_policy/tests/suspects.rs
@@ -0,0 +1,91 @@
+//! Tests of the detection of prompt parts that crash endpoints.
+
+use std::time::{Duration, Instant};
+
+use curranthook_policy::suspects::{Crash, Decision, Part, Suspects, Verdict};
+
+const S: Duration = Duration::from_secs(1);
+
+/// Records a crash under each of a request's parts, and adopts the verdicts.
+fn crash(it: &mut Suspects, endpoint: u64, request: u64, parts: &[Part], now: Instant) -> usize {
+    let crash = Crash { endpoint, request, parts, at: now };
+    let verdicts = parts.iter().filter_map(|part| it.record_crash(*part, &crash, now));
+    let verdicts: Vec<Verdict> = verdicts.collect();
+    verdicts.into_iter().filter(|verdict| it.record_verdict(verdict.clone())).count()
+}
+
+/// Guards against blaming the parts of a sound request that is resumed at endpoints which crash for
+/// another reason.
+#[test]
+fn one_request_in_many_crashes_is_not_enough() {
+    let (mut it, now) = (Suspects::new(64), Instant::now());
+    assert!((0..8).all(|endpoint| crash(&mut it, endpoint, 1, &[7], now) == 0));
+    assert_eq!(it.decide(&[7], now + S, false), Decision::Admit);
+}
+
+/// Guards against blaming a part for the crash of one endpoint under many requests.
+#[test]
+fn many_requests_in_one_crash_are_not_enough() {
+    let (mut it, now) = (Suspects::new(64), Instant::now());
+    assert!((0..50).all(|request| crash(&mut it, 1, request, &[7], now) == 0));
+}
+
+/// Guards against refusing sound requests that share some of the parts which the crashes don't tell
+/// apart.
+#[test]
+fn parts_that_came_together_are_refused_together() {
+    let (mut it, now) = (Suspects::new(64), Instant::now());
+    (0..4).for_each(|n| _ = crash(&mut it, n, n, &[1, 7], now));
+    let later = now + S;
+    assert!(matches!(it.decide(&[1, 7, 9], later, false), Decision::Refuse(_)));
+    assert_eq!(it.decide(&[1, 9], later, false), Decision::Admit);
+    assert_eq!(it.decide(&[2, 7], later, false), Decision::Admit);
+    // An answer on one of them leaves the other.
+    it.record_answer(1, later, later);
+    assert_eq!(it.decide(&[2, 7], later, false), Decision::Refuse(7));
+}
+
+/// Guards against refusing a part that is answered elsewhere while endpoints crash.
+#[test]
+fn answered_part_is_not_blamed() {
+    let (mut it, now) = (Suspects::new(64), Instant::now());
+    for n in 0..12_u32 {
+        let at = now + S * n;
+        assert_eq!(crash(&mut it, n.into(), n.into(), &[1], at), 0);
+        if n % 3 == 2 {
+            it.record_answer(1, at + S / 2, at + S / 2);
+        }
+    }
+}
+
+/// Guards against a false verdict that reaches nodes after the answer that disproves it.
+#[test]
+fn node_that_knows_of_an_answer_does_not_adopt_a_verdict() {
+    let (mut judge, mut other, now) = (Suspects::new(64), Suspects::new(64), Instant::now());
+    let crashed = |n| Crash { endpoint: n, request: n, parts: &[7], at: now };
+    let verdict = (0..4).find_map(|n| judge.record_crash(7, &crashed(n), now)).unwrap();
+    other.record_answer(7, now + S / 10, now + S);
+    assert!(other.is_disproved(&verdict) && !other.record_verdict(verdict));
+    assert_eq!(other.decide(&[7], now + 2 * S, false), Decision::Admit);
+}
+
+/// Guards against refusing before nodes that know of an answer can say so.
+#[test]
+fn verdict_takes_effect_after_others_could_object() {
+    let (mut it, now) = (Suspects::new(64), Instant::now());
+    (0..4).for_each(|n| _ = crash(&mut it, n, n, &[7], now));
+    assert_eq!(it.decide(&[7], now + S / 10, false), Decision::Admit);
+    assert_eq!(it.decide(&[7], now + S / 2, false), Decision::Refuse(7));
+}
+
+/// Guards against a verdict that is never tested, and against tests that crash many endpoints.
+#[test]
+fn verdict_is_tested_twice_by_one_node() {
+    let (mut it, now) = (Suspects::new(64), Instant::now());
+    (0..4).for_each(|n| _ = crash(&mut it, n, n, &[7], now));
+    let decisions: Vec<_> = (1..500).map(|s| it.decide(&[7], now + S * s, true)).collect();
+    let n_tests = decisions.iter().filter(|it| **it == Decision::Test(7)).count();
+    assert_eq!(n_tests, 2);
+    assert!(decisions[..20].iter().all(|it| *it == Decision::Refuse(7)));
+    assert!((1..500).all(|s| it.decide(&[7], now + S * s, false) == Decision::Refuse(7)));
+}
