Refuse no part that is common to all requests

All endpoints had crashed at once, so the part that all requests have in common had crashes and no answer either, and as its requests were refused, nothing could clear it.

Cause: that a part isn't answered was taken for evidence where nothing was answered. Change: a node reaches a verdict only if it knows of answers without the part; a node that knows of an answer before the crashes says so, and a part that was answered before is refused only where three answers on others have gone on since the first crash.

--- a/crates/curranthook_gateway/src/suspects.rs
+++ b/crates/curranthook_gateway/src/suspects.rs
@@ -176,16 +176,23 @@
 /// Records that the answer to a request that began at `begun_at` goes on or has ended whole: what it
 /// contains crashes no endpoint.
 pub fn record_answer(gateway: &Gateway, request: &Request, service: &str, begun_at: Instant) {
-    for part in shared_parts(request, service) {
-        record_answered(gateway, part, begun_at);
+    let parts = shared_parts(request, service);
+    if parts.is_empty() {
+        return;
     }
+    let disproved = gateway.suspects.lock().record_answer(&parts, begun_at, gateway.now());
+    disproved.into_iter().for_each(|it| clear(gateway, it, begun_at));
 }
 
+/// Handles an answer on a part that began at `begun_at` at another node.
 fn record_answered(gateway: &Gateway, part: Part, begun_at: Instant) {
-    let now = gateway.now();
-    if !gateway.suspects.lock().record_answer(part, begun_at, now) {
-        return;
+    if gateway.suspects.lock().record_answered(part, begun_at, gateway.now()) {
+        clear(gateway, part, begun_at);
     }
+}
+
+/// Logs that an answer disproved a verdict, and tells all nodes.
+fn clear(gateway: &Gateway, part: Part, begun_at: Instant) {
     gateway.log.write(&Event::PartCleared { part });
     object(gateway, part, begun_at);
 }
@@ -210,15 +217,21 @@
     }
 }
 
-/// Records a verdict, and passes it on if it is new. A node that knows of an answer objects.
+/// Records a verdict, and passes it on if it is new. A node that knows of an answer on the part says
+/// so: one that began after the first crash disproves the verdict, an earlier one makes nodes wait
+/// for other answers.
 fn record_verdict(gateway: &Gateway, verdict: Verdict, from: &'static str) {
     let finding = Finding::new(&verdict, gateway.now());
     let (part, n_crashes, together) = (verdict.part, verdict.n_crashes, verdict.together.len());
+    let first_crash = verdict.first_crash;
     let (is_new, answered_at) = {
         let mut suspects = gateway.suspects.lock();
-        let answered_at = suspects.answered_at(part).filter(|_| suspects.is_disproved(&verdict));
+        let answered_at = suspects.answered_at(part);
         (suspects.record_verdict(verdict), answered_at)
     };
+    if !is_new && answered_at.is_none_or(|at| at <= first_crash) {
+        return;
+    }
     if let Some(at) = answered_at {
         object(gateway, part, at);
     }
--- a/crates/curranthook_policy/src/suspects.rs
+++ b/crates/curranthook_policy/src/suspects.rs
@@ -6,7 +6,7 @@
 //! elsewhere meanwhile; a sound part is.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -24,6 +24,12 @@
 const OBJECTION_TIME: Duration = Duration::from_millis(400);
 /// How long crashes count, and how long a verdict holds.
 const EXPIRY: Duration = Duration::from_secs(600);
+/// How many answers on other parts must have gone on at a node since the first crash before it
+/// refuses a part that was answered before. While nothing is answered, that the part isn't either
+/// tells nothing.
+const MIN_OTHER_ANSWERS: usize = 3;
+/// The number of answers that are kept to count these.
+const MAX_RECENT: usize = 64;
 /// The times after a verdict from which one request with the part may test it.
 const TEST_AFTER: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(120)];
 
@@ -91,13 +97,14 @@
 /// # use curranthook_policy::suspects::{Crash, Decision, Suspects};
 /// let (mut it, now) = (Suspects::new(1_000), Instant::now());
 /// let crash = |n| Crash { endpoint: n, request: n, parts: &[1, 7], at: now };
+/// it.record_answer(&[1, 8], now, now);
 /// assert!((0..3).all(|n| it.record_crash(7, &crash(n), now).is_none()));
 /// let verdict = it.record_crash(7, &crash(3), now).unwrap();
 /// assert!(it.record_verdict(verdict));
 /// let later = now + Duration::from_secs(1);
 /// assert_eq!(it.decide(&[1, 7], later, false), Decision::Refuse(7));
 /// assert_eq!(it.decide(&[1, 8], later, false), Decision::Admit);
-/// it.record_answer(7, later, later);
+/// it.record_answer(&[1, 7], later, later);
 /// assert_eq!(it.decide(&[1, 7], later, false), Decision::Admit);
 /// ```
 #[derive(Debug)]
@@ -107,13 +114,15 @@
     verdicts: HashMap<Part, Held>,
     /// When the last answer on a part began that went on for a while.
     answered: HashMap<Part, Instant>,
+    /// The last such answers at this node: when each began, and its parts.
+    recent: VecDeque<(Instant, Vec<Part>)>,
 }
 
 impl Suspects {
     /// Creates records of at most `capacity` parts of each kind.
     pub fn new(capacity: usize) -> Self {
-        let (evidence, verdicts, answered) = Default::default();
-        Self { capacity, evidence, verdicts, answered }
+        let (evidence, verdicts, answered, recent) = Default::default();
+        Self { capacity, evidence, verdicts, answered, recent }
     }
 
     /// Records a crash against one of its parts. Returns the verdict that follows from it, if there
@@ -145,7 +154,9 @@
         }
         let is_enough =
             MIN_CRASHES <= evidence.crashes.len() && MIN_REQUESTS <= evidence.requests.len();
-        if !is_enough {
+        // A part that all requests have in common is answered whenever any is.
+        let is_distinct = self.recent.iter().any(|(_, answered)| !answered.contains(&part));
+        if !is_enough || !is_distinct {
             return None;
         }
         let first_crash = evidence.crashes.values().min().copied().unwrap_or(crash.at);
@@ -194,9 +205,20 @@
         self.answered.get(&part).copied()
     }
 
-    /// Records that the answer on a part that began at `begun_at` has gone on for a while. Returns
-    /// whether that disproves a verdict.
-    pub fn record_answer(&mut self, part: Part, begun_at: Instant, now: Instant) -> bool {
+    /// Records that the answer to a request of this node that began at `begun_at` has gone on for a
+    /// while. Returns the parts of which that disproves a verdict.
+    pub fn record_answer(&mut self, parts: &[Part], begun_at: Instant, now: Instant) -> Vec<Part> {
+        self.recent.push_back((begun_at, parts.to_vec()));
+        if MAX_RECENT < self.recent.len() {
+            self.recent.pop_front();
+        }
+        let disproved = parts.iter().filter(|it| self.record_answered(**it, begun_at, now));
+        disproved.copied().collect()
+    }
+
+    /// Records that an answer on a part that began at `begun_at` has gone on for a while, at any node.
+    /// Returns whether that disproves a verdict.
+    pub fn record_answered(&mut self, part: Part, begun_at: Instant, now: Instant) -> bool {
         if self.capacity <= self.answered.len() && !self.answered.contains_key(&part) {
             let mut times: Vec<_> = self.answered.values().copied().collect();
             let middle = times.len() / 2;
@@ -242,8 +264,16 @@
             let answered_at = self.answered.get(it);
             answered_at.is_none_or(|at| *at <= verdict.first_crash)
         };
+        let is_other = |(begun_at, answered): &&(Instant, Vec<Part>)| {
+            verdict.first_crash < *begun_at && !answered.contains(&part)
+        };
+        let n_others = self.recent.iter().filter(is_other).take(MIN_OTHER_ANSWERS).count();
+        let is_established = self.answered.contains_key(&part);
+        let are_others_answered = !is_established || MIN_OTHER_ANSWERS <= n_others;
         let is_in_force = verdict.since + OBJECTION_TIME <= now && verdict.is_valid(now);
-        is_in_force && verdict.together.iter().filter(is_suspected).all(|it| parts.contains(it))
+        is_in_force
+            && are_others_answered
+            && verdict.together.iter().filter(is_suspected).all(|it| parts.contains(it))
     }
 
     /// The valid verdicts.
