--- a/crates/curranthook_gateway/src/load/reports/statements.rs
+++ b/crates/curranthook_gateway/src/load/reports/statements.rs
@@ -1,4 +1,4 @@
-//! Tells all nodes that the endpoints of a service are brittle (see [`brittle`](crate::brittle)),
+//! Tells all nodes that the endpoints of a service are brittle (see [`brittle`]),
 //! by gossip in a large fleet.
 
 use std::{
