Wait for the times of streams that have just begun before a version gets all requests

What callers saw: a version whose streams take nine times as long between events got all requests. The test `rollouts::streams_are_evidence_before_they_end` shows it: 3 of 12 and 3 of 12 runs, twelve at once, ended with "completed".

Cause: a stream counts as an answer at its first event, and its time between events is known a second later. In the failed runs all 24 answers had come within the last second before the decision (new_answers 24, slower_rest 1.007), or all but two (slower_rest 8.97 of fewer streams than are compared). So the version seemed good by answers that said nothing of its speed.

Change: a version does not get all requests while the times of fewer than three of its streams are known, though as many answers of the old version had those of eight or more. Services with few streams, and concentrated requests, whose times aren't recorded, are not affected.

Before: the new test in tests/steps.rs fails (Some(Full) for none); 6 of 24 runs of the node test, twelve at once, fail. After: both pass; 24 of 24 runs of the node test, twelve at once.

A new version whose streams end with their first event, though the old one's don't, is held back until a few of its streams have more.

--- a/crates/curranthook_gateway/src/steps/evidence.rs
+++ b/crates/curranthook_gateway/src/steps/evidence.rs
@@ -248,7 +248,17 @@
 
     /// Whether the evidence suffices for the phases in which the version gets all requests.
     pub fn allows_completion(self) -> bool {
-        self.seems_good(MIN_ANSWERS_FOR_FULL)
+        self.seems_good(MIN_ANSWERS_FOR_FULL) && !self.lacks_event_gaps()
+    }
+
+    /// Whether the new version's streams have just begun, so that their times between events are not
+    /// known yet: of as many answers of the old version, those of enough streams are.
+    fn lacks_event_gaps(self) -> bool {
+        let reference = self.reference();
+        let gaps_per_answer = reference.rest.n / reference.answers.max(1) as f64;
+        let n_spread = self.new.answers.saturating_sub(self.concentrated.answers);
+        let n_expected = gaps_per_answer * n_spread as f64;
+        MIN_ANSWERS_FOR_FULL as f64 <= n_expected && self.new.rest.n < DOUBTFUL_GAP.min_samples
     }
 
     /// Whether the new version seems slower, even if not significantly so.
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -207,6 +207,31 @@
     assert_eq!(due(4, 1.3), Some(Phase::Full));
 }
 
+/// Guards against completing a slow version whose streams have all just begun.
+#[test]
+fn streams_without_known_times_hold_a_version_back() {
+    let (schedule, order) = (Schedule::new(0.15), order(Duration::from_secs(20)));
+    let times = |n: usize| delay_of((0..n).map(|it| [0.7, 0.9, 1.0, 1.1, 1.4][it % 5]));
+    let due = |phase, n_answers, n_known, n_concentrated, n_old_known| {
+        let new = Counts { rest: times(n_known), ..counts(n_answers, 0) };
+        let old = Counts { rest: times(n_old_known), ..counts(400, 0) };
+        let concentrated = counts(n_concentrated, 0);
+        let evidence = Evidence { new, concentrated, old, ..Evidence::default() };
+        let step = step(phase, Duration::ZERO);
+        steps::due(&schedule, &order, &step, evidence, Duration::from_secs(19))
+    };
+    assert_eq!(due(Phase::Partial, 24, 0, 0, 390), None);
+    assert_eq!(due(Phase::Partial, 24, 2, 0, 390), None);
+    assert_eq!(due(Phase::Full, 24, 0, 0, 390), None);
+    // A second later.
+    assert_eq!(due(Phase::Partial, 24, 14, 0, 390), Some(Phase::Full));
+    // The service has few streams or none.
+    assert_eq!(due(Phase::Partial, 24, 0, 0, 0), Some(Phase::Full));
+    assert_eq!(due(Phase::Partial, 24, 0, 0, 80), Some(Phase::Full));
+    // Times of concentrated requests are not recorded.
+    assert_eq!(due(Phase::Partial, 24, 0, 20, 390), Some(Phase::Full));
+}
+
 /// A version fails for one kind of request only, so few of its answers are failures, while the old
 /// version has none. Guards against completing its rollout: the version would fail that kind of
 /// request for all callers.
