Rank the nodes of an endpoint once, and not for each report and query

Cause: while endpoints are brittle, a node reports to the two nodes that collect an endpoint's load, as often as each 5 ms. `reported_to` sorted all nodes for each endpoint of each report, twice, and `owner_of` went through all of them: the cost of a round was nodes times endpoints, counted by no law. So it wasn't shown that a fleet of 985 nodes bears what the brittle endpoints ask of it.

Change: the first eight nodes of an endpoint are kept until the nodes change. A row that repeats a node's address changes nothing. If most nodes have joined within the last seconds, all are looked at as before, though no longer sorted. Reports are split among their recipients in one place.

The new law counts the nodes that are ranked: all of them once for each endpoint, none in 100 rounds after that, with 250 to 2,000 nodes. The counter is new, so the law could not fail on the code before.

--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -7,8 +7,9 @@
 //! message. If nodes disagree on the owner, or it is lost, they place requests by what they
 //! observed themselves; nothing else depends on the owner.
 
+mod ranking;
+
 use std::{
-    cmp::Reverse,
     collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -17,6 +18,8 @@
 use curranthook_policy::hash;
 use curranthook_types::endpoint;
 
+use self::ranking::Ranking;
+
 /// Up to this many nodes, each one broadcasts its pending work to all others, and there are no
 /// owners.
 const MAX_BROADCAST_NODES: usize = 12;
@@ -53,6 +56,7 @@
 #[derive(Debug, Default)]
 pub struct Owners {
     nodes: Vec<Owner>,
+    ranking: Ranking,
     timeouts: HashMap<SocketAddr, Timeouts>,
 }
 
@@ -82,8 +86,14 @@
     /// Sets the address at which a node receives load reports; none if it receives none.
     pub fn set_node(&mut self, node: &str, addr: Option<SocketAddr>) {
         let node_hash = hash::bytes(node.as_bytes());
+        if addr.is_some()
+            && self.nodes.iter().any(|it| (it.node_hash, Some(it.addr)) == (node_hash, addr))
+        {
+            return;
+        }
         self.nodes.retain(|it| it.node_hash != node_hash);
         self.nodes.extend(addr.map(|addr| Owner { node_hash, addr, joined: None }));
+        self.ranking.clear();
     }
 
     /// Sets when a node joined, by the store's clock; none if it joined long ago.
@@ -109,54 +119,72 @@
     /// let (endpoint, now) = ("engine-1".into(), Instant::now());
     /// let owner = owners.owner_of(&endpoint, now).unwrap();
     /// owners.set_joined(&format!("node-{}", owner.port()), Some(s(100)));
-    /// let settled = |at| owners.settled_owner_of(&endpoint, 0, Some(s(at)), now);
+    /// let mut settled = |at| owners.settled_owner_of(&endpoint, 0, Some(s(at)), now);
     /// assert_ne!(settled(101), Some(owner));
     /// assert_eq!(settled(104), Some(owner));
     /// assert!(owners.reported_to(&endpoint, Some(s(102)), now).contains(&owner));
     /// ```
     pub fn settled_owner_of(
-        &self,
+        &mut self,
         endpoint: &endpoint::Id,
         n_unanswered: usize,
         store_time: Option<Duration>,
         now: Instant,
     ) -> Option<SocketAddr> {
         let hash = hash::bytes(endpoint.as_str().as_bytes());
-        let settled = |it: &&Owner| it.has_joined_before(ASKED_AFTER, store_time);
-        // If all nodes have just joined, none of them knows more than another.
-        let is_any_settled = self.nodes.iter().any(|it| settled(&it));
-        let mut nodes: Vec<_> =
-            self.nodes.iter().filter(|it| !is_any_settled || settled(it)).collect();
-        nodes.sort_unstable_by_key(|it| Reverse(hash::pair(hash, it.node_hash)));
-        nodes.truncate(N_REPORTED_TO);
-        nodes.retain(|it| !self.is_skipped(it.addr, now));
+        let mut nodes = self.first_joined(hash, ASKED_AFTER, store_time);
+        if nodes.is_empty() {
+            // If all nodes have just joined, none of them knows more than another.
+            nodes = self.first_joined(hash, Duration::ZERO, None);
+        }
+        nodes.retain(|it| !is_skipped(&self.timeouts, *it, now));
         let index = n_unanswered.checked_rem(nodes.len())?;
-        Some(nodes[index].addr)
+        Some(nodes[index])
     }
 
     /// The nodes that get the reports of requests at a brittle endpoint: those that any node may ask
     /// for them now.
     pub fn reported_to(
-        &self,
+        &mut self,
         endpoint: &endpoint::Id,
         store_time: Option<Duration>,
         now: Instant,
     ) -> Vec<SocketAddr> {
         let hash = hash::bytes(endpoint.as_str().as_bytes());
-        let mut nodes: Vec<_> = self.nodes.iter().collect();
-        nodes.sort_unstable_by_key(|it| Reverse(hash::pair(hash, it.node_hash)));
-        let joined_before = |age| {
-            let nodes = nodes.iter().filter(move |it| it.has_joined_before(age, store_time));
-            nodes.take(N_REPORTED_TO).map(|it| it.addr)
-        };
-        let asked = self.settled_owner_of(endpoint, 0, store_time, now);
-        let mut addrs: Vec<_> =
-            joined_before(REPORTED_AFTER).chain(joined_before(ALONE_AFTER)).chain(asked).collect();
+        let mut addrs = self.first_joined(hash, REPORTED_AFTER, store_time);
+        addrs.extend(self.first_joined(hash, ALONE_AFTER, store_time));
+        addrs.extend(self.settled_owner_of(endpoint, 0, store_time, now));
         addrs.sort_unstable();
         addrs.dedup();
         addrs
     }
 
+    /// The first [`N_REPORTED_TO`] nodes for an endpoint among those that joined `age` ago or
+    /// earlier, the first one first.
+    fn first_joined(
+        &mut self,
+        hash: u64,
+        age: Duration,
+        store_time: Option<Duration>,
+    ) -> Vec<SocketAddr> {
+        let Self { nodes, ranking, .. } = self;
+        let rank = |it: usize| hash::pair(hash, nodes[it].node_hash);
+        let has_joined = |it: &usize| nodes[*it].has_joined_before(age, store_time);
+        let kept = ranking.first(hash, nodes.len(), rank);
+        let mut first: Vec<_> =
+            kept.iter().copied().filter(has_joined).take(N_REPORTED_TO).collect();
+        // Most nodes have just joined.
+        if first.len() < N_REPORTED_TO && kept.len() < nodes.len() {
+            first = ranking::highest(N_REPORTED_TO, (0..nodes.len()).filter(has_joined), rank);
+        }
+        first.into_iter().map(|it| nodes[it].addr).collect()
+    }
+
+    /// How often a node was ranked for an endpoint, a measure of the work that this costs.
+    pub fn n_ranked(&self) -> u64 {
+        self.ranking.n_ranked()
+    }
+
     /// The address of the node that owns `endpoint`.
     ///
     /// ```
@@ -171,22 +199,28 @@
     /// assert!(ours.owner_of(&endpoint, now).is_some());
     /// assert_eq!(ours.owner_of(&endpoint, now), theirs.owner_of(&endpoint, now));
     /// ```
-    pub fn owner_of(&self, endpoint: &endpoint::Id, now: Instant) -> Option<SocketAddr> {
-        self.owner_of_hash(hash::bytes(endpoint.as_str().as_bytes()), now)
+    pub fn owner_of(&mut self, endpoint: &endpoint::Id, now: Instant) -> Option<SocketAddr> {
+        let hash = hash::bytes(endpoint.as_str().as_bytes());
+        let nodes = &self.nodes;
+        let rank = |it: usize| hash::pair(hash, nodes[it].node_hash);
+        let mut first =
+            self.ranking.first(hash, nodes.len(), rank).iter().map(|it| nodes[*it].addr);
+        let is_skipped = |addr| is_skipped(&self.timeouts, addr, now);
+        first.find(|it| !is_skipped(*it)).or_else(|| self.owner_of_hash(hash, now))
     }
 
     /// The addresses of the `n` nodes that come first for `hash`, the first one first.
     pub fn nearest(&self, hash: u64, n: usize) -> Vec<SocketAddr> {
-        let mut nodes: Vec<_> = self.nodes.iter().collect();
-        nodes.sort_unstable_by_key(|it| Reverse(hash::pair(hash, it.node_hash)));
-        nodes.into_iter().take(n).map(|it| it.addr).collect()
+        let rank = |it: usize| hash::pair(hash, self.nodes[it].node_hash);
+        let first = ranking::highest(n, 0..self.nodes.len(), rank);
+        first.into_iter().map(|it| self.nodes[it].addr).collect()
     }
 
     /// The address of the node that owns `hash`, the hash of an endpoint's id or of a prompt prefix
     /// (the model and the shared prompt parts). The owner of a prefix knows which endpoints have
     /// prefilled it.
     pub fn owner_of_hash(&self, hash: u64, now: Instant) -> Option<SocketAddr> {
-        let answering = self.nodes.iter().filter(|it| !self.is_skipped(it.addr, now));
+        let answering = self.nodes.iter().filter(|it| !is_skipped(&self.timeouts, it.addr, now));
         answering.max_by_key(|it| hash::pair(hash, it.node_hash)).map(|it| it.addr)
     }
 
@@ -203,9 +237,9 @@
             *it = Timeouts { count: 0, skipped_until: Some(now + SKIP_TIME) };
         }
     }
+}
 
-    fn is_skipped(&self, addr: SocketAddr, now: Instant) -> bool {
-        let skipped_until = self.timeouts.get(&addr).and_then(|it| it.skipped_until);
-        skipped_until.is_some_and(|skipped_until| now < skipped_until)
-    }
+fn is_skipped(timeouts: &HashMap<SocketAddr, Timeouts>, addr: SocketAddr, now: Instant) -> bool {
+    let skipped_until = timeouts.get(&addr).and_then(|it| it.skipped_until);
+    skipped_until.is_some_and(|skipped_until| now < skipped_until)
 }
--- a/crates/curranthook_gateway/src/load/reports/outgoing.rs
+++ b/crates/curranthook_gateway/src/load/reports/outgoing.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use curranthook_types::endpoint;
@@ -12,10 +12,12 @@
 use crate::{
     Gateway,
     affinity::Record,
+    directory::Directory,
     load::{
         breakdown::{self, PendingWork},
         in_flight::{self, Counts},
-        owners, slowdowns,
+        owners::{self, Owners},
+        slowdowns,
     },
 };
 
@@ -101,54 +103,75 @@
         return others.map(|addr| (addr, report.clone())).collect();
     }
     drop(peers);
-    let (store_time, now) = (gateway.store_time(), gateway.now());
-    let (directory, owners) = (gateway.directory.lock(), gateway.load_owners.lock());
-    let owner_of = |id: &endpoint::Id| owners.owner_of(id, now).filter(|it| Some(*it) != own_addr);
-    let owners_of = |id: &endpoint::Id| -> Vec<SocketAddr> {
-        if directory.brittle_limit(id, now).is_none() {
-            return owner_of(id).into_iter().collect();
-        }
-        let mut addrs = owners.reported_to(id, store_time, now);
-        addrs.retain(|it| Some(*it) != own_addr);
-        addrs
+    let mut recipients = Recipients {
+        own_addr,
+        store_time: gateway.store_time(),
+        now: gateway.now(),
+        directory: &gateway.directory.lock(),
+        owners: &mut gateway.load_owners.lock(),
     };
-    let mut reports_by_node: HashMap<SocketAddr, Report> = HashMap::new();
-    for (id, work) in report.waiting {
-        for addr in owners_of(&id) {
-            reports_by_node.entry(addr).or_default().waiting.insert(id.clone(), work);
+    let Report { waiting, prefills, unreachable, in_flight, slowdowns, rejected, settled } = report;
+    let mut reports = HashMap::new();
+    recipients.split(waiting, &mut reports, |it| &mut it.waiting);
+    recipients.split(in_flight, &mut reports, |it| &mut it.in_flight);
+    recipients.split(rejected, &mut reports, |it| &mut it.rejected);
+    recipients.split(settled, &mut reports, |it| &mut it.settled);
+    for id in unreachable {
+        if let Some(addr) = recipients.owner_of(&id) {
+            reports.entry(addr).or_default().unreachable.push(id);
         }
     }
-    for (id, count) in report.in_flight {
-        for addr in owners_of(&id) {
-            reports_by_node.entry(addr).or_default().in_flight.insert(id.clone(), count);
+    for slowdown in slowdowns {
+        if let Some(addr) = recipients.owner_of(&slowdown.endpoint) {
+            reports.entry(addr).or_default().slowdowns.push(slowdown);
         }
     }
-    for (id, n_requests) in report.rejected {
-        for addr in owners_of(&id) {
-            reports_by_node.entry(addr).or_default().rejected.insert(id.clone(), n_requests);
+    for record in prefills {
+        if let Some(addr) = recipients.owner_of_prefix(record.prefix_hash) {
+            reports.entry(addr).or_default().prefills.push(record);
         }
     }
-    for (id, n) in report.settled {
-        for addr in owners_of(&id) {
-            reports_by_node.entry(addr).or_default().settled.insert(id.clone(), n);
+    reports
+}
+
+/// The other nodes that get the reports of an endpoint.
+struct Recipients<'a> {
+    own_addr: Option<SocketAddr>,
+    store_time: Option<Duration>,
+    now: Instant,
+    directory: &'a Directory,
+    owners: &'a mut Owners,
+}
+
+impl Recipients<'_> {
+    /// Adds each entry to the reports to those that get it, in the given field.
+    fn split<V: Copy>(
+        &mut self,
+        entries: HashMap<endpoint::Id, V>,
+        reports: &mut HashMap<SocketAddr, Report>,
+        field: impl Fn(&mut Report) -> &mut HashMap<endpoint::Id, V>,
+    ) {
+        for (id, value) in entries {
+            for addr in self.of(&id) {
+                field(reports.entry(addr).or_default()).insert(id.clone(), value);
+            }
         }
     }
-    for id in report.unreachable {
-        if let Some(addr) = owner_of(&id) {
-            reports_by_node.entry(addr).or_default().unreachable.push(id);
+
+    fn of(&mut self, id: &endpoint::Id) -> Vec<SocketAddr> {
+        if self.directory.brittle_limit(id, self.now).is_none() {
+            return self.owner_of(id).into_iter().collect();
         }
+        let mut addrs = self.owners.reported_to(id, self.store_time, self.now);
+        addrs.retain(|it| Some(*it) != self.own_addr);
+        addrs
     }
-    for slowdown in report.slowdowns {
-        if let Some(addr) = owner_of(&slowdown.endpoint) {
-            reports_by_node.entry(addr).or_default().slowdowns.push(slowdown);
-        }
+
+    fn owner_of(&mut self, id: &endpoint::Id) -> Option<SocketAddr> {
+        self.owners.owner_of(id, self.now).filter(|it| Some(*it) != self.own_addr)
     }
-    for record in report.prefills {
-        let owner =
-            owners.owner_of_hash(record.prefix_hash, now).filter(|it| Some(*it) != own_addr);
-        if let Some(addr) = owner {
-            reports_by_node.entry(addr).or_default().prefills.push(record);
-        }
+
+    fn owner_of_prefix(&self, hash: u64) -> Option<SocketAddr> {
+        self.owners.owner_of_hash(hash, self.now).filter(|it| Some(*it) != self.own_addr)
     }
-    reports_by_node
 }
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -55,7 +55,7 @@
 fn by_owner(gateway: &Gateway, query: Query) -> HashMap<SocketAddr, Query> {
     let Query { endpoints, prefix_hash, in_flight, asked } = query;
     let (store_time, now) = (gateway.store_time(), gateway.now());
-    let (directory, owners) = (gateway.directory.lock(), gateway.load_owners.lock());
+    let (directory, mut owners) = (gateway.directory.lock(), gateway.load_owners.lock());
     let mut queries: HashMap<SocketAddr, Query> = HashMap::new();
     for id in endpoints {
         let owner = match directory.brittle_limit(&id, now) {
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod forwarding;
 mod law;
+mod owners;
 mod rows;
 mod storms;
 mod suspects;
