Object to a verdict on a part once, and pass objections on

Cause: a node that knows of an answer that disproves a verdict objected to each copy of the verdict that it got, and each objection goes to eight nodes. Only nodes that held the verdict passed an objection on, so that some of the others never heard of it.

Change: a node objects once a second for the same reason. An objection says whether its answer disproves the verdict; if so, each node passes it on once, as verdicts are.

After: at most 16 datagrams a node with 250 to 2,000 nodes, and at most one node in a hundred refuses, as with verdicts.

--- a/crates/curranthook_gateway/src/suspects.rs
+++ b/crates/curranthook_gateway/src/suspects.rs
@@ -63,7 +63,7 @@
     age: Duration,
 }
 
-/// An answer that disproves a verdict, as sent between nodes.
+/// An answer that speaks against a verdict, as sent between nodes.
 #[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Objection {
@@ -71,6 +71,9 @@
     /// The time since the answer began.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     age: Duration,
+    /// Whether the answer disproves the verdict. Each node passes it on then, so that none is missed.
+    #[serde(default)]
+    disproves: bool,
 }
 
 /// What is queued for other nodes.
@@ -185,25 +188,30 @@
 }
 
 /// Handles an answer on a part that began at `begun_at` at another node.
-fn record_answered(gateway: &Gateway, part: Part, begun_at: Instant) {
+fn record_answered(gateway: &Gateway, part: Part, begun_at: Instant, disproves: bool) {
     if gateway.suspects.lock().record_answered(part, begun_at, gateway.now()) {
         clear(gateway, part, begun_at);
+    } else if disproves {
+        object(gateway, part, begun_at, true);
     }
 }
 
 /// Logs that an answer disproved a verdict, and tells all nodes.
 fn clear(gateway: &Gateway, part: Part, begun_at: Instant) {
     gateway.log.write(&Event::PartCleared { part });
-    object(gateway, part, begun_at);
+    object(gateway, part, begun_at, true);
 }
 
-/// Queues an objection for all nodes.
-fn object(gateway: &Gateway, part: Part, begun_at: Instant) {
+/// Queues an objection for all nodes, unless this node has just objected.
+fn object(gateway: &Gateway, part: Part, begun_at: Instant, disproves: bool) {
     let Some(reports) = gateway.load_reports.get() else { return };
+    if !gateway.suspects.lock().objects(part, disproves, gateway.now()) {
+        return;
+    }
     let age = gateway.now().saturating_duration_since(begun_at);
     let mut objections = reports.suspects.objections.lock();
     if objections.len() < MAX_QUEUED {
-        objections.push(Objection { part, age });
+        objections.push(Objection { part, age, disproves });
     }
     drop(objections);
     gateway.pending_work_changed.wake();
@@ -233,7 +241,7 @@
         return;
     }
     if let Some(at) = answered_at {
-        object(gateway, part, at);
+        object(gateway, part, at, first_crash < at);
     }
     if !is_new {
         return;
@@ -263,7 +271,7 @@
 pub fn receive_findings(gateway: &Gateway, findings: &[Finding], objections: &[Objection]) {
     for it in objections {
         if let Some(at) = gateway.now().checked_sub(it.age) {
-            record_answered(gateway, it.part, at);
+            record_answered(gateway, it.part, at, it.disproves);
         }
     }
     findings.iter().for_each(|it| receive_finding(gateway, it, "peer"));
--- a/crates/curranthook_gateway/tests/laws/suspects.rs
+++ b/crates/curranthook_gateway/tests/laws/suspects.rs
@@ -34,6 +34,11 @@
     it
 }
 
+/// Records answers on another part.
+fn answer_others(it: &mut Suspects, at: Instant) {
+    (0..3).for_each(|_| _ = it.record_answer(&[PART + 1], at, at));
+}
+
 /// The number of crashes, each reported by another of `n_nodes`, until a node reaches a verdict, and
 /// the number of reports.
 fn crashes_until_verdict(n_nodes: usize) -> (usize, usize) {
@@ -98,6 +103,48 @@
     Law::Logarithmic.assert(&N_NODES, |n_nodes| gossip(n_nodes).1);
 }
 
+/// Guards against objections to a false verdict for each of the copies that a node gets of it.
+#[test]
+fn node_objects_to_a_verdict_once() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(10);
+    let verdict = {
+        let mut judge = suspects(now);
+        let crash = |n| Crash { endpoint: n, request: n, parts: &[PART], at: now };
+        (0..4).find_map(|n| judge.record_crash(PART, &crash(n), now)).unwrap()
+    };
+    Law::Constant.assert(&N_NODES, |n_nodes| {
+        let mut rng = StdRng::seed_from_u64(7);
+        let mut nodes: Vec<_> = (0..n_nodes).map(|_| Suspects::new(64)).collect();
+        // Every second node has answered the part since.
+        nodes.iter_mut().step_by(2).for_each(|it| _ = it.record_answer(&[PART], later, later));
+        let (mut n_sent, mut queue) = (0, VecDeque::from([(1, false)]));
+        while let Some((index, is_objection)) = queue.pop_front() {
+            let node = &mut nodes[index];
+            let disproves = is_objection || node.is_disproved(&verdict);
+            if is_objection {
+                node.record_answered(PART, later, later);
+            }
+            if disproves && node.objects(PART, true, later) {
+                n_sent += FANOUT;
+                queue.extend((0..FANOUT).map(|_| (rng.random_range(0..n_nodes), true)));
+            }
+            if !is_objection && node.record_verdict(verdict.clone()) {
+                n_sent += FANOUT;
+                queue.extend((0..FANOUT).map(|_| (rng.random_range(0..n_nodes), false)));
+            }
+        }
+        let is_refused = |it: &mut Suspects| {
+            answer_others(it, later);
+            it.decide(&[PART], now + Duration::from_secs(1), false) != Decision::Admit
+        };
+        let n_refusing = nodes.iter_mut().filter_map(|it| is_refused(it).then_some(())).count();
+        assert!(n_refusing as f64 <= 0.01 * n_nodes as f64, "{n_refusing} of {n_nodes} refuse");
+        assert!(n_sent <= 2 * FANOUT * n_nodes, "{n_sent} datagrams of {n_nodes} nodes");
+        n_sent / n_nodes
+    });
+}
+
 /// Guards against a caller that sends thousands of parts to push out a verdict or the crashes under
 /// another part.
 #[test]
--- a/crates/curranthook_policy/src/suspects.rs
+++ b/crates/curranthook_policy/src/suspects.rs
@@ -22,6 +22,9 @@
 const MAX_KEPT: usize = 8;
 /// The time in which nodes that know of an answer can object to a verdict.
 const OBJECTION_TIME: Duration = Duration::from_millis(400);
+/// The minimum interval between two objections of a node for the same reason. Many nodes pass the same
+/// verdict on to it.
+const OBJECTION_INTERVAL: Duration = Duration::from_secs(1);
 /// How long crashes count, and how long a verdict holds.
 const EXPIRY: Duration = Duration::from_secs(600);
 /// How many answers on other parts must have gone on at a node since the first crash before it
@@ -116,13 +119,15 @@
     answered: HashMap<Part, Instant>,
     /// The last such answers at this node: when each began, and its parts.
     recent: VecDeque<(Instant, Vec<Part>)>,
+    /// When this node last objected, by the part and whether its answer disproved a verdict.
+    objected: HashMap<(Part, bool), Instant>,
 }
 
 impl Suspects {
     /// Creates records of at most `capacity` parts of each kind.
     pub fn new(capacity: usize) -> Self {
-        let (evidence, verdicts, answered, recent) = Default::default();
-        Self { capacity, evidence, verdicts, answered, recent }
+        let (evidence, verdicts, answered, recent, objected) = Default::default();
+        Self { capacity, evidence, verdicts, answered, recent, objected }
     }
 
     /// Records a crash against one of its parts. Returns the verdict that follows from it, if there
@@ -200,6 +205,27 @@
         self.answered.get(&verdict.part).is_some_and(|at| verdict.first_crash < *at)
     }
 
+    /// Whether to tell other nodes of an answer on a part, which `disproves` a verdict or not; not if
+    /// that has just been done. Records that it is done.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_policy::suspects::Suspects;
+    /// let (mut it, now) = (Suspects::new(1_000), Instant::now());
+    /// assert!(it.objects(7, false, now));
+    /// assert!(!it.objects(7, false, now));
+    /// assert!(it.objects(7, true, now));
+    /// assert!(it.objects(7, false, now + Duration::from_secs(1)));
+    /// ```
+    pub fn objects(&mut self, part: Part, disproves: bool, now: Instant) -> bool {
+        self.objected.retain(|_, at| now < *at + OBJECTION_INTERVAL);
+        if self.objected.contains_key(&(part, disproves)) {
+            return false;
+        }
+        self.objected.insert((part, disproves), now);
+        true
+    }
+
     /// When the last answer on a part began.
     pub fn answered_at(&self, part: Part) -> Option<Instant> {
         self.answered.get(&part).copied()
