Close connections unread at a node that is behind

Cause: the server accepts all connections and reads all requests, so that each waits behind all others at each of a few steps.

Change: `server::Backlog` knows how long accepted connections wait to be read. If that is over 100 ms again and again for a second, connections that would wait or have waited too long are closed unread, and the others are told to close. One is read each 100 ms at least, so that a node never refuses all. Only the port for callers has a backlog.

--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -71,6 +71,8 @@
     pub in_flight: Gauge,
     /// The number of log lines that were dropped and not yet reported.
     pub lines_dropped: Gauge,
+    /// The number of callers' connections that were closed unread.
+    pub connections_closed: Gauge,
 }
 
 impl Default for Metrics {
@@ -104,6 +106,7 @@
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
             lines_dropped: Gauge::default(),
+            connections_closed: Gauge::default(),
         };
         it.register();
         it
@@ -163,6 +166,8 @@
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         let help = "Log lines that were dropped and not yet reported";
         registry.register("log_lines_dropped", help, self.lines_dropped.clone());
+        let help = "Callers' connections closed unread, as others waited too long to be read";
+        registry.register("connections_closed_unread", help, self.connections_closed.clone());
     }
 
     /// Counts a request that ended, and its duration.
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -10,7 +10,7 @@
 use async_signal::{Signal, Signals};
 use curranthook_http::{
     Body, body,
-    server::{Handler, Limits, Server},
+    server::{Backlog, Handler, Limits, Server},
     stop,
 };
 use futures_lite::{
@@ -46,6 +46,9 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a caller's connection may be idle. Callers close theirs earlier than that.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a caller's new connection should wait at most until it is read. A request waits as long
+/// at each of a few steps after that.
+const MAX_CONNECTION_WAIT: Duration = Duration::from_millis(100);
 
 /// Why a node cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -111,7 +114,8 @@
     log_start(&gateway);
     let (trigger, stop) = stop::new();
     let frontend = Arc::new(Frontend { gateway: Arc::clone(&gateway), closed: false.into() });
-    let callers = listeners.callers;
+    let backlog = Arc::new(Backlog::new(MAX_CONNECTION_WAIT, Arc::clone(&gateway.clock)));
+    let callers = listeners.callers.with_backlog(Arc::clone(&backlog));
     let served = {
         let (ex, frontend) = (Arc::clone(&gateway.ex), Arc::clone(&frontend));
         gateway.ex.spawn(async move { callers.serve(&ex, frontend, stop).await })
@@ -123,7 +127,8 @@
         serve_detached(&gateway, server, handler);
     }
     if let Some(server) = listeners.metrics {
-        serve_detached(&gateway, server, Arc::new(MetricsHandler(Arc::clone(&gateway))));
+        let handler = MetricsHandler { gateway: Arc::clone(&gateway), backlog };
+        serve_detached(&gateway, server, Arc::new(handler));
     }
     spawn_tasks(&gateway);
     if let Some(socket) = listeners.reports {
@@ -230,14 +235,19 @@
 
 /// Serves the metrics.
 #[derive(Debug)]
-struct MetricsHandler(Arc<Gateway>);
+struct MetricsHandler {
+    gateway: Arc<Gateway>,
+    backlog: Arc<Backlog>,
+}
 
 impl Handler for MetricsHandler {
     fn handle(self: Arc<Self>, _req: Request<Incoming>) -> Boxed<Response<Body>> {
         Box::pin(async move {
-            let metrics = &self.0.metrics;
-            metrics.in_flight.set(i64::try_from(self.0.in_flight()).unwrap_or(i64::MAX));
-            metrics.lines_dropped.set(i64::try_from(self.0.log.dropped()).unwrap_or(i64::MAX));
+            let Self { gateway, backlog } = &*self;
+            let (metrics, gauge) = (&gateway.metrics, |n| i64::try_from(n).unwrap_or(i64::MAX));
+            metrics.in_flight.set(gauge(gateway.in_flight() as u64));
+            metrics.lines_dropped.set(gauge(gateway.log.dropped()));
+            metrics.connections_closed.set(gauge(backlog.n_closed()));
             Response::new(body::full(metrics.text()))
         })
     }
--- a/crates/curranthook_http/src/server.rs
+++ b/crates/curranthook_http/src/server.rs
@@ -1,5 +1,7 @@
 //! An HTTP server that finishes the requests in progress before it stops.
 
+mod backlog;
+
 use std::{
     convert::Infallible,
     io,
@@ -10,11 +12,14 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future::{self, Boxed};
+use http::{HeaderValue, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{Body, runtime, stop::Stop};
 
+pub use self::backlog::{Backlog, Waiting};
+
 /// The delay after a failed `accept`, so that the accept loop does not spin when the process is out
 /// of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -50,6 +55,7 @@
     listener: Async<TcpListener>,
     addr: SocketAddr,
     limits: Limits,
+    backlog: Option<Arc<Backlog>>,
 }
 
 impl Server {
@@ -57,7 +63,7 @@
     pub fn bind(addr: SocketAddr) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
-        Ok(Self { listener, addr, limits: Limits::default() })
+        Ok(Self { listener, addr, limits: Limits::default(), backlog: None })
     }
 
     /// Sets the limits on client connections.
@@ -65,6 +71,12 @@
         Self { limits, ..self }
     }
 
+    /// Closes the connections unread for which `backlog` says so, and asks the clients of the others
+    /// to close theirs meanwhile. Without it, all are read.
+    pub fn with_backlog(self, backlog: Arc<Backlog>) -> Self {
+        Self { backlog: Some(backlog), ..self }
+    }
+
     /// The bound address, with the actual port.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -85,10 +97,18 @@
                 Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            let waiting = self.backlog.as_ref().map(Backlog::admit);
+            if let Some(None) = waiting {
+                drop(stream);
+                continue;
+            }
+            let waiting = waiting.flatten();
             let (handler, stop, open) = (Arc::clone(&handler), stop.clone(), open.clone());
-            let limits = self.limits;
+            let (limits, backlog) = (self.limits, self.backlog.clone());
             ex.spawn(async move {
-                serve_connection(stream, handler, stop, limits).await;
+                if waiting.is_none_or(Waiting::end) {
+                    serve_connection(stream, handler, stop, limits, backlog).await;
+                }
                 drop(open);
             })
             .detach();
@@ -113,13 +133,20 @@
     handler: Arc<H>,
     stop: Stop,
     limits: Limits,
+    backlog: Option<Arc<Backlog>>,
 ) {
     // The small events of a stream must be sent immediately; without `TCP_NODELAY` the kernel may
     // delay them.
     let _best_effort = stream.get_ref().set_nodelay(true);
     let service = service_fn(move |req| {
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+        let (handler, backlog) = (Arc::clone(&handler), backlog.clone());
+        async move {
+            let mut response = handler.handle(req).await;
+            if backlog.is_some_and(|it| it.are_waits_too_long()) {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
