Split the load reports and the fleet writer by subject

What handles the messages of other nodes (`load/reports/incoming.rs`), what a node learns before it places a request (`load/reports/peer_state.rs`), and the writes and reports of evidence (`fleet_writer/evidence.rs`) are in files of their own. Nothing but places and visibility changed.

--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -3,6 +3,7 @@
 
 pub mod charges;
 pub mod collectors;
+mod evidence;
 
 use std::{
     collections::HashMap,
@@ -14,14 +15,14 @@
 use async_io::Timer;
 use curranthook_policy::hash;
 
-use self::{charges::Charges, collectors::Collectors};
+use self::{charges::Charges, evidence::WrittenEvidence};
 use crate::{
     Gateway,
     event::Event,
-    fleet::{self, Key, Node, Observation, log_rollout},
+    fleet::{self, Key, Node, log_rollout},
     replication::joins::{self, Join},
     rollouts::Rollout,
-    steps::{self, Counts, Phase, Step},
+    steps::{self, Phase, Step},
     store::{Commit, Committed, Error, Progress, Report, Rev, Table},
     suspects,
 };
@@ -35,8 +36,6 @@
 const MAX_RANK: usize = 8;
 /// The delay before a failed write of a step is retried.
 const STEP_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// The minimum interval between two writes of evidence about a new version.
-const EVIDENCE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How much the intervals grow with each node, so that all nodes together write at most 40 rows per
 /// second.
 const INTERVAL_PER_NODE: Duration = Duration::from_millis(25);
@@ -48,8 +47,6 @@
 const VERDICTS_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum number of verdicts in a row.
 const MAX_VERDICTS: usize = 64;
-/// The minimum interval between two reports of evidence to a collector.
-const EVIDENCE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a starting node waits for the fleet rows, which may already contain its addresses.
 const MEMBERS_TIMEOUT: Duration = Duration::from_secs(5);
 /// The span over which the nodes of a fleet that starts for the first time spread the writes of
@@ -100,29 +97,6 @@
     key_written_at: Option<Instant>,
 }
 
-/// What a node has written and reported of the evidence about a rollout, at times of the store's
-/// clock.
-#[derive(Debug, Clone, Copy, Default)]
-struct WrittenEvidence {
-    order: Rev,
-    /// The answers of the new version in the row: those that this node has received, and those that
-    /// were reported to it.
-    new: (Counts, Counts),
-    written_at: Duration,
-    reported_at: Duration,
-}
-
-/// What a node does with its evidence about a rollout, beside writing bad evidence.
-#[derive(Debug, Clone, Copy)]
-enum EvidenceRole {
-    /// It writes good evidence, too, and that of others, as one of `n_collectors`.
-    Collector { n_collectors: u32 },
-    /// It reports to the collector at this address.
-    Reporter(SocketAddr),
-    /// There are no datagrams between the nodes.
-    None,
-}
-
 impl Writer {
     /// Writes this node's addresses, unless an earlier process of it has written the same ones.
     async fn announce(&self) {
@@ -332,79 +306,6 @@
         self.gateway.mirror.lock().row(Table::Fleet, &key).map_or(Rev(0), |it| it.rev)
     }
 
-    /// Writes this node's evidence about a rollout if that is its role or if there is bad evidence,
-    /// and reports to its collector what it has not written.
-    async fn write_evidence(&mut self, it: &Rollout, now: Duration) {
-        let service = &it.order.service;
-        if it.phase().is_final() {
-            return;
-        }
-        let known = self.written_evidence.get(service).copied().unwrap_or_default();
-        let known = if known.order == it.order_rev { known } else { WrittenEvidence::default() };
-        let mut written = WrittenEvidence { order: it.order_rev, ..known };
-        let role = self.evidence_role(service);
-        let (collected, n_collected) = it.reported_sum();
-        let (own, has_bad) = (it.own, known.new.0.bad != it.own.new.bad);
-        let (is_due, interval) = match role {
-            EvidenceRole::Collector { n_collectors } => (
-                known.new != (own.new, collected.new),
-                EVIDENCE_INTERVAL.max(INTERVAL_PER_NODE * n_collectors),
-            ),
-            EvidenceRole::Reporter(_) => (has_bad, self.write_interval(EVIDENCE_INTERVAL)),
-            EvidenceRole::None => {
-                (has_bad || own.is_suspicious(), self.write_interval(EVIDENCE_INTERVAL))
-            }
-        };
-        if is_due && known.written_at + interval <= now {
-            self.gateway.rollouts.lock().record_evidence_written(service);
-            let key = Key::Evidence(service, &self.gateway.settings.node).to_string();
-            let row = Observation { order: it.order_rev, evidence: own, collected, n_collected };
-            if self.write(&key, None, &encode(&row), None).await.is_ok() {
-                self.gateway.rollouts.lock().record_row(service, it.order_rev, own);
-                written.new = (own.new, collected.new);
-                // The collector must not add what the row contains now.
-                written.reported_at = Duration::ZERO;
-            }
-            // A failed write delays the next one as a successful write does; otherwise each node
-            // would call an unavailable store four times a second.
-            written.written_at = now;
-        }
-        if let EvidenceRole::Reporter(collector) = role
-            && it.phase() != Phase::Waiting
-            && written.reported_at + EVIDENCE_REPORT_INTERVAL <= now
-        {
-            self.report_evidence(it, collector).await;
-            written.reported_at = now;
-        }
-        self.written_evidence.insert(service.clone(), written);
-    }
-
-    async fn report_evidence(&self, it: &Rollout, collector: SocketAddr) {
-        let Some(reports) = self.gateway.load_reports.get() else { return };
-        let own_in_row = {
-            let rollouts = self.gateway.rollouts.lock();
-            rollouts.get(&it.order.service).map_or(it.own_in_row, |it| it.own_in_row)
-        };
-        let (node, rollout) = (&self.gateway.settings.node, (&it.order.service[..], it.order_rev));
-        reports.send_evidence(node, rollout, it.own.minus(own_in_row), collector).await;
-    }
-
-    fn evidence_role(&self, service: &str) -> EvidenceRole {
-        let own = &self.gateway.settings.node;
-        let peers = self.gateway.peers.lock();
-        let others = peers.keys().filter(|it| *it != own).map(String::as_str);
-        let collectors = Collectors::new(service, others.chain([&own[..]]));
-        if collectors.contains(own) {
-            let n_collectors = u32::try_from(collectors.len()).unwrap_or(u32::MAX);
-            return EvidenceRole::Collector { n_collectors };
-        }
-        let collector = collectors.of(own).and_then(|it| peers.get(it)?.reports);
-        match collector.filter(|_| self.gateway.load_reports.get().is_some()) {
-            Some(addr) => EvidenceRole::Reporter(addr),
-            None => EvidenceRole::None,
-        }
-    }
-
     /// Writes the requests that this node blames for endpoint failures, if there are new ones.
     async fn write_poison(&mut self) {
         let now = self.gateway.now();
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -6,7 +6,7 @@
 use curranthook_http::timeout;
 use curranthook_types::endpoint;
 
-use super::{Message, PeerState, Socket, local_state};
+use super::{Message, PeerState, Socket, incoming::local_state};
 use crate::Gateway;
 
 /// The timeout for an owner's answer: a few network delays between failure domains, and the
