Store what endpoints state of the rejections that they bear

What callers saw: after a restart of the whole fleet, nobody knows that endpoints are brittle until the first of them answers, and these get more requests than they have room for (LIMIT).

Cause: nodes tell each other of a statement and ask others as they join, but a fleet that restarts has nobody to ask.

Change: the first node by rendezvous hashing writes the statement of a service to the row `brittle/SERVICE`, once a minute while it is repeated. A node that starts reads all rows before it serves, and goes by a statement of the last ten minutes for 6 s, unless it has heard of one itself. Older builds ignore the row.

--- a/crates/curranthook_gateway/src/brittle.rs
+++ b/crates/curranthook_gateway/src/brittle.rs
@@ -20,7 +20,7 @@
 
 /// The time in which all nodes have learned of the first statement, and report their requests.
 /// Endpoints let fewer requests wait only later.
-const SPREAD_TIME: Duration = Duration::from_secs(1);
+pub const SPREAD_TIME: Duration = Duration::from_secs(1);
 
 /// The share of the rejections that an endpoint can bear which attempts without known room may
 /// cause.
@@ -103,6 +103,11 @@
         !is_told
     }
 
+    /// Whether any statement of a service was recorded, valid or not.
+    pub fn contains(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// Whether some nodes may not know yet that the endpoints of a service are brittle.
     pub fn is_spreading(&self, service: &str, now: Instant) -> bool {
         let statement = self.services.get(service).map(|it| it.statement);
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -274,6 +274,11 @@
         self.statements.record(service, statement)
     }
 
+    /// Whether the endpoints of a service have ever stated that they are brittle.
+    pub fn knows_statement(&self, service: &str) -> bool {
+        self.statements.contains(service)
+    }
+
     /// The valid statements of brittle endpoints, by service.
     pub fn statements(&self, now: Instant) -> impl Iterator<Item = (&str, Statement)> {
         self.statements.valid(now)
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::{
     Gateway,
     event::Event,
-    load::snapshot_rows,
+    load::{reports::statements, snapshot_rows},
     steps::{Evidence, Step},
     store::{Rev, Row, Table},
     suspects,
@@ -38,6 +38,9 @@
     /// The parts of prompts under which a node found that endpoints crash. Builds that do not know
     /// this kind of row ignore it.
     Parts(&'a str),
+    /// What the endpoints of a service state of the rejections that they bear. Builds that do not
+    /// know this kind of row ignore it.
+    Brittle(&'a str),
     /// The latency estimates of a service's models. Builds that do not know this kind of row ignore
     /// it.
     Snapshot(&'a str),
@@ -61,6 +64,7 @@
             "step" => Some(Self::Step(rest)),
             "poison" => Some(Self::Poison(rest)),
             "parts" => Some(Self::Parts(rest)),
+            "brittle" => Some(Self::Brittle(rest)),
             "snapshot" => Some(Self::Snapshot(rest)),
             "evidence" => {
                 rest.rsplit_once('/').map(|(service, node)| Self::Evidence(service, node))
@@ -80,6 +84,7 @@
             Self::Evidence(service, node) => write!(f, "evidence/{service}/{node}"),
             Self::Poison(node) => write!(f, "poison/{node}"),
             Self::Parts(node) => write!(f, "parts/{node}"),
+            Self::Brittle(service) => write!(f, "brittle/{service}"),
             Self::Snapshot(service) => write!(f, "snapshot/{service}"),
         }
     }
@@ -204,6 +209,9 @@
             let findings: Vec<suspects::Finding> = serde_json::from_slice(value)?;
             findings.iter().for_each(|it| suspects::receive_finding(gateway, it, "store"));
         }
+        Key::Brittle(service) => {
+            statements::restore(gateway, service, &serde_json::from_slice(value)?);
+        }
         Key::Snapshot(service) => snapshot_rows::apply(gateway, service, value, rev),
     }
     Ok(())
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -1,9 +1,11 @@
 //! Writes the rows that other nodes read from this one: its addresses, rollout steps that are due,
-//! its evidence about a new version, and the requests that it blames for endpoint failures.
+//! its evidence about a new version, the requests that it blames for endpoint failures, and what
+//! endpoints state of the rejections that they bear.
 
 pub mod charges;
 pub mod collectors;
 mod evidence;
+mod statements;
 
 use std::{
     collections::HashMap,
@@ -67,6 +69,7 @@
         charges: Charges::default(),
         written_verdicts: Vec::new(),
         verdicts_written_at: None,
+        statements_written_at: HashMap::new(),
         tree_written_at: None,
         key_written_at: None,
     };
@@ -78,6 +81,7 @@
         writer.update_rollouts().await;
         writer.write_poison().await;
         writer.write_verdicts().await;
+        writer.write_statements().await;
     }
 }
 
@@ -91,6 +95,8 @@
     /// The parts in this node's row of verdicts, and when it was last written.
     written_verdicts: Vec<u64>,
     verdicts_written_at: Option<Instant>,
+    /// When the statement of each service was last written, successfully or not.
+    statements_written_at: HashMap<String, Instant>,
     /// When the tree of relays was last written.
     tree_written_at: Option<Instant>,
     /// When a key for forwarded requests was last written.
--- a/crates/curranthook_gateway/src/load/reports/statements.rs
+++ b/crates/curranthook_gateway/src/load/reports/statements.rs
@@ -16,6 +16,8 @@
 
 /// The maximum number of services in a datagram.
 const MAX_STATEMENTS: usize = 8;
+/// How old a stored statement may be to count.
+const MAX_STORED_AGE: Duration = Duration::from_secs(600);
 
 /// What the endpoints of a service state, as sent between nodes.
 #[serde_as]
@@ -90,6 +92,32 @@
     record(gateway, &received.service, statement, "peer");
 }
 
+/// What the endpoints of a service state, as stored for nodes that start while no other runs.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Stored {
+    /// The rejections per second that each endpoint can bear.
+    pub max_rejections: f64,
+    /// When an endpoint last stated it, by the store's clock.
+    #[serde(rename = "at_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub at: Duration,
+}
+
+/// Records a statement that an earlier process stored, unless this one has heard of a newer one. All
+/// nodes read it before they send requests, so that none has to spread it.
+pub fn restore(gateway: &Gateway, service: &str, stored: &Stored) {
+    let is_valid = stored.max_rejections.is_finite() && 0.0 < stored.max_rejections;
+    let age = gateway.store_time().unwrap_or_default().saturating_sub(stored.at);
+    let now = gateway.now();
+    if !is_valid || MAX_STORED_AGE <= age || gateway.directory.lock().knows_statement(service) {
+        return;
+    }
+    let since = now.checked_sub(brittle::SPREAD_TIME).unwrap_or(now);
+    let statement = brittle::Statement { max_rejections: stored.max_rejections, at: now, since };
+    record(gateway, service, statement, "store");
+}
+
 /// Asks other nodes for the statements that they know, once the nodes of the fleet are known. Without
 /// this, a node that joins would cause rejections until an endpoint answers it.
 pub(super) async fn ask(gateway: Arc<Gateway>, reports: Arc<Socket>) {
