Store since when endpoints state that they are brittle

Cause, found on reading: a node that runs already and reads the row before it hears of the statement took it to be known to all for a second, and told others so. In the first second after a statement an owner that doesn't know it yet is believed; that time was cut short.

Change: the row keeps when the first endpoint stated it.

--- a/crates/curranthook_gateway/src/brittle.rs
+++ b/crates/curranthook_gateway/src/brittle.rs
@@ -20,7 +20,7 @@
 
 /// The time in which all nodes have learned of the first statement, and report their requests.
 /// Endpoints let fewer requests wait only later.
-pub const SPREAD_TIME: Duration = Duration::from_secs(1);
+const SPREAD_TIME: Duration = Duration::from_secs(1);
 
 /// The share of the rejections that an endpoint can bear which attempts without known room may
 /// cause.
--- a/crates/curranthook_gateway/src/fleet_writer/statements.rs
+++ b/crates/curranthook_gateway/src/fleet_writer/statements.rs
@@ -5,6 +5,7 @@
 
 use super::{Writer, encode};
 use crate::{
+    brittle::Statement,
     fleet::{self, Key},
     load::reports::statements::Stored,
     store::{Rev, Table},
@@ -22,12 +23,11 @@
     pub(super) async fn write_statements(&mut self) {
         let Some(store_time) = self.gateway.store_time() else { return };
         let now = self.gateway.now();
-        let statements: Vec<(String, f64)> = {
+        let statements: Vec<(String, Statement)> = {
             let directory = self.gateway.directory.lock();
-            let valid = directory.statements(now);
-            valid.map(|(service, it)| (service.to_owned(), it.max_rejections)).collect()
+            directory.statements(now).map(|(service, it)| (service.to_owned(), it)).collect()
         };
-        for (service, max_rejections) in statements {
+        for (service, Statement { max_rejections, since, .. }) in statements {
             let written_at = self.statements_written_at.get(&service);
             let is_recent = written_at.is_some_and(|it| now < *it + MIN_INTERVAL);
             if is_recent || 0 < fleet::rank(&self.gateway, &service) {
@@ -44,7 +44,8 @@
                 continue;
             }
             let expected = row.map_or(Rev(0), |it| it.rev);
-            let value = encode(&Stored { max_rejections, at: store_time });
+            let since = store_time.saturating_sub(now.saturating_duration_since(since));
+            let value = encode(&Stored { max_rejections, since, at: store_time });
             // A failed write was logged, and is repeated after the interval.
             let _failed = self.write(&key, Some(expected), &value, None).await;
             self.statements_written_at.insert(service, now);
--- a/crates/curranthook_gateway/src/load/reports/statements.rs
+++ b/crates/curranthook_gateway/src/load/reports/statements.rs
@@ -98,23 +98,30 @@
 pub struct Stored {
     /// The rejections per second that each endpoint can bear.
     pub max_rejections: f64,
+    /// When the first endpoint stated it, by the store's clock.
+    #[serde(rename = "since_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub since: Duration,
     /// When an endpoint last stated it, by the store's clock.
     #[serde(rename = "at_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub at: Duration,
 }
 
-/// Records a statement that an earlier process stored, unless this one has heard of a newer one. All
-/// nodes read it before they send requests, so that none has to spread it.
+/// Records a statement that another process stored, unless this one has heard of one. It counts as
+/// made now, as endpoints repeat it in their answers.
 pub fn restore(gateway: &Gateway, service: &str, stored: &Stored) {
     let is_valid = stored.max_rejections.is_finite() && 0.0 < stored.max_rejections;
-    let age = gateway.store_time().unwrap_or_default().saturating_sub(stored.at);
-    let now = gateway.now();
-    if !is_valid || MAX_STORED_AGE <= age || gateway.directory.lock().knows_statement(service) {
+    let age_of = |it: Duration| gateway.store_time().unwrap_or_default().saturating_sub(it);
+    if !is_valid
+        || MAX_STORED_AGE <= age_of(stored.at)
+        || gateway.directory.lock().knows_statement(service)
+    {
         return;
     }
-    let since = now.checked_sub(brittle::SPREAD_TIME).unwrap_or(now);
-    let statement = brittle::Statement { max_rejections: stored.max_rejections, at: now, since };
+    let at = gateway.now();
+    let since = at.checked_sub(age_of(stored.since)).unwrap_or(at);
+    let statement = brittle::Statement { max_rejections: stored.max_rejections, at, since };
     record(gateway, service, statement, "store");
 }
 
--- a/crates/curranthook_gateway/tests/stored_statements.rs
+++ b/crates/curranthook_gateway/tests/stored_statements.rs
@@ -14,10 +14,10 @@
 /// Guards against a fleet that forgets with a restart that endpoints are brittle, and against one
 /// that takes them for brittle long after.
 #[parameterized(
-    recent = { br#"{"max_rejections":4.0,"at_ms":995000}"#, true },
-    old = { br#"{"max_rejections":4.0,"at_ms":100000}"#, false },
-    none = { br#"{"max_rejections":0.0,"at_ms":995000}"#, false },
-    malformed = { br#"{"max_rejections":"4"}"#, false },
+    recent = { br#"{"max_rejections":4.0,"since_ms":90000,"at_ms":995000}"#, true },
+    old = { br#"{"max_rejections":4.0,"since_ms":90000,"at_ms":100000}"#, false },
+    none = { br#"{"max_rejections":0.0,"since_ms":90000,"at_ms":995000}"#, false },
+    malformed = { br#"{"max_rejections":"4","since_ms":90000,"at_ms":995000}"#, false },
 )]
 fn stored_statement_counts_for_some_minutes(value: &[u8], is_brittle: bool) {
     let table = Arc::new(FleetTable::default());
@@ -36,9 +36,10 @@
     let table = Arc::new(FleetTable::default());
     announce(&table, "n-1");
     let node = TestNode::start("n-1", Contention::Ignored, &table);
-    for value in
-        [r#"{"max_rejections":4.0,"at_ms":995000}"#, r#"{"max_rejections":3.0,"at_ms":995000}"#]
-    {
+    for value in [
+        r#"{"max_rejections":4.0,"since_ms":90000,"at_ms":995000}"#,
+        r#"{"max_rejections":3.0,"since_ms":90000,"at_ms":995000}"#,
+    ] {
         table.put("brittle/engines", value.as_bytes());
         node.read(&table, Some(Duration::from_secs(1_000)));
     }
