--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -94,7 +94,7 @@
             queries: Family::default(),
             plain_queries: Family::default(),
             slowdown_figures: Family::default(),
-            // From 0.25 to 11 times the usual time, two buckets for each doubling.
+            // Two buckets for each doubling.
             slowdown: Histogram::new(exponential_buckets(0.25, std::f64::consts::SQRT_2, 12)),
             snapshots: Family::default(),
             admissions: Family::default(),
