Borrow permits of other nodes for endpoints that limit the rate

Callers saw: with all callers at one node, requests that the fleet could serve were refused as throttled: 24 nodes 9 of 118 served, 40 nodes 6 of 81, 4 nodes 55 of 141. Spread evenly, a sixth to two fifths were refused at nodes without a permit.

Cause: a node may use its own permits only, and holders follow from a hash, not from where callers are.

Ruled out: the node's processor (all nodes had theirs) and estimates by rank (each refusal was `throttled`).

Change: a node without a due permit asks at most three holders for the right to send one request; the holder counts it before it answers. One rule for announced limits, slow start and attempts at brittle endpoints. Times to return go by what the node was able to send.

--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -1,5 +1,7 @@
 //! The endpoints known to a node, and what the node has observed of each.
 
+mod brittleness;
+mod permits;
 mod tracked;
 
 use std::{
@@ -14,14 +16,15 @@
 
 use crate::{
     advertised::{Advertised, Cache, Incarnation},
-    brittle::{self, Statement, Statements},
+    brittle::Statements,
     dialect::Load,
     entry::Entry,
     load::work::Work,
+    permit::{self, usage::Usage},
     rate_limit,
 };
 
-pub use self::tracked::Tracked;
+pub use self::{permits::Permits, tracked::Tracked};
 
 /// The weight of a new outcome in the moving average of failures; roughly the last ten outcomes
 /// count.
@@ -34,21 +37,6 @@
 /// can delay an order by up to this.
 const NEW_VERSION_DELAY: Duration = Duration::from_secs(4);
 
-/// Computes this node's part of a rate that all nodes share at one endpoint: the minimum interval
-/// between two requests, or none if the node may send no requests. Endpoints are identified by the
-/// hash of their id.
-pub trait Permits {
-    /// The minimum interval between two requests to an endpoint in slow start.
-    fn slow_start(&self, endpoint: u64) -> Option<Duration>;
-    /// The minimum interval between two requests to an endpoint that limits all nodes to `rate`
-    /// requests per second, in the current rotation.
-    fn rate_limited(&self, endpoint: u64, rate: f64) -> Option<Duration>;
-    /// This node's rank among the nodes that divide the room at an endpoint, and their number.
-    fn rank(&self, endpoint: u64) -> (u32, u32);
-    /// The number of the current rotation (see [`rate_limit::rotation`]).
-    fn rotation(&self) -> u64;
-}
-
 /// The endpoints of all services.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -66,6 +54,8 @@
     slowdown_services: HashSet<String>,
     /// What the endpoints of each service state of the rejections that they can bear.
     statements: Statements,
+    /// The requests that this node sends to limited endpoints.
+    permit_usage: Usage,
     /// When any endpoint last answered.
     last_answer: Option<Instant>,
     /// Until when endpoints whose entries were removed are kept, because the entries may have
@@ -206,23 +196,6 @@
         self.endpoints.get(id)
     }
 
-    /// Recomputes this node's outdated permits for those endpoints of a service that bound the rate
-    /// of all nodes together.
-    pub fn renew_permits(&mut self, service: &str, permits: &impl Permits, now: Instant) {
-        let attempt_rate = self.statements.max_rejections(service, now).map(brittle::attempt_rate);
-        for it in self.endpoints.values_mut().filter(|it| it.entry.service == service) {
-            let slow_start = it.slow_start.as_mut();
-            if let Some(slow_start) = slow_start.filter(|it| it.is_outdated(now)) {
-                slow_start.share.set_interval(permits.slow_start(it.id_hash), now);
-            }
-            it.renew_share(attempt_rate, permits, now);
-            let (limit, rotation) = (it.advertised.rate_limit.as_mut(), permits.rotation());
-            if let Some(limit) = limit.filter(|it| it.is_outdated(rotation, now)) {
-                limit.set_interval(permits.rate_limited(it.id_hash, limit.rate), rotation, now);
-            }
-        }
-    }
-
     /// Applies another node's report about an endpoint's rate limit. Returns whether the rate
     /// changed.
     pub fn apply_reported_limit(&mut self, id: &endpoint::Id, notice: &rate_limit::Notice) -> bool {
@@ -269,54 +242,6 @@
         }
     }
 
-    /// Records what an endpoint of `service` stated. Returns whether other nodes are to be told.
-    pub fn record_statement(&mut self, service: &str, statement: Statement) -> bool {
-        self.statements.record(service, statement)
-    }
-
-    /// Whether the endpoints of a service have ever stated that they are brittle.
-    pub fn knows_statement(&self, service: &str) -> bool {
-        self.statements.contains(service)
-    }
-
-    /// The valid statements of brittle endpoints, by service.
-    pub fn statements(&self, now: Instant) -> impl Iterator<Item = (&str, Statement)> {
-        self.statements.valid(now)
-    }
-
-    /// Whether the endpoints of a service state that they are brittle.
-    pub fn is_brittle(&self, service: &str, now: Instant) -> bool {
-        self.statements.max_rejections(service, now).is_some()
-    }
-
-    /// Whether some nodes may not know yet that the endpoints of a service are brittle.
-    pub fn is_brittleness_spreading(&self, service: &str, now: Instant) -> bool {
-        self.statements.is_spreading(service, now)
-    }
-
-    /// Records that a brittle endpoint rejected a request while it had `n_requests`.
-    pub fn record_rejection(&mut self, id: &endpoint::Id, n_requests: u32, now: Instant) {
-        if let Some(it) = self.endpoints.get_mut(id) {
-            let stated = self.statements.max_rejections(&it.entry.service, now);
-            let limit =
-                brittle::Limit::after_rejection(n_requests, stated.unwrap_or_default(), now);
-            it.rejected = Some(limit.lower(it.rejected, now));
-        }
-    }
-
-    /// The number of requests that an endpoint is known to take; none if it is not brittle.
-    pub fn brittle_limit(&self, id: &endpoint::Id, now: Instant) -> Option<u32> {
-        let it = self.endpoints.get(id).filter(|it| self.is_brittle(&it.entry.service, now))?;
-        Some(brittle::Limit::requests(it.entry.slots, it.rejected, now))
-    }
-
-    /// Records that an attempt without known room is being made at a brittle endpoint.
-    pub fn attempt_sent(&mut self, id: &endpoint::Id, now: Instant) {
-        if let Some(it) = self.endpoints.get_mut(id).and_then(|it| it.brittle.as_mut()) {
-            it.attempts.sent(now);
-        }
-    }
-
     /// The reported state of this incarnation; none if another incarnation is known under its id.
     fn advertised(&mut self, incarnation: &Incarnation, now: Instant) -> Option<&mut Advertised> {
         match self.endpoints.get_mut(&incarnation.id) {
@@ -328,19 +253,24 @@
 
     /// Records that a request is being sent. `work` is its expected prefill time, which counts as
     /// pending until the first byte of the answer.
-    pub fn request_sent(&mut self, id: &endpoint::Id, work: Work, now: Instant) {
-        if let Some(it) = self.endpoints.get_mut(id) {
-            it.in_flight += 1;
-            it.pending += work;
-            if let Some(slow_start) = &mut it.slow_start {
-                slow_start.share.sent(now);
-            }
-            if let Some(limit) = &mut it.advertised.rate_limit {
-                limit.sent(now);
-            }
-            if let Some(share) = &mut it.brittle {
-                share.sent(now);
-            }
+    pub fn request_sent(
+        &mut self,
+        id: &endpoint::Id,
+        work: Work,
+        permits: permit::Owner,
+        now: Instant,
+    ) {
+        let Some(it) = self.endpoints.get_mut(id) else { return };
+        it.in_flight += 1;
+        it.pending += work;
+        if permits == permit::Owner::Sender {
+            it.use_permits(now);
+        }
+        if let Some(share) = &mut it.brittle {
+            share.sent(now);
+        }
+        if it.is_limited(now) {
+            self.permit_usage.record(&it.entry.service, now);
         }
     }
 
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -160,6 +160,52 @@
         !is_blocked_by_slow_start && self.advertised.admits(now)
     }
 
+    /// The time until this node may send the endpoint a request under its own permits; none if it
+    /// lacks one.
+    pub(super) fn permit_due_in(&self, now: Instant) -> Option<Duration> {
+        let slow_start = self.slow_start.filter(|it| !it.is_over(now));
+        let shares = [
+            slow_start.map(|it| it.share.due_in(now)),
+            self.advertised.rate_limit.map(|it| it.due_in(now)),
+            self.brittle.map(|it| it.attempts.due_in(now)),
+        ];
+        shares.into_iter().flatten().try_fold(Duration::ZERO, |max, it| Some(max.max(it?)))
+    }
+
+    /// Whether this node may send the endpoint a request under its own permits now.
+    pub fn has_due_permits(&self, now: Instant) -> bool {
+        self.permit_due_in(now) == Some(Duration::ZERO)
+    }
+
+    /// The requests per second that the endpoint accepts from all nodes in its slow start, given the
+    /// rate of its service; none if it is in none.
+    pub fn slow_start_rate(&self, rate: Option<f64>, now: Instant) -> Option<f64> {
+        self.slow_start.filter(|it| !it.is_over(now)).and(rate)
+    }
+
+    /// The requests per second, or attempts if the endpoint is brittle, that nodes share by rotating
+    /// permits; none if there is no such limit.
+    pub fn shared_rate(&self) -> Option<f64> {
+        let limit = self.advertised.rate_limit.map(|it| it.rate);
+        let attempts = self.brittle.map(|it| it.attempts.rate);
+        limit.into_iter().chain(attempts).reduce(f64::min)
+    }
+
+    /// Whether all nodes together may send the endpoint some requests per second only.
+    pub(super) fn is_limited(&self, now: Instant) -> bool {
+        self.advertised.rate_limit.is_some() || self.slow_start.is_some_and(|it| !it.is_over(now))
+    }
+
+    /// Records a request under this node's permits.
+    pub(super) fn use_permits(&mut self, now: Instant) {
+        if let Some(slow_start) = &mut self.slow_start {
+            slow_start.share.sent(now);
+        }
+        if let Some(limit) = &mut self.advertised.rate_limit {
+            limit.sent(now);
+        }
+    }
+
     /// The requests per second that the endpoint accepts from all nodes, if they are bounded and
     /// this node may send none now. `slow_start_rate` is the rate of endpoints in slow start.
     pub fn throttled_rate(&self, slow_start_rate: Option<f64>, now: Instant) -> Option<f64> {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -204,6 +204,17 @@
         left_ms: u64,
         took_ms: u64,
     },
+    /// Another node was asked to lend a permit for a request.
+    PermitAsked {
+        request: &'a str,
+        service: &'a str,
+        holder: SocketAddr,
+        /// The endpoint that a request may be sent to; none if no permit was lent.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        endpoint: Option<&'a str>,
+        result: &'a str,
+        took_ms: u64,
+    },
     /// A request that claims to be forwarded did not come from a node of the fleet.
     ForwardRejected { path: &'a str },
     /// This node was cut off from the endpoints of a service, or reaches them again.
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -30,6 +30,7 @@
         snapshot_rows::Decided, table::LoadTable,
     },
     metrics::Metrics,
+    permit::lenders::Lenders,
     replication::{
         joins,
         mirror::Mirror,
@@ -125,6 +126,8 @@
     pub forwarding: Forwarding,
     /// The budget for retries.
     pub retry_budget: Mutex<Budget>,
+    /// The nodes that hold permits.
+    pub lenders: Mutex<Lenders>,
     /// The retry times that were given to refused callers.
     pub retry_schedule: Mutex<Reservations>,
     /// Requests that were refused as overloaded and may return.
@@ -215,6 +218,7 @@
             configuration: ArcSwapOption::empty(),
             directory: Mutex::default(),
             forwarding: Forwarding::default(),
+            lenders: Mutex::default(),
             retry_schedule: Mutex::default(),
             affinity: Mutex::default(),
             price_scales: Mutex::default(),
--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -14,6 +14,7 @@
         reports::{self, PeerState, Query},
     },
     models::Candidate,
+    permit::lending,
     refusal::{Reason, Refusal},
     rollouts::{Basis, Rule},
     selection::{self, Criteria, TargetModel, Unavailable},
@@ -37,16 +38,7 @@
             Some(peer_state) => peer_state,
             None => self.query_peers(&criteria).await,
         };
-        let decided = self.check_capacity(&criteria, &mut peer_state).await?;
-        let mut lease = Lease::acquire(&self.gateway, &decided, &peer_state);
-        for _ in 1..MAX_QUERY_ROUNDS {
-            if !matches!(lease, Err(Unavailable::Full))
-                || !self.query_others(&criteria, &mut peer_state).await
-            {
-                break;
-            }
-            lease = Lease::acquire(&self.gateway, &decided, &peer_state);
-        }
+        let lease = self.place(&criteria, &mut peer_state).await?;
         peer_state.settle(&self.gateway);
         let lease = lease.map_err(|e| match e {
             Unavailable::NoEndpoint => self.no_endpoint_refusal(&criteria),
@@ -55,19 +47,56 @@
         if let Some(prefix_hash) = criteria.prefix_hash {
             lease.record_prefix(prefix_hash);
         }
+        self.version_basis = self.version_basis(&rule, &lease);
+        Ok(lease)
+    }
+
+    /// Places the request at an endpoint: by what `peer_state` tells, by what the owners of further
+    /// endpoints add to it, or under a permit that another node lends. Refuses it if the endpoint is
+    /// not expected to serve it.
+    async fn place(
+        &self,
+        criteria: &Criteria<'_>,
+        peer_state: &mut PeerState,
+    ) -> Result<Result<Lease, Unavailable>, Refusal> {
+        let decided = self.check_capacity(criteria, peer_state).await?;
+        let mut lease = Lease::acquire(&self.gateway, &decided, peer_state);
+        for _ in 1..MAX_QUERY_ROUNDS {
+            if !matches!(lease, Err(Unavailable::Full))
+                || !self.query_others(criteria, peer_state).await
+            {
+                break;
+            }
+            lease = Lease::acquire(&self.gateway, &decided, peer_state);
+        }
+        if lease.is_ok() {
+            return Ok(lease);
+        }
+        let request = &self.request.head.id;
+        let Some(endpoint) = lending::borrow(&self.gateway, request, &decided, peer_state).await
+        else {
+            return Ok(lease);
+        };
+        let criteria = Criteria { borrowed: Some(&endpoint), ..decided };
+        let decided = self.check_capacity(&criteria, peer_state).await?;
+        Ok(Lease::acquire(&self.gateway, &decided, peer_state))
+    }
+
+    /// What the choice of the lease's version is based on, during a rollout.
+    fn version_basis(&self, rule: &Rule, lease: &Lease) -> Option<Basis> {
         let now = self.gateway.store_time();
-        let rollouts = self.gateway.rollouts.lock();
-        let basis = rollouts.basis(&self.service, &rule, &lease.version, now);
-        drop(rollouts);
-        if let Some(it) = basis.as_ref().filter(|it| it.last_resort) {
-            self.gateway.metrics.record_last_resort(it.rule);
+        let basis = {
+            let rollouts = self.gateway.rollouts.lock();
+            rollouts.basis(&self.service, rule, &lease.version, now)?
+        };
+        if basis.last_resort {
+            self.gateway.metrics.record_last_resort(basis.rule);
         }
-        self.version_basis = basis.map(|it| Basis {
+        Some(Basis {
             concentrated: lease.is_concentrated,
             session: format!("{:016x}", self.session_hash()),
-            ..it
-        });
-        Ok(lease)
+            ..basis
+        })
     }
 
     /// The versions that the request may be sent to now.
@@ -88,7 +117,10 @@
         };
         let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
         let after_pause = throttled.resumes_at.map(|it| it.saturating_duration_since(now));
-        let own_rate = Some(throttled.rate / n_nodes as f64).filter(|it| 0.0 < *it);
+        // Callers may be at few nodes, which then send more than an equal part.
+        let used = self.gateway.directory.lock().permit_usage(&self.service, now);
+        let own_rate = (throttled.rate / n_nodes as f64).max(used.min(throttled.rate));
+        let own_rate = Some(own_rate).filter(|it| 0.0 < *it);
         let after_interval =
             own_rate.map(|it| self.gateway.retry_schedule.lock().reserve(&self.service, it, now));
         let retry_after = after_pause.into_iter().chain(after_interval).min();
@@ -191,6 +223,7 @@
                 latency: self.latency(it),
             }),
             priority: model.and_then(|it| self.contended_priority(it)),
+            borrowed: None,
             at_most_once: matches!(self.route.retry_policy, RetryPolicy::AtMostOnce),
             time_left: self.time_left(),
             salt: hash::bytes(self.request.head.id.as_bytes()),
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -22,7 +22,7 @@
         reports::{PeerState, statements},
         work::Work,
     },
-    rate_limit,
+    permit, rate_limit,
     selection::{self, Choice, Criteria, Room, Unavailable},
 };
 
@@ -103,8 +103,12 @@
         // Where priorities are ignored, all work is recorded as the most urgent.
         let pending_prefill = Work::new(criteria.priority.unwrap_or_default(), prefill);
         let entry = choice.endpoint.entry.clone();
-        directory.request_sent(&entry.id, pending_prefill, now);
-        if room == Room::Permitted {
+        let permits = match criteria.borrowed {
+            Some(_) => permit::Owner::Lender,
+            None => permit::Owner::Sender,
+        };
+        directory.request_sent(&entry.id, pending_prefill, permits, now);
+        if room == Room::Permitted && permits == permit::Owner::Sender {
             directory.attempt_sent(&entry.id, now);
         }
         if let Some(room) = room.name() {
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -10,6 +10,7 @@
 mod datagram;
 mod incoming;
 mod limits;
+pub mod loans;
 mod message;
 mod outgoing;
 mod peer_state;
@@ -80,6 +81,7 @@
     socket: Async<UdpSocket>,
     next_query_id: AtomicU64,
     open_queries: Mutex<HashMap<u64, Sender<(u64, PeerState)>>>,
+    loans: loans::Open,
     /// Prompts sent for prefill that have not been reported yet.
     prefills: Mutex<Vec<Record>>,
     /// Unreachable endpoints that have not been reported yet.
@@ -108,6 +110,7 @@
             // A late answer to a query of the previous process must not match a new query.
             next_query_id: AtomicU64::new(rand::random::<u32>().into()),
             open_queries: Mutex::default(),
+            loans: loans::Open::default(),
             prefills: Mutex::default(),
             unreachable: Mutex::default(),
             in_flight_changed: AtomicBool::new(false),
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -16,6 +16,7 @@
         slowdowns,
         work::Work,
     },
+    permit::lending,
     suspects,
 };
 
@@ -77,6 +78,11 @@
         Message::Verdicts { findings, objections } => {
             suspects::receive_findings(gateway, &findings, &objections);
         }
+        Message::Borrow { id, endpoints } => {
+            let loan = lending::lend(gateway, &endpoints);
+            reports.send(Message::Lent { id, loan }, from).await;
+        }
+        Message::Lent { id, loan } => reports.loans.answer(id, loan),
         Message::BrittleQuestion => statements::answer(gateway, reports, from).await,
         Message::Brittle { statements } => {
             statements.iter().for_each(|it| statements::receive(gateway, it));
--- a/crates/curranthook_gateway/src/load/reports/message.rs
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -15,6 +15,7 @@
         in_flight::{self, Counts, Observed},
         slowdowns,
     },
+    permit::lending::Loan,
     steps::Evidence,
     store::Rev,
     suspects,
@@ -97,6 +98,20 @@
         /// The answers.
         objections: Vec<suspects::Objection>,
     },
+    /// Asks for the permit to send one request to one of these endpoints.
+    Borrow {
+        /// The id of the question, repeated in the answer.
+        id: u64,
+        /// The endpoints.
+        endpoints: Vec<endpoint::Id>,
+    },
+    /// The answer to that.
+    Lent {
+        /// The id of the question.
+        id: u64,
+        /// What is lent.
+        loan: Loan,
+    },
     /// Asks for the valid statements of endpoints that they are brittle.
     BrittleQuestion,
     /// Asks how much work all nodes except `node` have pending at these endpoints.
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -52,6 +52,7 @@
     brittle_attempts: Family<Label, Counter>,
     reach: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
+    permits: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     sections: Family<Label, Counter>,
     queries: Family<Label, Counter>,
@@ -89,6 +90,7 @@
             brittle_attempts: Family::default(),
             reach: Family::default(),
             forwarded: Family::default(),
+            permits: Family::default(),
             store_calls: Family::default(),
             sections: Family::default(),
             queries: Family::default(),
@@ -134,6 +136,8 @@
         registry.register("reach", help, self.reach.clone());
         let help = "Requests forwarded to other nodes, by result, and received from them";
         registry.register("forwarded", help, self.forwarded.clone());
+        let help = "Permits that other nodes were asked for, by result";
+        registry.register("permits_asked", help, self.permits.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Replies with rows to other nodes, by whether they had to be encoded";
         registry.register("row_replies", help, self.sections.clone());
@@ -196,6 +200,11 @@
         self.forwarded.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts a permit that another node was asked for.
+    pub fn record_permit(&self, result: &'static str) {
+        self.permits.get_or_create(&Label { name: result }).inc();
+    }
+
     /// Counts an attempt at a brittle endpoint, or its rejection.
     pub fn record_brittle_attempt(&self, name: &'static str) {
         self.brittle_attempts.get_or_create(&Label { name }).inc();
--- a/crates/curranthook_gateway/src/permit.rs
+++ b/crates/curranthook_gateway/src/permit.rs
@@ -4,6 +4,13 @@
 //! the rate, and the others do not use the endpoint. Every node computes the holders by rendezvous
 //! hashing, without a message. The part of a node that has crashed or lost its connections stays
 //! unused.
+//!
+//! Callers do not spread evenly over the nodes, and may all be at one. So a node without a permit
+//! that is due borrows one for each request from a holder (see [`lending`]).
+
+pub mod lenders;
+pub mod lending;
+pub mod usage;
 
 use std::time::{Duration, Instant};
 
@@ -27,11 +34,44 @@
 pub fn interval(rate: f64, endpoint: u64, node: u64, nodes: &[u64]) -> Option<Duration> {
     let weight = |node: u64| hash::pair(endpoint, node);
     let rank = nodes.iter().filter(|it| weight(node) < weight(**it)).count();
-    let n_holders = nodes.len().min(rate as usize).max(1);
+    let n_holders = n_holders(rate, nodes.len());
     let interval = Duration::try_from_secs_f64(n_holders as f64 / rate).ok()?;
     (rank < n_holders).then_some(interval)
 }
 
+/// The nodes that hold a permit for `endpoint`: those for which [`interval`] returns one.
+///
+/// ```
+/// # use curranthook_gateway::permit;
+/// let nodes: Vec<u64> = (0..80).collect();
+/// let holders = permit::holders(8.0, 7, &nodes);
+/// assert_eq!(holders.len(), 8);
+/// assert!(holders.iter().all(|it| permit::interval(8.0, 7, *it, &nodes).is_some()));
+/// ```
+pub fn holders(rate: f64, endpoint: u64, nodes: &[u64]) -> Vec<u64> {
+    let n_holders = n_holders(rate, nodes.len()).min(nodes.len());
+    let mut nodes = nodes.to_vec();
+    if n_holders < nodes.len() {
+        let weight = |node: &u64| std::cmp::Reverse(hash::pair(endpoint, *node));
+        nodes.select_nth_unstable_by_key(n_holders, weight);
+        nodes.truncate(n_holders);
+    }
+    nodes
+}
+
+fn n_holders(rate: f64, n_nodes: usize) -> usize {
+    n_nodes.min(rate as usize).max(1)
+}
+
+/// Whose permit a request is sent under.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Owner {
+    /// That of the node that sends it.
+    Sender,
+    /// That of a node that has lent it, and has counted the request.
+    Lender,
+}
+
 /// This node's share of an endpoint's rate: its permit, and when its next request is due.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Share {
@@ -88,6 +128,12 @@
         self.permit?.interval
     }
 
+    /// The time until a request may be sent; none if the node holds no permit.
+    pub fn due_in(&self, now: Instant) -> Option<Duration> {
+        let ahead = self.interval()? * self.burst;
+        Some(self.due.map_or(Duration::ZERO, |at| at.saturating_duration_since(now + ahead)))
+    }
+
     /// Records that a request was sent.
     pub fn sent(&mut self, now: Instant) {
         let due = self.due.map_or(now, |at| at.max(now));
--- a/crates/curranthook_gateway/src/rate_limit.rs
+++ b/crates/curranthook_gateway/src/rate_limit.rs
@@ -1,7 +1,7 @@
 //! The rate limit that an endpoint reports in its answers: the requests per second that it accepts
 //! from all nodes together.
 //!
-//! The fleet shares the rate by [`permit`]. The holders of the permits rotate, so that each node
+//! The fleet shares the rate by [`permit`]; a node without a permit borrows one. The holders of the permits rotate, so that each node
 //! sends the endpoint some requests and learns from the answers whether it still reports a limit. A
 //! node that learns of a change informs others (see [`load_reports`](crate::load::reports)).
 
@@ -68,6 +68,12 @@
     permit::interval(granted(rate), hash::pair(endpoint, rotation), node, nodes)
 }
 
+/// The nodes that hold a permit for `endpoint` in a rotation: those for which [`interval`] returns
+/// one.
+pub fn holders(rate: f64, endpoint: u64, rotation: u64, nodes: &[u64]) -> Vec<u64> {
+    permit::holders(granted(rate), hash::pair(endpoint, rotation), nodes)
+}
+
 /// The requests per second that the fleet may send to an endpoint that reports a limit of `rate`.
 ///
 /// ```
@@ -133,6 +139,11 @@
         self.share.admits(now)
     }
 
+    /// The time until a request may be sent; none if the node holds no permit.
+    pub fn due_in(&self, now: Instant) -> Option<Duration> {
+        self.share.due_in(now)
+    }
+
     /// Records that a request was sent.
     pub fn sent(&mut self, now: Instant) {
         self.share.sent(now);
--- a/crates/curranthook_gateway/src/selection.rs
+++ b/crates/curranthook_gateway/src/selection.rs
@@ -3,20 +3,18 @@
 
 mod concentration;
 mod eligible;
+mod permits;
 mod plain;
 mod room;
 
-use std::{
-    cell::LazyCell,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use curranthook_policy::{hash, slowdown::Outlook};
 use curranthook_types::endpoint;
 
 use crate::{
     Gateway, cascade,
-    directory::{Directory, Permits, Tracked},
+    directory::{Directory, Tracked},
     load::{
         in_flight,
         latency::Estimate,
@@ -26,15 +24,15 @@
         reports::PeerState,
         work::Work,
     },
-    permit,
     placement::{self, CacheHolders, Candidate, Locality, Task},
-    rate_limit,
     rollouts::Rule,
-    slow_start,
 };
 
-pub use self::room::Room;
 use self::{concentration::Concentration, eligible::eligible};
+pub use self::{
+    permits::{renew_permits, wanted_permits},
+    room::Room,
+};
 
 /// The assumed processing time of a request to a service without models.
 const DEFAULT_PROCESSING_TIME: Duration = Duration::from_millis(50);
@@ -66,6 +64,8 @@
     /// The priority that the request has at an engine with that model; `None` if decisions ignore
     /// how requests compete for capacity.
     pub priority: Option<u8>,
+    /// The endpoint for which another node has lent a permit; the request goes to no other one.
+    pub borrowed: Option<&'a endpoint::Id>,
     /// Whether the request is a call that may run only once.
     pub at_most_once: bool,
     /// The time left until the deadline.
@@ -285,68 +285,6 @@
     })
 }
 
-/// Recomputes the rate at which this node may send requests to those endpoints of `service` whose
-/// rate limit all nodes share.
-pub fn renew_permits(gateway: &Gateway, directory: &mut Directory, service: &str, now: Instant) {
-    let node_hashes = LazyCell::new(|| {
-        let peers = gateway.peers.lock();
-        peers.keys().map(|it| hash::bytes(it.as_bytes())).collect::<Vec<_>>()
-    });
-    let permits = FleetPermits {
-        slow_start_rate: gateway.service(service, |it| it.slow_start_rate),
-        rotation: rate_limit::rotation(gateway.store_time().unwrap_or_default()),
-        is_large: owners::are_used(gateway.n_nodes()),
-        node_hash: hash::bytes(gateway.settings.node.as_bytes()),
-        node_hashes,
-    };
-    directory.renew_permits(service, &permits, now);
-}
-
-/// Divides the rates that endpoints grant to the whole fleet among its nodes.
-struct FleetPermits<F> {
-    slow_start_rate: Option<f64>,
-    rotation: u64,
-    /// Whether load owners count the requests at endpoints.
-    is_large: bool,
-    /// The hash of this node's name.
-    node_hash: u64,
-    /// The hashes of all nodes' names.
-    node_hashes: LazyCell<Vec<u64>, F>,
-}
-
-impl<F: FnOnce() -> Vec<u64>> Permits for FleetPermits<F> {
-    fn slow_start(&self, endpoint: u64) -> Option<Duration> {
-        match self.slow_start_rate {
-            Some(rate) => permit::interval(
-                slow_start::granted(rate),
-                endpoint,
-                self.node_hash,
-                &self.node_hashes,
-            ),
-            None => Some(Duration::ZERO),
-        }
-    }
-
-    fn rate_limited(&self, endpoint: u64, rate: f64) -> Option<Duration> {
-        rate_limit::interval(rate, endpoint, self.rotation, self.node_hash, &self.node_hashes)
-    }
-
-    fn rank(&self, endpoint: u64) -> (u32, u32) {
-        if self.is_large {
-            return (0, 1);
-        }
-        let weight = |node: u64| hash::pair(hash::pair(endpoint, self.rotation), node);
-        let own = weight(self.node_hash);
-        let rank = self.node_hashes.iter().filter(|it| own < weight(**it)).count();
-        let n_nodes = self.node_hashes.len().max(1);
-        (u32::try_from(rank).unwrap_or(u32::MAX), u32::try_from(n_nodes).unwrap_or(u32::MAX))
-    }
-
-    fn rotation(&self) -> u64 {
-        self.rotation
-    }
-}
-
 fn candidates(
     gateway: &Gateway,
     endpoints: &[&Tracked],
--- a/crates/curranthook_gateway/src/selection/eligible.rs
+++ b/crates/curranthook_gateway/src/selection/eligible.rs
@@ -14,20 +14,19 @@
     concentration: Option<&Concentration>,
     now: Instant,
 ) -> Vec<&'a Tracked> {
-    let is_allowed = |it: &Tracked| criteria.rule.allows(&it.entry.version);
     let is_untried = |it: &Tracked| !criteria.tried.contains(&it.entry.id);
+    let is_usable = |it: &Tracked| is_usable(it, criteria, now);
     let select = |predicate: &dyn Fn(&Tracked) -> bool| -> Vec<&'a Tracked> {
-        ready.iter().copied().filter(|it| it.admits(now) && predicate(it)).collect()
+        let is_admitted = |it: &Tracked| match criteria.borrowed {
+            Some(id) => it.entry.id == *id && it.paused_until(now).is_none(),
+            None => it.admits(now),
+        };
+        ready.iter().copied().filter(|it| is_admitted(it) && predicate(it)).collect()
     };
-    // A new version gets no requests as long as its rollout order may still be on the way, unless
-    // the rule already follows from an order.
-    let is_order_known =
-        |it: &Tracked| *criteria.rule != Rule::Any || it.is_established_version(now);
-    let is_usable = |it: &Tracked| is_allowed(it) && is_order_known(it);
     let is_intended = |it: &Tracked| concentration.is_none_or(|c| c.is_intended(it));
     let preferences: [&dyn Fn(&Tracked) -> bool; 4] = [
-        &|it| is_usable(it) && is_untried(it) && !it.is_ejected(now) && is_intended(it),
-        &|it| is_usable(it) && is_untried(it) && !it.is_ejected(now),
+        &|it| is_preferred(it, criteria, now) && is_intended(it),
+        &|it| is_preferred(it, criteria, now),
         &|it| is_usable(it) && is_untried(it),
         &|it| is_usable(it),
     ];
@@ -53,3 +52,16 @@
         Rule::Avoid(_) | Rule::Not(_) | Rule::Any => Vec::new(),
     }
 }
+
+/// Whether an endpoint is usable, was not tried before and is not ejected.
+pub(super) fn is_preferred(endpoint: &Tracked, criteria: &Criteria<'_>, now: Instant) -> bool {
+    let is_untried = !criteria.tried.contains(&endpoint.entry.id);
+    is_usable(endpoint, criteria, now) && is_untried && !endpoint.is_ejected(now)
+}
+
+/// Whether a request may be sent to an endpoint's version. A new version gets no requests as long as
+/// its rollout order may still be on the way, unless the rule already follows from an order.
+fn is_usable(endpoint: &Tracked, criteria: &Criteria<'_>, now: Instant) -> bool {
+    let is_order_known = *criteria.rule != Rule::Any || endpoint.is_established_version(now);
+    criteria.rule.allows(&endpoint.entry.version) && is_order_known
+}
--- a/crates/curranthook_gateway/src/selection/room.rs
+++ b/crates/curranthook_gateway/src/selection/room.rs
@@ -47,16 +47,36 @@
     if !directory.is_brittle(criteria.service, now) || endpoints.is_empty() {
         return Ok((endpoints, Room::Any));
     }
-    let (known, unknown): (Vec<_>, Vec<_>) =
-        endpoints.into_iter().partition(|it| has_room(gateway, directory, it, peer_state, now));
+    let has_room = |it: &&Tracked| has_room(gateway, directory, it, peer_state, now);
+    let (known, unknown): (Vec<_>, Vec<_>) = endpoints.into_iter().partition(has_room);
     if !known.is_empty() {
         return Ok((known, Room::Known));
     }
-    let is_permitted = |it: &&Tracked| it.brittle.is_some_and(|it| it.attempts.admits(now));
+    let is_permitted = |it: &&Tracked| {
+        let is_lent = criteria.borrowed == Some(&it.entry.id);
+        (is_lent || it.brittle.is_some_and(|it| it.attempts.admits(now)))
+            && may_attempt(gateway, directory, it, peer_state, now)
+    };
     let permitted: Vec<_> = unknown.into_iter().filter(is_permitted).collect();
     if permitted.is_empty() { Err(Unavailable::Full) } else { Ok((permitted, Room::Permitted)) }
 }
 
+/// Whether an attempt without known room may succeed: the endpoint is not known to be full.
+pub(super) fn may_attempt(
+    gateway: &Gateway,
+    directory: &Directory,
+    endpoint: &Tracked,
+    peer_state: &PeerState,
+    now: Instant,
+) -> bool {
+    let limit = limit(endpoint, peer_state, now);
+    let is_full = || {
+        let requests = requests(gateway, directory, endpoint, peer_state, now);
+        gateway.knows_requests() && requests.is_some_and(|it| limit <= it)
+    };
+    0 < limit && !is_full()
+}
+
 /// Whether an endpoint is known to have room for one more request of this node.
 fn has_room(
     gateway: &Gateway,
--- a/crates/curranthook_gateway/tests/in_flight.rs
+++ b/crates/curranthook_gateway/tests/in_flight.rs
@@ -15,6 +15,7 @@
         occupancy::{self, Observation, Occupancy},
         work::Work,
     },
+    permit,
     settings::Contention,
 };
 use curranthook_policy::slowdown::{Factor, Figure};
@@ -147,7 +148,7 @@
 fn directory(entry: &Entry, now: Instant) -> Directory {
     let mut directory = Directory::default();
     directory.upsert(entry.clone(), now);
-    directory.request_sent(&entry.id, Work::default(), now);
+    directory.request_sent(&entry.id, Work::default(), permit::Owner::Sender, now);
     directory
 }
 
@@ -178,7 +179,7 @@
     let load = Some(load(SLOTS, 12, Some(2.5)));
     directory.first_byte_received(&entry.id, Work::default(), load, now);
     directory.request_ended(&entry.id, Outcome::Full, Work::default(), now);
-    directory.request_sent(&entry.id, Work::default(), now);
+    directory.request_sent(&entry.id, Work::default(), permit::Owner::Sender, now);
     let tracked = directory.get(&entry.id).unwrap();
     assert_eq!((tracked.in_flight, tracked.full_at(now)), (1, Some(18)));
     assert!(tracked.observation(now).is_some());
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -8,6 +8,7 @@
 mod evidence;
 mod forwarding;
 mod law;
+mod lending;
 mod owners;
 mod rows;
 mod storms;
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -185,6 +185,7 @@
         service: SERVICE,
         rule: &Rule::Any,
         tried,
+        borrowed: None,
         prefix_hash: None,
         prefix_tokens: 0,
         prompt_tokens: 0,
--- a/crates/curranthook_gateway/tests/versions_under_load.rs
+++ b/crates/curranthook_gateway/tests/versions_under_load.rs
@@ -194,6 +194,7 @@
         service: SERVICE,
         rule,
         tried: &[],
+        borrowed: None,
         prefix_hash: None,
         prefix_tokens: 0,
         prompt_tokens: 0,
