Order rows by the era of the store, which may come back from a copy

Callers saw: a key that had been taken away and a changed timeout were not in force over two seconds after they were acknowledged.

Cause: a revision orders only within one history of the store. After it came back from a copy, numbers were given out again, and rows at lower numbers than the known ones were dropped without a line. The class is an order that holds within one history, used across two.

Ruled out: a poll that hung (nodes heard the store all the while), and requests under way that keep the older configuration (33 came in force only as the first revision above the known one).

Change: the era is decoded once with each answer and is the upper part of `store::Rev`, so each comparison takes it first. What the copy lacks is kept for a while and written again; what it has in an older state is withheld. Rollouts do not go back. Answers of an earlier era are dropped with a line, and end long polls of the era before.

The file of rollouts is split, as answers are a subject of their own.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -1,6 +1,6 @@
 //! Applies changed rows of the store to the node's state.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use curranthook_types::{domain, endpoint};
 
@@ -10,7 +10,7 @@
     event::Event,
     fleet,
     gateway::Configuration,
-    replication::watch::table_name,
+    replication::{eras, watch::table_name},
     store::{Batch, Operator, Row, Table},
 };
 
@@ -19,21 +19,62 @@
 const MAX_FIRST_LINES: usize = 250;
 
 /// Applies rows of a table. If `is_snapshot` is set, rows that are not in the batch do not exist.
-pub fn batch(gateway: &Arc<Gateway>, table: Table, batch: Batch, is_snapshot: bool, from: &str) {
+pub fn batch(
+    gateway: &Arc<Gateway>,
+    table: Table,
+    mut batch: Batch,
+    is_snapshot: bool,
+    from: &str,
+) {
     if let Some(now) = batch.now {
         gateway.mirror.lock().set_clock(now, gateway.now());
     }
     let rev = batch.rev;
-    let (is_first, changed) = {
+    let begins_era = is_snapshot && eras::begins(&gateway.mirror.lock(), table, &batch);
+    if begins_era {
+        eras::begin(gateway, table, &mut batch);
+    }
+    // The mirror contains what the store has, so that nodes write again what is outdated.
+    let outdated: HashSet<Arc<str>> = match begins_era && table == Table::Fleet {
+        true => {
+            let outdated = batch.rows.iter().filter(|it| eras::is_outdated(gateway, table, it));
+            outdated.map(|it| Arc::clone(&it.key)).collect()
+        }
+        false => HashSet::new(),
+    };
+    let (is_first, mut changed) = {
         let mut mirror = gateway.mirror.lock();
         let is_first = !mirror.has_read(table);
         let changed =
             if is_snapshot { mirror.replace(table, batch) } else { mirror.merge(table, batch) };
         (is_first, changed)
     };
+    changed.retain(|it| !outdated.contains(&it.key));
     let is_summarized = is_snapshot && is_first && MAX_FIRST_LINES < changed.len();
     let detail = if is_summarized { Detail::Summary } else { Detail::Lines };
-    for row in &changed {
+    apply_rows(gateway, table, &changed, detail, from);
+    if is_snapshot {
+        let (table, rows) = (table_name(table), changed.len());
+        let (era, rev) = (rev.era(), rev.number());
+        gateway.log.write(&Event::TableRead { table, rows, era, rev, from });
+    }
+    // Signalled last, because the woken tasks read the state changed above. A snapshot is signalled
+    // even if it changes nothing: requests may be waiting for the first read of an empty table.
+    if !changed.is_empty() || is_snapshot {
+        gateway.rows_changed.wake();
+    }
+}
+
+/// Applies rows that the mirror already contains.
+pub fn rows(gateway: &Arc<Gateway>, table: Table, rows: &[Row], from: &str) {
+    apply_rows(gateway, table, rows, Detail::Lines, from);
+    if !rows.is_empty() {
+        gateway.rows_changed.wake();
+    }
+}
+
+fn apply_rows(gateway: &Arc<Gateway>, table: Table, rows: &[Row], detail: Detail, from: &str) {
+    for row in rows {
         match table {
             Table::Operator => apply_operator_row(gateway, row, from),
             Table::Endpoints => apply_endpoint_row(gateway, row, detail),
@@ -44,15 +85,6 @@
         let n = gateway.directory.lock().len();
         gateway.metrics.endpoints.set(i64::try_from(n).unwrap_or(i64::MAX));
     }
-    if is_snapshot {
-        let (table, rows) = (table_name(table), changed.len());
-        gateway.log.write(&Event::TableRead { table, rows, rev: rev.0, from });
-    }
-    // Signalled last, because the woken tasks read the state changed above. A snapshot is signalled
-    // even if it changes nothing: requests may be waiting for the first read of an empty table.
-    if !changed.is_empty() || is_snapshot {
-        gateway.rows_changed.wake();
-    }
 }
 
 fn apply_operator_row(gateway: &Arc<Gateway>, row: &Row, from: &str) {
@@ -64,17 +96,22 @@
     match gateway.decoder.operator(&row.key, value) {
         Ok(Operator::Document(document)) => {
             let version = document.version;
-            let before = gateway.configuration.load().as_ref().map_or(0, |it| it.document.version);
+            let known = gateway.configuration.load();
+            let known = known.as_ref().map(|it| (it.document.version, it.rev));
+            let before = known.map_or(0, |(version, _)| version);
             // The configuration never goes back to an older version: an older row, from a peer that
-            // is behind, would restore keys and routes that were removed.
-            if version <= before {
+            // is behind or from a restored store, would restore keys and routes that were removed.
+            // An operator may give out a version again that the store has lost.
+            let is_given_out_again =
+                known.is_some_and(|(it, rev)| it == version && rev.era() < row.rev.era());
+            if version <= before && !is_given_out_again {
                 return;
             }
             let routes = document.n_routes();
             gateway.configuration.store(Some(Arc::new(Configuration { document, rev: row.rev })));
             gateway.metrics.configuration.set(version);
-            let rev = row.rev.0;
-            gateway.log.write(&Event::Configuration { version, before, routes, rev, from });
+            let (era, rev) = (row.rev.era(), row.rev.number());
+            gateway.log.write(&Event::Configuration { version, before, routes, era, rev, from });
         }
         Ok(Operator::Order(order)) => {
             let service = order.service.clone();
@@ -89,7 +126,7 @@
 }
 
 fn apply_evacuation(gateway: &Gateway, domain: domain::Id, row: &Row, from: &str) {
-    let (state, rev) = (if row.value.is_some() { "ordered" } else { "ended" }, row.rev.0);
+    let (state, rev) = (if row.value.is_some() { "ordered" } else { "ended" }, row.rev.number());
     gateway.log.write(&Event::Evacuation { domain: domain.as_str(), state, rev, from });
     let mut directory = gateway.directory.lock();
     match row.value {
@@ -143,7 +180,7 @@
         state,
         version: entry.map_or("", |it| it.version.as_str()),
         born: entry.and_then(|it| it.started_ms),
-        rev: row.rev.0,
+        rev: row.rev.number(),
     });
 }
 
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -43,13 +43,16 @@
     /// The settings were reloaded.
     Reloaded { changed: &'a str },
     /// A new configuration is in force.
-    Configuration { version: u64, before: u64, routes: usize, rev: u64, from: &'a str },
+    Configuration { version: u64, before: u64, routes: usize, era: u16, rev: u64, from: &'a str },
     /// A row of the store could not be decoded.
     RowRejected { table: &'a str, why: &'a str },
     /// The store, or a parent that relays its rows, failed or is available again.
     Dependency { name: &'a str, state: &'a str, why: &'a str },
     /// All rows of a table were read; `rows` of them were new to this node.
-    TableRead { table: &'a str, rows: usize, rev: u64, from: &'a str },
+    TableRead { table: &'a str, rows: usize, era: u16, rev: u64, from: &'a str },
+    /// The store came back from a copy, with a lower revision than before or not; `withheld` rows
+    /// are in an older state than this node knows.
+    Era { table: &'a str, era: u16, rev: u64, known_rev: u64, withheld: usize },
     /// An endpoint's entry was added, changed or removed.
     Endpoint {
         endpoint: &'a str,
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -5,6 +5,7 @@
 pub mod charges;
 pub mod collectors;
 mod evidence;
+pub mod restoration;
 mod statements;
 
 use std::{
@@ -17,7 +18,7 @@
 use async_io::Timer;
 use curranthook_policy::hash;
 
-use self::{charges::Charges, evidence::WrittenEvidence};
+use self::{charges::Charges, evidence::WrittenEvidence, restoration::Restoration};
 use crate::{
     Gateway,
     event::Event,
@@ -25,7 +26,7 @@
     replication::joins::{self, Join},
     rollouts::Rollout,
     steps::{self, Phase, Step},
-    store::{Commit, Committed, Error, Progress, Report, Rev, Table},
+    store::{Commit, Committed, Error, Report, Rev, Table},
     suspects,
 };
 
@@ -72,10 +73,12 @@
         statements_written_at: HashMap::new(),
         tree_written_at: None,
         key_written_at: None,
+        restoration: Restoration::default(),
     };
     writer.announce().await;
     loop {
         Timer::after(POLL_INTERVAL).await;
+        writer.restore().await;
         writer.update_tree().await;
         writer.write_forwarding_key().await;
         writer.update_rollouts().await;
@@ -101,6 +104,7 @@
     tree_written_at: Option<Instant>,
     /// When a key for forwarded requests was last written.
     key_written_at: Option<Instant>,
+    restoration: Restoration,
 }
 
 impl Writer {
@@ -123,7 +127,7 @@
         let join = Join { name: settings.node.clone(), node };
         let (key, value) = (Key::Node(&join.name).to_string(), encode(&join.node));
         loop {
-            let known = self.gateway.mirror.lock().row(Table::Fleet, &key);
+            let known = self.gateway.mirror.lock().stored_row(Table::Fleet, &key);
             let known: Option<Node> = known.and_then(|it| {
                 let value = it.value?;
                 // A row that cannot be read is written again.
@@ -186,7 +190,7 @@
         let key = Key::Tree.to_string();
         let (has_read, stored) = {
             let mirror = gateway.mirror.lock();
-            (mirror.has_read(Table::Fleet), mirror.row(Table::Fleet, &key))
+            (mirror.has_read(Table::Fleet), mirror.stored_row(Table::Fleet, &key))
         };
         let (value, now) = (encode(&*tree), gateway.now());
         let is_stored = stored.as_ref().and_then(|it| it.value.as_deref()) == Some(&value[..]);
@@ -205,7 +209,9 @@
     async fn write_forwarding_key(&mut self) {
         let (gateway, now) = (Arc::clone(&self.gateway), self.gateway.now());
         let is_recent = |at| now.saturating_duration_since(at) < TREE_INTERVAL;
-        let is_needed = gateway.forwarding.key().is_none() && 1 < gateway.n_nodes();
+        let known = gateway.forwarding.key();
+        let is_lost = known.is_some() && 0 < gateway.mirror.lock().rev(Table::Fleet).era();
+        let is_needed = (known.is_none() || is_lost) && 1 < gateway.n_nodes();
         if !is_needed || self.key_written_at.is_some_and(is_recent) {
             return;
         }
@@ -216,13 +222,14 @@
         };
         let has_row = {
             let mirror = gateway.mirror.lock();
-            !mirror.has_read(Table::Fleet) || mirror.row(Table::Fleet, &key).is_some()
+            !mirror.has_read(Table::Fleet) || mirror.stored_row(Table::Fleet, &key).is_some()
         };
         if !is_writer || has_row {
             return;
         }
         self.key_written_at = Some(now);
-        let value = format!("{:032x}", rand::random::<u128>());
+        let new = || format!("{:032x}", rand::random::<u128>()).into();
+        let value: Arc<str> = known.unwrap_or_else(new);
         // A failed write was logged, and is repeated after the interval.
         let _failed = self.write(&key, Some(Rev(0)), &encode(&value), None).await;
     }
@@ -275,7 +282,8 @@
     async fn write_step(&self, it: &Rollout, phase: Phase, now: Duration) -> Result<(), Error> {
         let service = &it.order.service;
         let (began, expected) = match &it.step {
-            Some((step, rev)) => (step.began, *rev),
+            Some((step, rev)) if rev.era() == self.era() => (step.began, *rev),
+            Some((step, _lost)) => (step.began, self.step_row_rev(service)),
             // Nodes of a higher rank write this step later, so the step begins when the order was
             // received.
             None => (it.received_at.unwrap_or(now), self.step_row_rev(service)),
@@ -283,13 +291,8 @@
         let target = it.order.target.clone();
         let history = it.history.clone();
         let step = Step { order: it.order_rev, target, phase, began, since: now, history };
-        let state = match phase {
-            Phase::Completed => Progress::Completed,
-            Phase::RolledBack => Progress::RolledBack,
-            _ => Progress::Running,
-        };
         let is_reported = phase == Phase::Waiting || phase.is_final();
-        let report = Report { service: service.clone(), target: step.target.clone(), state };
+        let report = step.report(service);
         let key = Key::Step(service).to_string();
         let value = encode(&step);
         let report = is_reported.then_some(&report);
@@ -309,7 +312,7 @@
     /// The revision of the service's step row, which an earlier order may have written.
     fn step_row_rev(&self, service: &str) -> Rev {
         let key = Key::Step(service).to_string();
-        self.gateway.mirror.lock().row(Table::Fleet, &key).map_or(Rev(0), |it| it.rev)
+        self.gateway.mirror.lock().stored_row(Table::Fleet, &key).map_or(Rev(0), |it| it.rev)
     }
 
     /// Writes the requests that this node blames for endpoint failures, if there are new ones.
--- a/crates/curranthook_gateway/src/fleet_writer/statements.rs
+++ b/crates/curranthook_gateway/src/fleet_writer/statements.rs
@@ -34,7 +34,7 @@
                 continue;
             }
             let key = Key::Brittle(&service).to_string();
-            let row = self.gateway.mirror.lock().row(Table::Fleet, &key);
+            let row = self.gateway.mirror.lock().stored_row(Table::Fleet, &key);
             let stored: Option<Stored> =
                 row.as_ref().and_then(|it| serde_json::from_slice(it.value.as_deref()?).ok());
             let is_stored = stored.is_some_and(|it| {
--- a/crates/curranthook_gateway/src/load/snapshot_rows.rs
+++ b/crates/curranthook_gateway/src/load/snapshot_rows.rs
@@ -248,7 +248,7 @@
 
     fn row(&self, service: &str) -> Option<Row> {
         let key = Key::Snapshot(service).to_string();
-        self.gateway.mirror.lock().row(Table::Fleet, &key)
+        self.gateway.mirror.lock().stored_row(Table::Fleet, &key)
     }
 }
 
@@ -271,7 +271,7 @@
 
 fn log(gateway: &Gateway, line: Line<'_>) {
     let Line { service, state, why, rev, age, models } = line;
-    let rev = rev.map(|it| it.0);
+    let rev = rev.map(Rev::number);
     let age_ms = age.map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
     gateway.log.write(&Event::Snapshot { service, state, why, rev, age_ms, models });
 }
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -245,6 +245,7 @@
             Err(store::Error::Garbled(_)) => "garbled",
             Err(store::Error::Stale(_)) => "stale",
             Err(store::Error::Compacted) => "compacted",
+            Err(store::Error::EarlierEra { .. }) => "earlier_era",
         };
         self.store_calls.get_or_create(&StoreLabels { table, result }).inc();
     }
--- a/crates/curranthook_gateway/src/replication.rs
+++ b/crates/curranthook_gateway/src/replication.rs
@@ -5,10 +5,12 @@
 //!   [`relays`], of which the node knows what [`topology`] contains;
 //! - [`peers`] answers the queries of other nodes, which are children or cannot reach the store, in
 //!   the form of [`codec`]; [`sections`] are encoded once for all of them;
+//! - [`eras`] handles a store that comes back from a copy;
 //! - [`joins`] writes the rows of nodes that are new;
 //! - [`outage`] detects whether the store is unavailable to all nodes.
 
 pub mod codec;
+pub mod eras;
 pub mod index;
 pub mod joins;
 pub mod mirror;
--- /dev/null
+++ b/crates/curranthook_gateway/src/replication/eras.rs
@@ -0,0 +1,112 @@
+//! What a node does when the store comes back from a copy some seconds old.
+//!
+//! A new era begins: what was written last is lost, and rows are as they were before. Those who wrote
+//! the lost rows write them again. Until then, a node goes by what it knows: rows that the copy lacks
+//! stay in use for a while, and rows that the copy has in an older state are withheld. The rows that
+//! nodes write are never dropped, as each of them writes its own again.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use curranthook_types::endpoint;
+
+use crate::{
+    Gateway, apply,
+    entry::State,
+    event::Event,
+    replication::{mirror::Mirror, watch::table_name},
+    store::{Batch, Era, Operator, Row, Table},
+};
+
+/// How long rows are used that the store has lost. Those who wrote them write them again within two
+/// seconds.
+const LOST_ROW_TIME: Duration = Duration::from_millis(2_200);
+/// How long an older state of an operator's row is withheld, for which the operator writes the newer
+/// one again.
+const WITHHELD_OPERATOR_TIME: Duration = Duration::from_secs(4);
+/// The same for an endpoint that has left. By then its entry is gone, unless it is running.
+const WITHHELD_ENDPOINT_TIME: Duration = Duration::from_secs(6);
+
+/// Whether a read of a whole table is the first of a later era than the mirror's copy.
+pub fn begins(mirror: &Mirror, table: Table, batch: &Batch) -> bool {
+    mirror.has_read(table) && mirror.rev(table).era() < batch.rev.era()
+}
+
+/// Handles the first read of a table in a new era. Removes the rows from `batch` that are withheld,
+/// which are applied later if the store still has them.
+pub fn begin(gateway: &Arc<Gateway>, table: Table, batch: &mut Batch) {
+    let known = gateway.mirror.lock().rev(table);
+    let withheld: Vec<Row> = match table {
+        Table::Fleet => Vec::new(),
+        _ => batch.rows.extract_if(.., |it| is_outdated(gateway, table, it)).collect(),
+    };
+    gateway.log.write(&Event::Era {
+        table: table_name(table),
+        era: batch.rev.era(),
+        rev: batch.rev.number(),
+        known_rev: known.number(),
+        withheld: withheld.len(),
+    });
+    if table != Table::Fleet {
+        let settle = settle(Arc::clone(gateway), table, batch.rev.era(), withheld);
+        gateway.ex.spawn(settle).detach();
+    }
+}
+
+/// Whether a row of a new era is an older state of what this node knows.
+pub fn is_outdated(gateway: &Gateway, table: Table, row: &Row) -> bool {
+    match table {
+        // A configuration has a version of its own, which tells whether it is older.
+        Table::Operator => !is_document(gateway, row) && is_behind(gateway, table, row),
+        Table::Endpoints => has_left(gateway, row),
+        Table::Fleet => is_behind(gateway, table, row),
+    }
+}
+
+fn is_document(gateway: &Gateway, row: &Row) -> bool {
+    let Some(value) = &row.value else { return false };
+    matches!(gateway.decoder.operator(&row.key, value), Ok(Operator::Document(_)))
+}
+
+/// Whether the row was written before the known one, which the store has lost.
+fn is_behind(gateway: &Gateway, table: Table, row: &Row) -> bool {
+    let known = gateway.mirror.lock().newest(table, &row.key);
+    known.is_some_and(|it| row.rev.number() < it.rev.number() && row.value != it.value)
+}
+
+/// Whether the row of an endpoint lists it as ready although it has left.
+fn has_left(gateway: &Gateway, row: &Row) -> bool {
+    let id = endpoint::Id::new(&*row.key);
+    let entry = row.value.as_ref().and_then(|it| gateway.decoder.endpoint(&id, it).ok());
+    let Some(entry) = entry.filter(|it| it.state == State::Ready) else { return false };
+    let directory = gateway.directory.lock();
+    match directory.get(&id) {
+        Some(known) => known.entry.started_ms == entry.started_ms && !known.is_ready(),
+        None => gateway.mirror.lock().is_removed(Table::Endpoints, &row.key),
+    }
+}
+
+/// Drops the rows that the store has lost for good, and applies those that were withheld and that it
+/// still has.
+async fn settle(gateway: Arc<Gateway>, table: Table, era: Era, withheld: Vec<Row>) {
+    let withheld_for = match table {
+        Table::Endpoints => WITHHELD_ENDPOINT_TIME,
+        _ => WITHHELD_OPERATOR_TIME,
+    };
+    Timer::after(LOST_ROW_TIME).await;
+    let is_over = || gateway.mirror.lock().rev(table).era() != era;
+    if is_over() {
+        return;
+    }
+    let kept = withheld.iter().map(|it| &*it.key).collect();
+    let lost = gateway.mirror.lock().remove_lost(table, &kept);
+    apply::rows(&gateway, table, &lost, "era");
+    Timer::after(withheld_for.saturating_sub(LOST_ROW_TIME)).await;
+    if is_over() || withheld.is_empty() {
+        return;
+    }
+    // A row that was written or removed since has a later revision.
+    let rev = gateway.mirror.lock().rev(table);
+    let batch = Batch { rows: withheld, rev, now: None };
+    apply::batch(&gateway, table, batch, false, "era");
+}
--- a/crates/curranthook_gateway/src/replication/mirror.rs
+++ b/crates/curranthook_gateway/src/replication/mirror.rs
@@ -2,7 +2,7 @@
 //! the store.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -78,11 +78,18 @@
         let table_rows = self.tables.entry(table).or_default();
         let mut changed = batch.rows;
         changed.retain(|row| {
-            let is_newer = table_rows.index.get(&row.key).is_none_or(|(rev, _)| rev < row.rev);
+            let known = table_rows.index.get(&row.key);
+            let is_newer = known.is_none_or(|(rev, _)| rev < row.rev);
+            // The store came back from a copy that has the row as it was. Operators' orders are
+            // identified by their revision, which has changed.
+            let is_copied = table != Table::Operator
+                && known.is_some_and(|(rev, value)| {
+                    rev.number() == row.rev.number() && *value == row.value
+                });
             if is_newer {
                 table_rows.insert(row);
             }
-            is_newer
+            is_newer && !is_copied
         });
         table_rows.rev = table_rows.rev.max(batch.rev);
         table_rows.complete_since.get_or_insert(batch.rev);
@@ -93,11 +100,18 @@
 
     /// Applies a read of a whole table. Returns the rows that are newer than the known ones, and
     /// the removed rows without a value. A read older than the known state changes nothing.
+    ///
+    /// The first read of a later era keeps the rows that it lacks: the store lost them, and those who
+    /// wrote them write them again (see [`Mirror::remove_lost`]).
     pub fn replace(&mut self, table: Table, mut batch: Batch) -> Vec<Row> {
         let table_rows = self.tables.entry(table).or_default();
         if batch.rev < table_rows.rev {
             return Vec::new();
         }
+        if table_rows.rev.era() < batch.rev.era() {
+            table_rows.complete_since = None;
+            return self.merge(table, batch);
+        }
         if !batch.rows.is_sorted_by_key(|it| &it.key) {
             batch.rows.sort_by(|a, b| a.key.cmp(&b.key));
         }
@@ -113,6 +127,32 @@
         changed
     }
 
+    /// Removes the rows that are only known from earlier eras, but for those with a key in `kept`.
+    /// Returns them without a value.
+    pub fn remove_lost(&mut self, table: Table, kept: &HashSet<&str>) -> Vec<Row> {
+        let Some(table_rows) = self.tables.get_mut(&table) else { return Vec::new() };
+        let rev = table_rows.rev;
+        let is_lost = |(key, it, value): &(&Arc<str>, Rev, &Option<Bytes>)| {
+            it.era() < rev.era() && value.is_some() && !kept.contains(&***key)
+        };
+        let lost = table_rows.index.iter().filter(is_lost);
+        let lost = lost.map(|(key, _, _)| Row { key: Arc::clone(key), rev, value: None });
+        let lost: Vec<_> = lost.collect();
+        lost.iter().for_each(|it| table_rows.insert(it));
+        lost
+    }
+
+    /// The last known state of a row, without a value if it was removed; none if it never existed.
+    pub fn newest(&self, table: Table, key: &str) -> Option<Row> {
+        let (rev, value) = self.tables.get(&table)?.index.get(key)?;
+        Some(Row { key: key.into(), rev, value: value.clone() })
+    }
+
+    /// Whether a row is known to have been removed.
+    pub fn is_removed(&self, table: Table, key: &str) -> bool {
+        self.newest(table, key).is_some_and(|it| it.value.is_none())
+    }
+
     /// Records that the last read of the whole table contained all changes after `since`, including
     /// removed rows.
     pub fn extend_history(&mut self, table: Table, since: Rev) {
@@ -204,11 +244,16 @@
         Batch { rows: rows.map(to_row).collect(), rev: table_rows.rev, now: None }
     }
 
-    /// The row of a table with this key.
+    /// The row of a table with this key, if the store has it; none if the row is only known from an
+    /// earlier era.
+    pub fn stored_row(&self, table: Table, key: &str) -> Option<Row> {
+        let era = self.rev(table).era();
+        self.row(table, key).filter(|it| it.rev.era() == era)
+    }
+
+    /// The row of a table with this key, whether or not the store has lost it.
     pub fn row(&self, table: Table, key: &str) -> Option<Row> {
-        let (rev, value) = self.tables.get(&table)?.index.get(key)?;
-        let value = value.clone()?;
-        Some(Row { key: key.into(), rev, value: Some(value) })
+        self.newest(table, key).filter(|it| it.value.is_some())
     }
 }
 
--- a/crates/curranthook_gateway/src/replication/peers.rs
+++ b/crates/curranthook_gateway/src/replication/peers.rs
@@ -276,6 +276,10 @@
     query: &Query,
 ) -> Result<Received, Error> {
     let (received, age) = fetch(gateway, parent, query).await?;
+    let known = gateway.mirror.lock().rev(query.table);
+    if received.batch.rev.era() < known.era() {
+        return Err(Error::Stale(parent));
+    }
     if let Some(at) = age.and_then(|age| gateway.now().checked_sub(age)) {
         gateway.mirror.lock().record_answer(at);
     }
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -177,6 +177,12 @@
         match result {
             Ok(update) => self.apply(update).await,
             Err(Error::Compacted) => self.known_rev = None,
+            Err(e @ Error::EarlierEra { .. }) => {
+                let why = format!("{}: {e}", table_name(self.table));
+                let (name, state) = ("store", "earlier_era");
+                self.gateway.log.write(&Event::Dependency { name, state, why: &why });
+                self.known_rev = None;
+            }
             Err(e) => self.record_failure(&e).await,
         }
     }
@@ -323,8 +329,13 @@
         };
         let call = call_store(&self.gateway, self.table, Some((since, wait)));
         let call = unless_store_recovered(&self.shared, call);
+        let is_over = future::or(
+            role_changed(&self.gateway, &self.shared, role),
+            // A call that waits for changes of an earlier era may never be answered.
+            self.gateway.store.wait_for_era_after(since.era()),
+        );
         future::or(call, async {
-            role_changed(&self.gateway, &self.shared, role).await;
+            is_over.await;
             None
         })
         .await
@@ -375,7 +386,7 @@
         }
         self.failures = 0;
         let rev = rows.batch.rev;
-        if !is_snapshot && self.known_rev.is_some_and(|known| rev < known) {
+        if !is_snapshot && self.known_rev.is_some_and(|it| rev < it || it.era() < rev.era()) {
             // The known revision is of another history of the store, or was received malformed.
             self.known_rev = None;
             return;
--- a/crates/curranthook_gateway/src/rollouts.rs
+++ b/crates/curranthook_gateway/src/rollouts.rs
@@ -1,5 +1,6 @@
 //! The rollouts, according to the rows that a node has read and the answers that it has seen.
 
+mod answers;
 mod baseline;
 pub mod history;
 mod rule;
@@ -13,16 +14,15 @@
 use curranthook_policy::hash;
 
 use crate::{
-    steps::{Counts, Evidence, Phase, Schedule, Step},
-    store::{Order, Rev},
+    steps::{Evidence, Phase, Schedule, Step},
+    store::{Era, Order, Rev},
 };
 
-pub use self::rule::{Basis, Knowledge, Rule};
-use self::{
-    baseline::{Baseline, Part, Timing},
-    history::History,
-    trial::Trial,
+pub use self::{
+    answers::{Kind, Outcome, Pace},
+    rule::{Basis, Knowledge, Rule},
 };
+use self::{baseline::Baseline, history::History, trial::Trial};
 
 /// The age at which a report of evidence is dropped. Nodes repeat theirs twice a second.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(4);
@@ -36,33 +36,6 @@
     baseline: Baseline,
 }
 
-/// A class of answers whose times can be compared: those of one route and model.
-#[derive(Debug, Clone, Copy)]
-pub struct Kind<'a> {
-    /// The route's name.
-    pub route: &'a str,
-    /// The model's index in the route's list.
-    pub model: usize,
-}
-
-/// Whether an answer counts as a failure of its version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// The endpoint answered, and not with a server error.
-    Answered,
-    /// The endpoint answered with a server error.
-    Failed,
-}
-
-/// How fast a stream is.
-#[derive(Debug, Clone, Copy)]
-pub struct Pace {
-    /// The average time between its events.
-    pub gap: Duration,
-    /// The number of requests that its endpoint ran; none if it reports no load.
-    pub n_running: Option<u32>,
-}
-
 /// The rollout of one service.
 #[derive(Debug, Clone)]
 pub struct Rollout {
@@ -102,6 +75,19 @@
         self.step.as_ref().map_or(Phase::Waiting, |(step, _)| step.phase)
     }
 
+    /// Whether `order` is the revision of its order, in this era of the store or an earlier one.
+    fn executes(&self, order: Rev) -> bool {
+        self.order_rev.number() == order.number()
+    }
+
+    /// The newest step, if the store that began `era` may not have it: it was written before, or for
+    /// a revision of the order that the store has lost.
+    pub fn unconfirmed_step(&self, era: Era) -> Option<&Step> {
+        let (step, rev) = self.step.as_ref()?;
+        let is_ordered = self.order_rev.era() == era;
+        (is_ordered && (rev.era() < era || step.order != self.order_rev)).then_some(step)
+    }
+
     /// The evidence of all nodes together.
     pub fn evidence(&self) -> Evidence {
         self.own.plus(self.sum_of_others)
@@ -160,6 +146,14 @@
 
     /// Applies an order that was received when the store's clock read `received_at`.
     pub fn apply_order(&mut self, order: Order, rev: Rev, received_at: Option<Duration>) {
+        if let Some(it) = self.services.get_mut(&order.service)
+            && it.order_rev.era() < rev.era()
+            && it.order == order
+        {
+            // The store came back from a copy with the order, or the operator has written it again.
+            it.order_rev = rev;
+            return;
+        }
         let known = self.services.get(&order.service);
         if known.is_some_and(|it| rev <= it.order_rev) {
             return;
@@ -194,8 +188,11 @@
     /// Applies a step. Returns whether it is new.
     pub fn apply_step(&mut self, service: &str, step: Step, rev: Rev) -> bool {
         let Some(it) = self.services.get_mut(service) else { return false };
-        let is_newer = it.step.as_ref().is_none_or(|(_, known)| *known < rev);
-        let is_for_order = step.order == it.order_rev;
+        // A restored store may have an earlier step, which this node writes again.
+        let is_newer = it.step.as_ref().is_none_or(|(known, known_rev)| {
+            *known_rev < rev && (known_rev.era() == rev.era() || known.phase <= step.phase)
+        });
+        let is_for_order = it.executes(step.order) && step.target == it.order.target;
         if is_newer && is_for_order {
             if it.history.is_empty() {
                 it.history = step.history.clone();
@@ -271,7 +268,7 @@
 
     /// The rollout of a service, if it executes this order.
     fn of_order(&mut self, service: &str, order: Rev) -> Option<&mut Rollout> {
-        self.services.get_mut(service).filter(|it| it.order_rev == order)
+        self.services.get_mut(service).filter(|it| it.executes(order))
     }
 
     /// Applies the evidence that an earlier process of this node wrote. Rows of this process have
@@ -303,6 +300,11 @@
         self.services.values().filter(|it| !it.phase().is_final())
     }
 
+    /// All rollouts.
+    pub fn all(&self) -> impl Iterator<Item = &Rollout> {
+        self.services.values()
+    }
+
     /// The newest rollout of a service, if any.
     pub fn get(&self, service: &str) -> Option<&Rollout> {
         self.services.get(service)
@@ -357,79 +359,4 @@
             session: String::new(),
         })
     }
-
-    /// Counts a request for a service.
-    pub fn record_request(&mut self, service: &str) {
-        if let Some(it) = self.services.get_mut(service).filter(|it| !it.phase().is_final()) {
-            it.own.requests += 1;
-        }
-    }
-
-    /// Records an answer to a request of a trial that was concentrated on a few endpoints, whose
-    /// time says nothing.
-    pub fn record_concentrated_answer(&mut self, service: &str, version: &str, outcome: Outcome) {
-        let Some(it) = self.services.get_mut(service) else { return };
-        if it.phase().is_final() || it.order.target != version {
-            return;
-        }
-        for counts in [&mut it.own.new, &mut it.own.concentrated] {
-            counts.answers += 1;
-            counts.bad += u64::from(outcome == Outcome::Failed);
-        }
-    }
-
-    /// Records an answer with the time to its first byte; `took` is none for a failure.
-    pub fn record_answer(
-        &mut self,
-        service: &str,
-        version: &str,
-        kind: Kind<'_>,
-        took: Option<Duration>,
-    ) {
-        let timing = |time| Timing { time, n_running: None };
-        let ratio = took.map(|it| self.ratio(service, version, kind, Part::FirstEvent, timing(it)));
-        let Some(counts) = self.counts(service, version) else { return };
-        counts.answers += 1;
-        counts.bad += u64::from(ratio.is_none());
-        if let Some(ratio) = ratio {
-            counts.first.add(ratio);
-        }
-    }
-
-    /// Records how fast a stream is.
-    pub fn record_pace(&mut self, service: &str, version: &str, kind: Kind<'_>, pace: Pace) {
-        let timing = Timing { time: pace.gap, n_running: pace.n_running };
-        let ratio = self.ratio(service, version, kind, Part::EventGap, timing);
-        if let Some(counts) = self.counts(service, version) {
-            counts.rest.add(ratio);
-        }
-    }
-
-    /// The ratio of a time to the baseline. Times of the old version become part of it.
-    fn ratio(
-        &mut self,
-        service: &str,
-        version: &str,
-        kind: Kind<'_>,
-        part: Part,
-        timing: Timing,
-    ) -> f64 {
-        let ratio = self.baseline.ratio(service, kind, part, timing);
-        if self.services.get(service).is_none_or(|it| it.order.target != version) {
-            self.baseline.add(service, kind, part, timing);
-        }
-        ratio
-    }
-
-    /// The counters of this node for a version; none if the rollout is finished.
-    fn counts(&mut self, service: &str, version: &str) -> Option<&mut Counts> {
-        let it = self.services.get_mut(service)?;
-        let own = match it.phase() {
-            phase if phase.is_final() => return None,
-            _ if it.order.target == version => &mut it.own.new,
-            Phase::Waiting => &mut it.own.before,
-            _ => &mut it.own.old,
-        };
-        Some(own)
-    }
 }
--- a/crates/curranthook_gateway/src/steps.rs
+++ b/crates/curranthook_gateway/src/steps.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     rollouts::history::History,
-    store::{Order, Rev},
+    store::{Order, Progress, Report, Rev},
 };
 
 pub use self::evidence::{Counts, Delay, Evidence};
@@ -189,6 +189,18 @@
     pub history: History,
 }
 
+impl Step {
+    /// The status that operators read.
+    pub fn report(&self, service: &str) -> Report {
+        let state = match self.phase {
+            Phase::Completed => Progress::Completed,
+            Phase::RolledBack => Progress::RolledBack,
+            _ => Progress::Running,
+        };
+        Report { service: service.to_owned(), target: self.target.clone(), state }
+    }
+}
+
 /// The next phase if it is due; none if the rollout stays in the current one. `now` is the store's
 /// clock.
 pub fn due(
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use curranthook_types::{domain, endpoint};
+use futures_lite::future::Boxed;
 use serde::{Deserialize, Serialize};
 
 use crate::{document::Document, entry::Entry};
@@ -26,10 +27,19 @@
     /// A peer that was queried instead of the store is itself out of date.
     #[error("peer {0} has no recent answer from the store")]
     Stale(SocketAddr),
-    /// The store's history no longer goes back to the requested revision; all rows have to be read
-    /// again.
+    /// The store's history no longer goes back to the requested revision, or is another one; all
+    /// rows have to be read again.
     #[error("the store no longer keeps the requested changes")]
     Compacted,
+    /// The answer is of an earlier era than others before it. A write may have taken effect, but is
+    /// lost.
+    #[error("the answer is of era {answer}, before {newest}")]
+    EarlierEra {
+        /// The era of the answer.
+        answer: Era,
+        /// The newest era that the store has announced.
+        newest: Era,
+    },
 }
 
 /// A table of rows.
@@ -49,13 +59,53 @@
     pub const ALL: [Self; 3] = [Self::Operator, Self::Endpoints, Self::Fleet];
 }
 
-/// A position in the store's history; it only increases.
+/// A position in the histories of the store.
+///
+/// A store that comes back from a copy continues from there: it begins a new era, and gives out
+/// revision numbers again. Positions of a later era come after all of an earlier one, so comparing
+/// two of them never compares the numbers of different histories.
+///
+/// The upper bits are the era, so that the serialized form of era 0 is the number alone, as other
+/// builds write it.
+///
+/// ```
+/// # use curranthook_gateway::store::Rev;
+/// let (before, after) = (Rev::new(0, 36).unwrap(), Rev::new(1, 32).unwrap());
+/// assert!(before < after);
+/// assert_eq!((after.era(), after.number()), (1, 32));
+/// assert_eq!(before, Rev(36));
+/// assert_eq!(Rev::new(0, u64::MAX), None);
+/// ```
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Rev(pub u64);
 
+/// How often a store came back from a copy.
+pub type Era = u16;
+
+impl Rev {
+    /// The bits of the number within an era.
+    const NUMBER_BITS: u32 = 48;
+
+    /// The position of revision `number` of an era; none if the number is too large.
+    pub fn new(era: Era, number: u64) -> Option<Self> {
+        let is_valid = number >> Self::NUMBER_BITS == 0;
+        is_valid.then_some(Self(u64::from(era) << Self::NUMBER_BITS | number))
+    }
+
+    /// The era.
+    pub fn era(self) -> Era {
+        (self.0 >> Self::NUMBER_BITS) as Era
+    }
+
+    /// The revision number within the era.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
+}
+
 /// A row that was written or removed.
 #[serde_with::serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -147,6 +197,14 @@
     /// Writes rows of [`Table::Fleet`] in one transaction, whatever their revisions. Each is a key
     /// and a value.
     fn write<'a>(&'a self, rows: &'a [(String, Vec<u8>)]) -> Answer<'a, Rev>;
+    /// The newest era that any answer announced.
+    fn era(&self) -> Era {
+        0
+    }
+    /// Waits until an answer announces an era after `known`.
+    fn wait_for_era_after(&self, _known: Era) -> Boxed<()> {
+        Box::pin(std::future::pending())
+    }
 }
 
 /// A decoded row of [`Table::Operator`].
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -5,6 +5,7 @@
 
 mod brittle;
 mod counted;
+mod eras;
 mod evidence;
 mod forwarding;
 mod law;
