Give up a poll of the configuration before a change is late

Callers saw: none reported. A store that does not answer for 0.2 s, or a single lost answer, delayed a configuration by up to 3.4 s of 2 s allowed.

Cause: a poll waited 3 s and was given up 1 s later; after a failure the node polled peers and paused first. The class is a bound on how soon a change is in force that rests on each answer arriving.

Ruled out: the pause and the peers; the delay fell by 0.25 s with each later phase of the poll at which the silence began, over its whole wait.

The waits and the calls of a watch are files of their own.

--- a/crates/curranthook_gateway/src/replication/outage.rs
+++ b/crates/curranthook_gateway/src/replication/outage.rs
@@ -12,8 +12,8 @@
 /// How long after an outage entries that lapsed in it may still be used. Live endpoints are listed
 /// again within two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
-/// The maximum time between two store answers at a node that the store serves. The node's calls for
-/// the configuration wait for up to 3 s, and it is polled every half second.
+/// The maximum time between two store answers at a node that the store serves: a few of its calls for
+/// the configuration, of which one or two may be lost.
 pub const MAX_ANSWER_GAP: Duration = Duration::from_millis(3_800);
 
 /// What is known about the store while this node cannot reach it.
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -1,17 +1,15 @@
 //! Tasks that keep a node's copy of the store's tables up to date: by long polling a parent or the
 //! store itself, and by polling random peers while the store is unavailable.
 
+mod calls;
 mod parents;
+mod waits;
 
-use std::{sync::Arc, task::Poll, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use async_io::Timer;
 use curranthook_http::timeout;
-use futures_lite::{
-    FutureExt,
-    future::{self, Boxed},
-};
-use rand::RngExt;
+use futures_lite::future::{self, Boxed};
 
 use crate::{
     Gateway,
@@ -23,27 +21,15 @@
 use super::{
     joins,
     peers::{self, Received},
-    relays,
 };
 
 pub use self::parents::Shared;
-use self::parents::{
-    Parent, Role, n_siblings, n_siblings_of_stale, role_and_parents, role_changed,
+use self::{
+    calls::{call_store, first_answer, unless_store_recovered},
+    parents::{Parent, Role, n_siblings, n_siblings_of_stale, role_and_parents, role_changed},
+    waits::{jitter, pause_or},
 };
 
-/// How long a long poll of the operators' rows waits for a change in a fleet without relays. The
-/// call also detects that the store is unavailable, so the wait is short. A lost answer delays a
-/// configuration by no more than this.
-const OPERATOR_POLL_WAIT: Duration = Duration::from_secs(3);
-/// How long a long poll of other rows waits in a fleet without relays. The store charges for each
-/// call, so the wait is long.
-const POLL_WAIT: Duration = Duration::from_secs(15);
-/// How long a long poll of the operators' rows waits in a fleet with relays, at the store or at a
-/// parent. The answer also determines the age of the rows of all tables, so the wait is short.
-const RELAYED_OPERATOR_POLL_WAIT: Duration = Duration::from_millis(700);
-/// How long a long poll of other rows waits in a fleet with relays. A call whose answer is lost
-/// hangs for that long.
-const RELAYED_POLL_WAIT: Duration = Duration::from_secs(5);
 /// How long all nodes wait before their first reads when the fleet starts for the first time. By
 /// then, each has written its address ([`crate::fleet_writer`]), and most find a parent instead of
 /// reading the store.
@@ -64,29 +50,10 @@
 /// The number of rows of the fleet table that a starting node reads from the store. They include the
 /// tree, and all rows of a fleet that has none.
 const FIRST_FLEET_ROWS: usize = 40;
-/// The pause after a change of endpoint or fleet rows, per node of a fleet without relays. Such
-/// rows change in quick succession: when many endpoints start, each waiting call would be answered
-/// once per endpoint. With the pause, all nodes together make at most 80 calls per second for a
-/// table.
-const CHANGE_PAUSE_PER_NODE: Duration = Duration::from_millis(12);
-/// The minimum and maximum of that pause. The maximum is half of the time within which a leaving
-/// endpoint must stop getting new requests.
-const CHANGE_PAUSE_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_secs(1));
-/// The pause at a root after a change of endpoint rows.
-const ROOT_CHANGE_PAUSE: Duration = Duration::from_millis(250);
-/// The pause at a root after a change of fleet rows, which are not subject to a time limit.
-const ROOT_FLEET_CHANGE_PAUSE: Duration = Duration::from_millis(500);
-/// The pause after a change that a node received from a parent. A relay on a weak link that
-/// answered its children more often while many endpoints are replaced would have no capacity left
-/// for its own callers.
-const CHILD_CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// How long a node waits for its peers before it decides whether an outage affected all nodes.
 const RECOVERY_POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long entries that lapse in an outage of the store are used at most while it lasts.
 const MAX_LAPSE_TIME: Duration = Duration::from_secs(60);
-/// The pause after the first failure; doubles with each further one.
-const FIRST_BACKOFF: Duration = Duration::from_millis(150);
 /// How long calls for rows other than the operators' are delayed while the store is unavailable. An
 /// endpoint that starts to leave right after the outage must get no new requests two seconds later.
 const OUTAGE_BACKOFF: Duration = Duration::from_secs(1);
@@ -98,10 +65,6 @@
 /// The average number of siblings, leaves or relays, that call the store in an attempt while their
 /// parents are out of date.
 const MAX_SIBLINGS_AT_STORE: f64 = 8.0;
-/// The maximum pause between calls to an unavailable store.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// The maximum pause for a node without a configuration, which cannot serve any requests.
-const MAX_BACKOFF_NO_CONFIGURATION: Duration = Duration::from_millis(300);
 /// How long to wait for the first call for the configuration before another one is made in
 /// parallel. A call made while the store does not answer hangs until its own timeout, even if the
 /// store recovers long before that. A slow store still answers the earlier call.
@@ -289,8 +252,7 @@
     async fn call_parent(&mut self, parent: &Parent) -> Option<Result<Update, Error>> {
         let (gateway, shared, table) = (&self.gateway, &self.shared, self.table);
         let (addr, max_age) = (parent.addr, parent.max_age);
-        let wait =
-            if table == Table::Operator { RELAYED_OPERATOR_POLL_WAIT } else { RELAYED_POLL_WAIT };
+        let wait = waits::relayed_poll(table);
         let update = |rows, is_snapshot| Update { rows, origin: Origin::Parent, is_snapshot };
         let snapshot = async {
             let call = peers::snapshot(gateway, addr, table, SNAPSHOT_WAIT, max_age);
@@ -318,14 +280,11 @@
     }
 
     async fn read_changes(&mut self, since: Rev, role: Role) -> Option<Result<Batch, Error>> {
-        let wait = match (role, self.table) {
-            // A call that waits would hang for its whole wait at a store that still does not
-            // answer, and a configuration written right after the outage would arrive too late.
-            _ if 0 < self.failures => Duration::ZERO,
-            (Role::Single, Table::Operator) => OPERATOR_POLL_WAIT,
-            (Role::Single, _) => POLL_WAIT,
-            (_, Table::Operator) => RELAYED_OPERATOR_POLL_WAIT,
-            _ => RELAYED_POLL_WAIT,
+        // A call that waits would hang for its whole wait at a store that still does not answer, and a
+        // configuration written right after the outage would arrive too late.
+        let wait = match self.failures {
+            0 => waits::poll(role, self.table),
+            _ => Duration::ZERO,
         };
         let call = call_store(&self.gateway, self.table, Some((since, wait)));
         let call = unless_store_recovered(&self.shared, call);
@@ -403,22 +362,7 @@
         let from = if origin == Origin::Store { "store" } else { "parent" };
         rows.apply(&self.gateway, self.table, is_snapshot, from);
         if self.table != Table::Operator && !is_empty {
-            Timer::after(self.pause_after_change(origin)).await;
-        }
-    }
-
-    fn pause_after_change(&self, origin: Origin) -> Duration {
-        let n_nodes = self.gateway.n_nodes();
-        match (origin, self.table) {
-            (Origin::Parent, _) => CHILD_CHANGE_PAUSE,
-            (_, Table::Fleet) if relays::are_used(n_nodes) => ROOT_FLEET_CHANGE_PAUSE,
-            _ if relays::are_used(n_nodes) => ROOT_CHANGE_PAUSE,
-            _ => {
-                let n_nodes = u32::try_from(n_nodes).unwrap_or(u32::MAX);
-                CHANGE_PAUSE_PER_NODE
-                    .saturating_mul(n_nodes)
-                    .clamp(CHANGE_PAUSE_BOUNDS.0, CHANGE_PAUSE_BOUNDS.1)
-            }
+            Timer::after(waits::after_change(origin, self.table, self.gateway.n_nodes())).await;
         }
     }
 
@@ -434,6 +378,10 @@
             let state = "lost";
             self.gateway.log.write(&Event::Dependency { name: "store", state, why: &why });
         }
+        // The answer to a single call may be lost, and with it a change: the next call follows at once.
+        if self.failures == 1 && self.known_rev.is_some() && matches!(error, Error::Lost(_)) {
+            return;
+        }
         if self.table == Table::Operator {
             // If all nodes start at once, the peers are no further than the parents.
             if !self.is_starting() {
@@ -450,81 +398,11 @@
             // its signal.
             return pause_or(self.shared.store_recovered.wait(), OUTAGE_BACKOFF).await;
         }
-        let max_pause =
-            if self.known_rev.is_some() { MAX_BACKOFF } else { MAX_BACKOFF_NO_CONFIGURATION };
-        let pause = (FIRST_BACKOFF * 2_u32.saturating_pow(self.failures.min(6) - 1)).min(max_pause);
+        let pause = waits::after_failures(self.failures, self.known_rev.is_some());
         Timer::after(jitter(pause)).await;
     }
 }
 
-/// Runs a call to the store. None if an outage of the store ended meanwhile: a call made during the
-/// outage may hang.
-async fn unless_store_recovered<T>(
-    shared: &Shared,
-    call: impl Future<Output = Result<T, Error>>,
-) -> Option<Result<T, Error>> {
-    let recovered = shared.store_recovered.wait();
-    future::or(async { Some(call.await) }, async {
-        recovered.await;
-        None
-    })
-    .await
-}
-
-async fn call_store(
-    gateway: &Gateway,
-    table: Table,
-    since: Option<(Rev, Duration)>,
-) -> Result<Batch, Error> {
-    let store = &gateway.store;
-    let result = match since {
-        Some((since, wait)) => store.changes(table, since, wait).await,
-        None => store.all(table).await,
-    };
-    gateway.metrics.record_store_call(table, &result);
-    if result.is_ok() && table == Table::Operator {
-        let now = gateway.now();
-        gateway.mirror.lock().record_answer(now);
-    }
-    result
-}
-
-/// The first successful answer to any of `calls`, or the failure of the newest. The failure of an
-/// older call says nothing about the current state of the store.
-async fn first_answer(calls: &mut Vec<Boxed<Result<Batch, Error>>>) -> Result<Batch, Error> {
-    future::poll_fn(|cx| {
-        let mut index = 0;
-        while index < calls.len() {
-            let Poll::Ready(result) = calls[index].poll(cx) else {
-                index += 1;
-                continue;
-            };
-            drop(calls.remove(index));
-            let is_newest = index == calls.len();
-            match result {
-                Err(e) if !is_newest => log::debug!("an earlier first read failed: {e}"),
-                decided => return Poll::Ready(decided),
-            }
-        }
-        Poll::Pending
-    })
-    .await
-}
-
-/// Pauses for about `pause`, or until `event` completes.
-async fn pause_or(event: impl Future<Output = ()>, pause: Duration) {
-    future::or(event, async {
-        Timer::after(jitter(pause)).await;
-    })
-    .await;
-}
-
-/// Randomizes a pause. Nodes that all paused for the same time would call the store at the same
-/// moment, be rejected for overload, and pause for the same time again.
-fn jitter(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.6..1.4))
-}
-
 /// A table's name in logs.
 pub fn table_name(table: Table) -> &'static str {
     match table {
