Count slow answers of versions of services without streams

Cause: slow answers counted by the mean logarithm of their ratios alone, with a bar that allows for engines that prefill prompts. The class is a limit for one kind of service by which another is judged.

Change: the share of answers of four times the usual time or more is compared with the old version's, for services without streams only.

--- a/crates/curranthook_gateway/src/rollouts/answers.rs
+++ b/crates/curranthook_gateway/src/rollouts/answers.rs
@@ -70,7 +70,7 @@
         counts.answers += 1;
         counts.bad += u64::from(ratio.is_none());
         if let Some(ratio) = ratio {
-            counts.first.add(ratio);
+            counts.add_first(ratio);
         }
     }
 
--- a/crates/curranthook_gateway/src/steps/evidence.rs
+++ b/crates/curranthook_gateway/src/steps/evidence.rs
@@ -106,6 +106,13 @@
 /// service has no more of them when the version could get all requests.
 const DOUBTFUL_GAP: Bar = Bar { ratio: 1.25, sigmas: 1.5, min_samples: 3.0 };
 
+/// The ratio to the baseline from which an answer counts as slow.
+const SLOW_ANSWER_RATIO: f64 = 4.0;
+/// The minimum number of slow answers that count as evidence against a version; fewer may be chance.
+const MIN_SLOW: u64 = 4;
+/// By how much the new version's share of slow answers must exceed the old version's.
+const MIN_SLOW_EXCESS: f64 = 0.1;
+
 /// Counters of a version's answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
@@ -117,18 +124,33 @@
     /// The time to the first byte, compared to the baseline.
     #[serde(default)]
     pub first: Delay,
+    /// The number of answers whose first byte took several times as long as the baseline.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub slow: u64,
     /// The time between stream events, compared to the baseline.
     #[serde(default)]
     pub rest: Delay,
 }
 
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
 impl Counts {
+    /// Adds the time to the first byte of an answer, which took `ratio` times as long as the
+    /// baseline.
+    pub fn add_first(&mut self, ratio: f64) {
+        self.first.add(ratio);
+        self.slow += u64::from(SLOW_ANSWER_RATIO <= ratio);
+    }
+
     /// The sum of both.
     pub fn plus(self, other: Self) -> Self {
         Self {
             answers: self.answers + other.answers,
             bad: self.bad + other.bad,
             first: self.first.plus(other.first),
+            slow: self.slow + other.slow,
             rest: self.rest.plus(other.rest),
         }
     }
@@ -139,6 +161,7 @@
             answers: self.answers.saturating_sub(other.answers),
             bad: self.bad.saturating_sub(other.bad),
             first: self.first.minus(other.first),
+            slow: self.slow.saturating_sub(other.slow),
             rest: self.rest.minus(other.rest),
         }
     }
@@ -223,7 +246,7 @@
     /// assert!(!evidence(counts(100, 6)).is_bad());
     /// ```
     pub fn is_bad(self) -> bool {
-        self.fails_more() || self.is_slow()
+        self.fails_more() || self.is_slow() || self.is_partly_slow()
     }
 
     /// Whether there are enough answers, and the new version's share of bad ones is not clearly
@@ -301,6 +324,22 @@
         })
     }
 
+    /// Whether clearly more of the new version's answers are slow. Only for a service without streams:
+    /// engines that have just started take several times as long for the first event of a prompt that
+    /// the old ones have cached.
+    fn is_partly_slow(self) -> bool {
+        let (new, reference) = (self.new, self.reference());
+        if 0.0 < new.rest.n.max(reference.rest.n) || reference.first.n < SLOW_FIRST.min_samples {
+            return false;
+        }
+        let share = |it: Counts| it.slow as f64 / it.first.n.max(1.0);
+        let excess = share(new) - share(reference);
+        let overall = (new.slow + reference.slow) as f64 / (new.first.n + reference.first.n);
+        let per_answer = 1.0 / new.first.n.max(1.0) + 1.0 / reference.first.n;
+        let error = (overall * (1.0 - overall) * per_answer).sqrt();
+        MIN_SLOW <= new.slow && MIN_SLOW_EXCESS < excess && SIGNIFICANT_SIGMAS * error < excess
+    }
+
     /// By how much the share of bad answers in `counts`, of the new version, exceeds the old
     /// version's, and the standard error of that difference. Without any answer of the old version,
     /// a version is expected to have no bad ones.
--- a/crates/curranthook_gateway/tests/steps.rs
+++ b/crates/curranthook_gateway/tests/steps.rs
@@ -278,3 +278,34 @@
     assert_eq!(due(0.8), Some(Phase::Full));
     assert_eq!(due(1.1), Some(Phase::Full));
 }
+
+/// A version of a service without streams answers half of its requests eight times slower. Guards
+/// against one that is neither rolled back nor completed, and keeps its share for good.
+#[parameterized(few = { 10, 5, true }, more = { 40, 20, true }, tail = { 40, 2, false }, few_of_a_tail = { 10, 1, false })]
+fn version_with_a_part_of_slow_answers_is_bad(n: usize, n_slow: usize, is_bad: bool) {
+    let usual = [0.7, 0.9, 1.0, 1.1, 1.4];
+    let times = |n: usize, n_slow: usize| {
+        (0..n).map(move |it| if it < n_slow { 8.0 } else { 1.0 } * usual[it % usual.len()])
+    };
+    let answers = |n: usize, n_slow: usize| {
+        let mut it = Counts { answers: n as u64, ..Counts::default() };
+        times(n, n_slow).for_each(|ratio| it.add_first(ratio));
+        it
+    };
+    let evidence =
+        Evidence { new: answers(n, n_slow), old: answers(300, 6), ..Evidence::default() };
+    assert_eq!(evidence.is_bad(), is_bad, "{evidence:?}");
+}
+
+/// Guards against rolling back a version of a model service whose engines have no prompts cached yet.
+#[test]
+fn first_events_of_cold_engines_are_no_slow_answers() {
+    let mut new = Counts { answers: 20, ..Counts::default() };
+    (0..20).for_each(|it| new.add_first(if it < 8 { 4.5 } else { 0.9 }));
+    let mut old = Counts { answers: 300, ..Counts::default() };
+    (0..300).for_each(|_| old.add_first(1.0));
+    (0..300).for_each(|_| old.rest.add(1.0));
+    (0..20).for_each(|_| new.rest.add(1.0));
+    let evidence = Evidence { new, old, ..Evidence::default() };
+    assert!(!evidence.is_bad());
+}
