Bound responses without end, each and all together

Callers saw: 502 for each caller of an endpoint whose body does not end, although the route allows another attempt.

Cause: a body over the limit closed its exchange as if this node had stopped the request, and ended the job; 16 MB were allowed for each response, which seven of them make more than a small node has. An event of a stream had no limit but time. The class is a bound in size whose passing is no evidence, and that holds for each reader but not for all.

Change: such an endpoint has failed and another is tried; all responses that are read whole share one memory beyond 64 kB each; an event is given up at 1 MB.

--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use curranthook_http::{client::Pool, runtime, timeout};
+use curranthook_http::{body, client::Pool, runtime, timeout};
 use curranthook_policy::{
     poison::Register, price, refused::Refused, suspects::Suspects, utilization::Utilization,
 };
@@ -65,6 +65,9 @@
 /// the second after which the operating system retransmits its first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The memory for responses that are read completely, in bytes: a part of a small node's.
+const RESPONSE_MEMORY: usize = 24 * 1024 * 1024;
+
 /// The time in which a node that started is known to the others and receives their reports.
 const REPORT_TIME: Duration = Duration::from_millis(1_500);
 
@@ -164,6 +167,8 @@
     pub peers: Mutex<HashMap<String, fleet::Node>>,
     /// Headers from endpoints that are not recognized.
     pub unknown_headers: Mutex<UnknownHeaders>,
+    /// The memory for responses that are read completely.
+    pub response_memory: body::Memory,
     /// Requests that wait for the first configuration.
     pub startup_waiters: Waiters,
     /// When the process started.
@@ -239,6 +244,7 @@
             rows_changed: Signal::default(),
             peers: Mutex::default(),
             unknown_headers: Mutex::default(),
+            response_memory: body::Memory::new(RESPONSE_MEMORY),
             startup_waiters: Waiters::default(),
             started,
             stopping: AtomicBool::new(false),
--- a/crates/curranthook_gateway/src/splitter.rs
+++ b/crates/curranthook_gateway/src/splitter.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The size limit of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// The bytes of a stream that have not been forwarded yet.
 ///
 /// An endpoint can disconnect in the middle of an event. Forwarded bytes always end at an event
@@ -41,6 +44,20 @@
         Some(Events { bytes, last_id, count })
     }
 
+    /// Whether an event has begun that is larger than any that is forwarded.
+    ///
+    /// ```
+    /// # use curranthook_gateway::splitter::Splitter;
+    /// let mut splitter = Splitter::default();
+    /// splitter.push(b"data: ");
+    /// assert!(!splitter.is_too_large());
+    /// splitter.push(&[b'x'; 2 * 1024 * 1024]);
+    /// assert!(splitter.is_too_large());
+    /// ```
+    pub fn is_too_large(&self) -> bool {
+        MAX_EVENT_BYTES < self.buffer.len()
+    }
+
     /// Whether the buffer is empty, which means that the stream is at an event boundary.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/curranthook_gateway/src/stream.rs
+++ b/crates/curranthook_gateway/src/stream.rs
@@ -158,6 +158,8 @@
                         }
                         Progress::Events(events.bytes)
                     }
+                    // The event may have no end.
+                    None if self.splitter.is_too_large() => Progress::Failed(Cause::Disconnected),
                     None => Progress::Partial,
                 }
             }
--- a/crates/curranthook_gateway/src/unary.rs
+++ b/crates/curranthook_gateway/src/unary.rs
@@ -11,7 +11,7 @@
     attempt::Cause,
     directory::Outcome,
     job::{Job, OUTCOME_WHOLE, Summary},
-    refusal::{Reason, Refusal},
+    refusal::Refusal,
 };
 
 /// The size limit of a response that is read completely.
@@ -23,10 +23,9 @@
         let mut exchange = job.execute().await?;
         let (endpoint, begun_at) = (exchange.lease.incarnation(), job.gateway.now());
         let first_byte_after = job.gateway.now().saturating_duration_since(job.request.received_at);
-        let time_left = job.time_left();
+        let (time_left, memory) = (job.time_left(), job.gateway.response_memory.clone());
         let cause =
-            match timeout::run(time_left, body::read_mut(&mut exchange.body, MAX_BODY_BYTES)).await
-            {
+            match timeout::run(time_left, memory.read(&mut exchange.body, MAX_BODY_BYTES)).await {
                 Ok(Ok(bytes)) => {
                     let head = exchange.head.clone();
                     let status = head.status;
@@ -45,11 +44,8 @@
                     });
                     return Ok((head, bytes));
                 }
-                Ok(Err(body::ReadError::TooLarge { .. })) => {
-                    exchange.close(Outcome::Abandoned);
-                    return Err(job.refusal(Reason::EndpointFailed));
-                }
-                Ok(Err(body::ReadError::Incomplete(_))) => {
+                // A body that is too large may have no end.
+                Ok(Err(body::ReadError::TooLarge { .. } | body::ReadError::Incomplete(_))) => {
                     exchange.close(Outcome::Failed);
                     Cause::Disconnected
                 }
--- a/crates/curranthook_http/src/body.rs
+++ b/crates/curranthook_http/src/body.rs
@@ -1,6 +1,12 @@
 //! Helpers to build and read the bodies of HTTP messages.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
@@ -105,3 +111,62 @@
         Err(e) => Err(ReadError::Incomplete(e)),
     }
 }
+
+/// The bytes of a body that count towards no [`Memory`].
+const FREE_BYTES: usize = 64 * 1024;
+
+/// The memory that several bodies together may take while they are read, beside a small amount for
+/// each.
+///
+/// Bounds what a process keeps of bodies that do not end, without an effect on small ones.
+#[derive(Debug, Clone)]
+pub struct Memory {
+    free: Arc<AtomicUsize>,
+}
+
+/// The part of the memory that one body takes; dropping it returns it.
+#[derive(Debug)]
+struct Taken<'a> {
+    memory: &'a Memory,
+    bytes: usize,
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        self.memory.free.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl Taken<'_> {
+    /// Takes more memory, so that the body may have `len` bytes. Returns whether there was enough.
+    fn grow_to(&mut self, len: usize) -> bool {
+        let more = len.saturating_sub(FREE_BYTES).saturating_sub(self.bytes);
+        let (order, free) = (Ordering::Relaxed, &self.memory.free);
+        let is_taken = free.try_update(order, order, |it| it.checked_sub(more)).is_ok();
+        self.bytes += if is_taken { more } else { 0 };
+        is_taken
+    }
+}
+
+impl Memory {
+    /// A memory of `bytes`.
+    pub fn new(bytes: usize) -> Self {
+        Self { free: Arc::new(AtomicUsize::new(bytes)) }
+    }
+
+    /// Reads a whole body of at most `limit` bytes. Fails with [`ReadError::TooLarge`] if it is
+    /// larger, or if all bodies together would take more memory than there is.
+    pub async fn read(&self, body: &mut Incoming, limit: usize) -> Result<Bytes, ReadError> {
+        let (mut bytes, mut taken) = (BytesMut::new(), Taken { memory: self, bytes: 0 });
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| ReadError::Incomplete(e.into()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            let len = bytes.len() + data.len();
+            if limit < len || !taken.grow_to(len) {
+                return Err(ReadError::TooLarge { limit });
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+}
