Ask again for requests in flight once endpoints are known to be brittle

Cause: an endpoint counted as asked about whatever the question was. The class is a decision by a rule that is newer than the knowledge collected for it.

Ruled out by a trace of what the node knew: owners that did not answer, and answers without numbers from owners that had just started.

Change: what a request knows names the endpoints whose requests in flight were asked for; another one is asked about once more.

--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -156,16 +156,18 @@
     /// Queries the owners of endpoints that `peer_state` does not cover, as those that it covers have
     /// no room, and adds what they answer. Returns whether there are any.
     async fn query_others(&self, criteria: &Criteria<'_>, peer_state: &mut PeerState) -> bool {
-        let asked = peer_state.waiting.keys().chain(&peer_state.unreachable);
-        let tried: Vec<_> = asked.chain(criteria.tried).cloned().collect();
+        let in_flight = self.counts_requests();
+        // A service may be found to be brittle after the owners were asked for less.
+        let is_covered = |it: &&endpoint::Id| !in_flight || peer_state.counted.contains(it);
+        let covered = peer_state.waiting.keys().filter(is_covered).chain(&peer_state.unreachable);
+        let tried: Vec<_> = covered.chain(criteria.tried).cloned().collect();
         let others = Criteria { tried: &tried, prefix_hash: None, ..*criteria };
         let mut endpoints = selection::shortlist(&self.gateway, &others);
         endpoints.retain(|it| !tried.contains(it));
         if endpoints.is_empty() {
             return false;
         }
-        let in_flight = self.counts_requests();
-        let asked = peer_state.asked.clone();
+        let asked = peer_state.counted.clone();
         let query = Query { endpoints, in_flight, asked, ..Query::default() };
         peer_state.extend(reports::query(&self.gateway, query).await);
         let now = self.gateway.now();
@@ -196,10 +198,7 @@
         if !unreported.is_empty() {
             let in_flight = self.counts_requests();
             let query = Query { endpoints: unreported, in_flight, ..Query::default() };
-            let holder_reports = reports::query(&self.gateway, query).await;
-            peer_state.waiting.extend(holder_reports.waiting);
-            peer_state.unreachable.extend(holder_reports.unreachable);
-            peer_state.in_flight.extend(holder_reports.in_flight);
+            peer_state.extend(reports::query(&self.gateway, query).await);
         }
         peer_state
     }
--- a/crates/curranthook_gateway/src/load/reports/peer_state.rs
+++ b/crates/curranthook_gateway/src/load/reports/peer_state.rs
@@ -21,8 +21,8 @@
     pub unreachable: Vec<endpoint::Id>,
     /// The requests at each of the given endpoints, for a service without models.
     pub in_flight: Figures,
-    /// The endpoints that owners were asked about.
-    pub asked: Vec<endpoint::Id>,
+    /// The endpoints whose numbers of requests owners were asked for.
+    pub counted: Vec<endpoint::Id>,
 }
 
 impl PeerState {
@@ -56,6 +56,6 @@
         self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
         self.in_flight.extend(other.in_flight);
-        self.asked.extend(other.asked);
+        self.counted.extend(other.counted);
     }
 }
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -27,7 +27,7 @@
     pub prefix_hash: Option<u64>,
     /// Whether the requests in flight at the endpoints are requested too.
     pub in_flight: bool,
-    /// The endpoints that were asked about before, for the same request.
+    /// The endpoints whose requests in flight were requested before, for the same request.
     pub asked: Vec<endpoint::Id>,
 }
 
@@ -41,13 +41,13 @@
         query.endpoints.iter().any(|it| directory.brittle_limit(it, now).is_some())
     };
     let time_limit = if is_required { REQUIRED_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT };
-    let asked = query.endpoints.clone();
+    let counted = if in_flight { query.endpoints.clone() } else { Vec::new() };
     let mut by_owner = by_owner(gateway, query);
     let own_query = settings.reports.and_then(|addr| by_owner.remove(&addr)).unwrap_or_default();
     let mut state = local_state(gateway, own_query, &settings.node);
     let queries = Queries::send(gateway, reports, by_owner, in_flight).await;
     state.extend(queries.answers(time_limit).await);
-    state.asked = asked;
+    state.counted = counted;
     state
 }
 
