Pause at brittle endpoints that reject beside free slots or again

Callers saw: 7 to 11 rejections in a second of 4 borne at endpoints that are all full from one moment on, and requests that fit refused because of some that no endpoint can hold.

Cause: the limit after a rejection is taken as proved room, so requests that end make room whatever the endpoint takes; the count of a rejected request is believed although slots were stated free; and one bound stands for two resources, slots and memory. The class is an estimate that is believed again after it was refuted.

Change: a rejection below a recent limit or beside free slots pauses the endpoint; one request finds out whether it takes any again, and the limit doubles from there. A rejection beside free slots limits long prompts alone, until a shorter one is rejected as well.

Laws bound the rejections and the time until an endpoint is used again.

--- a/crates/curranthook_gateway/src/brittle.rs
+++ b/crates/curranthook_gateway/src/brittle.rs
@@ -6,6 +6,8 @@
 //! one only a request that it is known to have room for, by the requests that all nodes have there
 //! (see [`in_flight`](crate::load::in_flight)). Attempts without that knowledge share a rate.
 
+pub mod limit;
+
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -25,9 +27,6 @@
 /// The share of the rejections that an endpoint can bear which attempts without known room may
 /// cause.
 const ATTEMPT_SHARE: f64 = 0.5;
-/// The share of the rejections that may be caused by finding out whether an endpoint has more room
-/// than when it rejected a request.
-const GROWTH_SHARE: f64 = 0.25;
 /// The part of the slots that stays free for requests that nodes send at the same time.
 const RESERVED_PART: u32 = 8;
 /// The smallest number of rejections per second that an endpoint is taken to bear.
@@ -192,52 +191,3 @@
         self.unreported.filter(recent).map_or(0, |(_, n)| n)
     }
 }
-
-/// The number of requests up to which a brittle endpoint is known to accept one more.
-#[derive(Debug, Clone, Copy)]
-pub struct Limit {
-    requests: f64,
-    since: Instant,
-    /// By how much it grows per second.
-    growth: f64,
-}
-
-impl Limit {
-    /// The limit after a rejection by an endpoint that had `n_requests`.
-    pub fn after_rejection(n_requests: u32, max_rejections: f64, now: Instant) -> Self {
-        let margin = (n_requests / RESERVED_PART).max(1);
-        let growth = GROWTH_SHARE * max_rejections.max(MIN_REJECTIONS);
-        Self { requests: n_requests.saturating_sub(margin).into(), since: now, growth }
-    }
-
-    /// The lower one of two limits.
-    pub fn lower(self, other: Option<Self>, now: Instant) -> Self {
-        other.filter(|it| it.value(now) < self.value(now)).unwrap_or(self)
-    }
-
-    fn value(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
-        self.requests + self.growth * elapsed
-    }
-
-    /// The number of requests that an endpoint with `slots` is known to take, given the limit that
-    /// its last rejection set.
-    ///
-    /// Requests are not let into its queue, as it may let fewer wait at any moment.
-    ///
-    /// ```
-    /// # use std::time::{Duration, Instant};
-    /// # use curranthook_gateway::brittle::Limit;
-    /// let (now, s) = (Instant::now(), Duration::from_secs(1));
-    /// let rejected = Limit::after_rejection(16, 4.0, now);
-    /// assert_eq!(Limit::requests(24, None, now), 21);
-    /// assert_eq!(Limit::requests(24, Some(rejected), now), 14);
-    /// assert_eq!(Limit::requests(24, Some(rejected), now + 3 * s), 17);
-    /// assert_eq!(Limit::requests(24, Some(rejected), now + 60 * s), 21);
-    /// ```
-    pub fn requests(slots: u32, rejected: Option<Self>, now: Instant) -> u32 {
-        let slots = slots.max(1);
-        let most = slots - slots / RESERVED_PART;
-        rejected.map_or(most, |it| most.min(it.value(now) as u32))
-    }
-}
--- a/crates/curranthook_gateway/src/directory/brittleness.rs
+++ b/crates/curranthook_gateway/src/directory/brittleness.rs
@@ -6,7 +6,7 @@
 use curranthook_types::endpoint;
 
 use super::Directory;
-use crate::brittle::{self, Statement};
+use crate::brittle::{Statement, limit::Rejection};
 
 impl Directory {
     /// Records what an endpoint of `service` stated. Returns whether other nodes are to be told.
@@ -34,20 +34,26 @@
         self.statements.is_spreading(service, now)
     }
 
-    /// Records that a brittle endpoint rejected a request while it had `n_requests`.
-    pub fn record_rejection(&mut self, id: &endpoint::Id, n_requests: u32, now: Instant) {
+    /// Records that a brittle endpoint rejected a request.
+    pub fn record_rejection(&mut self, id: &endpoint::Id, rejection: Rejection, now: Instant) {
         if let Some(it) = self.endpoints.get_mut(id) {
             let stated = self.statements.max_rejections(&it.entry.service, now);
-            let limit =
-                brittle::Limit::after_rejection(n_requests, stated.unwrap_or_default(), now);
-            it.rejected = Some(limit.lower(it.rejected, now));
+            it.limits.record(rejection, it.entry.slots, stated.unwrap_or_default(), now);
         }
     }
 
     /// The number of requests that an endpoint is known to take; none if it is not brittle.
     pub fn brittle_limit(&self, id: &endpoint::Id, now: Instant) -> Option<u32> {
         let it = self.endpoints.get(id).filter(|it| self.is_brittle(&it.entry.service, now))?;
-        Some(brittle::Limit::requests(it.entry.slots, it.rejected, now))
+        Some(it.limits.requests(it.entry.slots, 0, now))
+    }
+
+    /// The number of requests with long prompts that a brittle endpoint is known to take, and from
+    /// which number of tokens on a prompt is long; none if it takes them as any others.
+    pub fn long_prompt_limit(&self, id: &endpoint::Id, now: Instant) -> Option<(u64, u32)> {
+        let it = self.endpoints.get(id).filter(|it| self.is_brittle(&it.entry.service, now))?;
+        let min = it.limits.min_long_prompt(it.entry.slots, now)?;
+        Some((min, it.limits.requests(it.entry.slots, min, now)))
     }
 
     /// Records that an attempt without known room is being made at a brittle endpoint.
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -62,8 +62,8 @@
     pub(super) slow_start: Option<SlowStart>,
     /// This node's part in the requests to the endpoint, if its service is brittle.
     pub brittle: Option<brittle::Share>,
-    /// What the endpoint takes according to its last rejection, if its service is brittle.
-    pub rejected: Option<brittle::Limit>,
+    /// What the endpoint takes according to its rejections, if its service is brittle.
+    pub limits: brittle::limit::Limits,
     /// The state that the endpoint reports about itself.
     pub(super) advertised: Advertised,
     /// Whether the entry was removed, and the endpoint is kept only because the entry may have
@@ -90,7 +90,7 @@
             unreachable_since: None,
             slow_start: None,
             brittle: None,
-            rejected: None,
+            limits: brittle::limit::Limits::default(),
             advertised,
             is_missing: false,
         }
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -82,6 +82,8 @@
         /// rejected one included.
         known_requests: u32,
         own_in_flight: u32,
+        /// If the endpoint stated free slots: the length of the prompt.
+        prompt_tokens: Option<u64>,
         nodes: usize,
     },
     /// The evacuation of a failure domain was ordered or ended.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -9,7 +9,8 @@
     Gateway,
     advertised::Incarnation,
     affinity::Record,
-    brittle, connections,
+    brittle::{self, limit::Rejection},
+    connections,
     dialect::{Load, Reply},
     directory::Outcome,
     entry::State,
@@ -206,8 +207,13 @@
         }
         let known_requests = self.occupancy.requests();
         let stated = load.map(|it| it.running.saturating_add(it.waiting));
-        let n_requests = stated.unwrap_or(known_requests);
-        directory.record_rejection(&self.id, n_requests, now);
+        let slots = directory.get(&self.id).map_or(0, |it| it.entry.slots);
+        let has_free_slots = stated.is_some_and(|it| it < slots);
+        let rejection = Rejection {
+            n_requests: stated.unwrap_or(known_requests),
+            prompt_tokens: has_free_slots.then(|| self.prompt.tokens()),
+        };
+        directory.record_rejection(&self.id, rejection, now);
         let own_in_flight = directory.get(&self.id).map_or(0, |it| it.in_flight);
         drop(directory);
         gateway.metrics.record_brittle_attempt("rejected");
@@ -218,10 +224,11 @@
             waiting: load.map(|it| it.waiting),
             known_requests,
             own_in_flight,
+            prompt_tokens: rejection.prompt_tokens,
             nodes: gateway.n_nodes(),
         });
         if let Some(reports) = gateway.load_reports.get() {
-            reports.queue_rejection(&self.id, n_requests);
+            reports.queue_rejection(&self.id, rejection);
             gateway.pending_work_changed.wake();
         }
     }
--- a/crates/curranthook_gateway/src/load/in_flight.rs
+++ b/crates/curranthook_gateway/src/load/in_flight.rs
@@ -142,6 +142,9 @@
     pub observed: HashMap<endpoint::Id, Observed>,
     /// The numbers of requests that brittle endpoints are known to take.
     pub limits: Counts,
+    /// From which number of tokens on a prompt is long for an endpoint, and the number of requests
+    /// with long prompts that it is known to take.
+    pub long_prompts: HashMap<endpoint::Id, (u64, u32)>,
 }
 
 impl Figures {
@@ -164,11 +167,14 @@
         let limits: Counts = endpoints.iter().filter_map(limit).collect();
         let with_room = limits.iter().filter(|(id, limit)| counts.get(*id) < Some(*limit));
         with_room.for_each(|(id, _)| table.expect(requester, id, now));
+        let long_prompt =
+            |id: &endpoint::Id| Some((id.clone(), directory.long_prompt_limit(id, now)?));
+        let long_prompts = endpoints.iter().filter_map(long_prompt).collect();
         let observed = endpoints.iter().filter_map(|id| {
             let observation = directory.get(id)?.observation(now)?;
             observation.is_usable().then(|| (id.clone(), Observed(observation)))
         });
-        Self { counts, observed: observed.collect(), limits }
+        Self { counts, observed: observed.collect(), limits, long_prompts }
     }
 
     /// Adds the figures for other endpoints.
@@ -176,6 +182,7 @@
         self.counts.extend(other.counts);
         self.observed.extend(other.observed);
         self.limits.extend(other.limits);
+        self.long_prompts.extend(other.long_prompts);
     }
 }
 
@@ -225,6 +232,23 @@
     })
 }
 
+/// Reads lengths of prompts from a message, without those that are malformed.
+pub fn read_lengths<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<HashMap<endpoint::Id, u64>, D::Error> {
+    read_map(deserializer, Value::as_u64)
+}
+
+/// Reads limits for long prompts from a message, without those that are malformed or out of range.
+pub fn read_long_prompts<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<HashMap<endpoint::Id, (u64, u32)>, D::Error> {
+    read_map(deserializer, |it| {
+        let (min, limit) = serde_json::from_value::<(u64, u32)>(it.clone()).ok()?;
+        (limit <= MAX_COUNT).then_some((min, limit))
+    })
+}
+
 /// Reads observations from a message, without those that are malformed or out of range.
 pub fn read_observed<'de, D: Deserializer<'de>>(
     deserializer: D,
--- a/crates/curranthook_gateway/src/load/prefill.rs
+++ b/crates/curranthook_gateway/src/load/prefill.rs
@@ -52,6 +52,11 @@
         Self { uncached: tokens - cached, cached }
     }
 
+    /// The length of the whole prompt, in tokens.
+    pub fn tokens(&self) -> u64 {
+        self.uncached.saturating_add(self.cached)
+    }
+
     /// The numbers of prefilled tokens and of token pairs, in [`UNITS`].
     fn scaled_sizes(self) -> (f64, f64) {
         let (uncached, cached) = (self.uncached as f64, self.cached as f64);
@@ -134,7 +139,7 @@
         queue_delay: Duration,
         elapsed: Duration,
     ) -> bool {
-        if MAX_PROMPT_TOKENS < prompt.uncached.saturating_add(prompt.cached) {
+        if MAX_PROMPT_TOKENS < prompt.tokens() {
             return false;
         }
         let terms = terms(prompt, outstanding);
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -37,6 +37,7 @@
 use crate::{
     Gateway,
     affinity::Record,
+    brittle::limit::Rejection,
     load::{in_flight::Counts, slowdowns},
     rate_limit,
     steps::Evidence,
@@ -94,8 +95,8 @@
     slowdowns: slowdowns::Queue,
     /// Statements of brittle endpoints that have not been sent yet.
     statements: statements::Queue,
-    /// The brittle endpoints that rejected a request, with the number of requests that they had.
-    rejected: Mutex<Counts>,
+    /// The last rejections of brittle endpoints that have not been reported yet.
+    rejected: Mutex<HashMap<endpoint::Id, Rejection>>,
     /// The numbers of answers about room at brittle endpoints that have been used and not reported.
     settled: Mutex<Counts>,
     /// What has been found out about parts of prompts and has not been sent yet.
@@ -146,13 +147,13 @@
         self.limits.push(endpoint, notice);
     }
 
-    /// Queues the rejection of a request by a brittle endpoint that had `n_requests`, to be included
-    /// in the next report.
-    pub fn queue_rejection(&self, endpoint: &endpoint::Id, n_requests: u32) {
+    /// Queues the rejection of a request by a brittle endpoint, to be included in the next report.
+    pub fn queue_rejection(&self, endpoint: &endpoint::Id, rejection: Rejection) {
         let mut rejected = self.rejected.lock();
         let known = rejected.get(endpoint).copied();
         if known.is_some() || rejected.len() < MAX_REPORTED_REJECTIONS {
-            rejected.insert(endpoint.clone(), known.unwrap_or(u32::MAX).min(n_requests));
+            let lowest = known.map_or(rejection, |it| rejection.lowest(it));
+            rejected.insert(endpoint.clone(), lowest);
         }
     }
 
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     Gateway,
+    brittle::limit::Rejection,
     load::{
         breakdown::{self, Breakdown, PendingWork},
         in_flight::Figures,
@@ -50,6 +51,7 @@
             at_ms,
             slowdowns,
             rejected,
+            rejected_prompts,
             settled,
         } => {
             let at = at_ms.map(Duration::from_millis).zip(gateway.store_time());
@@ -63,7 +65,10 @@
             gateway.load_table.lock().update(node, waiting, now);
             let mut directory = gateway.directory.lock();
             unreachable.iter().for_each(|it| directory.report_unreachable(it, now));
-            rejected.iter().for_each(|(id, n)| directory.record_rejection(id, *n, now));
+            for (id, n_requests) in rejected {
+                let prompt_tokens = rejected_prompts.get(&id).copied();
+                directory.record_rejection(&id, Rejection { n_requests, prompt_tokens }, now);
+            }
             drop(directory);
             let mut affinity = gateway.affinity.lock();
             prefills.iter().for_each(|it| affinity.record(it.prefix_hash, &it.endpoint, now));
@@ -93,7 +98,7 @@
             let PeerState { waiting, holders, unreachable, in_flight, .. } =
                 local_state(gateway, query, &node);
             let (waiting, by_priority) = breakdown::split(&waiting);
-            let Figures { counts: in_flight, observed: loads, limits } = in_flight;
+            let Figures { counts: in_flight, observed: loads, limits, long_prompts } = in_flight;
             let answer = Message::Answer {
                 id,
                 waiting,
@@ -103,6 +108,7 @@
                 in_flight,
                 loads,
                 limits,
+                long_prompts,
                 slowdowns,
             };
             reports.send(answer, from).await;
@@ -116,12 +122,13 @@
             in_flight,
             loads,
             limits,
+            long_prompts,
             slowdowns,
         } => {
             slowdowns::receive(gateway, &slowdowns);
             let waiting = join(waiting, &by_priority, from);
             let query = reports.open_queries.lock().remove(&id);
-            let in_flight = Figures { counts: in_flight, observed: loads, limits };
+            let in_flight = Figures { counts: in_flight, observed: loads, limits, long_prompts };
             let state = PeerState { waiting, holders, unreachable, in_flight, counted: Vec::new() };
             if let Some(it) = query {
                 // The send fails if the query has already timed out.
--- a/crates/curranthook_gateway/src/load/reports/message.rs
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -58,6 +58,10 @@
         #[serde(default, deserialize_with = "in_flight::read_counts")]
         #[serde(skip_serializing_if = "HashMap::is_empty")]
         rejected: Counts,
+        /// Those of them that stated free slots, with the length of the rejected prompt in tokens.
+        #[serde(default, deserialize_with = "in_flight::read_lengths")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        rejected_prompts: HashMap<endpoint::Id, u64>,
         /// The numbers of answers about room at brittle endpoints upon which `node` has sent a
         /// request, or decided not to, since its previous report.
         #[serde(default, deserialize_with = "in_flight::read_counts")]
@@ -158,6 +162,11 @@
         #[serde(default, deserialize_with = "in_flight::read_counts")]
         #[serde(skip_serializing_if = "HashMap::is_empty")]
         limits: Counts,
+        /// The same for requests with long prompts, after the length from which on a prompt is long,
+        /// in tokens. Only endpoints whose limit for them is lower are contained.
+        #[serde(default, deserialize_with = "in_flight::read_long_prompts")]
+        #[serde(skip_serializing_if = "HashMap::is_empty")]
+        long_prompts: HashMap<endpoint::Id, (u64, u32)>,
         /// The newest slowdowns of the endpoints in the question.
         #[serde(default, skip_serializing_if = "slowdowns::Entries::is_empty")]
         slowdowns: slowdowns::Entries,
--- a/crates/curranthook_gateway/src/load/reports/outgoing.rs
+++ b/crates/curranthook_gateway/src/load/reports/outgoing.rs
@@ -12,6 +12,7 @@
 use crate::{
     Gateway,
     affinity::Record,
+    brittle::limit::Rejection,
     directory::Directory,
     load::{
         breakdown::{self, PendingWork},
@@ -65,6 +66,9 @@
         let node = gateway.settings.node.clone();
         let at_ms = at_ms.filter(|_| !in_flight.is_empty());
         let (waiting, by_priority) = breakdown::split(&waiting);
+        let rejected_prompts =
+            rejected.iter().filter_map(|(id, it)| Some((id.clone(), it.prompt_tokens?))).collect();
+        let rejected = rejected.into_iter().map(|(id, it)| (id, it.n_requests)).collect();
         let report = Message::Report {
             node,
             waiting,
@@ -75,6 +79,7 @@
             at_ms,
             slowdowns,
             rejected,
+            rejected_prompts,
             settled,
         };
         reports.send(report, addr).await;
@@ -90,7 +95,7 @@
     unreachable: Vec<endpoint::Id>,
     in_flight: Counts,
     slowdowns: slowdowns::Entries,
-    rejected: Counts,
+    rejected: HashMap<endpoint::Id, Rejection>,
     settled: Counts,
 }
 
--- a/crates/curranthook_gateway/src/selection/permits.rs
+++ b/crates/curranthook_gateway/src/selection/permits.rs
@@ -100,7 +100,7 @@
         // An attempt without known room is likely to be rejected, after which it can't be repeated.
         let is_attempt_excluded = it.brittle.is_some()
             && (criteria.at_most_once
-                || !room::may_attempt(gateway, &directory, it, peer_state, now));
+                || !room::may_attempt(gateway, &directory, it, criteria, peer_state, now));
         is_preferred(it, criteria, now)
             && it.paused_until(now).is_none()
             && !is_attempt_excluded
--- a/crates/curranthook_gateway/src/selection/room.rs
+++ b/crates/curranthook_gateway/src/selection/room.rs
@@ -6,7 +6,6 @@
 use super::{Criteria, Unavailable, plain};
 use crate::{
     Gateway,
-    brittle::Limit,
     directory::{Directory, Tracked},
     load::{occupancy::Occupancy, owners, reports::PeerState},
 };
@@ -47,7 +46,7 @@
     if !directory.is_brittle(criteria.service, now) || endpoints.is_empty() {
         return Ok((endpoints, Room::Any));
     }
-    let has_room = |it: &&Tracked| has_room(gateway, directory, it, peer_state, now);
+    let has_room = |it: &&Tracked| has_room(gateway, directory, it, criteria, peer_state, now);
     let (known, unknown): (Vec<_>, Vec<_>) = endpoints.into_iter().partition(has_room);
     if !known.is_empty() {
         return Ok((known, Room::Known));
@@ -55,7 +54,7 @@
     let is_permitted = |it: &&Tracked| {
         let is_lent = criteria.borrowed == Some(&it.entry.id);
         (is_lent || it.brittle.is_some_and(|it| it.attempts.admits(now)))
-            && may_attempt(gateway, directory, it, peer_state, now)
+            && may_attempt(gateway, directory, it, criteria, peer_state, now)
     };
     let permitted: Vec<_> = unknown.into_iter().filter(is_permitted).collect();
     if permitted.is_empty() { Err(Unavailable::Full) } else { Ok((permitted, Room::Permitted)) }
@@ -66,10 +65,11 @@
     gateway: &Gateway,
     directory: &Directory,
     endpoint: &Tracked,
+    criteria: &Criteria<'_>,
     peer_state: &PeerState,
     now: Instant,
 ) -> bool {
-    let limit = limit(endpoint, peer_state, now);
+    let limit = limit(endpoint, criteria, peer_state, now);
     let is_full = || {
         let requests = requests(gateway, directory, endpoint, peer_state, now);
         gateway.knows_requests() && requests.is_some_and(|it| limit <= it)
@@ -82,11 +82,12 @@
     gateway: &Gateway,
     directory: &Directory,
     endpoint: &Tracked,
+    criteria: &Criteria<'_>,
     peer_state: &PeerState,
     now: Instant,
 ) -> bool {
     let Some(share) = endpoint.brittle else { return false };
-    let limit = limit(endpoint, peer_state, now);
+    let limit = limit(endpoint, criteria, peer_state, now);
     if !owners::are_used(gateway.n_nodes()) && !gateway.knows_requests() {
         return endpoint.in_flight < limit / share.rank.1.max(1);
     }
@@ -94,11 +95,15 @@
     requests.is_some_and(|it| share.has_part_of(limit.saturating_sub(it), now))
 }
 
-/// The number of requests that an endpoint takes, as far as this node or a load owner knows.
-fn limit(endpoint: &Tracked, peer_state: &PeerState, now: Instant) -> u32 {
-    let own = Limit::requests(endpoint.entry.slots, endpoint.rejected, now);
-    let reported = peer_state.in_flight.limits.get(&endpoint.entry.id).copied();
-    own.min(reported.unwrap_or(u32::MAX))
+/// The number of requests up to which an endpoint takes the one with these criteria, as far as this
+/// node or a load owner knows.
+fn limit(endpoint: &Tracked, criteria: &Criteria<'_>, peer_state: &PeerState, now: Instant) -> u32 {
+    let (id, figures) = (&endpoint.entry.id, &peer_state.in_flight);
+    let own = endpoint.limits.requests(endpoint.entry.slots, criteria.prompt_tokens, now);
+    let all = figures.limits.get(id).copied();
+    let long = figures.long_prompts.get(id).filter(|(min, _)| *min <= criteria.prompt_tokens);
+    let reported = all.into_iter().chain(long.map(|(_, limit)| *limit));
+    reported.fold(own, u32::min)
 }
 
 /// The number of requests that all nodes have at an endpoint; none if this node does not know it.
--- a/crates/curranthook_gateway/tests/laws/brittle.rs
+++ b/crates/curranthook_gateway/tests/laws/brittle.rs
@@ -6,7 +6,10 @@
 };
 
 use curranthook_gateway::{
-    brittle::{self, Share, Statement, Statements},
+    brittle::{
+        self, Share, Statement, Statements,
+        limit::{Limits, Rejection},
+    },
     load::in_flight::Table,
     rate_limit,
 };
@@ -58,6 +61,52 @@
     }
 }
 
+/// Guards against rejections by an endpoint that takes none that grow with the requests or with the
+/// lengths of their prompts.
+#[test]
+fn endpoint_that_takes_nothing_rejects_few() {
+    const SLOTS: u32 = 32;
+    let (start, step, mut rng) =
+        (Instant::now(), Duration::from_millis(5), StdRng::seed_from_u64(3));
+    for max_rejections in [1.0, 2.0, 4.0, 10.0] {
+        let (mut limits, mut recent) = (Limits::default(), VecDeque::new());
+        for n in 0..12_000 {
+            let now = start + step * n;
+            recent.retain(|it| now < *it + Duration::from_secs(1));
+            let tokens = 2_u64.pow(rng.random_range(0..20));
+            if 0 < limits.requests(SLOTS, tokens, now) {
+                let rejection = Rejection { n_requests: 0, prompt_tokens: Some(tokens) };
+                limits.record(rejection, SLOTS, max_rejections, now);
+                recent.push_back(now);
+            }
+            let n_recent = recent.len();
+            assert!(n_recent as f64 <= max_rejections, "{n_recent} of {max_rejections} borne");
+        }
+    }
+}
+
+/// Guards against an endpoint that takes requests again and stays nearly unused.
+#[test]
+fn endpoint_that_takes_requests_again_is_used_soon() {
+    for slots in [8, 32, 128] {
+        let (now, mut limits) = (Instant::now(), Limits::default());
+        let rejection = Rejection { n_requests: 0, prompt_tokens: Some(0) };
+        limits.record(rejection, slots, 4.0, now);
+        let later = now + Duration::from_secs(2 + u64::from(slots.ilog2()));
+        assert_eq!(limits.requests(slots, 0, later), Limits::default().requests(slots, 0, later));
+    }
+}
+
+/// Guards against an endpoint that has been paused once and is never limited again.
+#[test]
+fn rejection_long_after_a_pause_sets_a_limit() {
+    let (now, mut limits) = (Instant::now(), Limits::default());
+    limits.record(Rejection { n_requests: 0, prompt_tokens: Some(0) }, 32, 4.0, now);
+    let later = now + Duration::from_secs(60);
+    limits.record(Rejection { n_requests: 16, prompt_tokens: None }, 32, 4.0, later);
+    assert_eq!(limits.requests(32, 0, later), 14);
+}
+
 /// Guards against a free slot that all nodes are told of at once.
 #[test]
 fn owner_tells_as_many_nodes_of_room_as_there_is() {
--- a/crates/curranthook_gateway/tests/waiting_work.rs
+++ b/crates/curranthook_gateway/tests/waiting_work.rs
@@ -310,6 +310,7 @@
         at_ms: None,
         slowdowns: Entries::default(),
         rejected: HashMap::new(),
+        rejected_prompts: HashMap::new(),
         settled: HashMap::new(),
     }
 }
@@ -495,6 +496,7 @@
         in_flight: HashMap::new(),
         loads: HashMap::new(),
         limits: HashMap::new(),
+        long_prompts: HashMap::new(),
     }
 }
 
