--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -248,6 +248,20 @@
     (socket, addr)
 }
 
+/// Guards against taking an owner's silence for an answer, after which nobody is asked again.
+#[test]
+fn owner_that_does_not_answer_counts_no_requests() {
+    runtime::run(1, |ex| async move {
+        let (socket, owner) = owner_socket();
+        let node = node(&ex, Contention::ByRank, owner).await;
+        let unanswered = reports::query(&node, query(vec![id(1), id(2)])).await;
+        assert!(unanswered.counted.is_empty(), "{:?}", unanswered.counted);
+        let mut answered = ask(&node, &socket, Some(json!({}))).await.counted;
+        answered.sort_unstable();
+        assert_eq!(answered, [id(1), id(2)]);
+    });
+}
+
 /// Elsewhere a service without models is placed as before, without any question. Guards against
 /// datagrams and waits in deployments that do not call for them.
 #[test]
