--- a/crates/curranthook_gateway/tests/late_answers.rs
+++ b/crates/curranthook_gateway/tests/late_answers.rs
@@ -4,11 +4,21 @@
 #[allow(dead_code, reason = "each test uses a part")]
 mod owner;
 
-use curranthook_gateway::{load::reports, settings::Contention};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use curranthook_gateway::{
+    brittle::Statement,
+    load::{
+        owners::Owners,
+        reports::{self, Query},
+    },
+    settings::Contention,
+};
 use curranthook_http::runtime;
 use serde_json::json;
 
-use self::owner::{ask, id, node, owner_socket, query};
+use self::owner::{SERVICE, answer, ask, id, node, owner_socket, query};
 
 /// Guards against taking an owner's silence for an answer, after which nobody is asked again.
 #[test]
@@ -23,3 +33,37 @@
         assert_eq!(answered, [id(1), id(2)]);
     });
 }
+
+/// Guards against refusing a request at a busy owner whose answers come just too late each time.
+#[test]
+fn second_question_waits_for_an_answer_that_was_late() {
+    runtime::run(1, |ex| async move {
+        let (socket, owner) = owner_socket();
+        let node = node(&ex, Contention::ByRank, owner).await;
+        let now = node.now();
+        let statement = Statement { max_rejections: 4.0, at: now, since: now };
+        node.directory.lock().record_statement(SERVICE, statement);
+        let late_answer = async {
+            Timer::after(Duration::from_millis(150)).await;
+            answer(&socket, Some(json!({}))).await
+        };
+        let second = Query { asked: vec![id(1)], ..query(vec![id(1)]) };
+        let (state, _) =
+            futures_lite::future::zip(reports::query(&node, second), late_answer).await;
+        assert!(state.waiting.contains_key(&id(1)));
+    });
+}
+
+/// Guards against a stall of an owner that ends at once for it, and after four seconds for others.
+#[test]
+fn questions_that_time_out_together_are_one_timeout() {
+    let (mut owners, sent_at) = (Owners::default(), Instant::now());
+    let addr = ([127, 0, 0, 1], 1).into();
+    owners.set_node("node-1", Some(addr));
+    let (endpoint, mut now) = (id(1), sent_at);
+    for _ in 0..20 {
+        now += Duration::from_millis(1);
+        owners.record_timeout(addr, now);
+    }
+    assert_eq!(owners.settled_owner_of(&endpoint, 0, None, now), Some(addr));
+}
