--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -64,11 +64,13 @@
             Some(_limit) => owners.settled_owner_of(&id, 0, store_time, now),
             None => owners.owner_of(&id, now),
         };
-        if let Some(addr) = owner {
-            let query = queries.entry(addr).or_default();
-            query.endpoints.push(id);
-            query.in_flight = in_flight;
-        }
+        let Some(addr) = owner else {
+            gateway.metrics.record_asked(in_flight, "no_owner");
+            continue;
+        };
+        let query = queries.entry(addr).or_default();
+        query.endpoints.push(id);
+        query.in_flight = in_flight;
     }
     if let Some(addr) = prefix_hash.and_then(|it| owners.owner_of_hash(it, now)) {
         queries.entry(addr).or_default().prefix_hash = prefix_hash;
@@ -137,11 +139,7 @@
     }
 
     fn record_result(&self, result: &'static str) {
-        let metrics = &self.gateway.metrics;
-        match self.in_flight {
-            true => metrics.record_plain_query(result),
-            false => metrics.record_query(result),
-        }
+        self.gateway.metrics.record_asked(self.in_flight, result);
     }
 }
 
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -255,15 +255,11 @@
         self.sections.get_or_create(&Label { name: result }).inc();
     }
 
-    /// Counts a query to a load owner as answered in time or not.
-    pub fn record_query(&self, result: &'static str) {
-        self.queries.get_or_create(&Label { name: result }).inc();
-    }
-
-    /// Counts a query about a service without models as answered in time or not, or as answered
-    /// without the number of requests.
-    pub fn record_plain_query(&self, result: &'static str) {
-        self.plain_queries.get_or_create(&Label { name: result }).inc();
+    /// Counts a query to a load owner by result. `in_flight` is whether it asks for the requests in
+    /// flight, too.
+    pub fn record_asked(&self, in_flight: bool, result: &'static str) {
+        let queries = if in_flight { &self.plain_queries } else { &self.queries };
+        queries.get_or_create(&Label { name: result }).inc();
     }
 
     /// Counts figures of endpoints' slowdown that were received.
