Ask again for requests in flight until an owner states them

Callers saw: a stream refused as full beside an idle endpoint.

Cause: an endpoint counted as covered once its owner was asked for the requests in flight, whether it answered or not, if it had answered anything before; and an owner that did not know the endpoints to be brittle yet answered without numbers. The class is silence taken for an answer.

Change: an endpoint is covered once an owner has stated how many requests it takes.

The test failed before. It asks for more now: an answer without numbers does not cover the endpoint, and it takes the unanswered question from the socket, without which a later answer is to that one.

--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -157,8 +157,7 @@
     /// no room, and adds what they answer. Returns whether there are any.
     async fn query_others(&self, criteria: &Criteria<'_>, peer_state: &mut PeerState) -> bool {
         let in_flight = self.counts_requests();
-        // A service may be found to be brittle after the owners were asked for less.
-        let is_covered = |it: &&endpoint::Id| !in_flight || peer_state.counted.contains(it);
+        let is_covered = |it: &&endpoint::Id| !in_flight || peer_state.knows_room(it);
         let covered = peer_state.waiting.keys().filter(is_covered).chain(&peer_state.unreachable);
         let tried: Vec<_> = covered.chain(criteria.tried).cloned().collect();
         let others = Criteria { tried: &tried, prefix_hash: None, ..*criteria };
@@ -167,7 +166,7 @@
         if endpoints.is_empty() {
             return false;
         }
-        let asked = peer_state.counted.clone();
+        let asked = peer_state.asked.clone();
         let query = Query { endpoints, in_flight, asked, ..Query::default() };
         peer_state.extend(reports::query(&self.gateway, query).await);
         let now = self.gateway.now();
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -129,7 +129,8 @@
             let waiting = join(waiting, &by_priority, from);
             let query = reports.open_queries.lock().remove(&id);
             let in_flight = Figures { counts: in_flight, observed: loads, limits, long_prompts };
-            let state = PeerState { waiting, holders, unreachable, in_flight, counted: Vec::new() };
+            let state =
+                PeerState { waiting, holders, unreachable, in_flight, ..PeerState::default() };
             if let Some(it) = query {
                 // The send fails if the query has already timed out.
                 let _ignored = it.try_send((id, state));
@@ -176,6 +177,6 @@
         holders,
         unreachable,
         in_flight: figures.unwrap_or_default(),
-        counted: Vec::new(),
+        ..PeerState::default()
     }
 }
--- a/crates/curranthook_gateway/src/load/reports/peer_state.rs
+++ b/crates/curranthook_gateway/src/load/reports/peer_state.rs
@@ -22,10 +22,16 @@
     /// The requests at each of the given endpoints, for a service without models.
     pub in_flight: Figures,
     /// The endpoints whose numbers of requests owners were asked for.
-    pub counted: Vec<endpoint::Id>,
+    pub asked: Vec<endpoint::Id>,
 }
 
 impl PeerState {
+    /// Whether an owner has stated how many requests an endpoint takes. One that does not answer, or
+    /// does not know yet that the endpoint is brittle, states nothing.
+    pub fn knows_room(&self, endpoint: &endpoint::Id) -> bool {
+        self.in_flight.limits.contains_key(endpoint)
+    }
+
     /// Ejects the unreachable endpoints, and removes their work: it is no queue in which a request
     /// could wait, and as they have none, they would seem idle.
     pub fn eject_unreachable(&mut self, directory: &mut Directory, now: Instant) {
@@ -56,6 +62,6 @@
         self.unreachable.extend(other.unreachable);
         self.holders = other.holders.or(self.holders.take());
         self.in_flight.extend(other.in_flight);
-        self.counted.extend(other.counted);
+        self.asked.extend(other.asked);
     }
 }
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -41,13 +41,13 @@
         query.endpoints.iter().any(|it| directory.brittle_limit(it, now).is_some())
     };
     let time_limit = if is_required { REQUIRED_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT };
-    let counted = if in_flight { query.endpoints.clone() } else { Vec::new() };
+    let asked = if in_flight { query.endpoints.clone() } else { Vec::new() };
     let mut by_owner = by_owner(gateway, query);
     let own_query = settings.reports.and_then(|addr| by_owner.remove(&addr)).unwrap_or_default();
     let mut state = local_state(gateway, own_query, &settings.node);
     let queries = Queries::send(gateway, reports, by_owner, in_flight).await;
     state.extend(queries.answers(time_limit).await);
-    state.counted = counted;
+    state.asked = asked;
     state
 }
 
--- a/crates/curranthook_gateway/tests/late_answers.rs
+++ b/crates/curranthook_gateway/tests/late_answers.rs
@@ -18,19 +18,23 @@
 use curranthook_http::runtime;
 use serde_json::json;
 
-use self::owner::{SERVICE, answer, ask, id, node, owner_socket, query};
+use self::owner::{SERVICE, answer, ask, id, node, owner_socket, query, receive};
 
-/// Guards against taking an owner's silence for an answer, after which nobody is asked again.
+/// Guards against taking an owner's silence, or an answer without numbers, for one that states them,
+/// after which nobody is asked again.
 #[test]
 fn owner_that_does_not_answer_counts_no_requests() {
     runtime::run(1, |ex| async move {
         let (socket, owner) = owner_socket();
         let node = node(&ex, Contention::ByRank, owner).await;
-        let unanswered = reports::query(&node, query(vec![id(1), id(2)])).await;
-        assert!(unanswered.counted.is_empty(), "{:?}", unanswered.counted);
-        let mut answered = ask(&node, &socket, Some(json!({}))).await.counted;
-        answered.sort_unstable();
-        assert_eq!(answered, [id(1), id(2)]);
+        let question = reports::query(&node, query(vec![id(1), id(2)]));
+        let (unanswered, _) =
+            futures_lite::future::zip(question, receive(&socket, "question")).await;
+        let uncounted = ask(&node, &socket, &json!({})).await;
+        assert!(![unanswered, uncounted].iter().any(|it| it.knows_room(&id(1))));
+        let figures = json!({ "limits": { id(1).as_str(): 4 } });
+        let answered = ask(&node, &socket, &figures).await;
+        assert!(answered.knows_room(&id(1)) && !answered.knows_room(&id(2)));
     });
 }
 
@@ -45,7 +49,7 @@
         node.directory.lock().record_statement(SERVICE, statement);
         let late_answer = async {
             Timer::after(Duration::from_millis(150)).await;
-            answer(&socket, Some(json!({}))).await
+            answer(&socket, &json!({})).await
         };
         let second = Query { asked: vec![id(1)], ..query(vec![id(1)]) };
         let (state, _) =
--- a/crates/curranthook_gateway/tests/load_owners.rs
+++ b/crates/curranthook_gateway/tests/load_owners.rs
@@ -103,7 +103,7 @@
         let node = node(&ex, Contention::ByRank, owner).await;
         for (busy, idle) in [(1, 2), (2, 1)] {
             let counts = json!({ id(busy).as_str(): 9, id(idle).as_str(): 1 });
-            let state = ask(&node, &socket, Some(counts)).await;
+            let state = ask(&node, &socket, &json!({ "in_flight": counts })).await;
             let lease = Lease::acquire(&node, &criteria(false, &[]), &state).unwrap();
             assert_eq!((&lease.id, lease.occupancy.others), (&id(idle), Some(1)));
         }
@@ -148,7 +148,7 @@
         let node = node(&ex, Contention::ByRank, owner).await;
         let start = Instant::now();
         let state = match answers {
-            true => ask(&node, &socket, None).await,
+            true => ask(&node, &socket, &json!({})).await,
             false => reports::query(&node, query(vec![id(1), id(2)])).await,
         };
         // A second is far more than the limit of 15 ms, since the host of the tests may be busy.
--- a/crates/curranthook_gateway/tests/support/owner.rs
+++ b/crates/curranthook_gateway/tests/support/owner.rs
@@ -180,14 +180,14 @@
     }
 }
 
-/// Answers the next question with these numbers of requests.
-pub async fn answer(socket: &Async<UdpSocket>, in_flight: Option<Value>) -> usize {
+/// Answers the next question with the members of `figures`, and no work.
+pub async fn answer(socket: &Async<UdpSocket>, figures: &Value) -> usize {
     let (question, _, from) = receive(socket, "question").await;
     let ids = question["endpoints"].as_array().unwrap();
     let waiting: Value = ids.iter().map(|it| (it.as_str().unwrap().to_owned(), json!(0))).collect();
     let mut answer = json!({ "id": question["id"], "waiting": waiting });
-    if let Some(in_flight) = in_flight {
-        answer["in_flight"] = in_flight;
+    for (name, value) in figures.as_object().unwrap() {
+        answer[name] = value.clone();
     }
     let bytes = serde_json::to_vec(&json!({ "answer": answer })).unwrap();
     socket.send_to(&bytes, from).await.unwrap()
@@ -195,11 +195,10 @@
 
 /// Queries the owner of two endpoints until its answer arrives within the time limit, which may
 /// fail on a busy host.
-pub async fn ask(node: &Gateway, socket: &Async<UdpSocket>, in_flight: Option<Value>) -> PeerState {
+pub async fn ask(node: &Gateway, socket: &Async<UdpSocket>, figures: &Value) -> PeerState {
     for _ in 0..100 {
         let question = reports::query(node, query(vec![id(1), id(2)]));
-        let (state, _) =
-            futures_lite::future::zip(question, answer(socket, in_flight.clone())).await;
+        let (state, _) = futures_lite::future::zip(question, answer(socket, figures)).await;
         if !state.waiting.is_empty() {
             return state;
         }
