Wait longer for an owner's answer with each further question

Callers saw: a stream refused as full beside an idle endpoint, 1 to 5 of 160 as 40 nodes run beside others.

Cause: each of three questions waited 100 ms, and answers after that were dropped. In a trial with a limit of 2 s most answers of six copies came after 50 to 350 ms, at three copies half after 50 to 200 ms. The class is a retry that throws away the work before it and adds to the load that delays it.

Change: the wait doubles with each further question for the same request, up to half of what is left of its time: 700 ms in all, 300 before.

--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -167,7 +167,8 @@
             return false;
         }
         let asked = peer_state.asked.clone();
-        let query = Query { endpoints, in_flight, asked, ..Query::default() };
+        let time_left = Some(self.time_left());
+        let query = Query { endpoints, in_flight, asked, time_left, ..Query::default() };
         peer_state.extend(reports::query(&self.gateway, query).await);
         let now = self.gateway.now();
         peer_state.eject_unreachable(&mut self.gateway.directory.lock(), now);
@@ -188,7 +189,7 @@
             endpoints: shortlist,
             prefix_hash: criteria.prefix_hash,
             in_flight: self.counts_requests(),
-            asked: Vec::new(),
+            ..Query::default()
         };
         let mut peer_state = reports::query(&self.gateway, query).await;
         let is_unreported = |it: &endpoint::Id| !peer_state.waiting.contains_key(it);
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -94,7 +94,7 @@
         }
         Message::Question { id, node, endpoints, prefix_hash, in_flight } => {
             let slowdowns = slowdowns::Entries::known(&gateway.directory.lock(), &endpoints, now);
-            let query = Query { endpoints, prefix_hash, in_flight, asked: Vec::new() };
+            let query = Query { endpoints, prefix_hash, in_flight, ..Query::default() };
             let PeerState { waiting, holders, unreachable, in_flight, .. } =
                 local_state(gateway, query, &node);
             let (waiting, by_priority) = breakdown::split(&waiting);
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -14,7 +14,8 @@
 /// compared to the second that callers wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(15);
 
-/// The same if a request must not be placed without an answer.
+/// The same if a request must not be placed without an answer. Doubles with each further question:
+/// an owner that is busy is not less so if it is asked again.
 const REQUIRED_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// What load owners are asked.
@@ -29,6 +30,20 @@
     pub in_flight: bool,
     /// The endpoints whose requests in flight were requested before, for the same request.
     pub asked: Vec<endpoint::Id>,
+    /// The time left until the request's deadline; none if the wait need not depend on it.
+    pub time_left: Option<Duration>,
+}
+
+impl Query {
+    /// How long the answers are awaited if the request must not be placed without them: half of what
+    /// is left of its time at most.
+    fn required_answer_timeout(&self) -> Duration {
+        let n_asked = |id: &endpoint::Id| self.asked.iter().filter(|it| *it == id).count();
+        let n_unanswered = self.endpoints.iter().map(n_asked).max().unwrap_or(0);
+        let n_unanswered = u32::try_from(n_unanswered).unwrap_or(u32::MAX);
+        let timeout = REQUIRED_ANSWER_TIMEOUT.saturating_mul(2_u32.saturating_pow(n_unanswered));
+        self.time_left.map_or(timeout, |it| timeout.min(it / 2))
+    }
 }
 
 /// Queries the owners of the endpoints and of the prefix. Returns the answers that arrive in time.
@@ -40,7 +55,10 @@
         let (directory, now) = (gateway.directory.lock(), gateway.now());
         query.endpoints.iter().any(|it| directory.brittle_limit(it, now).is_some())
     };
-    let time_limit = if is_required { REQUIRED_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT };
+    let time_limit = match is_required {
+        true => query.required_answer_timeout(),
+        false => ANSWER_TIMEOUT,
+    };
     let asked = if in_flight { query.endpoints.clone() } else { Vec::new() };
     let mut by_owner = by_owner(gateway, query);
     let own_query = settings.reports.and_then(|addr| by_owner.remove(&addr)).unwrap_or_default();
@@ -53,7 +71,7 @@
 
 /// Splits a query into the queries to each owner.
 fn by_owner(gateway: &Gateway, query: Query) -> HashMap<SocketAddr, Query> {
-    let Query { endpoints, prefix_hash, in_flight, asked } = query;
+    let Query { endpoints, prefix_hash, in_flight, asked, .. } = query;
     let (store_time, now) = (gateway.store_time(), gateway.now());
     let (directory, mut owners) = (gateway.directory.lock(), gateway.load_owners.lock());
     let mut queries: HashMap<SocketAddr, Query> = HashMap::new();
--- a/crates/curranthook_gateway/tests/support/owner.rs
+++ b/crates/curranthook_gateway/tests/support/owner.rs
@@ -165,7 +165,7 @@
 }
 
 pub fn query(endpoints: Vec<endpoint::Id>) -> Query {
-    Query { endpoints, prefix_hash: None, in_flight: true, asked: Vec::new() }
+    Query { endpoints, in_flight: true, ..Query::default() }
 }
 
 /// Receives datagrams until one contains `kind`; returns its contents, its size, and its sender.
