Count questions that time out together as one

Callers saw: a node refused streams as full for up to four seconds beside an idle endpoint, after its owners had stalled for 0.1 s.

Cause: three unanswered questions in a row keep a node from an owner for four seconds, and those of one burst, open at the same time, counted as a row. Answers that came too late for their question were no sign that the owner answers again. The class is one event observed several times and counted as several.

Change: a question counts only if it was sent after the last one that counted had timed out, and any answer ends the pause.

--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -24,7 +24,7 @@
 /// owners.
 const MAX_BROADCAST_NODES: usize = 12;
 /// The number of successive unanswered queries after which an owner is skipped. A single query or
-/// answer may be lost or late.
+/// answer may be lost or late. Queries that are open at the same time count as one.
 const MAX_UNANSWERED: u32 = 3;
 /// How long an owner is skipped after too many unanswered queries; about the time of a restart.
 const SKIP_TIME: Duration = Duration::from_secs(4);
@@ -79,6 +79,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Timeouts {
     count: u32,
+    /// When the last one was counted.
+    counted_at: Option<Instant>,
     skipped_until: Option<Instant>,
 }
 
@@ -229,12 +231,31 @@
         self.timeouts.remove(&addr);
     }
 
-    /// Records that an owner left a query unanswered.
-    pub fn record_timeout(&mut self, addr: SocketAddr, now: Instant) {
+    /// Records that an owner left a query unanswered that was sent at `sent_at`.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::load::owners::Owners;
+    /// let (mut owners, owner) = (Owners::default(), ([127, 0, 0, 1], 1).into());
+    /// owners.set_node("node-1", Some(owner));
+    /// let (mut now, timeout) = (Instant::now(), Duration::from_millis(100));
+    /// for _ in 0..3 {
+    ///     assert_eq!(owners.owner_of_hash(7, now), Some(owner));
+    ///     owners.record_timeout(owner, now, now + timeout);
+    ///     now += timeout;
+    /// }
+    /// assert_eq!(owners.owner_of_hash(7, now), None);
+    /// ```
+    pub fn record_timeout(&mut self, addr: SocketAddr, sent_at: Instant, now: Instant) {
         let it = self.timeouts.entry(addr).or_default();
+        if it.counted_at.is_some_and(|at| sent_at < at) {
+            return;
+        }
         it.count += 1;
+        it.counted_at = Some(now);
         if MAX_UNANSWERED <= it.count {
-            *it = Timeouts { count: 0, skipped_until: Some(now + SKIP_TIME) };
+            it.count = 0;
+            it.skipped_until = Some(now + SKIP_TIME);
         }
     }
 }
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -131,9 +131,13 @@
             let in_flight = Figures { counts: in_flight, observed: loads, limits, long_prompts };
             let state =
                 PeerState { waiting, holders, unreachable, in_flight, ..PeerState::default() };
-            if let Some(it) = query {
-                // The send fails if the query has already timed out.
-                let _ignored = it.try_send((id, state));
+            match query {
+                Some(it) => {
+                    // The send fails if the query has already timed out.
+                    let _ignored = it.try_send((id, state));
+                }
+                // Too late for its query, but the owner answers.
+                None => gateway.load_owners.lock().record_answer(from),
             }
         }
     }
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -1,6 +1,11 @@
 //! Queries to load owners, sent before a request is placed.
 
-use std::{collections::HashMap, net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use async_channel::Receiver;
 use curranthook_http::timeout;
@@ -102,6 +107,7 @@
     reports: &'a Socket,
     /// The owner to which each query was sent, by the query's id.
     open: HashMap<u64, SocketAddr>,
+    sent_at: Instant,
     /// Whether the queries request the requests in flight.
     in_flight: bool,
     answers: Receiver<(u64, PeerState)>,
@@ -116,7 +122,7 @@
         in_flight: bool,
     ) -> Self {
         let (tx, answers) = async_channel::bounded(by_owner.len().max(1));
-        let mut open = HashMap::new();
+        let (mut open, sent_at) = (HashMap::new(), gateway.now());
         for (addr, Query { endpoints, prefix_hash, .. }) in by_owner {
             let id = reports.next_query_id.fetch_add(1, Ordering::Relaxed);
             reports.open_queries.lock().insert(id, tx.clone());
@@ -125,7 +131,7 @@
             let question = Message::Question { id, node, endpoints, prefix_hash, in_flight };
             reports.send(question, addr).await;
         }
-        Self { gateway, reports, open, in_flight, answers }
+        Self { gateway, reports, open, sent_at, in_flight, answers }
     }
 
     /// Collects the answers that arrive within `time_limit`.
@@ -151,7 +157,8 @@
     /// Records the timeouts of the queries that are still open.
     fn record_timeouts(self) {
         for addr in self.open.values() {
-            self.gateway.load_owners.lock().record_timeout(*addr, self.gateway.now());
+            let now = self.gateway.now();
+            self.gateway.load_owners.lock().record_timeout(*addr, self.sent_at, now);
             self.record_result("unanswered");
         }
     }
--- a/crates/curranthook_gateway/tests/late_answers.rs
+++ b/crates/curranthook_gateway/tests/late_answers.rs
@@ -67,7 +67,27 @@
     let (endpoint, mut now) = (id(1), sent_at);
     for _ in 0..20 {
         now += Duration::from_millis(1);
-        owners.record_timeout(addr, now);
+        owners.record_timeout(addr, sent_at, now);
     }
     assert_eq!(owners.settled_owner_of(&endpoint, 0, None, now), Some(addr));
 }
+
+/// Guards against passing over an owner that answers again, and with it all that it knows.
+#[test]
+fn owner_that_answers_late_is_asked_again() {
+    runtime::run(1, |ex| async move {
+        let (socket, owner) = owner_socket();
+        let node = node(&ex, Contention::ByRank, owner).await;
+        let known_owner = || node.load_owners.lock().owner_of(&id(1), node.now());
+        for _ in 0..3 {
+            let _unanswered = reports::query(&node, query(vec![id(1)])).await;
+        }
+        assert_eq!(known_owner(), None);
+        answer(&socket, &json!({})).await;
+        let until = node.now() + Duration::from_secs(2);
+        while known_owner().is_none() && node.now() < until {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert_eq!(known_owner(), Some(owner));
+    });
+}
