Report requests to each node that may be asked for them soon

Callers saw: a brittle endpoint rejects 5 to 13 requests in a second of 4 borne after the whole fleet was restarted with other addresses.

Cause: a node is asked from 3 s after it joined on, and is reported to from 1.5 s on if it is among the first two of that age. As further nodes reach that age it falls out of these two, and is still asked first as it reaches 3 s before they do: it then knows only what was reported since. The class is a condition checked at one moment for a state that has to hold over a time.

Ruled out: owners that state numbers too soon after their start.

Change: a node is reported to if it is among the first two of the nodes of its age or older, at any age between both limits, and the second one that is asked while all have just joined is, too. That is the logarithm of the nodes in addresses, until all have settled; a law counts it.

--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -10,6 +10,7 @@
 mod ranking;
 
 use std::{
+    borrow::Cow,
     collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -70,9 +71,13 @@
 }
 
 impl Owner {
+    /// The time since the node joined, by the store's clock; none if that was long ago.
+    fn age(&self, store_time: Option<Duration>) -> Option<Duration> {
+        store_time.zip(self.joined).map(|(now, it)| now.saturating_sub(it))
+    }
+
     fn has_joined_before(&self, age: Duration, store_time: Option<Duration>) -> bool {
-        let age_now = store_time.zip(self.joined).map(|(now, it)| now.saturating_sub(it));
-        age_now.is_none_or(|it| age <= it)
+        self.age(store_time).is_none_or(|it| age <= it)
     }
 }
 
@@ -134,11 +139,7 @@
         now: Instant,
     ) -> Option<SocketAddr> {
         let hash = hash::bytes(endpoint.as_str().as_bytes());
-        let mut nodes = self.first_joined(hash, ASKED_AFTER, store_time);
-        if nodes.is_empty() {
-            // If all nodes have just joined, none of them knows more than another.
-            nodes = self.first_joined(hash, Duration::ZERO, None);
-        }
+        let mut nodes = self.asked_in_turn(hash, store_time);
         nodes.retain(|it| !is_skipped(&self.timeouts, *it, now));
         let index = n_unanswered.checked_rem(nodes.len())?;
         Some(nodes[index])
@@ -153,14 +154,50 @@
         now: Instant,
     ) -> Vec<SocketAddr> {
         let hash = hash::bytes(endpoint.as_str().as_bytes());
-        let mut addrs = self.first_joined(hash, REPORTED_AFTER, store_time);
-        addrs.extend(self.first_joined(hash, ALONE_AFTER, store_time));
+        let mut addrs = self.asked_soon(hash, store_time);
+        addrs.extend(self.asked_in_turn(hash, store_time));
         addrs.extend(self.settled_owner_of(endpoint, 0, store_time, now));
         addrs.sort_unstable();
         addrs.dedup();
         addrs
     }
 
+    /// The nodes that are asked for the requests at an endpoint now, the first one first.
+    fn asked_in_turn(&mut self, hash: u64, store_time: Option<Duration>) -> Vec<SocketAddr> {
+        let settled = self.first_joined(hash, ASKED_AFTER, store_time);
+        // If all nodes have just joined, none of them knows more than another.
+        if settled.is_empty() { self.first_joined(hash, Duration::ZERO, None) } else { settled }
+    }
+
+    /// The nodes that may be asked until those that joined [`REPORTED_AFTER`] ago have settled, and
+    /// those that other nodes may still ask: the first [`N_REPORTED_TO`] among the nodes of each age
+    /// or older. A node of a low rank is asked for as long as those of higher ranks are younger.
+    fn asked_soon(&mut self, hash: u64, store_time: Option<Duration>) -> Vec<SocketAddr> {
+        let Self { nodes, ranking, .. } = self;
+        let rank = |it: usize| hash::pair(hash, nodes[it].node_hash);
+        let age = |it: usize| nodes[it].age(store_time).unwrap_or(ALONE_AFTER).min(ALONE_AFTER);
+        let kept = ranking.first(hash, nodes.len(), rank);
+        let is_enough = kept.len() == nodes.len()
+            || N_REPORTED_TO <= kept.iter().filter(|it| age(**it) == ALONE_AFTER).count();
+        let by_rank = if is_enough {
+            Cow::Borrowed(kept)
+        } else {
+            Cow::Owned(ranking::highest(nodes.len(), 0..nodes.len(), rank))
+        };
+        // The highest ages so far.
+        let mut oldest = [Duration::ZERO; N_REPORTED_TO];
+        let mut addrs = Vec::new();
+        for it in by_rank.iter().copied().filter(|it| REPORTED_AFTER <= age(*it)) {
+            let [youngest_of_them, ..] = &mut oldest;
+            if *youngest_of_them < age(it) {
+                *youngest_of_them = age(it);
+                oldest.sort_unstable();
+                addrs.push(nodes[it].addr);
+            }
+        }
+        addrs
+    }
+
     /// The first [`N_REPORTED_TO`] nodes for an endpoint among those that joined `age` ago or
     /// earlier, the first one first.
     fn first_joined(
--- a/crates/curranthook_gateway/tests/laws/owners.rs
+++ b/crates/curranthook_gateway/tests/laws/owners.rs
@@ -47,6 +47,29 @@
     });
 }
 
+/// Guards against reports to most of the nodes while all of them settle one by one.
+#[test]
+fn few_nodes_are_reported_to_after_a_restart() {
+    let (start, spacing, now) =
+        (Duration::from_secs(100), Duration::from_micros(1_500), Instant::now());
+    Law::Logarithmic.assert(&N_NODES, |n_nodes| {
+        let mut owners = owners(n_nodes);
+        for node in 0..n_nodes {
+            let joined = start + spacing * u32::try_from(node).unwrap();
+            owners.set_joined(&format!("node-{node}"), Some(joined));
+        }
+        let n_reported_to = (0..N_ENDPOINTS).map(|it| {
+            let id = endpoint::Id::from(format!("e-{it}").as_str());
+            let most = (0..80).map(|step| {
+                let store_time = start + Duration::from_millis(100) * step;
+                owners.reported_to(&id, Some(store_time), now).len()
+            });
+            most.max().unwrap_or(0)
+        });
+        n_reported_to.sum::<usize>()
+    });
+}
+
 /// Guards against ranking all nodes anew whenever a node repeats its row.
 #[test]
 fn unchanged_rows_keep_the_ranking() {
