Let nodes that join within a second settle together

Cause: each node settles 3 s after it joined, so eight that join within 0.7 s may become the owner of an endpoint one after the other. A new owner does not know what room the one before it has just given away. The class is a change that is safe once and repeated without a pause.

Change: a node counts as joined at the next whole second, so an endpoint's owner changes once in a second at most. A node that joins is asked up to a second later.

--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -30,6 +30,9 @@
 /// How long an owner is skipped after too many unanswered queries; about the time of a restart.
 const SKIP_TIME: Duration = Duration::from_secs(4);
 
+/// Nodes that join within an interval settle together. Each change of an endpoint's owner may let a
+/// few requests too many through, as the new one does not know what the one before it has just told.
+const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 /// The time from when a node joins until its requests are reported to it, as all nodes know it by
 /// then, and until other nodes ask it. A node that is asked at once would know a part of the
 /// requests only, as some nodes still report to the owner before it.
@@ -104,11 +107,13 @@
     }
 
     /// Sets when a node joined, by the store's clock; none if it joined long ago.
+    ///
+    /// It counts as joined at the next whole [`JOIN_INTERVAL`], with all others of the interval.
     pub fn set_joined(&mut self, node: &str, joined: Option<Duration>) {
         let node_hash = hash::bytes(node.as_bytes());
         let known = self.nodes.iter_mut().find(|it| it.node_hash == node_hash);
         if let Some(it) = known {
-            it.joined = joined;
+            it.joined = joined.map(round_up);
         }
     }
 
@@ -297,6 +302,11 @@
     }
 }
 
+fn round_up(joined: Duration) -> Duration {
+    let n_intervals = joined.as_nanos().div_ceil(JOIN_INTERVAL.as_nanos());
+    u32::try_from(n_intervals).map_or(joined, |it| JOIN_INTERVAL * it)
+}
+
 fn is_skipped(timeouts: &HashMap<SocketAddr, Timeouts>, addr: SocketAddr, now: Instant) -> bool {
     let skipped_until = timeouts.get(&addr).and_then(|it| it.skipped_until);
     skipped_until.is_some_and(|skipped_until| now < skipped_until)
