--- a/crates/curranthook_gateway/tests/owner_changes.rs
+++ b/crates/curranthook_gateway/tests/owner_changes.rs
@@ -16,6 +16,8 @@
 
 /// The minimum time between two changes of an endpoint's owner.
 const CHANGE_INTERVAL: Duration = Duration::from_secs(1);
+/// By how much a busy node's idea of the store's clock may be late.
+const CLOCK_DELAY: Duration = Duration::from_secs(1);
 /// When the first node joins, by the store's clock.
 const START: Duration = Duration::from_millis(100_300);
 
@@ -91,3 +93,24 @@
         }
     }
 }
+
+/// Guards against a node that is asked by one whose clock is late, and no longer reported to by others.
+#[parameterized(
+    restarted = { 20, 0, 80 },
+    restarted_slowly = { 40, 0, 500 },
+    joining = { 21, 13, 96 },
+    large_joining = { 985, 700, 10 },
+)]
+fn node_that_is_asked_late_is_reported_to(n_nodes: u16, n_settled: u16, spacing_ms: u32) {
+    let (mut owners, last) = joined_nodes(n_nodes, n_settled, spacing_ms);
+    let now = Instant::now();
+    for id in endpoints() {
+        let mut time = START + Duration::from_millis(2_500);
+        while time < last + Duration::from_secs(7) {
+            let reported_to = owners.reported_to(&id, Some(time), now);
+            let asked = owners.settled_owner_of(&id, 0, Some(time - CLOCK_DELAY), now).unwrap();
+            assert!(reported_to.contains(&asked), "{asked} is not reported to at {time:?}");
+            time += STEP;
+        }
+    }
+}
