Report requests to an owner for as long as a late clock may ask it

Callers saw: 5 to 9 rejections in a second of 4 borne at one endpoint as nodes join.

Cause: the owner before a new one got no more reports 0.5 s after nodes began to ask the new one. A node's idea of the store's clock comes with answers and is late by as much as these; at a load of 60 on eight processors by more than 0.5 s. And the owners that are asked while all nodes have just joined got no more as soon as the first ones settled. The class is a margin for clocks that busy nodes exceed.

Change: reports go to whoever a node would ask whose clock is 1 s late, and to the owner before for 5 s after the new one joined.

--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -39,8 +39,11 @@
 const REPORTED_AFTER: Duration = Duration::from_millis(1_500);
 /// See [`REPORTED_AFTER`].
 const ASKED_AFTER: Duration = Duration::from_millis(3_000);
-/// The time after which the owner before it gets no more reports: nodes' clocks differ a little.
-const ALONE_AFTER: Duration = Duration::from_millis(3_500);
+/// The time after which the owner before it gets no more reports. It is longer than
+/// [`MAX_CLOCK_DELAY`] requires, as a node without processor time may also learn late of the new one.
+const ALONE_AFTER: Duration = Duration::from_secs(5);
+/// By how much a node's idea of the store's clock may be late.
+const MAX_CLOCK_DELAY: Duration = Duration::from_secs(1);
 /// The number of nodes that get the reports of a brittle endpoint's requests, so that another one
 /// knows them if the owner is lost.
 const N_REPORTED_TO: usize = 2;
@@ -161,6 +164,8 @@
         let hash = hash::bytes(endpoint.as_str().as_bytes());
         let mut addrs = self.asked_soon(hash, store_time);
         addrs.extend(self.asked_in_turn(hash, store_time));
+        let late_time = store_time.map(|it| it.saturating_sub(MAX_CLOCK_DELAY));
+        addrs.extend(self.asked_in_turn(hash, late_time));
         addrs.extend(self.settled_owner_of(endpoint, 0, store_time, now));
         addrs.sort_unstable();
         addrs.dedup();
