--- a/crates/curranthook_gateway/src/rate_limit.rs
+++ b/crates/curranthook_gateway/src/rate_limit.rs
@@ -1,9 +1,10 @@
 //! The rate limit that an endpoint reports in its answers: the requests per second that it accepts
 //! from all nodes together.
 //!
-//! The fleet shares the rate by [`permit`]; a node without a permit borrows one. The holders of the permits rotate, so that each node
-//! sends the endpoint some requests and learns from the answers whether it still reports a limit. A
-//! node that learns of a change informs others (see [`load_reports`](crate::load::reports)).
+//! The fleet shares the rate by [`permit`]; a node without a permit borrows one. The holders of the
+//! permits rotate, so that each node sends the endpoint some requests and learns from the answers
+//! whether it still reports a limit. A node that learns of a change informs others (see
+//! [`load_reports`](crate::load::reports)).
 
 use std::time::{Duration, Instant};
 
