--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -111,7 +111,7 @@
 
     /// Sets when a node joined, by the store's clock; none if it joined long ago.
     ///
-    /// It counts as joined at the next whole [`JOIN_INTERVAL`], with all others of the interval.
+    /// It counts as joined at the next whole second, with all others of that second.
     pub fn set_joined(&mut self, node: &str, joined: Option<Duration>) {
         let node_hash = hash::bytes(node.as_bytes());
         let known = self.nodes.iter_mut().find(|it| it.node_hash == node_hash);
