Find the nodes that are asked soon without sorting all of them

At 985 nodes a round of reports of 60 endpoints took 4.4 ms to find who gets them while all nodes settle, up to each 5 ms; 0.4 to 0.7 ms before the nodes of each age were considered. One pass keeps the first two of each age, of which there are few as nodes join at whole seconds: 1.0 to 1.8 ms, and 0.06 in place of 0.1 ms once all have settled (release build, beside other load). The sets are the same; a question that was asked twice for the same owner is gone.

--- a/crates/curranthook_gateway/src/load/owners.rs
+++ b/crates/curranthook_gateway/src/load/owners.rs
@@ -10,7 +10,7 @@
 mod ranking;
 
 use std::{
-    borrow::Cow,
+    cmp::Reverse,
     collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -137,7 +137,7 @@
     /// let mut settled = |at| owners.settled_owner_of(&endpoint, 0, Some(s(at)), now);
     /// assert_ne!(settled(101), Some(owner));
     /// assert_eq!(settled(104), Some(owner));
-    /// assert!(owners.reported_to(&endpoint, Some(s(102)), now).contains(&owner));
+    /// assert!(owners.reported_to(&endpoint, Some(s(102))).contains(&owner));
     /// ```
     pub fn settled_owner_of(
         &mut self,
@@ -159,14 +159,12 @@
         &mut self,
         endpoint: &endpoint::Id,
         store_time: Option<Duration>,
-        now: Instant,
     ) -> Vec<SocketAddr> {
         let hash = hash::bytes(endpoint.as_str().as_bytes());
         let mut addrs = self.asked_soon(hash, store_time);
         addrs.extend(self.asked_in_turn(hash, store_time));
         let late_time = store_time.map(|it| it.saturating_sub(MAX_CLOCK_DELAY));
         addrs.extend(self.asked_in_turn(hash, late_time));
-        addrs.extend(self.settled_owner_of(endpoint, 0, store_time, now));
         addrs.sort_unstable();
         addrs.dedup();
         addrs
@@ -189,22 +187,25 @@
         let kept = ranking.first(hash, nodes.len(), rank);
         let is_enough = kept.len() == nodes.len()
             || N_REPORTED_TO <= kept.iter().filter(|it| age(**it) == ALONE_AFTER).count();
-        let by_rank = if is_enough {
-            Cow::Borrowed(kept)
-        } else {
-            Cow::Owned(ranking::highest(nodes.len(), 0..nodes.len(), rank))
-        };
-        // The highest ages so far.
-        let mut oldest = [Duration::ZERO; N_REPORTED_TO];
-        let mut addrs = Vec::new();
-        for it in by_rank.iter().copied().filter(|it| REPORTED_AFTER <= age(*it)) {
-            let [youngest_of_them, ..] = &mut oldest;
-            if *youngest_of_them < age(it) {
-                *youngest_of_them = age(it);
-                oldest.sort_unstable();
-                addrs.push(nodes[it].addr);
+        let all = if is_enough { 0..0 } else { 0..nodes.len() };
+        let candidates = kept.iter().copied().filter(|_| is_enough).chain(all);
+        // The first nodes of each age. There are few ages, as nodes join at whole seconds.
+        let mut by_age: Vec<(Duration, Vec<_>)> = Vec::new();
+        for it in candidates {
+            let (age, rank) = (age(it), Reverse(rank(it)));
+            let known = by_age.iter_mut().find(|(known, _)| *known == age);
+            match known {
+                _ if age < REPORTED_AFTER => {}
+                Some((_, first)) => insert_first(first, (rank, it)),
+                None => by_age.push((age, vec![(rank, it)])),
             }
         }
+        by_age.sort_unstable_by_key(|(age, _)| Reverse(*age));
+        let (mut first, mut addrs) = (Vec::new(), Vec::new());
+        for (_, of_age) in by_age {
+            of_age.into_iter().for_each(|it| insert_first(&mut first, it));
+            addrs.extend(first.iter().map(|(_, it)| nodes[*it].addr));
+        }
         addrs
     }
 
@@ -307,6 +308,15 @@
     }
 }
 
+/// Adds `node` if it is among the first [`N_REPORTED_TO`].
+fn insert_first<T: Ord>(first: &mut Vec<T>, node: T) {
+    if first.len() < N_REPORTED_TO || first.last().is_some_and(|last| node < *last) {
+        first.push(node);
+        first.sort_unstable();
+        first.truncate(N_REPORTED_TO);
+    }
+}
+
 fn round_up(joined: Duration) -> Duration {
     let n_intervals = joined.as_nanos().div_ceil(JOIN_INTERVAL.as_nanos());
     u32::try_from(n_intervals).map_or(joined, |it| JOIN_INTERVAL * it)
--- a/crates/curranthook_gateway/src/load/reports/outgoing.rs
+++ b/crates/curranthook_gateway/src/load/reports/outgoing.rs
@@ -167,7 +167,7 @@
         if self.directory.brittle_limit(id, self.now).is_none() {
             return self.owner_of(id).into_iter().collect();
         }
-        let mut addrs = self.owners.reported_to(id, self.store_time, self.now);
+        let mut addrs = self.owners.reported_to(id, self.store_time);
         addrs.retain(|it| Some(*it) != self.own_addr);
         addrs
     }
--- a/crates/curranthook_gateway/tests/laws/owners.rs
+++ b/crates/curranthook_gateway/tests/laws/owners.rs
@@ -26,7 +26,7 @@
 fn report(owners: &mut Owners, store_time: Duration) {
     let now = Instant::now();
     for id in (0..N_ENDPOINTS).map(|it| endpoint::Id::from(format!("e-{it}").as_str())) {
-        assert!(!owners.reported_to(&id, Some(store_time), now).is_empty());
+        assert!(!owners.reported_to(&id, Some(store_time)).is_empty());
         assert!(owners.settled_owner_of(&id, 0, Some(store_time), now).is_some());
         assert!(owners.owner_of(&id, now).is_some());
     }
@@ -50,8 +50,7 @@
 /// Guards against reports to most of the nodes while all of them settle one by one.
 #[test]
 fn few_nodes_are_reported_to_after_a_restart() {
-    let (start, spacing, now) =
-        (Duration::from_secs(100), Duration::from_micros(1_500), Instant::now());
+    let (start, spacing) = (Duration::from_secs(100), Duration::from_micros(1_500));
     Law::Logarithmic.assert(&N_NODES, |n_nodes| {
         let mut owners = owners(n_nodes);
         for node in 0..n_nodes {
@@ -62,7 +61,7 @@
             let id = endpoint::Id::from(format!("e-{it}").as_str());
             let most = (0..80).map(|step| {
                 let store_time = start + Duration::from_millis(100) * step;
-                owners.reported_to(&id, Some(store_time), now).len()
+                owners.reported_to(&id, Some(store_time)).len()
             });
             most.max().unwrap_or(0)
         });
@@ -96,8 +95,8 @@
     let mut small = owners(30);
     for id in ids() {
         assert_eq!(changed.owner_of(&id, now), small.owner_of(&id, now));
-        let reported_to = changed.reported_to(&id, Some(store_time), now);
-        assert_eq!(reported_to, small.reported_to(&id, Some(store_time), now));
+        let reported_to = changed.reported_to(&id, Some(store_time));
+        assert_eq!(reported_to, small.reported_to(&id, Some(store_time)));
     }
     (30..40).for_each(|it| changed.set_node(&format!("node-{it}"), Some(addr(it))));
     let mut large = owners(40);
--- a/crates/curranthook_gateway/tests/owner_changes.rs
+++ b/crates/curranthook_gateway/tests/owner_changes.rs
@@ -56,7 +56,7 @@
     for id in endpoints() {
         let (mut time, mut reported_to) = (START + Duration::from_millis(1_500), VecDeque::new());
         while time < last + Duration::from_secs(5) {
-            reported_to.push_back((time, owners.reported_to(&id, Some(time), now)));
+            reported_to.push_back((time, owners.reported_to(&id, Some(time))));
             reported_to.retain(|(at, _)| time <= *at + REPORT_INTERVAL);
             if START + Duration::from_millis(2_500) <= time {
                 let asked = owners.settled_owner_of(&id, 0, Some(time), now).unwrap();
@@ -107,7 +107,7 @@
     for id in endpoints() {
         let mut time = START + Duration::from_millis(2_500);
         while time < last + Duration::from_secs(7) {
-            let reported_to = owners.reported_to(&id, Some(time), now);
+            let reported_to = owners.reported_to(&id, Some(time));
             let asked = owners.settled_owner_of(&id, 0, Some(time - CLOCK_DELAY), now).unwrap();
             assert!(reported_to.contains(&asked), "{asked} is not reported to at {time:?}");
             time += STEP;
