--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -104,13 +104,19 @@
             // An operator may give out a version again that the store has lost.
             let is_given_out_again =
                 known.is_some_and(|(it, rev)| it == version && rev.era() < row.rev.era());
+            let (era, number) = (row.rev.era(), row.rev.number());
             if version <= before && !is_given_out_again {
+                if version < before {
+                    let (known, rev) = (before, number);
+                    let ignored = Event::ConfigurationIgnored { version, known, era, rev, from };
+                    gateway.log.write(&ignored);
+                }
                 return;
             }
             let routes = document.n_routes();
             gateway.configuration.store(Some(Arc::new(Configuration { document, rev: row.rev })));
             gateway.metrics.configuration.set(version);
-            let (era, rev) = (row.rev.era(), row.rev.number());
+            let rev = number;
             gateway.log.write(&Event::Configuration { version, before, routes, era, rev, from });
         }
         Ok(Operator::Order(order)) => {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -44,6 +44,8 @@
     Reloaded { changed: &'a str },
     /// A new configuration is in force.
     Configuration { version: u64, before: u64, routes: usize, era: u16, rev: u64, from: &'a str },
+    /// A configuration of a lower version than the `known` one was received, and is not in force.
+    ConfigurationIgnored { version: u64, known: u64, era: u16, rev: u64, from: &'a str },
     /// A row of the store could not be decoded.
     RowRejected { table: &'a str, why: &'a str },
     /// The store, or a parent that relays its rows, failed or is available again.
