Ask other nodes for what a copy of the store lacks, before it is trusted

What callers saw: a key that was taken away worked again at a node that started after the store came back from a copy, or hadn't heard of the change; requests went to endpoints that had left and to versions whose rollout was over. Cause: what was in force lived in each process only. A node that ran through the return keeps the newest state, but nobody was asked for it, and the mirror, from which others are answered, holds the copy's rows. Change: replication::lost_rows.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -65,6 +65,16 @@
     }
 }
 
+/// Applies rows of earlier eras, which the store may have lost, before the first read of a later era.
+/// The read withholds what is older.
+pub fn lost_rows(gateway: &Arc<Gateway>, table: Table, rows: &[Row], from: &str) {
+    {
+        let mut mirror = gateway.mirror.lock();
+        rows.iter().for_each(|it| mirror.insert_lost(table, it));
+    }
+    apply_rows(gateway, table, rows, Detail::Lines, from);
+}
+
 /// Applies rows that the mirror already contains.
 pub fn rows(gateway: &Arc<Gateway>, table: Table, rows: &[Row], from: &str) {
     apply_rows(gateway, table, rows, Detail::Lines, from);
@@ -97,7 +107,7 @@
         Ok(Operator::Document(document)) => {
             let version = document.version;
             let known = gateway.configuration.load();
-            let known = known.as_ref().map(|it| (it.document.version, it.rev));
+            let known = known.as_ref().map(|it| (it.document.version, it.row.rev));
             let before = known.map_or(0, |(version, _)| version);
             // The configuration never goes back to an older version: an older row, from a peer that
             // is behind or from a restored store, would restore keys and routes that were removed.
@@ -114,7 +124,9 @@
                 return;
             }
             let routes = document.n_routes();
-            gateway.configuration.store(Some(Arc::new(Configuration { document, rev: row.rev })));
+            gateway
+                .configuration
+                .store(Some(Arc::new(Configuration { document, row: row.clone() })));
             gateway.metrics.configuration.set(version);
             let rev = number;
             gateway.log.write(&Event::Configuration { version, before, routes, era, rev, from });
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -55,6 +55,17 @@
     /// The store came back from a copy, with a lower revision than before or not; `withheld` rows
     /// are in an older state than this node knows.
     Era { table: &'a str, era: u16, rev: u64, known_rev: u64, withheld: usize },
+    /// Other nodes were asked for rows that the store has lost, as this one first read a table in a
+    /// later era than before; `rows` of theirs were new to it. None is known if nobody `answered`.
+    LostRows {
+        table: &'a str,
+        era: u16,
+        asked: usize,
+        answered: usize,
+        rows: usize,
+        /// The time since the first of them read the table in that era.
+        age_ms: Option<u128>,
+    },
     /// An endpoint's entry was added, changed or removed.
     Endpoint {
         endpoint: &'a str,
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -220,8 +220,10 @@
 /// Applies the known rows of a service's rollout again, after an order that they belong to was
 /// received.
 pub fn reapply_rows(gateway: &Arc<Gateway>, service: &str) {
+    // A step that the store has lost comes before the older one that the copy has.
+    let lost = gateway.eras.lock().lost_steps.clone();
     let rows = gateway.mirror.lock().batch(Table::Fleet).rows;
-    for it in rows {
+    for it in lost.into_iter().chain(rows) {
         let is_of_service = match Key::parse(&it.key) {
             Some(Key::Step(name) | Key::Evidence(name, _)) => name == service,
             _ => false,
@@ -232,6 +234,15 @@
     }
 }
 
+/// The addresses of the nodes in `rows`, but for the one named `own`.
+pub fn addrs(rows: &[Row], own: &str) -> Vec<SocketAddr> {
+    let nodes = rows.iter().filter_map(|it| match Key::parse(&it.key) {
+        Some(Key::Node(name)) if name != own => serde_json::from_slice(it.value.as_ref()?).ok(),
+        _ => None,
+    });
+    nodes.map(|it: Node| it.peers).collect()
+}
+
 /// This node's rank among the nodes that may write a row of `service`; rank 0 writes first.
 pub fn rank(gateway: &Gateway, service: &str) -> usize {
     let weight =
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     metrics::Metrics,
     permit::lenders::Lenders,
     replication::{
+        eras::Eras,
         joins,
         mirror::Mirror,
         outage::{MAX_ANSWER_GAP, Outage},
@@ -46,7 +47,7 @@
     signal::Signal,
     startup::Waiters,
     steps::Schedule,
-    store::{Decoder, Rev, Store, Table},
+    store::{Decoder, Row, Store, Table},
     unknown_headers::UnknownHeaders,
 };
 
@@ -141,6 +142,8 @@
     pub suspects: Mutex<Suspects>,
     /// The rollouts of all services.
     pub rollouts: Mutex<Rollouts>,
+    /// When the store's eras began.
+    pub eras: Mutex<Eras>,
     /// A copy of the store's rows.
     pub mirror: Mutex<Mirror>,
     /// Rows that were encoded for other nodes.
@@ -177,13 +180,13 @@
     in_flight: AtomicUsize,
 }
 
-/// A configuration and its revision in the store.
+/// A configuration and its row in the store.
 #[derive(Debug)]
 pub struct Configuration {
     /// The configuration.
     pub document: Document,
-    /// Its revision.
-    pub rev: Rev,
+    /// The row that it was decoded from. The store may have lost it.
+    pub row: Row,
 }
 
 /// Counts a request as in flight until dropped.
@@ -231,6 +234,7 @@
             snapshots: Mutex::default(),
             observations: Mutex::default(),
             utilization: Mutex::default(),
+            eras: Mutex::default(),
             mirror: Mutex::default(),
             sections: Mutex::default(),
             topology: Mutex::default(),
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -55,6 +55,7 @@
     permits: Family<Label, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     sections: Family<Label, Counter>,
+    lost_rows: Family<Label, Counter>,
     queries: Family<Label, Counter>,
     plain_queries: Family<Label, Counter>,
     slowdown_figures: Family<Label, Counter>,
@@ -93,6 +94,7 @@
             permits: Family::default(),
             store_calls: Family::default(),
             sections: Family::default(),
+            lost_rows: Family::default(),
             queries: Family::default(),
             plain_queries: Family::default(),
             slowdown_figures: Family::default(),
@@ -141,6 +143,8 @@
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let help = "Replies with rows to other nodes, by whether they had to be encoded";
         registry.register("row_replies", help, self.sections.clone());
+        let help = "Queries for rows that the store has lost, by whether a node answered";
+        registry.register("lost_row_queries", help, self.lost_rows.clone());
         let help = "Questions about work waiting at endpoints, by result";
         registry.register("questions", help, self.queries.clone());
         let help = "Questions that include the requests at endpoints, by result";
@@ -255,6 +259,11 @@
         self.sections.get_or_create(&Label { name: result }).inc();
     }
 
+    /// Counts a query to other nodes for rows that the store has lost.
+    pub fn record_lost_rows(&self, result: &'static str) {
+        self.lost_rows.get_or_create(&Label { name: result }).inc();
+    }
+
     /// Counts a query to a load owner by result. `in_flight` is whether it asks for the requests in
     /// flight, too.
     pub fn record_asked(&self, in_flight: bool, result: &'static str) {
--- a/crates/curranthook_gateway/src/replication.rs
+++ b/crates/curranthook_gateway/src/replication.rs
@@ -5,7 +5,8 @@
 //!   [`relays`], of which the node knows what [`topology`] contains;
 //! - [`peers`] answers the queries of other nodes, which are children or cannot reach the store, in
 //!   the form of [`codec`]; [`sections`] are encoded once for all of them;
-//! - [`eras`] handles a store that comes back from a copy;
+//! - [`eras`] handles a store that comes back from a copy, and [`lost_rows`] asks other nodes for what
+//!   the copy lacks;
 //! - [`joins`] writes the rows of nodes that are new;
 //! - [`outage`] detects whether the store is unavailable to all nodes.
 
@@ -13,6 +14,7 @@
 pub mod eras;
 pub mod index;
 pub mod joins;
+pub mod lost_rows;
 pub mod mirror;
 pub mod outage;
 pub mod peers;
--- a/crates/curranthook_gateway/src/replication/eras.rs
+++ b/crates/curranthook_gateway/src/replication/eras.rs
@@ -5,7 +5,11 @@
 //! stay in use for a while, and rows that the copy has in an older state are withheld. The rows that
 //! nodes write are never dropped, as each of them writes its own again.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_io::Timer;
 use curranthook_types::endpoint;
@@ -18,6 +22,9 @@
     store::{Batch, Era, Operator, Row, Table},
 };
 
+/// How long after the beginning of an era a configuration that the store has lost is passed on to
+/// nodes that start. The operator writes it again long before that.
+pub const CONFIGURATION_TIME: Duration = Duration::from_secs(60);
 /// How long rows are used that the store has lost. Those who wrote them write them again within two
 /// seconds.
 const LOST_ROW_TIME: Duration = Duration::from_millis(2_200);
@@ -27,9 +34,48 @@
 /// The same for an endpoint that has left. By then its entry is gone, unless it is running.
 const WITHHELD_ENDPOINT_TIME: Duration = Duration::from_secs(6);
 
-/// Whether a read of a whole table is the first of a later era than the mirror's copy.
+/// When the store's eras began, as far as this node knows.
+#[derive(Debug, Default)]
+pub struct Eras {
+    /// The newest era of each table, and when the first node read the table in it.
+    began: HashMap<Table, (Era, Instant)>,
+    /// Steps of rollouts that other nodes know and the store has lost. The orders that they belong to
+    /// may be received later.
+    pub lost_steps: Vec<Row>,
+}
+
+impl Eras {
+    /// Records that a node read a table in `era` at `at`. Returns when the first node did.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::{replication::eras::Eras, store::Table};
+    /// let (mut eras, now) = (Eras::default(), Instant::now());
+    /// let before = now - Duration::from_secs(1);
+    /// assert_eq!(eras.record(Table::Operator, 1, before), before);
+    /// assert_eq!(eras.record(Table::Operator, 1, now), before);
+    /// assert_eq!(eras.record(Table::Operator, 2, now), now);
+    /// ```
+    pub fn record(&mut self, table: Table, era: Era, at: Instant) -> Instant {
+        let began = self.began.entry(table).or_insert((era, at));
+        if began.0 < era {
+            *began = (era, at);
+        } else if began.0 == era {
+            began.1 = began.1.min(at);
+        }
+        began.1
+    }
+
+    /// When the first node read a table in `era`; none if it is not the newest one.
+    pub fn began_at(&self, table: Table, era: Era) -> Option<Instant> {
+        self.began.get(&table).filter(|(it, _)| *it == era).map(|(_, at)| *at)
+    }
+}
+
+/// Whether a read of a whole table is the first of a later era than the rows that the mirror has.
 pub fn begins(mirror: &Mirror, table: Table, batch: &Batch) -> bool {
-    mirror.has_read(table) && mirror.rev(table).era() < batch.rev.era()
+    let has_rows = mirror.has_read(table) || 0 < mirror.n_rows(table);
+    has_rows && mirror.rev(table).era() < batch.rev.era()
 }
 
 /// Handles the first read of a table in a new era. Removes the rows from `batch` that are withheld,
@@ -47,8 +93,9 @@
         known_rev: known.number(),
         withheld: withheld.len(),
     });
+    let began_at = gateway.eras.lock().record(table, batch.rev.era(), gateway.now());
     if table != Table::Fleet {
-        let settle = settle(Arc::clone(gateway), table, batch.rev.era(), withheld);
+        let settle = settle(Arc::clone(gateway), table, batch.rev.era(), withheld, began_at);
         gateway.ex.spawn(settle).detach();
     }
 }
@@ -64,14 +111,38 @@
 }
 
 fn is_document(gateway: &Gateway, row: &Row) -> bool {
-    let Some(value) = &row.value else { return false };
-    matches!(gateway.decoder.operator(&row.key, value), Ok(Operator::Document(_)))
+    document_version(gateway, row).is_some()
+}
+
+/// The version of the configuration in a row of the operators; none if the row contains none.
+pub fn document_version(gateway: &Gateway, row: &Row) -> Option<u64> {
+    match gateway.decoder.operator(&row.key, row.value.as_ref()?) {
+        Ok(Operator::Document(document)) => Some(document.version),
+        _ => None,
+    }
+}
+
+/// Whether a row of the store is an older state of one that was written in an earlier era.
+pub fn is_older(gateway: &Gateway, table: Table, stored: &Row, lost: &Row) -> bool {
+    let version = |it| document_version(gateway, it);
+    match (table, version(stored), version(lost)) {
+        (Table::Operator, Some(stored), Some(lost)) => stored < lost,
+        _ => stored.rev.number() < lost.rev.number() && stored.value != lost.value,
+    }
+}
+
+/// How long older rows of the copy are withheld after the beginning of an era.
+pub fn withheld_time(table: Table) -> Duration {
+    match table {
+        Table::Endpoints => WITHHELD_ENDPOINT_TIME,
+        _ => WITHHELD_OPERATOR_TIME,
+    }
 }
 
 /// Whether the row was written before the known one, which the store has lost.
 fn is_behind(gateway: &Gateway, table: Table, row: &Row) -> bool {
     let known = gateway.mirror.lock().newest(table, &row.key);
-    known.is_some_and(|it| row.rev.number() < it.rev.number() && row.value != it.value)
+    known.is_some_and(|it| is_older(gateway, table, row, &it))
 }
 
 /// Whether the row of an endpoint lists it as ready although it has left.
@@ -88,12 +159,15 @@
 
 /// Drops the rows that the store has lost for good, and applies those that were withheld and that it
 /// still has.
-async fn settle(gateway: Arc<Gateway>, table: Table, era: Era, withheld: Vec<Row>) {
-    let withheld_for = match table {
-        Table::Endpoints => WITHHELD_ENDPOINT_TIME,
-        _ => WITHHELD_OPERATOR_TIME,
-    };
-    Timer::after(LOST_ROW_TIME).await;
+async fn settle(
+    gateway: Arc<Gateway>,
+    table: Table,
+    era: Era,
+    withheld: Vec<Row>,
+    began_at: Instant,
+) {
+    let until = |time| (began_at + time).saturating_duration_since(gateway.now());
+    Timer::after(until(LOST_ROW_TIME)).await;
     let is_over = || gateway.mirror.lock().rev(table).era() != era;
     if is_over() {
         return;
@@ -101,7 +175,7 @@
     let kept = withheld.iter().map(|it| &*it.key).collect();
     let lost = gateway.mirror.lock().remove_lost(table, &kept);
     apply::rows(&gateway, table, &lost, "era");
-    Timer::after(withheld_for.saturating_sub(LOST_ROW_TIME)).await;
+    Timer::after(until(withheld_time(table))).await;
     if is_over() || withheld.is_empty() {
         return;
     }
--- a/crates/curranthook_gateway/src/replication/index.rs
+++ b/crates/curranthook_gateway/src/replication/index.rs
@@ -89,6 +89,14 @@
         changed.filter_map(|((rev, _), key)| Some((key, *rev, &self.rows.get(key)?.value)))
     }
 
+    /// The rows that changed after `since` and before `end`, the newest change first.
+    pub fn changed_between(&self, since: Rev, end: Rev) -> impl Iterator<Item = (&K, Rev, &V)> {
+        let first = (Rev(since.0.saturating_add(1)), 0);
+        let end = (end, 0).max(first);
+        let changed = self.by_rev.range(first..end).rev();
+        changed.filter_map(|((rev, _), key)| Some((key, *rev, &self.rows.get(key)?.value)))
+    }
+
     /// The keys that are not among `present`, which must be in ascending order.
     pub fn keys_not_in<'a>(&'a self, present: impl IntoIterator<Item = &'a K>) -> Vec<&'a K> {
         let mut present = present.into_iter().peekable();
--- a/crates/curranthook_gateway/src/replication/mirror.rs
+++ b/crates/curranthook_gateway/src/replication/mirror.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 
 use super::index::Index;
-use crate::store::{Batch, Rev, Row, Table};
+use crate::store::{Batch, Era, Rev, Row, Table};
 
 /// The number of removed rows that are kept, so that their removal can be reported to peers, if a
 /// table has fewer rows than that; otherwise as many as it has rows.
@@ -142,6 +142,24 @@
         lost
     }
 
+    /// Adds a row of an earlier era, which the store may have lost, unless a newer state of it is
+    /// known. The table doesn't count as read for that.
+    pub fn insert_lost(&mut self, table: Table, row: &Row) {
+        let table_rows = self.tables.entry(table).or_default();
+        let known = table_rows.index.get(&row.key);
+        if known.is_none_or(|(rev, _)| rev < row.rev) {
+            table_rows.insert(row);
+        }
+    }
+
+    /// The rows of a table that changed after `since` and before the beginning of `era`, the newest
+    /// first. Removed rows are included.
+    pub fn rows_before(&self, table: Table, era: Era, since: Rev) -> impl Iterator<Item = Row> {
+        let end = Rev::first_of(era);
+        let rows = self.tables.get(&table).map(|it| it.index.changed_between(since, end));
+        rows.into_iter().flatten().map(to_row)
+    }
+
     /// The last known state of a row, without a value if it was removed; none if it never existed.
     pub fn newest(&self, table: Table, key: &str) -> Option<Row> {
         let (rev, value) = self.tables.get(&table)?.index.get(key)?;
--- a/crates/curranthook_gateway/src/replication/peers.rs
+++ b/crates/curranthook_gateway/src/replication/peers.rs
@@ -16,6 +16,7 @@
 
 use super::{
     codec::{self, Section},
+    lost_rows,
     relays::Tree,
 };
 use crate::{
@@ -217,7 +218,7 @@
 
 /// Applies the rows of some random peers, after a call to the store failed.
 pub async fn poll_peers(gateway: &Arc<Gateway>) {
-    for addr in random_peers(gateway) {
+    for addr in random_peers(gateway, &[], PEERS_PER_POLL) {
         for table in Table::ALL {
             if let Err(e) = poll_peer(gateway, addr, table).await {
                 log::debug!("peer {addr}: {e}");
@@ -227,10 +228,11 @@
     }
 }
 
-/// Some random nodes, or parents if no other nodes are known yet.
-fn random_peers(gateway: &Gateway) -> Vec<SocketAddr> {
+/// `n` random nodes, of those known and of `others`, or parents if there are none yet.
+pub(super) fn random_peers(gateway: &Gateway, others: &[SocketAddr], n: usize) -> Vec<SocketAddr> {
     let own = gateway.settings.peers;
     let mut known: BTreeSet<_> = gateway.peers.lock().values().map(|it| it.peers).collect();
+    known.extend(others);
     if known.is_empty()
         && let Some(tree) = gateway.tree()
     {
@@ -238,7 +240,7 @@
         known.extend(parents.into_iter().map(|it| it.addr));
     }
     known.extend(&gateway.settings.seeds);
-    known.into_iter().filter(|it| Some(*it) != own).sample(&mut rand::rng(), PEERS_PER_POLL)
+    known.into_iter().filter(|it| Some(*it) != own).sample(&mut rand::rng(), n)
 }
 
 async fn poll_peer(gateway: &Arc<Gateway>, addr: SocketAddr, table: Table) -> Result<(), Error> {
@@ -257,7 +259,11 @@
     }
     // Rows from a peer that is behind must not replace newer ones.
     if known < received.batch.rev {
-        apply::batch(gateway, table, received.batch, is_snapshot, "peer");
+        let mut batch = received.batch;
+        if is_snapshot {
+            lost_rows::receive(gateway, table, &mut batch, Some(addr)).await;
+        }
+        apply::batch(gateway, table, batch, is_snapshot, "peer");
     }
     Ok(())
 }
--- a/crates/curranthook_gateway/src/replication/peers/server.rs
+++ b/crates/curranthook_gateway/src/replication/peers/server.rs
@@ -13,7 +13,7 @@
     Gateway,
     replication::{
         codec::{self, Header},
-        joins,
+        joins, lost_rows,
         mirror::ChangesError,
     },
 };
@@ -42,6 +42,7 @@
                     Some(tree) => body::json(200, &*tree),
                     None => body::json(503, &serde_json::json!({})),
                 },
+                lost_rows::PATH => lost_rows::answer(&self.gateway, &bytes),
                 joins::PATH => joins::answer(&self.gateway, &bytes).await,
                 _ => body::json(404, &serde_json::json!({ "error": "no such path" })),
             }
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -5,7 +5,7 @@
 mod parents;
 mod waits;
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use curranthook_http::timeout;
@@ -19,7 +19,7 @@
 };
 
 use super::{
-    joins,
+    joins, lost_rows,
     peers::{self, Received},
 };
 
@@ -121,8 +121,8 @@
 enum Origin {
     /// The store.
     Store,
-    /// Another node.
-    Parent,
+    /// The node at this address.
+    Parent(SocketAddr),
 }
 
 /// Rows received from the store or a parent.
@@ -253,7 +253,7 @@
         let (gateway, shared, table) = (&self.gateway, &self.shared, self.table);
         let (addr, max_age) = (parent.addr, parent.max_age);
         let wait = waits::relayed_poll(table);
-        let update = |rows, is_snapshot| Update { rows, origin: Origin::Parent, is_snapshot };
+        let update = |rows, is_snapshot| Update { rows, origin: Origin::Parent(addr), is_snapshot };
         let snapshot = async {
             let call = peers::snapshot(gateway, addr, table, SNAPSHOT_WAIT, max_age);
             call.await.map(|it| update(it, true))
@@ -320,7 +320,7 @@
     }
 
     async fn apply(&mut self, update: Update) {
-        let Update { rows, origin, is_snapshot } = update;
+        let Update { mut rows, origin, is_snapshot } = update;
         if self.is_store_lost {
             self.is_store_lost = false;
             self.shared.record_recovered(self.table);
@@ -359,7 +359,13 @@
                 self.gateway.directory.lock().keep_missing_until(now + MAX_LAPSE_TIME);
             }
         }
-        let from = if origin == Origin::Store { "store" } else { "parent" };
+        let (from, parent) = match origin {
+            Origin::Store => ("store", None),
+            Origin::Parent(addr) => ("parent", Some(addr)),
+        };
+        if is_snapshot {
+            lost_rows::receive(&self.gateway, self.table, &mut rows.batch, parent).await;
+        }
         rows.apply(&self.gateway, self.table, is_snapshot, from);
         if self.table != Table::Operator && !is_empty {
             Timer::after(waits::after_change(origin, self.table, self.gateway.n_nodes())).await;
@@ -388,8 +394,11 @@
                 peers::poll_peers(&self.gateway).await;
             }
         } else if self.gateway.configuration.load().is_none() {
-            // Any rows that are applied may contain the configuration, so a change ends the pause.
+            // Any rows that are applied may contain the configuration, so a change ends the pause. So
+            // does an answer of the store: from the fleet's rows, a node knows whom to ask for what the
+            // store has lost.
             let applied = self.gateway.rows_changed.wait();
+            let applied = future::or(applied, self.shared.store_recovered.wait());
             if self.gateway.configuration.load().is_none() {
                 return pause_or(applied, NO_CONFIGURATION_BACKOFF).await;
             }
--- a/crates/curranthook_gateway/src/replication/watch/waits.rs
+++ b/crates/curranthook_gateway/src/replication/watch/waits.rs
@@ -66,7 +66,7 @@
 /// The pause after a change of a table in a fleet of `n_nodes`.
 pub(super) fn after_change(origin: Origin, table: Table, n_nodes: usize) -> Duration {
     match (origin, table) {
-        (Origin::Parent, _) => CHILD_CHANGE_PAUSE,
+        (Origin::Parent(_), _) => CHILD_CHANGE_PAUSE,
         (_, Table::Fleet) if relays::are_used(n_nodes) => ROOT_FLEET_CHANGE_PAUSE,
         _ if relays::are_used(n_nodes) => ROOT_CHANGE_PAUSE,
         _ => {
--- a/crates/curranthook_gateway/src/store.rs
+++ b/crates/curranthook_gateway/src/store.rs
@@ -95,6 +95,11 @@
         is_valid.then_some(Self(u64::from(era) << Self::NUMBER_BITS | number))
     }
 
+    /// The position before all revisions of an era.
+    pub fn first_of(era: Era) -> Self {
+        Self(u64::from(era) << Self::NUMBER_BITS)
+    }
+
     /// The era.
     pub fn era(self) -> Era {
         (self.0 >> Self::NUMBER_BITS) as Era
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -10,6 +10,7 @@
 mod forwarding;
 mod law;
 mod lending;
+mod lost_rows;
 mod owners;
 mod rows;
 mod storms;
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -145,7 +145,8 @@
         let models = MODELS.map(|(name, price)| (name.to_owned(), price)).into();
         let service = ("engines".to_owned(), Service { models, ..Service::default() });
         let document = Document::new(1, Vec::new(), [service].into());
-        self.gateway.configuration.store(Some(Arc::new(Configuration { document, rev: Rev(1) })));
+        let row = Row { key: "configuration".into(), rev: Rev(1), value: None };
+        self.gateway.configuration.store(Some(Arc::new(Configuration { document, row })));
     }
 
     /// Applies all rows of the fleet table, with the store's clock at `now`.
--- a/crates/curranthook_gateway/tests/support/owner.rs
+++ b/crates/curranthook_gateway/tests/support/owner.rs
@@ -23,7 +23,8 @@
     retry_budget,
     settings::{Contention, Settings},
     store::{
-        Answer, Batch, Commit, Committed, Decoder, Operator, Page, Rev, Store, Table, Undecodable,
+        Answer, Batch, Commit, Committed, Decoder, Operator, Page, Rev, Row, Store, Table,
+        Undecodable,
     },
 };
 use curranthook_http::runtime;
@@ -130,7 +131,8 @@
     let gateway = Gateway::new(parts, settings(contention));
     let services = BTreeMap::from([(SERVICE.to_owned(), Service::default())]);
     let document = Document::new(1, Vec::new(), services);
-    gateway.configuration.store(Some(Arc::new(Configuration { document, rev: Rev(1) })));
+    let row = Row { key: "configuration".into(), rev: Rev(1), value: None };
+    gateway.configuration.store(Some(Arc::new(Configuration { document, row })));
     for n in 0..N_NODES {
         let node =
             fleet::Node { peers: owner, reports: None, domain: None, capacity: 1.0, joined: None };
