Ask on for room at brittle endpoints while a request has time

What callers saw: 503 with four seconds left, beside idle endpoints, as the nodes that know the requests there were busy for a second. Cause: after three questions without an answer a request was refused, whatever its time. Change: after these, the owners of endpoints that nobody has stated room for are asked on, each time the next in turn and for twice as long, until half of the request's time is left.

--- a/crates/curranthook_gateway/src/job/acquisition.rs
+++ b/crates/curranthook_gateway/src/job/acquisition.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use async_io::Timer;
 use curranthook_policy::hash;
 use curranthook_types::endpoint;
 
@@ -24,9 +25,14 @@
 /// discovered.
 const RETRY_AFTER_NO_ENDPOINT: Duration = Duration::from_millis(700);
 
-/// The number of times that peers are queried for a reachable endpoint before one is selected.
+/// The number of times that peers are queried for a reachable endpoint before one is selected, and for
+/// endpoints with room.
 const MAX_QUERY_ROUNDS: usize = 3;
 
+/// The divisor of a request's time that yields how much of it is left when the request is refused, as
+/// nobody states whether endpoints have room. The caller may use it for a retry.
+const MAX_QUERY_TIME_DIVISOR: u32 = 2;
+
 impl Job {
     /// Acquires a lease for the next attempt at the best endpoint.
     pub(super) async fn acquire_lease(&mut self) -> Result<Lease, Refusal> {
@@ -61,12 +67,17 @@
     ) -> Result<Result<Lease, Unavailable>, Refusal> {
         let decided = self.check_capacity(criteria, peer_state).await?;
         let mut lease = Lease::acquire(&self.gateway, &decided, peer_state);
-        for _ in 1..MAX_QUERY_ROUNDS {
-            if !matches!(lease, Err(Unavailable::Full))
-                || !self.query_others(criteria, peer_state).await
-            {
+        let (mut n_rounds, until) = (1, self.time_left() / MAX_QUERY_TIME_DIVISOR);
+        while matches!(lease, Err(Unavailable::Full)) {
+            let is_asked = if n_rounds < MAX_QUERY_ROUNDS {
+                self.query_others(criteria, peer_state).await
+            } else {
+                until < self.time_left() && self.query_unanswered(criteria, peer_state).await
+            };
+            if !is_asked {
                 break;
             }
+            n_rounds += 1;
             lease = Lease::acquire(&self.gateway, &decided, peer_state);
         }
         if lease.is_ok() {
@@ -175,6 +186,47 @@
         true
     }
 
+    /// Queries the owners of brittle endpoints of which nobody has stated yet how many requests they
+    /// take. Returns whether there are any.
+    ///
+    /// An owner that is busy answers later, and one that does not answer is replaced by the next one.
+    async fn query_unanswered(&self, criteria: &Criteria<'_>, peer_state: &mut PeerState) -> bool {
+        let (time_left, started) = (self.time_left(), self.gateway.now());
+        let mut endpoints = {
+            let directory = self.gateway.directory.lock();
+            let is_unanswered = |it: &&endpoint::Id| {
+                !peer_state.knows_room(it)
+                    && !peer_state.unreachable.contains(it)
+                    && !criteria.tried.contains(it)
+                    && directory.brittle_limit(it, started).is_some()
+            };
+            peer_state.asked.iter().filter(is_unanswered).cloned().collect::<Vec<_>>()
+        };
+        endpoints.sort_unstable();
+        endpoints.dedup();
+        if endpoints.is_empty() {
+            return false;
+        }
+        let asked = peer_state.asked.clone();
+        let query = Query {
+            endpoints,
+            in_flight: true,
+            asked,
+            time_left: Some(time_left),
+            ..Query::default()
+        };
+        let answer_timeout = query.required_answer_timeout();
+        peer_state.extend(reports::query(&self.gateway, query).await);
+        let now = self.gateway.now();
+        peer_state.eject_unreachable(&mut self.gateway.directory.lock(), now);
+        if !peer_state.asked.iter().any(|it| peer_state.knows_room(it)) {
+            // No owner could be asked, or it does not know the requests yet.
+            let elapsed = now.saturating_duration_since(started);
+            Timer::after(answer_timeout.saturating_sub(elapsed)).await;
+        }
+        true
+    }
+
     /// Whether load owners are asked for the number of requests at endpoints.
     pub(super) fn counts_requests(&self) -> bool {
         in_flight::is_shared(&self.gateway, &self.gateway.directory.lock(), &self.service)
--- a/crates/curranthook_gateway/src/load/reports/queries.rs
+++ b/crates/curranthook_gateway/src/load/reports/queries.rs
@@ -42,7 +42,7 @@
 impl Query {
     /// How long the answers are awaited if the request must not be placed without them: half of what
     /// is left of its time at most.
-    fn required_answer_timeout(&self) -> Duration {
+    pub fn required_answer_timeout(&self) -> Duration {
         let n_asked = |id: &endpoint::Id| self.asked.iter().filter(|it| *it == id).count();
         let n_unanswered = self.endpoints.iter().map(n_asked).max().unwrap_or(0);
         let n_unanswered = u32::try_from(n_unanswered).unwrap_or(u32::MAX);
@@ -82,9 +82,11 @@
     let mut queries: HashMap<SocketAddr, Query> = HashMap::new();
     for id in endpoints {
         let owner = match directory.brittle_limit(&id, now) {
-            // The owner asked before did not answer.
-            Some(_limit) if asked.contains(&id) => owners.settled_owner_of(&id, 1, store_time, now),
-            Some(_limit) => owners.settled_owner_of(&id, 0, store_time, now),
+            // The owners asked before did not answer.
+            Some(_limit) => {
+                let n_unanswered = asked.iter().filter(|it| **it == id).count();
+                owners.settled_owner_of(&id, n_unanswered, store_time, now)
+            }
             None => owners.owner_of(&id, now),
         };
         let Some(addr) = owner else {
