Tell nodes that start which requests crash endpoints; drop kept steps with their order

Verdicts that the copy lacks are written again by their nodes within ten seconds; a node that starts lacked them until then. And a lost step that was kept for its order would have been applied to a later order that is given the same number. Change: rows with verdicts are sent for ten seconds; the steps kept for a service are dropped as its order arrives. Before and after: verdicts_that_the_copy_lacks_are_sent is new and can't run on the code before, which sends none; step_that_the_store_has_lost_is_in_force passes in both orders, as before.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -221,7 +221,7 @@
 /// received.
 pub fn reapply_rows(gateway: &Arc<Gateway>, service: &str) {
     // A step that the store has lost comes before the older one that the copy has.
-    let lost = gateway.eras.lock().lost_steps.clone();
+    let lost = gateway.eras.lock().take_steps(service);
     let rows = gateway.mirror.lock().batch(Table::Fleet).rows;
     for it in lost.into_iter().chain(rows) {
         let is_of_service = match Key::parse(&it.key) {
--- a/crates/curranthook_gateway/src/fleet_writer/restoration.rs
+++ b/crates/curranthook_gateway/src/fleet_writer/restoration.rs
@@ -19,7 +19,7 @@
 };
 
 /// The longest time over which nodes spread their writes. Until then, the others go by the lost rows.
-const MAX_SPREAD: Duration = Duration::from_secs(10);
+pub const MAX_SPREAD: Duration = Duration::from_secs(10);
 /// The delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
--- a/crates/curranthook_gateway/src/replication/eras.rs
+++ b/crates/curranthook_gateway/src/replication/eras.rs
@@ -18,6 +18,8 @@
     Gateway, apply,
     entry::State,
     event::Event,
+    fleet,
+    fleet_writer::restoration,
     replication::{mirror::Mirror, watch::table_name},
     store::{Batch, Era, Operator, Row, Table},
 };
@@ -39,9 +41,9 @@
 pub struct Eras {
     /// The newest era of each table, and when the first node read the table in it.
     began: HashMap<Table, (Era, Instant)>,
-    /// Steps of rollouts that other nodes know and the store has lost. The orders that they belong to
-    /// may be received later.
-    pub lost_steps: Vec<Row>,
+    /// Steps of rollouts that other nodes know and the store has lost, whose orders have not been
+    /// received yet.
+    lost_steps: Vec<Row>,
 }
 
 impl Eras {
@@ -66,6 +68,18 @@
         began.1
     }
 
+    /// Keeps the steps among `rows` of the fleet table, which the store has lost, for their orders.
+    pub fn keep_steps(&mut self, rows: &[Row]) {
+        let is_step = |it: &&Row| matches!(fleet::Key::parse(&it.key), Some(fleet::Key::Step(_)));
+        self.lost_steps = rows.iter().filter(is_step).cloned().collect();
+    }
+
+    /// The steps of a service that were kept for its order, which has been received.
+    pub fn take_steps(&mut self, service: &str) -> Vec<Row> {
+        let key = fleet::Key::Step(service).to_string();
+        self.lost_steps.extract_if(.., |it| *it.key == *key).collect()
+    }
+
     /// When the first node read a table in `era`; none if it is not the newest one.
     pub fn began_at(&self, table: Table, era: Era) -> Option<Instant> {
         self.began.get(&table).filter(|(it, _)| *it == era).map(|(_, at)| *at)
@@ -131,11 +145,12 @@
     }
 }
 
-/// How long older rows of the copy are withheld after the beginning of an era.
+/// How long after the beginning of an era nodes go by newer rows than the copy's.
 pub fn withheld_time(table: Table) -> Duration {
     match table {
+        Table::Operator => WITHHELD_OPERATOR_TIME,
         Table::Endpoints => WITHHELD_ENDPOINT_TIME,
-        _ => WITHHELD_OPERATOR_TIME,
+        Table::Fleet => restoration::MAX_SPREAD,
     }
 }
 
--- a/crates/curranthook_gateway/src/replication/lost_rows.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows.rs
@@ -35,7 +35,8 @@
 pub const PATH: &str = "/lost-rows";
 /// The number of nodes that a node asks. One of them may be as far behind as the sender, or gone.
 pub const MAX_ASKED: usize = 3;
-/// How long the first read of an era is delayed at most while other nodes are asked.
+/// How long the first read of an era waits for the answers of other nodes, and before that for the
+/// fleet's rows if none are known.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// The timeout for opening a connection. Nodes of the copy may be gone.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
@@ -68,7 +69,8 @@
 
 /// The rows of the queried table that this node goes by and that were written in earlier eras.
 ///
-/// The rows are at most [`MAX_ROWS`] and a configuration, and none once the store's rows hold.
+/// The rows are at most [`MAX_ROWS`], a configuration and the steps of rollouts, and none once the
+/// store's rows hold.
 pub fn reply(gateway: &Gateway, query: &Query) -> Reply {
     known::reply(gateway, query)
 }
@@ -120,8 +122,7 @@
     let began_at: Option<Instant> = age.and_then(|it| now.checked_sub(it));
     gateway.eras.lock().record(table, era, began_at.unwrap_or(now));
     if table == Table::Fleet {
-        let is_step = |it: &&Row| matches!(fleet::Key::parse(&it.key), Some(fleet::Key::Step(_)));
-        gateway.eras.lock().lost_steps = rows.iter().filter(is_step).cloned().collect();
+        gateway.eras.lock().keep_steps(&rows);
     }
     if let Some(now) = batch.now {
         gateway.mirror.lock().set_clock(now, gateway.now());
--- a/crates/curranthook_gateway/src/replication/lost_rows/known.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows/known.rs
@@ -33,9 +33,12 @@
     let mut rows = match table {
         Table::Operator if are_kept => kept_rows(gateway, query, |it| is_order(gateway, it)),
         Table::Endpoints if are_kept => kept_rows(gateway, query, |it| has_left(gateway, it)),
-        Table::Fleet => lost_steps(gateway, query),
+        Table::Fleet if are_kept => kept_rows(gateway, query, is_verdict),
         _ => Vec::new(),
     };
+    if table == Table::Fleet {
+        rows.extend(lost_steps(gateway, query));
+    }
     if table == Table::Operator && age < eras::CONFIGURATION_TIME {
         let configuration = gateway.configuration.load();
         let is_newer = |version: u64| query.configuration < version;
@@ -76,6 +79,11 @@
     row.value.is_none() || gateway.directory.lock().get(&id).is_some_and(|it| !it.is_ready())
 }
 
+/// Whether a row says which requests or parts of prompts crash endpoints.
+fn is_verdict(row: &Row) -> bool {
+    matches!(Key::parse(&row.key), Some(Key::Poison(_) | Key::Parts(_)))
+}
+
 /// The steps of rollouts that the store may not have.
 fn lost_steps(gateway: &Gateway, query: &Query) -> Vec<Row> {
     let rollouts = gateway.rollouts.lock();
@@ -86,5 +94,5 @@
         let key = Key::Step(&it.order.service).to_string();
         Some(Row { key: key.into(), rev: *rev, value: Some(value.into()) })
     });
-    rows.take(MAX_ROWS).collect()
+    rows.collect()
 }
--- a/crates/curranthook_gateway/tests/lost_rows.rs
+++ b/crates/curranthook_gateway/tests/lost_rows.rs
@@ -79,6 +79,33 @@
     assert_eq!(lost_rows::reply(&node.gateway, &query(Table::Endpoints, 1, Rev(0))).rows, []);
 }
 
+/// Guards against a node that starts and does not know which requests crash endpoints, until the nodes
+/// that found them have written their rows again.
+#[test]
+fn verdicts_that_the_copy_lacks_are_sent() {
+    let node = node();
+    let row = |key: &str| {
+        let value = Some(b"[]".to_vec().into());
+        Row { key: key.into(), rev: rev(0, 5), value }
+    };
+    let rows = vec![row("evidence/models/n-2"), row("parts/n-2"), row("poison/n-2")];
+    let read = |rows, rev| {
+        let batch = Batch { rows, rev, now: None };
+        apply::batch(&node.gateway, Table::Fleet, batch, true, "store");
+    };
+    read(rows, rev(0, 6));
+    read(Vec::new(), rev(1, 3));
+    let keys = || {
+        let rows = lost_rows::reply(&node.gateway, &query(Table::Fleet, 1, Rev(0))).rows;
+        let mut keys: Vec<_> = rows.iter().map(|it| it.key.to_string()).collect();
+        keys.sort();
+        keys
+    };
+    assert_eq!(keys(), ["parts/n-2", "poison/n-2"]);
+    node.clock.advance(Duration::from_secs(10));
+    assert!(keys().is_empty());
+}
+
 /// Guards against a version that gets requests again of a node that starts, as the copy has the step
 /// before its verdict, whichever of order and step the node receives first.
 #[parameterized(order_first = { true }, step_first = { false })]
@@ -112,7 +139,7 @@
     if is_order_first {
         apply_order();
     }
-    starting.gateway.eras.lock().lost_steps.clone_from(&lost);
+    starting.gateway.eras.lock().keep_steps(&lost);
     apply::lost_rows(&starting.gateway, Table::Fleet, &lost, "peer");
     let copied = Row {
         key: "step/models".into(),
