--- a/crates/curranthook_gateway/src/replication/lost_rows.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows.rs
@@ -1,7 +1,7 @@
 //! Queries between nodes for rows that the store has lost.
 //!
 //! When the store comes back from a copy, the nodes that ran before go by what they know (see
-//! [`eras`](super::eras)). A node that starts after that, or had not heard of a change before, would
+//! [`eras`]). A node that starts after that, or had not heard of a change before, would
 //! take the copy for the newest state: keys that were taken away would be accepted again, and endpoints
 //! that have left get requests. So a node asks a few others when it first reads a table in a later era
 //! than before, and applies their rows before those of the copy. If none answers, it goes by the copy.
