Ask further nodes in place of those that know no more than the copy

What callers saw: a key that was taken away works again at most of the nodes that restart while the store is away. Cause: three nodes were asked, whatever they knew. Those that the copy lists are gone, or start as well and answer with nothing; in a fleet with a tree, only the parents of the copy were known in time (0.4 s until the fleet's rows are read). Change: a reply says whether its node knows more than the copy; three are asked at a time, and the next one in place of each that doesn't, sixteen at most. The nodes among the first rows of the fleet's table are asked before all are read.

--- a/crates/curranthook_gateway/src/replication/eras.rs
+++ b/crates/curranthook_gateway/src/replication/eras.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -44,6 +45,8 @@
     /// Steps of rollouts that other nodes know and the store has lost, whose orders have not been
     /// received yet.
     lost_steps: Vec<Row>,
+    /// The nodes among the first rows of the fleet table, until all of them have been read.
+    pub first_nodes: Vec<SocketAddr>,
 }
 
 impl Eras {
--- a/crates/curranthook_gateway/src/replication/lost_rows.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows.rs
@@ -8,17 +8,12 @@
 
 mod known;
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
-    task::Poll,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, task::Poll, time::Duration};
 
 use curranthook_http::{Body, Exchange, body, timeout};
 use futures_lite::future;
 use http::{Response, StatusCode};
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -33,8 +28,11 @@
 
 /// The path at which a node answers queries for lost rows.
 pub const PATH: &str = "/lost-rows";
-/// The number of nodes that a node asks. One of them may be as far behind as the sender, or gone.
+/// The number of nodes that are asked at a time, until as many have answered that know the rows. One
+/// of them may be as far behind as the sender.
 pub const MAX_ASKED: usize = 3;
+/// The number of nodes that are asked in all. Those of the copy may be gone, or starting as well.
+pub const MAX_QUERIES: usize = 16;
 /// How long the first read of an era waits for the answers of other nodes, and before that for the
 /// fleet's rows if none are known.
 const TIMEOUT: Duration = Duration::from_millis(200);
@@ -65,6 +63,9 @@
     /// The time since the first node read the table in the era of the query.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// Whether the node knows what was in force before: it ran then, or has learned it.
+    #[serde(default)]
+    pub is_informed: bool,
 }
 
 /// The rows of the queried table that this node goes by and that were written in earlier eras.
@@ -100,7 +101,7 @@
     }
     let addrs = addrs_to_ask(gateway, table, batch, parent).await;
     let query = Query { table, era, since, configuration: newest_version(gateway, table, batch) };
-    let replies = ask(gateway, &addrs, &query).await;
+    let (replies, n_asked) = ask(gateway, &addrs, &query).await;
     // The node may have read the table by other means meanwhile.
     if era <= gateway.mirror.lock().rev(table).era() {
         return;
@@ -114,13 +115,14 @@
     gateway.log.write(&Event::LostRows {
         table: table_name(table),
         era,
-        asked: addrs.len(),
+        asked: n_asked,
         answered: n_answered,
         rows: rows.len(),
         age_ms: age.map(|it| it.as_millis()),
     });
-    let began_at: Option<Instant> = age.and_then(|it| now.checked_sub(it));
-    gateway.eras.lock().record(table, era, began_at.unwrap_or(now));
+    if let Some(began_at) = age.and_then(|it| now.checked_sub(it)) {
+        gateway.eras.lock().record(table, era, began_at);
+    }
     if table == Table::Fleet {
         gateway.eras.lock().keep_steps(&rows);
     }
@@ -146,38 +148,46 @@
     parent: Option<SocketAddr>,
 ) -> Vec<SocketAddr> {
     if table != Table::Fleet && parent.is_none() {
-        gateway.wait_for_members(TIMEOUT).await;
+        let are_known = || {
+            gateway.mirror.lock().has_read(Table::Fleet)
+                || !gateway.eras.lock().first_nodes.is_empty()
+        };
+        // Without them, those in the settings are asked.
+        let _elapsed = timeout::run(TIMEOUT, gateway.wait_until(are_known)).await;
     }
-    let members = match table {
+    let nodes = match table {
         Table::Fleet => fleet::addrs(&batch.rows, &gateway.settings.node),
-        _ => Vec::new(),
+        _ => gateway.eras.lock().first_nodes.clone(),
     };
-    let others = peers::random_peers(gateway, &members, MAX_ASKED);
+    let others = peers::random_peers(gateway, &nodes, MAX_QUERIES);
     let others = others.into_iter().filter(|it| Some(*it) != parent);
-    parent.into_iter().chain(others).take(MAX_ASKED).collect()
+    parent.into_iter().chain(others).take(MAX_QUERIES).collect()
 }
 
-/// Asks the nodes at `addrs`. Returns the replies that arrive in time.
-async fn ask(gateway: &Gateway, addrs: &[SocketAddr], query: &Query) -> Vec<Reply> {
-    let mut calls: Vec<_> = addrs.iter().map(|it| Box::pin(fetch(gateway, *it, query))).collect();
-    let mut replies = Vec::new();
-    let all = future::poll_fn(|cx| {
-        calls.retain_mut(|it| match it.as_mut().poll(cx) {
-            Poll::Ready(Ok(reply)) => {
-                replies.push(reply);
-                false
+/// Asks the nodes at `addrs`, a few at a time, and the next one in place of each that doesn't answer or
+/// knows nothing. Returns the replies that arrive in time, and the number of nodes asked.
+async fn ask(gateway: &Gateway, addrs: &[SocketAddr], query: &Query) -> (Vec<Reply>, usize) {
+    let (left, replies) = (Mutex::new(addrs.iter()), Mutex::new(Vec::new()));
+    let ask_until_informed = || async {
+        loop {
+            let Some(addr) = left.lock().next() else { return };
+            match fetch(gateway, *addr, query).await {
+                Ok(reply) if reply.is_informed => return replies.lock().push(reply),
+                Ok(_uninformed) => {}
+                Err(e) => log::debug!("no lost rows: {e}"),
             }
-            Poll::Ready(Err(e)) => {
-                log::debug!("no lost rows: {e}");
-                false
-            }
-            Poll::Pending => true,
-        });
-        if calls.is_empty() { Poll::Ready(()) } else { Poll::Pending }
+        }
+    };
+    let mut open: Vec<_> = (0..MAX_ASKED).map(|_| Box::pin(ask_until_informed())).collect();
+    let all = future::poll_fn(|cx| {
+        open.retain_mut(|it| it.as_mut().poll(cx).is_pending());
+        if open.is_empty() { Poll::Ready(()) } else { Poll::Pending }
     });
     // Those that have answered by then are enough.
     let _elapsed = timeout::run(TIMEOUT, all).await;
-    replies
+    drop(open);
+    let n_asked = addrs.len() - left.lock().len();
+    (replies.into_inner(), n_asked)
 }
 
 async fn fetch(gateway: &Gateway, addr: SocketAddr, query: &Query) -> Result<Reply, Error> {
--- a/crates/curranthook_gateway/src/replication/lost_rows/known.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows/known.rs
@@ -20,15 +20,17 @@
 /// The rows of the queried table that this node goes by and that were written in earlier eras.
 pub(super) fn reply(gateway: &Gateway, query: &Query) -> Reply {
     let Query { table, era, .. } = *query;
-    let known_era = gateway.mirror.lock().rev(table).era();
-    // A node that has not read the table in that era yet knows the rows that the sender missed.
-    let age = match gateway.eras.lock().began_at(table, era) {
+    let began_at = gateway.eras.lock().began_at(table, era);
+    let is_before = {
+        let mirror = gateway.mirror.lock();
+        mirror.has_read(table) && mirror.rev(table).era() < era
+    };
+    let age = match began_at {
         Some(at) => gateway.now().saturating_duration_since(at),
-        None => Duration::ZERO,
+        // A node that has not read the table in that era yet knows the rows that the sender missed.
+        None if is_before => Duration::ZERO,
+        None => return Reply::default(),
     };
-    if era < known_era {
-        return Reply::default();
-    }
     let are_kept = age < eras::withheld_time(table);
     let mut rows = match table {
         Table::Operator if are_kept => kept_rows(gateway, query, |it| is_order(gateway, it)),
@@ -45,7 +47,7 @@
         let newer = configuration.as_ref().filter(|it| is_newer(it.document.version));
         rows.extend(newer.map(|it| it.row.clone()).filter(|it| it.rev.era() < era));
     }
-    Reply { rows, age }
+    Reply { rows, age, is_informed: true }
 }
 
 /// Whether `row` is a newer state than `known`, which may be of another era.
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -218,8 +218,10 @@
         let tree = page.batch.rows.iter().find(|it| *it.key == *key);
         if let Some(row) = tree {
             fleet::apply_row(&self.gateway, row);
-            self.gateway.rows_changed.wake();
         }
+        let nodes = fleet::addrs(&page.batch.rows, &self.gateway.settings.node);
+        self.gateway.eras.lock().first_nodes = nodes;
+        self.gateway.rows_changed.wake();
         Some(Ok(None))
     }
 
--- a/crates/curranthook_gateway/tests/laws/lost_rows.rs
+++ b/crates/curranthook_gateway/tests/laws/lost_rows.rs
@@ -2,7 +2,7 @@
 
 use curranthook_gateway::{
     replication::{
-        lost_rows::{MAX_ASKED, Query, Reply},
+        lost_rows::{MAX_ASKED, MAX_QUERIES, Query, Reply},
         relays::{Node, Tree},
     },
     store::{Rev, Table},
@@ -55,6 +55,9 @@
         let n_query_bytes = serde_json::to_vec(&query).unwrap().len();
         let n_reply_bytes = serde_json::to_vec(&Reply::default()).unwrap().len();
         n_bytes += MAX_ASKED * (n_query_bytes + n_reply_bytes);
+        // A node that finds nobody who knows the rows asks more of them, once.
+        let n_most_bytes = MAX_QUERIES * (n_query_bytes + n_reply_bytes);
+        assert!(n_most_bytes <= 2 * CONTROL_BYTES_PER_SECOND, "{n_most_bytes} bytes");
     }
     assert!(n_bytes <= CONTROL_BYTES_PER_SECOND, "{n_bytes} bytes");
 }
--- a/crates/curranthook_gateway/tests/lost_rows.rs
+++ b/crates/curranthook_gateway/tests/lost_rows.rs
@@ -124,6 +124,8 @@
         time_limit: Duration::from_secs(20),
     };
     let knowing = node();
+    let batch = Batch { rows: Vec::new(), rev: rev(0, 20), now: None };
+    apply::batch(&knowing.gateway, Table::Fleet, batch, true, "store");
     {
         let mut rollouts = knowing.gateway.rollouts.lock();
         rollouts.apply_order(order(), rev(0, 30), None);
