--- a/crates/curranthook_gateway/src/replication/lost_rows.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows.rs
@@ -32,7 +32,7 @@
 /// of them may be as far behind as the sender.
 pub const MAX_ASKED: usize = 3;
 /// The number of nodes that are asked in all. Those of the copy may be gone, or starting as well.
-pub const MAX_QUERIES: usize = 16;
+pub const MAX_QUERIES: usize = 24;
 /// How long the first read of an era waits for the answers of other nodes, and before that for the
 /// fleet's rows if none are known.
 const TIMEOUT: Duration = Duration::from_millis(200);
