Use the first nodes of the fleet's table only until all have been read

Cause: they stayed among the nodes to ask at later eras, though their addresses may be old by then. Change: once the table has been read, its nodes are asked. No test tells it apart: the nodes of the table are among both.

--- a/crates/curranthook_gateway/src/replication/lost_rows.rs
+++ b/crates/curranthook_gateway/src/replication/lost_rows.rs
@@ -147,16 +147,15 @@
     batch: &Batch,
     parent: Option<SocketAddr>,
 ) -> Vec<SocketAddr> {
+    let has_read_fleet = || gateway.mirror.lock().has_read(Table::Fleet);
     if table != Table::Fleet && parent.is_none() {
-        let are_known = || {
-            gateway.mirror.lock().has_read(Table::Fleet)
-                || !gateway.eras.lock().first_nodes.is_empty()
-        };
+        let are_known = || has_read_fleet() || !gateway.eras.lock().first_nodes.is_empty();
         // Without them, those in the settings are asked.
         let _elapsed = timeout::run(TIMEOUT, gateway.wait_until(are_known)).await;
     }
     let nodes = match table {
         Table::Fleet => fleet::addrs(&batch.rows, &gateway.settings.node),
+        _ if has_read_fleet() => Vec::new(),
         _ => gateway.eras.lock().first_nodes.clone(),
     };
     let others = peers::random_peers(gateway, &nodes, MAX_QUERIES);
@@ -164,7 +163,7 @@
     parent.into_iter().chain(others).take(MAX_QUERIES).collect()
 }
 
-/// Asks the nodes at `addrs`, a few at a time, and the next one in place of each that doesn't answer or
+/// Asks the nodes at `addrs`, a few at a time, and the next one in place of each that does not answer or
 /// knows nothing. Returns the replies that arrive in time, and the number of nodes asked.
 async fn ask(gateway: &Gateway, addrs: &[SocketAddr], query: &Query) -> (Vec<Reply>, usize) {
     let (left, replies) = (Mutex::new(addrs.iter()), Mutex::new(Vec::new()));
@@ -198,7 +197,7 @@
         StatusCode::OK => {
             serde_json::from_slice(res.body()).map_err(|e| Error::Garbled(e.to_string()))
         }
-        // A build that doesn't know the query answers 404.
+        // A build that does not know the query answers 404.
         other => Err(Error::Down(format!("peer {addr}: {other}"))),
     }
 }
--- a/crates/curranthook_gateway/src/replication/mirror.rs
+++ b/crates/curranthook_gateway/src/replication/mirror.rs
@@ -143,7 +143,7 @@
     }
 
     /// Adds a row of an earlier era, which the store may have lost, unless a newer state of it is
-    /// known. The table doesn't count as read for that.
+    /// known. The table does not count as read for that.
     pub fn insert_lost(&mut self, table: Table, row: &Row) {
         let table_rows = self.tables.entry(table).or_default();
         let known = table_rows.index.get(&row.key);
