--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,16 +6,26 @@
 mod http;
 mod json;
 mod leaving;
+mod model;
 mod site;
 mod store;
+mod streams;
 
-use std::path::PathBuf;
+use std::{path::PathBuf, time::Duration};
+
+use crate::site::Special;
+
+/// How long a preempted request waits: less than the gap after which its client leaves, 8 s.
+const PAUSE: Duration = Duration::from_secs(3);
 
 fn main() {
     let mut words = std::env::args().skip(1);
     let (Some(name), Some(folder)) = (words.next(), words.next()) else { std::process::exit(2) };
     let folder = PathBuf::from(folder);
     let code = match name.as_str() {
+        "model" => model::run(&folder),
+        "failures" => streams::run(&folder, Special::Fails),
+        "preempted" => streams::run(&folder, Special::Pauses(PAUSE)),
         "leaving" => leaving::run(&folder),
         _ => 2,
     };
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -17,6 +17,10 @@
 use crate::{http, store::Store};
 
 pub const KEY: &str = "key-of-hule930";
+/// The models that the workers of `tally-llm` serve.
+pub const MODELS: [&str; 3] = ["m0", "m1", "m2"];
+/// The body of a worker's own failure.
+pub const FAILURE: &[u8] = b"{\"error\":\"the engine failed\"}";
 pub const HOST: &str = "ficu95.example";
 
 /// What was sent, answered and run.
@@ -86,6 +90,24 @@
     )
 }
 
+/// A request for a stream of the session `session`, for any model or the named one.
+pub fn stream_request(session: u32, model: &str, deadline_ms: u64) -> (String, Vec<u8>) {
+    let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+    let authorization = format!("Bearer {KEY}");
+    let (deadline, prefix) = (deadline_ms.to_string(), format!("5c1e07a2:800,{session:08x}:410"));
+    let headers = [
+        ("Host", HOST),
+        ("Curranthook-Attempt-Id", id.as_str()),
+        ("Curranthook-Request-Deadline", deadline.as_str()),
+        ("Curranthook-Model", model),
+        ("Curranthook-Token-Counts", "1210,80"),
+        ("Curranthook-Prompt-Prefix", prefix.as_str()),
+        ("Authorization", authorization.as_str()),
+    ];
+    let message = http::message("POST", "/stream/2f", &headers, b"prompt");
+    (id, message)
+}
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A request with an id of its own, and that id.
@@ -240,6 +262,8 @@
     service: String,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_gone: Arc<AtomicBool>,
+    /// What the worker does with some of the requests for streams.
+    pub special: Arc<Mutex<Special>>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -253,6 +277,7 @@
             service: service.to_owned(),
             arrivals: Arc::default(),
             is_gone: Arc::default(),
+            special: Arc::default(),
             connections: Arc::default(),
         };
         let (server, record) = (worker.clone(), record.clone());
@@ -307,6 +332,19 @@
                 }
                 continue;
             }
+            let model = request.header("curranthook-model");
+            if self.service == "tally-llm" && !MODELS.contains(&model) {
+                record.line(&format!("worker {}: rejects {id} with 421: model {model}", self.id));
+                let extra = format!(
+                    "Curranthook-Attempt-Id: {id}\r\nCurranthook-Not-Executed: 1\r\n\
+                     Curranthook-Instance-Id: {}\r\n",
+                    self.id
+                );
+                if !http::respond(&mut stream, 421, &extra, b"") {
+                    return;
+                }
+                continue;
+            }
             record.line(&format!("worker {}: begins to run {id}", self.id));
             let index = {
                 let mut arrivals = self.arrivals.lock().unwrap();
@@ -318,6 +356,12 @@
                 });
                 arrivals.len() - 1
             };
+            if self.service == "tally-llm" {
+                if !self.stream(&request, &id, &mut stream, record) {
+                    return;
+                }
+                continue;
+            }
             thread::sleep(work);
             if self.is_gone.load(Ordering::SeqCst) {
                 record.line(&format!("worker {}: exits while it runs {id}", self.id));
@@ -336,4 +380,79 @@
             }
         }
     }
+
+    /// Sends 20 events, 20 ms apart, or what the worker does with the requests that it treats
+    /// differently. Returns whether the connection is kept.
+    fn stream(
+        &self,
+        request: &http::Request,
+        id: &str,
+        stream: &mut TcpStream,
+        record: &Record,
+    ) -> bool {
+        let special = Some(*self.special.lock().unwrap()).filter(|_| is_special(request));
+        if special == Some(Special::Fails) {
+            record.line(&format!("worker {}: answers {id} with a 500 of its own", self.id));
+            let extra = format!(
+                "Curranthook-Attempt-Id: {id}\r\nCurranthook-Response-Seal: s.{}\r\n\
+                 Content-Type: application/json\r\n",
+                self.id
+            );
+            return http::respond(stream, 500, &extra, FAILURE);
+        }
+        let head = format!(
+            "HTTP/1.1 200 x\r\nCurranthook-Attempt-Id: {id}\r\nCurranthook-Response-Seal: s.{}\r\n\
+             Curranthook-Confidence: 90\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
+        let mut is_sent = stream.write_all(head.as_bytes()).is_ok();
+        for event in last + 1..=20 {
+            thread::sleep(Duration::from_millis(20));
+            let text = format!("id: {event}\ndata: e{event}\n\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            is_sent = is_sent && stream.write_all(chunk.as_bytes()).is_ok();
+            if let Some(Special::Pauses(pause)) = special
+                && event == last + 1
+            {
+                record.line(&format!("worker {}: preempts {id} after event {event}", self.id));
+                if is_closed_within(stream, pause) {
+                    record.line(&format!("worker {}: {id}: its connection is closed", self.id));
+                    return false;
+                }
+                record.line(&format!("worker {}: goes on with {id}", self.id));
+            }
+        }
+        is_sent && stream.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// Whether the peer closes the connection within `limit`.
+fn is_closed_within(stream: &TcpStream, limit: Duration) -> bool {
+    let _ = stream.set_read_timeout(Some(limit));
+    let result = stream.peek(&mut [0]);
+    let _ = stream.set_read_timeout(None);
+    result.map_or_else(|e| e.kind() != std::io::ErrorKind::WouldBlock, |n| n == 0)
+}
+
+/// What workers do with one of [`SPECIAL`] requests for streams, whichever worker it is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum Special {
+    /// The same as with all others.
+    #[default]
+    Nothing,
+    /// They answer it with a failure of their own.
+    Fails,
+    /// They preempt it after its first event, and go on after this time.
+    Pauses(Duration),
+}
+
+/// One of this many requests is special: about the site's share of errors, 0.14.
+pub const SPECIAL: u32 = 8;
+
+fn is_special(request: &http::Request) -> bool {
+    let prefix = request.header("curranthook-prompt-prefix");
+    let session = prefix.rsplit(',').next().and_then(|it| it.split(':').next()).unwrap_or_default();
+    u32::from_str_radix(session, 16).is_ok_and(|it| it % SPECIAL == SPECIAL - 1)
 }
