--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -10,7 +10,6 @@
 
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -109,9 +108,9 @@
 pub fn read_request(reader: &mut impl BufRead) -> io::Result<Request> {
     let (start, headers) = read_head(reader)?;
     let mut words = start.split(' ');
-    let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+    let path = words.nth(1).unwrap_or_default();
     let body = read_body(reader, &headers, false)?;
-    Ok(Request { method: method.to_owned(), path: path.to_owned(), headers, body })
+    Ok(Request { path: path.to_owned(), headers, body })
 }
 
 /// Answers one request on the connection. Returns whether the connection is kept.
@@ -139,8 +138,7 @@
 }
 
 pub fn respond(stream: &mut TcpStream, status: u16, extra: &str, body: &[u8]) -> bool {
-    let head =
-        format!("HTTP/1.1 {status} x\r\n{extra}Content-Length: {}\r\n\r\n", body.len());
+    let head = format!("HTTP/1.1 {status} x\r\n{extra}Content-Length: {}\r\n\r\n", body.len());
     let mut message = head.into_bytes();
     message.extend_from_slice(body);
     stream.write_all(&message).is_ok()
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,8 +1,6 @@
 //! The stand-ins and clients of the scripts in `review/`: `cases NAME FOLDER`. Exits with 0 if the
 //! rule held, 1 if it was broken and 2 if the case could not run.
 
-#![allow(dead_code)]
-
 mod http;
 mod json;
 mod leaving;
@@ -10,6 +8,7 @@
 mod site;
 mod store;
 mod streams;
+mod unavailable;
 
 use std::{path::PathBuf, time::Duration};
 
@@ -24,8 +23,8 @@
     let folder = PathBuf::from(folder);
     let code = match name.as_str() {
         "model" => model::run(&folder),
-        "failures" => streams::run(&folder, Special::Fails),
         "preempted" => streams::run(&folder, Special::Pauses(PAUSE)),
+        "unavailable" => unavailable::run(&folder),
         "leaving" => leaving::run(&folder),
         _ => 2,
     };
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -59,14 +59,15 @@
 
 /// The configuration: a route for posts and one for look-ups, as on the deployment's sheet.
 pub fn config(version: u64) -> String {
-    let route = |prefix: &str, kind: &str, timeout: u32, attempts: u32, service: &str, more: &str| {
-        format!(
-            "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\
+    let route =
+        |prefix: &str, kind: &str, timeout: u32, attempts: u32, service: &str, more: &str| {
+            format!(
+                "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\
              \"routeType\":\"{kind}\",\"timeoutMs\":{timeout},\"targetLatencyMs\":300,\
              \"priority\":2,\"service\":\"{service}\",\"maxAttempts\":{attempts},\
              \"public\":false{more}}}"
-        )
-    };
+            )
+        };
     let stream = ",\"sizes\":[\"m0\",\"m1\",\"m2\"],\"sessionAffinity\":true,\"resumable\":true,\
                   \"targetGapMs\":600";
     let routes = [
@@ -143,10 +144,21 @@
     pub child: Child,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    pub name: String,
     folder: PathBuf,
 }
 
+fn spawn(command: &[String], folder: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(folder.join("log.txt")).unwrap();
+    Command::new(&command[0])
+        .args(&command[1..])
+        .env("CURRANTHOOK_SETTINGS", folder.join("node.conf"))
+        .stdin(Stdio::null())
+        .stdout(Stdio::from(log.try_clone().unwrap()))
+        .stderr(Stdio::from(log))
+        .spawn()
+        .expect("the node starts")
+}
+
 /// The settings of a node, like those of the deployment mst-crate.
 fn settings(name: &str, store: SocketAddr, memory_mb: u32) -> (String, SocketAddr, SocketAddr) {
     let (callers, ready, control, internal) = (free_addr(), free_addr(), free_addr(), free_addr());
@@ -186,16 +198,8 @@
         if let Some(at) = command.iter().position(|it| it == "--metrics-port") {
             command[at + 1] = free_addr().port().to_string();
         }
-        let log = File::create(folder.join("log.txt")).unwrap();
-        let child = Command::new(&command[0])
-            .args(&command[1..])
-            .env("CURRANTHOOK_SETTINGS", &path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::from(log.try_clone().unwrap()))
-            .stderr(Stdio::from(log))
-            .spawn()
-            .expect("the node starts");
-        Self { child, callers, ready, name: name.to_owned(), folder }
+        let child = spawn(&command, &folder);
+        Self { child, callers, ready, folder }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -220,14 +224,6 @@
         let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
     }
 
-    /// The memory in use, in MB: the resident set.
-    pub fn memory_mb(&self) -> Option<u64> {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = text.lines().find(|it| it.starts_with("VmRSS:"))?;
-        let kb: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kb / 1024)
-    }
-
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log.txt")).unwrap_or_default()
     }
@@ -250,7 +246,8 @@
 pub struct Arrival {
     pub at: Instant,
     pub id: String,
-    pub n_body: usize,
+    /// What the client calls the work: the first bytes of the body.
+    pub subject: String,
     pub ended: Option<Instant>,
 }
 
@@ -262,6 +259,10 @@
     service: String,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     is_gone: Arc<AtomicBool>,
+    /// The part in 100 of its plain requests that the worker fails after it has run them, and the
+    /// number of those that ended.
+    pub fails: Arc<AtomicU64>,
+    n_ended: Arc<AtomicU64>,
     /// What the worker does with some of the requests for streams.
     pub special: Arc<Mutex<Special>>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
@@ -269,7 +270,13 @@
 
 impl Worker {
     /// Starts a worker that works for `work` on each request and answers with `n_answer` bytes.
-    pub fn start(id: &str, service: &str, work: Duration, n_answer: usize, record: &Record) -> Self {
+    pub fn start(
+        id: &str,
+        service: &str,
+        work: Duration,
+        n_answer: usize,
+        record: &Record,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let worker = Self {
             id: id.to_owned(),
@@ -277,6 +284,8 @@
             service: service.to_owned(),
             arrivals: Arc::default(),
             is_gone: Arc::default(),
+            fails: Arc::default(),
+            n_ended: Arc::default(),
             special: Arc::default(),
             connections: Arc::default(),
         };
@@ -324,7 +333,7 @@
             }
             let id = request.header("curranthook-attempt-id").to_owned();
             let target = request.header("curranthook-target-instance");
-            if target != "" && target != self.id {
+            if !target.is_empty() && target != self.id {
                 record.line(&format!("worker {}: rejects {id} with 421", self.id));
                 let extra = format!("Curranthook-Instance-Id: {}\r\n", self.id);
                 if !http::respond(&mut stream, 421, &extra, b"") {
@@ -351,7 +360,8 @@
                 arrivals.push(Arrival {
                     at: Instant::now(),
                     id: id.clone(),
-                    n_body: request.body.len(),
+                    subject: String::from_utf8_lossy(&request.body[..request.body.len().min(16)])
+                        .into_owned(),
                     ended: None,
                 });
                 arrivals.len() - 1
@@ -372,6 +382,14 @@
                  Curranthook-Server-Load: 1,0,6\r\n",
                 self.id
             );
+            if self.fails_now() {
+                record.line(&format!("worker {}: has run {id}, and answers it with 503", self.id));
+                self.arrivals.lock().unwrap()[index].ended = Some(Instant::now());
+                if !http::respond(&mut stream, 503, &extra, FAILURE) {
+                    return;
+                }
+                continue;
+            }
             let is_sent = http::respond(&mut stream, 200, &extra, &vec![b'x'; n_answer]);
             self.arrivals.lock().unwrap()[index].ended = Some(Instant::now());
             record.line(&format!("worker {}: has run {id} and answered it", self.id));
@@ -381,6 +399,13 @@
         }
     }
 
+    /// Whether the request that ends now is one of those that the worker fails, evenly spread.
+    fn fails_now(&self) -> bool {
+        let (n, part) =
+            (self.n_ended.fetch_add(1, Ordering::SeqCst), self.fails.load(Ordering::SeqCst));
+        n * part / 100 < (n + 1) * part / 100
+    }
+
     /// Sends 20 events, 20 ms apart, or what the worker does with the requests that it treats
     /// differently. Returns whether the connection is kept.
     fn stream(
@@ -391,15 +416,6 @@
         record: &Record,
     ) -> bool {
         let special = Some(*self.special.lock().unwrap()).filter(|_| is_special(request));
-        if special == Some(Special::Fails) {
-            record.line(&format!("worker {}: answers {id} with a 500 of its own", self.id));
-            let extra = format!(
-                "Curranthook-Attempt-Id: {id}\r\nCurranthook-Response-Seal: s.{}\r\n\
-                 Content-Type: application/json\r\n",
-                self.id
-            );
-            return http::respond(stream, 500, &extra, FAILURE);
-        }
         let head = format!(
             "HTTP/1.1 200 x\r\nCurranthook-Attempt-Id: {id}\r\nCurranthook-Response-Seal: s.{}\r\n\
              Curranthook-Confidence: 90\r\nContent-Type: text/event-stream\r\n\
@@ -442,14 +458,12 @@
     /// The same as with all others.
     #[default]
     Nothing,
-    /// They answer it with a failure of their own.
-    Fails,
     /// They preempt it after its first event, and go on after this time.
     Pauses(Duration),
 }
 
-/// One of this many requests is special: about the site's share of errors, 0.14.
-pub const SPECIAL: u32 = 8;
+/// One of this many requests is special.
+pub const SPECIAL: u32 = 4;
 
 fn is_special(request: &http::Request) -> bool {
     let prefix = request.header("curranthook-prompt-prefix");
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -13,10 +13,14 @@
     json::{Json, base64, from_base64},
 };
 
+/// Table and key.
+type Key = (String, String);
+/// The revision and the value; none once removed.
+type Value = (u64, Option<Vec<u8>>);
+
 #[derive(Default)]
 struct State {
-    /// Table and key, the revision and the value; none once removed.
-    rows: BTreeMap<(String, String), (u64, Option<Vec<u8>>)>,
+    rows: BTreeMap<Key, Value>,
     rev: u64,
     /// A table, and the number of answers to calls waiting for its changes that are lost from now on.
     lose: Option<(String, usize)>,
@@ -98,7 +102,7 @@
         limit: usize,
     ) -> (usize, String) {
         let state = self.state.0.lock().unwrap();
-        let matching = |((it, key), (rev, value)): &(&(String, String), &(u64, Option<Vec<u8>>))| {
+        let matching = |((it, key), (rev, value)): &(&Key, &Value)| {
             it == table && since < *rev && (removed || value.is_some()) && start <= key.as_str()
         };
         let mut found: Vec<_> = state.rows.iter().filter(matching).collect();
@@ -174,8 +178,7 @@
             let current = state.rows.get(&key).filter(|(_, value)| value.is_some());
             if row.number("schemaRev") != Some(current.map_or(0, |(rev, _)| *rev)) {
                 let rev = state.rev;
-                let text =
-                    format!("{{\"rows\":[],\"schemaRev\":{rev},\"serverTimeMs\":{now}}}");
+                let text = format!("{{\"rows\":[],\"schemaRev\":{rev},\"serverTimeMs\":{now}}}");
                 return (412, text);
             }
         }
