--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -59,13 +59,16 @@
 
 /// The configuration: a route for posts and one for look-ups, as on the deployment's sheet.
 pub fn config(version: u64) -> String {
+    // As `herd-summary`, `weight-post` and `crate-lookup`.
+    let aim = |kind: &str| if kind == "stream" { 2000 } else { 300 };
     let route =
         |prefix: &str, kind: &str, timeout: u32, attempts: u32, service: &str, more: &str| {
             format!(
                 "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"prefix\":\"/{prefix}/\",\
-             \"routeType\":\"{kind}\",\"timeoutMs\":{timeout},\"targetLatencyMs\":300,\
+             \"routeType\":\"{kind}\",\"timeoutMs\":{timeout},\"targetLatencyMs\":{},\
              \"priority\":2,\"service\":\"{service}\",\"maxAttempts\":{attempts},\
-             \"public\":false{more}}}"
+             \"public\":false{more}}}",
+                aim(kind)
             )
         };
     let stream = ",\"sizes\":[\"m0\",\"m1\",\"m2\"],\"sessionAffinity\":true,\"resumable\":true,\
@@ -305,9 +308,10 @@
 
     /// The worker's entry in the store.
     pub fn entry(&self, state: &str) -> String {
+        let slots = if self.service == "tally-llm" { 64 } else { 6 };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"vn-south-a\",\"version\":\"v1\",\
-             \"concurrency\":6,\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":1,\"born\":1000}}",
+             \"concurrency\":{slots},\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":1,\"born\":1000}}",
             self.service, self.addr
         )
     }
