--- a/review/harness/leaving.rs
+++ b/review/harness/leaving.rs
@@ -82,6 +82,7 @@
     let acked_at = Instant::now();
     record.say("store: acknowledges that i-1 is draining");
     thread::sleep(DRAIN + LONGER);
+    wait_for_work(&workers[0]);
     workers[0].exit();
     store.remove("servers", "i-1");
     record.say("worker i-1: exits");
@@ -121,3 +122,12 @@
     ));
     i32::from(!late.is_empty())
 }
+
+/// Waits for a moment at which the worker runs a request, if it gets any.
+fn wait_for_work(worker: &Worker) {
+    let began = Instant::now();
+    let is_busy = || worker.arrivals.lock().unwrap().iter().any(|it| it.ended.is_none());
+    while !is_busy() && began.elapsed() < Duration::from_millis(500) {
+        thread::sleep(Duration::from_millis(1));
+    }
+}
