--- a/review/harness/leaving.rs
+++ b/review/harness/leaving.rs
@@ -28,8 +28,8 @@
 /// The time for which a post is worked on.
 const WORK: Duration = Duration::from_millis(60);
 
-pub fn run(folder: &Path) -> i32 {
-    let record = Record::new(folder);
+pub fn run(record: &Path) -> i32 {
+    let record = Record::new(record);
     let store = Store::start();
     store.put("op", "config", &site::config(1));
     let worker = |id: &str| Worker::start(id, "crate-ledger", WORK, 800, &record);
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,4 +1,4 @@
-//! The stand-ins and clients of the scripts in `review/`: `cases NAME FOLDER`. Exits with 0 if the
+//! The stand-ins and clients of the scripts in `review/`: `cases NAME RECORD`. Exits with 0 if the
 //! rule held, 1 if it was broken and 2 if the case could not run.
 
 mod http;
@@ -19,13 +19,13 @@
 
 fn main() {
     let mut words = std::env::args().skip(1);
-    let (Some(name), Some(folder)) = (words.next(), words.next()) else { std::process::exit(2) };
-    let folder = PathBuf::from(folder);
+    let (Some(name), Some(record)) = (words.next(), words.next()) else { std::process::exit(2) };
+    let record = PathBuf::from(record);
     let code = match name.as_str() {
-        "model" => model::run(&folder),
-        "preempted" => streams::run(&folder, Special::Pauses(PAUSE)),
-        "unavailable" => unavailable::run(&folder),
-        "leaving" => leaving::run(&folder),
+        "model" => model::run(&record),
+        "preempted" => streams::run(&record, Special::Pauses(PAUSE)),
+        "unavailable" => unavailable::run(&record),
+        "leaving" => leaving::run(&record),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/harness/model.rs
+++ b/review/harness/model.rs
@@ -30,8 +30,8 @@
     answer: Answer,
 }
 
-pub fn run(folder: &Path) -> i32 {
-    let record = Record::new(folder);
+pub fn run(record: &Path) -> i32 {
+    let record = Record::new(record);
     let store = Store::start();
     store.put("op", "config", &site::config(1));
     let work = Duration::from_millis(60);
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -31,8 +31,9 @@
 }
 
 impl Record {
-    pub fn new(folder: &Path) -> Self {
-        let file = File::create(folder.join("record.txt")).unwrap();
+    /// Begins the record in the file at `path`.
+    pub fn new(path: &Path) -> Self {
+        let file = File::create(path).unwrap();
         Self { file: Arc::new(Mutex::new(file)), began: Instant::now() }
     }
 
--- a/review/harness/streams.rs
+++ b/review/harness/streams.rs
@@ -37,8 +37,8 @@
 }
 
 /// Runs the case with what workers do with the special requests.
-pub fn run(folder: &Path, special: Special) -> i32 {
-    let record = Record::new(folder);
+pub fn run(record: &Path, special: Special) -> i32 {
+    let record = Record::new(record);
     let store = Store::start();
     store.put("op", "config", &site::config(1));
     let work = Duration::from_millis(60);
--- a/review/harness/unavailable.rs
+++ b/review/harness/unavailable.rs
@@ -25,8 +25,8 @@
 /// The statuses that promise that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
-pub fn run(folder: &Path) -> i32 {
-    let record = Record::new(folder);
+pub fn run(record: &Path) -> i32 {
+    let record = Record::new(record);
     let store = Store::start();
     store.put("op", "config", &site::config(1));
     let work = Duration::from_millis(60);
