Log what a response says that a request is not for its endpoint

(1) The 421 names the endpoint itself and is taken for another one's; (2) another node reports it as unreachable; (3) its entry is removed or can't be decoded. No log line told them apart, as the removal on a node's own evidence wasn't logged.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -20,7 +20,7 @@
     document::RetryPolicy,
     event::Event,
     lease::{Completeness, Lease},
-    request::Request,
+    request::{Model, Request},
 };
 
 /// The longest idle time after which a connection is reused for a retryable request. Endpoints
@@ -140,6 +140,7 @@
     let (head, body) = response.into_parts();
     let reply = gateway.dialect.parse_response_head(&head);
     log_unknown_headers(gateway, &lease.id, &head);
+    log_misdirected(gateway, request, &lease.id, outgoing.model, &reply);
     lease.record_first_byte(reply.load);
     let failure = reply_failure(request, &reply);
     let is_misdirected = failure.as_ref().is_some_and(|it| it.cause == Cause::Misdirected);
@@ -170,6 +171,28 @@
     }
 }
 
+fn log_misdirected(
+    gateway: &Gateway,
+    request: &Request,
+    id: &endpoint::Id,
+    model: Option<&str>,
+    reply: &Reply,
+) {
+    if reply.status != http::StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let named = match &request.head.model {
+        Model::Named(name) => Some(name.as_str()),
+        Model::Any | Model::None => model,
+    };
+    gateway.log.write(&Event::Misdirected {
+        request: &request.head.id,
+        endpoint: id.as_str(),
+        instance: reply.instance.as_ref().map(endpoint::Id::as_str),
+        model: named.unwrap_or_default(),
+    });
+}
+
 fn send_failure(
     lease: Lease,
     conn: &Connection,
--- a/crates/curranthook_gateway/src/dialect.rs
+++ b/crates/curranthook_gateway/src/dialect.rs
@@ -78,6 +78,8 @@
     pub status: StatusCode,
     /// The id of the request that the response states to answer.
     pub request_id: Option<String>,
+    /// The endpoint that responds, if the response names it.
+    pub instance: Option<endpoint::Id>,
     /// Whether the endpoint states that it did not run the request.
     pub execution: Execution,
     /// Whether the response carries the endpoint's seal; without it the response must not be
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -188,6 +188,22 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         waiting: Option<u32>,
     },
+    /// A response stated that its request was not for the endpoint that sent it.
+    Misdirected {
+        request: &'a str,
+        endpoint: &'a str,
+        /// The endpoint that sent the response, if it names itself.
+        instance: Option<&'a str>,
+        model: &'a str,
+    },
+    /// An endpoint gets no more requests as another one seems to have its address, or gets some again.
+    Suspension {
+        endpoint: &'a str,
+        state: &'a str,
+        cause: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        length_ms: Option<u64>,
+    },
     /// A small model's answer was discarded in favour of a larger model's.
     Escalated {
         request: &'a str,
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -300,6 +300,11 @@
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.lock();
         directory.request_ended(&self.id, self.outcome, self.pending_prefill, now);
+        if self.outcome == Outcome::AddressReused {
+            let (endpoint, state, cause) = (self.id.as_str(), "removed", "misdirected");
+            let event = Event::Suspension { endpoint, state, cause, length_ms: None };
+            self.gateway.log.write(&event);
+        }
         if matches!(self.outcome, Outcome::ConnectFailed | Outcome::ConnectionLost) {
             drop(directory);
             probe::record_failure(&self.gateway, &self.service, &self.id);
