Suspend endpoints on a node's own evidence, and take a 421 for what it says

What callers saw: one caller named a model that no endpoint has; each endpoint answered 421 and was removed for good, and all streams of all callers were refused until a restart.

Cause, two faults: a status that a caller can bring about counted against sound endpoints, and what a node removed on its own evidence never came back, as an unchanged row isn't applied again. The same held for an endpoint at whose address another entry with a later start is listed, also one of a service that nobody configured.

Change: a 421 that names the endpoint itself says something of the request only; one that names another instance suspends the endpoint; one that names nobody does so only if another endpoint accepts the request and this one hasn't responded for 2 s. A suspension ends by a response, by a probe (one request after 4 s, doubling to 60 s), or as the newer entry goes; entries of services that aren't configured suspend nobody. A model that the route doesn't list is refused with 421 before any attempt; on a route that lists none, after two endpoints have said so. Neither promises that a retry helps.

Ways weighed: (a) suspension with a growing pause and a probe, taken; (b) the directory derived anew from the mirror at each change: the same state is needed beside it for evidence, and costs a pass over all entries. For a 421 without a name: a health check of the address costs a call at an endpoint each time; no evidence at all costs an attempt per request.

No call to the store is added.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -10,6 +10,7 @@
     event::Event,
     fleet,
     gateway::Configuration,
+    lease::log_transitions,
     replication::{eras, watch::table_name},
     store::{Batch, Operator, Row, Table},
 };
@@ -92,7 +93,11 @@
         }
     }
     if table == Table::Endpoints {
-        let n = gateway.directory.lock().len();
+        let n = {
+            let mut directory = gateway.directory.lock();
+            log_transitions(gateway, &mut directory);
+            directory.len()
+        };
         gateway.metrics.endpoints.set(i64::try_from(n).unwrap_or(i64::MAX));
     }
 }
@@ -124,6 +129,12 @@
                 return;
             }
             let routes = document.n_routes();
+            {
+                let mut directory = gateway.directory.lock();
+                let services = document.services.keys().map(String::as_str);
+                directory.set_services(services, gateway.now());
+                log_transitions(gateway, &mut directory);
+            }
             gateway
                 .configuration
                 .store(Some(Arc::new(Configuration { document, row: row.clone() })));
--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -70,8 +70,13 @@
     StaleConnection,
     /// The endpoint has no capacity left.
     Full,
-    /// Another endpoint now uses the address.
+    /// Another endpoint uses the address.
+    AddressReused,
+    /// The response states that the request is not for the endpoint that sent it, and not which one
+    /// that is: the address has another endpoint, or the endpoint cannot run such a request.
     Misdirected,
+    /// The endpoint itself states that it cannot run such a request, as it has not the model.
+    Unsuitable,
     /// The connection was lost.
     Disconnected,
     /// The response belongs to another request.
@@ -91,7 +96,9 @@
             Self::Connect => "connect",
             Self::StaleConnection => "stale",
             Self::Full => "full",
+            Self::AddressReused => "address_reused",
             Self::Misdirected => "misdirected",
+            Self::Unsuitable => "unsuitable",
             Self::Disconnected => "cut",
             Self::WrongRequest => "foreign",
             Self::Unsealed => "unsealed",
@@ -142,9 +149,14 @@
     log_unknown_headers(gateway, &lease.id, &head);
     log_misdirected(gateway, request, &lease.id, outgoing.model, &reply);
     lease.record_first_byte(reply.load);
-    let failure = reply_failure(request, &reply);
-    let is_misdirected = failure.as_ref().is_some_and(|it| it.cause == Cause::Misdirected);
-    if !is_misdirected {
+    let failure = reply_failure(request, &reply, &lease.id);
+    let is_of_endpoint = failure
+        .as_ref()
+        .is_none_or(|it| !matches!(it.cause, Cause::AddressReused | Cause::Misdirected));
+    if let Some(other) = reply.instance.as_ref().filter(|it| **it != lease.id) {
+        lease.record_instance(other);
+    }
+    if is_of_endpoint {
         let is_complete = failure.is_none() && reply.status.is_success();
         let completeness = if is_complete { Completeness::Whole } else { Completeness::Partial };
         lease.record_advertised(&reply, completeness);
@@ -219,10 +231,15 @@
 }
 
 /// The failure of a response that must not be forwarded to the caller; `None` if it may be.
-fn reply_failure(request: &Request, reply: &Reply) -> Option<Failure> {
+fn reply_failure(request: &Request, reply: &Reply, target: &endpoint::Id) -> Option<Failure> {
     if reply.execution == Execution::NotRun {
         let is_misdirected = reply.status == http::StatusCode::MISDIRECTED_REQUEST;
-        return Some(not_run(if is_misdirected { Cause::Misdirected } else { Cause::Full }));
+        return Some(not_run(match &reply.instance {
+            _ if !is_misdirected => Cause::Full,
+            Some(it) if it == target => Cause::Unsuitable,
+            Some(_) => Cause::AddressReused,
+            None => Cause::Misdirected,
+        }));
     }
     // On a reused connection, a late response to an earlier request arrives in place of the
     // expected one. The request id reveals this; if the response were forwarded, a caller would
@@ -236,10 +253,14 @@
 fn outcome(cause: Cause) -> Outcome {
     match cause {
         Cause::Full => Outcome::Full,
-        Cause::Misdirected => Outcome::AddressReused,
+        Cause::AddressReused => Outcome::AddressReused,
         Cause::Connect => Outcome::ConnectFailed,
         Cause::Disconnected => Outcome::ConnectionLost,
-        Cause::StaleConnection | Cause::WrongRequest | Cause::Timeout => Outcome::Abandoned,
+        Cause::StaleConnection
+        | Cause::WrongRequest
+        | Cause::Timeout
+        | Cause::Misdirected
+        | Cause::Unsuitable => Outcome::Abandoned,
         Cause::Unsealed | Cause::Error => Outcome::Failed,
     }
 }
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -2,12 +2,11 @@
 
 mod brittleness;
 mod permits;
+mod suspension;
 mod tracked;
 
 use std::{
-    cmp::Ordering,
     collections::{HashMap, HashSet},
-    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -24,7 +23,12 @@
     rate_limit,
 };
 
-pub use self::{permits::Permits, tracked::Tracked};
+use self::suspension::Addresses;
+pub use self::{
+    permits::Permits,
+    suspension::{Cause, Transition},
+    tracked::Tracked,
+};
 
 /// The weight of a new outcome in the moving average of failures; roughly the last ten outcomes
 /// count.
@@ -41,8 +45,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     endpoints: HashMap<endpoint::Id, Tracked>,
-    /// The id of the endpoint last known at each address.
-    by_addr: HashMap<SocketAddr, endpoint::Id>,
+    /// Which endpoints are listed at each address, and which of them are suspended.
+    addresses: Addresses,
     /// When each version counts as established and gets requests without an order, by service and
     /// version.
     versions: HashMap<String, HashMap<String, Instant>>,
@@ -76,7 +80,7 @@
     ConnectFailed,
     /// The connection was lost before the answer was complete.
     ConnectionLost,
-    /// The address now belongs to another endpoint.
+    /// Another endpoint responded at the address.
     AddressReused,
     /// This node stopped the request, for reasons that are no evidence about the endpoint.
     Abandoned,
@@ -85,23 +89,30 @@
 impl Directory {
     /// Adds or updates an endpoint from its entry in the store.
     pub fn upsert(&mut self, entry: Entry, now: Instant) {
-        if self.remove_older_at_address(&entry, now) == Some(entry.id.clone()) {
-            return;
-        }
         let versions = self.versions.entry(entry.service.clone()).or_default();
         let established_at = if versions.is_empty() { now } else { now + NEW_VERSION_DELAY };
         let established_at = *versions.entry(entry.version.clone()).or_insert(established_at);
         let (id, slow_start) = (entry.id.clone(), entry.slow_start);
+        let is_same = |it: &Tracked| {
+            Incarnation::of(&it.entry) == Incarnation::of(&entry)
+                && it.entry.service == entry.service
+        };
         match self.endpoints.get_mut(&id) {
-            // An endpoint that restarted under the same id is a different one; nothing observed of
-            // the old one applies to it.
-            Some(it) if Incarnation::of(&it.entry) == Incarnation::of(&entry) => {
+            Some(it) if is_same(it) => {
                 it.entry = entry;
                 it.is_missing = false;
             }
-            _ => {
+            // An endpoint that restarted under the same id is a different one; nothing observed of
+            // the old one applies to it.
+            known => {
+                let known = known.map(|it| it.entry.clone());
                 let advertised = self.advertised_cache.take(&entry, now);
                 self.endpoints.insert(id.clone(), Tracked::new(entry, advertised, established_at));
+                self.forget_suspension(&id);
+                if let Some(known) = known {
+                    self.unlist(&known);
+                }
+                self.list(&id, now);
             }
         }
         if let Some(it) = self.endpoints.get_mut(&id) {
@@ -109,26 +120,6 @@
         }
     }
 
-    /// If another endpoint was known at the address of `entry`, removes the older of the two and
-    /// returns its id. For some seconds, the store lists the entry of a crashed endpoint beside
-    /// that of its successor.
-    fn remove_older_at_address(&mut self, entry: &Entry, now: Instant) -> Option<endpoint::Id> {
-        let known = self.by_addr.insert(entry.addr, entry.id.clone());
-        let other = known.filter(|it| *it != entry.id)?;
-        let other_started_ms = self.endpoints.get(&other)?.entry.started_ms;
-        let (started_ms, other_started_ms) = entry.started_ms.zip(other_started_ms)?;
-        let older = match started_ms.cmp(&other_started_ms) {
-            Ordering::Greater => other,
-            Ordering::Less => {
-                self.by_addr.insert(entry.addr, other);
-                entry.id.clone()
-            }
-            Ordering::Equal => return None,
-        };
-        self.remove_tracked(&older, now);
-        Some(older)
-    }
-
     /// Handles the removal of an entry: removes the endpoint, or marks it as missing during the
     /// time set by [`Directory::keep_missing_until`].
     pub fn remove(&mut self, id: &endpoint::Id, now: Instant) {
@@ -142,6 +133,8 @@
     /// Removes an endpoint. The state that it reported is cached, in case its entry is added again.
     fn remove_tracked(&mut self, id: &endpoint::Id, now: Instant) {
         if let Some(it) = self.endpoints.remove(id) {
+            self.forget_suspension(id);
+            self.unlist(&it.entry);
             self.advertised_cache.insert(&it.entry, it.advertised, now);
         }
     }
@@ -153,15 +146,16 @@
         self.missing_kept_until = Some(until);
     }
 
-    /// Removes the endpoints marked as missing, if the time for which they are kept is over.
-    pub fn remove_lapsed(&mut self, now: Instant) {
+    /// Removes the endpoints marked as missing, if the time for which they are kept is over, and makes
+    /// suspended ones available whose pause is over.
+    pub fn refresh(&mut self, now: Instant) {
         if self.missing_kept_until.is_some_and(|until| until <= now) {
             self.missing_kept_until = None;
-            let missing = self.endpoints.extract_if(|_, it| it.is_missing);
-            for (_, it) in missing {
-                self.advertised_cache.insert(&it.entry, it.advertised, now);
-            }
+            let missing = self.endpoints.iter().filter(|(_, it)| it.is_missing);
+            let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
+            missing.iter().for_each(|id| self.remove_tracked(id, now));
         }
+        self.release_probes(now);
     }
 
     /// The endpoints of a service that accept new requests.
@@ -171,7 +165,7 @@
     /// assert_eq!(Directory::default().ready("engines").count(), 0);
     /// ```
     pub fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Tracked> {
-        let of_service = move |it: &&Tracked| it.entry.service == service && it.is_ready();
+        let of_service = move |it: &&Tracked| it.entry.service == service && it.is_available();
         let is_evacuated = |it: &&Tracked| self.evacuated.contains(&it.entry.domain);
         self.endpoints.values().filter(of_service).filter(move |it| !is_evacuated(it))
     }
@@ -260,6 +254,7 @@
         permits: permit::Owner,
         now: Instant,
     ) {
+        self.record_probe(id, now);
         let Some(it) = self.endpoints.get_mut(id) else { return };
         it.in_flight += 1;
         it.pending += work;
@@ -319,10 +314,7 @@
                 it.eject_after_failure(now);
                 1.0
             }
-            Outcome::AddressReused => {
-                self.remove_tracked(id, now);
-                return;
-            }
+            Outcome::AddressReused => return self.suspend(id, Cause::OtherInstance, now),
             Outcome::Full => {
                 it.refused_as_full(now);
                 return;
--- a/crates/curranthook_gateway/src/directory/permits.rs
+++ b/crates/curranthook_gateway/src/directory/permits.rs
@@ -45,7 +45,7 @@
     pub fn lend_permit(&mut self, id: &endpoint::Id, now: Instant) -> bool {
         let Some(it) = self.endpoints.get_mut(id) else { return false };
         let is_paused = it.paused_until(now).is_some();
-        if !it.is_ready() || is_paused || !it.has_due_permits(now) {
+        if !it.is_available() || is_paused || !it.has_due_permits(now) {
             return false;
         }
         it.use_permits(now);
--- a/crates/curranthook_gateway/src/directory/tracked.rs
+++ b/crates/curranthook_gateway/src/directory/tracked.rs
@@ -8,7 +8,7 @@
     advertised::Advertised,
     brittle,
     dialect::Load,
-    directory::Permits,
+    directory::{Permits, suspension::Suspension},
     entry::{Entry, State},
     load::{occupancy::Observation, work::Work},
     rate_limit,
@@ -58,6 +58,10 @@
     pub(super) ejected_until: Option<Instant>,
     /// When this node, or another that reported it, last failed to open a connection.
     pub(super) unreachable_since: Option<Instant>,
+    /// The suspension, if another endpoint seems to have the address.
+    pub(super) suspension: Option<Suspension>,
+    /// When the endpoint last responded to a request of this node.
+    pub(super) responded_at: Option<Instant>,
     /// The slow start, if the endpoint is in one.
     pub(super) slow_start: Option<SlowStart>,
     /// This node's part in the requests to the endpoint, if its service is brittle.
@@ -88,6 +92,8 @@
             ejection_time: Duration::ZERO,
             ejected_until: None,
             unreachable_since: None,
+            suspension: None,
+            responded_at: None,
             slow_start: None,
             brittle: None,
             limits: brittle::limit::Limits::default(),
--- a/crates/curranthook_gateway/src/document.rs
+++ b/crates/curranthook_gateway/src/document.rs
@@ -8,6 +8,8 @@
 
 use curranthook_types::account;
 
+use crate::request::Model;
+
 /// One version of the whole configuration.
 #[derive(Debug, Default)]
 pub struct Document {
@@ -203,6 +205,38 @@
 }
 
 impl Route {
+    /// Whether the route's requests may name this model. Any one may be named on a route that lists
+    /// none.
+    ///
+    /// ```
+    /// # use curranthook_gateway::{document::Route, request::Model};
+    /// # use curranthook_gateway::document::{Access, RetryPolicy};
+    /// # let second = std::time::Duration::from_secs(1);
+    /// let route = Route {
+    ///     models: vec!["small".to_owned()],
+    /// #   name: String::new(),
+    /// #   host: String::new(),
+    /// #   prefix: "/".to_owned(),
+    /// #   retry_policy: RetryPolicy::Idempotent,
+    /// #   timeout: second,
+    /// #   latency_target: second,
+    /// #   max_event_gap: None,
+    /// #   priority: 0,
+    /// #   split: Vec::new(),
+    /// #   max_attempts: 1,
+    /// #   access: Access::Public,
+    ///     // …
+    /// };
+    /// assert!(route.accepts(&Model::Named("small".to_owned())) && route.accepts(&Model::Any));
+    /// assert!(!route.accepts(&Model::Named("unknown".to_owned())));
+    /// ```
+    pub fn accepts(&self, requested: &Model) -> bool {
+        match requested {
+            Model::Named(name) => self.models.is_empty() || self.models.contains(name),
+            Model::Any | Model::None => true,
+        }
+    }
+
     /// Picks the service for a request by weight. The same `position` in [0, 1) always gives the
     /// same service.
     pub fn service(&self, position: f64) -> Option<&str> {
--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -148,6 +148,9 @@
         };
         Refusal::new(reason, Started::No)
     })?;
+    if !route.accepts(&head.model) {
+        return Err(Refusal::new(Reason::UnknownModel, Started::No));
+    }
     Ok((Arc::clone(route), account.cloned()))
 }
 
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -80,6 +80,10 @@
     n_runs: u32,
     /// The number of attempts that ended without running the request.
     n_rejections: u32,
+    /// The number of endpoints that rejected the request as one that is not for them.
+    n_misfits: u32,
+    /// Those of them that may not be at their addresses, as they didn't name themselves.
+    disputed: Vec<endpoint::Id>,
     started: Started,
     /// Whether an endpoint answered with a server error.
     has_errored: bool,
@@ -128,6 +132,8 @@
             tried_endpoints: Vec::new(),
             n_runs,
             n_rejections: 0,
+            n_misfits: 0,
+            disputed: Vec::new(),
             // What another node sent to endpoints is for that node to state.
             started: Started::No,
             has_errored: false,
@@ -163,6 +169,7 @@
                 Ok(exchange) => {
                     self.n_runs += 1;
                     self.started = Started::Maybe;
+                    self.suspend_disputed();
                     self.record_engine_time(&exchange);
                     if let Some(exchange) = self.accept_or_retry(exchange, &version).await {
                         return Ok(exchange);
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -8,8 +8,11 @@
     advertised::Incarnation,
     attempt::{Cause, Failure},
     dialect::Execution,
+    directory,
     event::Event,
+    lease::log_transitions,
     refusal::{Reason, Refusal, Started},
+    request::Model,
     suspects,
 };
 use curranthook_http::{client::Freshness, timeout};
@@ -19,6 +22,9 @@
 /// The `Retry-After` while all endpoints are full: about the time in which they complete some
 /// requests.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(400);
+/// The number of endpoints that state that they cannot run a request, after which it is refused as
+/// one that none can run.
+const MAX_MISFITS: u32 = 2;
 /// The time limit for probing whether an endpoint that dropped a connection still accepts
 /// connections.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -44,14 +50,26 @@
             return self.on_ambiguous_failure(endpoint, failure, None).await;
         }
         self.n_rejections += 1;
+        if matches!(failure.cause, Cause::Misdirected | Cause::Unsuitable) {
+            self.n_misfits += 1;
+        }
+        if failure.cause == Cause::Misdirected {
+            self.disputed.push(endpoint.id.clone());
+        }
         if failure.cause != Cause::StaleConnection {
             self.tried_endpoints.push(endpoint.id.clone());
         }
+        if MAX_MISFITS <= self.n_misfits && matches!(self.request.head.model, Model::Named(_)) {
+            return Decision::Respond(self.refusal(Reason::UnknownModel));
+        }
         let reason = match failure.cause {
             Cause::Full => Reason::Full,
             _ => Reason::NoEndpoint,
         };
-        let reached_endpoint = matches!(failure.cause, Cause::Full | Cause::Misdirected);
+        let reached_endpoint = matches!(
+            failure.cause,
+            Cause::Full | Cause::AddressReused | Cause::Misdirected | Cause::Unsuitable
+        );
         let is_budget_spent = reached_endpoint && !self.try_spend(failure.cause.name());
         if MAX_REJECTIONS <= self.n_rejections || is_budget_spent {
             return Decision::Respond(self.refusal(reason).with_retry_after(RETRY_AFTER_FULL));
@@ -60,6 +78,19 @@
         Decision::Retry
     }
 
+    /// Suspends the endpoints that rejected the request as misdirected, without naming themselves: as
+    /// another endpoint accepted it, the request is not the reason.
+    pub(super) fn suspend_disputed(&mut self) {
+        if self.disputed.is_empty() {
+            return;
+        }
+        let mut directory = self.gateway.directory.lock();
+        for id in self.disputed.drain(..) {
+            directory.suspend(&id, directory::Cause::Contradicted, self.gateway.now());
+        }
+        log_transitions(&self.gateway, &mut directory);
+    }
+
     /// The refusal of a request for which all endpoints are full.
     pub(super) fn full_refusal(&self) -> Refusal {
         self.refusal(Reason::Full).with_retry_after(RETRY_AFTER_FULL)
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -12,10 +12,11 @@
     brittle::{self, limit::Rejection},
     connections,
     dialect::{Load, Reply},
-    directory::Outcome,
+    directory::{Directory, Outcome},
     entry::State,
     event::Event,
     forwarding::probe,
+    job::millis,
     load::{
         in_flight,
         occupancy::Occupancy,
@@ -89,7 +90,7 @@
     ) -> Result<Self, Unavailable> {
         let now = gateway.now();
         let mut directory = gateway.directory.lock();
-        directory.remove_lapsed(now);
+        directory.refresh(now);
         selection::renew_permits(gateway, &mut directory, criteria.service, now);
         let choice = selection::best(gateway, &directory, criteria, peer_state)?;
         let Choice { prompt, outstanding, queue_delay, waiting, waiting_age, .. } = choice;
@@ -173,6 +174,10 @@
             self.record_rejection(reply.load);
         }
         let mut directory = self.gateway.directory.lock();
+        if completeness == Completeness::Whole {
+            directory.record_response(&self.id, self.addr, now);
+            log_transitions(&self.gateway, &mut directory);
+        }
         if reply.state == State::Leaving && directory.set_leaving(&incarnation, now) {
             self.gateway.log.write(&Event::Leaving { endpoint, from: "answer" });
         }
@@ -270,6 +275,13 @@
         }
     }
 
+    /// Records that another endpoint responded at the address of this one.
+    pub fn record_instance(&self, other: &endpoint::Id) {
+        let mut directory = self.gateway.directory.lock();
+        directory.record_response(other, self.addr, self.gateway.now());
+        log_transitions(&self.gateway, &mut directory);
+    }
+
     /// Records that a connection that was opened for this request works.
     pub fn record_connection(&self) {
         probe::record_connection(&self.gateway, &self.service);
@@ -289,6 +301,18 @@
     }
 }
 
+/// Logs the suspensions that began or ended.
+pub fn log_transitions(gateway: &Gateway, directory: &mut Directory) {
+    for it in directory.take_transitions() {
+        gateway.log.write(&Event::Suspension {
+            endpoint: it.endpoint.as_str(),
+            state: if it.length.is_some() { "begun" } else { "ended" },
+            cause: it.cause,
+            length_ms: it.length.map(millis),
+        });
+    }
+}
+
 fn report_in_flight(gateway: &Gateway) {
     if let Some(reports) = gateway.load_reports.get() {
         reports.in_flight_changed();
@@ -300,11 +324,7 @@
         let now = self.gateway.now();
         let mut directory = self.gateway.directory.lock();
         directory.request_ended(&self.id, self.outcome, self.pending_prefill, now);
-        if self.outcome == Outcome::AddressReused {
-            let (endpoint, state, cause) = (self.id.as_str(), "removed", "misdirected");
-            let event = Event::Suspension { endpoint, state, cause, length_ms: None };
-            self.gateway.log.write(&event);
-        }
+        log_transitions(&self.gateway, &mut directory);
         if matches!(self.outcome, Outcome::ConnectFailed | Outcome::ConnectionLost) {
             drop(directory);
             probe::record_failure(&self.gateway, &self.service, &self.id);
--- a/crates/curranthook_gateway/src/refusal.rs
+++ b/crates/curranthook_gateway/src/refusal.rs
@@ -13,6 +13,8 @@
     NoRoute,
     /// The API key is unknown.
     UnknownKey,
+    /// The request names a model that its route does not list, or that the endpoints do not have.
+    UnknownModel,
     /// The head or the body is malformed.
     Invalid,
     /// The body exceeds the size limit.
@@ -51,6 +53,7 @@
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::UnknownModel => "unknown_model",
             Self::Invalid => "invalid",
             Self::TooLarge => "too_large",
             Self::NoEndpoint => "no_endpoint",
@@ -72,7 +75,7 @@
 pub struct Refusal {
     /// The reason of the refusal.
     pub reason: Reason,
-    /// The response status. 429 and 503 guarantee that the request has not run and never will.
+    /// The response status. 421, 429 and 503 guarantee that the request has not run and never will.
     pub status: StatusCode,
     /// The `Retry-After`, if a retry may succeed.
     pub retry_after: Option<Duration>,
@@ -104,6 +107,7 @@
             (Reason::UnknownKey, _) => StatusCode::UNAUTHORIZED,
             (Reason::Invalid, _) => StatusCode::BAD_REQUEST,
             (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+            (Reason::UnknownModel, Started::No) => StatusCode::MISDIRECTED_REQUEST,
             (_, Started::No) => StatusCode::SERVICE_UNAVAILABLE,
             (Reason::Timeout | Reason::Expired, Started::Maybe) => StatusCode::GATEWAY_TIMEOUT,
             (_, Started::Maybe) => StatusCode::BAD_GATEWAY,
