Ask again for changes of a table when an answer shows a revision that it doesn't explain

What callers saw: after one lost answer to the call that waits for changes of the entries, posts went to an endpoint for up to 8 s after its leaving was acknowledged, and those that ran at its exit were lost.

Hypotheses: (1) the wait of the call, 15 s, is the bound on how long the node is wrong; (2) the node pauses after a failure; (3) another table's answers make the copy count as current. (1) and (3): the endpoints' call is neither answered nor failed in the log until its wait ends, while those of the operators' rows go on; the delay shrinks with the age of the poll (8.0 s after 4.5 s, 4.05 s after 9 s).

Cause: knowledge of a table hung on one call, whose loss showed only when its wait ended, for each table, also at a parent; and the copy of one table counted as current because a call for another was answered.

Change: each answer of the store states its newest revision. A table is current at an answer if every revision since its own last answer is a known change of another table; otherwise its call is suspect after 300 ms, and one that doesn't wait is made, at most every 1.4 s. Nodes state the last change and the age of each table in their replies, and a child compares. Ages belong to a table.

Ways weighed: (a) waits of 1.4 s for all tables: 2.1 calls a second at each idle node of a small fleet, 0.8 now; (b) two calls at a time: twice the calls; (c) revisions, taken: no call while nothing is lost and all writes are to tables that nodes read; (d) hints between nodes alone: none at one node.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -52,6 +52,9 @@
     Dependency { name: &'a str, state: &'a str, why: &'a str },
     /// All rows of a table were read; `rows` of them were new to this node.
     TableRead { table: &'a str, rows: usize, era: u16, rev: u64, from: &'a str },
+    /// The store or a parent was asked for changes of a table that a call which waits for them may
+    /// have missed.
+    SuspectCall { table: &'a str, changes: &'a str, from: &'a str },
     /// The store came back from a copy, with a lower revision than before or not; `withheld` rows
     /// are in an older state than this node knows.
     Era { table: &'a str, era: u16, rev: u64, known_rev: u64, withheld: usize },
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -166,6 +166,8 @@
     pub pending_work_changed: Signal,
     /// Wakes peers' queries that wait for changed rows.
     pub rows_changed: Signal,
+    /// Wakes tasks when an answer of the store or a parent tells whether rows are missing.
+    pub currency_changed: Signal,
     /// The nodes of the fleet, by name.
     pub peers: Mutex<HashMap<String, fleet::Node>>,
     /// Headers from endpoints that are not recognized.
@@ -246,6 +248,7 @@
             load_reports: OnceLock::new(),
             pending_work_changed: Signal::default(),
             rows_changed: Signal::default(),
+            currency_changed: Signal::default(),
             peers: Mutex::default(),
             unknown_headers: Mutex::default(),
             response_memory: body::Memory::new(RESPONSE_MEMORY),
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     levels: Family<LevelLabel, Counter>,
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
+    suspect_calls: Family<Label, Counter>,
     last_resorts: Family<Label, Counter>,
     brittle_attempts: Family<Label, Counter>,
     reach: Family<Label, Counter>,
@@ -87,6 +88,7 @@
             levels: Family::default(),
             refusals: Family::default(),
             retries: Family::default(),
+            suspect_calls: Family::default(),
             last_resorts: Family::default(),
             brittle_attempts: Family::default(),
             reach: Family::default(),
@@ -128,6 +130,11 @@
             "Requests ended by the node, by reason",
             self.refusals.clone(),
         );
+        registry.register(
+            "suspect_calls",
+            "Calls for changes that seemed to be missed, by what they returned",
+            self.suspect_calls.clone(),
+        );
         registry.register("retries", "Further attempts, by reason", self.retries.clone());
         let help = "Attempts at a version that the rule did not allow, by rule";
         registry.register("last_resorts", help, self.last_resorts.clone());
@@ -194,6 +201,11 @@
         self.refusals.get_or_create(&Label { name: reason.name() }).inc();
     }
 
+    /// Counts a call for changes of a table that seemed to be missed.
+    pub fn record_suspect_call(&self, changes: &'static str) {
+        self.suspect_calls.get_or_create(&Label { name: changes }).inc();
+    }
+
     /// Counts a retry.
     pub fn record_retry(&self, reason: &'static str) {
         self.retries.get_or_create(&Label { name: reason }).inc();
--- a/crates/curranthook_gateway/src/replication/index.rs
+++ b/crates/curranthook_gateway/src/replication/index.rs
@@ -97,6 +97,11 @@
         changed.filter_map(|((rev, _), key)| Some((key, *rev, &self.rows.get(key)?.value)))
     }
 
+    /// The revision of the last change; none if there are no rows.
+    pub fn last_rev(&self) -> Option<Rev> {
+        self.by_rev.last_key_value().map(|((rev, _), _)| *rev)
+    }
+
     /// The keys that are not among `present`, which must be in ascending order.
     pub fn keys_not_in<'a>(&'a self, present: impl IntoIterator<Item = &'a K>) -> Vec<&'a K> {
         let mut present = present.into_iter().peekable();
--- a/crates/curranthook_gateway/src/replication/mirror.rs
+++ b/crates/curranthook_gateway/src/replication/mirror.rs
@@ -9,7 +9,10 @@
 
 use bytes::Bytes;
 
-use super::index::Index;
+use super::{
+    currency::{Currency, Statement},
+    index::Index,
+};
 use crate::store::{Batch, Era, Rev, Row, Table};
 
 /// The number of removed rows that are kept, so that their removal can be reported to peers, if a
@@ -20,8 +23,7 @@
 #[derive(Debug, Default)]
 pub struct Mirror {
     tables: HashMap<Table, Rows>,
-    /// When the store last answered a call for the operator table, which is read most often.
-    last_answer: Option<Instant>,
+    currency: Currency,
     /// The time that the store's clock showed, and when it was read.
     clock: Option<(Duration, Instant)>,
 }
@@ -75,6 +77,7 @@
 impl Mirror {
     /// Applies changed rows. Returns those that are newer than the mirror's.
     pub fn merge(&mut self, table: Table, batch: Batch) -> Vec<Row> {
+        self.currency.record_rows(table, &batch);
         let table_rows = self.tables.entry(table).or_default();
         let mut changed = batch.rows;
         changed.retain(|row| {
@@ -179,9 +182,36 @@
         }
     }
 
-    /// Records that the store answered at `at`, to this node or to a peer that reported it.
-    pub fn record_answer(&mut self, at: Instant) {
-        self.last_answer = self.last_answer.max(Some(at));
+    /// Records an answer of the store to a call for a table.
+    pub fn record_answer(&mut self, table: Table, batch: &Batch, now: Instant) {
+        self.currency.record_answer(table, batch, now);
+    }
+
+    /// Records the newest revision of the store as of an answer, which may be that to a write.
+    pub fn record_newest(&mut self, newest: Rev, now: Instant) {
+        self.currency.record_newest(newest, now);
+    }
+
+    /// Records that a parent's copy of a table, which this node reads, lacked nothing at `at`.
+    pub fn record_read(&mut self, table: Table, at: Instant) {
+        self.currency.record_read(table, at);
+    }
+
+    /// Records what a parent states of its copy of a table.
+    pub fn record_statement(&mut self, table: Table, statement: Statement, now: Instant) {
+        self.currency.record_statement(table, statement, now);
+    }
+
+    /// What this node states of its copy of a table; none before it has read it.
+    pub fn statement(&self, table: Table) -> Option<Statement> {
+        let changed = self.tables.get(&table)?.index.last_rev().unwrap_or_default();
+        Some(Statement { changed, current_at: self.currency.current_at(table)? })
+    }
+
+    /// The time until a call for changes of a table is suspect, as a change of it seems to have been
+    /// missed; none if nothing speaks against it.
+    pub fn suspect_in(&self, table: Table, now: Instant) -> Option<Duration> {
+        self.currency.suspect_in(table, now)
     }
 
     /// Records that a call for a table failed. Until a call succeeds, the table's rows may be out
@@ -201,15 +231,15 @@
         Table::ALL.into_iter().all(|it| self.has_read(it))
     }
 
-    /// The time since the store's last answer.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.last_answer.map(|at| now.saturating_duration_since(at))
+    /// The time since the copy of a table was last known to lack nothing.
+    pub fn age(&self, table: Table, now: Instant) -> Option<Duration> {
+        self.currency.current_at(table).map(|at| now.saturating_duration_since(at))
     }
 
     /// Whether the rows of a table are at most `max_age` old.
     pub fn is_fresh(&self, table: Table, max_age: Duration, now: Instant) -> bool {
         let is_interrupted = self.tables.get(&table).is_some_and(|it| it.is_interrupted);
-        !is_interrupted && self.age(now).is_some_and(|age| age <= max_age)
+        !is_interrupted && self.age(table, now).is_some_and(|age| age <= max_age)
     }
 
     /// The changes in a table after `since`.
--- a/crates/curranthook_gateway/src/replication/peers.rs
+++ b/crates/curranthook_gateway/src/replication/peers.rs
@@ -2,6 +2,7 @@
 //! fleet, a node queries its peers while it gets no answer from the store.
 
 mod server;
+mod statements;
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, task::Poll, time::Duration};
 
@@ -16,6 +17,7 @@
 
 use super::{
     codec::{self, Section},
+    currency::Statement,
     lost_rows,
     relays::Tree,
 };
@@ -154,15 +156,26 @@
     parent: SocketAddr,
     query: &Query,
 ) -> Result<Received, Error> {
-    let (received, age) = fetch(gateway, parent, query).await?;
-    let known = gateway.mirror.lock().rev(query.table);
-    if received.batch.rev.era() < known.era() {
-        return Err(Error::Stale(parent));
-    }
-    if let Some(at) = age.and_then(|age| gateway.now().checked_sub(age)) {
-        gateway.mirror.lock().record_answer(at);
+    let Fetched { rows, age, statements } = fetch(gateway, parent, query).await?;
+    let now = gateway.now();
+    {
+        let mut mirror = gateway.mirror.lock();
+        if rows.batch.rev.era() < mirror.rev(query.table).era() {
+            return Err(Error::Stale(parent));
+        }
+        if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
+            mirror.record_read(query.table, at);
+            // A parent that states nothing of other tables has read them together with this one.
+            if statements.is_empty() {
+                Table::ALL.iter().for_each(|it| mirror.record_read(*it, at));
+            }
+        }
+        for (table, it) in statements.into_iter().filter(|it| it.0 != query.table) {
+            mirror.record_statement(table, it, now);
+        }
     }
-    Ok(received)
+    gateway.currency_changed.wake();
+    Ok(rows)
 }
 
 /// The index of the node in `addrs` to which a connection could be opened first. Attempts begin at
@@ -247,12 +260,13 @@
     let known = gateway.mirror.lock().rev(table);
     let since = Some(known).filter(|it| *it != Rev(0));
     let query = Query::new(table, since);
-    let ((received, age), is_snapshot) = match fetch(gateway, addr, &query).await {
-        Err(Error::Compacted) => {
-            (fetch(gateway, addr, &Query { since: None, ..query }).await?, true)
-        }
-        other => (other?, since.is_none()),
-    };
+    let (Fetched { rows: received, age, .. }, is_snapshot) =
+        match fetch(gateway, addr, &query).await {
+            Err(Error::Compacted) => {
+                (fetch(gateway, addr, &Query { since: None, ..query }).await?, true)
+            }
+            other => (other?, since.is_none()),
+        };
     let answered = age.and_then(|age| gateway.now().checked_sub(age));
     if let Some(at) = answered {
         gateway.outage.lock().record_peer_answer(at);
@@ -268,12 +282,15 @@
     Ok(())
 }
 
-/// Queries a node. Returns the rows, and their age.
-async fn fetch(
-    gateway: &Gateway,
-    addr: SocketAddr,
-    query: &Query,
-) -> Result<(Received, Option<Duration>), Error> {
+/// The reply of a node.
+struct Fetched {
+    rows: Received,
+    age: Option<Duration>,
+    statements: Vec<(Table, Statement)>,
+}
+
+/// Queries a node.
+async fn fetch(gateway: &Gateway, addr: SocketAddr, query: &Query) -> Result<Fetched, Error> {
     let call = Exchange::post(addr, PATH).with_json(query);
     let call = call
         .with_timeout(query.wait + PEER_TIMEOUT)
@@ -281,7 +298,10 @@
         .with_connect_timeout(CONNECT_TIMEOUT);
     let res = call.run(&gateway.pool).await.map_err(|e| Error::Down(e.to_string()))?;
     match res.status() {
-        StatusCode::OK => decode(&res, query),
+        StatusCode::OK => {
+            let statements = statements::decode(res.headers(), gateway.now());
+            decode(&res, query).map(|(rows, age)| Fetched { rows, age, statements })
+        }
         StatusCode::GONE => Err(Error::Compacted),
         StatusCode::SERVICE_UNAVAILABLE => Err(Error::Stale(addr)),
         other => Err(Error::Down(format!("peer {addr}: {other}"))),
--- a/crates/curranthook_gateway/src/replication/peers/server.rs
+++ b/crates/curranthook_gateway/src/replication/peers/server.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, Response, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 
-use super::{PATH, Query, Reply, TREE_PATH};
+use super::{PATH, Query, Reply, TREE_PATH, statements};
 use crate::{
     Gateway,
     replication::{
@@ -106,7 +106,7 @@
         if is_of_earlier_era || query.max_age.is_some_and(is_stale) {
             Err(ChangesError::Stale)
         } else {
-            Ok(mirror.age(now))
+            Ok(mirror.age(query.table, now))
         }
     }
 
@@ -120,13 +120,17 @@
         let (table, gateway) = (query.table, &self.gateway);
         let now = gateway.now();
         let mirror = gateway.mirror.lock();
-        let (age, store_time, rev) = (mirror.age(now), mirror.store_time(now), mirror.rev(table));
+        let (age, store_time, rev) =
+            (mirror.age(table, now), mirror.store_time(now), mirror.rev(table));
+        let statements = statements::encode(&mirror, now);
         if !query.is_compact() {
             let batch = match query.since {
                 Some(since) => mirror.changes(table, since)?,
                 None => mirror.batch(table),
             };
-            return Ok(body::json(200, &Reply { batch, age, now: store_time }));
+            let mut response = body::json(200, &Reply { batch, age, now: store_time });
+            response.headers_mut().insert(statements::HEADER, statements);
+            return Ok(response);
         }
         let mut sections = gateway.sections.lock();
         let n_encoded = sections.n_encoded();
@@ -140,6 +144,7 @@
         let parts = parts.into_iter().map(|it| it.bytes);
         let body = body::chunks(std::iter::once(header.encode()).chain(parts));
         let mut response = Response::new(body);
+        response.headers_mut().insert(statements::HEADER, statements);
         response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(codec::CONTENT_TYPE));
         Ok(response)
     }
--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod parents;
+mod suspect;
 mod waits;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -269,6 +270,15 @@
                 other => Some(other.map(|it| update(it, false))),
             }
         };
+        let missed = async {
+            let since = suspect::since(known_rev.filter(|_| suspect::MIN_INTERVAL < wait)).await;
+            match suspect::query_parent(gateway, addr, table, since, max_age).await {
+                // The other call reads all rows.
+                Err(Error::Compacted) => future::pending().await,
+                other => Some(other.map(|it| update(it, false))),
+            }
+        };
+        let call = future::or(call, missed);
         let parent_failed = async {
             loop {
                 let failed = shared.parent_failed.wait();
@@ -289,6 +299,14 @@
             _ => Duration::ZERO,
         };
         let call = call_store(&self.gateway, self.table, Some((since, wait)));
+        let missed = async {
+            // A short wait bounds by itself how long a change is missed.
+            match suspect::MIN_INTERVAL < wait {
+                true => suspect::query_store(&self.gateway, self.table, since).await,
+                false => future::pending().await,
+            }
+        };
+        let call = future::or(call, missed);
         let call = unless_store_recovered(&self.shared, call);
         let is_over = future::or(
             role_changed(&self.gateway, &self.shared, role),
--- a/crates/curranthook_gateway/src/replication/watch/calls.rs
+++ b/crates/curranthook_gateway/src/replication/watch/calls.rs
@@ -38,9 +38,10 @@
         None => store.all(table).await,
     };
     gateway.metrics.record_store_call(table, &result);
-    if result.is_ok() && table == Table::Operator {
+    if let Ok(batch) = &result {
         let now = gateway.now();
-        gateway.mirror.lock().record_answer(now);
+        gateway.mirror.lock().record_answer(table, batch, now);
+        gateway.currency_changed.wake();
     }
     result
 }
--- a/crates/curranthook_gateway/tests/relays.rs
+++ b/crates/curranthook_gateway/tests/relays.rs
@@ -194,9 +194,9 @@
         if !known.is_fresh(Table::Operator, *max_age, now) {
             continue;
         }
-        let (batch, age) = (known.batch(Table::Operator), known.age(now).unwrap());
+        let (batch, age) = (known.batch(Table::Operator), known.age(Table::Operator, now).unwrap());
         let own = &mut nodes[node].mirror;
-        own.record_answer(now - age);
+        own.record_read(Table::Operator, now - age);
         own.merge(Table::Operator, batch);
         return;
     }
@@ -204,8 +204,9 @@
     if *reaches_store {
         let rev = Rev(write_times.len() as u64);
         let row = Row { key: "config".into(), rev, value: Some(Bytes::new()) };
-        mirror.merge(Table::Operator, Batch { rows: vec![row], rev, now: None });
-        mirror.record_answer(now);
+        let batch = Batch { rows: vec![row], rev, now: None };
+        mirror.record_answer(Table::Operator, &batch, now);
+        mirror.merge(Table::Operator, batch);
     } else {
         mirror.mark_interrupted(Table::Operator);
     }
