--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -5,6 +5,7 @@
 
 mod brittle;
 mod counted;
+mod currency;
 mod eras;
 mod evidence;
 mod forwarding;
