--- a/crates/curranthook_gateway/src/replication/watch.rs
+++ b/crates/curranthook_gateway/src/replication/watch.rs
@@ -2,6 +2,7 @@
 //! store itself, and by polling random peers while the store is unavailable.
 
 mod calls;
+mod first_reads;
 mod parents;
 mod suspect;
 mod waits;
@@ -15,7 +16,6 @@
 use crate::{
     Gateway,
     event::Event,
-    fleet,
     store::{Batch, Error, Rev, Table},
 };
 
@@ -26,7 +26,7 @@
 
 pub use self::parents::Shared;
 use self::{
-    calls::{call_store, first_answer, unless_store_recovered},
+    calls::{call_store, unless_store_recovered},
     parents::{Parent, Role, n_siblings, n_siblings_of_stale, role_and_parents, role_changed},
     waits::{jitter, pause_or},
 };
@@ -48,9 +48,6 @@
 const MAX_PARENTS_QUERIED: usize = 2;
 /// How long after its own start a node assumes that parents which do not answer are starting, too.
 const PARENT_START_TIME: Duration = Duration::from_secs(2);
-/// The number of rows of the fleet table that a starting node reads from the store. They include the
-/// tree, and all rows of a fleet that has none.
-const FIRST_FLEET_ROWS: usize = 40;
 /// How long a node waits for its peers before it decides whether an outage affected all nodes.
 const RECOVERY_POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long entries that lapse in an outage of the store are used at most while it lasts.
@@ -66,10 +63,6 @@
 /// The average number of siblings, leaves or relays, that call the store in an attempt while their
 /// parents are out of date.
 const MAX_SIBLINGS_AT_STORE: f64 = 8.0;
-/// How long to wait for the first call for the configuration before another one is made in
-/// parallel. A call made while the store does not answer hangs until its own timeout, even if the
-/// store recovers long before that. A slow store still answers the earlier call.
-const FIRST_CALL_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Keeps one table up to date for the lifetime of the process.
 pub async fn run(gateway: Arc<Gateway>, table: Table, shared: Arc<Shared>) {
@@ -194,38 +187,6 @@
         }))
     }
 
-    /// Reads the first rows of the fleet table from the store, or the tree from another node if the
-    /// store cannot be reached. Returns the rows if they are all of the table. None if an outage of
-    /// the store ended meanwhile.
-    async fn read_first_rows(&mut self) -> Option<Result<Option<Update>, Error>> {
-        let store = Arc::clone(&self.gateway.store);
-        let call = unless_store_recovered(&self.shared, store.first(self.table, FIRST_FLEET_ROWS));
-        let result = call.await?;
-        self.gateway.metrics.record_store_call(self.table, &result);
-        let page = match result {
-            Ok(page) => page,
-            Err(e) => {
-                if let Some(tree) = peers::query_tree(&self.gateway).await {
-                    self.gateway.receive_tree(tree);
-                }
-                return Some(Err(e));
-            }
-        };
-        if !page.has_more {
-            let rows = Received::from(page.batch);
-            return Some(Ok(Some(Update { rows, origin: Origin::Store, is_snapshot: true })));
-        }
-        let key = fleet::Key::Tree.to_string();
-        let tree = page.batch.rows.iter().find(|it| *it.key == *key);
-        if let Some(row) = tree {
-            fleet::apply_row(&self.gateway, row);
-        }
-        let nodes = fleet::addrs(&page.batch.rows, &self.gateway.settings.node);
-        self.gateway.eras.lock().first_nodes = nodes;
-        self.gateway.rows_changed.wake();
-        Some(Ok(None))
-    }
-
     /// Whether a node with parents calls the store itself now. When all leaves find their relays
     /// out of date at the same time, or all relays their root, only some of them do. The others learn
     /// from their parents that the store is available again. The same holds for a node that starts:
@@ -320,25 +281,6 @@
         .await
     }
 
-    async fn read_all(&mut self) -> Option<Result<Batch, Error>> {
-        if self.table == Table::Operator {
-            return Some(self.read_configuration().await);
-        }
-        unless_store_recovered(&self.shared, call_store(&self.gateway, self.table, None)).await
-    }
-
-    /// Makes another call for the whole configuration, and waits for it and the earlier ones.
-    async fn read_configuration(&mut self) -> Result<Batch, Error> {
-        let (gateway, table) = (Arc::clone(&self.gateway), self.table);
-        self.first_calls.push(Box::pin(async move { call_store(&gateway, table, None).await }));
-        let read = timeout::run(FIRST_CALL_INTERVAL, first_answer(&mut self.first_calls)).await;
-        let result = read.unwrap_or_else(|e| Err(Error::Lost(e.to_string())));
-        if result.is_ok() {
-            self.first_calls.clear();
-        }
-        result
-    }
-
     async fn apply(&mut self, update: Update) {
         let Update { mut rows, origin, is_snapshot } = update;
         if self.is_store_lost {
