--- a/crates/curranthook_gateway/src/replication/currency.rs
+++ b/crates/curranthook_gateway/src/replication/currency.rs
@@ -25,15 +25,16 @@
 /// What answers have shown of the store's revisions.
 #[derive(Debug, Default)]
 pub struct Currency {
-    tables: HashMap<Table, Copy>,
+    tables: HashMap<Table, Known>,
     /// The table that each revision is a change of.
     changes: BTreeMap<Rev, Table>,
     /// The newest revision as of some answers of the store, the earliest answer first.
     observed: VecDeque<(Rev, Instant)>,
 }
 
+/// What is known of the copy of a table.
 #[derive(Debug, Default)]
-struct Copy {
+struct Known {
     /// The revision up to which the copy is complete.
     complete: Rev,
     /// When the copy was last known to lack nothing.
@@ -71,17 +72,17 @@
     pub fn record_answer(&mut self, table: Table, batch: &Batch, now: Instant) {
         self.record_rows(table, batch);
         self.record_newest(batch.rev, now);
-        let copy = self.tables.entry(table).or_default();
-        copy.current_at = copy.current_at.max(Some(now));
+        let known = self.tables.entry(table).or_default();
+        known.current_at = known.current_at.max(Some(now));
     }
 
     /// Records the revisions of rows, and that a table is complete up to that of the batch.
     pub fn record_rows(&mut self, table: Table, batch: &Batch) {
         self.changes.extend(batch.rows.iter().map(|it| (it.rev, table)));
-        let copy = self.tables.entry(table).or_default();
-        copy.complete = copy.complete.max(batch.rev);
-        let complete = copy.complete;
-        copy.expected = copy.expected.filter(|(rev, _)| complete < *rev);
+        let known = self.tables.entry(table).or_default();
+        known.complete = known.complete.max(batch.rev);
+        let complete = known.complete;
+        known.expected = known.expected.filter(|(rev, _)| complete < *rev);
         self.prune();
     }
 
@@ -96,9 +97,9 @@
         }
         for table in Table::ALL {
             if !self.may_lack(table, newest)
-                && let Some(copy) = self.tables.get_mut(&table)
+                && let Some(known) = self.tables.get_mut(&table)
             {
-                copy.current_at = copy.current_at.max(Some(now));
+                known.current_at = known.current_at.max(Some(now));
             }
         }
         self.prune();
@@ -106,17 +107,17 @@
 
     /// Records that a copy of a table that has been read lacked nothing at `at`.
     pub fn record_read(&mut self, table: Table, at: Instant) {
-        let copy = self.tables.entry(table).or_default();
-        copy.current_at = copy.current_at.max(Some(at));
+        let known = self.tables.entry(table).or_default();
+        known.current_at = known.current_at.max(Some(at));
     }
 
     /// Records what a parent states of a table.
     pub fn record_statement(&mut self, table: Table, statement: Statement, now: Instant) {
-        let copy = self.tables.entry(table).or_default();
-        if statement.changed <= copy.complete {
-            copy.current_at = copy.current_at.max(Some(statement.current_at));
-        } else if copy.expected.is_none() {
-            copy.expected = Some((statement.changed, now));
+        let known = self.tables.entry(table).or_default();
+        if statement.changed <= known.complete {
+            known.current_at = known.current_at.max(Some(statement.current_at));
+        } else if known.expected.is_none() {
+            known.expected = Some((statement.changed, now));
         }
     }
 
@@ -127,24 +128,24 @@
 
     /// The time until a call for changes of a table is suspect; none if nothing speaks against it.
     pub fn suspect_in(&self, table: Table, now: Instant) -> Option<Duration> {
-        let copy = self.tables.get(&table)?;
+        let known = self.tables.get(&table)?;
         let mut behind = self.observed.iter().filter(|(newest, _)| self.may_lack(table, *newest));
-        let since = behind.next().map(|it| it.1).into_iter().chain(copy.expected.map(|it| it.1));
+        let since = behind.next().map(|it| it.1).into_iter().chain(known.expected.map(|it| it.1));
         since.min().map(|at| (at + GRACE).saturating_duration_since(now))
     }
 
     /// Whether a change of a table up to the revision `newest` may be unknown.
     fn may_lack(&self, table: Table, newest: Rev) -> bool {
-        let Some(copy) = self.tables.get(&table) else { return true };
-        if newest <= copy.complete {
+        let Some(known) = self.tables.get(&table) else { return true };
+        if newest <= known.complete {
             return false;
         }
-        if newest.era() != copy.complete.era() {
+        if newest.era() != known.complete.era() {
             return true;
         }
-        let after = Rev(copy.complete.0 + 1)..=newest;
+        let after = Rev(known.complete.0 + 1)..=newest;
         let of_others = self.changes.range(after).filter(|(_, it)| **it != table).count();
-        (of_others as u64) < newest.number() - copy.complete.number()
+        (of_others as u64) < newest.number() - known.complete.number()
     }
 
     /// Forgets what all tables are complete beyond.
