Search only the new bytes of a stream for the end of an event

Cause: the cost of an event grew with the square of its size, as each piece was a reason to search the whole buffer.

--- a/crates/curranthook_gateway/src/splitter.rs
+++ b/crates/curranthook_gateway/src/splitter.rs
@@ -37,8 +37,9 @@
     /// assert!(!splitter.is_empty());
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
+        let n_known = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
-        let end = last_event_end(&self.buffer)?;
+        let end = last_event_end(&self.buffer, n_known)?;
         let bytes = self.buffer.split_to(end).freeze();
         let (last_id, count) = (last_id(&bytes), count_events(&bytes));
         Some(Events { bytes, last_id, count })
@@ -69,9 +70,10 @@
     }
 }
 
-/// The index after the last blank line, which ends an event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    (1..bytes.len()).rev().find_map(|at| {
+/// The index after the last blank line, which ends an event. None ends within the first `n_known`
+/// bytes, which were searched before.
+fn last_event_end(bytes: &[u8], n_known: usize) -> Option<usize> {
+    (n_known.max(1)..bytes.len()).rev().find_map(|at| {
         let is_end =
             bytes[at] == b'\n' && (bytes[at - 1] == b'\n' || bytes[..at].ends_with(b"\n\r"));
         is_end.then_some(at + 1)
