Log and count what the retry budget knows

A retry that isn't made logged why and no figure, one that is made logged nothing. Now retried and not_repeated have the requests and retries in the window, what is allowed there, the number of nodes and the process's age, and curranthook_retry_budget counts requests, retries spent and exhausted by service, so that an operator can add up a fleet.

No logic changed.

--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -18,7 +18,7 @@
 use curranthook_types::Clock;
 use serde::Serialize;
 
-use crate::{load::work::N_PRIORITIES, rollouts::Basis};
+use crate::{load::work::N_PRIORITIES, retry_budget::Standing, rollouts::Basis};
 
 /// The maximum number of queued lines. A busy node logs about that many in a second.
 const QUEUE_CAPACITY: usize = 2_048;
@@ -216,8 +216,24 @@
         last_ms: u64,
         price: f64,
     },
+    /// A request is sent to an endpoint once more, from the retry budget.
+    Retried {
+        request: &'a str,
+        service: &'a str,
+        why: &'a str,
+        #[serde(flatten, skip_serializing_if = "Option::is_none")]
+        budget: Option<&'a Standing>,
+        age_ms: u64,
+    },
     /// A request was not retried.
-    NotRepeated { request: &'a str, why: &'a str },
+    NotRepeated {
+        request: &'a str,
+        service: &'a str,
+        why: &'a str,
+        #[serde(flatten, skip_serializing_if = "Option::is_none")]
+        budget: Option<&'a Standing>,
+        age_ms: u64,
+    },
     /// A request ended.
     Ended {
         request: &'a str,
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -115,6 +115,7 @@
             Origin::Node { n_runs, .. } => n_runs,
             Origin::Caller => {
                 gateway.retry_budget.lock().record_request(&service, gateway.now());
+                gateway.metrics.record_retry_budget(&service, "requests");
                 gateway.rollouts.lock().record_request(&service);
                 contention::record_level(gateway, &service, &models, rank);
                 0
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -130,7 +130,7 @@
     /// whether the request may run once more.
     pub(super) fn try_rerun(&mut self, why: &'static str) -> bool {
         if self.route.max_attempts <= self.n_runs {
-            self.log_not_repeated("attempts");
+            self.log_attempts_used_up();
             return false;
         }
         self.try_spend(why)
@@ -138,12 +138,24 @@
 
     fn try_spend(&self, why: &'static str) -> bool {
         let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
-        if !self.gateway.retry_budget.lock().try_spend(&self.service, n_nodes, now) {
-            self.log_not_repeated("budget");
-            return false;
-        }
-        self.gateway.metrics.record_retry(why);
-        true
+        let (is_granted, standing) = {
+            let mut budget = self.gateway.retry_budget.lock();
+            let is_granted = budget.try_spend(&self.service, n_nodes, now);
+            (is_granted, budget.standing(&self.service, n_nodes, now))
+        };
+        let spending = if is_granted { "spent" } else { "exhausted" };
+        self.gateway.metrics.record_retry_budget(&self.service, spending);
+        let (request, service) = (self.request.head.id.as_str(), self.service.as_str());
+        let age_ms = millis(now.saturating_duration_since(self.gateway.started));
+        let budget = Some(&standing);
+        if is_granted {
+            self.gateway.metrics.record_retry(why);
+            self.gateway.log.write(&Event::Retried { request, service, why, budget, age_ms });
+        } else {
+            let why = "budget";
+            self.gateway.log.write(&Event::NotRepeated { request, service, why, budget, age_ms });
+        }
+        is_granted
     }
 
     /// Attributes the crash of `endpoint` to the request and to the parts of its prompt, if the
@@ -177,7 +189,14 @@
         log("charged");
     }
 
-    fn log_not_repeated(&self, why: &str) {
-        self.gateway.log.write(&Event::NotRepeated { request: &self.request.head.id, why });
+    fn log_attempts_used_up(&self) {
+        let age = self.gateway.now().saturating_duration_since(self.gateway.started);
+        self.gateway.log.write(&Event::NotRepeated {
+            request: &self.request.head.id,
+            service: &self.service,
+            why: "attempts",
+            budget: None,
+            age_ms: millis(age),
+        });
     }
 }
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -31,6 +31,15 @@
     pub level: u32,
 }
 
+/// The labels of what a node counts for the retry budget.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BudgetLabels {
+    /// The service.
+    pub service: String,
+    /// What is counted.
+    pub name: &'static str,
+}
+
 /// The labels of calls to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreLabels {
@@ -48,6 +57,7 @@
     levels: Family<LevelLabel, Counter>,
     refusals: Family<Label, Counter>,
     retries: Family<Label, Counter>,
+    retry_budget: Family<BudgetLabels, Counter>,
     suspect_calls: Family<Label, Counter>,
     last_resorts: Family<Label, Counter>,
     brittle_attempts: Family<Label, Counter>,
@@ -88,6 +98,7 @@
             levels: Family::default(),
             refusals: Family::default(),
             retries: Family::default(),
+            retry_budget: Family::default(),
             suspect_calls: Family::default(),
             last_resorts: Family::default(),
             brittle_attempts: Family::default(),
@@ -136,6 +147,8 @@
             self.suspect_calls.clone(),
         );
         registry.register("retries", "Further attempts, by reason", self.retries.clone());
+        let help = "Requests and retries that count for the retry budget of a service";
+        registry.register("retry_budget", help, self.retry_budget.clone());
         let help = "Attempts at a version that the rule did not allow, by rule";
         registry.register("last_resorts", help, self.last_resorts.clone());
         let help =
@@ -211,6 +224,12 @@
         self.retries.get_or_create(&Label { name: reason }).inc();
     }
 
+    /// Counts a request for a service, a retry from its budget, or one for which none was left.
+    pub fn record_retry_budget(&self, service: &str, name: &'static str) {
+        let labels = BudgetLabels { service: service.to_owned(), name };
+        self.retry_budget.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that was forwarded to another node, or received from one.
     pub fn record_forwarded(&self, result: &'static str) {
         self.forwarded.get_or_create(&Label { name: result }).inc();
--- a/crates/curranthook_gateway/src/retry_budget.rs
+++ b/crates/curranthook_gateway/src/retry_budget.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use serde::Serialize;
+
 /// The limit on the retries of a whole fleet. Retries per request apply at each node to its own
 /// requests; the additional ones are divided among the nodes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -39,6 +41,19 @@
     services: HashMap<String, VecDeque<Counter>>,
 }
 
+/// A service's requests and retries at one node, and what the node may make of the latter.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Standing {
+    /// The requests in the window.
+    pub requests: f64,
+    /// The retries in the window.
+    pub retries: f64,
+    /// The retries that the node may make in the window.
+    pub allowed: f64,
+    /// The number of nodes that divide the additional retries.
+    pub n_nodes: usize,
+}
+
 #[derive(Debug)]
 struct Counter {
     started_at: Instant,
@@ -59,19 +74,25 @@
 
     /// Takes one retry from the budget, if this node, one of `n_nodes`, has one left.
     pub fn try_spend(&mut self, service: &str, n_nodes: usize, now: Instant) -> bool {
-        let Limit { ratio, slack, .. } = self.limit;
-        self.counter(service, now);
-        let counters = &self.services[service];
-        let requests: f64 = counters.iter().map(|it| it.requests).sum();
-        let retries: f64 = counters.iter().map(|it| it.retries).sum();
-        let allowed_retries = USABLE_SHARE * (ratio * requests + slack / n_nodes.max(1) as f64);
-        if allowed_retries < retries + 1.0 {
+        let standing = self.standing(service, n_nodes, now);
+        if standing.allowed < standing.retries + 1.0 {
             return false;
         }
         self.counter(service, now).retries += 1.0;
         true
     }
 
+    /// What this node, one of `n_nodes`, has made and may make in the window.
+    pub fn standing(&mut self, service: &str, n_nodes: usize, now: Instant) -> Standing {
+        let Limit { ratio, slack, .. } = self.limit;
+        self.counter(service, now);
+        let counters = &self.services[service];
+        let requests: f64 = counters.iter().map(|it| it.requests).sum();
+        let retries = counters.iter().map(|it| it.retries).sum();
+        let allowed = USABLE_SHARE * (ratio * requests + slack / n_nodes.max(1) as f64);
+        Standing { requests, retries, allowed, n_nodes }
+    }
+
     /// The current counter of `service`. Drops counters that have left the window.
     fn counter(&mut self, service: &str, now: Instant) -> &mut Counter {
         if !self.services.contains_key(service) {
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -159,7 +159,13 @@
     pub fn lines(&self, event: &str) -> Vec<serde_json::Value> {
         // A thread writes the log; the last line shows that it has written all others.
         let n_markers = self.marked_lines() + 1;
-        self.gateway.log.write(&Event::NotRepeated { request: MARKER, why: "" });
+        self.gateway.log.write(&Event::NotRepeated {
+            request: MARKER,
+            service: "",
+            why: "",
+            budget: None,
+            age_ms: 0,
+        });
         let until = Instant::now() + Duration::from_secs(10);
         while self.marked_lines() < n_markers {
             assert!(Instant::now() < until, "the log is not written");
