Charge and count a retry after a rejection once, and only when it's made

The fifth rejection ends a request, but took a retry from the budget first; and curranthook_retries counted each retry after a rejection twice.

--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -70,11 +70,13 @@
             failure.cause,
             Cause::Full | Cause::AddressReused | Cause::Misdirected | Cause::Unsuitable
         );
-        let is_budget_spent = reached_endpoint && !self.try_spend(failure.cause.name());
-        if MAX_REJECTIONS <= self.n_rejections || is_budget_spent {
+        let why = failure.cause.name();
+        if MAX_REJECTIONS <= self.n_rejections || (reached_endpoint && !self.try_spend(why)) {
             return Decision::Respond(self.refusal(reason).with_retry_after(RETRY_AFTER_FULL));
         }
-        self.gateway.metrics.record_retry(failure.cause.name());
+        if !reached_endpoint {
+            self.gateway.metrics.record_retry(why);
+        }
         Decision::Retry
     }
 
