--- a/crates/curranthook_gateway/tests/log.rs
+++ b/crates/curranthook_gateway/tests/log.rs
@@ -44,7 +44,8 @@
     let log = Log::start("n-1", Arc::new(clock::System), Box::new(out)).unwrap();
     let start = Instant::now();
     for _ in 0..20_000 {
-        log.write(&Event::NotRepeated { request: "r-1", why: "budget" });
+        let (request, service, why) = ("r-1", "engines", "budget");
+        log.write(&Event::NotRepeated { request, service, why, budget: None, age_ms: 0 });
     }
     let time_per_line = start.elapsed() / 20_000;
     assert!(time_per_line < Duration::from_micros(200), "{time_per_line:?} per line");
