Earn retries as requests arrive and time passes, and forget them with the process

Cause: a part of a fleet-wide allowance that each process gets anew, whole, at its start. The budget counted a sliding window in the process; a successor had the part of the additional retries at once that the process before had just made, and the ratio of its own requests at once, where the process before would have had none left.

Change: a node begins without retries, earns them with each request and, in its part of the additional ones, over time, and saves up one and a tenth of a window. A process that ends only loses some. What it may have saved up and spent for longer than a window, one retry, its successor holds back for a window, unless it earns that much in a tenth of one. A process that is stopping earns no part of the additional ones, as its successor does, and one that has just started gets its part when it knows the others. The limit of the window stays as the outer bound. So the fleet's retries in a window are bounded by its requests, whatever restarts, which no counter in a process can do that starts full.

--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -40,7 +40,7 @@
         sections::Sections,
         topology::Topology,
     },
-    retry_budget::Budget,
+    retry_budget::{Budget, Part},
     retry_schedule::Reservations,
     rollouts::{Knowledge, Rollouts},
     settings::Settings,
@@ -213,7 +213,7 @@
         Arc::new(Self {
             pool,
             rollouts: Mutex::new(Rollouts::new(schedule)),
-            retry_budget: Mutex::new(Budget::new(settings.retries)),
+            retry_budget: Mutex::new(Budget::new(settings.retries, started)),
             refused: Mutex::new(Refused::new(REFUSED_CAPACITY)),
             poison: Mutex::new(Register::new(POISON_CAPACITY)),
             suspects: Mutex::new(Suspects::new(SUSPECTS_CAPACITY)),
@@ -286,6 +286,17 @@
         REPORT_TIME <= self.now().saturating_duration_since(self.started)
     }
 
+    /// This node's part of what the fleet may do in addition to what each node's own requests allow.
+    /// None before the node knows the others and they know it, and from when it is shutting down, as a
+    /// process that replaces it has the part then.
+    pub fn fleet_part(&self) -> Part {
+        let knows_nodes = self.knows_requests() && self.mirror.lock().has_read(Table::Fleet);
+        match knows_nodes && !self.is_stopping() {
+            true => Part::OneOf(self.n_nodes()),
+            false => Part::None,
+        }
+    }
+
     /// Reads a property of a service from the configuration in force; none if it is not set.
     pub fn service<T>(&self, name: &str, read: impl FnOnce(&Service) -> Option<T>) -> Option<T> {
         read(self.configuration.load().as_ref()?.document.services.get(name)?)
--- a/crates/curranthook_gateway/src/job.rs
+++ b/crates/curranthook_gateway/src/job.rs
@@ -114,7 +114,8 @@
         let n_runs = match origin {
             Origin::Node { n_runs, .. } => n_runs,
             Origin::Caller => {
-                gateway.retry_budget.lock().record_request(&service, gateway.now());
+                let part = gateway.fleet_part();
+                gateway.retry_budget.lock().record_request(&service, part, gateway.now());
                 gateway.metrics.record_retry_budget(&service, "requests");
                 gateway.rollouts.lock().record_request(&service);
                 contention::record_level(gateway, &service, &models, rank);
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -139,11 +139,11 @@
     }
 
     fn try_spend(&self, why: &'static str) -> bool {
-        let (n_nodes, now) = (self.gateway.n_nodes(), self.gateway.now());
+        let (part, now) = (self.gateway.fleet_part(), self.gateway.now());
         let (is_granted, standing) = {
             let mut budget = self.gateway.retry_budget.lock();
-            let is_granted = budget.try_spend(&self.service, n_nodes, now);
-            (is_granted, budget.standing(&self.service, n_nodes, now))
+            let is_granted = budget.try_spend(&self.service, part, now);
+            (is_granted, budget.standing(&self.service, part, now))
         };
         let spending = if is_granted { "spent" } else { "exhausted" };
         self.gateway.metrics.record_retry_budget(&self.service, spending);
--- a/crates/curranthook_gateway/src/retry_budget.rs
+++ b/crates/curranthook_gateway/src/retry_budget.rs
@@ -1,4 +1,9 @@
 //! Limits the number of retries per service.
+//!
+//! The limit holds for the whole fleet in any window, and counts what processes did that have ended
+//! since. No process knows that. So a node earns its retries as requests arrive and time passes,
+//! beginning with none, and saves up little: a process that ends can only lose retries to the fleet,
+//! and its successor can't make them once more.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -19,9 +24,32 @@
     pub window: Duration,
 }
 
-/// The share of the limit that is used. The rest covers requests that cross the edges of the window
-/// and nodes that do not know of each other yet.
+/// A node's part of the additional retries of a fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// The fleet has this many nodes, this one included, each with an equal part.
+    OneOf(usize),
+    /// The node has no part, as its successor may have it already, or as it doesn't know the other
+    /// nodes yet.
+    None,
+}
+
+impl Part {
+    fn of(self, slack: f64) -> f64 {
+        match self {
+            Self::OneOf(n_nodes) => slack / n_nodes.max(1) as f64,
+            Self::None => 0.0,
+        }
+    }
+}
+
+/// The share of the limit that is used. The rest covers requests that cross the edges of the window,
+/// nodes that do not know of each other yet, and what processes had saved up that have ended.
 const USABLE_SHARE: f64 = 0.8;
+/// The part of a window whose earnings a node may save up, beyond one retry.
+const SAVED_SHARE: f64 = 0.1;
+/// The part of a window from which a node's earnings are estimated.
+const RECENT_SHARE: f64 = 0.2;
 /// The time span that one counter of the sliding window covers.
 const COUNTER_SPAN: Duration = Duration::from_millis(500);
 
@@ -29,16 +57,40 @@
 ///
 /// ```
 /// # use std::time::{Duration, Instant};
-/// # use curranthook_gateway::retry_budget::{Limit, Budget};
+/// # use curranthook_gateway::retry_budget::{Budget, Limit, Part};
 /// let limit = Limit { ratio: 0.5, slack: 0.0, window: Duration::from_secs(10) };
-/// let (mut budget, now) = (Budget::new(limit), Instant::now());
-/// (0..10).for_each(|_| budget.record_request("engines", now));
-/// assert_eq!((0..10).filter(|_| budget.try_spend("engines", 1, now)).count(), 4);
+/// let (mut budget, now) = (Budget::new(limit, Instant::now()), Instant::now());
+/// (0..10).for_each(|_| budget.record_request("engines", Part::OneOf(1), now));
+/// let n_retries = (0..10).filter(|_| budget.try_spend("engines", Part::OneOf(1), now)).count();
+/// assert_eq!(n_retries, 3, "one is left of the four that the requests earned");
 /// ```
 #[derive(Debug)]
 pub struct Budget {
     limit: Limit,
-    services: HashMap<String, VecDeque<Counter>>,
+    /// When the process started.
+    started: Instant,
+    services: HashMap<String, Account>,
+}
+
+/// What a node knows of a service's retries.
+#[derive(Debug)]
+struct Account {
+    /// The sliding window.
+    counters: VecDeque<Counter>,
+    /// The retries that were earned and not spent.
+    saved: f64,
+    /// The part of them that isn't spent in a new process. The process before may have saved up one
+    /// retry for longer than a window and spent it right before it ended.
+    reserved: f64,
+    /// Until when the node's part of the additional retries was earned.
+    earned_until: Instant,
+}
+
+#[derive(Debug)]
+struct Counter {
+    started_at: Instant,
+    requests: f64,
+    retries: f64,
 }
 
 /// A service's requests and retries at one node, and what the node may make of the latter.
@@ -50,66 +102,104 @@
     pub retries: f64,
     /// The retries that the node may make in the window.
     pub allowed: f64,
-    /// The number of nodes that divide the additional retries.
+    /// The retries that the node has earned and not spent.
+    pub available: f64,
+    /// The number of nodes that divide the additional retries; 0 if this one has no part.
     pub n_nodes: usize,
 }
 
-#[derive(Debug)]
-struct Counter {
-    started_at: Instant,
-    requests: f64,
-    retries: f64,
-}
-
 impl Budget {
-    /// Creates a budget under `limit`.
-    pub fn new(limit: Limit) -> Self {
-        Self { limit, services: HashMap::new() }
+    /// Creates the budget of a process that starts at `now`, under `limit`.
+    pub fn new(limit: Limit, now: Instant) -> Self {
+        Self { limit, started: now, services: HashMap::new() }
     }
 
-    /// Counts a request for `service`.
-    pub fn record_request(&mut self, service: &str, now: Instant) {
-        self.counter(service, now).requests += 1.0;
+    /// Counts a request for `service`, which earns retries.
+    pub fn record_request(&mut self, service: &str, part: Part, now: Instant) {
+        let earned = USABLE_SHARE * self.limit.ratio;
+        let account = self.account(service, part, now);
+        account.saved += earned;
+        account.current_counter(now).requests += 1.0;
     }
 
-    /// Takes one retry from the budget, if this node, one of `n_nodes`, has one left.
-    pub fn try_spend(&mut self, service: &str, n_nodes: usize, now: Instant) -> bool {
-        let standing = self.standing(service, n_nodes, now);
-        if standing.allowed < standing.retries + 1.0 {
+    /// Takes one retry from the budget, if this node has one left.
+    pub fn try_spend(&mut self, service: &str, part: Part, now: Instant) -> bool {
+        let standing = self.standing(service, part, now);
+        if standing.available < 1.0 || standing.allowed < standing.retries + 1.0 {
             return false;
         }
-        self.counter(service, now).retries += 1.0;
+        let account = self.account(service, part, now);
+        account.saved -= 1.0;
+        account.current_counter(now).retries += 1.0;
         true
     }
 
-    /// What this node, one of `n_nodes`, has made and may make in the window.
-    pub fn standing(&mut self, service: &str, n_nodes: usize, now: Instant) -> Standing {
+    /// What this node has made and may make in the window.
+    pub fn standing(&mut self, service: &str, part: Part, now: Instant) -> Standing {
         let Limit { ratio, slack, .. } = self.limit;
-        self.counter(service, now);
-        let counters = &self.services[service];
-        let requests: f64 = counters.iter().map(|it| it.requests).sum();
-        let retries = counters.iter().map(|it| it.retries).sum();
-        let allowed = USABLE_SHARE * (ratio * requests + slack / n_nodes.max(1) as f64);
-        Standing { requests, retries, allowed, n_nodes }
+        let account = self.account(service, part, now);
+        let requests = account.requests_since(None);
+        let retries = account.counters.iter().map(|it| it.retries).sum();
+        let allowed = USABLE_SHARE * (ratio * requests + part.of(slack));
+        let n_nodes = match part {
+            Part::OneOf(n_nodes) => n_nodes,
+            Part::None => 0,
+        };
+        Standing { requests, retries, allowed, available: account.available(), n_nodes }
     }
 
-    /// The current counter of `service`. Drops counters that have left the window.
-    fn counter(&mut self, service: &str, now: Instant) -> &mut Counter {
+    /// The account of `service`, with the node's part of the additional retries earned until `now`, and
+    /// without what is too old.
+    fn account(&mut self, service: &str, part: Part, now: Instant) -> &mut Account {
         if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), VecDeque::new());
+            self.services.insert(service.to_owned(), Account::new(self.started));
         }
-        let counters = self.services.get_mut(service).expect("it was inserted above");
-        let window = self.limit.window;
-        while counters
-            .front()
-            .is_some_and(|it| window < now.saturating_duration_since(it.started_at))
-        {
-            counters.pop_front();
+        let account = self.services.get_mut(service).expect("it was inserted above");
+        let age = now.saturating_duration_since(self.started);
+        account.earn(&self.limit, part, age, now);
+        account
+    }
+}
+
+impl Account {
+    fn new(started: Instant) -> Self {
+        Self { counters: VecDeque::new(), saved: 0.0, reserved: 0.0, earned_until: started }
+    }
+
+    fn earn(&mut self, limit: &Limit, part: Part, age: Duration, now: Instant) {
+        let is_old = |it: &Counter| limit.window < now.saturating_duration_since(it.started_at);
+        while self.counters.front().is_some_and(is_old) {
+            self.counters.pop_front();
+        }
+        let slack = USABLE_SHARE * part.of(limit.slack);
+        if part != Part::None {
+            let elapsed = now.saturating_duration_since(self.earned_until);
+            self.saved += slack * elapsed.as_secs_f64() / limit.window.as_secs_f64();
+            self.earned_until = self.earned_until.max(now);
         }
+        let recent = self.requests_since(now.checked_sub(limit.window.mul_f64(RECENT_SHARE)));
+        let earned = USABLE_SHARE * limit.ratio * recent / RECENT_SHARE + slack;
+        let savable = SAVED_SHARE * earned;
+        self.reserved = if age < limit.window { (1.0 - savable).max(0.0) } else { 0.0 };
+        self.saved = self.saved.min(1.0 + savable + self.reserved);
+    }
+
+    /// The retries that may be made now.
+    fn available(&self) -> f64 {
+        self.saved - self.reserved
+    }
+
+    /// The requests in the window, of those counters that began at `since` or later.
+    fn requests_since(&self, since: Option<Instant>) -> f64 {
+        let counters = self.counters.iter();
+        counters.filter(|it| since <= Some(it.started_at)).map(|it| it.requests).sum()
+    }
+
+    fn current_counter(&mut self, now: Instant) -> &mut Counter {
         let is_current = |it: &Counter| now.saturating_duration_since(it.started_at) < COUNTER_SPAN;
-        if !counters.back().is_some_and(is_current) {
-            counters.push_back(Counter { started_at: now, requests: 0.0, retries: 0.0 });
+        if !self.counters.back().is_some_and(is_current) {
+            self.counters.push_back(Counter { started_at: now, requests: 0.0, retries: 0.0 });
         }
-        counters.back_mut().expect("a current counter was pushed")
+        self.counters.back_mut().expect("a current counter was pushed")
     }
 }
--- a/crates/curranthook_gateway/tests/decisions.rs
+++ b/crates/curranthook_gateway/tests/decisions.rs
@@ -6,7 +6,7 @@
 use curranthook_gateway::{
     cascade::{self, Forecast, Targets},
     placement::{self, CacheHolders, Candidate, Locality, Task},
-    retry_budget::{Budget, Limit},
+    retry_budget::{Budget, Limit, Part},
     splitter::Splitter,
     startup::{self, Waiters},
 };
@@ -152,16 +152,16 @@
 fn a_fleet_stays_within_the_retry_budget() {
     let limit = Limit { ratio: 0.9, slack: 52.0, window: Duration::from_secs(10) };
     let (start, n_nodes) = (Instant::now(), 6);
-    let mut nodes: Vec<_> = (0..n_nodes).map(|_| Budget::new(limit)).collect();
+    let mut nodes: Vec<_> = (0..n_nodes).map(|_| Budget::new(limit, start)).collect();
     let mut retries = Vec::new();
     let mut requests = 0;
     for tick in 0..400_u64 {
         let now = start + Duration::from_millis(tick * 50);
         for node in &mut nodes {
-            node.record_request("models", now);
+            node.record_request("models", Part::OneOf(n_nodes), now);
             requests += 1;
             (0..3)
-                .filter(|_| node.try_spend("models", n_nodes, now))
+                .filter(|_| node.try_spend("models", Part::OneOf(n_nodes), now))
                 .for_each(|_| retries.push(now));
         }
     }
