--- a/crates/curranthook_gateway/src/retry_budget.rs
+++ b/crates/curranthook_gateway/src/retry_budget.rs
@@ -24,7 +24,8 @@
     pub window: Duration,
 }
 
-/// A node's part of the additional retries of a fleet.
+/// A node's part of the additional retries of a fleet. Callers may be at any node, and no node knows
+/// what the others need.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
     /// The fleet has this many nodes, this one included, each with an equal part.
@@ -79,8 +80,8 @@
     counters: VecDeque<Counter>,
     /// The retries that were earned and not spent.
     saved: f64,
-    /// The part of them that isn't spent in a new process. The process before may have saved up one
-    /// retry for longer than a window and spent it right before it ended.
+    /// The part of them that a new process doesn't spend. The process before may have taken longer than
+    /// a window to save up one retry, and spent it right before it ended.
     reserved: f64,
     /// Until when the node's part of the additional retries was earned.
     earned_until: Instant,
@@ -123,6 +124,16 @@
     }
 
     /// Takes one retry from the budget, if this node has one left.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::retry_budget::{Budget, Limit, Part};
+    /// let (start, part) = (Instant::now(), Part::OneOf(4));
+    /// let limit = Limit { ratio: 0.0, slack: 40.0, window: Duration::from_secs(10) };
+    /// let mut budget = Budget::new(limit, start);
+    /// assert!(!budget.try_spend("engines", part, start), "a process that starts has none");
+    /// assert!(budget.try_spend("engines", part, start + Duration::from_secs(3)));
+    /// ```
     pub fn try_spend(&mut self, service: &str, part: Part, now: Instant) -> bool {
         let standing = self.standing(service, part, now);
         if standing.available < 1.0 || standing.allowed < standing.retries + 1.0 {
@@ -135,6 +146,16 @@
     }
 
     /// What this node has made and may make in the window.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::retry_budget::{Budget, Limit, Part};
+    /// let limit = Limit { ratio: 0.5, slack: 0.0, window: Duration::from_secs(10) };
+    /// let (mut budget, now) = (Budget::new(limit, Instant::now()), Instant::now());
+    /// budget.record_request("engines", Part::OneOf(1), now);
+    /// let standing = budget.standing("engines", Part::OneOf(1), now);
+    /// assert_eq!((standing.requests, standing.allowed), (1.0, 0.4));
+    /// ```
     pub fn standing(&mut self, service: &str, part: Part, now: Instant) -> Standing {
         let Limit { ratio, slack, .. } = self.limit;
         let account = self.account(service, part, now);
@@ -166,6 +187,8 @@
         Self { counters: VecDeque::new(), saved: 0.0, reserved: 0.0, earned_until: started }
     }
 
+    /// Earns the node's part of the additional retries until `now`, in a process of this `age`, and drops
+    /// what is too old.
     fn earn(&mut self, limit: &Limit, part: Part, age: Duration, now: Instant) {
         let is_old = |it: &Counter| limit.window < now.saturating_duration_since(it.started_at);
         while self.counters.front().is_some_and(is_old) {
@@ -178,10 +201,15 @@
             self.earned_until = self.earned_until.max(now);
         }
         let recent = self.requests_since(now.checked_sub(limit.window.mul_f64(RECENT_SHARE)));
-        let earned = USABLE_SHARE * limit.ratio * recent / RECENT_SHARE + slack;
-        let savable = SAVED_SHARE * earned;
-        self.reserved = if age < limit.window { (1.0 - savable).max(0.0) } else { 0.0 };
-        self.saved = self.saved.min(1.0 + savable + self.reserved);
+        let earned_per_window = USABLE_SHARE * limit.ratio * recent / RECENT_SHARE + slack;
+        self.bound_savings(SAVED_SHARE * earned_per_window, age < limit.window);
+    }
+
+    /// Bounds what is saved to one retry and `recently_earned` ones. A new process reserves one, but not
+    /// if it has earned that much recently.
+    fn bound_savings(&mut self, recently_earned: f64, is_new: bool) {
+        self.reserved = if is_new { (1.0 - recently_earned).max(0.0) } else { 0.0 };
+        self.saved = self.saved.min(1.0 + recently_earned + self.reserved);
     }
 
     /// The retries that may be made now.
