Give a node's first process the retries that it may save up, and bursts theirs

The part of the additional retries counts from the start. What may be saved is what the last tenth of a window earned, no average over two.

--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -287,10 +287,10 @@
     }
 
     /// This node's part of what the fleet may do in addition to what each node's own requests allow.
-    /// None before the node knows the others and they know it, and from when it is shutting down, as a
-    /// process that replaces it has the part then.
+    /// None before the node knows the others, and from when it is shutting down, as a process that
+    /// replaces it has the part then.
     pub fn fleet_part(&self) -> Part {
-        let knows_nodes = self.knows_requests() && self.mirror.lock().has_read(Table::Fleet);
+        let knows_nodes = self.mirror.lock().has_read(Table::Fleet);
         match knows_nodes && !self.is_stopping() {
             true => Part::OneOf(self.n_nodes()),
             false => Part::None,
--- a/crates/curranthook_gateway/src/retry_budget.rs
+++ b/crates/curranthook_gateway/src/retry_budget.rs
@@ -1,9 +1,9 @@
 //! Limits the number of retries per service.
 //!
 //! The limit holds for the whole fleet in any window, and counts what processes did that have ended
-//! since. No process knows that. So a node earns its retries as requests arrive and time passes,
-//! beginning with none, and saves up little: a process that ends can only lose retries to the fleet,
-//! and its successor can't make them once more.
+//! since. No process knows that. So a node earns its retries as requests arrive and time passes, and
+//! saves up little. A process that replaces another one begins with none: what ends with a process can
+//! only be lost to the fleet, and isn't made once more.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -49,8 +49,6 @@
 const USABLE_SHARE: f64 = 0.8;
 /// The part of a window whose earnings a node may save up, beyond one retry.
 const SAVED_SHARE: f64 = 0.1;
-/// The part of a window from which a node's earnings are estimated.
-const RECENT_SHARE: f64 = 0.2;
 /// The time span that one counter of the sliding window covers.
 const COUNTER_SPAN: Duration = Duration::from_millis(500);
 
@@ -70,6 +68,8 @@
     limit: Limit,
     /// When the process started.
     started: Instant,
+    /// Whether no process of this node ran before.
+    is_first_process: bool,
     services: HashMap<String, Account>,
 }
 
@@ -80,8 +80,8 @@
     counters: VecDeque<Counter>,
     /// The retries that were earned and not spent.
     saved: f64,
-    /// The part of them that a new process doesn't spend. The process before may have taken longer than
-    /// a window to save up one retry, and spent it right before it ended.
+    /// The part of them that isn't spent while retries of the process before may be in the window.
+    /// That one may have taken longer than a window to save up one retry, and spent it at its end.
     reserved: f64,
     /// Until when the node's part of the additional retries was earned.
     earned_until: Instant,
@@ -112,7 +112,24 @@
 impl Budget {
     /// Creates the budget of a process that starts at `now`, under `limit`.
     pub fn new(limit: Limit, now: Instant) -> Self {
-        Self { limit, started: now, services: HashMap::new() }
+        Self { limit, started: now, is_first_process: false, services: HashMap::new() }
+    }
+
+    /// Records that no process of this node ran before, so that this one may begin with as much as it
+    /// may save up.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_gateway::retry_budget::{Budget, Limit, Part};
+    /// let limit = Limit { ratio: 0.5, slack: 10.0, window: Duration::from_secs(10) };
+    /// let mut budget = Budget::new(limit, Instant::now());
+    /// assert!(!budget.try_spend("engines", Part::OneOf(1), Instant::now()));
+    /// budget.record_first_process();
+    /// assert!(budget.try_spend("engines", Part::OneOf(1), Instant::now()));
+    /// ```
+    pub fn record_first_process(&mut self) {
+        self.is_first_process = true;
+        self.services.values_mut().for_each(|it| it.saved = f64::INFINITY);
     }
 
     /// Counts a request for `service`, which earns retries.
@@ -131,7 +148,7 @@
     /// let (start, part) = (Instant::now(), Part::OneOf(4));
     /// let limit = Limit { ratio: 0.0, slack: 40.0, window: Duration::from_secs(10) };
     /// let mut budget = Budget::new(limit, start);
-    /// assert!(!budget.try_spend("engines", part, start), "a process that starts has none");
+    /// assert!(!budget.try_spend("engines", part, start), "a process begins with none");
     /// assert!(budget.try_spend("engines", part, start + Duration::from_secs(3)));
     /// ```
     pub fn try_spend(&mut self, service: &str, part: Part, now: Instant) -> bool {
@@ -173,23 +190,25 @@
     /// without what is too old.
     fn account(&mut self, service: &str, part: Part, now: Instant) -> &mut Account {
         if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), Account::new(self.started));
+            let saved = if self.is_first_process { f64::INFINITY } else { 0.0 };
+            self.services.insert(service.to_owned(), Account::new(saved, self.started));
         }
         let account = self.services.get_mut(service).expect("it was inserted above");
         let age = now.saturating_duration_since(self.started);
-        account.earn(&self.limit, part, age, now);
+        let has_predecessor = age < self.limit.window && !self.is_first_process;
+        account.earn(&self.limit, part, has_predecessor, now);
         account
     }
 }
 
 impl Account {
-    fn new(started: Instant) -> Self {
-        Self { counters: VecDeque::new(), saved: 0.0, reserved: 0.0, earned_until: started }
+    fn new(saved: f64, started: Instant) -> Self {
+        Self { counters: VecDeque::new(), saved, reserved: 0.0, earned_until: started }
     }
 
-    /// Earns the node's part of the additional retries until `now`, in a process of this `age`, and drops
-    /// what is too old.
-    fn earn(&mut self, limit: &Limit, part: Part, age: Duration, now: Instant) {
+    /// Earns the node's part of the additional retries until `now`, and drops what is too old.
+    /// `has_predecessor` is whether retries of the process before may be in the window.
+    fn earn(&mut self, limit: &Limit, part: Part, has_predecessor: bool, now: Instant) {
         let is_old = |it: &Counter| limit.window < now.saturating_duration_since(it.started_at);
         while self.counters.front().is_some_and(is_old) {
             self.counters.pop_front();
@@ -200,15 +219,15 @@
             self.saved += slack * elapsed.as_secs_f64() / limit.window.as_secs_f64();
             self.earned_until = self.earned_until.max(now);
         }
-        let recent = self.requests_since(now.checked_sub(limit.window.mul_f64(RECENT_SHARE)));
-        let earned_per_window = USABLE_SHARE * limit.ratio * recent / RECENT_SHARE + slack;
-        self.bound_savings(SAVED_SHARE * earned_per_window, age < limit.window);
+        let recent = self.requests_since(now.checked_sub(limit.window.mul_f64(SAVED_SHARE)));
+        let recently_earned = USABLE_SHARE * limit.ratio * recent + slack * SAVED_SHARE;
+        self.bound_savings(recently_earned, has_predecessor);
     }
 
-    /// Bounds what is saved to one retry and `recently_earned` ones. A new process reserves one, but not
-    /// if it has earned that much recently.
-    fn bound_savings(&mut self, recently_earned: f64, is_new: bool) {
-        self.reserved = if is_new { (1.0 - recently_earned).max(0.0) } else { 0.0 };
+    /// Bounds what is saved to one retry and `recently_earned` ones. A process that replaces another one
+    /// reserves one more, but not if it has earned that much recently.
+    fn bound_savings(&mut self, recently_earned: f64, has_predecessor: bool) {
+        self.reserved = if has_predecessor { (1.0 - recently_earned).max(0.0) } else { 0.0 };
         self.saved = self.saved.min(1.0 + recently_earned + self.reserved);
     }
 
