--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -15,6 +15,7 @@
     time::Duration,
 };
 
+use curranthook_policy::poison::Fingerprint;
 use curranthook_types::Clock;
 use serde::Serialize;
 
@@ -306,11 +307,24 @@
     /// A connection was lost under a request, which is blamed if the endpoint crashed.
     PoisonCharged {
         request: &'a str,
+        #[serde(serialize_with = "hex_bytes")]
+        fingerprint: Fingerprint,
         endpoint: &'a str,
         /// The time since the response began, if it did.
         begun_ms: Option<u64>,
         outcome: &'a str,
     },
+    /// The requests that this node blames for crashes were written to the store, or could not be.
+    PoisonWritten { requests: usize, state: &'a str },
+    /// This node learned from elsewhere that a request crashes endpoints, or that it does not.
+    PoisonLearned {
+        #[serde(serialize_with = "hex_bytes")]
+        fingerprint: Fingerprint,
+        state: &'a str,
+        /// The time since the first crash.
+        age_ms: u64,
+        from: &'a str,
+    },
     /// Endpoints were found to crash under a part of prompts, by this node or another.
     PartVerdict {
         #[serde(serialize_with = "hex")]
@@ -350,6 +364,10 @@
     serializer.collect_str(&format_args!("{hash:016x}"))
 }
 
+fn hex_bytes<S: serde::Serializer>(hash: &Fingerprint, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&format_args!("{:032x}", u128::from_be_bytes(*hash)))
+}
+
 /// What is known of the requests that compete for an endpoint with the one that is sent.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct Contention {
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use curranthook_policy::{hash, poison};
+use curranthook_policy::hash;
 use curranthook_types::domain;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -12,6 +12,7 @@
     Gateway,
     event::{Event, RouteAnswers},
     load::{reports::statements, snapshot_rows},
+    poison::{self, Source},
     steps::{Evidence, Routes, Step},
     store::{Rev, Row, Table},
     suspects,
@@ -198,12 +199,9 @@
             rollouts.apply_collected(service, order, node, (collected, n_collected));
         }
         Key::Poison(node) => {
-            let entries: Vec<poison::Entry> = serde_json::from_slice(value)?;
-            let (mut poison, now) = (gateway.poison.lock(), gateway.now());
-            match *node == gateway.settings.node {
-                true => poison.restore(entries, now),
-                false => poison.merge(entries, now),
-            }
+            let is_own = *node == gateway.settings.node;
+            let source = if is_own { Source::OwnRow } else { Source::Store };
+            poison::receive(gateway, serde_json::from_slice(value)?, source);
         }
         Key::Parts(_) => {
             let findings: Vec<suspects::Finding> = serde_json::from_slice(value)?;
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -351,10 +351,17 @@
         let due = self.charges.due(&self.gateway.poison.lock(), interval, now);
         let Some(row) = due else { return };
         let key = Key::Poison(&self.gateway.settings.node).to_string();
-        match self.write(&key, None, &encode(&row.entries), None).await {
-            Ok(_) => self.charges.record_written(&row, now),
-            Err(_logged) => self.charges.record_failed(now),
-        }
+        let state = match self.write(&key, None, &encode(&row.entries), None).await {
+            Ok(_) => {
+                self.charges.record_written(&row, now);
+                "written"
+            }
+            Err(_logged) => {
+                self.charges.record_failed(now);
+                "write_failed"
+            }
+        };
+        self.gateway.log.write(&Event::PoisonWritten { requests: row.entries.len(), state });
     }
 
     /// Writes the verdicts on prompt parts that this node is the first to judge, if they changed.
--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -14,6 +14,7 @@
     event::Event,
     gateway::Configuration,
     job::{Job, Origin, Summary, millis},
+    poison,
     refusal::{Reason, Refusal, Started},
     request, startup, stream, unary,
 };
@@ -146,7 +147,7 @@
         let account_priority = account.as_ref().and_then(|it| it.priority);
         let rank = Rank { account: account_priority, route: route.priority };
         let request = request::Request::new(head, body, received_at, timeout);
-        if gateway.poison.lock().is_poison(request.fingerprint, received_at) {
+        if poison::is_refused(gateway, &request) {
             return Err(refusal(Reason::Poison));
         }
         let account = account.map(|it| it.id);
--- a/crates/curranthook_gateway/src/job/record.rs
+++ b/crates/curranthook_gateway/src/job/record.rs
@@ -10,6 +10,7 @@
     dialect::{Execution, Load},
     event::Event,
     lease::Lease,
+    poison,
     rollouts::{Kind, Pace},
     suspects,
 };
@@ -105,9 +106,7 @@
         let Summary { status, outcome, endpoint, .. } = *end;
         let elapsed = self.gateway.now().saturating_duration_since(self.request.received_at);
         if outcome == OUTCOME_WHOLE {
-            // A complete response shows that the request did not cause the crashes attributed to
-            // it.
-            self.gateway.poison.lock().clear(self.request.fingerprint);
+            poison::record_answer(&self.gateway, &self.request);
         }
         self.gateway.metrics.record_ended(outcome, elapsed);
         self.gateway.log.write(&Event::Ended {
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -11,6 +11,7 @@
     directory,
     event::Event,
     lease::log_transitions,
+    poison,
     refusal::{Reason, Refusal, Started},
     request::Model,
     suspects,
@@ -115,8 +116,7 @@
         if failure.cause == Cause::Timeout {
             return Decision::Respond(self.refusal(Reason::Timeout));
         }
-        let now = self.gateway.now();
-        if self.gateway.poison.lock().is_poison(self.request.fingerprint, now) {
+        if poison::is_refused(&self.gateway, &self.request) {
             return Decision::Respond(self.refusal(Reason::Poison));
         }
         if let Err(refusal) = self.check_parts() {
@@ -169,6 +169,7 @@
         let log = |outcome| {
             self.gateway.log.write(&Event::PoisonCharged {
                 request: &self.request.head.id,
+                fingerprint: self.request.fingerprint,
                 endpoint: endpoint.id.as_str(),
                 begun_ms,
                 outcome,
@@ -182,8 +183,7 @@
             self.gateway.pool.put(conn);
             return log("not_crashed");
         }
-        let now = self.gateway.now();
-        self.gateway.poison.lock().record_crash(self.request.fingerprint, &endpoint.id, now);
+        poison::record_crash(&self.gateway, &self.request, &endpoint.id);
         if begun_for.is_some() {
             let service = &self.service;
             suspects::record_crash(&self.gateway, &self.request, service, endpoint, crashed_at);
--- a/crates/curranthook_gateway/src/lib.rs
+++ b/crates/curranthook_gateway/src/lib.rs
@@ -17,7 +17,8 @@
 //!   announce a [`rate_limit`] or are [`brittle`]; [`retry_schedule`] spreads the `Retry-After` times of refused
 //!   callers;
 //! - [`forwarding`]: passes the request to another node if this one is cut off from the service;
-//! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event.
+//! - [`unary`] or [`stream`]: reads the response completely, or forwards it event by event;
+//! - [`poison`], [`suspects`]: refuse requests, and parts of prompts, under which endpoints crash.
 //!
 //! [`placement`], [`cascade`], [`load::latency`], [`load::prefill`], [`load::snapshot`],
 //! [`retry_budget`], [`permit`] and [`steps`] make decisions without I/O and without reading a clock. [`replication`]
@@ -53,6 +54,7 @@
 pub mod models;
 pub mod permit;
 pub mod placement;
+pub mod poison;
 pub mod rate_limit;
 pub mod refusal;
 pub mod replication;
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -61,6 +61,7 @@
     suspect_calls: Family<Label, Counter>,
     last_resorts: Family<Label, Counter>,
     brittle_attempts: Family<Label, Counter>,
+    poison: Family<Label, Counter>,
     reach: Family<Label, Counter>,
     forwarded: Family<Label, Counter>,
     permits: Family<Label, Counter>,
@@ -102,6 +103,7 @@
             suspect_calls: Family::default(),
             last_resorts: Family::default(),
             brittle_attempts: Family::default(),
+            poison: Family::default(),
             reach: Family::default(),
             forwarded: Family::default(),
             permits: Family::default(),
@@ -154,6 +156,8 @@
         let help =
             "Attempts at brittle endpoints, by why they were expected to succeed, and rejected";
         registry.register("brittle_attempts", help, self.brittle_attempts.clone());
+        let help = "Requests blamed for crashes of endpoints, by what was found out";
+        registry.register("poison", help, self.poison.clone());
         let help = "Changes in whether the node reaches the endpoints of a service, by state";
         registry.register("reach", help, self.reach.clone());
         let help = "Requests forwarded to other nodes, by result, and received from them";
@@ -245,6 +249,11 @@
         self.brittle_attempts.get_or_create(&Label { name }).inc();
     }
 
+    /// Counts what was found out about a request that may crash endpoints.
+    pub fn record_poison(&self, name: &'static str) {
+        self.poison.get_or_create(&Label { name }).inc();
+    }
+
     /// Counts a change in whether the node reaches the endpoints of a service.
     pub fn record_reach(&self, state: &'static str) {
         self.reach.get_or_create(&Label { name: state }).inc();
--- a/crates/curranthook_policy/src/poison.rs
+++ b/crates/curranthook_policy/src/poison.rs
@@ -42,6 +42,19 @@
     Cleared,
 }
 
+/// What a register knows of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// No endpoint crashed while running it.
+    Unknown,
+    /// An endpoint crashed while running it, which may have had another cause.
+    Suspected,
+    /// So many crashed that it must be refused.
+    Poison,
+    /// An endpoint answered it.
+    Cleared,
+}
+
 /// Records of crashes by request fingerprint. The oldest are dropped if there are too many.
 ///
 /// ```
@@ -102,11 +115,30 @@
 
     /// Whether this request must be refused.
     pub fn is_poison(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.records.get(&fingerprint).is_some_and(|it| {
-            it.state == State::Active
-                && MIN_CRASHED_ENDPOINTS <= it.endpoints.len()
-                && now.saturating_duration_since(it.since) < RECORD_TTL
-        })
+        self.standing(fingerprint, now) == Standing::Poison
+    }
+
+    /// What is known of this request.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use curranthook_policy::poison::{Register, Standing};
+    /// let (mut register, body, now) = (Register::new(1_000), [7; 16], Instant::now());
+    /// register.record_crash(body, &"engine-1".into(), now);
+    /// assert_eq!(register.standing(body, now), Standing::Suspected);
+    /// register.clear(body);
+    /// assert_eq!(register.standing(body, now), Standing::Cleared);
+    /// ```
+    pub fn standing(&self, fingerprint: Fingerprint, now: Instant) -> Standing {
+        let is_valid = |it: &&Record| now.saturating_duration_since(it.since) < RECORD_TTL;
+        let Some(record) = self.records.get(&fingerprint).filter(is_valid) else {
+            return Standing::Unknown;
+        };
+        match record.state {
+            State::Cleared => Standing::Cleared,
+            State::Active if MIN_CRASHED_ENDPOINTS <= record.endpoints.len() => Standing::Poison,
+            State::Active => Standing::Suspected,
+        }
     }
 
     /// Records that an endpoint answered this request, so that it is no longer refused.
