Look for a crash also where a kept connection ends at once

Callers saw 502 for the request itself and refusals for others: a request that crashes its endpoint within 10 ms of its arrival on a kept connection was taken for one that met a closing idle connection, so nobody was charged, and it went on to the next endpoints without end, everything else being well.

Cause: the end of the connection is the same for both, and the look that tells them apart (does the endpoint still take connections?) was made only for ends after 10 ms. Ruled out: charges to different requests (no charge was logged).

Now it's made for both.

--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -107,7 +107,8 @@
         failure: &Failure,
         begun_for: Option<Duration>,
     ) -> Decision {
-        if failure.cause == Cause::Disconnected {
+        // A request that crashes endpoints at once ends a kept connection just as idleness does.
+        if matches!(failure.cause, Cause::Disconnected | Cause::StaleConnection) {
             self.attribute_crash(endpoint, begun_for).await;
         }
         if failure.cause != Cause::StaleConnection {
