Count crashes of an endpoint that is back under its id each

Callers saw 502 and refusals beside a service with one endpoint: a request that crashes it was sent on after each of its starts.

Cause: the register of poison requests counted ids of endpoints, and a worker may start again under its id. Ruled out: an answer that clears the request, and a record that is dropped (each crash was charged, none cleared).

It counts incarnations now, by a hash of id and start. Rows keep the ids beside them, so that an older build reads them, and a crash that both saw is one.

--- a/crates/curranthook_gateway/src/advertised.rs
+++ b/crates/curranthook_gateway/src/advertised.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use curranthook_policy::hash;
 use curranthook_types::endpoint;
 
 use crate::{
@@ -108,6 +109,11 @@
     pub fn of(entry: &Entry) -> Self {
         Self { id: entry.id.clone(), addr: entry.addr, started_ms: entry.started_ms }
     }
+
+    /// A hash of the id and the start, the same on every node.
+    pub fn hash(&self) -> u64 {
+        hash::pair(hash::bytes(self.id.as_str().as_bytes()), self.started_ms.unwrap_or_default())
+    }
 }
 
 /// The reported state of endpoints that have no entry at present.
--- a/crates/curranthook_gateway/src/fleet_writer/charges.rs
+++ b/crates/curranthook_gateway/src/fleet_writer/charges.rs
@@ -52,14 +52,14 @@
             return None;
         }
         let mut entries = register.export_own(now);
-        let n_failures: usize = entries.iter().map(|it| it.endpoints.len()).sum();
+        let n_failures: usize = entries.iter().map(Entry::n_crashes).sum();
         if n_failures <= self.n_failures {
             return None;
         }
         // When many endpoints fail at once, each request in flight there is blamed. A request that
         // really brings down endpoints is sent again, so it is among those with the most failures
         // or the newest.
-        entries.sort_by_key(|it| (Reverse(it.endpoints.len()), it.age));
+        entries.sort_by_key(|it| (Reverse(it.n_crashes()), it.age));
         entries.truncate(MAX_ENTRIES);
         Some(Row { entries, n_failures })
     }
--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -184,7 +184,7 @@
             self.gateway.pool.put(conn);
             return log("not_crashed");
         }
-        poison::record_crash(&self.gateway, &self.request, &endpoint.id);
+        poison::record_crash(&self.gateway, &self.request, endpoint);
         if begun_for.is_some() {
             let service = &self.service;
             suspects::record_crash(&self.gateway, &self.request, service, endpoint, crashed_at);
--- a/crates/curranthook_gateway/src/poison.rs
+++ b/crates/curranthook_gateway/src/poison.rs
@@ -2,9 +2,8 @@
 //! learns from others.
 
 use curranthook_policy::poison::{Entry, Standing};
-use curranthook_types::endpoint;
 
-use crate::{Gateway, event::Event, request::Request};
+use crate::{Gateway, advertised::Incarnation, event::Event, request::Request};
 
 /// Where a node learned of crashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,8 +30,10 @@
 }
 
 /// Records that an endpoint crashed while running a request.
-pub fn record_crash(gateway: &Gateway, request: &Request, endpoint: &endpoint::Id) {
-    gateway.poison.lock().record_crash(request.fingerprint, endpoint, gateway.now());
+pub fn record_crash(gateway: &Gateway, request: &Request, endpoint: &Incarnation) {
+    let (fingerprint, now) = (request.fingerprint, gateway.now());
+    let (id, incarnation) = (&endpoint.id, endpoint.hash());
+    gateway.poison.lock().record_incarnation_crash(fingerprint, id, incarnation, now);
     gateway.metrics.record_poison("charged");
 }
 
--- a/crates/curranthook_gateway/src/suspects.rs
+++ b/crates/curranthook_gateway/src/suspects.rs
@@ -145,8 +145,7 @@
     now: Instant,
 ) {
     let parts = shared_parts(request, service);
-    let started_ms = endpoint.started_ms.unwrap_or_default();
-    let endpoint = hash::pair(hash::bytes(endpoint.id.as_str().as_bytes()), started_ms);
+    let endpoint = endpoint.hash();
     let request = hash::bytes(&request.fingerprint);
     for part in &parts {
         let crash = Crash { endpoint, request, parts: &parts, at: now };
--- a/crates/curranthook_peers/src/poison.rs
+++ b/crates/curranthook_peers/src/poison.rs
@@ -61,7 +61,8 @@
     pub fn merge(&self, entry: &Entry) {
         let Entry(fingerprint, endpoints, at_millis, state) = entry.clone();
         let age = Duration::from_millis(self.clock.unix_millis().saturating_sub(at_millis));
-        let entry = poison::Entry { fingerprint, endpoints, state, age };
+        let incarnations = BTreeSet::new();
+        let entry = poison::Entry { fingerprint, endpoints, incarnations, state, age };
         self.register.lock().merge([entry], self.clock.now());
     }
 
--- a/crates/curranthook_policy/src/poison.rs
+++ b/crates/curranthook_policy/src/poison.rs
@@ -11,8 +11,8 @@
 /// A hash of a request's body, the same on every node.
 pub type Fingerprint = [u8; 16];
 
-/// How many different endpoints must have crashed while running a request before it is refused.
-const MIN_CRASHED_ENDPOINTS: usize = 2;
+/// How many crashes, each of another endpoint or incarnation, a request is refused after.
+const MIN_CRASHES: usize = 2;
 /// How long after its first crash a record stays valid.
 const RECORD_TTL: Duration = Duration::from_secs(600);
 
@@ -23,6 +23,9 @@
     pub fingerprint: Fingerprint,
     /// The endpoints that crashed while running it; at most two are listed, which is enough.
     pub endpoints: BTreeSet<endpoint::Id>,
+    /// Hashes of the incarnations that crashed, at most two. Empty where these are not told apart.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub incarnations: BTreeSet<u64>,
     /// Whether the crashes still count against the request, or an endpoint has answered it after
     /// them.
     pub state: State,
@@ -30,6 +33,13 @@
     pub age: Duration,
 }
 
+impl Entry {
+    /// The number of crashes that are told apart.
+    pub fn n_crashes(&self) -> usize {
+        self.endpoints.len().max(self.incarnations.len())
+    }
+}
+
 /// Whether the crashes in a record count against the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -78,11 +88,18 @@
 #[derive(Debug)]
 struct Record {
     endpoints: BTreeSet<endpoint::Id>,
+    incarnations: BTreeSet<u64>,
     state: State,
     since: Instant,
     origin: Origin,
 }
 
+impl Record {
+    fn n_crashes(&self) -> usize {
+        self.endpoints.len().max(self.incarnations.len())
+    }
+}
+
 /// Whose observation a record is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Origin {
@@ -104,13 +121,49 @@
         fingerprint: Fingerprint,
         endpoint: &endpoint::Id,
         now: Instant,
+    ) {
+        self.record(fingerprint, endpoint, None, now);
+    }
+
+    /// Records that an incarnation of an endpoint crashed while running this request. `incarnation` is
+    /// a hash of it, the same on every node. Crashes of an endpoint that is back under its id count
+    /// each.
+    ///
+    /// ```
+    /// # use std::time::Instant;
+    /// # use curranthook_policy::poison::Register;
+    /// let (mut register, body, now) = (Register::new(1_000), [7; 16], Instant::now());
+    /// register.record_incarnation_crash(body, &"engine-1".into(), 1, now);
+    /// assert!(!register.is_poison(body, now));
+    /// register.record_incarnation_crash(body, &"engine-1".into(), 2, now);
+    /// assert!(register.is_poison(body, now));
+    /// ```
+    pub fn record_incarnation_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        endpoint: &endpoint::Id,
+        incarnation: u64,
+        now: Instant,
+    ) {
+        self.record(fingerprint, endpoint, Some(incarnation), now);
+    }
+
+    fn record(
+        &mut self,
+        fingerprint: Fingerprint,
+        endpoint: &endpoint::Id,
+        incarnation: Option<u64>,
+        now: Instant,
     ) {
         self.expire(now);
-        let endpoints = BTreeSet::from([endpoint.clone()]);
-        self.merge_record(
-            fingerprint,
-            Record { endpoints, state: State::Active, since: now, origin: Origin::Own },
-        );
+        let record = Record {
+            endpoints: BTreeSet::from([endpoint.clone()]),
+            incarnations: incarnation.into_iter().collect(),
+            state: State::Active,
+            since: now,
+            origin: Origin::Own,
+        };
+        self.merge_record(fingerprint, record);
     }
 
     /// Whether this request must be refused.
@@ -136,7 +189,7 @@
         };
         match record.state {
             State::Cleared => Standing::Cleared,
-            State::Active if MIN_CRASHED_ENDPOINTS <= record.endpoints.len() => Standing::Poison,
+            State::Active if MIN_CRASHES <= record.n_crashes() => Standing::Poison,
             State::Active => Standing::Suspected,
         }
     }
@@ -176,6 +229,7 @@
         let entries = records.map(|(fingerprint, it)| Entry {
             fingerprint: *fingerprint,
             endpoints: it.endpoints.clone(),
+            incarnations: it.incarnations.clone(),
             state: it.state,
             age: now.saturating_duration_since(it.since),
         });
@@ -201,7 +255,8 @@
         self.expire(now);
         for it in entries.into_iter().filter(|it| it.age < RECORD_TTL) {
             let since = now.checked_sub(it.age).unwrap_or(now);
-            let record = Record { endpoints: it.endpoints, state: it.state, since, origin };
+            let Entry { endpoints, incarnations, state, .. } = it;
+            let record = Record { endpoints, incarnations, state, since, origin };
             self.merge_record(it.fingerprint, record);
         }
     }
@@ -215,6 +270,11 @@
             None => record,
             Some(existing) => Record {
                 endpoints: existing.endpoints.into_iter().chain(record.endpoints).collect(),
+                incarnations: existing
+                    .incarnations
+                    .into_iter()
+                    .chain(record.incarnations)
+                    .collect(),
                 state: existing.state.max(record.state),
                 // The earlier time: with the later one, an entry that nodes exchange back and forth
                 // would be refreshed by its transit time on each exchange and never expire.
@@ -222,9 +282,12 @@
                 origin: existing.origin.max(record.origin),
             },
         };
-        while MIN_CRASHED_ENDPOINTS < merged.endpoints.len() {
+        while MIN_CRASHES < merged.endpoints.len() {
             merged.endpoints.pop_last();
         }
+        while MIN_CRASHES < merged.incarnations.len() {
+            merged.incarnations.pop_last();
+        }
         self.by_age.insert((merged.since, fingerprint));
         self.records.insert(fingerprint, merged);
         while self.capacity < self.records.len() {
