Tell nodes of requests that crash endpoints by messages, not by rows alone

Callers of all services saw endpoints end one after the other while the store was away: a request that crashes what runs it took down two endpoints at each node.

Cause: a node told others of crashes by its row alone, which isn't written while the store is silent, slow, or answers 503 or 429. The class: evidence whose only way to other nodes is the store. Ruled out by the log lines: rows that are read late (none was written), and thresholds that aren't added up (with the store well, two or three crashes at 40 nodes).

Now a node reports each crash to three nodes that follow from the request, as for parts of prompts. One that knows of two crashes tells all, by gossip in a large fleet; so does one that learns of an answer after them, and a node remembers its own answers, so that one from before the report counts. A node that reports a crash of which more is known is told. Nodes that start ask their peers for these requests and for verdicts on parts. Rows stay as they were. Messages are packed into datagrams; older builds ignore them.

Laws: three reports a crash, eight datagrams a node, rounds grow with the logarithm of 250 to 2,000 nodes.

--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -39,7 +39,7 @@
     affinity::Record,
     brittle::limit::Rejection,
     load::{in_flight::Counts, slowdowns},
-    rate_limit,
+    poison, rate_limit,
     steps::Evidence,
     store::Rev,
     suspects,
@@ -101,6 +101,8 @@
     settled: Mutex<Counts>,
     /// What has been found out about parts of prompts and has not been sent yet.
     pub suspects: suspects::Queue,
+    /// What has been found out about requests that crash endpoints and has not been sent yet.
+    pub poison: poison::Queue,
 }
 
 impl Socket {
@@ -121,6 +123,7 @@
             rejected: Mutex::default(),
             settled: Mutex::default(),
             suspects: suspects::Queue::default(),
+            poison: poison::Queue::default(),
         }
     }
 
@@ -213,6 +216,7 @@
         limits::send(&gateway, &reports).await;
         statements::send(&gateway, &reports).await;
         send_suspects(&gateway, &reports).await;
+        send_poison(&gateway, &reports).await;
         let is_brittle = gateway.directory.lock().statements(gateway.now()).next().is_some();
         let interval = if is_brittle { MIN_BRITTLE_REPORT_INTERVAL } else { MIN_REPORT_INTERVAL };
         Timer::after(interval).await;
@@ -235,6 +239,19 @@
     }
 }
 
+/// Sends what has been found out about requests that crash endpoints.
+async fn send_poison(gateway: &Gateway, socket: &Socket) {
+    let (messages, for_all) = poison::messages(gateway, &socket.poison);
+    for (addr, message) in messages {
+        socket.send(message, addr).await;
+    }
+    let Some(message) = for_all else { return };
+    let bytes = datagram(message);
+    for addr in limits::gossip_targets(gateway) {
+        socket.send_bytes(&bytes, addr).await;
+    }
+}
+
 /// Waits until this node's pending work changes or limits are queued, but at most for
 /// [`REPORT_INTERVAL`] if the last reports contained pending work.
 async fn wait_for_changes(gateway: &Gateway, reports: &Socket, reported_to: &HashSet<SocketAddr>) {
@@ -247,7 +264,8 @@
         || !reports.statements.is_empty()
         || !reports.rejected.lock().is_empty()
         || !reports.settled.lock().is_empty()
-        || !reports.suspects.is_empty();
+        || !reports.suspects.is_empty()
+        || !reports.poison.is_empty();
     if is_queued || in_flight_changed {
         return;
     }
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -18,7 +18,7 @@
         work::Work,
     },
     permit::lending,
-    suspects,
+    poison, suspects,
 };
 
 /// Receives messages for the lifetime of the process.
@@ -83,6 +83,14 @@
         Message::Verdicts { findings, objections } => {
             suspects::receive_findings(gateway, &findings, &objections);
         }
+        Message::Poison { entries } => {
+            poison::receive(gateway, entries, poison::Source::Peer(from));
+        }
+        Message::CrashQuestion => {
+            for it in poison::answers(gateway).into_iter().chain(suspects::answers(gateway)) {
+                reports.send(it, from).await;
+            }
+        }
         Message::Borrow { id, endpoints } => {
             let loan = lending::lend(gateway, &endpoints);
             reports.send(Message::Lent { id, loan }, from).await;
--- a/crates/curranthook_gateway/src/load/reports/message.rs
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use curranthook_policy::poison;
 use curranthook_types::endpoint;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -102,6 +103,14 @@
         /// The answers.
         objections: Vec<suspects::Objection>,
     },
+    /// Crashes of endpoints under requests, and answers that clear these.
+    Poison {
+        /// The records of the requests.
+        entries: Vec<poison::Entry>,
+    },
+    /// Asks for the requests under which several endpoints crashed, and for the valid verdicts on parts
+    /// of prompts.
+    CrashQuestion,
     /// Asks for the permit to send one request to one of these endpoints.
     Borrow {
         /// The id of the question, repeated in the answer.
--- a/crates/curranthook_gateway/src/load/reports/statements.rs
+++ b/crates/curranthook_gateway/src/load/reports/statements.rs
@@ -125,13 +125,16 @@
     record(gateway, service, statement, "store");
 }
 
-/// Asks other nodes for the statements that they know, once the nodes of the fleet are known. Without
-/// this, a node that joins would cause rejections until an endpoint answers it.
+/// Asks other nodes for the statements that they know and for what crashes endpoints, once
+/// the nodes of the fleet are known. Without this, a node that joins would cause rejections until an
+/// endpoint answers it, and crashes while the store is away.
 pub(super) async fn ask(gateway: Arc<Gateway>, reports: Arc<Socket>) {
     gateway.wait_until(|| gateway.mirror.lock().has_read(Table::Fleet)).await;
-    let question = datagram(Message::BrittleQuestion);
+    let questions = [Message::BrittleQuestion, Message::CrashQuestion].map(datagram);
     for addr in limits::gossip_targets(&gateway) {
-        reports.send_bytes(&question, addr).await;
+        for it in &questions {
+            reports.send_bytes(it, addr).await;
+        }
     }
 }
 
--- a/crates/curranthook_gateway/src/suspects.rs
+++ b/crates/curranthook_gateway/src/suspects.rs
@@ -21,7 +21,9 @@
 
 pub use curranthook_policy::suspects::Decision;
 
-use crate::{Gateway, advertised::Incarnation, event::Event, request::Request};
+use crate::{
+    Gateway, advertised::Incarnation, event::Event, load::reports::Message, request::Request,
+};
 
 /// How long after the beginning of its answer a request may be what its endpoint crashed under.
 pub const BEGINNING: Duration = Duration::from_secs(1);
@@ -31,6 +33,8 @@
 const MAX_PARTS: usize = 8;
 /// The maximum number of items of each kind in a message, and queued for one.
 const MAX_ITEMS: usize = 4;
+/// The maximum number of messages with verdicts for a node that starts.
+const MAX_ANSWERS: usize = 16;
 /// The maximum number of items that are queued.
 const MAX_QUEUED: usize = 1_024;
 
@@ -293,6 +297,14 @@
     findings
 }
 
+/// The messages for a node that starts: the valid verdicts.
+pub(crate) fn answers(gateway: &Gateway) -> Vec<Message> {
+    let findings = findings(gateway);
+    let messages = findings.chunks(MAX_ITEMS).take(MAX_ANSWERS);
+    let message = |it: &[Finding]| Message::Verdicts { findings: it.to_vec(), objections: vec![] };
+    messages.map(message).collect()
+}
+
 /// The addresses of the nodes that add up the crashes under a part.
 pub fn judges(gateway: &Gateway, part: Part) -> Vec<SocketAddr> {
     gateway.load_owners.lock().nearest(part, N_JUDGES)
--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -13,6 +13,7 @@
 mod lending;
 mod lost_rows;
 mod owners;
+mod poison;
 mod retries;
 mod rows;
 mod storms;
--- a/crates/curranthook_policy/src/poison.rs
+++ b/crates/curranthook_policy/src/poison.rs
@@ -1,7 +1,7 @@
 //! Detection of requests that crash the endpoints that run them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -38,6 +38,11 @@
     pub fn n_crashes(&self) -> usize {
         self.endpoints.len().max(self.incarnations.len())
     }
+
+    /// Whether several endpoints crashed, so that the request is refused unless it is cleared.
+    pub fn is_decisive(&self) -> bool {
+        MIN_CRASHES <= self.n_crashes()
+    }
 }
 
 /// Whether the crashes in a record count against the request.
@@ -83,6 +88,38 @@
     capacity: usize,
     records: BTreeMap<Fingerprint, Record>,
     by_age: BTreeSet<(Instant, Fingerprint)>,
+    answers: Answers,
+}
+
+/// When this node's last answers to requests ended, by request.
+#[derive(Debug)]
+struct Answers {
+    capacity: usize,
+    ended_at: HashMap<Fingerprint, Instant>,
+    in_order: VecDeque<(Instant, Fingerprint)>,
+}
+
+impl Answers {
+    fn new(capacity: usize) -> Self {
+        Self { capacity, ended_at: HashMap::new(), in_order: VecDeque::new() }
+    }
+
+    fn record(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.ended_at.insert(fingerprint, now);
+        self.in_order.push_back((now, fingerprint));
+        while self.capacity < self.in_order.len()
+            && let Some((at, fingerprint)) = self.in_order.pop_front()
+        {
+            if self.ended_at.get(&fingerprint) == Some(&at) {
+                self.ended_at.remove(&fingerprint);
+            }
+        }
+    }
+
+    /// Whether the request was answered later than `at`.
+    fn is_later(&self, fingerprint: Fingerprint, at: Instant) -> bool {
+        self.ended_at.get(&fingerprint).is_some_and(|ended_at| at < *ended_at)
+    }
 }
 
 #[derive(Debug)]
@@ -95,6 +132,16 @@
 }
 
 impl Record {
+    fn entry(&self, fingerprint: Fingerprint, now: Instant) -> Entry {
+        Entry {
+            fingerprint,
+            endpoints: self.endpoints.clone(),
+            incarnations: self.incarnations.clone(),
+            state: self.state,
+            age: now.saturating_duration_since(self.since),
+        }
+    }
+
     fn n_crashes(&self) -> usize {
         self.endpoints.len().max(self.incarnations.len())
     }
@@ -112,7 +159,8 @@
 impl Register {
     /// Creates a register of at most `capacity` requests.
     pub fn new(capacity: usize) -> Self {
-        Self { capacity, records: BTreeMap::new(), by_age: BTreeSet::new() }
+        let answers = Answers::new(capacity);
+        Self { capacity, records: BTreeMap::new(), by_age: BTreeSet::new(), answers }
     }
 
     /// Records that an endpoint crashed while running this request.
@@ -194,6 +242,26 @@
         }
     }
 
+    /// Records that an endpoint answered this request. That clears it also of crashes before the
+    /// answer that this node learns of later.
+    ///
+    /// ```
+    /// # use std::time::{Duration, Instant};
+    /// # use curranthook_policy::poison::{Register, Standing};
+    /// let now = Instant::now();
+    /// let (mut ours, mut theirs) = (Register::new(1_000), Register::new(1_000));
+    /// theirs.record_crash([7; 16], &"engine-1".into(), now);
+    /// theirs.record_crash([7; 16], &"engine-2".into(), now);
+    /// let later = now + Duration::from_millis(50);
+    /// ours.record_answer([7; 16], later);
+    /// ours.merge(theirs.export_own(later), later);
+    /// assert_eq!(ours.standing([7; 16], later), Standing::Cleared);
+    /// ```
+    pub fn record_answer(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.answers.record(fingerprint, now);
+        self.clear(fingerprint);
+    }
+
     /// Records that an endpoint answered this request, so that it is no longer refused.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         if let Some(it) = self.records.get_mut(&fingerprint).filter(|it| it.state == State::Active)
@@ -224,15 +292,23 @@
         self.entries(now, |it| it.origin == Origin::Own)
     }
 
+    /// The valid records of requests under which several endpoints crashed, the newest first: those
+    /// that are refused, and those that were until an endpoint answered them.
+    pub fn export_decisive(&self, now: Instant) -> Vec<Entry> {
+        let mut entries = self.entries(now, |it| MIN_CRASHES <= it.n_crashes());
+        entries.sort_by_key(|it| it.age);
+        entries
+    }
+
+    /// The record of a request, if it is valid.
+    pub fn entry(&self, fingerprint: Fingerprint, now: Instant) -> Option<Entry> {
+        let entry = self.records.get(&fingerprint)?.entry(fingerprint, now);
+        (entry.age < RECORD_TTL).then_some(entry)
+    }
+
     fn entries(&self, now: Instant, is_exported: impl Fn(&Record) -> bool) -> Vec<Entry> {
         let records = self.records.iter().filter(|(_, it)| is_exported(it));
-        let entries = records.map(|(fingerprint, it)| Entry {
-            fingerprint: *fingerprint,
-            endpoints: it.endpoints.clone(),
-            incarnations: it.incarnations.clone(),
-            state: it.state,
-            age: now.saturating_duration_since(it.since),
-        });
+        let entries = records.map(|(fingerprint, it)| it.entry(*fingerprint, now));
         entries.filter(|it| it.age < RECORD_TTL).collect()
     }
 
@@ -282,6 +358,9 @@
                 origin: existing.origin.max(record.origin),
             },
         };
+        if merged.state == State::Active && self.answers.is_later(fingerprint, merged.since) {
+            (merged.state, merged.origin) = (State::Cleared, Origin::Own);
+        }
         while MIN_CRASHES < merged.endpoints.len() {
             merged.endpoints.pop_last();
         }
