Don't pass on by messages what rows told, and ask peers where all messages begin

A node that learned from rows that a request crashes endpoints passed that on to eight nodes, though all read the same rows: by arithmetic up to 1,640 datagrams a node if a fleet of 985 restarts with rows full of such requests; not run. Only what messages tell is passed on now: each crash reaches the judges by a message of its own, so that nothing depends on the rows' part.

The question of a node that starts is about brittle endpoints and crashes, and moves from the statements to the module of the socket.

--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -41,7 +41,7 @@
     load::{in_flight::Counts, slowdowns},
     poison, rate_limit,
     steps::Evidence,
-    store::Rev,
+    store::{Rev, Table},
     suspects,
 };
 
@@ -207,7 +207,7 @@
 pub async fn run(gateway: Arc<Gateway>, reports: Arc<Socket>) {
     let receiver = incoming::receive(Arc::clone(&gateway), Arc::clone(&reports));
     gateway.ex.spawn(receiver).detach();
-    gateway.ex.spawn(statements::ask(Arc::clone(&gateway), Arc::clone(&reports))).detach();
+    gateway.ex.spawn(ask(Arc::clone(&gateway), Arc::clone(&reports))).detach();
     let mut reported_to = HashSet::new();
     loop {
         wait_for_changes(&gateway, &reports, &reported_to).await;
@@ -223,6 +223,19 @@
     }
 }
 
+/// Asks other nodes for the statements of brittle endpoints and for what crashes endpoints, once the
+/// nodes of the fleet are known. Without this, a node that joins would cause rejections until an
+/// endpoint answers it, and crashes while the store is away.
+async fn ask(gateway: Arc<Gateway>, reports: Arc<Socket>) {
+    gateway.wait_until(|| gateway.mirror.lock().has_read(Table::Fleet)).await;
+    let questions = [Message::BrittleQuestion, Message::CrashQuestion].map(datagram);
+    for addr in limits::gossip_targets(&gateway) {
+        for it in &questions {
+            reports.send_bytes(it, addr).await;
+        }
+    }
+}
+
 /// Sends what has been found out about parts of prompts: crashes to the nodes that add them up,
 /// verdicts and objections to all.
 async fn send_suspects(gateway: &Gateway, socket: &Socket) {
--- a/crates/curranthook_gateway/src/load/reports/statements.rs
+++ b/crates/curranthook_gateway/src/load/reports/statements.rs
@@ -3,7 +3,6 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -12,7 +11,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{Message, Socket, datagram, limits};
-use crate::{Gateway, brittle, event::Event, store::Table};
+use crate::{Gateway, brittle, event::Event};
 
 /// The maximum number of services in a datagram.
 const MAX_STATEMENTS: usize = 8;
@@ -125,19 +124,6 @@
     record(gateway, service, statement, "store");
 }
 
-/// Asks other nodes for the statements that they know and for what crashes endpoints, once
-/// the nodes of the fleet are known. Without this, a node that joins would cause rejections until an
-/// endpoint answers it, and crashes while the store is away.
-pub(super) async fn ask(gateway: Arc<Gateway>, reports: Arc<Socket>) {
-    gateway.wait_until(|| gateway.mirror.lock().has_read(Table::Fleet)).await;
-    let questions = [Message::BrittleQuestion, Message::CrashQuestion].map(datagram);
-    for addr in limits::gossip_targets(&gateway) {
-        for it in &questions {
-            reports.send_bytes(it, addr).await;
-        }
-    }
-}
-
 /// Sends the valid statements to a node that asked for them.
 pub(super) async fn answer(gateway: &Gateway, reports: &Socket, from: SocketAddr) {
     let now = gateway.now();
--- a/crates/curranthook_gateway/src/poison.rs
+++ b/crates/curranthook_gateway/src/poison.rs
@@ -119,7 +119,10 @@
         if is_decisive {
             log_learned(gateway, fingerprint, after, source.name());
         }
-        tell(gateway, fingerprint, audience(before, after, is_decisive));
+        // All nodes read the rows.
+        if matches!(source, Source::Peer(_)) {
+            tell(gateway, fingerprint, audience(before, after, is_decisive));
+        }
     }
 }
 
