Log which nodes divide the fleet's limits, and what a process learns of earlier ones

Cause: a retry's line has the number of nodes that divide the slack, but nothing says why that number changes, nor whether a process took itself for the first one of its node. Change: member (listed, removed, with the number from then on), fleet_read (first, restart, join) and the gauge curranthook_nodes. No decision changes.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -51,9 +51,18 @@
         (is_first, changed)
     };
     changed.retain(|it| !outdated.contains(&it.key));
+    let start = (is_first && table == Table::Fleet).then(|| {
+        let rows = gateway.mirror.lock().batch(Table::Fleet).rows;
+        fleet::Start::detect(&gateway.settings.node, gateway.settings.is_first_start, &rows)
+    });
     let is_summarized = is_snapshot && is_first && MAX_FIRST_LINES < changed.len();
     let detail = if is_summarized { Detail::Summary } else { Detail::Lines };
     apply_rows(gateway, table, &changed, detail, from);
+    if let Some(start) = start {
+        gateway.start.get_or_init(|| start);
+        let (start, nodes) = (start.name(), gateway.n_nodes());
+        gateway.log.write(&Event::FleetRead { start, nodes });
+    }
     if is_snapshot {
         let (table, rows) = (table_name(table), changed.len());
         let (era, rev) = (rev.era(), rev.number());
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -59,6 +59,10 @@
     Configuration { version: u64, before: u64, routes: usize, era: u16, rev: u64, from: &'a str },
     /// A configuration of a lower version than the `known` one was received, and is not in force.
     ConfigurationIgnored { version: u64, known: u64, era: u16, rev: u64, from: &'a str },
+    /// The fleet's rows were read for the first time; `start` is which processes may have run before.
+    FleetRead { start: &'a str, nodes: usize },
+    /// A node was added to those that divide the fleet's limits, or removed from them.
+    Member { node: &'a str, state: &'a str, nodes: usize },
     /// A row of the store could not be decoded.
     RowRejected { table: &'a str, why: &'a str },
     /// The store, or a parent that relays its rows, failed or is available again.
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -1,6 +1,8 @@
 //! The rows that nodes write for each other: addresses, steps of rollouts, evidence about new
 //! versions, requests blamed for endpoint failures, and snapshots of latency estimates.
 
+mod start;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use curranthook_policy::hash;
@@ -18,6 +20,8 @@
     suspects,
 };
 
+pub use self::start::Start;
+
 /// The key of a row in the fleet table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Key<'a> {
@@ -143,7 +147,13 @@
     let Some(key) = Key::parse(&row.key) else { return };
     let Some(value) = &row.value else {
         if let Key::Node(name) = key {
-            gateway.peers.lock().remove(name);
+            let (was_known, n_nodes) = {
+                let mut peers = gateway.peers.lock();
+                (peers.remove(name).is_some(), peers.len())
+            };
+            if was_known {
+                log_member(gateway, name, "removed", n_nodes);
+            }
             gateway.load_owners.lock().set_node(name, None);
             gateway.topology.lock().invalidate();
         }
@@ -170,7 +180,13 @@
             owners.set_node(name, node.reports);
             owners.set_joined(name, node.joined);
             drop(owners);
-            gateway.peers.lock().insert((*name).to_owned(), node);
+            let (was_known, n_nodes) = {
+                let mut peers = gateway.peers.lock();
+                (peers.insert((*name).to_owned(), node).is_some(), peers.len())
+            };
+            if !was_known {
+                log_member(gateway, name, "listed", n_nodes);
+            }
             gateway.topology.lock().invalidate();
         }
         Key::Step(service) => {
@@ -215,6 +231,14 @@
     Ok(())
 }
 
+/// Logs a change of the nodes that divide the fleet's limits, once all of them have been read.
+fn log_member(gateway: &Gateway, node: &str, state: &str, n_nodes: usize) {
+    gateway.metrics.nodes.set(i64::try_from(n_nodes).unwrap_or(i64::MAX));
+    if gateway.start.get().is_some() {
+        gateway.log.write(&Event::Member { node, state, nodes: n_nodes });
+    }
+}
+
 /// Applies the known rows of a service's rollout again, after an order that they belong to was
 /// received.
 pub fn reapply_rows(gateway: &Arc<Gateway>, service: &str) {
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -171,6 +171,8 @@
     pub currency_changed: Signal,
     /// The nodes of the fleet, by name.
     pub peers: Mutex<HashMap<String, fleet::Node>>,
+    /// Which processes may have run before this one; unset before the fleet's rows were read.
+    pub start: OnceLock<fleet::Start>,
     /// Headers from endpoints that are not recognized.
     pub unknown_headers: Mutex<UnknownHeaders>,
     /// The memory for responses that are read completely.
@@ -252,6 +254,7 @@
             rows_changed: Signal::default(),
             currency_changed: Signal::default(),
             peers: Mutex::default(),
+            start: OnceLock::new(),
             unknown_headers: Mutex::default(),
             response_memory: body::Memory::new(RESPONSE_MEMORY),
             startup_waiters: Waiters::default(),
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -79,6 +79,8 @@
     answer_time: Histogram,
     /// The version of the configuration in force.
     pub configuration: Gauge<u64, AtomicU64>,
+    /// The number of nodes that divide the fleet's limits.
+    pub nodes: Gauge,
     /// The number of known endpoints.
     pub endpoints: Gauge,
     /// The number of requests in flight.
@@ -122,6 +124,7 @@
             estimate_error: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
             answer_time: buckets(),
             configuration: Gauge::default(),
+            nodes: Gauge::default(),
             endpoints: Gauge::default(),
             in_flight: Gauge::default(),
             lines_dropped: Gauge::default(),
@@ -194,6 +197,8 @@
         registry.register("first_event_estimate_error", help, self.estimate_error.clone());
         let help = "Version of the configuration in force";
         registry.register("configuration_version", help, self.configuration.clone());
+        let help = "Nodes that divide the fleet's limits";
+        registry.register("nodes", help, self.nodes.clone());
         registry.register("endpoints", "Endpoints in the list", self.endpoints.clone());
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         let help = "Log lines that were dropped and not yet reported";
