Keep a node whose row is gone among those that divide the fleet's limits while it can be heard

Callers: where the store lost rows of running nodes, endpoints got up to 6.4 times the further attempts that are allowed. Cause: the number of nodes that divides the additional retries was the number of rows, at once. With rows gone, the parts of the others grew, and those of the nodes without rows stayed. Of all rows at once, 6 nodes: 28 retries with the slack divided by 6 and 562 divided by 1. Ruled out: retries that nobody charges (the number that divides explains the excess). Weighed: (a) the largest number of nodes in the last window, for the retry budget alone: wrong again a window later, where nodes are cut off from the store for longer, and only for one of the limits that are divided; (b) what is built: a node that loses its row stays in the fleet, for all limits and owners, until it has been silent for a window. It's asked whether it runs, and a node that starts is told of it by others.

--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 //! versions, requests blamed for endpoint failures, and snapshots of latency estimates.
 
 mod start;
+pub mod unlisted;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -147,15 +148,7 @@
     let Some(key) = Key::parse(&row.key) else { return };
     let Some(value) = &row.value else {
         if let Key::Node(name) = key {
-            let (was_known, n_nodes) = {
-                let mut peers = gateway.peers.lock();
-                (peers.remove(name).is_some(), peers.len())
-            };
-            if was_known {
-                log_member(gateway, name, "removed", n_nodes);
-            }
-            gateway.load_owners.lock().set_node(name, None);
-            gateway.topology.lock().invalidate();
+            unlisted::lose_row(gateway, name);
         }
         return;
     };
@@ -176,18 +169,11 @@
         Key::ForwardingKey => gateway.forwarding.set_key(&serde_json::from_slice::<String>(value)?),
         Key::Node(name) => {
             let node: Node = serde_json::from_slice(value)?;
-            let mut owners = gateway.load_owners.lock();
-            owners.set_node(name, node.reports);
-            owners.set_joined(name, node.joined);
-            drop(owners);
-            let (was_known, n_nodes) = {
-                let mut peers = gateway.peers.lock();
-                (peers.insert((*name).to_owned(), node).is_some(), peers.len())
-            };
-            if !was_known {
-                log_member(gateway, name, "listed", n_nodes);
+            let was_unlisted = gateway.unlisted.lock().remove(name);
+            let is_new = add_node(gateway, name, node);
+            if is_new || was_unlisted {
+                log_member(gateway, name, "listed", gateway.n_nodes());
             }
-            gateway.topology.lock().invalidate();
         }
         Key::Step(service) => {
             let step = serde_json::from_slice::<Step>(value);
@@ -231,6 +217,17 @@
     Ok(())
 }
 
+/// Adds a node of the fleet, or replaces its addresses and properties. Returns whether it is new.
+fn add_node(gateway: &Gateway, name: &str, node: Node) -> bool {
+    let mut owners = gateway.load_owners.lock();
+    owners.set_node(name, node.reports);
+    owners.set_joined(name, node.joined);
+    drop(owners);
+    let is_new = gateway.peers.lock().insert(name.to_owned(), node).is_none();
+    gateway.topology.lock().invalidate();
+    is_new
+}
+
 /// Logs a change of the nodes that divide the fleet's limits, once all of them have been read.
 fn log_member(gateway: &Gateway, node: &str, state: &str, n_nodes: usize) {
     gateway.metrics.nodes.set(i64::try_from(n_nodes).unwrap_or(i64::MAX));
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -171,6 +171,8 @@
     pub currency_changed: Signal,
     /// The nodes of the fleet, by name.
     pub peers: Mutex<HashMap<String, fleet::Node>>,
+    /// The nodes among them that have no row.
+    pub unlisted: Mutex<fleet::unlisted::Nodes>,
     /// Which processes may have run before this one; unset before the fleet's rows were read.
     pub start: OnceLock<fleet::Start>,
     /// Headers from endpoints that are not recognized.
@@ -218,6 +220,7 @@
             pool,
             rollouts: Mutex::new(Rollouts::new(schedule)),
             retry_budget: Mutex::new(Budget::new(settings.retries, started)),
+            unlisted: Mutex::new(fleet::unlisted::Nodes::new(settings.retries.window)),
             refused: Mutex::new(Refused::new(REFUSED_CAPACITY)),
             poison: Mutex::new(Register::new(POISON_CAPACITY)),
             suspects: Mutex::new(Suspects::new(SUSPECTS_CAPACITY)),
--- a/crates/curranthook_gateway/src/load/reports.rs
+++ b/crates/curranthook_gateway/src/load/reports.rs
@@ -192,6 +192,17 @@
         self.send(Message::Evidence { node, service, order, evidence }, collector).await;
     }
 
+    /// Asks the nodes at `addrs`, which have no row, whether they run.
+    pub async fn ask_presence(&self, addrs: Vec<SocketAddr>) {
+        if addrs.is_empty() {
+            return;
+        }
+        let bytes = datagram(Message::PresenceQuestion);
+        for addr in addrs {
+            self.send_bytes(&bytes, addr).await;
+        }
+    }
+
     async fn send(&self, message: Message, addr: SocketAddr) {
         self.send_bytes(&datagram(message), addr).await;
     }
@@ -223,12 +234,13 @@
     }
 }
 
-/// Asks other nodes for the statements of brittle endpoints and for what crashes endpoints, once the
-/// nodes of the fleet are known. Without this, a node that joins would cause rejections until an
-/// endpoint answers it, and crashes while the store is away.
+/// Asks other nodes for the statements of brittle endpoints, for what crashes endpoints and for the nodes
+/// that have no row, once the nodes of the fleet are known. Without this, a node that joins would cause
+/// rejections until an endpoint answers it, and crashes while the store is away.
 async fn ask(gateway: Arc<Gateway>, reports: Arc<Socket>) {
     gateway.wait_until(|| gateway.mirror.lock().has_read(Table::Fleet)).await;
-    let questions = [Message::BrittleQuestion, Message::CrashQuestion].map(datagram);
+    let questions = [Message::BrittleQuestion, Message::CrashQuestion, Message::UnlistedQuestion];
+    let questions = questions.map(datagram);
     for addr in limits::gossip_targets(&gateway) {
         for it in &questions {
             reports.send_bytes(it, addr).await;
--- a/crates/curranthook_gateway/src/load/reports/incoming.rs
+++ b/crates/curranthook_gateway/src/load/reports/incoming.rs
@@ -11,6 +11,7 @@
 use crate::{
     Gateway,
     brittle::limit::Rejection,
+    fleet::unlisted,
     load::{
         breakdown::{self, Breakdown, PendingWork},
         in_flight::Figures,
@@ -40,7 +41,21 @@
 
 async fn handle(gateway: &Gateway, reports: &Socket, message: Message, from: SocketAddr) {
     let now = gateway.now();
+    if let Some(node) = message.sender() {
+        gateway.unlisted.lock().record_heard(node, now);
+    }
     match message {
+        Message::PresenceQuestion => {
+            let node = gateway.settings.node.clone();
+            reports.send(Message::Present { node }, from).await;
+        }
+        Message::Present { .. } => {}
+        Message::UnlistedQuestion => {
+            for it in unlisted::answers(gateway) {
+                reports.send(it, from).await;
+            }
+        }
+        Message::Unlisted { nodes } => unlisted::receive(gateway, nodes),
         Message::Report {
             node,
             waiting,
--- a/crates/curranthook_gateway/src/load/reports/message.rs
+++ b/crates/curranthook_gateway/src/load/reports/message.rs
@@ -11,6 +11,7 @@
 use super::{limits::Limit, statements::Statement};
 use crate::{
     affinity::Record,
+    fleet::unlisted,
     load::{
         breakdown::Breakdown,
         in_flight::{self, Counts, Observed},
@@ -125,6 +126,20 @@
         /// What is lent.
         loan: Loan,
     },
+    /// Asks a node that has no row whether it runs.
+    PresenceQuestion,
+    /// The answer to that.
+    Present {
+        /// The name of the node.
+        node: String,
+    },
+    /// Asks for the nodes that have no row.
+    UnlistedQuestion,
+    /// Nodes that have no row and may be running.
+    Unlisted {
+        /// The nodes.
+        nodes: Vec<unlisted::Told>,
+    },
     /// Asks for the valid statements of endpoints that they are brittle.
     BrittleQuestion,
     /// Asks how much work all nodes except `node` have pending at these endpoints.
@@ -181,3 +196,16 @@
         slowdowns: slowdowns::Entries,
     },
 }
+
+impl Message {
+    /// The name of the node that sent the message, if the message contains it.
+    pub(super) fn sender(&self) -> Option<&str> {
+        match self {
+            Self::Report { node, .. }
+            | Self::Evidence { node, .. }
+            | Self::Present { node }
+            | Self::Question { node, .. } => Some(node),
+            _ => None,
+        }
+    }
+}
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::{
     Gateway,
     event::Event,
+    fleet::unlisted,
     fleet_writer,
     forwarding::server as forwarding,
     frontend::Frontend,
@@ -207,6 +208,7 @@
         gateway.ex.spawn(task).detach();
     }
     gateway.ex.spawn(joins::run(Arc::clone(gateway))).detach();
+    gateway.ex.spawn(unlisted::run(Arc::clone(gateway))).detach();
     gateway.ex.spawn(fleet_writer::run(Arc::clone(gateway))).detach();
     gateway.ex.spawn(snapshot_rows::run(Arc::clone(gateway))).detach();
 }
