Write a node's row again when the store has lost it

Callers: none by itself; nodes that start don't find a node whose row is gone, and its part of the fleet's limits depends on its being heard. Cause: a node wrote its row at its start, and again only after the store had come back from a copy and said so. Change: a row of one's own that was removed is written again, spread over the fleet as after a new era, and not by a node that is stopping. One mechanism with the rows of a new era; removing the row of a running node takes nothing from it.

--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -111,19 +111,15 @@
     /// Writes this node's addresses, unless an earlier process of it has written the same ones.
     async fn announce(&self) {
         let settings = &self.gateway.settings;
-        let Some(peers) = settings.peers else { return };
+        if settings.peers.is_none() {
+            return;
+        }
         if settings.is_first_start {
             Timer::after(ANNOUNCE_SPREAD.mul_f64(rand::random())).await;
         } else {
             self.gateway.wait_for_members(MEMBERS_TIMEOUT).await;
         }
-        let node = Node {
-            peers,
-            reports: settings.reports,
-            domain: Some(settings.domain.clone()),
-            capacity: settings.capacity,
-            joined: self.gateway.store_time(),
-        };
+        let Some(node) = self.own_node() else { return };
         let join = Join { name: settings.node.clone(), node };
         let (key, value) = (Key::Node(&join.name).to_string(), encode(&join.node));
         self.detect_predecessor(&key);
@@ -144,6 +140,19 @@
         }
     }
 
+    /// This node's addresses and properties, as of a node that joins now; none if it has no address for
+    /// other nodes.
+    fn own_node(&self) -> Option<Node> {
+        let settings = &self.gateway.settings;
+        Some(Node {
+            peers: settings.peers?,
+            reports: settings.reports,
+            domain: Some(settings.domain.clone()),
+            capacity: settings.capacity,
+            joined: self.gateway.store_time(),
+        })
+    }
+
     /// Tells the retry budget if no process of this node ran before, as the fleet's table has no row of
     /// it. A table that was not read tells nothing.
     fn detect_predecessor(&self, key: &str) {
--- a/crates/curranthook_gateway/src/fleet_writer/restoration.rs
+++ b/crates/curranthook_gateway/src/fleet_writer/restoration.rs
@@ -1,5 +1,5 @@
 //! Writes again what the store has lost, after it came back from a copy (see
-//! [`eras`](crate::replication::eras)).
+//! [`eras`](crate::replication::eras)) or without this node's rows.
 //!
 //! Each node writes its own rows, at a random time, so that the nodes of a large fleet do not all
 //! write at once. The step of a rollout is written by one of them, as any other step.
@@ -20,6 +20,8 @@
 
 /// The longest time over which nodes spread their writes. Until then, the others go by the lost rows.
 pub const MAX_SPREAD: Duration = Duration::from_secs(10);
+/// The time after which a node reads the row that it has written, also through several relays.
+const READ_BACK_TIME: Duration = Duration::from_secs(5);
 /// The delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -30,6 +32,8 @@
     era: Option<Era>,
     /// When this node's own rows are written again; none if they are.
     due_at: Option<Instant>,
+    /// When this node's address was last written again.
+    address_written_at: Option<Instant>,
     /// When the step of each service's rollout was found to be missing, by the store's clock.
     missing_steps: HashMap<String, Duration>,
 }
@@ -57,7 +61,8 @@
         if !self.gateway.mirror.lock().has_read(Table::Fleet) {
             return;
         }
-        if self.restoration.era.replace(era).is_some_and(|it| it < era) {
+        let is_new_era = self.restoration.era.replace(era).is_some_and(|it| it < era);
+        if is_new_era || self.has_lost_address(now) {
             let spread = spread(self.gateway.n_nodes());
             self.restoration.due_at = Some(now + spread.mul_f64(rand::random()));
         }
@@ -70,6 +75,21 @@
         }
     }
 
+    /// Whether the store has no row with this node's address, which it had, although it has not come back
+    /// from a copy, and no write of it is under way.
+    fn has_lost_address(&self, now: Instant) -> bool {
+        let Restoration { due_at, address_written_at, .. } = self.restoration;
+        let is_recent = |at| now.saturating_duration_since(at) < READ_BACK_TIME;
+        if due_at.is_some() || address_written_at.is_some_and(is_recent) {
+            return false;
+        }
+        let settings = &self.gateway.settings;
+        let key = Key::Node(&settings.node).to_string();
+        let is_gone = self.gateway.mirror.lock().is_removed(Table::Fleet, &key);
+        // The row of a node that is stopping is its successor's.
+        is_gone && settings.peers.is_some() && !self.gateway.is_stopping()
+    }
+
     /// Writes this node's address if the store has lost it. Its other rows are written by the tasks
     /// that wrote them before, which forget what they have written.
     async fn restore_own_rows(&mut self) {
@@ -86,13 +106,15 @@
             (stored.and_then(|it| decode(&it.value?)), newest.and_then(|it| decode(&it.value?)))
         };
         let known = self.gateway.peers.lock().get(&settings.node).cloned();
-        let Some(own) = known.or(newest) else { return };
+        let Some(own) = known.or(newest).or_else(|| self.own_node()) else { return };
         if stored.is_some_and(|it| it.is_same(&own)) {
             return;
         }
         let join = Join { name: settings.node.clone(), node: own };
         let value = encode(&join.node);
-        if !self.join(&join).await && self.write(&key, None, &value, None).await.is_err() {
+        if self.join(&join).await || self.write(&key, None, &value, None).await.is_ok() {
+            self.restoration.address_written_at = Some(self.gateway.now());
+        } else {
             self.restoration.due_at = Some(self.gateway.now() + RETRY_DELAY);
         }
     }
