Begin with retries only where no process of any node has run before

Callers: with the rows of nodes gone that are killed, stopped or renamed, endpoints got 32 to 35 further attempts of 30 allowed. Cause: a process that found no row of its node took itself for the first one and began with savings, and with bursts after two seconds, which the process before it had used. A row may be gone, and a VM that's replaced has another name. Change: only a process that reads no fleet row at all, or whose settings say that the whole fleet starts for the first time, begins with retries. All others earn theirs; nodes that join a fleet, too.

--- a/crates/curranthook_gateway/src/apply.rs
+++ b/crates/curranthook_gateway/src/apply.rs
@@ -59,9 +59,7 @@
     let detail = if is_summarized { Detail::Summary } else { Detail::Lines };
     apply_rows(gateway, table, &changed, detail, from);
     if let Some(start) = start {
-        gateway.start.get_or_init(|| start);
-        let (start, nodes) = (start.name(), gateway.n_nodes());
-        gateway.log.write(&Event::FleetRead { start, nodes });
+        fleet::record_start(gateway, start);
     }
     if is_snapshot {
         let (table, rows) = (table_name(table), changed.len());
--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -217,6 +217,17 @@
     Ok(())
 }
 
+/// Records which processes may have run before this one. Only a process that is surely the first of its
+/// node begins with retries: an earlier one may have used the node's part.
+pub fn record_start(gateway: &Gateway, start: Start) {
+    gateway.start.get_or_init(|| start);
+    if start == Start::First {
+        gateway.retry_budget.lock().record_first_process();
+    }
+    let nodes = gateway.n_nodes();
+    gateway.log.write(&Event::FleetRead { start: start.name(), nodes });
+}
+
 /// Adds a node of the fleet, or replaces its addresses and properties. Returns whether it is new.
 fn add_node(gateway: &Gateway, name: &str, node: Node) -> bool {
     let mut owners = gateway.load_owners.lock();
--- a/crates/curranthook_gateway/src/fleet_writer.rs
+++ b/crates/curranthook_gateway/src/fleet_writer.rs
@@ -122,7 +122,6 @@
         let Some(node) = self.own_node() else { return };
         let join = Join { name: settings.node.clone(), node };
         let (key, value) = (Key::Node(&join.name).to_string(), encode(&join.node));
-        self.detect_predecessor(&key);
         loop {
             let known = self.gateway.mirror.lock().stored_row(Table::Fleet, &key);
             let known: Option<Node> = known.and_then(|it| {
@@ -153,18 +152,6 @@
         })
     }
 
-    /// Tells the retry budget if no process of this node ran before, as the fleet's table has no row of
-    /// it. A table that was not read tells nothing.
-    fn detect_predecessor(&self, key: &str) {
-        let has_predecessor = {
-            let mirror = self.gateway.mirror.lock();
-            !mirror.has_read(Table::Fleet) || mirror.stored_row(Table::Fleet, key).is_some()
-        };
-        if !has_predecessor {
-            self.gateway.retry_budget.lock().record_first_process();
-        }
-    }
-
     /// Hands this node's addresses to a node that writes those of many. Returns whether they were
     /// written.
     async fn join(&self, join: &Join) -> bool {
