Refuse a body at its head if it's announced to be too large

Cause: the length that the head announces wasn't looked at; a body was found to be too large by reading it. Change: 413 at the head, after route and key are known; the body isn't read.

--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -6,7 +6,7 @@
 use curranthook_policy::rank::Rank;
 use futures_lite::future::{self, Boxed};
 use http::{Request, Response, header, request::Parts};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use crate::{
     Gateway,
@@ -128,6 +128,10 @@
         // Checked before the body is read, so that a caller without access cannot make the node
         // read a body.
         admit(&configuration, &head)?;
+        // The announced length; zero for a body in chunks.
+        if (configuration.document.limits.max_body as u64) < body.size_hint().lower() {
+            return Err(refusal(Reason::TooLarge));
+        }
         let read = body::read(body, configuration.document.limits.max_body);
         let body = match timeout::run(BODY_TIMEOUT, read).await {
             Ok(Ok(body)) => body,
