Bound what the bodies of requests take of a node's memory together

What callers see: clients that send large bodies of legal size and stop short of their end, or that wait for a slow endpoint with whole ones, make a node take as much memory as they like; it ends, with all its requests. Cause: a body was bounded, and the sum of them wasn't, neither while they are received nor while requests wait with them. Weighed: (a) streaming bodies to the first endpoint: nothing is kept, but then no request with a body could be sent once more, and an endpoint would wait for slow clients; (b) a bound alone, refusing whoever comes next: a crowd that stops short would keep out all others; (c) what is built: a quarter of the VM's memory, of which an account may take twice what it leaves to others, and the oldest unfinished body of the account that takes most gives way after a second. Bodies up to 8 KB always have room. What gives way is refused with 503, not run, and when to come back.

--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use curranthook_http::{Body, body, server::Handler, timeout};
+use curranthook_http::{Body, body, intake, server::Handler, timeout};
 use curranthook_policy::rank::Rank;
 use futures_lite::future::{self, Boxed};
 use http::{Request, Response, header, request::Parts};
@@ -127,16 +127,22 @@
         };
         // Checked before the body is read, so that a caller without access cannot make the node
         // read a body.
-        admit(&configuration, &head)?;
+        let (_route, account) = admit(&configuration, &head)?;
         // The announced length; zero for a body in chunks.
         if (configuration.document.limits.max_body as u64) < body.size_hint().lower() {
             return Err(refusal(Reason::TooLarge));
         }
-        let read = body::read(body, configuration.document.limits.max_body);
-        let body = match timeout::run(BODY_TIMEOUT, read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(body::ReadError::TooLarge { .. })) => return Err(refusal(Reason::TooLarge)),
-            Ok(Err(body::ReadError::Incomplete(_))) | Err(timeout::Elapsed) => {
+        // Callers without an account share one part of the memory.
+        let client = account.as_ref().map_or("", |it| it.id.as_str());
+        let max_body = configuration.document.limits.max_body;
+        let read = gateway.request_memory.read(client, body, max_body);
+        let intake::Received { bytes: body, claim } = match timeout::run(BODY_TIMEOUT, read).await {
+            Ok(Ok(received)) => received,
+            Ok(Err(intake::Error::TooLarge { .. })) => return Err(refusal(Reason::TooLarge)),
+            Ok(Err(intake::Error::NoMemory)) => {
+                return Err(refusal(Reason::NoMemory).with_retry_after(intake::SECURE_TIME));
+            }
+            Ok(Err(intake::Error::Incomplete(_))) | Err(timeout::Elapsed) => {
                 return Err(refusal(Reason::Invalid));
             }
         };
@@ -150,7 +156,7 @@
         let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
         let account_priority = account.as_ref().and_then(|it| it.priority);
         let rank = Rank { account: account_priority, route: route.priority };
-        let request = request::Request::new(head, body, received_at, timeout);
+        let request = request::Request::new(head, body, received_at, timeout).with_claim(claim);
         if poison::is_refused(gateway, &request) {
             return Err(refusal(Reason::Poison));
         }
--- a/crates/curranthook_gateway/src/gateway.rs
+++ b/crates/curranthook_gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use curranthook_http::{body, client::Pool, runtime, timeout};
+use curranthook_http::{body, client::Pool, intake, runtime, timeout};
 use curranthook_policy::{
     poison::Register, price, refused::Refused, suspects::Suspects, utilization::Utilization,
 };
@@ -70,6 +70,11 @@
 /// The memory for responses that are read completely, in bytes: a part of a small node's.
 const RESPONSE_MEMORY: usize = 24 * 1024 * 1024;
 
+/// The part of a node's memory that the bodies of requests may take, as a divisor.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+/// The memory of a node whose settings do not contain it, in bytes.
+const DEFAULT_MEMORY: usize = 96 * 1024 * 1024;
+
 /// The time in which a node that started is known to the others and receives their reports.
 const REPORT_TIME: Duration = Duration::from_millis(1_500);
 
@@ -179,6 +184,8 @@
     pub unknown_headers: Mutex<UnknownHeaders>,
     /// The memory for responses that are read completely.
     pub response_memory: body::Memory,
+    /// The memory for the bodies of requests.
+    pub request_memory: intake::Memory,
     /// Requests that wait for the first configuration.
     pub startup_waiters: Waiters,
     /// When the process started.
@@ -216,6 +223,8 @@
         let schedule = settings.exposure_slack.map_or(schedule, |it| schedule.with_slack(it));
         let pool = Pool::new(Arc::clone(&ex), Arc::clone(&clock));
         let pool = pool.with_connect_timeout(CONNECT_TIMEOUT).with_liveness(UNACKED_TIMEOUT);
+        let memory = settings.memory.unwrap_or(DEFAULT_MEMORY) / REQUEST_MEMORY_DIVISOR;
+        let request_memory = intake::Memory::new(memory, Arc::clone(&clock));
         Arc::new(Self {
             pool,
             rollouts: Mutex::new(Rollouts::new(schedule)),
@@ -260,6 +269,7 @@
             start: OnceLock::new(),
             unknown_headers: Mutex::default(),
             response_memory: body::Memory::new(RESPONSE_MEMORY),
+            request_memory,
             startup_waiters: Waiters::default(),
             started,
             shutdown: Shutdown::default(),
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -89,6 +89,8 @@
     pub lines_dropped: Gauge,
     /// The number of callers' connections that were closed unread.
     pub connections_closed: Gauge,
+    /// The memory that bodies of requests may still take, in bytes.
+    pub request_memory: Gauge,
 }
 
 impl Default for Metrics {
@@ -129,6 +131,7 @@
             in_flight: Gauge::default(),
             lines_dropped: Gauge::default(),
             connections_closed: Gauge::default(),
+            request_memory: Gauge::default(),
         };
         it.register();
         it
@@ -205,6 +208,9 @@
         registry.register("log_lines_dropped", help, self.lines_dropped.clone());
         let help = "Callers' connections closed unread, as others waited too long to be read";
         registry.register("connections_closed_unread", help, self.connections_closed.clone());
+        let help = "Memory that bodies of requests may still take";
+        let gauge = self.request_memory.clone();
+        registry.register_with_unit("request_memory_free", help, Unit::Bytes, gauge);
     }
 
     /// Counts a request that ended, and its duration.
--- a/crates/curranthook_gateway/src/refusal.rs
+++ b/crates/curranthook_gateway/src/refusal.rs
@@ -19,6 +19,8 @@
     Invalid,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The node has no memory for the body.
+    NoMemory,
     /// No endpoint is available.
     NoEndpoint,
     /// This node is cut off from all endpoints of the service, and no other node takes the request.
@@ -56,6 +58,7 @@
             Self::UnknownModel => "unknown_model",
             Self::Invalid => "invalid",
             Self::TooLarge => "too_large",
+            Self::NoMemory => "no_memory",
             Self::NoEndpoint => "no_endpoint",
             Self::Unreachable => "unreachable",
             Self::Throttled => "throttled",
--- a/crates/curranthook_gateway/src/request.rs
+++ b/crates/curranthook_gateway/src/request.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use curranthook_http::intake;
 use curranthook_policy::{hash, poison::Fingerprint};
 use http::{HeaderMap, Method, Uri};
 use sha2::{Digest, Sha256};
@@ -81,13 +82,21 @@
     /// A hash of the host, the URI, the API key and the body; the same for equal requests at every
     /// node and at any time.
     pub fingerprint: Fingerprint,
+    /// The memory that the body takes, until the request is dropped.
+    _claim: Option<intake::Claim>,
 }
 
 impl Request {
     /// A request that was received at `received_at` and times out after `timeout`.
     pub fn new(head: Head, body: Bytes, received_at: Instant, timeout: Duration) -> Self {
         let fingerprint = fingerprint(&head, &body);
-        Self { head, body, deadline: received_at + timeout, received_at, fingerprint }
+        let deadline = received_at + timeout;
+        Self { head, body, deadline, received_at, fingerprint, _claim: None }
+    }
+
+    /// Keeps the memory that the body takes for as long as the request exists.
+    pub fn with_claim(self, claim: intake::Claim) -> Self {
+        Self { _claim: Some(claim), ..self }
     }
 
     /// The time left until the deadline.
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -259,6 +259,7 @@
             metrics.in_flight.set(gauge(gateway.in_flight() as u64));
             metrics.lines_dropped.set(gauge(gateway.log.dropped()));
             metrics.connections_closed.set(gauge(backlog.n_closed()));
+            metrics.request_memory.set(gauge(gateway.request_memory.free() as u64));
             Response::new(body::full(metrics.text()))
         })
     }
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -24,6 +24,8 @@
     /// The part of the node's link that is available for traffic other than its own callers', in
     /// Mbit/s. Nodes with a larger capacity read the store for the others.
     pub capacity: f64,
+    /// The memory of the node's VM, in bytes; none if unknown.
+    pub memory: Option<usize>,
     /// The address for metrics.
     pub metrics: Option<SocketAddr>,
     /// The addresses of some other nodes, for a start while the store is unavailable. The list may
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -204,6 +204,7 @@
         peers: Some(any),
         reports: None,
         capacity: 1.0,
+        memory: None,
         metrics: None,
         seeds: Vec::new(),
         contention,
--- a/crates/curranthook_gateway/tests/support/owner.rs
+++ b/crates/curranthook_gateway/tests/support/owner.rs
@@ -111,6 +111,7 @@
         peers: None,
         reports: None,
         capacity: 1.0,
+        memory: None,
         metrics: None,
         seeds: Vec::new(),
         contention,
--- a/crates/curranthook_http/src/body.rs
+++ b/crates/curranthook_http/src/body.rs
@@ -108,9 +108,9 @@
 }
 
 /// The bytes of a body that count towards no [`Memory`].
-const FREE_BYTES: usize = 8 * 1024;
+pub(crate) const FREE_BYTES: usize = 8 * 1024;
 /// How much one sender's bodies may take of a memory, as a multiple of what is left for others.
-const MAX_SHARE: usize = 2;
+pub(crate) const MAX_SHARE: usize = 2;
 
 /// The memory that several bodies together may take while they are read, beside a small amount for
 /// each.
@@ -214,22 +214,23 @@
 /// A body that is being read, in blocks of equal size. A buffer that grows would be copied again and
 /// again, and many of them together would take several times the memory of what they hold.
 #[derive(Debug, Default)]
-struct Blocks(Vec<BytesMut>);
+pub(crate) struct Blocks(Vec<BytesMut>);
 
 impl Blocks {
     fn len(&self) -> usize {
-        self.0.iter().map(BytesMut::len).sum()
+        // All but the last one are full.
+        self.0.last().map_or(0, |last| (self.0.len() - 1) * BLOCK_BYTES + last.len())
     }
 
     /// The memory that the blocks take after `n` more bytes.
-    fn capacity_with(&self, n: usize) -> usize {
+    pub(crate) fn capacity_with(&self, n: usize) -> usize {
         match self.len() + n {
             len if len <= FREE_BYTES => len,
             len => len.next_multiple_of(BLOCK_BYTES),
         }
     }
 
-    fn push(&mut self, mut data: &[u8]) {
+    pub(crate) fn push(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
             let room = self.0.last().map_or(0, |it| BLOCK_BYTES - it.len());
             if room == 0 {
@@ -246,7 +247,7 @@
         }
     }
 
-    fn into_bytes(mut self) -> Bytes {
+    pub(crate) fn into_bytes(mut self) -> Bytes {
         if self.0.len() <= 1 {
             return self.0.pop().unwrap_or_default().freeze();
         }
