Bound the connections of callers, and let those that wait for their client give way

What callers see: some thousand connections that send nothing, or a part of a head, take all descriptors of a node. It accepts nobody else then and reaches no endpoint. Cause: connections were accepted as long as the system gave descriptors; an idle one lasts 30 s. Change: callers may have 45 % of the descriptors in the settings, since a request takes a second one. A new connection closes the one that has waited for its client for longest. One with a request under way, or with a response handed over less than a second ago, is never closed for that; what is closed was not passed on.

--- a/crates/curranthook_gateway/src/frontend.rs
+++ b/crates/curranthook_gateway/src/frontend.rs
@@ -2,7 +2,11 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use curranthook_http::{Body, body, intake, server::Handler, timeout};
+use curranthook_http::{
+    Body, body, intake,
+    server::{Connection, Handler},
+    timeout,
+};
 use curranthook_policy::rank::Rank;
 use futures_lite::future::{self, Boxed};
 use http::{Request, Response, header, request::Parts};
@@ -117,6 +121,7 @@
             return Err(stopping(Started::No));
         }
         let received_at = gateway.now();
+        let connection = head.extensions.get::<Arc<Connection>>();
         let head = gateway.dialect.parse_request_head(head).map_err(|e| {
             log::debug!("cannot parse a caller's request head: {e}");
             refusal(Reason::Invalid)
@@ -128,24 +133,11 @@
         // Checked before the body is read, so that a caller without access cannot make the node
         // read a body.
         let (_route, account) = admit(&configuration, &head)?;
-        // The announced length; zero for a body in chunks.
-        if (configuration.document.limits.max_body as u64) < body.size_hint().lower() {
-            return Err(refusal(Reason::TooLarge));
-        }
         // Callers without an account share one part of the memory.
         let client = account.as_ref().map_or("", |it| it.id.as_str());
         let max_body = configuration.document.limits.max_body;
-        let read = gateway.request_memory.read(client, body, max_body);
-        let intake::Received { bytes: body, claim } = match timeout::run(BODY_TIMEOUT, read).await {
-            Ok(Ok(received)) => received,
-            Ok(Err(intake::Error::TooLarge { .. })) => return Err(refusal(Reason::TooLarge)),
-            Ok(Err(intake::Error::NoMemory)) => {
-                return Err(refusal(Reason::NoMemory).with_retry_after(intake::SECURE_TIME));
-            }
-            Ok(Err(intake::Error::Incomplete(_))) | Err(timeout::Elapsed) => {
-                return Err(refusal(Reason::Invalid));
-            }
-        };
+        let intake::Received { bytes: body, claim } =
+            self.receive(body, client, max_body, connection).await?;
         // Checked again, since the body may have taken until then.
         if gateway.shutdown.is_closed() {
             return Err(stopping(Started::No));
@@ -165,6 +157,36 @@
         job.check_parts()?;
         Ok(job)
     }
+
+    /// Receives the body of a request of `client`. Meanwhile, its connection may be closed.
+    async fn receive(
+        &self,
+        body: Incoming,
+        client: &str,
+        limit: usize,
+        connection: Option<&Arc<Connection>>,
+    ) -> Result<intake::Received, Refusal> {
+        let refusal = |reason| Refusal::new(reason, Started::No);
+        // The announced length; zero for a body in chunks.
+        if (limit as u64) < body.size_hint().lower() {
+            return Err(refusal(Reason::TooLarge));
+        }
+        if let Some(it) = connection {
+            it.begin_body();
+        }
+        let read = self.gateway.request_memory.read(client, body, limit);
+        let received = timeout::run(BODY_TIMEOUT, read).await;
+        let has_connection = connection.is_none_or(|it| it.end_body());
+        let no_memory = || refusal(Reason::NoMemory).with_retry_after(intake::SECURE_TIME);
+        match received {
+            Ok(Ok(received)) if has_connection => Ok(received),
+            Ok(Ok(_) | Err(intake::Error::NoMemory)) => Err(no_memory()),
+            Ok(Err(intake::Error::TooLarge { .. })) => Err(refusal(Reason::TooLarge)),
+            Ok(Err(intake::Error::Incomplete(_))) | Err(timeout::Elapsed) => {
+                Err(refusal(Reason::Invalid))
+            }
+        }
+    }
 }
 
 /// The refusal of a request that the node cannot complete, as it is shutting down.
--- a/crates/curranthook_gateway/src/metrics.rs
+++ b/crates/curranthook_gateway/src/metrics.rs
@@ -89,6 +89,8 @@
     pub lines_dropped: Gauge,
     /// The number of callers' connections that were closed unread.
     pub connections_closed: Gauge,
+    /// The number of callers' open connections.
+    pub connections: Gauge,
     /// The memory that bodies of requests may still take, in bytes.
     pub request_memory: Gauge,
 }
@@ -131,6 +133,7 @@
             in_flight: Gauge::default(),
             lines_dropped: Gauge::default(),
             connections_closed: Gauge::default(),
+            connections: Gauge::default(),
             request_memory: Gauge::default(),
         };
         it.register();
@@ -208,6 +211,8 @@
         registry.register("log_lines_dropped", help, self.lines_dropped.clone());
         let help = "Callers' connections closed unread, as others waited too long to be read";
         registry.register("connections_closed_unread", help, self.connections_closed.clone());
+        let help = "Open connections of callers";
+        registry.register("connections", help, self.connections.clone());
         let help = "Memory that bodies of requests may still take";
         let gauge = self.request_memory.clone();
         registry.register_with_unit("request_memory_free", help, Unit::Bytes, gauge);
--- a/crates/curranthook_gateway/src/serve.rs
+++ b/crates/curranthook_gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use async_signal::{Signal, Signals};
 use curranthook_http::{
     Body, body,
-    server::{Backlog, Handler, Limits, Server},
+    server::{Backlog, Connections, Handler, Limits, Server},
     stop, timeout,
 };
 use futures_lite::{
@@ -55,6 +55,9 @@
 /// at each of a few steps after that.
 const MAX_CONNECTION_WAIT: Duration = Duration::from_millis(100);
 
+/// The share of a process's descriptors that are set aside for files, the store and other nodes.
+const RESERVED_DESCRIPTORS: f64 = 0.1;
+
 /// Why a node cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -121,6 +124,14 @@
     let frontend = Arc::new(Frontend { gateway: Arc::clone(&gateway) });
     let backlog = Arc::new(Backlog::new(MAX_CONNECTION_WAIT, Arc::clone(&gateway.clock)));
     let callers = listeners.callers.with_backlog(Arc::clone(&backlog));
+    let connections = gateway
+        .settings
+        .max_descriptors
+        .map(|it| Arc::new(Connections::new(max_connections(it), Arc::clone(&gateway.clock))));
+    let callers = match &connections {
+        Some(it) => callers.with_connections(Arc::clone(it)),
+        None => callers,
+    };
     let served = {
         let (ex, frontend) = (Arc::clone(&gateway.ex), Arc::clone(&frontend));
         gateway.ex.spawn(async move { callers.serve(&ex, frontend, stop).await })
@@ -132,7 +143,7 @@
         serve_detached(&gateway, server, handler);
     }
     if let Some(server) = listeners.metrics {
-        let handler = MetricsHandler { gateway: Arc::clone(&gateway), backlog };
+        let handler = MetricsHandler { gateway: Arc::clone(&gateway), backlog, connections };
         serve_detached(&gateway, server, Arc::new(handler));
     }
     spawn_tasks(&gateway);
@@ -161,6 +172,17 @@
     Ok(())
 }
 
+/// The number of connections of callers that a process with this many descriptors accepts. A request
+/// takes one more, to its endpoint.
+///
+/// ```
+/// assert_eq!(curranthook_gateway::serve::max_connections(4_100), 1_845);
+/// ```
+pub fn max_connections(max_descriptors: usize) -> usize {
+    let n_available = max_descriptors as f64 * (1.0 - RESERVED_DESCRIPTORS);
+    (n_available as usize / 2).max(1)
+}
+
 async fn wait_for_stop(gateway: &Gateway, signals: &mut Signals, reload: &mut dyn Reload) {
     loop {
         let poll = async {
@@ -249,16 +271,19 @@
 struct MetricsHandler {
     gateway: Arc<Gateway>,
     backlog: Arc<Backlog>,
+    connections: Option<Arc<Connections>>,
 }
 
 impl Handler for MetricsHandler {
     fn handle(self: Arc<Self>, _req: Request<Incoming>) -> Boxed<Response<Body>> {
         Box::pin(async move {
-            let Self { gateway, backlog } = &*self;
+            let Self { gateway, backlog, connections } = &*self;
             let (metrics, gauge) = (&gateway.metrics, |n| i64::try_from(n).unwrap_or(i64::MAX));
             metrics.in_flight.set(gauge(gateway.in_flight() as u64));
             metrics.lines_dropped.set(gauge(gateway.log.dropped()));
             metrics.connections_closed.set(gauge(backlog.n_closed()));
+            let n_open = connections.as_ref().map_or(0, |it| it.n_open());
+            metrics.connections.set(gauge(n_open as u64));
             metrics.request_memory.set(gauge(gateway.request_memory.free() as u64));
             Response::new(body::full(metrics.text()))
         })
--- a/crates/curranthook_gateway/src/settings.rs
+++ b/crates/curranthook_gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub capacity: f64,
     /// The memory of the node's VM, in bytes; none if unknown.
     pub memory: Option<usize>,
+    /// The number of descriptors that the process may have open; none if unknown.
+    pub max_descriptors: Option<usize>,
     /// The address for metrics.
     pub metrics: Option<SocketAddr>,
     /// The addresses of some other nodes, for a start while the store is unavailable. The list may
--- a/crates/curranthook_gateway/tests/support/node.rs
+++ b/crates/curranthook_gateway/tests/support/node.rs
@@ -205,6 +205,7 @@
         reports: None,
         capacity: 1.0,
         memory: None,
+        max_descriptors: None,
         metrics: None,
         seeds: Vec::new(),
         contention,
--- a/crates/curranthook_gateway/tests/support/owner.rs
+++ b/crates/curranthook_gateway/tests/support/owner.rs
@@ -112,6 +112,7 @@
         reports: None,
         capacity: 1.0,
         memory: None,
+        max_descriptors: None,
         metrics: None,
         seeds: Vec::new(),
         contention,
--- a/crates/curranthook_http/src/server.rs
+++ b/crates/curranthook_http/src/server.rs
@@ -1,6 +1,7 @@
 //! An HTTP server that finishes the requests in progress before it stops.
 
 mod backlog;
+mod connections;
 
 use std::{
     convert::Infallible,
@@ -18,7 +19,10 @@
 
 use crate::{Body, runtime, stop::Stop};
 
-pub use self::backlog::{Backlog, Waiting};
+pub use self::{
+    backlog::{Backlog, Waiting},
+    connections::{Connection, Connections},
+};
 
 /// The delay after a failed `accept`, so that the accept loop does not spin when the process is out
 /// of file descriptors.
@@ -56,6 +60,7 @@
     addr: SocketAddr,
     limits: Limits,
     backlog: Option<Arc<Backlog>>,
+    connections: Option<Arc<Connections>>,
 }
 
 impl Server {
@@ -63,7 +68,7 @@
     pub fn bind(addr: SocketAddr) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(addr)?;
         let addr = listener.get_ref().local_addr()?;
-        Ok(Self { listener, addr, limits: Limits::default(), backlog: None })
+        Ok(Self { listener, addr, limits: Limits::default(), backlog: None, connections: None })
     }
 
     /// Sets the limits on client connections.
@@ -77,6 +82,12 @@
         Self { backlog: Some(backlog), ..self }
     }
 
+    /// Bounds the number of open connections. Handlers find the [`Connection`] of a request among its
+    /// extensions. Without it, all are accepted.
+    pub fn with_connections(self, connections: Arc<Connections>) -> Self {
+        Self { connections: Some(connections), ..self }
+    }
+
     /// The bound address, with the actual port.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -97,6 +108,14 @@
                 Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            let connection = match &self.connections {
+                Some(it) => match it.admit().await {
+                    Some(connection) => Some(Arc::new(connection)),
+                    // All have requests under way.
+                    None => continue,
+                },
+                None => None,
+            };
             let waiting = self.backlog.as_ref().map(Backlog::admit);
             if let Some(None) = waiting {
                 drop(stream);
@@ -107,7 +126,18 @@
             let (limits, backlog) = (self.limits, self.backlog.clone());
             ex.spawn(async move {
                 if waiting.is_none_or(Waiting::end) {
-                    serve_connection(stream, handler, stop, limits, backlog).await;
+                    let served = serve_connection(
+                        stream,
+                        handler,
+                        stop,
+                        limits,
+                        backlog,
+                        connection.clone(),
+                    );
+                    match &connection {
+                        Some(it) => future::or(it.wait_to_give_way(), served).await,
+                        None => served.await,
+                    }
                 }
                 drop(open);
             })
@@ -134,18 +164,27 @@
     stop: Stop,
     limits: Limits,
     backlog: Option<Arc<Backlog>>,
+    connection: Option<Arc<Connection>>,
 ) {
     // The small events of a stream must be sent immediately; without `TCP_NODELAY` the kernel may
     // delay them.
     let _best_effort = stream.get_ref().set_nodelay(true);
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req| {
         let (handler, backlog) = (Arc::clone(&handler), backlog.clone());
+        let connection = connection.clone();
         async move {
+            if let Some(it) = &connection {
+                if !it.begin_request() {
+                    // The connection is about to be closed.
+                    future::pending::<()>().await;
+                }
+                req.extensions_mut().insert(Arc::clone(it));
+            }
             let mut response = handler.handle(req).await;
             if backlog.is_some_and(|it| it.are_waits_too_long()) {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|it| connections::until_sent(it, connection)))
         }
     });
     let conn = http1::Builder::new()
