Test rate limits of endpoints as rows of running nodes are gone, and what asking these nodes costs

The law of unlisted nodes, 6 to 985 nodes: a question a node and second at most where all rows are gone, none if they are back within three seconds, and a node that's gone counts for a window.

--- a/crates/curranthook_gateway/tests/laws/main.rs
+++ b/crates/curranthook_gateway/tests/laws/main.rs
@@ -18,3 +18,4 @@
 mod rows;
 mod storms;
 mod suspects;
+mod unlisted;
