--- a/crates/curranthook_gateway/src/fleet.rs
+++ b/crates/curranthook_gateway/src/fleet.rs
@@ -217,11 +217,11 @@
     Ok(())
 }
 
-/// Records which processes may have run before this one. Only a process that is surely the first of its
-/// node begins with retries: an earlier one may have used the node's part.
+/// Records which processes may have run before this one. A process that replaces another one begins
+/// without retries, as that one may have used the node's part.
 pub fn record_start(gateway: &Gateway, start: Start) {
     gateway.start.get_or_init(|| start);
-    if start == Start::First {
+    if start != Start::Restart {
         gateway.retry_budget.lock().record_first_process();
     }
     let nodes = gateway.n_nodes();
