Refuse responses with another transfer coding than one 'chunked'

What callers saw: an endpoint whose 'transfer-encoding' was spoilt ('chunkee', 'chunked;q=1', empty, 'chunked, gzip', a second such line) got its answer delivered as a complete 200 with the lines of the chunks as the body; with another coding before 'chunked', a body whose coding was neither undone nor named. Calls, calls that run once and streams. A rejection with such a head was passed on as a promise that the request hasn't run. Cause: the HTTP library reads until the end of the connection where the last coding isn't 'chunked', and ignores the ones before it; nothing of ours looked at the framing before the body was used. Change: client::Connection::send, which receives the head of each response (endpoints, other nodes, the store, engines and services, the rating service), fails where there is a transfer coding that isn't a single 'chunked', in any case. The request may have run; the endpoint is charged as for a lost connection. RFC 9112, 6.1 and 6.3; Go's client refuses the same.

--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -5,6 +5,7 @@
 //! connection on which anything failed is closed and never reused, and callers can require a
 //! connection that is new or was recently used.
 
+pub mod head;
 mod progress;
 
 use std::{
@@ -91,6 +92,9 @@
     /// The same, and nothing states why.
     #[error("the connection ended before an answer")]
     Ended,
+    /// A response with a malformed head arrived after the request was sent.
+    #[error("malformed head: {0}")]
+    Malformed(#[from] head::Malformed),
 }
 
 impl Error {
@@ -98,7 +102,7 @@
     pub fn is_unsent(&self) -> bool {
         match self {
             Self::Connect { .. } | Self::NotSent => true,
-            Self::Closed(_) | Self::Ended => false,
+            Self::Closed(_) | Self::Ended | Self::Malformed(_) => false,
         }
     }
 
@@ -155,7 +159,9 @@
         let error = match result {
             Some(Ok(response)) => {
                 self.progress.end_head();
-                return Ok(response);
+                let (head, body) = response.into_parts();
+                head::check(&head)?;
+                return Ok(http::Response::from_parts(head, body));
             }
             Some(Err(mut e)) => match e.take_message() {
                 // hyper returns the request only if it never reached the connection.
--- /dev/null
+++ b/crates/curranthook_http/src/client/head.rs
@@ -0,0 +1,26 @@
+//! Checks of response heads that the HTTP library leaves to its user.
+
+use http::{HeaderValue, header, response::Parts};
+
+/// Why a response head is malformed.
+#[derive(Debug, thiserror::Error)]
+pub enum Malformed {
+    /// Another transfer coding than a single `chunked`: the library would pass on the codings that it
+    /// does not know, or take the chunks' framing for a part of the body.
+    #[error("unsupported transfer coding {0:?}")]
+    TransferCoding(Vec<HeaderValue>),
+}
+
+/// Checks that the body of a response can be told from its framing.
+pub(super) fn check(head: &Parts) -> Result<(), Malformed> {
+    let codings: Vec<_> = head.headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    let is_supported = match codings[..] {
+        [] => true,
+        [coding] => coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    };
+    if !is_supported {
+        return Err(Malformed::TransferCoding(codings.into_iter().cloned().collect()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/curranthook_http/tests/heads.rs
@@ -0,0 +1,67 @@
+//! Heads of responses that state no body reliably, as the readers of all small responses meet them.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread,
+};
+
+use bytes::Bytes;
+use curranthook_http::{Exchange, client::Pool, exchange, runtime};
+use curranthook_types::clock;
+use yare::parameterized;
+
+/// Starts a server that answers one request with these bytes, and closes the connection.
+fn serve_once(response: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut stream = listener.accept().unwrap().0;
+        assert!(0 < stream.read(&mut [0; 1024]).unwrap());
+        stream.write_all(response.as_bytes()).unwrap();
+    });
+    addr
+}
+
+fn request(response: &'static str) -> Result<http::Response<Bytes>, exchange::Error> {
+    let addr = serve_once(response);
+    runtime::run(1, |ex| async move {
+        let pool = Pool::new(ex, Arc::new(clock::System));
+        Exchange::get(addr, "/x").run(&pool).await
+    })
+}
+
+/// Guards against a response that is taken for a complete one although its head doesn't tell where its
+/// body ends, or that it is one.
+#[parameterized(
+    unknown_coding = {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkee\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+    },
+    coding_before_chunks = {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+    },
+    two_codings = {
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: x\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+    },
+)]
+fn malformed_response_is_an_error(response: &'static str) {
+    let error = request(response).unwrap_err();
+    assert!(!error.is_unsent(), "{error}");
+}
+
+/// Guards against refusing a response whose body can be read.
+#[parameterized(
+    chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding:  CHUNKED \r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
+    length = { "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody" },
+    end_of_the_connection = { "HTTP/1.1 200 OK\r\n\r\nbody" },
+    interim_response = {
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody"
+    },
+    another_response = {
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+    },
+)]
+fn sound_response_is_read(response: &'static str) {
+    assert_eq!(request(response).unwrap().body(), "body");
+}
--- a/crates/curranthook_tests/tests/malformed.rs
+++ b/crates/curranthook_tests/tests/malformed.rs
@@ -194,6 +194,27 @@
     })
 }
 
+// Guards against an answer of a service that is taken for a whole one, or repeated, although its head
+// doesn't tell where its body ends.
+#[test]
+fn broken_framing_of_services_is_refused() -> anyhow::Result<()> {
+    run(async {
+        let broken = garbage::listen_with(garbage::BROKEN_FRAMING)?;
+        let builder = site().service("bad-s", "bad").config(move |config| {
+            let bad = config.endpoints.iter_mut().find(|(id, _)| id.as_str() == "bad-s");
+            bad.expect("it was added").1.address = broken;
+        });
+        let mut site = builder.start().await?;
+        for n in 0..garbage::BROKEN_FRAMING.len() {
+            let post = Call::post("main", "bad", "crates").with_idempotency_key(&format!("k{n}"));
+            let answer = post.send(&site.router("r1")).await?;
+            let refusal = answer.refusal().expect("a typed refusal");
+            assert_eq!(refusal.not_run, Run::Unknown, "{answer:?}");
+        }
+        assert_serves(&mut site, "after").await
+    })
+}
+
 // The engine sends without end, and never ends an event. A router that keeps all of it for the
 // event's sake runs out of memory, and with it goes everybody's work on that VM.
 #[test]
--- a/crates/curranthook_tests/tests/malformed/garbage.rs
+++ b/crates/curranthook_tests/tests/malformed/garbage.rs
@@ -27,12 +27,23 @@
     b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
 ];
 
+/// Whole bodies behind heads that don't tell where the body ends.
+pub(super) const BROKEN_FRAMING: &[&[u8]] = &[
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunkee\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+];
+
 /// Starts it; it lives as long as the test process.
 pub(super) fn listen() -> anyhow::Result<SocketAddr> {
+    listen_with(ANSWERS)
+}
+
+/// The same, with these answers.
+pub(super) fn listen_with(answers: &'static [&'static [u8]]) -> anyhow::Result<SocketAddr> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
     let addr = listener.local_addr()?;
     thread::spawn(move || {
-        for (stream, answer) in listener.incoming().flatten().zip(ANSWERS.iter().cycle()) {
+        for (stream, answer) in listener.incoming().flatten().zip(answers.iter().cycle()) {
             thread::spawn(move || serve(stream, answer));
         }
     });
