Refuse responses whose status is that of no final response

What callers saw: 101 was passed on as a switch of protocols that nobody had asked for, 600 and 999 as they were. Cause: the HTTP library takes 101 for a final response and any number from 100 to 999 for a status. It refuses 000, 001, 099, 20 and 1000 itself: handled already. Change: client::Connection::send takes 200 to 599 only. The request may have run, as after any broken answer.

--- a/crates/curranthook_http/src/client/head.rs
+++ b/crates/curranthook_http/src/client/head.rs
@@ -1,18 +1,24 @@
 //! Checks of response heads that the HTTP library leaves to its user.
 
-use http::{HeaderValue, header, response::Parts};
+use http::{HeaderValue, StatusCode, header, response::Parts};
 
 /// Why a response head is malformed.
 #[derive(Debug, thiserror::Error)]
 pub enum Malformed {
+    /// The status is that of no final response, or of none at all.
+    #[error("status {0} is not one of a final response")]
+    Status(StatusCode),
     /// Another transfer coding than a single `chunked`: the library would pass on the codings that it
     /// does not know, or take the chunks' framing for a part of the body.
     #[error("unsupported transfer coding {0:?}")]
     TransferCoding(Vec<HeaderValue>),
 }
 
-/// Checks that the body of a response can be told from its framing.
+/// Checks that a response is a final one and that its body can be told from its framing.
 pub(super) fn check(head: &Parts) -> Result<(), Malformed> {
+    if !(200..600).contains(&head.status.as_u16()) {
+        return Err(Malformed::Status(head.status));
+    }
     let codings: Vec<_> = head.headers.get_all(header::TRANSFER_ENCODING).iter().collect();
     let is_supported = match codings[..] {
         [] => true,
--- a/crates/curranthook_http/tests/heads.rs
+++ b/crates/curranthook_http/tests/heads.rs
@@ -44,6 +44,9 @@
     two_codings = {
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: x\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
     },
+    switched_protocols = { "HTTP/1.1 101 OK\r\n\r\n" },
+    status_600 = { "HTTP/1.1 600 OK\r\ncontent-length: 4\r\n\r\nbody" },
+    status_000 = { "HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nbody" },
 )]
 fn malformed_response_is_an_error(response: &'static str) {
     let error = request(response).unwrap_err();
