Charge endpoints for malformed heads on kept connections, too

What callers saw: an endpoint that sent heads that are none (a blank in a name, status 000) on kept connections got the same request two or three times, until its attempts were used up: 502 for calls that may be repeated, beside a sound endpoint. Change: client::Error tells a malformed head from a closed connection, and the gateway charges such an attempt as a lost connection, as it does on new ones. Whether it may be repeated is decided as before.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -219,7 +219,8 @@
         lease.close(Outcome::Abandoned);
         return not_run(Cause::StaleConnection);
     }
-    if conn.is_reused() && elapsed_time < STALE_DETECTION_TIME {
+    let is_malformed = matches!(error, client::Error::Malformed(_));
+    if conn.is_reused() && elapsed_time < STALE_DETECTION_TIME && !is_malformed {
         // The endpoint most likely closed the connection just as the request was sent, which is no
         // sign of a fault. A failure after a longer time means that the endpoint received the
         // request and its response was lost.
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -167,7 +167,10 @@
             Some(Err(mut e)) => match e.take_message() {
                 // hyper returns the request only if it never reached the connection.
                 Some(_) => Error::NotSent,
-                None => Error::Closed(e.into_error()),
+                None => match head::Malformed::from_error(e.into_error()) {
+                    Ok(malformed) => Error::Malformed(malformed),
+                    Err(e) => Error::Closed(e),
+                },
             },
             None => Error::Ended,
         };
--- a/crates/curranthook_http/src/client/head.rs
+++ b/crates/curranthook_http/src/client/head.rs
@@ -1,10 +1,15 @@
 //! Checks of response heads that the HTTP library leaves to its user.
 
+use std::{error::Error as _, io};
+
 use http::{HeaderValue, StatusCode, header, response::Parts};
 
 /// Why a response head is malformed.
 #[derive(Debug, thiserror::Error)]
 pub enum Malformed {
+    /// It cannot be parsed, or is too large.
+    #[error(transparent)]
+    Syntax(hyper::Error),
     /// The status is that of no final response, or of none at all.
     #[error("status {0} is not one of a final response")]
     Status(StatusCode),
@@ -14,6 +19,15 @@
     TransferCoding(Vec<HeaderValue>),
 }
 
+impl Malformed {
+    /// What a failed request was sent as its response, if that is the reason; otherwise the error.
+    pub(super) fn from_error(error: hyper::Error) -> Result<Self, hyper::Error> {
+        let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
+        let is_too_large = source.is_some_and(|it| it.kind() == io::ErrorKind::InvalidData);
+        if error.is_parse() || is_too_large { Ok(Self::Syntax(error)) } else { Err(error) }
+    }
+}
+
 /// Checks that a response is a final one and that its body can be told from its framing.
 pub(super) fn check(head: &Parts) -> Result<(), Malformed> {
     if !(200..600).contains(&head.status.as_u16()) {
