Object to each false verdict on a part of prompts

What callers saw: two of six nodes refused requests with a sound part for 14 s and on, while the others answered them; in all 23, in a trial with endpoints that were killed each 300 ms and whose crashes count before an answer has begun, too. Cause: a node objects to verdicts on one part once in a second, so that copies of one don't multiply. Another verdict followed 764 ms after the first was cleared, upon later crashes; the nodes that knew of an answer since didn't adopt it and kept silent. Change: an objection that is based on an answer before the first crash of a verdict doesn't count as one to it.

--- a/crates/curranthook_gateway/src/suspects.rs
+++ b/crates/curranthook_gateway/src/suspects.rs
@@ -140,7 +140,7 @@
     decision
 }
 
-/// Records that an endpoint crashed under a request, the answer to which had just begun there.
+/// Records that an endpoint crashed under a request the answer to which had just begun there.
 pub fn record_crash(
     gateway: &Gateway,
     request: &Request,
@@ -208,7 +208,7 @@
 /// Queues an objection for all nodes, unless this node has just objected.
 fn object(gateway: &Gateway, part: Part, begun_at: Instant, disproves: bool) {
     let Some(reports) = gateway.load_reports.get() else { return };
-    if !gateway.suspects.lock().objects(part, disproves, gateway.now()) {
+    if !gateway.suspects.lock().objects(part, disproves, begun_at, gateway.now()) {
         return;
     }
     let age = gateway.now().saturating_duration_since(begun_at);
--- a/crates/curranthook_gateway/tests/laws/suspects.rs
+++ b/crates/curranthook_gateway/tests/laws/suspects.rs
@@ -125,7 +125,7 @@
             if is_objection {
                 node.record_answered(PART, later, later);
             }
-            if disproves && node.objects(PART, true, later) {
+            if disproves && node.objects(PART, true, later, later) {
                 n_sent += FANOUT;
                 queue.extend((0..FANOUT).map(|_| (rng.random_range(0..n_nodes), true)));
             }
--- a/crates/curranthook_policy/src/suspects.rs
+++ b/crates/curranthook_policy/src/suspects.rs
@@ -81,6 +81,14 @@
     n_tests: usize,
 }
 
+/// An objection that this node made.
+#[derive(Debug, Clone, Copy)]
+struct Objection {
+    at: Instant,
+    /// When the answer began that it is based on.
+    begun_at: Instant,
+}
+
 /// Whether a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -119,8 +127,8 @@
     answered: HashMap<Part, Instant>,
     /// The last such answers at this node: when each began, and its parts.
     recent: VecDeque<(Instant, Vec<Part>)>,
-    /// When this node last objected, by the part and whether its answer disproved a verdict.
-    objected: HashMap<(Part, bool), Instant>,
+    /// The last objection of this node, by the part and whether its answer disproved a verdict.
+    objected: HashMap<(Part, bool), Objection>,
 }
 
 impl Suspects {
@@ -184,7 +192,15 @@
     pub fn record_verdict(&mut self, verdict: Verdict) -> bool {
         let now = verdict.since;
         self.verdicts.retain(|_, it| it.verdict.is_valid(now));
-        if self.is_disproved(&verdict) || self.capacity <= self.verdicts.len() {
+        if self.is_disproved(&verdict) {
+            // An objection to an earlier verdict says nothing against this one.
+            let disproof = (verdict.part, true);
+            if self.objected.get(&disproof).is_some_and(|it| it.begun_at <= verdict.first_crash) {
+                self.objected.remove(&disproof);
+            }
+            return false;
+        }
+        if self.capacity <= self.verdicts.len() {
             return false;
         }
         match self.verdicts.get_mut(&verdict.part) {
@@ -205,24 +221,30 @@
         self.answered.get(&verdict.part).is_some_and(|at| verdict.first_crash < *at)
     }
 
-    /// Whether to tell other nodes of an answer on a part, which `disproves` a verdict or not; not if
-    /// that has just been done. Records that it is done.
+    /// Whether to tell other nodes of an answer on a part that began at `begun_at`, which `disproves` a
+    /// verdict or not; not if that has just been done. Records that it is done.
     ///
     /// ```
     /// # use std::time::{Duration, Instant};
     /// # use curranthook_policy::suspects::Suspects;
     /// let (mut it, now) = (Suspects::new(1_000), Instant::now());
-    /// assert!(it.objects(7, false, now));
-    /// assert!(!it.objects(7, false, now));
-    /// assert!(it.objects(7, true, now));
-    /// assert!(it.objects(7, false, now + Duration::from_secs(1)));
+    /// assert!(it.objects(7, false, now, now));
+    /// assert!(!it.objects(7, false, now, now));
+    /// assert!(it.objects(7, true, now, now));
+    /// assert!(it.objects(7, false, now, now + Duration::from_secs(1)));
     /// ```
-    pub fn objects(&mut self, part: Part, disproves: bool, now: Instant) -> bool {
-        self.objected.retain(|_, at| now < *at + OBJECTION_INTERVAL);
+    pub fn objects(
+        &mut self,
+        part: Part,
+        disproves: bool,
+        begun_at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.objected.retain(|_, it| now < it.at + OBJECTION_INTERVAL);
         if self.objected.contains_key(&(part, disproves)) {
             return false;
         }
-        self.objected.insert((part, disproves), now);
+        self.objected.insert((part, disproves), Objection { at: now, begun_at });
         true
     }
 
--- a/crates/curranthook_policy/tests/suspects.rs
+++ b/crates/curranthook_policy/tests/suspects.rs
@@ -115,6 +115,31 @@
     assert_eq!(other.decide(&[7], now + 2 * S, false), Decision::Admit);
 }
 
+/// Guards against a false verdict that stays in force at some nodes, because the one that knows better
+/// has just objected to an earlier one.
+#[test]
+fn node_objects_to_each_verdict_that_it_disproves() {
+    let (mut it, now) = (suspects(Instant::now()), Instant::now());
+    let verdict = |first_crash| Verdict {
+        part: 7,
+        together: [7].into(),
+        n_crashes: 4,
+        first_crash,
+        since: first_crash + S / 10,
+    };
+    let begun_at = now + S / 10;
+    it.record_answer(&[7], begun_at, begun_at);
+    assert!(!it.record_verdict(verdict(now)));
+    assert!(it.objects(7, true, begun_at, begun_at));
+    // Copies of the verdict that other nodes pass on.
+    assert!(!it.record_verdict(verdict(now)));
+    assert!(!it.objects(7, true, begun_at, begun_at));
+    let (first_crash, begun_at) = (begun_at + S / 10, begun_at + S / 5);
+    it.record_answer(&[7], begun_at, begun_at);
+    assert!(!it.record_verdict(verdict(first_crash)));
+    assert!(it.objects(7, true, begun_at, begun_at));
+}
+
 /// Guards against refusing before nodes that know of an answer can say so.
 #[test]
 fn verdict_takes_effect_after_others_could_object() {
