Charge crashes before an answer begins to the parts of prompts

What callers saw (BUDGET): requests with a part that crashes endpoints went on reaching endpoints long after the fifth crash, one after the other, until none was left: 3 of 950 sound requests served. Cause: a crash counted against the parts of a request only if its answer had begun. One that comes while the prompt is read was charged to the request alone, whose like never comes again. Change: such a crash counts against the parts, whenever it comes. More bystanders are charged by it, so the three answers on others that have to go on before a node refuses a part that was answered before are answers to requests sent since the first crash: those to earlier requests come sooner than any to later ones.

--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -185,10 +185,7 @@
             return log("not_crashed");
         }
         poison::record_crash(&self.gateway, &self.request, endpoint);
-        if begun_for.is_some() {
-            let service = &self.service;
-            suspects::record_crash(&self.gateway, &self.request, service, endpoint, crashed_at);
-        }
+        suspects::record_crash(&self.gateway, &self.request, &self.service, endpoint, crashed_at);
         log("charged");
     }
 
--- a/crates/curranthook_gateway/src/suspects.rs
+++ b/crates/curranthook_gateway/src/suspects.rs
@@ -140,7 +140,7 @@
     decision
 }
 
-/// Records that an endpoint crashed under a request the answer to which had just begun there.
+/// Records that an endpoint crashed under a request that it had not answered, or just begun to.
 pub fn record_crash(
     gateway: &Gateway,
     request: &Request,
@@ -186,7 +186,8 @@
     if parts.is_empty() {
         return;
     }
-    let disproved = gateway.suspects.lock().record_answer(&parts, begun_at, gateway.now());
+    let (sent_at, now) = (request.received_at, gateway.now());
+    let disproved = gateway.suspects.lock().record_answer(&parts, sent_at, begun_at, now);
     disproved.into_iter().for_each(|it| clear(gateway, it, begun_at));
 }
 
--- a/crates/curranthook_gateway/tests/laws/suspects.rs
+++ b/crates/curranthook_gateway/tests/laws/suspects.rs
@@ -30,13 +30,13 @@
 /// The records of a node that has answered another part.
 fn suspects(now: Instant) -> Suspects {
     let mut it = Suspects::new(64);
-    it.record_answer(&[PART + 1], now, now);
+    it.record_answer(&[PART + 1], now, now, now);
     it
 }
 
 /// Records answers on another part.
 fn answer_others(it: &mut Suspects, at: Instant) {
-    (0..3).for_each(|_| _ = it.record_answer(&[PART + 1], at, at));
+    (0..3).for_each(|_| _ = it.record_answer(&[PART + 1], at, at, at));
 }
 
 /// The number of crashes, each reported by another of `n_nodes`, until a node reaches a verdict, and
@@ -117,7 +117,10 @@
         let mut rng = StdRng::seed_from_u64(7);
         let mut nodes: Vec<_> = (0..n_nodes).map(|_| Suspects::new(64)).collect();
         // Every second node has answered the part since.
-        nodes.iter_mut().step_by(2).for_each(|it| _ = it.record_answer(&[PART], later, later));
+        nodes
+            .iter_mut()
+            .step_by(2)
+            .for_each(|it| _ = it.record_answer(&[PART], later, later, later));
         let (mut n_sent, mut queue) = (0, VecDeque::from([(1, false)]));
         while let Some((index, is_objection)) = queue.pop_front() {
             let node = &mut nodes[index];
@@ -156,7 +159,7 @@
     assert!(suspects.record_verdict(verdict));
     let later = now + Duration::from_secs(1);
     for part in 100..10_000 {
-        suspects.record_answer(&[part], later, later);
+        suspects.record_answer(&[part], later, later, later);
         let crash = Crash { endpoint: 1, request: part, parts: &[part], at: later };
         assert!(suspects.record_crash(part + 20_000, &crash, later).is_none());
     }
--- a/crates/curranthook_policy/src/suspects.rs
+++ b/crates/curranthook_policy/src/suspects.rs
@@ -1,4 +1,4 @@
-//! Detection of prompt parts that crash the endpoints that begin an answer on them.
+//! Detection of prompt parts that crash the endpoints that read them or begin an answer on them.
 //!
 //! Addresses requests of which no two are alike and that share a part: a record of each request
 //! (see [`poison`](crate::poison)) never counts more than a crash or two. What crashes endpoints is
@@ -27,16 +27,16 @@
 const OBJECTION_INTERVAL: Duration = Duration::from_secs(1);
 /// How long crashes count, and how long a verdict holds.
 const EXPIRY: Duration = Duration::from_secs(600);
-/// How many answers on other parts must have gone on at a node since the first crash before it
-/// refuses a part that was answered before. While nothing is answered, that the part isn't either
-/// tells nothing.
+/// How many answers on other parts, to requests sent since the first crash, must have gone on at a
+/// node before it refuses a part that was answered before. While nothing is answered, that the part
+/// isn't either tells nothing, and answers to earlier requests come sooner than any to later ones.
 const MIN_OTHER_ANSWERS: usize = 3;
 /// The number of answers that are kept to count these.
 const MAX_RECENT: usize = 64;
 /// The times after a verdict from which one request with the part may test it.
 const TEST_AFTER: [Duration; 2] = [Duration::from_secs(30), Duration::from_secs(120)];
 
-/// A crash of an endpoint while it was beginning an answer to a request.
+/// A crash of an endpoint before it answered a request, or while it was beginning to.
 #[derive(Debug, Clone, Copy)]
 pub struct Crash<'a> {
     /// A hash of the endpoint's incarnation.
@@ -108,14 +108,14 @@
 /// # use curranthook_policy::suspects::{Crash, Decision, Suspects};
 /// let (mut it, now) = (Suspects::new(1_000), Instant::now());
 /// let crash = |n| Crash { endpoint: n, request: n, parts: &[1, 7], at: now };
-/// it.record_answer(&[1, 8], now, now);
+/// it.record_answer(&[1, 8], now, now, now);
 /// assert!((0..3).all(|n| it.record_crash(7, &crash(n), now).is_none()));
 /// let verdict = it.record_crash(7, &crash(3), now).unwrap();
 /// assert!(it.record_verdict(verdict));
 /// let later = now + Duration::from_secs(1);
 /// assert_eq!(it.decide(&[1, 7], later, false), Decision::Refuse(7));
 /// assert_eq!(it.decide(&[1, 8], later, false), Decision::Admit);
-/// it.record_answer(&[1, 7], later, later);
+/// it.record_answer(&[1, 7], now, later, later);
 /// assert_eq!(it.decide(&[1, 7], later, false), Decision::Admit);
 /// ```
 #[derive(Debug)]
@@ -125,7 +125,7 @@
     verdicts: HashMap<Part, Held>,
     /// When the last answer on a part began that went on for a while.
     answered: HashMap<Part, Instant>,
-    /// The last such answers at this node: when each began, and its parts.
+    /// The last such answers at this node: when each request was sent, and its parts.
     recent: VecDeque<(Instant, Vec<Part>)>,
     /// The last objection of this node, by the part and whether its answer disproved a verdict.
     objected: HashMap<(Part, bool), Objection>,
@@ -253,10 +253,16 @@
         self.answered.get(&part).copied()
     }
 
-    /// Records that the answer to a request of this node that began at `begun_at` has gone on for a
-    /// while. Returns the parts of which that disproves a verdict.
-    pub fn record_answer(&mut self, parts: &[Part], begun_at: Instant, now: Instant) -> Vec<Part> {
-        self.recent.push_back((begun_at, parts.to_vec()));
+    /// Records that the answer to a request of this node, which was sent at `sent_at`, began at
+    /// `begun_at` and has gone on for a while. Returns the parts of which that disproves a verdict.
+    pub fn record_answer(
+        &mut self,
+        parts: &[Part],
+        sent_at: Instant,
+        begun_at: Instant,
+        now: Instant,
+    ) -> Vec<Part> {
+        self.recent.push_back((sent_at, parts.to_vec()));
         if MAX_RECENT < self.recent.len() {
             self.recent.pop_front();
         }
@@ -312,8 +318,8 @@
             let answered_at = self.answered.get(it);
             answered_at.is_none_or(|at| *at <= verdict.first_crash)
         };
-        let is_other = |(begun_at, answered): &&(Instant, Vec<Part>)| {
-            verdict.first_crash < *begun_at && !answered.contains(&part)
+        let is_other = |(sent_at, answered): &&(Instant, Vec<Part>)| {
+            verdict.first_crash < *sent_at && !answered.contains(&part)
         };
         let n_others = self.recent.iter().filter(is_other).take(MIN_OTHER_ANSWERS).count();
         let is_established = self.answered.contains_key(&part);
--- a/crates/curranthook_policy/tests/suspects.rs
+++ b/crates/curranthook_policy/tests/suspects.rs
@@ -17,13 +17,13 @@
 /// Records of a node that has answered other parts at `now`.
 fn suspects(now: Instant) -> Suspects {
     let mut it = Suspects::new(64);
-    it.record_answer(&[98], now, now);
+    it.record_answer(&[98], now, now, now);
     it
 }
 
 /// Records answers on another part that began at `at`.
 fn answer_others(it: &mut Suspects, at: Instant) {
-    (0..3).for_each(|_| _ = it.record_answer(&[99], at, at));
+    (0..3).for_each(|_| _ = it.record_answer(&[99], at, at, at));
 }
 
 /// Guards against refusing what all requests have in common because all endpoints crash at once, so
@@ -35,7 +35,7 @@
     let later = now + S;
     assert_eq!(it.decide(&[1, 2], later, false), Decision::Admit);
     // Once other requests are answered, further crashes show which part it is.
-    it.record_answer(&[1, 3], later, later);
+    it.record_answer(&[1, 3], later, later, later);
     (30..33).for_each(|n| _ = crash(&mut it, n, n, &[1, 2], later + S));
     assert_eq!(it.decide(&[1, 9], later + 2 * S, false), Decision::Admit);
     assert_eq!(it.decide(&[1, 2], later + 2 * S, false), Decision::Refuse(2));
@@ -46,7 +46,7 @@
 #[test]
 fn part_that_was_never_answered_is_refused_at_once() {
     let (mut it, now) = (Suspects::new(64), Instant::now());
-    (0..3).for_each(|_| _ = it.record_answer(&[1, 3], now, now));
+    (0..3).for_each(|_| _ = it.record_answer(&[1, 3], now, now, now));
     (1..5).for_each(|n| _ = crash(&mut it, n, n, &[1, 2], now + S));
     (1..5).for_each(|n| _ = crash(&mut it, n, n + 10, &[1, 3], now + S));
     let later = now + 2 * S;
@@ -54,6 +54,22 @@
     assert_eq!(it.decide(&[1, 3], later, false), Decision::Admit);
 }
 
+/// Guards against refusing a part whose requests wait at endpoints that are killed one after the other,
+/// because answers to earlier requests on others begin meanwhile.
+#[test]
+fn answers_to_earlier_requests_tell_nothing_of_a_part() {
+    let (mut it, now) = (suspects(Instant::now()), Instant::now());
+    it.record_answer(&[1, 2], now, now, now);
+    let killed_at = now + S;
+    (0..4).for_each(|n| _ = crash(&mut it, n, n, &[1, 2], killed_at));
+    let (sent_at, begun_at) = (killed_at - S / 2, killed_at + S);
+    (0..3).for_each(|_| _ = it.record_answer(&[1, 3], sent_at, begun_at, begun_at));
+    assert_eq!(it.decide(&[1, 2], begun_at, false), Decision::Admit);
+    let sent_at = killed_at + S / 10;
+    (0..3).for_each(|_| _ = it.record_answer(&[3], sent_at, begun_at, begun_at));
+    assert_eq!(it.decide(&[1, 2], begun_at, false), Decision::Refuse(2));
+}
+
 /// Guards against blaming the parts of a sound request that is resumed at endpoints which crash for
 /// another reason.
 #[test]
@@ -85,7 +101,7 @@
     assert_eq!(it.decide(&[1, 9], later, false), Decision::Admit);
     assert_eq!(it.decide(&[2, 7], later, false), Decision::Admit);
     // An answer on one of them leaves the other.
-    it.record_answer(&[1], later, later);
+    it.record_answer(&[1], later, later, later);
     assert_eq!(it.decide(&[2, 7], later, false), Decision::Refuse(7));
 }
 
@@ -98,7 +114,7 @@
         let at = now + S * n;
         assert_eq!(crash(&mut it, n.into(), n.into(), &[1], at), 0);
         if n % 3 == 2 {
-            it.record_answer(&[1], at + S / 2, at + S / 2);
+            it.record_answer(&[1], at + S / 2, at + S / 2, at + S / 2);
         }
     }
 }
@@ -110,7 +126,7 @@
     let (mut judge, mut other) = (suspects(now), Suspects::new(64));
     let crashed = |n| Crash { endpoint: n, request: n, parts: &[7], at: now };
     let verdict = (0..4).find_map(|n| judge.record_crash(7, &crashed(n), now)).unwrap();
-    other.record_answer(&[7], now + S / 10, now + S);
+    other.record_answer(&[7], now + S / 10, now + S / 10, now + S);
     assert!(other.is_disproved(&verdict) && !other.record_verdict(verdict));
     assert_eq!(other.decide(&[7], now + 2 * S, false), Decision::Admit);
 }
@@ -128,14 +144,14 @@
         since: first_crash + S / 10,
     };
     let begun_at = now + S / 10;
-    it.record_answer(&[7], begun_at, begun_at);
+    it.record_answer(&[7], now, begun_at, begun_at);
     assert!(!it.record_verdict(verdict(now)));
     assert!(it.objects(7, true, begun_at, begun_at));
     // Copies of the verdict that other nodes pass on.
     assert!(!it.record_verdict(verdict(now)));
     assert!(!it.objects(7, true, begun_at, begun_at));
     let (first_crash, begun_at) = (begun_at + S / 10, begun_at + S / 5);
-    it.record_answer(&[7], begun_at, begun_at);
+    it.record_answer(&[7], first_crash, begun_at, begun_at);
     assert!(!it.record_verdict(verdict(first_crash)));
     assert!(it.objects(7, true, begun_at, begun_at));
 }
