--- a/crates/curranthook_gateway/src/job/retry.rs
+++ b/crates/curranthook_gateway/src/job/retry.rs
@@ -162,8 +162,8 @@
     }
 
     /// Attributes the crash of `endpoint` to the request and to the parts of its prompt, if the
-    /// endpoint no longer accepts connections. What crashes an endpoint does so when it begins, so a
-    /// request whose response went on for a while is not blamed.
+    /// endpoint no longer accepts connections. A request whose response went on for a while is not
+    /// blamed.
     async fn attribute_crash(&self, endpoint: &Incarnation, begun_for: Option<Duration>) {
         let crashed_at = self.gateway.now();
         let begun_ms = begun_for.map(millis);
--- a/crates/curranthook_http/src/client/head.rs
+++ b/crates/curranthook_http/src/client/head.rs
@@ -20,7 +20,7 @@
 }
 
 impl Malformed {
-    /// What a failed request was sent as its response, if that is the reason; otherwise the error.
+    /// The malformed head that made a request fail; the error itself if that is not the reason.
     pub(super) fn from_error(error: hyper::Error) -> Result<Self, hyper::Error> {
         let source = error.source().and_then(|it| it.downcast_ref::<io::Error>());
         let is_too_large = source.is_some_and(|it| it.kind() == io::ErrorKind::InvalidData);
--- a/crates/curranthook_http/src/client/response.rs
+++ b/crates/curranthook_http/src/client/response.rs
@@ -26,8 +26,7 @@
     Surplus,
 }
 
-/// The body of a response. Fails at its end if the bytes that follow show that it is not the whole
-/// body.
+/// The body of a response. Fails at its end if bytes follow which show that it is not the whole body.
 pub struct Body {
     incoming: Incoming,
     /// Whether surplus bytes follow; none if the end of the body is marked.
