Refuse responses without a length on connections that are kept

What callers saw: an endpoint whose field of the length had its name spoilt ('transfer-encodinh: chunked', 'content-lengti: 30', or none at all) beside 'keep-alive: timeout=10' or 'connection: keep-alive' got its answer delivered as a complete 200 once the connection closed: with the lines of the chunks as a part of the body, or half of the body. While the connection stayed open, callers waited for their deadline. Calls, calls that run once and streams. Cause: without a length or a coding that it knows, the HTTP library reads until the connection ends, whatever the head says of the connection. Change: head::check, which all readers of responses share, fails where the body has neither a length nor chunks and the head says that the connection is kept (RFC 9112, 9.3: each message there states its own length). The end prevails if the head says both. The endpoint is charged as for other malformed heads; the request may have run. What ends with its connection goes on being read: 'close' in any case and line, HTTP/1.0 and heads that say nothing (announced_end_ends_an_answer, passed before). Evidence: failed before on: lost_framing::kept_connection_ends_no_answer, 64 of 96 answers on each of three forms of the head (32 delivered, 32 after the deadline), broken_answer_is_requested_elsewhere::name_of_the_coding, rejection_with_a_broken_head_promises_nothing::name_of_the_length (a 503 of what may have run), early_answer_on_a_kept_connection_needs_a_length::read_on, partitions::broken_answer_is_not_passed_on::name_of_the_length and four cases of heads.rs. All pass now, with broken_heads, early_answers, close_delimited, cut_answers and responses (88 of 88). Such an answer beside an upload whose connection is closed was handled already (it is reset).

--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -26,7 +26,7 @@
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 
-use self::{progress::Progress, response::Body};
+use self::{head::Framing, progress::Progress, response::Body};
 use crate::{runtime, timeout};
 
 /// The maximum number of idle connections in a pool per address.
@@ -159,11 +159,11 @@
             Some(Ok(response)) => {
                 self.progress.end_head();
                 let (mut head, incoming) = response.into_parts();
-                head::check(&head)?;
+                let framing = head::check(&method, &head)?;
                 head::remove_overridden_length(&mut head);
-                let body = match head::is_delimited(&method, &head) {
-                    true => Body::delimited(incoming),
-                    false => {
+                let body = match framing {
+                    Framing::Chunks | Framing::Close => Body::delimited(incoming),
+                    Framing::Head => {
                         let sender = Arc::downgrade(&self.sender);
                         Body::with_length(incoming, sender, self.progress.clone())
                     }
--- a/crates/curranthook_http/src/client/head.rs
+++ b/crates/curranthook_http/src/client/head.rs
@@ -2,7 +2,9 @@
 
 use std::{error::Error as _, io};
 
-use http::{HeaderValue, Method, StatusCode, header, response::Parts};
+use http::{HeaderName, HeaderValue, Method, StatusCode, Version, header, response::Parts};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Why a response head is malformed.
 #[derive(Debug, thiserror::Error)]
@@ -17,6 +19,31 @@
     /// does not know, or take the chunks' framing for a part of the body.
     #[error("unsupported transfer coding {0:?}")]
     TransferCoding(Vec<HeaderValue>),
+    /// Neither a length nor chunks, although the connection is kept: the body has no end.
+    #[error("a body without a length on a connection that is kept")]
+    Unframed,
+}
+
+/// What marks the end of a response's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// Nothing in the body itself: the head alone states the length, or that there is no body.
+    Head,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Close,
+}
+
+/// What a head states of its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Persistence {
+    /// It ends after the response.
+    Closes,
+    /// It is kept for further requests.
+    Kept,
+    /// Nothing.
+    Unstated,
 }
 
 impl Malformed {
@@ -28,8 +55,9 @@
     }
 }
 
-/// Checks that a response is a final one and that its body can be told from its framing.
-pub(super) fn check(head: &Parts) -> Result<(), Malformed> {
+/// Checks that a response to a request with this method is a final one and that its body can be told
+/// from its framing. Returns what marks the end of the body.
+pub(super) fn check(method: &Method, head: &Parts) -> Result<Framing, Malformed> {
     if !(200..600).contains(&head.status.as_u16()) {
         return Err(Malformed::Status(head.status));
     }
@@ -42,7 +70,44 @@
     if !is_supported {
         return Err(Malformed::TransferCoding(codings.into_iter().cloned().collect()));
     }
-    Ok(())
+    match framing(method, head) {
+        // RFC 9112, 9.3: each message on a connection that is kept states its own length.
+        Framing::Close if persistence(head) == Persistence::Kept => Err(Malformed::Unframed),
+        framing => Ok(framing),
+    }
+}
+
+fn framing(method: &Method, head: &Parts) -> Framing {
+    let has_no_body = *method == Method::HEAD
+        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if has_no_body {
+        Framing::Head
+    } else if head.headers.contains_key(header::TRANSFER_ENCODING) {
+        Framing::Chunks
+    } else if head.headers.contains_key(header::CONTENT_LENGTH) {
+        Framing::Head
+    } else {
+        Framing::Close
+    }
+}
+
+/// What the head states of its connection. The end prevails, as whoever announces it closes.
+pub(super) fn persistence(head: &Parts) -> Persistence {
+    let connection = head.headers.get_all(header::CONNECTION).iter();
+    let options: Vec<_> = connection
+        .flat_map(|it| it.as_bytes().split(|byte| *byte == b','))
+        .map(<[u8]>::trim_ascii)
+        .collect();
+    let has_option = |name: &[u8]| options.iter().any(|it| it.eq_ignore_ascii_case(name));
+    if has_option(b"close") {
+        Persistence::Closes
+    } else if has_option(b"keep-alive") || head.headers.contains_key(KEEP_ALIVE) {
+        Persistence::Kept
+    } else if head.version < Version::HTTP_11 {
+        Persistence::Closes
+    } else {
+        Persistence::Unstated
+    }
 }
 
 /// Removes a length beside chunks. It says nothing of the body, but whoever gets it passed on would
@@ -52,12 +117,3 @@
         head.headers.remove(header::CONTENT_LENGTH);
     }
 }
-
-/// Whether the end of the body is marked, by chunks or by the end of the connection, in the response
-/// to a request with this method. Otherwise the head alone states it.
-pub(super) fn is_delimited(method: &Method, head: &Parts) -> bool {
-    let has_no_body = *method == Method::HEAD
-        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-    !has_no_body && (is_chunked || !head.headers.contains_key(header::CONTENT_LENGTH))
-}
--- a/crates/curranthook_http/tests/heads.rs
+++ b/crates/curranthook_http/tests/heads.rs
@@ -49,6 +49,12 @@
     status_000 = { "HTTP/1.1 000 OK\r\ncontent-length: 4\r\n\r\nbody" },
     small_length = { "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbody" },
     no_length = { "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\nbody" },
+    kept_without_a_length = { "HTTP/1.1 200 OK\r\nkeep-alive: timeout=10\r\n\r\nbody" },
+    named_kept_without_a_length = { "HTTP/1.1 200 OK\r\nconnection: Keep-Alive\r\n\r\nbody" },
+    kept_by_an_older_protocol = { "HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\nbody" },
+    kept_after_an_interim_response = {
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nkeep-alive: timeout=10\r\n\r\nbody"
+    },
     body_after_no_content = { "HTTP/1.1 204 OK\r\n\r\nbody" },
 )]
 fn malformed_response_is_an_error(response: &'static str) {
@@ -61,6 +67,8 @@
     chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding:  CHUNKED \r\n\r\n4\r\nbody\r\n0\r\n\r\n" },
     length = { "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody" },
     end_of_the_connection = { "HTTP/1.1 200 OK\r\n\r\nbody" },
+    announced_end = { "HTTP/1.1 200 OK\r\nconnection: x, Close\r\nkeep-alive: timeout=10\r\n\r\nbody" },
+    end_of_an_older_protocol = { "HTTP/1.0 200 OK\r\n\r\nbody" },
     interim_response = {
         "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody"
     },
--- a/crates/curranthook_tests/tests/malformed/garbage.rs
+++ b/crates/curranthook_tests/tests/malformed/garbage.rs
@@ -31,6 +31,7 @@
 pub(super) const BROKEN_FRAMING: &[&[u8]] = &[
     b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunkee\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
     b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=10\r\ncontent-lengti: 2\r\n\r\n{}",
 ];
 
 /// Starts it; it lives as long as the test process.
