Refuse bodies of chunks whose transfer coding is lost

What callers saw: an answer in chunks whose 'transfer-encoding' was spoilt in its name or gone, on a connection that its head announced to close or said nothing of, was delivered as a complete 200 with the sizes of the chunks as a part of the body. Streams began with such a line and went on, also where only the first chunk had come, or waited until the deadline. Cause: such a head is that of a sound answer which ends with its connection; only the body tells that the coding is missing, and nobody looked at it. Change: response::Body follows a body that ends with its connection as if it were in chunks, and fails at its end if it was a message in chunks from the first byte to the last. Readers of events say so (into_events): none of their lines is the size of a chunk, so that the body fails at the first one, before an event is complete. Bodies that only look like chunks go on being read (ten cases of heads.rs: numbers in lines, a wrong size, more after the last chunk).

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -169,6 +169,8 @@
         lease.record_connection();
     }
     let time_to_first_byte = elapsed(sent_at, gateway.now());
+    let is_stream = retry_policy.is_stream() && reply.status.is_success();
+    let body = if is_stream { body.into_events() } else { body };
     Ok(Exchange { lease, conn, reply, head, body, time_to_first_byte })
 }
 
--- a/crates/curranthook_gateway/src/job/forward.rs
+++ b/crates/curranthook_gateway/src/job/forward.rs
@@ -193,8 +193,13 @@
     fn stream_response(self, mut hop: Hop) -> Response<Body> {
         hop.headers.remove(header::CONTENT_LENGTH);
         let (status, headers) = (hop.status, hop.headers);
-        let pipe =
-            Pipe { body: hop.body, conn: Some(hop.conn), status, job: self, _node: hop.node };
+        let pipe = Pipe {
+            body: hop.body.into_events(),
+            conn: Some(hop.conn),
+            status,
+            job: self,
+            _node: hop.node,
+        };
         let frames = stream::unfold(pipe, |mut pipe| async move {
             let frame = pipe.next().await?;
             if frame.is_err() {
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -5,6 +5,7 @@
 //! connection on which anything failed is closed and never reused, and callers can require a
 //! connection that is new or was recently used.
 
+mod chunks;
 pub mod head;
 mod progress;
 pub mod response;
@@ -162,7 +163,8 @@
                 let framing = head::check(&method, &head)?;
                 head::remove_overridden_length(&mut head);
                 let body = match framing {
-                    Framing::Chunks | Framing::Close => Body::delimited(incoming),
+                    Framing::Chunks => Body::chunked(incoming),
+                    Framing::Close => Body::until_close(incoming),
                     Framing::Head => {
                         let sender = Arc::downgrade(&self.sender);
                         Body::with_length(incoming, sender, self.progress.clone())
--- a/crates/curranthook_http/src/client/response.rs
+++ b/crates/curranthook_http/src/client/response.rs
@@ -12,7 +12,7 @@
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 
-use super::{READY_TIMEOUT, Sender, progress::Progress};
+use super::{READY_TIMEOUT, Sender, chunks, progress::Progress};
 use crate::timeout;
 
 /// Why a body is not complete.
@@ -24,19 +24,47 @@
     /// Bytes follow that do not begin another response, so the body is longer than stated.
     #[error("bytes follow after the stated end")]
     Surplus,
+    /// The body consists of chunks, and the head does not state that coding.
+    #[error("chunks without their transfer coding")]
+    LostCoding,
 }
 
-/// The body of a response. Fails at its end if bytes follow which show that it is not the whole body.
+/// The body of a response. Fails if what it holds, or what follows, shows that it is not the body that
+/// the peer meant.
 pub struct Body {
     incoming: Incoming,
-    /// Whether surplus bytes follow; none if the end of the body is marked.
-    has_surplus: Option<future::Boxed<bool>>,
+    check: Check,
+}
+
+/// What may show that a body is wrong although its framing is in order.
+enum Check {
+    /// Nothing.
+    None,
+    /// Bytes that follow after the stated end.
+    Surplus(future::Boxed<bool>),
+    /// Chunks, in a body that ends with its connection.
+    LostCoding { chunks: chunks::Scan, content: Content },
+}
+
+/// What a body is read as.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Content {
+    /// Any bytes.
+    Bytes,
+    /// Server-sent events. None of their lines is the size of a chunk.
+    Events,
 }
 
 impl Body {
-    /// A body whose end is marked by chunks or by the end of the connection.
-    pub(super) fn delimited(incoming: Incoming) -> Self {
-        Self { incoming, has_surplus: None }
+    /// A body whose end is marked by the last chunk.
+    pub(super) fn chunked(incoming: Incoming) -> Self {
+        Self { incoming, check: Check::None }
+    }
+
+    /// A body that ends with its connection.
+    pub(super) fn until_close(incoming: Incoming) -> Self {
+        let (chunks, content) = (chunks::Scan::default(), Content::Bytes);
+        Self { incoming, check: Check::LostCoding { chunks, content } }
     }
 
     /// A body whose end only the head states.
@@ -45,7 +73,16 @@
         sender: Weak<Sender>,
         progress: Progress,
     ) -> Self {
-        Self { incoming, has_surplus: Some(Box::pin(has_surplus(sender, progress))) }
+        Self { incoming, check: Check::Surplus(Box::pin(has_surplus(sender, progress))) }
+    }
+
+    /// The same body, to be read as server-sent events. Chunks that have lost their coding are noticed at
+    /// the first of them, before an event is complete.
+    pub fn into_events(mut self) -> Self {
+        if let Check::LostCoding { content, .. } = &mut self.check {
+            *content = Content::Events;
+        }
+        self
     }
 }
 
@@ -73,17 +110,30 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        if let Some(frame) = ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
-            return Poll::Ready(Some(frame.map_err(Error::from)));
+        let body = &mut *self;
+        let frame = ready!(Pin::new(&mut body.incoming).poll_frame(cx)).transpose()?;
+        let error = match (&mut body.check, &frame) {
+            (Check::LostCoding { chunks, content }, Some(frame)) => {
+                chunks.push(frame.data_ref().map_or(&[], |it| &it[..]));
+                let is_wrong = *content == Content::Events && chunks.starts_with_size();
+                is_wrong.then_some(Error::LostCoding)
+            }
+            (Check::LostCoding { chunks, .. }, None) => {
+                chunks.is_complete().then_some(Error::LostCoding)
+            }
+            (Check::Surplus(has_surplus), None) => {
+                ready!(has_surplus.as_mut().poll(cx)).then_some(Error::Surplus)
+            }
+            (Check::None | Check::Surplus(_), _) => None,
+        };
+        if frame.is_none() || error.is_some() {
+            body.check = Check::None;
         }
-        let Some(has_surplus) = &mut self.has_surplus else { return Poll::Ready(None) };
-        let has_surplus = ready!(has_surplus.as_mut().poll(cx));
-        self.has_surplus = None;
-        Poll::Ready(has_surplus.then_some(Err(Error::Surplus)))
+        Poll::Ready(error.map(Err).or(frame.map(Ok)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.has_surplus.is_none() && self.incoming.is_end_stream()
+        matches!(self.check, Check::None) && self.incoming.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/curranthook_http/tests/heads.rs
+++ b/crates/curranthook_http/tests/heads.rs
@@ -55,6 +55,11 @@
     kept_after_an_interim_response = {
         "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nkeep-alive: timeout=10\r\n\r\nbody"
     },
+    chunks_without_their_coding = { "HTTP/1.1 200 OK\r\n\r\n3\r\nbod\r\n1\r\ny\r\n0\r\n\r\n" },
+    chunks_of_a_connection_that_closes = {
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n4;name=value\r\nbody\r\n0\r\ntrailer: x\r\n\r\n"
+    },
+    chunks_of_an_older_protocol = { "HTTP/1.0 200 OK\r\n\r\n04\r\nbody\r\n000\r\n\r\n" },
     body_after_no_content = { "HTTP/1.1 204 OK\r\n\r\nbody" },
 )]
 fn malformed_response_is_an_error(response: &'static str) {
@@ -79,3 +84,21 @@
 fn sound_response_is_read(response: &'static str) {
     assert_eq!(request(response).unwrap().body(), "body");
 }
+
+/// Guards against refusing a body that ends with its connection and only looks like chunks.
+#[parameterized(
+    numbers = { "1\r\n2\r\n3\r\n" },
+    number_and_its_digits = { "3\r\n100\r\n" },
+    zero = { "0\r\n" },
+    hexadecimal_word = { "face\r\n" },
+    line_feeds_only = { "4\nbody\n0\n\n" },
+    wrong_size = { "3\r\nbody\r\n0\r\n\r\n" },
+    more_after_the_last_chunk = { "4\r\nbody\r\n0\r\n\r\nmore" },
+    no_size = { ";x\r\nbody\r\n0\r\n\r\n" },
+    huge_size = { "ffffffffffffffffffff\r\nbody\r\n0\r\n\r\n" },
+    nothing = { "" },
+)]
+fn body_that_ends_with_its_connection_is_read(body: &'static str) {
+    let response = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
+    assert_eq!(request(response.leak()).unwrap().body(), body);
+}
--- a/crates/curranthook_router/src/events.rs
+++ b/crates/curranthook_router/src/events.rs
@@ -34,7 +34,7 @@
 /// so the size is checked before the parser.
 pub fn read(body: response::Body) -> Events {
     let mut size = EventSize::default();
-    let chunks = body.into_data_stream().map(move |chunk| {
+    let chunks = body.into_events().into_data_stream().map(move |chunk| {
         let chunk: Bytes = chunk?;
         size.add(&chunk);
         if size.n_bytes <= MAX_EVENT_BYTES { Ok(chunk) } else { Err(Error::TooLarge) }
--- a/crates/curranthook_tests/tests/malformed.rs
+++ b/crates/curranthook_tests/tests/malformed.rs
@@ -198,14 +198,25 @@
 // doesn't tell where its body ends.
 #[test]
 fn broken_framing_of_services_is_refused() -> anyhow::Result<()> {
+    assert_refused(garbage::BROKEN_FRAMING)
+}
+
+// The same, as the head has lost the field that tells it.
+#[test]
+fn lost_framing_of_services_is_refused() -> anyhow::Result<()> {
+    // Connections other than those of the calls get answers, too.
+    garbage::LOST_FRAMING.chunks(1).try_for_each(assert_refused)
+}
+
+fn assert_refused(answers: &'static [&'static [u8]]) -> anyhow::Result<()> {
     run(async {
-        let broken = garbage::listen_with(garbage::BROKEN_FRAMING)?;
+        let broken = garbage::listen_with(answers)?;
         let builder = site().service("bad-s", "bad").config(move |config| {
             let bad = config.endpoints.iter_mut().find(|(id, _)| id.as_str() == "bad-s");
             bad.expect("it was added").1.address = broken;
         });
         let mut site = builder.start().await?;
-        for n in 0..garbage::BROKEN_FRAMING.len() {
+        for n in 0..answers.len() {
             let post = Call::post("main", "bad", "crates").with_idempotency_key(&format!("k{n}"));
             let answer = post.send(&site.router("r1")).await?;
             let refusal = answer.refusal().expect("a typed refusal");
--- a/crates/curranthook_tests/tests/malformed/garbage.rs
+++ b/crates/curranthook_tests/tests/malformed/garbage.rs
@@ -31,7 +31,12 @@
 pub(super) const BROKEN_FRAMING: &[&[u8]] = &[
     b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunkee\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
     b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+];
+
+/// Whole bodies behind heads without the field that tells where the body ends.
+pub(super) const LOST_FRAMING: &[&[u8]] = &[
     b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=10\r\ncontent-lengti: 2\r\n\r\n{}",
+    b"HTTP/1.1 200 OK\r\ntransfer-encodinh: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 ];
 
 /// Starts it; it lives as long as the test process.
