Read on until the end of the connection that a head announces

What callers saw: an endpoint that stated too small a length (0, 1, 12, 15 or 29 of 30) and sent the rest some milliseconds later got that part delivered as a complete 200, also where its head announced the end of the connection: calls and calls that run once of any such length, streams where it ended with an event. Cause: only bytes that were read with the stated end were noticed. The client closed the connection there itself. Change: where the head announces that the peer closes the connection ('close', HTTP/1.0), the client doesn't shut it down after the stated end but reads on until the peer has closed it, more bytes come or 50 ms have passed, and the body waits for that before it ends. Bytes that begin no response show that the length was wrong, as before. A body that is dropped ends the wait at once, so that callers who leave are still noticed. Nothing is lost by waiting, as the connection isn't used again. Open: a rest that comes later on a connection which is kept.

--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -27,14 +27,19 @@
 use parking_lot::Mutex;
 use smol_hyper::rt::FuturesIo;
 
-use self::{head::Framing, progress::Progress, response::Body};
+use self::{
+    head::{Framing, Persistence},
+    progress::Progress,
+    response::Body,
+};
 use crate::{runtime, timeout};
 
 /// The maximum number of idle connections in a pool per address.
 const MAX_IDLE_PER_ADDRESS: usize = 512;
 /// A connection that has been idle for longer than this is not reused.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(20);
-/// How long an idle connection may take to become ready for another request.
+/// How long an idle connection may take to become ready for another request, and how long its peer may
+/// take to close it after a response that announces this.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long after the end of its connection a request's result may still arrive.
 const END_GRACE: Duration = Duration::from_millis(20);
@@ -148,6 +153,8 @@
         let method = req.method().clone();
         let n_before = self.progress.n_written();
         self.progress.begin_head();
+        // The connection may end before the head that announces it gets here.
+        let close = self.progress.await_close();
         let sent = self.sender.lock().try_send_request(req.map(Full::new));
         // A request that is handed over while the connection ends may be dropped without a word.
         let ended = async {
@@ -166,8 +173,10 @@
                     Framing::Chunks => Body::chunked(incoming),
                     Framing::Close => Body::until_close(incoming),
                     Framing::Head => {
+                        let closes = head::persistence(&head) == Persistence::Closes;
+                        let close = closes.then_some(close);
                         let sender = Arc::downgrade(&self.sender);
-                        Body::with_length(incoming, sender, self.progress.clone())
+                        Body::with_length(incoming, sender, self.progress.clone(), close)
                     }
                 };
                 return Ok(http::Response::from_parts(head, body));
@@ -182,6 +191,7 @@
             },
             None => Error::Ended,
         };
+        drop(close);
         // Once the connection has ended, nothing more is written.
         let has_ended = timeout::run(END_GRACE, self.progress.ended()).await.is_ok();
         let is_unwritten = has_ended && self.progress.n_written() == n_before;
@@ -378,9 +388,10 @@
         self.ex
             .spawn(async move {
                 // The request on this connection receives the error itself.
-                let _failed = (&mut conn).await;
+                // Without a shutdown, upon which the peer may send no more.
+                let _failed = future::poll_fn(|cx| conn.poll_without_shutdown(cx)).await;
                 let http1::Parts { io, read_buf, .. } = conn.into_parts();
-                io.into_inner().close(&read_buf);
+                io.into_inner().close(&read_buf, READY_TIMEOUT).await;
             })
             .detach();
         let sender = Arc::new(Mutex::new(sender));
--- a/crates/curranthook_http/src/client/progress.rs
+++ b/crates/curranthook_http/src/client/progress.rs
@@ -9,10 +9,14 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, future};
+use parking_lot::Mutex;
+
+use crate::timeout;
 
 /// The most bytes that are read until a response's head is complete, those of interim responses included.
 const MAX_HEAD_BYTES: u64 = 64 * 1024;
@@ -37,6 +41,9 @@
     awaits_head: AtomicBool,
     /// The bytes read since that request was passed to the connection.
     n_head_bytes: AtomicU64,
+    /// Closed when nobody waits any more for the peer to close the connection; none before the first
+    /// request.
+    close_abandoned: Mutex<Option<Receiver<()>>>,
     /// Whether bytes were left over at the end that begin no response.
     has_surplus: AtomicBool,
 }
@@ -51,6 +58,13 @@
     _ended: Sender<()>,
 }
 
+/// Keeps a connection open after its last response until the peer closes it or sends more. Dropping it
+/// closes the connection at once.
+#[derive(Debug)]
+pub(super) struct AwaitedClose {
+    _abandon: Sender<()>,
+}
+
 impl Progress {
     /// Tracks a stream that was just opened.
     pub fn track<S>(inner: S) -> (Self, Stream<S>) {
@@ -75,6 +89,13 @@
         self.state.awaits_head.store(false, Ordering::SeqCst);
     }
 
+    /// Keeps the connection open for what the peer sends after the current response.
+    pub fn await_close(&self) -> AwaitedClose {
+        let (abandon, abandoned) = async_channel::bounded(1);
+        *self.state.close_abandoned.lock() = Some(abandoned);
+        AwaitedClose { _abandon: abandon }
+    }
+
     /// Waits until nothing can be written any more.
     pub async fn ended(&self) {
         let _closed = self.ended.recv().await;
@@ -98,12 +119,6 @@
         true
     }
 
-    /// Closes the stream, of which `unread` was read and belongs to no response.
-    pub fn close(self, unread: &[u8]) {
-        let is_surplus = !unread.is_empty() && !unread.starts_with(RESPONSE_START);
-        self.state.has_surplus.store(is_surplus, Ordering::SeqCst);
-    }
-
     fn check_head(&self, n_read: usize) -> io::Result<()> {
         if !self.state.awaits_head.load(Ordering::SeqCst) {
             return Ok(());
@@ -117,6 +132,29 @@
     }
 }
 
+impl<S: AsyncRead + Unpin> Stream<S> {
+    /// Closes the stream, of which `unread` was read and belongs to no response. Waits up to `max_wait`
+    /// for more as long as there is an [`AwaitedClose`].
+    pub async fn close(mut self, unread: &[u8], max_wait: Duration) {
+        let mut late = [0; RESPONSE_START.len()];
+        let mut surplus = unread;
+        let close_abandoned = self.state.close_abandoned.lock().take();
+        if let (true, Some(abandoned)) = (surplus.is_empty(), close_abandoned) {
+            // A connection that fails brings nothing more.
+            let read = timeout::run(max_wait, self.inner.read(&mut late));
+            let read = async { read.await.map_or(0, |it| it.unwrap_or(0)) };
+            let abandoned = async {
+                let _closed = abandoned.recv().await;
+                0
+            };
+            let n_read = future::or(read, abandoned).await;
+            surplus = &late[..n_read];
+        }
+        let has_surplus = !surplus.is_empty() && !surplus.starts_with(RESPONSE_START);
+        self.state.has_surplus.store(has_surplus, Ordering::SeqCst);
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for Stream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/curranthook_http/src/client/response.rs
+++ b/crates/curranthook_http/src/client/response.rs
@@ -12,7 +12,10 @@
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 
-use super::{READY_TIMEOUT, Sender, chunks, progress::Progress};
+use super::{
+    READY_TIMEOUT, Sender, chunks,
+    progress::{AwaitedClose, Progress},
+};
 use crate::timeout;
 
 /// Why a body is not complete.
@@ -32,8 +35,8 @@
 /// The body of a response. Fails if what it holds, or what follows, shows that it is not the body that
 /// the peer meant.
 pub struct Body {
-    incoming: Incoming,
     check: Check,
+    incoming: Incoming,
 }
 
 /// What may show that a body is wrong although its framing is in order.
@@ -67,13 +70,16 @@
         Self { incoming, check: Check::LostCoding { chunks, content } }
     }
 
-    /// A body whose end only the head states.
+    /// A body whose end only the head states. If it announces that the peer closes the
+    /// connection, `close` waits for that.
     pub(super) fn with_length(
         incoming: Incoming,
         sender: Weak<Sender>,
         progress: Progress,
+        close: Option<AwaitedClose>,
     ) -> Self {
-        Self { incoming, check: Check::Surplus(Box::pin(has_surplus(sender, progress))) }
+        let follows = Box::pin(has_surplus(sender, progress, close));
+        Self { check: Check::Surplus(follows), incoming }
     }
 
     /// The same body, to be read as server-sent events. Chunks that have lost their coding are noticed at
@@ -87,7 +93,11 @@
 }
 
 /// Whether a connection has received surplus bytes after a body.
-async fn has_surplus(sender: Weak<Sender>, progress: Progress) -> bool {
+async fn has_surplus(
+    sender: Weak<Sender>,
+    progress: Progress,
+    _close: Option<AwaitedClose>,
+) -> bool {
     // The connection becomes idle, or ends because of surplus bytes or the peer. It does neither while
     // it closes and the request is still being written.
     let is_idle = future::poll_fn(|cx| match sender.upgrade() {
@@ -121,8 +131,8 @@
             (Check::LostCoding { chunks, .. }, None) => {
                 chunks.is_complete().then_some(Error::LostCoding)
             }
-            (Check::Surplus(has_surplus), None) => {
-                ready!(has_surplus.as_mut().poll(cx)).then_some(Error::Surplus)
+            (Check::Surplus(follows), None) => {
+                ready!(follows.as_mut().poll(cx)).then_some(Error::Surplus)
             }
             (Check::None | Check::Surplus(_), _) => None,
         };
--- a/crates/curranthook_http/tests/heads.rs
+++ b/crates/curranthook_http/tests/heads.rs
@@ -5,6 +5,7 @@
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -12,20 +13,35 @@
 use curranthook_types::clock;
 use yare::parameterized;
 
-/// Starts a server that answers one request with these bytes, and closes the connection.
-fn serve_once(response: &'static str) -> SocketAddr {
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Starts a server that answers one request with these bytes, sends `rest` a moment later and closes the
+/// connection.
+fn serve_once(response: &'static str, rest: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
         let mut stream = listener.accept().unwrap().0;
         assert!(0 < stream.read(&mut [0; 1024]).unwrap());
         stream.write_all(response.as_bytes()).unwrap();
+        if !rest.is_empty() {
+            thread::sleep(PAUSE);
+            // A client that expects no more may have closed the connection.
+            let _closed = stream.write_all(rest.as_bytes());
+        }
     });
     addr
 }
 
 fn request(response: &'static str) -> Result<http::Response<Bytes>, exchange::Error> {
-    let addr = serve_once(response);
+    request_in_two(response, "")
+}
+
+fn request_in_two(
+    response: &'static str,
+    rest: &'static str,
+) -> Result<http::Response<Bytes>, exchange::Error> {
+    let addr = serve_once(response, rest);
     runtime::run(1, |ex| async move {
         let pool = Pool::new(ex, Arc::new(clock::System));
         Exchange::get(addr, "/x").run(&pool).await
@@ -102,3 +118,24 @@
     let response = format!("HTTP/1.1 200 OK\r\n\r\n{body}");
     assert_eq!(request(response.leak()).unwrap().body(), body);
 }
+
+/// Guards against a response that is taken for a complete one although more follows before the end of the
+/// connection that its head announces.
+#[parameterized(
+    announced = { "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 3\r\n\r\nbod", "y" },
+    empty = { "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n", "body" },
+    of_an_older_protocol = { "HTTP/1.0 200 OK\r\ncontent-length: 3\r\n\r\nbod", "y" },
+    after_no_content = { "HTTP/1.1 204 OK\r\nconnection: close\r\n\r\n", "body" },
+)]
+fn rest_before_an_announced_end_is_noticed(response: &'static str, rest: &'static str) {
+    let error = request_in_two(response, rest).unwrap_err();
+    assert!(!error.is_unsent(), "{error}");
+}
+
+/// Guards against refusing a whole response that another one follows on a connection that should close.
+#[test]
+fn another_response_before_an_announced_end_is_no_rest() {
+    let response = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody";
+    let rest = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    assert_eq!(request_in_two(response, rest).unwrap().body(), "body");
+}
