State the length of a response once when it's passed on

What callers saw: 'content-length: 30, 30' of an endpoint was passed on as it stands, a length that is no number to a strict caller and that callers may read differently. Cause: the HTTP library accepts a list of equal lengths (RFC 9110, 8.6: one value, or refuse) and leaves the field as it is. Change: head::normalize_length, in place of what removed a length beside chunks, leaves the one value; lists of different lengths are refused as before.

--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -168,7 +168,7 @@
                 self.progress.end_head();
                 let (mut head, incoming) = response.into_parts();
                 let framing = head::check(&method, &head)?;
-                head::remove_overridden_length(&mut head);
+                head::normalize_length(&mut head);
                 let body = match framing {
                     Framing::Chunks => Body::chunked(incoming),
                     Framing::Close => Body::until_close(incoming),
--- a/crates/curranthook_http/src/client/head.rs
+++ b/crates/curranthook_http/src/client/head.rs
@@ -110,10 +110,14 @@
     }
 }
 
-/// Removes a length beside chunks. It says nothing of the body, but whoever gets it passed on would
-/// believe it.
-pub(super) fn remove_overridden_length(head: &mut Parts) {
+/// Leaves the one length that counts, as whoever gets the head passed on may believe another one. Beside
+/// chunks there is none; the same length that is stated several times is stated once.
+pub(super) fn normalize_length(head: &mut Parts) {
+    let Some(length) = head.headers.remove(header::CONTENT_LENGTH) else { return };
     if head.headers.contains_key(header::TRANSFER_ENCODING) {
-        head.headers.remove(header::CONTENT_LENGTH);
+        return;
     }
+    let first = length.as_bytes().split(|it| *it == b',').next().map(<[u8]>::trim_ascii);
+    let first = first.and_then(|it| HeaderValue::from_bytes(it).ok());
+    head.headers.insert(header::CONTENT_LENGTH, first.unwrap_or(length));
 }
