Watch for the body of endpoints' answers that state a length of zero

What callers saw: an endpoint whose length was spoilt to 0 or 00 on a connection that is kept got an empty answer delivered as a complete 200 where it wrote the body apart from the head: calls, calls that run once and streams. Cause: such an answer is complete with its head, and bytes that come a moment later weren't looked for. With any other length the second write is read for the body, and what is too much is read with it. Change: before a success with a length of zero counts as empty, the body waits 20 ms for bytes that follow, where the reader asks for it (Connection::with_empty_body_grace): the node and the router do for endpoints, engines and services. The store, the table and peers answer empty as a rule and don't wait. Weighed: callers of endpoints whose answers are empty get these 20 ms later; with 50 ms as for a connection that ends they'd wait longer than most such calls take. A body that comes later still isn't noticed.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -34,6 +34,10 @@
 /// trip between failure domains plus the time in which an endpoint accepts or resets a connection.
 const SETTLE_TIME: Duration = Duration::from_millis(8);
 
+/// How long the body of a success that states a length of zero may take to show that this is wrong. Its
+/// endpoint may write head and body apart from each other.
+const EMPTY_BODY_GRACE: Duration = Duration::from_millis(20);
+
 /// A request that was sent, with the response whose head has arrived.
 #[derive(Debug)]
 pub struct Exchange {
@@ -122,7 +126,7 @@
         if retry_policy.is_retryable() { Freshness::Within(MAX_IDLE_AGE) } else { Freshness::New };
     let outbound = gateway.dialect.build_request(request, outgoing);
     let mut conn = match gateway.pool.take(lease.addr, freshness).await {
-        Ok(conn) => conn,
+        Ok(conn) => conn.with_empty_body_grace(EMPTY_BODY_GRACE),
         Err(_nothing_sent) => {
             lease.close(Outcome::ConnectFailed);
             return Err(not_run(Cause::Connect));
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -126,6 +126,7 @@
     sender: Arc<Sender>,
     progress: Progress,
     opened: Opened,
+    empty_body_grace: Duration,
 }
 
 /// When a connection was opened.
@@ -148,6 +149,13 @@
         self.addr
     }
 
+    /// Waits up to `grace` before a success counts as empty that states a length of zero and comes on a
+    /// connection that is kept. Its body shows within that time if the length is wrong. Not for peers
+    /// whose responses are often empty.
+    pub fn with_empty_body_grace(self, grace: Duration) -> Self {
+        Self { empty_body_grace: grace, ..self }
+    }
+
     /// Sends `req` and waits for the head of the response.
     pub async fn send(&mut self, req: http::Request<Bytes>) -> Result<http::Response<Body>, Error> {
         let method = req.method().clone();
@@ -175,8 +183,12 @@
                     Framing::Head => {
                         let closes = head::persistence(&head) == Persistence::Closes;
                         let close = closes.then_some(close);
+                        let grace = match head::states_empty_body(&method, &head) {
+                            true => self.empty_body_grace,
+                            false => Duration::ZERO,
+                        };
                         let sender = Arc::downgrade(&self.sender);
-                        Body::with_length(incoming, sender, self.progress.clone(), close)
+                        Body::with_length(incoming, sender, self.progress.clone(), close, grace)
                     }
                 };
                 return Ok(http::Response::from_parts(head, body));
@@ -281,7 +293,9 @@
             // would block forever.
             let ready = future::poll_fn(|cx| sender.lock().poll_ready(cx));
             if let Ok(Ok(())) = timeout::run(READY_TIMEOUT, ready).await {
-                return Ok(Connection { addr, sender, progress, opened: Opened::Earlier });
+                let opened = Opened::Earlier;
+                let empty_body_grace = Duration::ZERO;
+                return Ok(Connection { addr, sender, progress, opened, empty_body_grace });
             }
         }
         self.connect(addr, connect_timeout).await
@@ -395,6 +409,7 @@
             })
             .detach();
         let sender = Arc::new(Mutex::new(sender));
-        Ok(Connection { addr, sender, progress, opened: Opened::Now(opened) })
+        let (opened, empty_body_grace) = (Opened::Now(opened), Duration::ZERO);
+        Ok(Connection { addr, sender, progress, opened, empty_body_grace })
     }
 }
--- a/crates/curranthook_http/src/client/head.rs
+++ b/crates/curranthook_http/src/client/head.rs
@@ -91,6 +91,14 @@
     }
 }
 
+/// Whether the head of a success states a length of zero although its status allows for a body.
+pub(super) fn states_empty_body(method: &Method, head: &Parts) -> bool {
+    let may_have_body = *method != Method::HEAD && head.status != StatusCode::NO_CONTENT;
+    let length = head.headers.get(header::CONTENT_LENGTH);
+    let is_zero = length.is_some_and(|it| it.as_bytes().iter().all(|byte| *byte == b'0'));
+    head.status.is_success() && may_have_body && is_zero
+}
+
 /// What the head states of its connection. The end prevails, as whoever announces it closes.
 pub(super) fn persistence(head: &Parts) -> Persistence {
     let connection = head.headers.get_all(header::CONNECTION).iter();
--- a/crates/curranthook_http/src/client/response.rs
+++ b/crates/curranthook_http/src/client/response.rs
@@ -5,6 +5,7 @@
     pin::Pin,
     sync::Weak,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -71,14 +72,15 @@
     }
 
     /// A body whose end only the head states. If it announces that the peer closes the
-    /// connection, `close` waits for that.
+    /// connection, `close` waits for that; an idle connection is watched for `grace`.
     pub(super) fn with_length(
         incoming: Incoming,
         sender: Weak<Sender>,
         progress: Progress,
         close: Option<AwaitedClose>,
+        grace: Duration,
     ) -> Self {
-        let follows = Box::pin(has_surplus(sender, progress, close));
+        let follows = Box::pin(has_surplus(sender, progress, close, grace));
         Self { check: Check::Surplus(follows), incoming }
     }
 
@@ -97,6 +99,7 @@
     sender: Weak<Sender>,
     progress: Progress,
     _close: Option<AwaitedClose>,
+    grace: Duration,
 ) -> bool {
     // The connection becomes idle, or ends because of surplus bytes or the peer. It does neither while
     // it closes and the request is still being written.
@@ -105,11 +108,11 @@
         None => Poll::Ready(false),
     });
     let ended = async {
-        if !is_idle.await {
-            progress.ended().await;
-        }
+        let wait = if is_idle.await { grace } else { READY_TIMEOUT };
+        !wait.is_zero() && timeout::run(wait, progress.ended()).await.is_ok()
     };
-    timeout::run(READY_TIMEOUT, ended).await.is_ok() && progress.has_surplus()
+    let has_ended = timeout::run(READY_TIMEOUT + grace, ended).await;
+    has_ended.is_ok_and(|it| it) && progress.has_surplus()
 }
 
 impl http_body::Body for Body {
--- a/crates/curranthook_router/src/attempt.rs
+++ b/crates/curranthook_router/src/attempt.rs
@@ -22,6 +22,10 @@
 /// refuses connections then, it counts as dead.
 const DEATH_CHECK_DELAY: Duration = Duration::from_millis(30);
 
+/// How long the body of a success that states a length of zero may take to show that this is wrong. Its
+/// endpoint may write head and body apart from each other.
+const EMPTY_BODY_GRACE: Duration = Duration::from_millis(20);
+
 /// A response whose head has arrived and passed all checks.
 #[derive(Debug)]
 pub struct Started {
@@ -96,7 +100,7 @@
     request: &request::Id,
 ) -> Result<Started, Failure> {
     let mut conn = match router.pool.take(lease.addr(), freshness).await {
-        Ok(conn) => conn,
+        Ok(conn) => conn.with_empty_body_grace(EMPTY_BODY_GRACE),
         Err(e) => return Err(connection_failure(lease, &e)),
     };
     let started = lease.started();
