Charge endpoints for bytes that follow on an idle connection after an answer

What callers saw: an endpoint that stated too small a length and sent the rest some milliseconds later, on a connection that is kept, went on getting its share of the requests, and each of their callers got a part of the answer as a complete 200. Cause: the client closes the connection when such bytes arrive, and nobody was told. The answer itself can't be held back for them: nothing says that they come, or when. Change: a connection on which a whole answer was read whose end only its head stated gets an observer (client::Observer) that is notified once of bytes that begin no response, until its next request. The gateway ejects that incarnation of the endpoint as for a lost connection, and logs 'surplus'. Open: the first such answers are delivered; the router, and nodes that pass requests on to each other, aren't told.

--- a/crates/curranthook_gateway/src/attempt.rs
+++ b/crates/curranthook_gateway/src/attempt.rs
@@ -287,13 +287,15 @@
     /// Returns the connection to the pool if the endpoint keeps it open, after the response was
     /// read to its end.
     pub fn finish(self, gateway: &Gateway, retry_policy: RetryPolicy, outcome: Outcome) {
+        // Non-retryable requests add connections to the pool and never take one from it.
+        let max_idle = if retry_policy.is_retryable() { usize::MAX } else { self.lease.max_idle };
+        let surplus = self.lease.surplus_charge();
+        self.lease.close(outcome);
         if matches!(self.reply.connection, dialect::Connection::KeepAlive(_)) {
-            // Non-retryable requests add connections to the pool and never take one from it.
-            let max_idle =
-                if retry_policy.is_retryable() { usize::MAX } else { self.lease.max_idle };
+            // A failure counts from the end of the request on, which is recorded first.
+            self.conn.observe(Box::new(surplus));
             gateway.pool.put_with_limit(self.conn, max_idle);
         }
-        self.lease.close(outcome);
     }
 
     /// Closes the connection, upon which the endpoint stops working on the request.
--- a/crates/curranthook_gateway/src/directory.rs
+++ b/crates/curranthook_gateway/src/directory.rs
@@ -324,6 +324,16 @@
         it.failures += FAILURE_SMOOTHING * (failure - it.failures);
     }
 
+    /// Records that an answer of this incarnation was longer than it stated, which showed only after it
+    /// had been taken for a whole one.
+    pub fn record_surplus(&mut self, incarnation: &Incarnation, now: Instant) {
+        let known = self.endpoints.get_mut(&incarnation.id);
+        if let Some(it) = known.filter(|it| Incarnation::of(&it.entry) == *incarnation) {
+            it.eject_after_failure(now);
+            it.failures += FAILURE_SMOOTHING * (1.0 - it.failures);
+        }
+    }
+
     /// Whether any endpoint answered recently. If so, this node's own links work, and a failed
     /// connection is the endpoint's fault.
     pub fn has_recent_answer(&self, now: Instant) -> bool {
--- a/crates/curranthook_gateway/src/event.rs
+++ b/crates/curranthook_gateway/src/event.rs
@@ -90,6 +90,8 @@
     RateLimit { endpoint: &'a str, rate: Option<f64>, from: &'a str },
     /// An endpoint reports that it is leaving.
     Leaving { endpoint: &'a str, from: &'a str },
+    /// An endpoint's answer turned out to be longer than it stated.
+    Surplus { endpoint: &'a str },
     /// An endpoint refused a request and asked this node to send it none for some time.
     Paused { endpoint: &'a str, length_ms: u64 },
     /// The endpoints of a service state how many rejections per second each of them can bear.
--- a/crates/curranthook_gateway/src/lease.rs
+++ b/crates/curranthook_gateway/src/lease.rs
@@ -1,7 +1,12 @@
 //! Counts a request as load of the endpoint that it is sent to, until the request ends.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Weak},
+    time::Duration,
+};
 
+use curranthook_http::client;
 use curranthook_policy::slowdown::{Factor, Figure, Outlook};
 use curranthook_types::endpoint;
 
@@ -70,6 +75,21 @@
     outcome: Outcome,
 }
 
+/// Charges an endpoint for bytes that follow after an answer that seemed whole.
+#[derive(Debug)]
+pub struct SurplusCharge {
+    gateway: Weak<Gateway>,
+    incarnation: Incarnation,
+}
+
+impl client::Observer for SurplusCharge {
+    fn on_surplus(self: Box<Self>) {
+        let Some(gateway) = self.gateway.upgrade() else { return };
+        gateway.log.write(&Event::Surplus { endpoint: self.incarnation.id.as_str() });
+        gateway.directory.lock().record_surplus(&self.incarnation, gateway.now());
+    }
+}
+
 /// Whether a response carries all headers in which its endpoint states its own limits. If so, a
 /// missing rate limit means that there is none.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -295,6 +315,12 @@
         self.gateway.pending_work_changed.wake();
     }
 
+    /// What charges the endpoint if its answer turns out to be longer than it stated.
+    pub fn surplus_charge(&self) -> SurplusCharge {
+        let gateway = Arc::downgrade(&self.gateway);
+        SurplusCharge { gateway, incarnation: self.incarnation() }
+    }
+
     /// Releases the lease with the outcome of the request.
     pub fn close(mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/curranthook_http/src/client.rs
+++ b/crates/curranthook_http/src/client.rs
@@ -12,7 +12,7 @@
 
 use std::{
     collections::HashMap,
-    io,
+    fmt, io,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -119,6 +119,13 @@
 /// The way to pass requests to a connection, shared with the body of the current response.
 type Sender = Mutex<SendRequest<Full<Bytes>>>;
 
+/// Is notified of bytes that arrive on an idle connection after a response whose end only its head stated,
+/// and that do not begin another one: the response was longer than it stated.
+pub trait Observer: fmt::Debug + Send {
+    /// Such bytes have arrived, and the connection is closed.
+    fn on_surplus(self: Box<Self>);
+}
+
 /// A connection checked out of a [`Pool`].
 #[derive(Debug)]
 pub struct Connection {
@@ -127,6 +134,8 @@
     progress: Progress,
     opened: Opened,
     empty_body_grace: Duration,
+    /// What marked the end of the last response; none before the first one.
+    framing: Option<Framing>,
 }
 
 /// When a connection was opened.
@@ -139,6 +148,11 @@
 }
 
 impl Connection {
+    fn new(addr: SocketAddr, sender: Arc<Sender>, progress: Progress, opened: Opened) -> Self {
+        let (empty_body_grace, framing) = (Duration::ZERO, None);
+        Self { addr, sender, progress, opened, empty_body_grace, framing }
+    }
+
     /// Whether the connection has served another request before.
     pub fn is_reused(&self) -> bool {
         matches!(self.opened, Opened::Earlier)
@@ -176,6 +190,7 @@
                 self.progress.end_head();
                 let (mut head, incoming) = response.into_parts();
                 let framing = head::check(&method, &head)?;
+                self.framing = Some(framing);
                 head::normalize_length(&mut head);
                 let body = match framing {
                     Framing::Chunks => Body::chunked(incoming),
@@ -210,6 +225,14 @@
         Err(if is_unwritten { Error::NotSent } else { error })
     }
 
+    /// Notifies `observer` once if the last response turns out to be longer than it stated, until another
+    /// request is sent on the connection.
+    pub fn observe(&self, observer: Box<dyn Observer>) {
+        if self.framing == Some(Framing::Head) {
+            self.progress.observe(observer);
+        }
+    }
+
     /// Waits for `wait` to see whether the peer closes the connection immediately, as an endpoint
     /// over its connection limit does right after accepting one. In that case it is certain that a
     /// request sent on this connection would not have been received.
@@ -293,9 +316,7 @@
             // would block forever.
             let ready = future::poll_fn(|cx| sender.lock().poll_ready(cx));
             if let Ok(Ok(())) = timeout::run(READY_TIMEOUT, ready).await {
-                let opened = Opened::Earlier;
-                let empty_body_grace = Duration::ZERO;
-                return Ok(Connection { addr, sender, progress, opened, empty_body_grace });
+                return Ok(Connection::new(addr, sender, progress, Opened::Earlier));
             }
         }
         self.connect(addr, connect_timeout).await
@@ -409,7 +430,6 @@
             })
             .detach();
         let sender = Arc::new(Mutex::new(sender));
-        let (opened, empty_body_grace) = (Opened::Now(opened), Duration::ZERO);
-        Ok(Connection { addr, sender, progress, opened, empty_body_grace })
+        Ok(Connection::new(addr, sender, progress, Opened::Now(opened)))
     }
 }
--- a/crates/curranthook_http/src/client/progress.rs
+++ b/crates/curranthook_http/src/client/progress.rs
@@ -16,6 +16,7 @@
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, future};
 use parking_lot::Mutex;
 
+use super::Observer;
 use crate::timeout;
 
 /// The most bytes that are read until a response's head is complete, those of interim responses included.
@@ -46,6 +47,8 @@
     close_abandoned: Mutex<Option<Receiver<()>>>,
     /// Whether bytes were left over at the end that begin no response.
     has_surplus: AtomicBool,
+    /// Notified of such bytes while the connection is idle.
+    observer: Mutex<Option<Box<dyn Observer>>>,
 }
 
 /// A stream that counts the bytes written to it, and bounds what is read.
@@ -80,6 +83,7 @@
 
     /// Records that a request is passed to the connection.
     pub fn begin_head(&self) {
+        self.state.observer.lock().take();
         self.state.n_head_bytes.store(0, Ordering::SeqCst);
         self.state.awaits_head.store(true, Ordering::SeqCst);
     }
@@ -101,12 +105,30 @@
         let _closed = self.ended.recv().await;
     }
 
+    /// Notifies `observer` of bytes that begin no response, until the next request.
+    pub fn observe(&self, observer: Box<dyn Observer>) {
+        *self.state.observer.lock() = Some(observer);
+        // They may have arrived before.
+        if self.has_surplus() {
+            self.state.notify_observer();
+        }
+    }
+
     /// Whether the connection has ended with bytes left over that begin no response.
     pub fn has_surplus(&self) -> bool {
         self.state.has_surplus.load(Ordering::SeqCst)
     }
 }
 
+impl State {
+    fn notify_observer(&self) {
+        let observer = self.observer.lock().take();
+        if let Some(observer) = observer {
+            observer.on_surplus();
+        }
+    }
+}
+
 impl<S> Stream<S> {
     /// Whether bytes have been read so often in a row that other tasks have to get a turn. A reader may
     /// go on as long as it finds bytes, so that no time limit takes effect meanwhile.
@@ -152,6 +174,9 @@
         }
         let has_surplus = !surplus.is_empty() && !surplus.starts_with(RESPONSE_START);
         self.state.has_surplus.store(has_surplus, Ordering::SeqCst);
+        if has_surplus {
+            self.state.notify_observer();
+        }
     }
 }
 
